--- /dev/null
+++ b/crates/border/examples/generate.rs
@@ -0,0 +1,37 @@
+//! Writes the border types anew from the schemas: `cargo run -p catkin-border --example generate`.
+
+use std::{
+    error::Error,
+    fs,
+    path::{Path, PathBuf},
+};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    for (target, text) in files()? {
+        fs::write(target, text)?;
+    }
+    Ok(())
+}
+
+/// Each file of generated types, with its text.
+///
+/// # Errors
+///
+/// If a schema cannot be read or is not one.
+pub fn files() -> Result<Vec<(PathBuf, String)>, Box<dyn Error>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut schemas = fs::read_dir(root.join("schema"))?
+        .map(|entry| entry.map(|entry| entry.path()))
+        .collect::<Result<Vec<_>, _>>()?;
+    schemas.sort();
+    schemas.iter().map(|path| generate(root, path)).collect()
+}
+
+fn generate(root: &Path, schema: &Path) -> Result<(PathBuf, String), Box<dyn Error>> {
+    let mut types = typify::TypeSpace::default();
+    types.add_root_schema(serde_json::from_str(&fs::read_to_string(schema)?)?)?;
+    let file = syn::parse2::<syn::File>(types.to_stream())?;
+    let name = schema.file_stem().ok_or("a schema without a name")?;
+    let target = root.join("src/generated").join(name).with_extension("rs");
+    Ok((target, prettyplease::unparse(&file)))
+}
--- /dev/null
+++ b/crates/border/src/lib.rs
@@ -0,0 +1,21 @@
+//! Types of every interface at the border: callers, engines, the platform, operators.
+//!
+//! They are generated from the JSON schemas in `schema/` by
+//! `cargo run -p catkin-border --example generate` and committed, so a build needs no generator.
+
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/bundle.rs"]
+pub mod bundle;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/caller.rs"]
+pub mod caller;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/engine.rs"]
+pub mod engine;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/platform.rs"]
+pub mod platform;
--- /dev/null
+++ b/crates/catkinward/src/bundle_in_force.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// The bundle in force on this VM. It only ever moves to a larger version.
+#[derive(Default)]
+pub struct BundleInForce {
+    current: ArcSwap<Bundle>,
+    advancing: Mutex<()>,
+    changed: watch::Sender<BundleVersion>,
+}
+
+impl BundleInForce {
+    /// The bundle in force now. A request keeps the one it was accepted under.
+    #[must_use]
+    pub fn current(&self) -> Arc<Bundle> {
+        self.current.load_full()
+    }
+
+    /// Puts a bundle in force if its version is larger; returns whether it was.
+    ///
+    /// Without the comparison a late message with an older bundle would undo a rollout on this VM;
+    /// one would notice it by callers served under two versions for long.
+    pub fn advance(&self, bundle: Bundle) -> bool {
+        let _guard = self.advancing.lock();
+        if bundle.version <= self.current.load().version {
+            return false;
+        }
+        let version = bundle.version;
+        self.current.store(Arc::new(bundle));
+        self.changed.send_replace(version);
+        true
+    }
+
+    /// Tells of each change.
+    pub fn changes(&self) -> watch::Receiver<BundleVersion> {
+        self.changed.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/caller_border.rs
@@ -0,0 +1,269 @@
+use super::*;
+use crate::{
+    event_stream::event_stream,
+    generation::GenerationOutcome,
+    generation_driver,
+    generation_request::GenerationRequest,
+    http_client::json_bytes,
+    problem::{Problem, ProblemKind},
+};
+
+/// Header with the caller's deadline in milliseconds from now.
+const DEADLINE_HEADER: &str = "catkin-deadline-ms";
+
+/// Header with the index of the last token that a returning caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// How often a generation without a caller is looked at.
+const ABANDONED_PERIOD: Duration = Duration::from_millis(250);
+
+/// The HTTP service that callers see.
+#[derive(Clone)]
+pub(crate) struct CallerBorder {
+    node: Arc<Node>,
+}
+
+/// A caller who has shown who it is.
+struct Caller {
+    bundle: Arc<Bundle>,
+    team: TeamId,
+}
+
+impl volo::Service<ServerContext, Request> for CallerBorder {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        let mut response = match self.route(req).await {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        };
+        if self.node.drain.has_begun() {
+            response.headers_mut().insert(
+                header::CONNECTION,
+                header::HeaderValue::from_static("close"),
+            );
+        }
+        Ok(response)
+    }
+}
+
+impl CallerBorder {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    async fn route(&self, req: Request) -> Result<Response, Problem> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/healthz") => Ok(Response::new("ok\n".into())),
+            (&Method::GET, "/readyz") => self.ready(),
+            (&Method::POST, "/v1/completions") => self.complete(req).await,
+            _ => Err(ProblemKind::NoSuchPath.into()),
+        }
+    }
+
+    fn ready(&self) -> Result<Response, Problem> {
+        if self.node.drain.has_begun() {
+            return Err(ProblemKind::Draining.into());
+        }
+        if self.node.bundle.current().version == BundleVersion::default() {
+            return Err(ProblemKind::NotReady.into());
+        }
+        Ok(Response::new("ready\n".into()))
+    }
+
+    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+        let bundle = self.node.bundle.current();
+        if bundle.version == BundleVersion::default() {
+            return Err(ProblemKind::NotReady.into());
+        }
+        let key = header_text(headers, header::AUTHORIZATION.as_str())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or(ProblemKind::UnknownKey)?;
+        let team = bundle
+            .team_by_key(&KeyHash::of(key))
+            .ok_or(ProblemKind::UnknownKey)?
+            .id
+            .clone();
+        Ok(Caller { bundle, team })
+    }
+
+    async fn complete(&self, req: Request) -> Result<Response, Problem> {
+        let in_flight = self.node.drain.enter();
+        let (parts, body) = req.into_parts();
+        let caller = self.caller(&parts.headers)?;
+        let body = self.read_body(body).await?;
+        let order: caller::CompletionRequest =
+            serde_json::from_slice(&body).map_err(|_| ProblemKind::Malformed)?;
+        let request = self.accept(&caller, &parts.headers, &order)?;
+        let (generation, new) = self.node.generations.add(Generation::new(request));
+        if new {
+            self.start(&generation);
+        }
+        let from = next_index(&parts.headers)?;
+        if order.stream {
+            return Ok(event_response(event_stream(generation, from, in_flight)));
+        }
+        whole_answer(&generation).await
+    }
+
+    fn accept(
+        &self,
+        caller: &Caller,
+        headers: &HeaderMap,
+        order: &caller::CompletionRequest,
+    ) -> Result<GenerationRequest, Problem> {
+        let service = caller
+            .bundle
+            .service(&order.model)
+            .ok_or(ProblemKind::NoSuchService)?;
+        let ServiceKind::Generation { model, recovery } = &service.kind else {
+            return Err(ProblemKind::NoSuchService.into());
+        };
+        if !service.allows(&caller.team) {
+            return Err(ProblemKind::TeamNotAllowed.into());
+        }
+        let deadline = match header_text(headers, DEADLINE_HEADER) {
+            Some(ms) => Duration::from_millis(ms.parse().map_err(|_| ProblemKind::Malformed)?),
+            None => service.deadline,
+        };
+        Ok(GenerationRequest {
+            id: new_request_id(),
+            team: caller.team.clone(),
+            service: service.id.clone(),
+            bundle: caller.bundle.version,
+            model: model.clone(),
+            recovery: *recovery,
+            prompt: order.prompt.as_str().into(),
+            max_tokens: order.max_tokens.get(),
+            seed: order.seed.unwrap_or_else(rand::random),
+            temperature: order.temperature,
+            stop: order.stop.clone(),
+            deadline: self.node.timer.now().after(deadline),
+        })
+    }
+
+    fn start(&self, generation: &Arc<Generation>) {
+        let (node, generation) = (self.node.clone(), generation.clone());
+        tokio::spawn(async move {
+            tokio::join!(
+                generation_driver::drive(node.clone(), generation.clone()),
+                end_if_abandoned(&node, &generation),
+            );
+            node.generations.remove(&generation.request.id);
+        });
+    }
+
+    async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
+        let limited = http_body_util::Limited::new(body, self.node.settings.body_limit);
+        http_body_util::BodyExt::collect(limited)
+            .await
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(
+                |fault| match fault.downcast::<http_body_util::LengthLimitError>() {
+                    Ok(_) => ProblemKind::BodyTooLarge.into(),
+                    Err(_) => ProblemKind::Malformed.into(),
+                },
+            )
+    }
+}
+
+/// Cancels a generation whose caller has gone and has not come back within the grace period, so
+/// that it costs no more engine time; ends with the generation.
+async fn end_if_abandoned(node: &Node, generation: &Generation) {
+    let mut gone_since = None;
+    while generation.outcome().is_none() {
+        tokio::time::sleep(ABANDONED_PERIOD).await;
+        if generation.has_reader() {
+            gone_since = None;
+            continue;
+        }
+        let now = node.timer.now();
+        let since = *gone_since.get_or_insert(now);
+        if now.since(since) > node.settings.caller_grace {
+            generation.cancel();
+            return;
+        }
+    }
+}
+
+async fn whole_answer(generation: &Generation) -> Result<Response, Problem> {
+    let mut changes = generation.changes();
+    while generation.outcome().is_none() {
+        if changes.changed().await.is_err() {
+            break;
+        }
+    }
+    let (tokens, outcome) = generation.read_from(TokenIndex(0));
+    let finish = match outcome {
+        Some(GenerationOutcome::Whole(finish)) => finish,
+        Some(GenerationOutcome::Failed(kind)) => {
+            return Err(Problem {
+                kind,
+                request_id: Some(generation.request.id.clone()),
+                next_index: Some(generation.next_index()),
+            });
+        }
+        None => return Err(ProblemKind::Deadline.into()),
+    };
+    let mut joiner = Utf8Joiner::default();
+    let mut text: String = tokens
+        .iter()
+        .map(|token| joiner.push(&token.bytes))
+        .collect();
+    text.push_str(&joiner.finish());
+    let event = caller::CompletionEvent {
+        choices: vec![caller::CompletionChoice {
+            finish_reason: Some(finish.to_string()),
+            index: 0,
+            text,
+        }],
+        id: generation.request.id.to_string(),
+        object: "text_completion".to_owned(),
+        tokens: tokens.iter().map(|token| token.id).collect(),
+        usage: Some(caller::Usage {
+            attempts: generation.attempts().0,
+            completion_tokens: generation.next_index().0,
+        }),
+    };
+    let mut response = Response::new(Body::from(json_bytes(&event)));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    Ok(response)
+}
+
+fn event_response(body: Body) -> Response {
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(
+        header::CACHE_CONTROL,
+        header::HeaderValue::from_static("no-cache"),
+    );
+    response
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn next_index(headers: &HeaderMap) -> Result<TokenIndex, Problem> {
+    match header_text(headers, LAST_EVENT_ID) {
+        Some(last) => last
+            .parse()
+            .map(TokenIndex::next)
+            .map_err(|_| ProblemKind::Malformed.into()),
+        None => Ok(TokenIndex(0)),
+    }
+}
+
+fn new_request_id() -> RequestId {
+    format!("{:032x}", rand::random::<u128>())
+        .parse()
+        .expect("hexadecimal digits are visible ASCII")
+}
--- /dev/null
+++ b/crates/catkinward/src/daemon.rs
@@ -0,0 +1,36 @@
+use super::*;
+use crate::http_server::Listener;
+use std::process::ExitCode;
+
+/// Runs the router daemon on a command line without the program's name.
+///
+/// Once callers are served, it prints `listening ADDRESS` on standard output.
+pub fn run_daemon(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let command = Settings::read(args, |name| std::env::var(name).ok());
+    match command.and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> Result<()> {
+    match command {
+        Command::Check(_) => println!("the settings are valid"),
+        Command::Help => print!("{HELP}"),
+        Command::Run(settings) => return serve(settings),
+        Command::Version => println!("catkinward {}", env!("CARGO_PKG_VERSION")),
+    }
+    Ok(())
+}
+
+#[tokio::main]
+async fn serve(settings: Settings) -> Result<()> {
+    start_logging(&settings.log);
+    let listener = Listener::bind(settings.listen).await?;
+    let node = Node::start(settings)?;
+    println!("listening {}", listener.address()?);
+    node.serve(listener).await
+}
--- /dev/null
+++ b/crates/catkinward/src/engine_event.rs
@@ -0,0 +1,97 @@
+use super::*;
+
+/// An event of an engine's stream.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum EngineEvent {
+    /// The engine is there, but has no token yet.
+    Heartbeat,
+    /// A token.
+    Token(ReceivedToken),
+    /// The end of the answer.
+    End(ReceivedEnd),
+}
+
+impl EngineEvent {
+    /// Reads an event by its name and data.
+    ///
+    /// # Errors
+    ///
+    /// If it has another form than agreed.
+    pub(crate) fn read(name: &str, data: &str) -> Result<Self, AttemptFault> {
+        match name {
+            "heartbeat" => Ok(Self::Heartbeat),
+            "token" => read_token(serde_json::from_str(data)?),
+            "end" => read_end(&serde_json::from_str(data)?),
+            _ => Err(AttemptFault::UnknownEvent { name: name.into() }),
+        }
+    }
+}
+
+fn read_token(event: engine::EngineToken) -> Result<EngineEvent, AttemptFault> {
+    let bytes = parse_hex(&event.bytes).ok_or(AttemptFault::TokenBytes)?;
+    Ok(EngineEvent::Token(ReceivedToken {
+        request_id: event.request_id.try_into()?,
+        attempt: Attempt(event.attempt),
+        index: TokenIndex(event.index),
+        token: Token {
+            id: event.token,
+            bytes,
+        },
+    }))
+}
+
+fn read_end(event: &engine::EngineEnd) -> Result<EngineEvent, AttemptFault> {
+    Ok(EngineEvent::End(ReceivedEnd {
+        request_id: event.request_id.parse()?,
+        attempt: Attempt(event.attempt),
+        tokens: TokenIndex(event.tokens),
+        finish: match event.finish_reason {
+            engine::FinishReason::Length => Finish::Length,
+            engine::FinishReason::Stop => Finish::Stop,
+            engine::FinishReason::Cancelled => Finish::Cancelled,
+        },
+    }))
+}
+
+/// Why an attempt came to nothing, or broke off.
+#[derive(Debug, Display, StdError, From)]
+pub(crate) enum AttemptFault {
+    /// The stream ended without an end event.
+    #[display("the stream broke off")]
+    #[from(skip)]
+    Broken,
+    /// An event is no JSON of the agreed form.
+    #[display("an event cannot be read: {_0}")]
+    Form(serde_json::Error),
+    /// The call failed.
+    #[display("{_0}")]
+    Http(http_client::HttpError),
+    /// The engine refused; nothing ran.
+    #[display("the engine refused: {kind}")]
+    #[from(skip)]
+    Refused {
+        /// Why.
+        kind: engine::EngineRefusalKind,
+    },
+    /// The events are not those of the answer asked for.
+    #[display("{_0}")]
+    Relay(catkin_decisions::Error),
+    /// Nothing came for too long.
+    #[display("nothing came for {} ms", bound.as_millis())]
+    #[from(skip)]
+    Silent {
+        /// How long was waited.
+        bound: Duration,
+    },
+    /// A token's bytes are not hexadecimal.
+    #[display("a token's bytes are not hexadecimal")]
+    #[from(skip)]
+    TokenBytes,
+    /// An event of a name that was not agreed on.
+    #[display("unknown event `{name}`")]
+    #[from(skip)]
+    UnknownEvent {
+        /// Its name.
+        name: Arc<str>,
+    },
+}
--- /dev/null
+++ b/crates/catkinward/src/generation_driver.rs
@@ -0,0 +1,274 @@
+use super::*;
+use crate::{
+    attempt_stream::AttemptStream,
+    engine_client,
+    engine_event::{AttemptFault, EngineEvent},
+    generation::GenerationOutcome,
+    problem::ProblemKind,
+    upstream_handle::UpstreamHandle,
+};
+
+/// Bound until an engine answers an order with the headers of its stream.
+const START_BOUND: Duration = Duration::from_secs(1);
+
+/// Bound until a probe of a running attempt is answered.
+const PROBE_BOUND: Duration = Duration::from_millis(500);
+
+/// How long an engine may send nothing at all. Engines send heartbeats four times a second, so
+/// this is four of them lost.
+const SILENCE_BOUND: Duration = Duration::from_secs(1);
+
+/// How often one that waits for any upstream looks again.
+const RETRY_PERIOD: Duration = Duration::from_millis(50);
+
+/// Runs a generation to its end, over as many attempts as it takes.
+pub(crate) async fn drive(node: Arc<Node>, generation: Arc<Generation>) {
+    let mut driver = Driver {
+        node: node.clone(),
+        generation: generation.clone(),
+        avoid: Vec::new(),
+    };
+    let mut cancelled = generation.cancelled();
+    let outcome = tokio::select! {
+        outcome = driver.run() => outcome,
+        _ = cancelled.wait_for(|cancelled| *cancelled) => {
+            GenerationOutcome::Failed(ProblemKind::Cancelled)
+        }
+    };
+    tracing::info!(
+        id = %generation.request.id,
+        attempts = %generation.attempts(),
+        tokens = %generation.next_index(),
+        ?outcome,
+        "generation ended"
+    );
+    generation.conclude(outcome);
+}
+
+struct Driver {
+    node: Arc<Node>,
+    generation: Arc<Generation>,
+    avoid: Vec<UpstreamId>,
+}
+
+/// An attempt on its upstream. Dropping it cancels the attempt there.
+struct RunningAttempt {
+    node: Arc<Node>,
+    id: RequestId,
+    upstream: UpstreamHandle,
+    stream: AttemptStream,
+    ended: bool,
+}
+
+/// What went on first after a lost stream.
+enum Raced {
+    /// The old attempt, over a new connection.
+    Old(Box<AttemptStream>),
+    /// A second attempt on another upstream.
+    Second(Box<RunningAttempt>),
+}
+
+impl Drop for RunningAttempt {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let connections = self.node.connections.clone();
+        let address = self.upstream.address();
+        let (id, attempt) = (self.id.clone(), self.stream.attempt());
+        tokio::spawn(async move {
+            engine_client::cancel(&connections, address, &id, attempt).await;
+        });
+    }
+}
+
+impl Driver {
+    async fn run(&mut self) -> GenerationOutcome {
+        loop {
+            let Some(upstream) = self.wait_for_upstream().await else {
+                return GenerationOutcome::Failed(ProblemKind::Deadline);
+            };
+            let fault = match self.start(upstream).await {
+                Ok(attempt) => match self.follow(attempt).await {
+                    Ok(finish) => return GenerationOutcome::Whole(finish),
+                    Err(fault) => fault,
+                },
+                Err(fault) => fault,
+            };
+            tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+        }
+    }
+
+    /// Waits until an upstream can take the generation; `None` once its deadline is over.
+    async fn wait_for_upstream(&mut self) -> Option<UpstreamHandle> {
+        loop {
+            if self.node.timer.now() >= self.generation.request.deadline {
+                return None;
+            }
+            if let Some(upstream) = self.choose() {
+                return Some(upstream);
+            }
+            self.avoid.clear();
+            tokio::time::sleep(RETRY_PERIOD).await;
+        }
+    }
+
+    fn choose(&self) -> Option<UpstreamHandle> {
+        let request = &self.generation.request;
+        self.node
+            .upstreams
+            .choose(&request.service, Some(&request.model), &self.avoid)
+    }
+
+    /// Starts an attempt and makes it the live one.
+    async fn start(&mut self, upstream: UpstreamHandle) -> Result<RunningAttempt, AttemptFault> {
+        let (reserved, order) = self.generation.reserve();
+        self.generation.adopt(reserved);
+        self.open(upstream, &order).await
+    }
+
+    async fn open(
+        &mut self,
+        upstream: UpstreamHandle,
+        order: &engine::EngineGenerate,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        self.avoid.push(upstream.id().clone());
+        let address = upstream.address();
+        let stream =
+            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
+                .await
+                .inspect_err(|_| upstream.failed())?;
+        Ok(RunningAttempt {
+            node: self.node.clone(),
+            id: self.generation.request.id.clone(),
+            upstream,
+            stream,
+            ended: false,
+        })
+    }
+
+    /// Hands on tokens until the end, recovering what can be recovered.
+    async fn follow(&mut self, mut attempt: RunningAttempt) -> Result<Finish, AttemptFault> {
+        loop {
+            let fault = match self.relay_events(&mut attempt).await {
+                Ok(finish) => return Ok(finish),
+                Err(fault) => fault,
+            };
+            attempt.upstream.failed();
+            tracing::warn!(
+                id = %self.generation.request.id,
+                upstream = %attempt.upstream.id(),
+                %fault,
+                "stream lost"
+            );
+            if !matches!(fault, AttemptFault::Silent { .. } | AttemptFault::Broken) {
+                return Err(fault);
+            }
+            attempt = self.recover(attempt).await?;
+        }
+    }
+
+    async fn relay_events(&self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+        loop {
+            match attempt.stream.next(SILENCE_BOUND).await? {
+                EngineEvent::Heartbeat => {}
+                EngineEvent::Token(token) => {
+                    self.generation.token(token)?;
+                }
+                EngineEvent::End(end) => {
+                    if let Delivery::End(finish) = self.generation.end(&end)? {
+                        attempt.ended = true;
+                        attempt.upstream.succeeded();
+                        return Ok(finish);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on after a lost stream: with the same attempt if its engine still runs it, else with a
+    /// new attempt elsewhere. The service's policy says whether the second waits for the first.
+    async fn recover(&mut self, attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
+        match self.generation.request.recovery {
+            RecoveryPolicy::LeastWork => self.probe(attempt).await,
+            RecoveryPolicy::LeastWait => match self.choose() {
+                Some(other) => self.race(attempt, other).await,
+                None => self.probe(attempt).await,
+            },
+        }
+    }
+
+    async fn probe(&self, mut attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
+        attempt.stream = self.reattached(&attempt).await?;
+        Ok(attempt)
+    }
+
+    async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
+        let mut stream = engine_client::reattach(
+            &self.node.connections,
+            attempt.upstream.address(),
+            &attempt.id,
+            attempt.stream.attempt(),
+            self.generation.next_index(),
+            PROBE_BOUND,
+        )
+        .await?;
+        stream.wait_for_progress(PROBE_BOUND).await?;
+        Ok(stream)
+    }
+
+    async fn race(
+        &mut self,
+        mut old: RunningAttempt,
+        other: UpstreamHandle,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        let (reserved, order) = self.generation.reserve();
+        let second = match self.first_to_go_on(&old, other, &order).await? {
+            Raced::Old(stream) => {
+                old.stream = *stream;
+                return Ok(old);
+            }
+            Raced::Second(second) => second,
+        };
+        self.avoid.push(second.upstream.id().clone());
+        if self.generation.adopt(reserved) {
+            return Ok(*second);
+        }
+        Err(AttemptFault::Broken)
+    }
+
+    async fn first_to_go_on(
+        &self,
+        old: &RunningAttempt,
+        other: UpstreamHandle,
+        order: &engine::EngineGenerate,
+    ) -> Result<Raced, AttemptFault> {
+        let mut probe = std::pin::pin!(self.reattached(old));
+        let mut second = std::pin::pin!(self.second_attempt(other, order));
+        tokio::select! {
+            probed = &mut probe => match probed {
+                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
+                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
+            },
+            started = &mut second => match started {
+                Ok(second) => Ok(Raced::Second(Box::new(second))),
+                Err(_) => Ok(Raced::Old(Box::new(probe.await?))),
+            },
+        }
+    }
+
+    async fn second_attempt(
+        &self,
+        upstream: UpstreamHandle,
+        order: &engine::EngineGenerate,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        let mut driver = Driver {
+            node: self.node.clone(),
+            generation: self.generation.clone(),
+            avoid: Vec::new(),
+        };
+        let mut attempt = driver.open(upstream, order).await?;
+        attempt.stream.wait_for_progress(SILENCE_BOUND).await?;
+        Ok(attempt)
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/generation_request.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+/// A generation as accepted: all that an attempt needs, fixed for its whole life.
+#[derive(Clone, Debug)]
+pub struct GenerationRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// The team that asked.
+    pub team: TeamId,
+    /// The service asked for.
+    pub service: ServiceId,
+    /// Version of the bundle it was accepted under.
+    pub bundle: BundleVersion,
+    /// The model that answers, and no other.
+    pub model: Model,
+    /// How losses are met.
+    pub recovery: RecoveryPolicy,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// Largest number of tokens.
+    pub max_tokens: u32,
+    /// Sampling seed.
+    pub seed: u64,
+    /// Sampling temperature.
+    pub temperature: Option<f64>,
+    /// Stop sequences.
+    pub stop: Vec<String>,
+    /// When the caller gives up.
+    pub deadline: Instant,
+}
+
+impl GenerationRequest {
+    /// The order for an attempt that goes on after `prefix`.
+    pub(crate) fn order(&self, attempt: Attempt, prefix: &[Token]) -> engine::EngineGenerate {
+        engine::EngineGenerate {
+            request_id: self.id.to_string(),
+            attempt: attempt.0,
+            model: self.model.name.to_string(),
+            version: self.model.version.to_string(),
+            adapter: self.model.adapter.as_deref().map(str::to_owned),
+            prompt: self.prompt.to_string(),
+            prefix: prefix.iter().map(|token| token.id).collect(),
+            max_tokens: self.max_tokens,
+            seed: self.seed,
+            temperature: self.temperature,
+            stop: self.stop.clone(),
+            priority: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/kernel.rs
@@ -0,0 +1,68 @@
+use super::*;
+
+type AnyService = Arc<dyn Any + Send + Sync>;
+type StopHook = Box<dyn FnOnce() -> futures::future::BoxFuture<'static, ()> + Send>;
+
+/// The micro-kernel: services register under a name, find each other by it, and are stopped in
+/// reverse order of their registration.
+#[derive(Default)]
+pub struct Kernel {
+    services: RwLock<Vec<(ServiceName, AnyService)>>,
+    stop_hooks: Mutex<Vec<StopHook>>,
+}
+
+impl Kernel {
+    /// Registers a service.
+    ///
+    /// # Errors
+    ///
+    /// If the name is taken.
+    pub fn register<T: Any + Send + Sync>(
+        &self,
+        name: ServiceName,
+        service: Arc<T>,
+    ) -> Result<Arc<T>> {
+        let mut services = self.services.write();
+        match services.binary_search_by_key(&name, |(name, _)| *name) {
+            Ok(_) => Err(Error::ServiceTaken { name }),
+            Err(i) => {
+                services.insert(i, (name, service.clone()));
+                Ok(service)
+            }
+        }
+    }
+
+    /// Finds a service.
+    ///
+    /// # Errors
+    ///
+    /// If there is none of that name, or it is of another type.
+    pub fn find<T: Any + Send + Sync>(&self, name: ServiceName) -> Result<Arc<T>> {
+        let services = self.services.read();
+        let i = services
+            .binary_search_by_key(&name, |(name, _)| *name)
+            .map_err(|_| Error::ServiceAbsent { name })?;
+        let service = services[i].1.clone();
+        service
+            .downcast()
+            .map_err(|_| Error::ServiceOfOtherType { name })
+    }
+
+    /// Has `hook` run when the kernel stops.
+    pub fn on_stop<F>(&self, hook: impl FnOnce() -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.stop_hooks.lock().push(Box::new(|| Box::pin(hook())));
+    }
+
+    /// Runs the stop hooks, the last one first.
+    pub async fn stop(&self) {
+        loop {
+            let Some(hook) = self.stop_hooks.lock().pop() else {
+                return;
+            };
+            hook().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/lib.rs
@@ -0,0 +1,91 @@
+//! The catkinward router: a micro-kernel, its services, and the daemon made of them.
+//!
+//! Whatever is decided is decided in `catkin-decisions`; this crate brings the network, the clock
+//! and the platform to those decisions and obeys them.
+
+pub(crate) use {
+    crate::http_client::{Connections, HttpCall},
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    catkin_border::{bundle as border_bundle, caller, engine},
+    catkin_decisions::{
+        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, Instant, KeyHash,
+        Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
+        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex,
+        Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+    },
+    derive_more::{Display, Error as StdError, From},
+    http::{HeaderMap, Method, StatusCode, header},
+    parking_lot::{Mutex, RwLock},
+    std::{
+        any::Any,
+        convert::Infallible,
+        ffi::OsString,
+        fmt::Debug,
+        future::Future,
+        io,
+        net::SocketAddr,
+        path::PathBuf,
+        str::FromStr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    strum::{EnumString, IntoStaticStr},
+    tokio::sync::{Notify, mpsc, watch},
+    volo_http::{
+        body::{Body, BodyConversion},
+        context::ServerContext,
+        request::Request,
+        response::Response,
+    },
+};
+
+pub use crate::{
+    bundle_in_force::BundleInForce,
+    daemon::run_daemon,
+    drain::Drain,
+    error::Error,
+    generation::Generation,
+    generations::Generations,
+    kernel::Kernel,
+    logging::start_logging,
+    node::Node,
+    service_name::ServiceName,
+    settings::{Command, HELP, Settings},
+    timer::Timer,
+    upstreams::Upstreams,
+};
+
+/// The outcome of anything here that can fail.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+mod attempt_stream;
+mod bundle_format;
+mod bundle_in_force;
+mod caller_border;
+mod daemon;
+mod drain;
+mod engine_client;
+mod engine_event;
+mod error;
+mod event_stream;
+mod generation;
+mod generation_driver;
+mod generation_request;
+mod generations;
+/// HTTP calls to other processes.
+pub mod http_client;
+/// The HTTP server and its connection limits.
+pub mod http_server;
+mod kernel;
+mod logging;
+mod node;
+mod problem;
+mod service_name;
+mod settings;
+mod timer;
+mod upstream_handle;
+mod upstreams;
--- /dev/null
+++ b/crates/catkinward/src/node.rs
@@ -0,0 +1,102 @@
+use super::*;
+use crate::{bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener};
+use volo_http::server::Server;
+
+/// A router with all its services, and quick ways to those that every request needs.
+pub struct Node {
+    /// Settings it was started with.
+    pub settings: Settings,
+    /// All services by name.
+    pub kernel: Kernel,
+    /// Tells the time.
+    pub timer: Arc<Timer>,
+    /// Connections to other processes.
+    pub connections: Arc<Connections>,
+    /// The bundle in force.
+    pub bundle: Arc<BundleInForce>,
+    /// Upstreams and what is known of them.
+    pub upstreams: Arc<Upstreams>,
+    /// Generations under way.
+    pub generations: Arc<Generations>,
+    /// The state of a graceful shutdown.
+    pub drain: Arc<Drain>,
+}
+
+impl Node {
+    /// Starts all services.
+    ///
+    /// # Errors
+    ///
+    /// If one cannot be started.
+    pub fn start(settings: Settings) -> Result<Arc<Self>> {
+        let kernel = Kernel::default();
+        let timer = kernel.register(ServiceName::Timer, Timer::start())?;
+        let connections = Arc::new(Connections::new()?);
+        let connections = kernel.register(ServiceName::Connections, connections)?;
+        let bundle = kernel.register(ServiceName::Bundle, Arc::<BundleInForce>::default())?;
+        if let Some(path) = &settings.bundle_file {
+            bundle.advance(read_bundle_file(path)?);
+        }
+        let upstreams = Upstreams::start(&timer, &connections, &bundle);
+        let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
+        let generations = kernel.register(ServiceName::Generations, Arc::default())?;
+        let drain = kernel.register(ServiceName::Drain, Arc::default())?;
+        Ok(Arc::new(Self {
+            settings,
+            kernel,
+            timer,
+            connections,
+            bundle,
+            upstreams,
+            generations,
+            drain,
+        }))
+    }
+
+    /// Reads a bundle and puts it in force under `version`, if that is larger than the present one.
+    ///
+    /// # Errors
+    ///
+    /// Names the field of the bundle that is wrong.
+    pub fn put_bundle_in_force(&self, version: u64, json: &str) -> Result<bool> {
+        let bundle = read_bundle(BundleVersion(version), json)?;
+        Ok(self.bundle.advance(bundle))
+    }
+
+    /// Serves callers until a signal, then drains.
+    ///
+    /// The HTTP library ends by itself about 30 s after a signal, whatever is still open, and a
+    /// generation of minutes would be cut off. It runs its shutdown hook before that and goes on
+    /// accepting meanwhile, so the hook waits until nothing is in flight.
+    ///
+    /// # Errors
+    ///
+    /// If the server ends otherwise.
+    pub async fn serve(self: &Arc<Self>, listener: Listener) -> Result<()> {
+        let address = listener.address()?;
+        tracing::info!(%address, vm = %self.settings.vm, "serving callers");
+        let node = self.clone();
+        Server::new(CallerBorder::new(self.clone()))
+            .register_shutdown_hook(move || Box::pin(async move { node.drained().await }))
+            .run(listener)
+            .await
+            .map_err(|source| Error::Server { address, source })?;
+        self.kernel.stop().await;
+        Ok(())
+    }
+
+    async fn drained(&self) {
+        self.drain.begin();
+        tracing::info!(in_flight = self.drain.in_flight(), "draining");
+        self.drain.finished(self.settings.drain_grace).await;
+        tracing::info!("drained");
+    }
+}
+
+fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
+    let json = std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    read_bundle(BundleVersion(1), &json)
+}
--- /dev/null
+++ b/crates/catkinward/src/service_name.rs
@@ -0,0 +1,21 @@
+use super::*;
+
+/// Names by which the services of a process find each other.
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, EnumString, IntoStaticStr, strum::Display,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ServiceName {
+    /// The bundle in force.
+    Bundle,
+    /// The state of a graceful shutdown.
+    Drain,
+    /// Generations under way.
+    Generations,
+    /// Connections to other processes.
+    Connections,
+    /// Ticks for parts that do something now and then.
+    Timer,
+    /// Upstreams and what is known of them.
+    Upstreams,
+}
--- /dev/null
+++ b/crates/catkinward/src/settings.rs
@@ -0,0 +1,156 @@
+use super::*;
+
+/// Settings of the router daemon. Each is given by a flag or by an environment variable, which is
+/// the flag in capitals behind `CATKINWARD_`; the flag goes first.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Address on which callers are served.
+    pub listen: SocketAddr,
+    /// Id of this VM.
+    pub vm: VmId,
+    /// Availability zone of this VM.
+    pub zone: AvailabilityZone,
+    /// A bundle to start with, for a system without a platform.
+    pub bundle_file: Option<PathBuf>,
+    /// How long nothing must have been in flight before the process ends.
+    pub drain_grace: Duration,
+    /// How long a generation goes on without a caller who reads it.
+    pub caller_grace: Duration,
+    /// Longest request body, in bytes.
+    pub body_limit: usize,
+    /// Log levels, as in `info,catkinward=debug`.
+    pub log: String,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            vm: "vm-1".parse().expect("a valid name"),
+            zone: "zone-1".parse().expect("a valid name"),
+            bundle_file: None,
+            drain_grace: Duration::from_secs(2),
+            caller_grace: Duration::from_secs(20),
+            body_limit: 4 * 1024 * 1024,
+            log: "info".to_owned(),
+        }
+    }
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Check the settings only.
+    Check(Settings),
+    /// Print the flags.
+    Help,
+    /// Serve.
+    Run(Settings),
+    /// Print the version.
+    Version,
+}
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+Usage: catkinward [FLAGS]
+
+Routes generations and plain calls to upstreams and carries them through their failures.
+
+Flags (each also as a variable, as in CATKINWARD_LISTEN):
+  --listen ADDRESS          IP and port for callers [127.0.0.1:8080]
+  --vm ID                   id of this VM [vm-1]
+  --zone NAME               availability zone of this VM [zone-1]
+  --bundle-file FILE        bundle to start with, for a system without a platform
+  --drain-grace-ms N        how long nothing must be in flight before the end [2000]
+  --caller-grace-ms N       how long a generation goes on without its caller [20000]
+  --body-limit N            longest request body in bytes [4194304]
+  --log FILTER              log levels [info]
+  --check                   check the settings and end
+  --help                    print this text
+  --version                 print the version
+";
+
+impl Settings {
+    /// Reads the command line and the variables that `variable` looks up.
+    ///
+    /// # Errors
+    ///
+    /// Names the flag that is unknown, or whose value is wrong.
+    pub fn read(
+        args: impl IntoIterator<Item = OsString>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Command> {
+        let mut settings = Self::default();
+        for flag in FLAGS {
+            if let Some(value) = variable(&variable_name(flag)) {
+                settings.set(flag, &value)?;
+            }
+        }
+        let mut parser = lexopt::Parser::from_args(args);
+        let mut check = false;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                lexopt::Arg::Long("check") => check = true,
+                lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(Command::Help),
+                lexopt::Arg::Long("version") => return Ok(Command::Version),
+                lexopt::Arg::Long(flag) => {
+                    let flag = FLAGS
+                        .iter()
+                        .find(|known| **known == flag)
+                        .ok_or_else(|| arg.unexpected())?;
+                    let value = parser.value()?;
+                    settings.set(flag, &value.to_string_lossy())?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(if check {
+            Command::Check(settings)
+        } else {
+            Command::Run(settings)
+        })
+    }
+
+    fn set(&mut self, flag: &'static str, value: &str) -> Result<()> {
+        match flag {
+            "listen" => self.listen = parse(flag, "an IP address and port", value)?,
+            "vm" => self.vm = parse(flag, "1 to 200 visible ASCII characters", value)?,
+            "zone" => self.zone = parse(flag, "1 to 200 visible ASCII characters", value)?,
+            "bundle-file" => self.bundle_file = Some(value.into()),
+            "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
+            "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
+            "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
+            "log" => value.clone_into(&mut self.log),
+            _ => unreachable!("every flag of FLAGS is set above"),
+        }
+        Ok(())
+    }
+}
+
+/// Flags that have a value.
+const FLAGS: &[&str] = &[
+    "body-limit",
+    "bundle-file",
+    "caller-grace-ms",
+    "drain-grace-ms",
+    "listen",
+    "log",
+    "vm",
+    "zone",
+];
+
+fn variable_name(flag: &str) -> String {
+    format!("CATKINWARD_{}", flag.to_uppercase().replace('-', "_"))
+}
+
+fn parse<T: FromStr>(flag: &'static str, expected: &'static str, value: &str) -> Result<T> {
+    value.parse().map_err(|_| Error::SettingValue {
+        flag,
+        expected,
+        value: value.to_owned(),
+    })
+}
+
+fn parse_ms(flag: &'static str, value: &str) -> Result<Duration> {
+    parse(flag, "a number of milliseconds", value).map(Duration::from_millis)
+}
--- /dev/null
+++ b/crates/catkinward/src/timer.rs
@@ -0,0 +1,78 @@
+use super::*;
+
+/// The timer service: tells the time, and ticks for parts that subscribe.
+///
+/// A tick that its subscriber has not taken yet is not repeated, so a slow subscriber gets one tick
+/// and no burst.
+pub struct Timer {
+    start: tokio::time::Instant,
+    subscriptions: Mutex<Vec<Subscription>>,
+    changed: Notify,
+}
+
+struct Subscription {
+    period: Duration,
+    due: tokio::time::Instant,
+    tx: mpsc::Sender<Instant>,
+}
+
+/// Longest sleep of the timer while nothing is due.
+const IDLE: Duration = Duration::from_secs(3600);
+
+impl Timer {
+    /// Starts the timer's task.
+    #[must_use]
+    pub fn start() -> Arc<Self> {
+        let timer = Arc::new(Self {
+            start: tokio::time::Instant::now(),
+            subscriptions: Mutex::default(),
+            changed: Notify::new(),
+        });
+        tokio::spawn(run(Arc::downgrade(&timer)));
+        timer
+    }
+
+    /// Time since the timer started.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        Instant(self.start.elapsed())
+    }
+
+    /// Ticks every `period`, the first one period from now.
+    pub fn subscribe(&self, period: Duration) -> mpsc::Receiver<Instant> {
+        let (tx, rx) = mpsc::channel(1);
+        self.subscriptions.lock().push(Subscription {
+            period,
+            due: tokio::time::Instant::now() + period,
+            tx,
+        });
+        self.changed.notify_one();
+        rx
+    }
+
+    fn tick(&self) -> tokio::time::Instant {
+        let now = tokio::time::Instant::now();
+        let mut subscriptions = self.subscriptions.lock();
+        subscriptions.retain(|subscription| !subscription.tx.is_closed());
+        for subscription in subscriptions.iter_mut().filter(|s| s.due <= now) {
+            // A full channel means that the last tick still waits there: one is enough.
+            let _ = subscription.tx.try_send(Instant(now - self.start));
+            subscription.due = now + subscription.period;
+        }
+        subscriptions
+            .iter()
+            .map(|subscription| subscription.due)
+            .min()
+            .unwrap_or(now + IDLE)
+    }
+}
+
+async fn run(timer: std::sync::Weak<Timer>) {
+    while let Some(timer) = timer.upgrade() {
+        let due = timer.tick();
+        tokio::select! {
+            () = tokio::time::sleep_until(due) => {}
+            () = timer.changed.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/tests/settings.rs
@@ -0,0 +1,106 @@
+//! The daemon's command line, as a process.
+
+use googletest::prelude::*;
+use std::process::Command;
+
+struct Run {
+    args: Vec<&'static str>,
+    variables: Vec<(&'static str, &'static str)>,
+}
+
+fn run(args: &[&'static str]) -> Run {
+    Run {
+        args: args.to_vec(),
+        variables: Vec::new(),
+    }
+}
+
+impl Run {
+    fn variable(mut self, name: &'static str, value: &'static str) -> Self {
+        self.variables.push((name, value));
+        self
+    }
+
+    fn output(self) -> (Option<i32>, String, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_catkinward"))
+            .args(self.args)
+            .envs(self.variables)
+            .output()
+            .expect("the daemon starts");
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).expect("text"),
+            String::from_utf8(output.stderr).expect("text"),
+        )
+    }
+}
+
+#[gtest]
+fn check_accepts_the_defaults() {
+    let output = run(&["--check"]).output();
+
+    expect_that!(
+        output,
+        eq(&(Some(0), "the settings are valid\n".into(), String::new()))
+    );
+}
+
+#[gtest]
+fn version_is_that_of_the_package() {
+    let output = run(&["--version"]).output();
+
+    let version = concat!("catkinward ", env!("CARGO_PKG_VERSION"), "\n");
+    expect_that!(output, eq(&(Some(0), version.into(), String::new())));
+}
+
+#[gtest]
+fn wrong_value_names_the_flag() {
+    let output = run(&["--check", "--listen", "localhost"]).output();
+
+    let error = "error: `--listen` must be an IP address and port, but is `localhost`\n";
+    expect_that!(output, eq(&(Some(1), String::new(), error.into())));
+}
+
+#[gtest]
+fn wrong_variable_names_the_flag() {
+    let output = run(&["--check"])
+        .variable("CATKINWARD_DRAIN_GRACE_MS", "soon")
+        .output();
+
+    let error = "error: `--drain-grace-ms` must be a number of milliseconds, but is `soon`\n";
+    expect_that!(output, eq(&(Some(1), String::new(), error.into())));
+}
+
+#[gtest]
+fn flag_goes_before_variable() {
+    let output = run(&["--check", "--vm", "vm-9"])
+        .variable("CATKINWARD_VM", "vm-8")
+        .output();
+
+    expect_that!(output.0, some(eq(0)));
+}
+
+#[gtest]
+fn unknown_flag_is_named() {
+    let output = run(&["--frobnicate"]).output();
+
+    let error = "error: invalid option '--frobnicate'; `catkinward --help` lists the flags\n";
+    expect_that!(output, eq(&(Some(1), String::new(), error.into())));
+}
+
+#[gtest]
+fn help_lists_every_flag() {
+    let (code, help, _) = run(&["--help"]).output();
+
+    expect_that!(code, some(eq(0)));
+    for flag in [
+        "--listen",
+        "--vm",
+        "--zone",
+        "--bundle-file",
+        "--check",
+        "--version",
+    ] {
+        expect_that!(help, contains_substring(flag));
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/attempt.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+number_newtype!(
+    /// Fencing number of an attempt, rising within a request; 0 means that none was made.
+    Attempt,
+    "attempt"
+);
--- /dev/null
+++ b/crates/decisions/src/error.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+/// Every way in which input to a decision can be wrong.
+#[derive(Debug, Display, Error, PartialEq)]
+pub enum Error {
+    /// An attempt sent a token further on than the next one.
+    #[display("attempt {attempt} sent token {found} where token {expected} was due")]
+    Gap {
+        /// The attempt that did.
+        attempt: Attempt,
+        /// Index that was due.
+        expected: TokenIndex,
+        /// Index that came.
+        found: TokenIndex,
+    },
+    /// An attempt ended at another length than it had delivered.
+    #[display("attempt {attempt} ended at {claimed} tokens where {delivered} were delivered")]
+    Length {
+        /// The attempt that did.
+        attempt: Attempt,
+        /// Length that its end event names.
+        claimed: TokenIndex,
+        /// Tokens delivered.
+        delivered: TokenIndex,
+    },
+    /// A reply bears the id of another request.
+    #[display("a reply to request `{found}` came in answer to request `{expected}`")]
+    Crossed {
+        /// Request that was asked.
+        expected: RequestId,
+        /// Request that the reply names.
+        found: RequestId,
+    },
+    /// A key hash that is none.
+    #[display("a key hash must have 64 lower-case hexadecimal digits")]
+    KeyHash,
+    /// A number that is none.
+    #[display("`{what}` must be a whole number: {source}")]
+    Number {
+        /// What the number stands for.
+        what: &'static str,
+        /// Why it is none.
+        source: ParseIntError,
+    },
+    /// A text that cannot be a name.
+    #[display("`{what}` must have 1 to 200 visible ASCII characters")]
+    Text {
+        /// What the text stands for.
+        what: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/decisions/src/instant.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// Time since an arbitrary start, the same for all decisions of a process.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Instant(pub Duration);
+
+impl Instant {
+    /// Time from `earlier` to this; zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// This instant moved on by `duration`.
+    #[must_use]
+    pub fn after(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,91 @@
+//! Everything that catkinward decides, without network, async or clock.
+//!
+//! Time comes in as [`Instant`] values since an arbitrary start, so that each decision can be read
+//! and tested by itself. The daemon feeds events in and obeys what comes out.
+
+pub(crate) use {
+    derive_more::{Display, Error},
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt::{self, Formatter},
+        net::SocketAddr,
+        num::ParseIntError,
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
+    strum::{EnumString, IntoStaticStr},
+};
+
+#[macro_use]
+mod newtype;
+
+pub use crate::{
+    attempt::Attempt,
+    availability_zone::AvailabilityZone,
+    bundle::Bundle,
+    bundle_version::BundleVersion,
+    delivery::Delivery,
+    drop_reason::DropReason,
+    dropped_counts::DroppedCounts,
+    error::Error,
+    finish::Finish,
+    hex::{parse_hex, to_hex},
+    incarnation::Incarnation,
+    instant::Instant,
+    key_hash::KeyHash,
+    model::Model,
+    path_rule::PathRule,
+    received_end::ReceivedEnd,
+    received_token::ReceivedToken,
+    recovery_policy::RecoveryPolicy,
+    relay::Relay,
+    request_id::RequestId,
+    reserved_attempt::ReservedAttempt,
+    service::Service,
+    service_id::ServiceId,
+    service_kind::ServiceKind,
+    team::Team,
+    team_id::TeamId,
+    term::Term,
+    token::Token,
+    token_index::TokenIndex,
+    upstream::Upstream,
+    upstream_id::UpstreamId,
+    utf8_joiner::Utf8Joiner,
+    vm_id::VmId,
+};
+
+mod attempt;
+mod availability_zone;
+mod bundle;
+mod bundle_version;
+mod delivery;
+mod drop_reason;
+mod dropped_counts;
+mod error;
+mod finish;
+mod hex;
+mod incarnation;
+mod instant;
+mod key_hash;
+mod model;
+mod path_rule;
+mod received_end;
+mod received_token;
+mod recovery_policy;
+mod relay;
+mod request_id;
+mod reserved_attempt;
+mod service;
+mod service_id;
+mod service_kind;
+mod team;
+mod team_id;
+mod term;
+mod token;
+mod token_index;
+mod upstream;
+mod upstream_id;
+mod utf8_joiner;
+mod vm_id;
--- /dev/null
+++ b/crates/decisions/src/newtype.rs
@@ -0,0 +1,81 @@
+//! Macros that define the newtypes over text and numbers.
+
+/// Defines a newtype over shared text: one to 200 visible ASCII characters.
+macro_rules! text_newtype {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The text itself.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self, Error> {
+                if (1..=200).contains(&s.len()) && s.bytes().all(|b| b.is_ascii_graphic()) {
+                    Ok(Self(s.into()))
+                } else {
+                    Err(Error::Text { what: $what })
+                }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(s: String) -> Result<Self, Error> {
+                s.parse()
+            }
+        }
+    };
+}
+
+/// Defines a newtype over `u64` that only ever grows.
+macro_rules! number_newtype {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            Display,
+            Eq,
+            Hash,
+            Ord,
+            PartialEq,
+            PartialOrd,
+            Serialize,
+            Deserialize,
+        )]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number after this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self, Error> {
+                s.parse()
+                    .map(Self)
+                    .map_err(|source| Error::Number { what: $what, source })
+            }
+        }
+    };
+}
--- /dev/null
+++ b/crates/decisions/src/service_id.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_newtype!(
+    /// Name of a service of the bundle.
+    ServiceId,
+    "service"
+);
--- /dev/null
+++ b/crates/decisions/src/term.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+number_newtype!(
+    /// Fencing number of a lease; rises with each new holder.
+    Term,
+    "term"
+);
--- /dev/null
+++ b/crates/decisions/src/upstream_id.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_newtype!(
+    /// Id of an upstream.
+    UpstreamId,
+    "upstream"
+);
--- /dev/null
+++ b/crates/decisions/src/vm_id.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_newtype!(
+    /// Id of a VM.
+    VmId,
+    "VM"
+);
--- /dev/null
+++ b/crates/decisions/tests/relay.rs
@@ -0,0 +1,194 @@
+//! The relay: whatever comes in, the caller's answer is a gap-free prefix of one chain.
+
+use catkin_decisions::{
+    Attempt, Delivery, DropReason, Error, Finish, ReceivedEnd, ReceivedToken, Relay, RequestId,
+    Token, TokenIndex,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn request() -> RequestId {
+    "request".parse().expect("a valid id")
+}
+
+fn token(attempt: Attempt, index: u32) -> ReceivedToken {
+    ReceivedToken {
+        request_id: request(),
+        attempt,
+        index: TokenIndex(index),
+        token: Token {
+            id: u32::try_from(attempt.0).expect("a small attempt") * 1000 + index,
+            bytes: vec![b'a'],
+        },
+    }
+}
+
+fn relay_with(delivered: u32) -> (Relay, Attempt) {
+    let mut relay = Relay::new(request());
+    let reserved = relay.reserve();
+    assert!(relay.adopt(reserved));
+    for index in 0..delivered {
+        relay
+            .token(token(reserved.attempt(), index))
+            .expect("in order");
+    }
+    (relay, reserved.attempt())
+}
+
+#[gtest]
+fn delivers_the_live_attempt_in_order() {
+    let (mut relay, attempt) = relay_with(2);
+
+    let delivery = relay.token(token(attempt, 2));
+
+    expect_that!(
+        delivery,
+        ok(eq(&Delivery::Token(TokenIndex(2), token(attempt, 2).token)))
+    );
+}
+
+/// An engine is paused, a second one takes over, and the first one wakes up and sends on. Without
+/// the fence its caller would read two generations mixed into one answer.
+#[gtest]
+fn drops_what_an_older_attempt_sends() {
+    let (mut relay, old) = relay_with(2);
+    let new = relay.reserve();
+    assert!(relay.adopt(new));
+
+    let delivery = relay.token(token(old, 2));
+
+    expect_that!(delivery, ok(eq(&Delivery::Dropped(DropReason::OldAttempt))));
+    expect_that!(relay.next(), eq(TokenIndex(2)));
+}
+
+/// A second attempt is started while the first is probed, and the first turns out to be alive and
+/// delivers more. The second one's prefix is then too short: its tokens follow another chain, and a
+/// caller would read them after tokens they were never computed from.
+#[gtest]
+fn adopts_no_attempt_whose_prefix_is_outrun() {
+    let (mut relay, old) = relay_with(2);
+    let second = relay.reserve();
+    relay.token(token(old, 2)).expect("in order");
+
+    let adopted = relay.adopt(second);
+
+    expect_that!(adopted, eq(false));
+    expect_that!(relay.live(), eq(old));
+}
+
+/// A connection loses an event between engine and router. The caller would miss a token.
+#[gtest]
+fn refuses_a_gap() {
+    let (mut relay, attempt) = relay_with(2);
+
+    let delivery = relay.token(token(attempt, 3));
+
+    expect_that!(
+        delivery,
+        err(eq(&Error::Gap {
+            attempt,
+            expected: TokenIndex(2),
+            found: TokenIndex(3),
+        }))
+    );
+}
+
+/// An engine mixes up two streams. The caller would read another caller's answer.
+#[gtest]
+fn refuses_another_requests_token() {
+    let (mut relay, attempt) = relay_with(2);
+    let crossed = ReceivedToken {
+        request_id: "other".parse().expect("a valid id"),
+        ..token(attempt, 2)
+    };
+
+    let delivery = relay.token(crossed);
+
+    expect_that!(delivery, err(matches_pattern!(Error::Crossed { .. })));
+    expect_that!(relay.next(), eq(TokenIndex(2)));
+}
+
+/// An engine says that it has ended, but tokens before the end were lost. The caller would take a
+/// cut answer for a whole one.
+#[gtest]
+fn refuses_an_end_at_another_length() {
+    let (mut relay, attempt) = relay_with(2);
+
+    let delivery = relay.end(&ReceivedEnd {
+        request_id: request(),
+        attempt,
+        tokens: TokenIndex(5),
+        finish: Finish::Length,
+    });
+
+    expect_that!(delivery, err(matches_pattern!(Error::Length { .. })));
+    expect_that!(relay.finish(), none());
+}
+
+/// What may happen between two attempts.
+#[derive(Clone, Debug)]
+enum Step {
+    Reserve,
+    Adopt(usize),
+    Token(usize, u32),
+    End(usize, u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => Just(Step::Reserve),
+        2 => (0..6_usize).prop_map(Step::Adopt),
+        8 => (0..6_usize, 0..12_u32).prop_map(|(attempt, index)| Step::Token(attempt, index)),
+        1 => (0..6_usize, 0..12_u32).prop_map(|(attempt, tokens)| Step::End(attempt, tokens)),
+    ]
+}
+
+proptest! {
+    /// Attempts are reserved, adopted, answered late, twice and out of order, in every order that
+    /// chance brings. The caller's answer must always be what one chain of attempts computed, each
+    /// from exactly what was delivered before it.
+    #[test]
+    fn answer_is_always_a_prefix_of_one_chain(steps in prop::collection::vec(step(), 0..200)) {
+        let mut relay = Relay::new(request());
+        let mut reserved = Vec::new();
+        let mut answer: Vec<Token> = Vec::new();
+        let mut prefixes: Vec<Vec<Token>> = Vec::new();
+        let mut ended = false;
+
+        for step in steps {
+            match step {
+                Step::Reserve => {
+                    reserved.push(relay.reserve());
+                    prefixes.push(answer.clone());
+                }
+                Step::Adopt(i) if i < reserved.len() && relay.adopt(reserved[i]) => {
+                    prop_assert_eq!(&prefixes[i], &answer);
+                }
+                Step::Token(i, index) if i < reserved.len() => {
+                    let received = token(reserved[i].attempt(), index);
+                    if let Ok(Delivery::Token(at, token)) = relay.token(received) {
+                        prop_assert!(!ended);
+                        prop_assert_eq!(reserved[i].attempt(), relay.live());
+                        prop_assert_eq!(usize::try_from(at.0).expect("small"), answer.len());
+                        answer.push(token);
+                    }
+                }
+                Step::End(i, tokens) if i < reserved.len() => {
+                    let end = ReceivedEnd {
+                        request_id: request(),
+                        attempt: reserved[i].attempt(),
+                        tokens: TokenIndex(tokens),
+                        finish: Finish::Length,
+                    };
+                    if let Ok(Delivery::End(_)) = relay.end(&end) {
+                        prop_assert!(!ended);
+                        prop_assert_eq!(usize::try_from(tokens).expect("small"), answer.len());
+                        ended = true;
+                    }
+                }
+                _ => {}
+            }
+            prop_assert_eq!(relay.delivered(), &answer[..]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/utf8_joiner.rs
@@ -0,0 +1,36 @@
+//! Text out of tokens that may hold parts of characters.
+
+use catkin_decisions::Utf8Joiner;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+#[gtest]
+fn holds_back_the_start_of_a_character() {
+    let mut joiner = Utf8Joiner::default();
+
+    let texts = [joiner.push(b"caf\xc3"), joiner.push(b"\xa9!")];
+
+    expect_that!(texts, elements_are![eq("caf"), eq("\u{e9}!")]);
+}
+
+#[gtest]
+fn replaces_what_can_start_no_character() {
+    let mut joiner = Utf8Joiner::default();
+
+    let texts = [joiner.push(b"a\xffb\xc3"), joiner.finish()];
+
+    expect_that!(texts, elements_are![eq("a\u{fffd}b"), eq("\u{fffd}")]);
+}
+
+proptest! {
+    /// A text is cut into tokens at any bytes, and comes out as it was.
+    #[test]
+    fn any_cuts_give_the_same_text(text in ".{0,40}", size in 1..5_usize) {
+        let mut joiner = Utf8Joiner::default();
+
+        let mut joined: String = text.as_bytes().chunks(size).map(|c| joiner.push(c)).collect();
+        joined.push_str(&joiner.finish());
+
+        prop_assert_eq!(joined, text);
+    }
+}
--- /dev/null
+++ b/crates/load/src/process.rs
@@ -0,0 +1,103 @@
+use super::*;
+use crate::error::Error;
+
+/// What a process of an experiment is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// A router, as the daemon `catkinward`.
+    Router,
+    /// A stand-in, as the daemon `catkin-standins`.
+    Standin,
+}
+
+/// A process of an experiment: this program again, as a router or stand-in. It is killed when it is
+/// dropped.
+#[derive(Debug)]
+pub struct Process {
+    role: Role,
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Process {
+    /// Starts `program process ROLE ARGS...` and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// If it does not start, or does not say where it listens.
+    pub async fn start(
+        program: &std::path::Path,
+        role: Role,
+        args: &[&str],
+    ) -> Result<Self, Error> {
+        let mut child = Command::new(program)
+            .args(["process", &role.to_string()])
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|source| Error::Process { role, source })?;
+        let address = listening_address(&mut child)
+            .await
+            .ok_or(Error::NotListening { role })?;
+        Ok(Self {
+            role,
+            child,
+            address,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Kills it without notice.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be killed.
+    pub async fn kill(&mut self) -> Result<(), Error> {
+        let role = self.role;
+        self.child
+            .kill()
+            .await
+            .map_err(|source| Error::Process { role, source })
+    }
+
+    /// Waits for its end and returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be waited for.
+    pub async fn wait(&mut self) -> Result<Option<i32>, Error> {
+        let role = self.role;
+        let status = self.child.wait().await;
+        let status = status.map_err(|source| Error::Process { role, source })?;
+        Ok(status.code())
+    }
+
+    /// Its process id, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+}
+
+async fn listening_address(child: &mut Child) -> Option<SocketAddr> {
+    let mut lines = BufReader::new(child.stdout.take()?).lines();
+    let line = lines.next_line().await.ok()??;
+    line.strip_prefix("listening ")?.parse().ok()
+}
+
+/// Runs this process as `role`.
+#[must_use]
+pub fn run_process(role: Role, args: Vec<OsString>) -> ExitCode {
+    match role {
+        Role::Router => catkinward::run_daemon(args),
+        Role::Standin => catkin_standins::run_standin(args),
+    }
+}
--- /dev/null
+++ b/crates/load/tests/thin_path.rs
@@ -0,0 +1,102 @@
+//! The whole path with real processes: caller, router, two engines.
+
+use catkin_border::{bundle::RecoveryPolicy, caller::CompletionRequest};
+use catkin_load::{Process, Role};
+use catkin_standins::{Answer, CallerClient, DEMO_KEY, TokenChain, demo_bundle};
+use googletest::prelude::*;
+use std::{num::NonZeroU32, path::Path, sync::Arc};
+use tokio::sync::Notify;
+
+const TOKENS: u32 = 120;
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_catkin-load"))
+}
+
+async fn engine(seed: &str) -> Process {
+    let args = ["engine", "--seed", seed, "--step-us", "5000"];
+    Process::start(program(), Role::Standin, &args)
+        .await
+        .expect("an engine starts")
+}
+
+async fn router(engines: &[Process], recovery: RecoveryPolicy) -> Process {
+    let addresses = engines.iter().map(Process::address).collect::<Vec<_>>();
+    let bundle = serde_json::to_string(&demo_bundle(&addresses, recovery)).expect("JSON");
+    let file = std::env::temp_dir().join(format!("catkin-{:x}.json", rand::random::<u64>()));
+    std::fs::write(&file, bundle).expect("a temporary file");
+    let path = file.to_str().expect("a path of text");
+    let args = [
+        "--listen",
+        "127.0.0.1:0",
+        "--bundle-file",
+        path,
+        "--log",
+        "error",
+    ];
+    let router = Process::start(program(), Role::Router, &args)
+        .await
+        .expect("a router starts");
+    std::fs::remove_file(file).expect("the temporary file is there");
+    router
+}
+
+fn request() -> CompletionRequest {
+    CompletionRequest {
+        max_tokens: NonZeroU32::new(TOKENS).expect("not zero"),
+        model: "ticket-model".into(),
+        prompt: "menu reprint".into(),
+        seed: Some(3),
+        stop: Vec::new(),
+        stream: true,
+        temperature: None,
+    }
+}
+
+fn chain() -> TokenChain {
+    TokenChain::new("catkin", "1", "menu reprint", 3)
+}
+
+async fn killed_engine_answer(recovery: RecoveryPolicy) -> Answer {
+    let mut engines = vec![engine("1").await, engine("2").await];
+    let router = router(&engines, recovery).await;
+    let caller = CallerClient::new(router.address(), DEMO_KEY).expect("a client");
+    let midway = Arc::new(Notify::new());
+    let reached = midway.clone();
+    let reading = tokio::spawn(async move {
+        let mut answer = Answer::default();
+        let outcome = caller
+            .stream(&request(), None, &mut answer, |answer| {
+                if answer.ids.len() >= 40 {
+                    reached.notify_one();
+                }
+            })
+            .await;
+        outcome.map(|()| answer)
+    });
+    midway.notified().await;
+    // With equal load the router takes the first engine of the bundle.
+    engines[0].kill().await.expect("the engine runs");
+    reading.await.expect("no panic").expect("a whole answer")
+}
+
+/// An engine process is killed in the middle of a generation. The caller reads on and gets every
+/// token once, from one chain.
+#[gtest]
+#[tokio::test]
+async fn killed_engine_costs_a_pause_only_with_least_wait() {
+    let answer = killed_engine_answer(RecoveryPolicy::LeastWait).await;
+
+    expect_that!(answer.check(chain(), 120), ok(eq(&())));
+    expect_that!(answer.usage.expect("an end").attempts, eq(2));
+}
+
+/// The same with the policy that probes the old engine before it spends time on another.
+#[gtest]
+#[tokio::test]
+async fn killed_engine_costs_a_pause_only_with_least_work() {
+    let answer = killed_engine_answer(RecoveryPolicy::LeastWork).await;
+
+    expect_that!(answer.check(chain(), 120), ok(eq(&())));
+    expect_that!(answer.usage.expect("an end").attempts, eq(2));
+}
--- /dev/null
+++ b/crates/standins/src/answer_check.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+/// What is wrong with an answer.
+#[derive(Clone, Debug, Display, Error, PartialEq)]
+pub enum AnswerFault {
+    /// The text is not that of the token ids in this order: a token is missing, repeated, or of
+    /// another generation.
+    #[display("the text differs from the chain at byte {at}: expected `{expected}`, got `{found}`")]
+    Chain {
+        /// First byte that differs.
+        at: usize,
+        /// What belongs there.
+        expected: String,
+        /// What is there.
+        found: String,
+    },
+    /// The answer has another length.
+    #[display("{found} tokens where {expected} were asked for")]
+    Length {
+        /// Tokens asked for.
+        expected: usize,
+        /// Tokens received.
+        found: usize,
+    },
+}
+
+/// Checks an answer as a caller received it against the request that it sent.
+///
+/// # Errors
+///
+/// Says what is wrong.
+pub fn check_answer(
+    mut chain: TokenChain,
+    max_tokens: usize,
+    ids: &[u32],
+    text: &str,
+) -> Result<(), AnswerFault> {
+    if ids.len() != max_tokens {
+        return Err(AnswerFault::Length {
+            expected: max_tokens,
+            found: ids.len(),
+        });
+    }
+    let bytes = ids
+        .iter()
+        .flat_map(|id| chain.push(*id))
+        .collect::<Vec<_>>();
+    let expected = String::from_utf8_lossy(&bytes);
+    if expected == text {
+        return Ok(());
+    }
+    let at = expected
+        .bytes()
+        .zip(text.bytes())
+        .take_while(|(a, b)| a == b)
+        .count();
+    Err(AnswerFault::Chain {
+        at,
+        expected: excerpt(&expected, at),
+        found: excerpt(text, at),
+    })
+}
+
+fn excerpt(text: &str, at: usize) -> String {
+    let bytes = text.as_bytes().iter().skip(at).take(24).copied();
+    String::from_utf8_lossy(&bytes.collect::<Vec<_>>()).into_owned()
+}
--- /dev/null
+++ b/crates/standins/src/engine_batch.rs
@@ -0,0 +1,126 @@
+use super::*;
+use crate::sequence::Sequence;
+
+/// The continuous batch of a stand-in engine.
+pub(crate) struct EngineBatch {
+    settings: EngineSettings,
+    sequences: Mutex<Vec<Arc<Sequence>>>,
+    pub(crate) decoded: AtomicU64,
+    pub(crate) prefilled: AtomicU64,
+    pub(crate) paused: watch::Sender<bool>,
+}
+
+impl EngineBatch {
+    pub(crate) fn new(settings: EngineSettings) -> Self {
+        Self {
+            settings,
+            sequences: Mutex::default(),
+            decoded: AtomicU64::new(0),
+            prefilled: AtomicU64::new(0),
+            paused: watch::Sender::new(false),
+        }
+    }
+
+    /// Adds an attempt, unless one as new of the same request is there.
+    pub(crate) fn add(&self, sequence: Sequence) -> Option<Arc<Sequence>> {
+        let mut sequences = self.sequences.lock();
+        let same = |s: &&Arc<Sequence>| s.order.request_id == sequence.order.request_id;
+        if sequences
+            .iter()
+            .filter(same)
+            .any(|s| s.order.attempt >= sequence.order.attempt)
+        {
+            return None;
+        }
+        sequences.iter().filter(same).for_each(|s| s.cancel());
+        let sequence = Arc::new(sequence);
+        sequences.push(sequence.clone());
+        Some(sequence)
+    }
+
+    pub(crate) fn find(&self, request_id: &str, attempt: u64) -> Option<Arc<Sequence>> {
+        self.sequences
+            .lock()
+            .iter()
+            .find(|s| s.order.request_id == request_id && s.order.attempt == attempt)
+            .cloned()
+    }
+
+    /// Cancels all attempts of a request up to `attempt`.
+    pub(crate) fn cancel(&self, request_id: &str, attempt: u64) {
+        self.sequences
+            .lock()
+            .iter()
+            .filter(|s| s.order.request_id == request_id && s.order.attempt <= attempt)
+            .for_each(|s| s.cancel());
+    }
+
+    /// Sequences being decoded, and sequences that wait for a place.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let unfinished = self
+            .sequences
+            .lock()
+            .iter()
+            .filter(|s| s.state.lock().finish.is_none())
+            .count();
+        let running = unfinished.min(self.settings.capacity);
+        (running, unfinished - running)
+    }
+
+    /// Decodes until the engine is killed.
+    pub(crate) async fn run(self: Arc<Self>, killed: CancellationToken) {
+        let mut paused = self.paused.subscribe();
+        while !killed.is_cancelled() {
+            let _ = paused.wait_for(|paused| !*paused).await;
+            let batch = self.next_batch();
+            let time = self.prefill(&batch) + self.step_time(batch.len());
+            tokio::select! {
+                () = tokio::time::sleep(time) => {}
+                () = killed.cancelled() => return,
+            }
+            if *self.paused.borrow() {
+                continue;
+            }
+            for sequence in &batch {
+                sequence.step(self.settings.seed);
+            }
+            self.decoded
+                .fetch_add(batch.len().try_into().unwrap_or(0), Ordering::Relaxed);
+        }
+    }
+
+    fn next_batch(&self) -> Vec<Arc<Sequence>> {
+        let now = tokio::time::Instant::now();
+        let grace = self.settings.detach_grace;
+        let mut sequences = self.sequences.lock();
+        sequences.retain(|sequence| {
+            let unread = sequence.state.lock().unread_since;
+            let forgotten = unread.is_some_and(|since| now - since > grace);
+            if forgotten {
+                sequence.cancel();
+            }
+            !forgotten
+        });
+        sequences
+            .iter()
+            .filter(|sequence| sequence.state.lock().finish.is_none())
+            .take(self.settings.capacity)
+            .cloned()
+            .collect()
+    }
+
+    fn prefill(&self, batch: &[Arc<Sequence>]) -> Duration {
+        let tokens = batch
+            .iter()
+            .map(|sequence| std::mem::take(&mut sequence.state.lock().prefill_left))
+            .sum::<usize>();
+        self.prefilled
+            .fetch_add(tokens.try_into().unwrap_or(0), Ordering::Relaxed);
+        self.settings.prefill_per_token * u32::try_from(tokens).unwrap_or(u32::MAX)
+    }
+
+    fn step_time(&self, batch: usize) -> Duration {
+        let further = u32::try_from(batch.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.settings.step + self.settings.step_per_sequence * further
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine_server.rs
@@ -0,0 +1,273 @@
+use super::*;
+use crate::{
+    engine_batch::EngineBatch,
+    killable_listener::KillableListener,
+    query::query_number,
+    sequence::{Sequence, write_event},
+};
+use tokio::net::TcpListener;
+use volo_http::server::Server;
+
+/// How often an engine that has no token for a reader says that it is there.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// A running stand-in engine.
+#[derive(Clone)]
+pub struct EngineServer {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    address: SocketAddr,
+    settings: EngineSettings,
+    incarnation: u64,
+    batch: Arc<EngineBatch>,
+    leaving: AtomicBool,
+    killed: CancellationToken,
+    /// Connections of an epoch before the present one are silent for good.
+    epoch: watch::Sender<u64>,
+}
+
+/// What one reader of a sequence has had.
+struct Reader {
+    server: EngineServer,
+    sequence: Arc<Sequence>,
+    changes: watch::Receiver<()>,
+    next: u32,
+    epoch: u64,
+    ended: bool,
+}
+
+impl EngineServer {
+    /// Starts an engine on a loopback address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be had.
+    pub async fn start(address: SocketAddr, settings: EngineSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let server = Self {
+            inner: Arc::new(Inner {
+                address: listener.local_addr()?,
+                batch: Arc::new(EngineBatch::new(settings.clone())),
+                settings,
+                incarnation: rand::random::<u64>() >> 1,
+                leaving: AtomicBool::new(false),
+                killed: CancellationToken::new(),
+                epoch: watch::Sender::new(0),
+            }),
+        };
+        let killed = server.inner.killed.clone();
+        tokio::spawn(server.inner.batch.clone().run(killed.clone()));
+        let app = Server::new(server.clone());
+        tokio::spawn(app.run(KillableListener::new(listener, killed)));
+        Ok(server)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Ends as a process that is killed: streams break off, connections are refused.
+    pub fn kill(&self) {
+        self.inner.killed.cancel();
+    }
+
+    /// Stops or resumes all work, as a process that is paused.
+    pub fn pause(&self, paused: bool) {
+        self.inner.batch.paused.send_replace(paused);
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence(&self) {
+        self.inner.epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Says in its load reports whether it is leaving.
+    pub fn leave(&self, leaving: bool) {
+        self.inner.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Tokens decoded, and prompt and prefix tokens computed.
+    #[must_use]
+    pub fn work(&self) -> (u64, u64) {
+        let batch = &self.inner.batch;
+        (
+            batch.decoded.load(Ordering::Relaxed),
+            batch.prefilled.load(Ordering::Relaxed),
+        )
+    }
+
+    async fn generate(&self, req: Request) -> Response {
+        let Ok(body) = req.into_body().into_bytes().await else {
+            return refusal(engine::EngineRefusalKind::Malformed);
+        };
+        let Ok(order) = serde_json::from_slice::<engine::EngineGenerate>(&body) else {
+            return refusal(engine::EngineRefusalKind::Malformed);
+        };
+        if self.inner.leaving.load(Ordering::Relaxed) {
+            return refusal(engine::EngineRefusalKind::Leaving);
+        }
+        let models = &self.inner.settings.models;
+        if !models
+            .iter()
+            .any(|(model, version)| **model == order.model && **version == order.version)
+        {
+            return refusal(engine::EngineRefusalKind::ModelNotLoaded);
+        }
+        let from = u32::try_from(order.prefix.len()).unwrap_or(u32::MAX);
+        match self.inner.batch.add(Sequence::new(order)) {
+            Some(sequence) => self.stream(sequence, from),
+            None => refusal(engine::EngineRefusalKind::StaleAttempt),
+        }
+    }
+
+    fn reattach(&self, req: &Request) -> Response {
+        let id = stream_id(req);
+        let from = u32::try_from(query_number(req, "from")).unwrap_or(u32::MAX);
+        match self.inner.batch.find(id, query_number(req, "attempt")) {
+            Some(sequence) => self.stream(sequence, from),
+            None => refusal(engine::EngineRefusalKind::NoSuchStream),
+        }
+    }
+
+    fn cancel(&self, req: &Request) -> Response {
+        let attempt = query_number(req, "attempt");
+        self.inner.batch.cancel(stream_id(req), attempt);
+        Response::new(Body::empty())
+    }
+
+    fn load(&self) -> Response {
+        let (running, waiting) = self.inner.batch.counts();
+        let (decoded, prefilled) = self.work();
+        let load = engine::UpstreamLoad {
+            capacity: count(self.inner.settings.capacity),
+            decoded_tokens: Some(decoded),
+            highest_term: None,
+            incarnation: self.inner.incarnation,
+            leaving: self.inner.leaving.load(Ordering::Relaxed),
+            models: self.inner.settings.models.iter().map(loaded).collect(),
+            prefilled_tokens: Some(prefilled),
+            role: Some(engine::EngineRole::Serve),
+            running: count(running),
+            waiting: count(waiting),
+        };
+        Response::new(json_bytes(&load).into())
+    }
+
+    fn stream(&self, sequence: Arc<Sequence>, from: u32) -> Response {
+        sequence.state.lock().unread_since = None;
+        let reader = Reader {
+            server: self.clone(),
+            changes: sequence.changes.subscribe(),
+            sequence,
+            next: from,
+            epoch: *self.inner.epoch.borrow(),
+            ended: false,
+        };
+        let frames = futures::stream::unfold(reader, |mut reader| async {
+            let frame = reader.read().await?;
+            Some((
+                frame.map(|text| http_body::Frame::data(Bytes::from(text))),
+                reader,
+            ))
+        });
+        let mut response = Response::new(Body::from_stream(sync_wrapper::SyncStream::new(frames)));
+        response.headers_mut().insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("text/event-stream"),
+        );
+        response
+    }
+}
+
+impl volo::Service<ServerContext, Request> for EngineServer {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        let mut paused = self.inner.batch.paused.subscribe();
+        let _ = paused.wait_for(|paused| !*paused).await;
+        Ok(match (req.method(), req.uri().path()) {
+            (&Method::POST, "/v1/generate") => self.generate(req).await,
+            (&Method::GET, "/v1/load") => self.load(),
+            (&Method::GET, path) if path.starts_with(STREAMS) => self.reattach(&req),
+            (&Method::DELETE, path) if path.starts_with(STREAMS) => self.cancel(&req),
+            _ => refusal(engine::EngineRefusalKind::Malformed),
+        })
+    }
+}
+
+/// Path below which running streams are found by request id.
+const STREAMS: &str = "/v1/streams/";
+
+impl Reader {
+    async fn read(&mut self) -> Option<Result<String, volo_http::error::BoxError>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            self.changes.borrow_and_update();
+            if self.epoch != *self.server.inner.epoch.borrow() {
+                std::future::pending::<()>().await;
+            }
+            let (text, next, ended) = self.sequence.events_from(self.next);
+            (self.next, self.ended) = (next, ended);
+            if !text.is_empty() {
+                return Some(Ok(text));
+            }
+            let killed = self.server.inner.killed.clone();
+            tokio::select! {
+                _ = self.changes.changed() => {}
+                () = killed.cancelled() => {
+                    return Some(Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset).into()));
+                }
+                () = tokio::time::sleep(HEARTBEAT) => {
+                    if !*self.server.inner.batch.paused.borrow() {
+                        let mut text = String::new();
+                        write_event(&mut text, "heartbeat", &());
+                        return Some(Ok(text));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        if self.sequence.changes.receiver_count() <= 1 {
+            self.sequence.state.lock().unread_since = Some(tokio::time::Instant::now());
+        }
+    }
+}
+
+fn refusal(kind: engine::EngineRefusalKind) -> Response {
+    let body = engine::EngineRefusal {
+        attempt: None,
+        kind,
+        request_id: None,
+    };
+    let mut response = Response::new(json_bytes(&body).into());
+    *response.status_mut() = StatusCode::CONFLICT;
+    response
+}
+
+fn stream_id(req: &Request) -> &str {
+    req.uri().path().strip_prefix(STREAMS).unwrap_or_default()
+}
+
+fn loaded((model, version): &(Arc<str>, Arc<str>)) -> engine::LoadedModel {
+    engine::LoadedModel {
+        adapter: None,
+        model: model.to_string(),
+        streams: None,
+        version: version.to_string(),
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/standins/src/engine_settings.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+/// Settings of a stand-in engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Time of a decode step with one sequence.
+    pub step: Duration,
+    /// Time that each further sequence adds to a step.
+    pub step_per_sequence: Duration,
+    /// Time to compute one prompt or prefix token that is not cached.
+    pub prefill_per_token: Duration,
+    /// Sequences decoded at once.
+    pub capacity: usize,
+    /// Models loaded, as name and version.
+    pub models: Vec<(Arc<str>, Arc<str>)>,
+    /// How long a sequence runs on, and stays readable, without a reader.
+    pub detach_grace: Duration,
+    /// Seed of the incarnation and of all sampling.
+    pub seed: u64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(10),
+            step_per_sequence: Duration::from_micros(50),
+            prefill_per_token: Duration::from_micros(20),
+            capacity: 64,
+            models: vec![("catkin".into(), "1".into())],
+            detach_grace: Duration::from_secs(10),
+            seed: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,55 @@
+//! Stand-ins for the systems that catkinward serves: model engines, plain services and the platform.
+//!
+//! They are scaffolding, kept small: they speak the border's protocols, fail on demand, and make
+//! answers that a checker at the caller can verify.
+
+pub(crate) use {
+    bytes::Bytes,
+    catkin_border::{caller, engine},
+    catkin_decisions::to_hex,
+    catkinward::http_client::{Connections, HttpCall, HttpError, json_bytes},
+    derive_more::{Display, Error, From},
+    http::{Method, StatusCode, header},
+    parking_lot::Mutex,
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+    volo_http::{
+        body::{Body, BodyConversion},
+        context::ServerContext,
+        request::Request,
+        response::Response,
+    },
+};
+
+pub use crate::{
+    answer::Answer,
+    answer_check::{AnswerFault, check_answer},
+    caller_client::{CallFault, CallerClient},
+    daemon::{StandinError, run_standin},
+    demo_bundle::{DEMO_KEY, demo_bundle},
+    engine_server::EngineServer,
+    engine_settings::EngineSettings,
+    token_chain::TokenChain,
+};
+
+mod answer;
+mod answer_check;
+mod caller_client;
+mod daemon;
+mod demo_bundle;
+mod engine_batch;
+mod engine_server;
+mod engine_settings;
+mod killable_listener;
+mod query;
+mod sequence;
+mod token_chain;
--- /dev/null
+++ b/crates/standins/src/sequence.rs
@@ -0,0 +1,104 @@
+use super::*;
+
+/// One attempt as a stand-in engine runs it.
+pub(crate) struct Sequence {
+    pub(crate) order: engine::EngineGenerate,
+    pub(crate) state: Mutex<SequenceState>,
+    pub(crate) changes: watch::Sender<()>,
+}
+
+pub(crate) struct SequenceState {
+    pub(crate) chain: TokenChain,
+    /// Tokens of this attempt; the first one follows the forced prefix.
+    pub(crate) tokens: Vec<(u32, Vec<u8>)>,
+    pub(crate) finish: Option<engine::FinishReason>,
+    /// Prompt and prefix tokens still to be computed.
+    pub(crate) prefill_left: usize,
+    pub(crate) unread_since: Option<tokio::time::Instant>,
+}
+
+impl Sequence {
+    pub(crate) fn new(order: engine::EngineGenerate) -> Self {
+        let mut chain = TokenChain::new(&order.model, &order.version, &order.prompt, order.seed);
+        for id in &order.prefix {
+            chain.push(*id);
+        }
+        let prefill_left = order.prompt.len() / 4 + order.prefix.len();
+        let whole = order.prefix.len() >= length(order.max_tokens);
+        Self {
+            order,
+            state: Mutex::new(SequenceState {
+                chain,
+                tokens: Vec::new(),
+                finish: whole.then_some(engine::FinishReason::Length),
+                prefill_left,
+                unread_since: None,
+            }),
+            changes: watch::Sender::new(()),
+        }
+    }
+
+    /// Decodes one token.
+    pub(crate) fn step(&self, salt: u64) {
+        let mut state = self.state.lock();
+        if state.finish.is_some() {
+            return;
+        }
+        let id = state.chain.sample(salt ^ self.order.attempt);
+        let bytes = state.chain.push(id);
+        state.tokens.push((id, bytes));
+        if self.order.prefix.len() + state.tokens.len() >= length(self.order.max_tokens) {
+            state.finish = Some(engine::FinishReason::Length);
+        }
+        drop(state);
+        self.changes.send_replace(());
+    }
+
+    pub(crate) fn cancel(&self) {
+        self.state
+            .lock()
+            .finish
+            .get_or_insert(engine::FinishReason::Cancelled);
+        self.changes.send_replace(());
+    }
+
+    /// Events from token `from` of the whole answer on, and whether the last of them is the end.
+    pub(crate) fn events_from(&self, from: u32) -> (String, u32, bool) {
+        let state = self.state.lock();
+        let prefix = self.order.prefix.len();
+        let skip = length(from).saturating_sub(prefix);
+        let mut text = String::new();
+        let mut next = from;
+        for (id, bytes) in state.tokens.iter().skip(skip) {
+            let event = engine::EngineToken {
+                attempt: self.order.attempt,
+                bytes: to_hex(bytes),
+                index: next,
+                request_id: self.order.request_id.clone(),
+                token: *id,
+            };
+            write_event(&mut text, "token", &event);
+            next += 1;
+        }
+        if let Some(finish_reason) = state.finish {
+            let event = engine::EngineEnd {
+                attempt: self.order.attempt,
+                finish_reason,
+                request_id: self.order.request_id.clone(),
+                tokens: next,
+            };
+            write_event(&mut text, "end", &event);
+        }
+        (text, next, state.finish.is_some())
+    }
+}
+
+/// Adds one server-sent event to a text.
+pub(crate) fn write_event<T: serde::Serialize>(text: &mut String, name: &str, data: &T) {
+    let data = serde_json::to_string(data).expect("border types have text keys only");
+    text.extend(["event: ", name, "\ndata: ", &data, "\n\n"]);
+}
+
+fn length(tokens: u32) -> usize {
+    usize::try_from(tokens).unwrap_or(usize::MAX)
+}
