Platform interface: a struct of closures with typed faults

Cause: claims, bundles and orders will be built by several hands at once and must share one border. Change: Platform holds the calls of the table service, object store and VM list; PlatformFault says of each whether the call can have taken effect. No measurement: nothing calls it yet.

--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -7,7 +7,7 @@
     crate::http_client::{Connections, HttpCall},
     arc_swap::ArcSwap,
     bytes::Bytes,
-    catkin_border::{bundle as border_bundle, caller, engine},
+    catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
         Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, Instant, KeyHash,
         Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
@@ -53,6 +53,7 @@
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    platform::{Platform, PlatformCall, PlatformFault},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timer::Timer,
@@ -83,6 +84,7 @@
 mod kernel;
 mod logging;
 mod node;
+mod platform;
 mod problem;
 mod service_name;
 mod settings;
--- /dev/null
+++ b/crates/catkinward/src/platform.rs
@@ -0,0 +1,40 @@
+use super::*;
+use futures::future::BoxFuture;
+
+/// The platform's table service, object store and VM list, as closures: the real protocol, the
+/// stand-in's and a test's fake differ here and nowhere else.
+pub struct Platform {
+    /// Writes rows in one transaction, if all conditions hold.
+    pub transact: PlatformCall<platform_border::TransactRequest, platform_border::TransactReply>,
+    /// Reads rows by key.
+    pub read: PlatformCall<Vec<platform_border::RowKey>, Vec<platform_border::Row>>,
+    /// Reads rows of a table by key prefix, in key order.
+    pub scan: PlatformCall<platform_border::ScanRequest, Vec<platform_border::Row>>,
+    /// Stores an object under a name.
+    pub put_object: PlatformCall<(Arc<str>, Bytes), ()>,
+    /// Fetches an object; `None` if there is none of that name.
+    pub get_object: PlatformCall<Arc<str>, Option<Bytes>>,
+    /// Lists live and leaving VMs and upstreams; the list lags.
+    pub vms: PlatformCall<(), Vec<platform_border::VmEntry>>,
+}
+
+/// One call of the platform.
+pub type PlatformCall<Q, A> =
+    Box<dyn Fn(Q) -> BoxFuture<'static, Result<A, PlatformFault>> + Send + Sync>;
+
+/// Why a call of the platform brought no answer.
+#[derive(Clone, Debug, Display, PartialEq, StdError)]
+pub enum PlatformFault {
+    /// It certainly took no effect: it was refused, or never left.
+    #[display("the platform is not available")]
+    NotRun,
+    /// It may have taken effect: its answer was lost.
+    #[display("the platform's answer was lost")]
+    Unknown,
+    /// It certainly took no effect: the platform's rate limit is reached.
+    #[display("the platform's rate limit is reached")]
+    Throttled,
+    /// No budget is left for calls of this kind; it was not sent.
+    #[display("the budget for calls of the platform is used up")]
+    OutOfBudget,
+}
