Retry budget and hedging as pure decisions

Cause: retries without a bound multiply the load of an outage, and one late upstream sets every caller's p99.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -29,7 +29,9 @@
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     error::Error,
+    failed_call::FailedCall,
     finish::Finish,
+    hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     incarnation::Incarnation,
     instant::Instant,
@@ -42,6 +44,8 @@
     relay::Relay,
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
+    retry_budget::{RetryBudget, RetryBudgetConfig},
+    retry_refusal::RetryRefusal,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
@@ -64,7 +68,9 @@
 mod drop_reason;
 mod dropped_counts;
 mod error;
+mod failed_call;
 mod finish;
+mod hedge;
 mod hex;
 mod incarnation;
 mod instant;
@@ -77,6 +83,8 @@
 mod relay;
 mod request_id;
 mod reserved_attempt;
+mod retry_budget;
+mod retry_refusal;
 mod service;
 mod service_id;
 mod service_kind;
--- /dev/null
+++ b/crates/decisions/tests/hedge.rs
@@ -0,0 +1,73 @@
+//! Hedging of late calls.
+
+use catkin_decisions::{Hedge, HedgeConfig};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// 100 calls of 1 to 100 ms.
+fn observed() -> Hedge {
+    let mut hedge = Hedge::default();
+    (1..=100).for_each(|n| hedge.answered(ms(n)));
+    hedge
+}
+
+#[gtest]
+fn a_copy_is_due_past_the_p95() {
+    let hedge = observed();
+
+    expect_that!(hedge.delay(), some(eq(ms(96))));
+}
+
+#[gtest]
+fn nothing_is_due_before_enough_calls() {
+    let mut hedge = Hedge::default();
+
+    hedge.answered(ms(5));
+
+    expect_that!(hedge.delay(), none());
+}
+
+/// A ticket submission is late. A second copy could run it twice.
+#[gtest]
+fn never_copies_a_call_that_is_not_idempotent() {
+    let mut hedge = observed();
+
+    expect_that!(hedge.pay(false), eq(false));
+    expect_that!(hedge.pay(true), eq(true));
+}
+
+/// All upstreams slow down at once and every call is late. Without the budget hedges would double
+/// the load on them.
+#[gtest]
+fn copies_add_at_most_a_twentieth_when_all_calls_are_late() {
+    let mut hedge = observed();
+
+    let copies = (0..1000)
+        .filter(|_| {
+            hedge.answered(ms(1000));
+            hedge.pay(true)
+        })
+        .count();
+
+    expect_that!(copies, le(1000 / 20 + 5));
+}
+
+proptest! {
+    #[test]
+    fn the_delay_is_the_p95_of_the_window(latencies in prop::collection::vec(0..1000_u64, 64..400)) {
+        let mut hedge = Hedge::new(HedgeConfig { window: 64, ..HedgeConfig::default() });
+
+        for n in &latencies {
+            hedge.answered(ms(*n));
+        }
+
+        let mut last = latencies[latencies.len() - 64..].to_vec();
+        last.sort_unstable();
+        prop_assert_eq!(hedge.delay(), Some(ms(last[60])));
+    }
+}
