Rendezvous hashing, shared by all decisions that rank candidates

Cause: upstream subsets, progress holders and home VMs of limits must rank alike on every VM. Change: rendezvous_score and rendezvous_rank over xxh3. No measurement: nothing calls it yet.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -40,6 +40,7 @@
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     relay::Relay,
+    rendezvous::{rendezvous_rank, rendezvous_score},
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
     service::Service,
@@ -75,6 +76,7 @@
 mod received_token;
 mod recovery_policy;
 mod relay;
+mod rendezvous;
 mod request_id;
 mod reserved_attempt;
 mod service;
--- /dev/null
+++ b/crates/decisions/src/rendezvous.rs
@@ -0,0 +1,22 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Score of a candidate for a key; the largest scores win (rendezvous hashing).
+///
+/// Every process computes the same ranking from the same candidates, and a candidate that comes or
+/// goes moves only the keys that it wins or had won.
+#[must_use]
+pub fn rendezvous_score(key: &str, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
+/// Candidates in the order of their scores for a key, the best first.
+pub fn rendezvous_rank<T, N: AsRef<str>>(
+    key: &str,
+    mut candidates: Vec<T>,
+    name: impl Fn(&T) -> N,
+) -> Vec<T> {
+    candidates.sort_by_cached_key(|candidate| {
+        std::cmp::Reverse(rendezvous_score(key, name(candidate).as_ref()))
+    });
+    candidates
+}
