--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -42,6 +42,7 @@
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     relay::Relay,
+    rendezvous::{rendezvous_rank, rendezvous_score},
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
     retry_budget::{RetryBudget, RetryBudgetConfig},
@@ -81,6 +82,7 @@
 mod received_token;
 mod recovery_policy;
 mod relay;
+mod rendezvous;
 mod request_id;
 mod reserved_attempt;
 mod retry_budget;
