Eligibility of upstreams as one pure function

Cause: whether an upstream may get new work was a filter in the daemon that heeded its own report only, and a late report could undo a word of leaving.

Change: UpstreamEvidence takes reports, replies, the platform's list, refusals and peers' words; leaving is sticky per incarnation, a replaced process does not come back, and evidence dates from its question. Only eligible() makes the Eligible token that a dispatch will need.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,14 +28,17 @@
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    eligible::Eligible,
     error::Error,
     failed_call::FailedCall,
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     incarnation::Incarnation,
+    ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
+    leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
     received_end::ReceivedEnd,
@@ -56,6 +59,7 @@
     token::Token,
     token_index::TokenIndex,
     upstream::Upstream,
+    upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
@@ -68,14 +72,17 @@
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
+mod eligible;
 mod error;
 mod failed_call;
 mod finish;
 mod hedge;
 mod hex;
 mod incarnation;
+mod ineligible;
 mod instant;
 mod key_hash;
+mod leaving_source;
 mod model;
 mod path_rule;
 mod received_end;
@@ -96,6 +103,7 @@
 mod token;
 mod token_index;
 mod upstream;
+mod upstream_evidence;
 mod upstream_id;
 mod utf8_joiner;
 mod vm_id;
