Choice of upstream: two choices, prefix affinity, zones, subset

Cause: the least loaded choice on a report half a second old sends all VMs to the same upstream, and every VM polled every upstream.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,8 @@
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    candidate::Candidate,
+    choice::{ChoiceInput, choose},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -53,6 +55,8 @@
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
     term::Term,
@@ -61,6 +65,8 @@
     upstream::Upstream,
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_record::{AskedReport, UpstreamRecord},
+    upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
 };
@@ -69,6 +75,8 @@
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod candidate;
+mod choice;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
@@ -97,6 +105,8 @@
 mod service;
 mod service_id;
 mod service_kind;
+mod subset;
+mod suspicion;
 mod team;
 mod team_id;
 mod term;
@@ -105,5 +115,7 @@
 mod upstream;
 mod upstream_evidence;
 mod upstream_id;
+mod upstream_record;
+mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
--- /dev/null
+++ b/crates/decisions/src/upstream_record.rs
@@ -0,0 +1,129 @@
+//! What one VM knows of one upstream, brought down to a [`Candidate`].
+//!
+//! Load pattern: load reports lag by up to half a second, in which a VM dispatches many requests.
+//! Without the VM's own dispatches since the report, all of them go to the upstream that looked
+//! idle in it. A fresh process has cold caches and would be flooded just because it is idle; its
+//! weight climbs. An upstream that is slow without being busy shows in its answers' latency.
+//!
+//! Grounds for the figures: the slow start is as long as 20 report periods; the pace is forgotten
+//! after as long, so that a slow upstream is tried again by then. Neither is tuned by a
+//! measurement.
+
+use super::*;
+use crate::suspicion::climb;
+
+/// Time in which a fresh process climbs to its whole weight.
+const SLOW_START: Duration = Duration::from_secs(10);
+
+/// How long an observed latency counts.
+const PACE_BOUND: Duration = Duration::from_secs(10);
+
+/// Part of a new latency in the average.
+const PACE_PART: f64 = 0.2;
+
+/// What is known of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamRecord {
+    /// Whether it may get new work.
+    pub evidence: UpstreamEvidence,
+    suspicion: Suspicion,
+    report: UpstreamReport,
+    own: u32,
+    own_in_report: u32,
+    pace: Option<(f64, Instant)>,
+}
+
+/// A load report that was asked for and has not come yet.
+#[derive(Clone, Copy, Debug)]
+pub struct AskedReport {
+    at: Instant,
+    own: u32,
+}
+
+impl UpstreamRecord {
+    /// Notes that a load report is asked for now. Also taken at the dispatch of a request whose
+    /// reply may bring one.
+    #[must_use]
+    pub fn ask(&self, now: Instant) -> AskedReport {
+        AskedReport {
+            at: now,
+            own: self.own,
+        }
+    }
+
+    /// Takes a load report. Returns the former incarnation if it has just been replaced.
+    pub fn reported(&mut self, asked: AskedReport, report: UpstreamReport) -> Option<Incarnation> {
+        let former = self
+            .evidence
+            .reported(report.incarnation, report.leaving, asked.at);
+        if self.evidence.incarnation() == Some(report.incarnation) {
+            self.own_in_report = asked.own;
+            self.report = report;
+        }
+        former
+    }
+
+    /// Counts a request that is dispatched there.
+    pub fn dispatched(&mut self) {
+        self.own += 1;
+    }
+
+    /// Counts it no more.
+    pub fn finished(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Takes the latency of an answer.
+    pub fn answered(&mut self, incarnation: Incarnation, sent: Instant, now: Instant) {
+        self.evidence.replied(incarnation, sent);
+        let latency = now.since(sent).as_secs_f64();
+        let pace = match self.pace {
+            Some((pace, at)) if now.since(at) <= PACE_BOUND => pace + PACE_PART * (latency - pace),
+            _ => latency,
+        };
+        self.pace = Some((pace, now));
+    }
+
+    /// Notes that it failed a request.
+    pub fn failed(&mut self, now: Instant) {
+        self.suspicion.failed(now);
+    }
+
+    /// Requests of this VM there.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// The last load report.
+    #[must_use]
+    pub fn report(&self) -> &UpstreamReport {
+        &self.report
+    }
+
+    /// The upstream as a candidate for a request for `model`.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not get it.
+    pub fn candidate(&self, model: Option<&Model>, now: Instant) -> Result<Candidate, Ineligible> {
+        let eligible = self.evidence.eligible(now)?;
+        if !self.report.suits(model) {
+            return Err(Ineligible::Unsuited);
+        }
+        let others = self.report.load.saturating_sub(self.own_in_report);
+        Ok(Candidate {
+            load: others + self.own,
+            capacity: self.report.capacity.max(1),
+            weight: self.suspicion.weight(now)
+                * climb(self.evidence.since(), SLOW_START, now).max(0.1),
+            pace: self
+                .pace
+                .filter(|(_, at)| now.since(*at) <= PACE_BOUND)
+                .map(|(pace, _)| pace),
+            own_zone: true,
+            affinity: 0,
+            eligible,
+        })
+    }
+}
