Stand-ins: plain service, fault-injecting proxy, engine faults over HTTP

Cause: scenarios need upstreams that fail on demand from outside the process.

Change: a plain service that counts the runs of each request and loses, breaks off, refuses or slows its answers; a TCP proxy whose routes are silenced, cut in one direction or both, delayed, reset, refused, half-opened or stripped of their answers over HTTP; engine faults over POST /fault; engines crash on a poison prompt, hold a bounded prefix cache, decode by priority and report load late.

Conclusion: the fault cases pass their tests.

--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -1,5 +1,5 @@
 use super::*;
-use std::{ffi::OsString, process::ExitCode};
+use std::{ffi::OsString, process::ExitCode, str::FromStr};
 
 /// Why a stand-in cannot run.
 #[derive(Debug, Display, Error, From)]
@@ -8,7 +8,7 @@
     #[display("{_0}")]
     Flag(lexopt::Error),
     /// A value is wrong.
-    #[display("`--{flag}` must be a number, but is `{value}`")]
+    #[display("`--{flag}` cannot be `{value}`")]
     #[from(skip)]
     Value {
         /// Its flag.
@@ -16,14 +16,30 @@
         /// What it is.
         value: String,
     },
+    /// It was killed by a fault or a poison request.
+    #[display("the engine died")]
+    #[from(skip)]
+    Crashed,
+    /// No kind of stand-in is named.
+    #[display("name a stand-in: `engine`, `plain` or `proxy`")]
+    #[from(skip)]
+    Kind,
     /// The address cannot be had.
     #[display("cannot listen: {_0}")]
     Listen(std::io::Error),
 }
 
-/// Runs the stand-ins' daemon: `engine` with its flags. It prints `listening ADDRESS`.
+/// A stand-in as its command line asks for it.
+enum Standin {
+    Engine(EngineSettings),
+    Plain(PlainSettings),
+    Proxy(Vec<SocketAddr>),
+}
+
+/// Runs the stand-ins' daemon: `engine`, `plain` or `proxy` with its flags. It prints
+/// `listening ADDRESS`; the proxy prints the address of its control, then one for each `--to`.
 pub fn run_standin(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    match read_settings(args).map(serve) {
+    match read_standin(args).map(serve) {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(error)) | Err(error) => {
             eprintln!("error: {error}");
@@ -32,25 +48,72 @@
     }
 }
 
-fn read_settings(args: impl IntoIterator<Item = OsString>) -> Result<EngineSettings, StandinError> {
-    let mut settings = EngineSettings::default();
+fn read_standin(args: impl IntoIterator<Item = OsString>) -> Result<Standin, StandinError> {
     let mut parser = lexopt::Parser::from_args(args);
+    match parser.next()? {
+        Some(lexopt::Arg::Value(kind)) if kind == "plain" => plain(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "proxy" => proxy(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "engine" => engine(&mut parser),
+        Some(arg) => Err(arg.unexpected().into()),
+        None => Err(StandinError::Kind),
+    }
+}
+
+fn engine(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut settings = EngineSettings::default();
     while let Some(arg) = parser.next()? {
         match arg {
-            lexopt::Arg::Value(kind) if kind == "engine" => {}
-            lexopt::Arg::Long("step-us") => settings.step = micros("step-us", &mut parser)?,
-            lexopt::Arg::Long("seed") => settings.seed = number("seed", &mut parser)?,
+            lexopt::Arg::Long("step-us") => settings.step = micros("step-us", parser)?,
+            lexopt::Arg::Long("step-per-sequence-us") => {
+                settings.step_per_sequence = micros("step-per-sequence-us", parser)?;
+            }
+            lexopt::Arg::Long("prefill-us") => {
+                settings.prefill_per_token = micros("prefill-us", parser)?;
+            }
+            lexopt::Arg::Long("capacity") => settings.capacity = number("capacity", parser)?,
+            lexopt::Arg::Long("prefix-cache") => {
+                settings.prefix_cache = number("prefix-cache", parser)?;
+            }
+            lexopt::Arg::Long("load-lag-us") => settings.load_lag = micros("load-lag-us", parser)?,
+            lexopt::Arg::Long("seed") => settings.seed = number("seed", parser)?,
             _ => return Err(arg.unexpected().into()),
         }
     }
-    Ok(settings)
+    Ok(Standin::Engine(settings))
+}
+
+fn plain(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut settings = PlainSettings::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("service-us") => {
+                settings.service_time = micros("service-us", parser)?;
+            }
+            lexopt::Arg::Long("spread") => settings.spread = number("spread", parser)?,
+            lexopt::Arg::Long("capacity") => settings.capacity = number("capacity", parser)?,
+            lexopt::Arg::Long("seed") => settings.seed = number("seed", parser)?,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Standin::Plain(settings))
+}
+
+fn proxy(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut upstreams = Vec::new();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("to") => upstreams.push(number("to", parser)?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Standin::Proxy(upstreams))
 }
 
 fn micros(flag: &'static str, parser: &mut lexopt::Parser) -> Result<Duration, StandinError> {
     number(flag, parser).map(Duration::from_micros)
 }
 
-fn number(flag: &'static str, parser: &mut lexopt::Parser) -> Result<u64, StandinError> {
+fn number<T: FromStr>(flag: &'static str, parser: &mut lexopt::Parser) -> Result<T, StandinError> {
     let value = parser.value()?.to_string_lossy().into_owned();
     value
         .parse()
@@ -58,9 +121,27 @@
 }
 
 #[tokio::main]
-async fn serve(settings: EngineSettings) -> Result<(), StandinError> {
-    let engine = EngineServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), settings).await?;
-    println!("listening {}", engine.address());
+async fn serve(standin: Standin) -> Result<(), StandinError> {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    match standin {
+        Standin::Engine(settings) => {
+            let engine = EngineServer::start(free, settings).await?;
+            println!("listening {}", engine.address());
+            engine.died().await;
+            return Err(StandinError::Crashed);
+        }
+        Standin::Plain(settings) => {
+            let plain = PlainServer::start(free, settings).await?;
+            println!("listening {}", plain.address());
+        }
+        Standin::Proxy(upstreams) => {
+            let proxy = FaultProxy::start(free).await?;
+            println!("listening {}", proxy.address());
+            for upstream in upstreams {
+                println!("route {} to {upstream}", proxy.route(upstream).await?);
+            }
+        }
+    }
     std::future::pending::<()>().await;
     Ok(())
 }
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -1,10 +1,14 @@
 use super::*;
-use crate::sequence::Sequence;
+use crate::{prefix_cache::PrefixCache, sequence::Sequence};
+
+/// A prompt that begins so crashes the engine that runs it.
+pub const POISON: &str = "poison:";
 
 /// The continuous batch of a stand-in engine.
 pub(crate) struct EngineBatch {
     settings: EngineSettings,
     sequences: Mutex<Vec<Arc<Sequence>>>,
+    cache: Mutex<PrefixCache>,
     pub(crate) decoded: AtomicU64,
     pub(crate) prefilled: AtomicU64,
     pub(crate) paused: watch::Sender<bool>,
@@ -13,6 +17,7 @@
 impl EngineBatch {
     pub(crate) fn new(settings: EngineSettings) -> Self {
         Self {
+            cache: Mutex::new(PrefixCache::new(settings.prefix_cache)),
             settings,
             sequences: Mutex::default(),
             decoded: AtomicU64::new(0),
@@ -33,6 +38,8 @@
             return None;
         }
         sequences.iter().filter(same).for_each(|s| s.cancel());
+        let cached = self.cache.lock().take(&sequence.order.prompt);
+        sequence.state.lock().prefill_left -= cached;
         let sequence = Arc::new(sequence);
         sequences.push(sequence.clone());
         Some(sequence)
@@ -81,6 +88,9 @@
             if *self.paused.borrow() {
                 continue;
             }
+            if batch.iter().any(|s| s.order.prompt.starts_with(POISON)) {
+                return killed.cancel();
+            }
             for sequence in &batch {
                 sequence.step(self.settings.seed);
             }
@@ -101,12 +111,15 @@
             }
             !forgotten
         });
-        sequences
+        let mut batch: Vec<_> = sequences
             .iter()
             .filter(|sequence| sequence.state.lock().finish.is_none())
-            .take(self.settings.capacity)
             .cloned()
-            .collect()
+            .collect();
+        // The sort is stable: among equals, the first come goes first.
+        batch.sort_by_key(|sequence| std::cmp::Reverse(sequence.order.priority));
+        batch.truncate(self.settings.capacity);
+        batch
     }
 
     fn prefill(&self, batch: &[Arc<Sequence>]) -> Duration {
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -2,7 +2,7 @@
 use crate::{
     engine_batch::EngineBatch,
     killable_listener::KillableListener,
-    query::query_number,
+    query::{malformed, query_number, query_value},
     sequence::{Sequence, write_event},
 };
 use tokio::net::TcpListener;
@@ -23,6 +23,7 @@
     incarnation: u64,
     batch: Arc<EngineBatch>,
     leaving: AtomicBool,
+    reported: Mutex<Option<(tokio::time::Instant, engine::UpstreamLoad)>>,
     killed: CancellationToken,
     /// Connections of an epoch before the present one are silent for good.
     epoch: watch::Sender<u64>,
@@ -53,6 +54,7 @@
                 settings,
                 incarnation: rand::random::<u64>() >> 1,
                 leaving: AtomicBool::new(false),
+                reported: Mutex::default(),
                 killed: CancellationToken::new(),
                 epoch: watch::Sender::new(0),
             }),
@@ -75,6 +77,23 @@
         self.inner.killed.cancel();
     }
 
+    /// Ends once the engine is killed, or a poison request has crashed it.
+    pub async fn died(&self) {
+        self.inner.killed.cancelled().await;
+    }
+
+    /// Injects a fault, or takes one back.
+    pub fn inject(&self, fault: EngineFault) {
+        match fault {
+            EngineFault::Die => self.kill(),
+            EngineFault::Leave => self.leave(true),
+            EngineFault::Pause => self.pause(true),
+            EngineFault::Resume => self.pause(false),
+            EngineFault::Silence => self.silence(),
+            EngineFault::Stay => self.leave(false),
+        }
+    }
+
     /// Stops or resumes all work, as a process that is paused.
     pub fn pause(&self, paused: bool) {
         self.inner.batch.paused.send_replace(paused);
@@ -140,9 +159,19 @@
     }
 
     fn load(&self) -> Response {
+        let now = tokio::time::Instant::now();
+        let mut reported = self.inner.reported.lock();
+        let lagging = reported
+            .take()
+            .filter(|(at, _)| now - *at < self.inner.settings.load_lag);
+        let (_, load) = reported.insert(lagging.unwrap_or_else(|| (now, self.load_now())));
+        Response::new(json_bytes(load).into())
+    }
+
+    fn load_now(&self) -> engine::UpstreamLoad {
         let (running, waiting) = self.inner.batch.counts();
         let (decoded, prefilled) = self.work();
-        let load = engine::UpstreamLoad {
+        engine::UpstreamLoad {
             capacity: count(self.inner.settings.capacity),
             decoded_tokens: Some(decoded),
             highest_term: None,
@@ -153,8 +182,15 @@
             role: Some(engine::EngineRole::Serve),
             running: count(running),
             waiting: count(waiting),
+        }
+    }
+
+    fn take_fault(&self, req: &Request) -> Response {
+        let Some(fault) = query_value(req, "kind").and_then(|kind| kind.parse().ok()) else {
+            return malformed();
         };
-        Response::new(json_bytes(&load).into())
+        self.inject(fault);
+        Response::new(Body::empty())
     }
 
     fn stream(&self, sequence: Arc<Sequence>, from: u32) -> Response {
@@ -188,6 +224,9 @@
     type Error = Infallible;
 
     async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        if req.uri().path() == "/fault" {
+            return Ok(self.take_fault(&req));
+        }
         let mut paused = self.inner.batch.paused.subscribe();
         let _ = paused.wait_for(|paused| !*paused).await;
         Ok(match (req.method(), req.uri().path()) {
--- a/crates/standins/src/engine_settings.rs
+++ b/crates/standins/src/engine_settings.rs
@@ -15,7 +15,11 @@
     pub models: Vec<(Arc<str>, Arc<str>)>,
     /// How long a sequence runs on, and stays readable, without a reader.
     pub detach_grace: Duration,
-    /// Seed of the incarnation and of all sampling.
+    /// Prompt and prefix tokens that its prefix cache holds.
+    pub prefix_cache: usize,
+    /// By how much its load reports lag behind the truth.
+    pub load_lag: Duration,
+    /// Seed of all sampling.
     pub seed: u64,
 }
 
@@ -28,6 +32,8 @@
             capacity: 64,
             models: vec![("catkin".into(), "1".into())],
             detach_grace: Duration::from_secs(10),
+            prefix_cache: 200_000,
+            load_lag: Duration::ZERO,
             seed: 1,
         }
     }
--- /dev/null
+++ b/crates/standins/src/fault_proxy.rs
@@ -0,0 +1,94 @@
+use super::*;
+use crate::killable_listener::KillableListener;
+use crate::{
+    proxy_route::ProxyRoute,
+    query::{malformed, query_number, query_value},
+};
+use tokio::net::TcpListener;
+use volo_http::server::Server;
+
+/// A TCP proxy that injects faults. It is controlled over HTTP: `POST /route?to=ADDRESS` answers
+/// with the address of a new route, `POST /fault?route=N&kind=K&ms=N` changes a route.
+#[derive(Clone)]
+pub struct FaultProxy {
+    address: SocketAddr,
+    routes: Arc<Mutex<Vec<ProxyRoute>>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy without routes, controlled on a loopback address.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be had.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let proxy = Self {
+            address: listener.local_addr()?,
+            routes: Arc::default(),
+        };
+        let listener = KillableListener::new(listener, CancellationToken::new());
+        tokio::spawn(Server::new(proxy.clone()).run(listener));
+        Ok(proxy)
+    }
+
+    /// Where it is controlled.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens a route to an upstream and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// If no address can be had.
+    pub async fn route(&self, to: SocketAddr) -> std::io::Result<SocketAddr> {
+        let route = ProxyRoute::open(to).await?;
+        let address = route.address();
+        self.routes.lock().push(route);
+        Ok(address)
+    }
+
+    /// Injects a fault on the route opened as number `route`, from 0; false if there is none.
+    #[must_use]
+    pub fn inject(&self, route: usize, fault: ProxyFault, delay: Duration) -> bool {
+        match self.routes.lock().get(route) {
+            Some(route) => route.inject(fault, delay),
+            None => return false,
+        }
+        true
+    }
+
+    async fn take_route(&self, req: &Request) -> Response {
+        let Some(to) = query_value(req, "to").and_then(|to| to.parse().ok()) else {
+            return malformed();
+        };
+        match self.route(to).await {
+            Ok(address) => Response::new(json_bytes(&address).into()),
+            Err(_) => malformed(),
+        }
+    }
+
+    fn take_fault(&self, req: &Request) -> Response {
+        let route = usize::try_from(query_number(req, "route")).unwrap_or(usize::MAX);
+        let delay = Duration::from_millis(query_number(req, "ms"));
+        match query_value(req, "kind").and_then(|kind| kind.parse().ok()) {
+            Some(fault) if self.inject(route, fault, delay) => Response::new(Body::empty()),
+            _ => malformed(),
+        }
+    }
+}
+
+impl volo::Service<ServerContext, Request> for FaultProxy {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        Ok(match (req.method(), req.uri().path()) {
+            (&Method::POST, "/route") => self.take_route(&req).await,
+            (&Method::POST, "/fault") => self.take_fault(&req),
+            _ => malformed(),
+        })
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -36,8 +36,17 @@
     caller_client::{CallFault, CallerClient},
     daemon::{StandinError, run_standin},
     demo_bundle::{DEMO_KEY, demo_bundle},
+    engine_batch::POISON,
+    engine_fault::EngineFault,
     engine_server::EngineServer,
     engine_settings::EngineSettings,
+    fault_proxy::FaultProxy,
+    plain_fault::PlainFault,
+    plain_server::{PlainAnswer, PlainServer},
+    plain_settings::PlainSettings,
+    prefix_cache::prompt_tokens,
+    proxy_fault::ProxyFault,
+    run_counts::{RunCount, RunCounts, request_digest},
     token_chain::TokenChain,
 };
 
@@ -47,9 +56,18 @@
 mod daemon;
 mod demo_bundle;
 mod engine_batch;
+mod engine_fault;
 mod engine_server;
 mod engine_settings;
+mod fault_proxy;
 mod killable_listener;
+mod plain_fault;
+mod plain_server;
+mod plain_settings;
+mod prefix_cache;
+mod proxy_fault;
+mod proxy_route;
 mod query;
+mod run_counts;
 mod sequence;
 mod token_chain;
--- /dev/null
+++ b/crates/standins/src/plain_server.rs
@@ -0,0 +1,211 @@
+use super::*;
+use crate::{
+    killable_listener::KillableListener,
+    query::{malformed, query_value},
+};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, sync::Semaphore};
+use volo_http::server::Server;
+
+/// By how much a slow plain service is slower.
+const SLOW_FACTOR: u32 = 10;
+
+/// A running stand-in plain service. It counts the runs of each request.
+#[derive(Clone)]
+pub struct PlainServer {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    address: SocketAddr,
+    settings: PlainSettings,
+    incarnation: u64,
+    places: Semaphore,
+    running: AtomicU64,
+    waiting: AtomicU64,
+    counts: Mutex<RunCounts>,
+    fault: Mutex<PlainFault>,
+    random: Mutex<Xoshiro256PlusPlus>,
+    killed: CancellationToken,
+}
+
+/// What a plain service answers: which request it ran.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlainAnswer {
+    /// [`request_digest`] of the request.
+    pub digest: u64,
+    /// Runs of it on this upstream so far.
+    pub run: u64,
+}
+
+/// Counts a request for as long as it is in one state.
+struct Counted<'a>(&'a AtomicU64);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl PlainServer {
+    /// Starts a plain service on a loopback address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be had.
+    pub async fn start(address: SocketAddr, settings: PlainSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let killed = CancellationToken::new();
+        let server = Self {
+            inner: Arc::new(Inner {
+                address: listener.local_addr()?,
+                incarnation: rand::random::<u64>() >> 1,
+                places: Semaphore::new(settings.capacity),
+                running: AtomicU64::new(0),
+                waiting: AtomicU64::new(0),
+                counts: Mutex::default(),
+                fault: Mutex::default(),
+                random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
+                killed: killed.clone(),
+                settings,
+            }),
+        };
+        tokio::spawn(Server::new(server.clone()).run(KillableListener::new(listener, killed)));
+        Ok(server)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Makes it fail in this way from now on.
+    pub fn fail(&self, fault: PlainFault) {
+        *self.inner.fault.lock() = fault;
+    }
+
+    /// How often it ran each request.
+    #[must_use]
+    pub fn counts(&self) -> RunCounts {
+        self.inner.counts.lock().clone()
+    }
+
+    /// Stops accepting connections.
+    pub fn kill(&self) {
+        self.inner.killed.cancel();
+    }
+
+    async fn serve(&self, req: Request) -> Response {
+        let fault = *self.inner.fault.lock();
+        if matches!(fault, PlainFault::Refuse | PlainFault::Leave) {
+            return refusal(fault);
+        }
+        let key = req.headers().get("idempotency-key").cloned();
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        let Ok(body) = req.into_body().into_bytes().await else {
+            return refusal(fault);
+        };
+        let waiting = Counted::new(&self.inner.waiting);
+        let place = self.inner.places.acquire().await;
+        drop(waiting);
+        let _running = Counted::new(&self.inner.running);
+        let digest = request_digest(&query, &body);
+        let key = key.as_ref().and_then(|key| key.to_str().ok());
+        let run = self
+            .inner
+            .counts
+            .lock()
+            .add(key.unwrap_or_default(), digest);
+        tokio::time::sleep(self.service_time(fault)).await;
+        drop(place);
+        match fault {
+            PlainFault::LoseAnswer => std::future::pending().await,
+            PlainFault::BreakOff => broken_answer(),
+            _ => Response::new(json_bytes(&PlainAnswer { digest, run }).into()),
+        }
+    }
+
+    fn service_time(&self, fault: PlainFault) -> Duration {
+        let settings = &self.inner.settings;
+        let uniform: f64 = self.inner.random.lock().random_range(1e-9..1.0);
+        let mean = match fault {
+            PlainFault::Slow => settings.service_time * SLOW_FACTOR,
+            _ => settings.service_time,
+        };
+        mean.mul_f64(1.0 - settings.spread - settings.spread * uniform.ln())
+    }
+
+    fn load(&self) -> Response {
+        let count = |n: &AtomicU64| u32::try_from(n.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
+        let load = engine::UpstreamLoad {
+            capacity: u32::try_from(self.inner.settings.capacity).unwrap_or(u32::MAX),
+            decoded_tokens: None,
+            highest_term: None,
+            incarnation: self.inner.incarnation,
+            leaving: *self.inner.fault.lock() == PlainFault::Leave,
+            models: Vec::new(),
+            prefilled_tokens: None,
+            role: None,
+            running: count(&self.inner.running),
+            waiting: count(&self.inner.waiting),
+        };
+        Response::new(json_bytes(&load).into())
+    }
+
+    fn take_fault(&self, req: &Request) -> Response {
+        let Some(fault) = query_value(req, "kind").and_then(|kind| kind.parse().ok()) else {
+            return malformed();
+        };
+        self.fail(fault);
+        Response::new(Body::empty())
+    }
+}
+
+impl volo::Service<ServerContext, Request> for PlainServer {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        Ok(match (req.method(), req.uri().path()) {
+            (&Method::GET, "/v1/load") => self.load(),
+            (&Method::GET, "/stats") => Response::new(json_bytes(&self.counts()).into()),
+            (&Method::POST, "/fault") => self.take_fault(&req),
+            _ => self.serve(req).await,
+        })
+    }
+}
+
+fn refusal(fault: PlainFault) -> Response {
+    let kind = match fault {
+        PlainFault::Leave => engine::EngineRefusalKind::Leaving,
+        PlainFault::Refuse => engine::EngineRefusalKind::Full,
+        _ => engine::EngineRefusalKind::Malformed,
+    };
+    let body = engine::EngineRefusal {
+        attempt: None,
+        kind,
+        request_id: None,
+    };
+    let mut response = Response::new(json_bytes(&body).into());
+    *response.status_mut() = StatusCode::CONFLICT;
+    response
+}
+
+fn broken_answer() -> Response {
+    let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+    let frames = [
+        Ok(http_body::Frame::data(Bytes::from_static(b"{"))),
+        Err(reset.into()),
+    ];
+    Response::new(Body::from_stream(futures::stream::iter(frames)))
+}
--- /dev/null
+++ b/crates/standins/src/proxy_route.rs
@@ -0,0 +1,201 @@
+use super::*;
+use std::io;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
+    sync::mpsc,
+    time::Instant,
+};
+
+/// Chunks that a direction of a connection holds while they are delayed.
+const CHUNKS: usize = 256;
+
+/// One way through the fault-injecting proxy: an address of its own before one upstream.
+pub(crate) struct ProxyRoute {
+    address: SocketAddr,
+    state: watch::Sender<RouteState>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteState {
+    fault: ProxyFault,
+    delay: Duration,
+    /// Connections opened at an earlier count are silent for good.
+    silences: u64,
+    /// Connections opened at an earlier count are reset.
+    resets: u64,
+    /// Connections opened at an earlier count have lost their upstream's side.
+    half_opens: u64,
+}
+
+/// How a connection through the proxy ended.
+enum End {
+    Closed,
+    HalfOpen,
+    Reset,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Direction {
+    Up,
+    Down,
+}
+
+impl ProxyRoute {
+    pub(crate) async fn open(to: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let state = watch::Sender::new(RouteState::default());
+        tokio::spawn(accept(listener, to, state.subscribe()));
+        Ok(Self { address, state })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn inject(&self, fault: ProxyFault, delay: Duration) {
+        self.state.send_modify(|state| match fault {
+            ProxyFault::Silence => state.silences += 1,
+            ProxyFault::Reset => state.resets += 1,
+            ProxyFault::HalfOpen => state.half_opens += 1,
+            _ => (state.fault, state.delay) = (fault, delay),
+        });
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, state: watch::Receiver<RouteState>) {
+    while let Ok((caller, _)) = listener.accept().await {
+        if state.borrow().fault == ProxyFault::Refuse {
+            let _ = caller.set_zero_linger();
+            continue;
+        }
+        tokio::spawn(connect(caller, to, state.clone()));
+    }
+}
+
+async fn connect(mut caller: TcpStream, to: SocketAddr, mut state: watch::Receiver<RouteState>) {
+    let opened = *state.borrow();
+    let reachable = state.wait_for(|state| state.fault != ProxyFault::BlackHole);
+    if reachable.await.is_err() {
+        return;
+    }
+    let Ok(mut upstream) = TcpStream::connect(to).await else {
+        let _ = caller.set_zero_linger();
+        return;
+    };
+    let _ = (caller.set_nodelay(true), upstream.set_nodelay(true));
+    match pass(&mut caller, &mut upstream, opened, &state).await {
+        End::Closed => {}
+        End::Reset => {
+            let _ = (caller.set_zero_linger(), upstream.set_zero_linger());
+        }
+        End::HalfOpen => {
+            let _ = upstream.set_zero_linger();
+            drop(upstream);
+            let _ = tokio::io::copy(&mut caller, &mut tokio::io::sink()).await;
+        }
+    }
+}
+
+async fn pass(
+    caller: &mut TcpStream,
+    upstream: &mut TcpStream,
+    opened: RouteState,
+    state: &watch::Receiver<RouteState>,
+) -> End {
+    let (caller_rx, caller_tx) = caller.split();
+    let (upstream_rx, upstream_tx) = upstream.split();
+    let link = |direction| Link {
+        direction,
+        opened,
+        state: state.clone(),
+    };
+    let up = link(Direction::Up).copy(caller_rx, upstream_tx);
+    let down = link(Direction::Down).copy(upstream_rx, caller_tx);
+    let changed = |count: fn(&RouteState) -> u64| {
+        let mut state = state.clone();
+        async move {
+            let _ = state.wait_for(|now| count(now) != count(&opened)).await;
+        }
+    };
+    tokio::select! {
+        passed = async { tokio::try_join!(up, down) } => match passed {
+            Ok(_) => End::Closed,
+            Err(_) => End::Reset,
+        },
+        () = changed(|state| state.resets) => End::Reset,
+        () = changed(|state| state.half_opens) => End::HalfOpen,
+    }
+}
+
+/// One direction of a connection.
+struct Link {
+    direction: Direction,
+    opened: RouteState,
+    state: watch::Receiver<RouteState>,
+}
+
+impl Link {
+    async fn copy(self, rx: ReadHalf<'_>, tx: WriteHalf<'_>) -> io::Result<()> {
+        let (chunk_tx, chunk_rx) = mpsc::channel(CHUNKS);
+        tokio::try_join!(self.read(rx, chunk_tx), write(tx, chunk_rx)).map(|_| ())
+    }
+
+    async fn read(
+        mut self,
+        mut rx: ReadHalf<'_>,
+        tx: mpsc::Sender<(Instant, Bytes)>,
+    ) -> io::Result<()> {
+        let mut buf = vec![0; 16 * 1024];
+        loop {
+            let read = rx.read(&mut buf).await;
+            self.wait_until_open().await;
+            let n = read?;
+            if n == 0 {
+                return Ok(());
+            }
+            let RouteState { fault, delay, .. } = *self.state.borrow();
+            if fault == ProxyFault::LoseAnswers && self.direction == Direction::Down {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            let due = match fault {
+                ProxyFault::Delay => Instant::now() + delay,
+                _ => Instant::now(),
+            };
+            let chunk = Bytes::copy_from_slice(&buf[..n]);
+            if tx.send((due, chunk)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Waits while this direction is cut; for good if the connection has gone silent.
+    async fn wait_until_open(&mut self) {
+        let (direction, silences) = (self.direction, self.opened.silences);
+        let open = self.state.wait_for(|state| {
+            let cut = match state.fault {
+                ProxyFault::BlackHole => true,
+                ProxyFault::CutUp => direction == Direction::Up,
+                ProxyFault::CutDown => direction == Direction::Down,
+                _ => false,
+            };
+            !cut && state.silences == silences
+        });
+        let _ = open.await;
+    }
+}
+
+async fn write(
+    mut tx: WriteHalf<'_>,
+    mut chunks: mpsc::Receiver<(Instant, Bytes)>,
+) -> io::Result<()> {
+    while let Some((due, chunk)) = chunks.recv().await {
+        tokio::time::sleep_until(due).await;
+        tx.write_all(&chunk).await?;
+    }
+    tx.shutdown().await
+}
--- /dev/null
+++ b/crates/standins/src/run_counts.rs
@@ -0,0 +1,57 @@
+use super::*;
+use serde::{Deserialize, Serialize};
+
+/// How often a plain service ran each request, sorted by idempotency key and digest.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RunCounts {
+    /// One entry for each key and digest.
+    pub runs: Vec<RunCount>,
+}
+
+/// How often one request was run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunCount {
+    /// Idempotency key; empty if there was none.
+    pub key: Arc<str>,
+    /// [`request_digest`] of the request.
+    pub digest: u64,
+    /// Runs.
+    pub count: u64,
+}
+
+impl RunCounts {
+    /// Counts a run and returns the runs of that request so far.
+    pub fn add(&mut self, key: &str, digest: u64) -> u64 {
+        let place = self
+            .runs
+            .binary_search_by(|run| (&*run.key, run.digest).cmp(&(key, digest)));
+        match place {
+            Ok(i) => {
+                self.runs[i].count += 1;
+                self.runs[i].count
+            }
+            Err(i) => {
+                let key = key.into();
+                let count = 1;
+                self.runs.insert(i, RunCount { key, digest, count });
+                count
+            }
+        }
+    }
+
+    /// Runs of all requests of that digest.
+    #[must_use]
+    pub fn of_digest(&self, digest: u64) -> u64 {
+        self.runs
+            .iter()
+            .filter(|run| run.digest == digest)
+            .map(|run| run.count)
+            .sum()
+    }
+}
+
+/// Digest of a request's query and body, by which a caller finds its runs.
+#[must_use]
+pub fn request_digest(query: &str, body: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(query.as_bytes()))
+}
--- a/crates/standins/src/sequence.rs
+++ b/crates/standins/src/sequence.rs
@@ -23,7 +23,7 @@
         for id in &order.prefix {
             chain.push(*id);
         }
-        let prefill_left = order.prompt.len() / 4 + order.prefix.len();
+        let prefill_left = prompt_tokens(&order.prompt) + order.prefix.len();
         let whole = order.prefix.len() >= length(order.max_tokens);
         Self {
             order,
--- /dev/null
+++ b/crates/standins/tests/fault_proxy.rs
@@ -0,0 +1,142 @@
+//! The fault-injecting proxy on one route to an echo server.
+
+use catkin_standins::{FaultProxy, ProxyFault};
+use googletest::prelude::*;
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// How long a test waits for bytes that must not come.
+const NOTHING: Duration = Duration::from_millis(60);
+
+async fn echo_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut rx, mut tx) = stream.split();
+                let _ = tokio::io::copy(&mut rx, &mut tx).await;
+            });
+        }
+    });
+    address
+}
+
+async fn proxy() -> (FaultProxy, SocketAddr) {
+    let control = SocketAddr::from(([127, 0, 0, 1], 0));
+    let proxy = FaultProxy::start(control).await.expect("an address");
+    let route = proxy.route(echo_server().await).await;
+    (proxy, route.expect("an address"))
+}
+
+async fn open(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.expect("it listens")
+}
+
+async fn echo(stream: &mut TcpStream) -> io::Result<u8> {
+    stream.write_all(b"x").await?;
+    stream.read_u8().await
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    tokio::time::timeout(NOTHING, echo(stream)).await.is_err()
+}
+
+/// A connection is forgotten by something between its two ends: nothing comes any more, while a
+/// new connection works.
+#[gtest]
+#[tokio::test]
+async fn silence_is_for_good_and_for_open_connections_only() {
+    let (proxy, route) = proxy().await;
+    let mut old = open(route).await;
+    let before = echo(&mut old).await;
+
+    expect_that!(
+        proxy.inject(0, ProxyFault::Silence, Duration::ZERO),
+        eq(true)
+    );
+
+    expect_that!(before.expect("an echo"), eq(b'x'));
+    expect_that!(is_silent(&mut old).await, eq(true));
+    expect_that!(
+        echo(&mut open(route).await).await.expect("an echo"),
+        eq(b'x')
+    );
+}
+
+/// A partition in one or both directions, or a half-open connection: nothing comes back.
+#[gtest]
+#[tokio::test]
+async fn cut_routes_are_silent() {
+    for fault in [
+        ProxyFault::BlackHole,
+        ProxyFault::CutUp,
+        ProxyFault::CutDown,
+        ProxyFault::HalfOpen,
+    ] {
+        let (proxy, route) = proxy().await;
+        let mut stream = open(route).await;
+        echo(&mut stream).await.expect("an echo");
+
+        expect_that!(proxy.inject(0, fault, Duration::ZERO), eq(true));
+
+        expect_that!(is_silent(&mut stream).await, eq(true), "{fault}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_healed_route_passes_what_waited() {
+    let (proxy, route) = proxy().await;
+    let mut stream = open(route).await;
+    echo(&mut stream).await.expect("an echo");
+    let cut = proxy.inject(0, ProxyFault::CutDown, Duration::ZERO);
+    let silent = is_silent(&mut stream).await;
+
+    let healed = proxy.inject(0, ProxyFault::Pass, Duration::ZERO);
+
+    expect_that!((cut, silent, healed), eq((true, true, true)));
+    expect_that!(stream.read_u8().await.expect("the waiting byte"), eq(b'x'));
+}
+
+/// A process dies, or a call takes effect and its answer is lost: the caller sees a reset.
+#[gtest]
+#[tokio::test]
+async fn resets_reach_the_caller() {
+    for fault in [ProxyFault::Reset, ProxyFault::LoseAnswers] {
+        let (proxy, route) = proxy().await;
+        let mut stream = open(route).await;
+        echo(&mut stream).await.expect("an echo");
+
+        expect_that!(proxy.inject(0, fault, Duration::ZERO), eq(true));
+
+        expect_that!(echo(&mut stream).await, err(anything()), "{fault}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refusing_route_resets_new_connections() {
+    let (proxy, route) = proxy().await;
+
+    let refused = proxy.inject(0, ProxyFault::Refuse, Duration::ZERO);
+
+    expect_that!(refused, eq(true));
+    expect_that!(echo(&mut open(route).await).await, err(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_delayed_route_passes_everything() {
+    let (proxy, route) = proxy().await;
+    let delayed = proxy.inject(0, ProxyFault::Delay, Duration::from_millis(5));
+    let mut stream = open(route).await;
+
+    let echoed = echo(&mut stream).await;
+
+    expect_that!(delayed, eq(true));
+    expect_that!(echoed.expect("an echo"), eq(b'x'));
+}
