Progress copies and peer table, without network

Cause: when a router dies, its caller comes back to another VM, which must know what was delivered. Change: TokenLog packs delivered tokens; ProgressStore keeps copies of other VMs' generations and refuses gaps, older attempts and other requests; PeerTable chooses at most six neighbours, and two holders of copies (one outside the availability zone) that every VM can compute. Found on the way: with telling alone, one VM of 400 was nobody's neighbour and heard nothing; an exchange therefore goes both ways. Measured by test: news reaches 400 VMs in five exchanges with six neighbours each. Conclusion: no all-to-all is needed for news; connections a VM stay below ten.

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -208,8 +208,8 @@
     };
     let mut joiner = Utf8Joiner::default();
     let mut text: String = tokens
-        .iter()
-        .map(|token| joiner.push(&token.bytes))
+        .iter_from(TokenIndex(0))
+        .map(|(_, bytes)| joiner.push(bytes))
         .collect();
     text.push_str(&joiner.finish());
     let event = caller::CompletionEvent {
@@ -220,7 +220,7 @@
         }],
         id: generation.request.id.to_string(),
         object: "text_completion".to_owned(),
-        tokens: tokens.iter().map(|token| token.id).collect(),
+        tokens: tokens.ids().to_vec(),
         usage: Some(caller::Usage {
             attempts: generation.attempts().0,
             completion_tokens: generation.next_index().0,
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -24,9 +24,9 @@
 ) -> Body {
     let changes = generation.changes();
     let mut joiner = Utf8Joiner::default();
-    let before = usize::try_from(from.0).unwrap_or(usize::MAX);
-    for token in generation.read_from(TokenIndex(0)).0.iter().take(before) {
-        joiner.push(&token.bytes);
+    let before = generation.read_from(TokenIndex(0)).0;
+    for (_, bytes) in before.iter_from(TokenIndex(0)).take(from.as_usize()) {
+        joiner.push(bytes);
     }
     let reader = Reader {
         generation,
@@ -51,9 +51,9 @@
         loop {
             self.changes.borrow_and_update();
             let (tokens, outcome) = self.generation.read_from(self.next);
-            let mut text = String::with_capacity(tokens.len() * 160 + 400);
-            for token in &tokens {
-                self.write_token(&mut text, token);
+            let mut text = String::with_capacity(tokens.len().as_usize() * 160 + 400);
+            for (id, bytes) in tokens.iter_from(TokenIndex(0)) {
+                self.write_token(&mut text, id, bytes);
             }
             if let Some(outcome) = outcome {
                 self.write_outcome(&mut text, outcome);
@@ -71,14 +71,14 @@
         }
     }
 
-    fn write_token(&mut self, text: &mut String, token: &Token) {
+    fn write_token(&mut self, text: &mut String, id: u32, bytes: &[u8]) {
         let event = caller::CompletionEvent {
             choices: vec![caller::CompletionChoice {
                 finish_reason: None,
                 index: 0,
-                text: self.joiner.push(&token.bytes),
+                text: self.joiner.push(bytes),
             }],
-            ..self.event(vec![token.id])
+            ..self.event(vec![id])
         };
         write_event(text, None, Some(self.next), &event);
         self.next = self.next.next();
--- a/crates/catkinward/src/generation.rs
+++ b/crates/catkinward/src/generation.rs
@@ -64,11 +64,9 @@
 
     /// Tokens from `from` on, and the outcome once there is one.
     #[must_use]
-    pub fn read_from(&self, from: TokenIndex) -> (Vec<Token>, Option<GenerationOutcome>) {
+    pub fn read_from(&self, from: TokenIndex) -> (TokenLog, Option<GenerationOutcome>) {
         let state = self.state.lock();
-        let from = usize::try_from(from.0).unwrap_or(usize::MAX);
-        let tokens = state.relay.delivered().get(from..).unwrap_or_default();
-        (tokens.to_vec(), state.outcome)
+        (state.relay.delivered().tail(from), state.outcome)
     }
 
     /// What became of it, once that is known.
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -31,7 +31,7 @@
 
 impl GenerationRequest {
     /// The order for an attempt that goes on after `prefix`.
-    pub(crate) fn order(&self, attempt: Attempt, prefix: &[Token]) -> engine::EngineGenerate {
+    pub(crate) fn order(&self, attempt: Attempt, prefix: &TokenLog) -> engine::EngineGenerate {
         engine::EngineGenerate {
             request_id: self.id.to_string(),
             attempt: attempt.0,
@@ -39,7 +39,7 @@
             version: self.model.version.to_string(),
             adapter: self.model.adapter.as_deref().map(str::to_owned),
             prompt: self.prompt.to_string(),
-            prefix: prefix.iter().map(|token| token.id).collect(),
+            prefix: prefix.ids().to_vec(),
             max_tokens: self.max_tokens,
             seed: self.seed,
             temperature: self.temperature,
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -12,7 +12,7 @@
         Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, Instant, KeyHash,
         Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
         ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex,
-        Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -42,6 +42,9 @@
         /// Why it is none.
         source: ParseIntError,
     },
+    /// A token log whose parts do not fit together.
+    #[display("a token log's ids, ends and bytes do not fit together")]
+    TokenLog,
     /// A text that cannot be a name.
     #[display("`{what}` must have 1 to 200 visible ASCII characters")]
     Text {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -36,11 +36,17 @@
     key_hash::KeyHash,
     model::Model,
     path_rule::PathRule,
+    peer_entry::PeerEntry,
+    peer_table::PeerTable,
+    progress_record::ProgressRecord,
+    progress_store::{ProgressLimits, ProgressStore},
+    progress_update::ProgressUpdate,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
+    request_digest::RequestDigest,
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
     service::Service,
@@ -51,6 +57,7 @@
     term::Term,
     token::Token,
     token_index::TokenIndex,
+    token_log::TokenLog,
     upstream::Upstream,
     upstream_id::UpstreamId,
     utf8_joiner::Utf8Joiner,
@@ -72,11 +79,17 @@
 mod key_hash;
 mod model;
 mod path_rule;
+mod peer_entry;
+mod peer_table;
+mod progress_record;
+mod progress_store;
+mod progress_update;
 mod received_end;
 mod received_token;
 mod recovery_policy;
 mod relay;
 mod rendezvous;
+mod request_digest;
 mod request_id;
 mod reserved_attempt;
 mod service;
@@ -87,6 +100,7 @@
 mod term;
 mod token;
 mod token_index;
+mod token_log;
 mod upstream;
 mod upstream_id;
 mod utf8_joiner;
--- a/crates/decisions/src/relay.rs
+++ b/crates/decisions/src/relay.rs
@@ -10,7 +10,7 @@
     request_id: RequestId,
     live: Attempt,
     reserved: Attempt,
-    delivered: Vec<Token>,
+    delivered: TokenLog,
     finish: Option<Finish>,
     dropped: DroppedCounts,
 }
@@ -19,13 +19,13 @@
     /// A relay that has delivered nothing.
     #[must_use]
     pub fn new(request_id: RequestId) -> Self {
-        Self::resumed(request_id, Attempt::default(), Vec::new())
+        Self::resumed(request_id, Attempt::default(), TokenLog::default())
     }
 
     /// A relay that goes on where another VM's relay had come to: `last` is the largest attempt
     /// known of, and `delivered` what the caller has.
     #[must_use]
-    pub fn resumed(request_id: RequestId, last: Attempt, delivered: Vec<Token>) -> Self {
+    pub fn resumed(request_id: RequestId, last: Attempt, delivered: TokenLog) -> Self {
         Self {
             request_id,
             live: last,
@@ -68,12 +68,12 @@
     /// Index of the token that is due.
     #[must_use]
     pub fn next(&self) -> TokenIndex {
-        TokenIndex(u32::try_from(self.delivered.len()).unwrap_or(u32::MAX))
+        self.delivered.len()
     }
 
     /// All tokens delivered, in order.
     #[must_use]
-    pub fn delivered(&self) -> &[Token] {
+    pub fn delivered(&self) -> &TokenLog {
         &self.delivered
     }
 
@@ -116,7 +116,7 @@
                 found: received.index,
             });
         }
-        self.delivered.push(received.token.clone());
+        self.delivered.push(&received.token);
         Ok(Delivery::Token(received.index, received.token))
     }
 
--- a/crates/decisions/src/token_index.rs
+++ b/crates/decisions/src/token_index.rs
@@ -18,6 +18,12 @@
 pub struct TokenIndex(pub u32);
 
 impl TokenIndex {
+    /// As an index into a slice.
+    #[must_use]
+    pub fn as_usize(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+
     /// The index after this one.
     #[must_use]
     pub fn next(self) -> Self {
--- /dev/null
+++ b/crates/decisions/src/token_log.rs
@@ -0,0 +1,131 @@
+use super::*;
+
+/// The tokens of an answer in order, packed: about 14 bytes a token instead of 56 as a vector of
+/// [`Token`], which decides how many answers a VM can hold copies of.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "TokenLogParts")]
+pub struct TokenLog {
+    ids: Vec<u32>,
+    ends: Vec<u32>,
+    #[serde(with = "serde_bytes")]
+    bytes: Vec<u8>,
+}
+
+/// A log as it comes over the network, not yet known to be one.
+#[derive(Deserialize)]
+struct TokenLogParts {
+    ids: Vec<u32>,
+    ends: Vec<u32>,
+    #[serde(with = "serde_bytes")]
+    bytes: Vec<u8>,
+}
+
+impl TryFrom<TokenLogParts> for TokenLog {
+    type Error = Error;
+
+    fn try_from(parts: TokenLogParts) -> Result<Self, Error> {
+        let end = parts.ends.last().map_or(0, |end| to_usize(*end));
+        let sound = parts.ids.len() == parts.ends.len()
+            && parts.ends.is_sorted()
+            && end == parts.bytes.len();
+        if !sound {
+            return Err(Error::TokenLog);
+        }
+        Ok(Self {
+            ids: parts.ids,
+            ends: parts.ends,
+            bytes: parts.bytes,
+        })
+    }
+}
+
+impl TokenLog {
+    /// Adds a token.
+    pub fn push(&mut self, token: &Token) {
+        self.push_parts(token.id, &token.bytes);
+    }
+
+    /// Adds a token by its id and bytes.
+    pub fn push_parts(&mut self, id: u32, bytes: &[u8]) {
+        self.ids.push(id);
+        self.bytes.extend_from_slice(bytes);
+        self.ends
+            .push(u32::try_from(self.bytes.len()).unwrap_or(u32::MAX));
+    }
+
+    /// Number of tokens.
+    #[must_use]
+    pub fn len(&self) -> TokenIndex {
+        TokenIndex(u32::try_from(self.ids.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Whether there is no token.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
+    /// All token ids.
+    #[must_use]
+    pub fn ids(&self) -> &[u32] {
+        &self.ids
+    }
+
+    /// Ids and bytes of the tokens from `from` on.
+    pub fn iter_from(&self, from: TokenIndex) -> impl Iterator<Item = (u32, &[u8])> {
+        let from = from.as_usize();
+        self.ids
+            .iter()
+            .enumerate()
+            .skip(from)
+            .map(|(i, id)| (*id, self.bytes_of(i)))
+    }
+
+    /// A log of the tokens from `from` on.
+    #[must_use]
+    pub fn tail(&self, from: TokenIndex) -> Self {
+        let mut tail = Self::default();
+        for (id, bytes) in self.iter_from(from) {
+            tail.push_parts(id, bytes);
+        }
+        tail
+    }
+
+    /// Adds all tokens of another log.
+    pub fn append(&mut self, other: &Self) {
+        for (id, bytes) in other.iter_from(TokenIndex(0)) {
+            self.push_parts(id, bytes);
+        }
+    }
+
+    /// Bytes of memory that it takes up, about.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.ids.len() * 8 + self.bytes.len()
+    }
+
+    /// Drops the tokens from `from` on.
+    pub fn truncate(&mut self, from: TokenIndex) {
+        let from = from.as_usize();
+        if from >= self.ids.len() {
+            return;
+        }
+        let end = self.start_of(from);
+        self.ids.truncate(from);
+        self.ends.truncate(from);
+        self.bytes.truncate(end);
+    }
+
+    fn bytes_of(&self, i: usize) -> &[u8] {
+        &self.bytes[self.start_of(i)..to_usize(self.ends[i])]
+    }
+
+    fn start_of(&self, i: usize) -> usize {
+        i.checked_sub(1)
+            .map_or(0, |before| to_usize(self.ends[before]))
+    }
+}
+
+fn to_usize(n: u32) -> usize {
+    usize::try_from(n).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/decisions/tests/peer_table.rs
@@ -0,0 +1,135 @@
+//! Which VMs a VM talks with, and which keep copies for it.
+
+use catkin_decisions::{Instant, PeerEntry, PeerTable, VmId};
+use googletest::prelude::*;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+fn vm(n: u16) -> VmId {
+    format!("vm-{n}").parse().expect("a valid name")
+}
+
+fn entry(n: u16) -> PeerEntry {
+    PeerEntry {
+        vm: vm(n),
+        address: SocketAddr::from(([127, 0, 0, 1], 1000 + n)),
+        zone: format!("zone-{}", n % 3).parse().expect("a valid name"),
+    }
+}
+
+fn table(own: u16, vms: u16) -> PeerTable {
+    let mut table = PeerTable::new(vm(own), entry(own).zone);
+    for n in 0..vms {
+        table.heard_of(at(0), entry(n));
+    }
+    table
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant(Duration::from_secs(seconds))
+}
+
+fn names(entries: &[PeerEntry]) -> Vec<String> {
+    entries.iter().map(|entry| entry.vm.to_string()).collect()
+}
+
+#[gtest]
+fn no_vm_is_its_own_peer() {
+    let table = table(3, 8);
+
+    expect_that!(table.entries().count(), eq(7));
+}
+
+#[gtest]
+fn a_handful_of_neighbours_however_many_vms() {
+    let table = table(0, 400);
+
+    let neighbours = table.neighbours(at(0));
+
+    let inside = neighbours.iter().filter(|peer| peer.zone == entry(0).zone);
+    expect_that!(inside.count(), eq(4));
+    expect_that!(neighbours.len(), eq(6));
+}
+
+/// News must reach every VM although each exchanges it with only six. If the neighbours fell into
+/// separate groups, a rollout would never be in force in some of them. An exchange goes both ways:
+/// by telling alone, the one VM in 400 that is nobody's neighbour would hear nothing.
+#[gtest]
+fn news_reaches_all_of_400_vms_within_five_exchanges() {
+    let neighbours = (0..400)
+        .map(|n| table(n, 400).neighbours(at(0)))
+        .map(|peers| {
+            peers
+                .iter()
+                .map(|peer| peer.address.port() - 1000)
+                .collect()
+        })
+        .collect::<Vec<Vec<u16>>>();
+    let mut reached = BTreeSet::from([0_u16]);
+
+    for _ in 0..5 {
+        let told = reached
+            .iter()
+            .flat_map(|n| neighbours[usize::from(*n)].clone());
+        let asked = (0..400).filter(|n| {
+            neighbours[usize::from(*n)]
+                .iter()
+                .any(|m| reached.contains(m))
+        });
+        let news = told.chain(asked).collect::<Vec<_>>();
+        reached.extend(news);
+    }
+
+    expect_that!(reached.len(), eq(400));
+}
+
+#[gtest]
+fn holders_are_one_inside_and_one_outside_the_availability_zone() {
+    let table = table(0, 8);
+
+    let holders = table.holders(at(0), &vm(0), &entry(0).zone);
+
+    let zones = holders.iter().map(|peer| peer.zone == entry(0).zone);
+    expect_that!(
+        zones.collect::<Vec<_>>(),
+        elements_are![eq(&true), eq(&false)]
+    );
+}
+
+/// A router dies, and its caller comes back to some other VM. Whichever that is, it must ask the
+/// VMs that hold the copy.
+#[gtest]
+fn every_vm_looks_for_copies_where_they_are_kept() {
+    let holders = names(&table(0, 8).holders(at(0), &vm(0), &entry(0).zone));
+
+    for other in 1..8 {
+        let asked = names(&table(other, 8).likely_holders(at(0), &vm(0), 4));
+        let own = vm(other).to_string();
+        let found = holders
+            .iter()
+            .any(|holder| asked.contains(holder) || *holder == own);
+        expect_that!(found, eq(true), "vm-{other} asks {asked:?} of {holders:?}");
+    }
+}
+
+/// A VM dies without notice and stays in the platform's list. Copies sent there would be lost.
+#[gtest]
+fn vm_that_does_not_answer_is_passed_over_for_a_while() {
+    let mut table = table(0, 8);
+    let first = table.holders(at(0), &vm(0), &entry(0).zone)[0].vm.clone();
+
+    table.failed(at(0), &first);
+
+    let holders = |seconds| names(&table.holders(at(seconds), &vm(0), &entry(0).zone));
+    expect_that!(holders(1), not(contains(eq(&first.to_string()))));
+    expect_that!(holders(3), contains(eq(&first.to_string())));
+}
+
+#[gtest]
+fn vm_of_which_nobody_speaks_is_forgotten() {
+    let mut table = table(0, 8);
+    table.answered(at(50), &vm(1));
+
+    table.expire(at(61));
+
+    expect_that!(table.entries().count(), eq(1));
+}
