--- a/crates/decisions/tests/progress.rs
+++ b/crates/decisions/tests/progress.rs
@@ -153,7 +153,7 @@
 #[gtest]
 fn oldest_copy_goes_when_the_bound_is_reached() {
     let limits = ProgressLimits {
-        size: 60,
+        size: 59,
         ..ProgressLimits::default()
     };
     let mut store = ProgressStore::new(limits);
