Time line: typed events in a bounded ring, ordered by a hybrid logical clock

Cause: what happened to a request over several processes could only be pieced together from logs, whose wall clocks differ, and which VMs without disks do not keep.

Change: a hybrid logical clock as a pure decision; each HTTP call to another process carries a reading in the header catkin-clock and takes in the one that comes back. A Timeline service holds the latest events in a ring whose size is a setting. The caller border, the generation driver, the bundle in force and the drain record into it. A reading more than ten minutes ahead is refused, so that one wrong clock cannot move every time line.

Figures: none; no measurement was made of its cost.

Conclusion: with the taking in of received readings removed, the property test of the causal order fails; with it, it holds.

--- a/crates/catkinward/src/bundle_in_force.rs
+++ b/crates/catkinward/src/bundle_in_force.rs
@@ -1,14 +1,25 @@
 use super::*;
 
 /// The bundle in force on this VM. It only ever moves to a larger version.
-#[derive(Default)]
 pub struct BundleInForce {
+    timeline: Arc<Timeline>,
     current: ArcSwap<Bundle>,
     advancing: Mutex<()>,
     changed: watch::Sender<BundleVersion>,
 }
 
 impl BundleInForce {
+    /// No bundle yet; each one that comes into force is recorded in `timeline`.
+    #[must_use]
+    pub fn new(timeline: Arc<Timeline>) -> Self {
+        Self {
+            timeline,
+            current: ArcSwap::default(),
+            advancing: Mutex::default(),
+            changed: watch::Sender::default(),
+        }
+    }
+
     /// The bundle in force now. A request keeps the one it was accepted under.
     #[must_use]
     pub fn current(&self) -> Arc<Bundle> {
@@ -26,6 +37,10 @@
         }
         let version = bundle.version;
         self.current.store(Arc::new(bundle));
+        self.timeline.record(Event {
+            bundle: Some(version),
+            ..Event::new(EventKind::BundleInForce)
+        });
         self.changed.send_replace(version);
         true
     }
--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -36,7 +36,10 @@
     async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
         let mut response = match self.route(req).await {
             Ok(response) => response,
-            Err(problem) => problem.response(),
+            Err(problem) => {
+                self.record_refusal(&problem);
+                problem.response()
+            }
         };
         if self.node.drain.has_begun() {
             response.headers_mut().insert(
@@ -53,6 +56,24 @@
         Self { node }
     }
 
+    fn record_refusal(&self, problem: &Problem) {
+        // Readiness checks and unknown paths are no requests, and a failed generation has told of
+        // its own end.
+        if problem.kind.outcome() != caller::Outcome::NotRun
+            || matches!(
+                problem.kind,
+                ProblemKind::NoSuchPath | ProblemKind::NotReady
+            )
+        {
+            return;
+        }
+        self.node.timeline.record(Event {
+            request: problem.request_id.clone(),
+            detail: Some(<&str>::from(problem.kind).into()),
+            ..Event::new(EventKind::Refused)
+        });
+    }
+
     async fn route(&self, req: Request) -> Result<Response, Problem> {
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/healthz") => Ok(Response::new("ok\n".into())),
@@ -144,6 +165,12 @@
     }
 
     fn start(&self, generation: &Arc<Generation>) {
+        self.node.timeline.record(Event {
+            request: Some(generation.request.id.clone()),
+            bundle: Some(generation.request.bundle),
+            detail: Some(generation.request.service.as_str().into()),
+            ..Event::new(EventKind::Accepted)
+        });
         let (node, generation) = (self.node.clone(), generation.clone());
         tokio::spawn(async move {
             tokio::join!(
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -42,9 +42,24 @@
         ?outcome,
         "generation ended"
     );
+    record_end(&node, &generation, outcome);
     generation.conclude(outcome);
 }
 
+fn record_end(node: &Node, generation: &Generation, outcome: GenerationOutcome) {
+    let (kind, detail): (_, &str) = match outcome {
+        GenerationOutcome::Whole(finish) => (EventKind::Whole, finish.into()),
+        GenerationOutcome::Failed(kind) => (EventKind::Failed, kind.into()),
+    };
+    node.timeline.record(Event {
+        request: Some(generation.request.id.clone()),
+        attempt: Some(generation.attempts()),
+        bundle: Some(generation.request.bundle),
+        detail: Some(detail.into()),
+        ..Event::new(kind)
+    });
+}
+
 struct Driver {
     node: Arc<Node>,
     generation: Arc<Generation>,
@@ -133,6 +148,12 @@
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         self.avoid.push(upstream.id().clone());
+        let attempt = Attempt(order.attempt);
+        let kind = match attempt {
+            Attempt(1) => EventKind::Dispatched,
+            _ => EventKind::NewAttempt,
+        };
+        self.record(kind, attempt, upstream.id(), None);
         let address = upstream.address();
         let stream =
             engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
@@ -155,6 +176,12 @@
                 Err(fault) => fault,
             };
             attempt.upstream.failed();
+            self.record(
+                EventKind::Suspected,
+                attempt.stream.attempt(),
+                attempt.upstream.id(),
+                Some(fault.to_string().into()),
+            );
             tracing::warn!(
                 id = %self.generation.request.id,
                 upstream = %attempt.upstream.id(),
@@ -169,11 +196,17 @@
     }
 
     async fn relay_events(&self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+        let mut went_on = false;
         loop {
             match attempt.stream.next(SILENCE_BOUND).await? {
                 EngineEvent::Heartbeat => {}
                 EngineEvent::Token(token) => {
-                    self.generation.token(token)?;
+                    let index = token.index;
+                    let delivery = self.generation.token(token)?;
+                    if !went_on && matches!(delivery, Delivery::Token(..)) {
+                        went_on = true;
+                        self.record_progress(attempt, index);
+                    }
                 }
                 EngineEvent::End(end) => {
                     if let Delivery::End(finish) = self.generation.end(&end)? {
@@ -186,6 +219,34 @@
         }
     }
 
+    /// Records the first token that an attempt delivers over one connection.
+    fn record_progress(&self, attempt: &RunningAttempt, index: TokenIndex) {
+        let kind = match index {
+            TokenIndex(0) => EventKind::FirstToken,
+            _ => EventKind::Resumed,
+        };
+        let detail = format!("token {index}");
+        let number = attempt.stream.attempt();
+        self.record(kind, number, attempt.upstream.id(), Some(detail.into()));
+    }
+
+    fn record(
+        &self,
+        kind: EventKind,
+        attempt: Attempt,
+        upstream: &UpstreamId,
+        detail: Option<Arc<str>>,
+    ) {
+        self.node.timeline.record(Event {
+            request: Some(self.generation.request.id.clone()),
+            attempt: Some(attempt),
+            upstream: Some(upstream.clone()),
+            bundle: Some(self.generation.request.bundle),
+            detail,
+            ..Event::new(kind)
+        });
+    }
+
     /// Goes on after a lost stream: with the same attempt if its engine still runs it, else with a
     /// new attempt elsewhere. The service's policy says whether the second waits for the first.
     async fn recover(&mut self, attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
@@ -214,6 +275,12 @@
         )
         .await?;
         stream.wait_for_progress(PROBE_BOUND).await?;
+        self.record(
+            EventKind::ReAttached,
+            stream.attempt(),
+            attempt.upstream.id(),
+            None,
+        );
         Ok(stream)
     }
 
--- a/crates/catkinward/src/http_client.rs
+++ b/crates/catkinward/src/http_client.rs
@@ -90,6 +90,7 @@
 pub struct Connections {
     kept: Client,
     fresh: Client,
+    clock: Option<Arc<ProcessClock>>,
 }
 
 /// How long a connection may take to open.
@@ -99,6 +100,18 @@
 const IDLE_BOUND: Duration = Duration::from_secs(10);
 
 impl Connections {
+    /// Builds both clients; each call carries a reading of `clock`, which takes in what comes back.
+    ///
+    /// # Errors
+    ///
+    /// If the library cannot.
+    pub fn with_clock(clock: Arc<ProcessClock>) -> Result<Self> {
+        Ok(Self {
+            clock: Some(clock),
+            ..Self::new()?
+        })
+    }
+
     /// Builds both clients.
     ///
     /// # Errors
@@ -117,6 +130,7 @@
         Ok(Self {
             kept: client(64)?,
             fresh: client(0)?,
+            clock: None,
         })
     }
 
@@ -132,8 +146,16 @@
             .request(call.method, format!("http://{address}{}", call.path))
             .body(Body::from(call.body));
         req.headers_mut().extend(call.headers);
+        if let Some(clock) = &self.clock {
+            clock.stamp(req.headers_mut());
+        }
         match tokio::time::timeout(bound, req.send()).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                if let Some(clock) = &self.clock {
+                    clock.witness_headers(response.headers());
+                }
+                Ok(response)
+            }
             Ok(Err(source)) => Err(HttpError::Call { address, source }),
             Err(_) => Err(HttpError::Timeout { address, bound }),
         }
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,9 +9,9 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, Instant, KeyHash,
-        Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex,
+        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock, Instant,
+        KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
+        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
         Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
@@ -43,19 +43,24 @@
     },
 };
 
+pub use catkin_decisions::HybridTime;
+
 pub use crate::{
     bundle_in_force::BundleInForce,
     daemon::run_daemon,
     drain::Drain,
     error::Error,
+    event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
     kernel::Kernel,
     logging::start_logging,
     node::Node,
     platform::{Platform, PlatformCall, PlatformFault},
+    process_clock::{CLOCK_HEADER, ProcessClock},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
+    timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
     upstreams::Upstreams,
 };
@@ -72,6 +77,7 @@
 mod engine_client;
 mod engine_event;
 mod error;
+mod event;
 mod event_stream;
 mod generation;
 mod generation_driver;
@@ -86,8 +92,10 @@
 mod node;
 mod platform;
 mod problem;
+mod process_clock;
 mod service_name;
 mod settings;
+mod timeline;
 mod timer;
 mod upstream_handle;
 mod upstreams;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -10,6 +10,8 @@
     pub kernel: Kernel,
     /// Tells the time.
     pub timer: Arc<Timer>,
+    /// Events of this process.
+    pub timeline: Arc<Timeline>,
     /// Connections to other processes.
     pub connections: Arc<Connections>,
     /// The bundle in force.
@@ -31,9 +33,15 @@
     pub fn start(settings: Settings) -> Result<Arc<Self>> {
         let kernel = Kernel::default();
         let timer = kernel.register(ServiceName::Timer, Timer::start())?;
-        let connections = Arc::new(Connections::new()?);
+        let timeline = kernel.register(ServiceName::Timeline, new_timeline(&settings))?;
+        timeline.record(Event::new(EventKind::Started));
+        let connections = Connections::with_clock(timeline.clock().clone())?;
+        let connections = Arc::new(connections);
         let connections = kernel.register(ServiceName::Connections, connections)?;
-        let bundle = kernel.register(ServiceName::Bundle, Arc::<BundleInForce>::default())?;
+        let bundle = kernel.register(
+            ServiceName::Bundle,
+            Arc::new(BundleInForce::new(timeline.clone())),
+        )?;
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
@@ -45,6 +53,7 @@
             settings,
             kernel,
             timer,
+            timeline,
             connections,
             bundle,
             upstreams,
@@ -87,12 +96,23 @@
 
     async fn drained(&self) {
         self.drain.begin();
+        self.timeline.record(Event::new(EventKind::DrainBegan));
         tracing::info!(in_flight = self.drain.in_flight(), "draining");
         self.drain.finished(self.settings.drain_grace).await;
+        self.timeline.record(Event::new(EventKind::DrainEnded));
         tracing::info!("drained");
     }
 }
 
+fn new_timeline(settings: &Settings) -> Arc<Timeline> {
+    Arc::new(Timeline::new(
+        settings.vm.clone(),
+        settings.zone.clone(),
+        Arc::default(),
+        settings.timeline_events,
+    ))
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- /dev/null
+++ b/crates/catkinward/src/process_clock.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// Header and field that carry a clock reading between processes.
+pub const CLOCK_HEADER: &str = "catkin-clock";
+
+/// The process's hybrid logical clock. Every message to a peer, an engine, the platform or an
+/// operator carries a reading, and every reading received is taken in.
+#[derive(Debug, Default)]
+pub struct ProcessClock {
+    clock: Mutex<HybridClock>,
+}
+
+impl ProcessClock {
+    /// A reading for an event, or for a message about to be sent.
+    pub fn tick(&self) -> HybridTime {
+        self.clock.lock().tick(wall())
+    }
+
+    /// Takes in the reading of a received message.
+    pub fn witness(&self, received: HybridTime) {
+        if let Err(fault) = self.clock.lock().witness(wall(), received) {
+            tracing::warn!(%fault, "clock reading ignored");
+        }
+    }
+
+    /// Puts a reading into the headers of a message.
+    pub fn stamp(&self, headers: &mut HeaderMap) {
+        if let Ok(value) = self.tick().to_string().parse() {
+            headers.insert(CLOCK_HEADER, value);
+        }
+    }
+
+    /// Takes in the reading of a message's headers, if there is one.
+    pub fn witness_headers(&self, headers: &HeaderMap) {
+        let received = headers.get(CLOCK_HEADER).and_then(|v| v.to_str().ok());
+        if let Some(Ok(received)) = received.map(str::parse) {
+            self.witness(received);
+        }
+    }
+}
+
+fn wall() -> Duration {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -14,6 +14,8 @@
     Generations,
     /// Connections to other processes.
     Connections,
+    /// Events of this process.
+    Timeline,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -18,6 +18,8 @@
     pub caller_grace: Duration,
     /// Longest request body, in bytes.
     pub body_limit: usize,
+    /// Events that the time line holds; older ones make room for newer.
+    pub timeline_events: usize,
     /// Log levels, as in `info,catkinward=debug`.
     pub log: String,
 }
@@ -32,6 +34,7 @@
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
+            timeline_events: 20_000,
             log: "info".to_owned(),
         }
     }
@@ -64,6 +67,7 @@
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
+  --timeline-events N       events that the time line holds [20000]
   --log FILTER              log levels [info]
   --check                   check the settings and end
   --help                    print this text
@@ -120,6 +124,9 @@
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
+            "timeline-events" => {
+                self.timeline_events = parse(flag, "a number of events", value)?;
+            }
             "log" => value.clone_into(&mut self.log),
             _ => unreachable!("every flag of FLAGS is set above"),
         }
@@ -135,6 +142,7 @@
     "drain-grace-ms",
     "listen",
     "log",
+    "timeline-events",
     "vm",
     "zone",
 ];
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -42,6 +42,15 @@
         /// Why it is none.
         source: ParseIntError,
     },
+    /// A clock reading that is too far in the future to be taken in.
+    #[display("a received clock reading is {} s ahead of this process", lead.as_secs())]
+    ClockLead {
+        /// How far ahead.
+        lead: Duration,
+    },
+    /// A clock reading that is none.
+    #[display("a clock reading must be microseconds, a point and a count")]
+    HybridTime,
     /// A text that cannot be a name.
     #[display("`{what}` must have 1 to 200 visible ASCII characters")]
     Text {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,8 @@
     error::Error,
     finish::Finish,
     hex::{parse_hex, to_hex},
+    hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
+    hybrid_time::HybridTime,
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
@@ -66,6 +68,8 @@
 mod error;
 mod finish;
 mod hex;
+mod hybrid_clock;
+mod hybrid_time;
 mod incarnation;
 mod instant;
 mod key_hash;
