--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -33,6 +33,8 @@
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
+    hybrid_time::HybridTime,
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
@@ -80,6 +82,8 @@
 mod finish;
 mod hedge;
 mod hex;
+mod hybrid_clock;
+mod hybrid_time;
 mod incarnation;
 mod instant;
 mod key_hash;
