--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -36,6 +36,8 @@
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
+    hybrid_time::HybridTime,
     incarnation::Incarnation,
     ineligible::Ineligible,
     instant::Instant,
@@ -43,11 +45,17 @@
     leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
+    peer_entry::PeerEntry,
+    peer_table::PeerTable,
+    progress_record::ProgressRecord,
+    progress_store::{ProgressLimits, ProgressStore},
+    progress_update::ProgressUpdate,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
+    request_digest::RequestDigest,
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
     retry_budget::{RetryBudget, RetryBudgetConfig},
@@ -62,6 +70,7 @@
     term::Term,
     token::Token,
     token_index::TokenIndex,
+    token_log::TokenLog,
     upstream::Upstream,
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
@@ -86,6 +95,8 @@
 mod finish;
 mod hedge;
 mod hex;
+mod hybrid_clock;
+mod hybrid_time;
 mod incarnation;
 mod ineligible;
 mod instant;
@@ -93,11 +104,17 @@
 mod leaving_source;
 mod model;
 mod path_rule;
+mod peer_entry;
+mod peer_table;
+mod progress_record;
+mod progress_store;
+mod progress_update;
 mod received_end;
 mod received_token;
 mod recovery_policy;
 mod relay;
 mod rendezvous;
+mod request_digest;
 mod request_id;
 mod reserved_attempt;
 mod retry_budget;
@@ -112,6 +129,7 @@
 mod term;
 mod token;
 mod token_index;
+mod token_log;
 mod upstream;
 mod upstream_evidence;
 mod upstream_id;
