Poison requests: a tracker of digests that upstreams died under

Cause: a request that crashes its engine was resumed elsewhere without end, and took the work of all requests beside it along.

Change: PoisonTracker marks the digests in flight on a dead upstream, watches a marked digest on one upstream with no other suspect beside it, clears it once it got past the point of the death, and refuses it after a second death.

Conclusion: holds on one VM; between VMs as far as marks have spread.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -47,6 +47,9 @@
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    poison_hold::PoisonHold,
+    poison_mark::PoisonMark,
+    poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -72,6 +75,7 @@
     token_index::TokenIndex,
     token_log::TokenLog,
     upstream::Upstream,
+    upstream_death::UpstreamDeath,
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
     upstream_record::{AskedReport, UpstreamRecord},
@@ -106,6 +110,9 @@
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod poison_hold;
+mod poison_mark;
+mod poison_tracker;
 mod progress_record;
 mod progress_store;
 mod progress_update;
@@ -131,6 +138,7 @@
 mod token_index;
 mod token_log;
 mod upstream;
+mod upstream_death;
 mod upstream_evidence;
 mod upstream_id;
 mod upstream_record;
--- /dev/null
+++ b/crates/decisions/src/poison_tracker.rs
@@ -0,0 +1,323 @@
+//! Requests that kill the upstreams that run them.
+//!
+//! Load pattern: one request crashes each engine that runs it, its VM resumes it elsewhere, and its
+//! caller sends it again. Without the tracker it takes down engine after engine, and the innocent
+//! requests beside it lose their work each time.
+//!
+//! Each death of an upstream marks the digests in flight on it. A marked digest is watched on its
+//! next run: on one upstream at a time, with no other watched digest beside it. So a second death
+//! marks exactly one digest twice, the culprit's, which is refused from then on. A resume starts
+//! where the upstream died, so the culprit kills again at once, while an innocent request gets past
+//! that point: after [`WATCHED_STEPS`] steps its marks are cleared and the next one is watched.
+//! An innocent request may thus share two upstreams with the culprit and still finish: by the
+//! second time it has been cleared.
+//!
+//! Bounds: two upstreams are lost to one digest if it kills within its watched steps; one that
+//! kills later is refused after [`MOST_DEATHS`]. VMs watch apart from each other only as far as
+//! marks have spread and upstreams are divided among them (`watches` of [`PoisonTracker::may_start`]).
+//! An innocent request that meets two unrelated deaths within its watched steps is refused too,
+//! until its marks expire.
+//!
+//! Grounds for the figures: the expiry outlasts a caller's resending, and is far below the 100
+//! minutes between two VM failures of an ordinary day at the target size. They are not tuned by a
+//! measurement; `tests/poison.rs` holds the bound of two.
+
+use super::*;
+
+/// Calls of [`PoisonTracker::progressed`] until a watched run is cleared.
+pub const WATCHED_STEPS: u32 = 2;
+
+/// Deaths under a digest, cleared ones counted in, after which it is refused.
+pub const MOST_DEATHS: usize = 3;
+
+/// Upstreams that one unmarked digest runs on at once.
+const MOST_UPSTREAMS: usize = 2;
+
+/// How long a mark counts.
+const EXPIRY: Duration = Duration::from_secs(600);
+
+/// Marks kept; the oldest go first. About 64 bytes each.
+const MOST_MARKS: usize = 4096;
+
+/// Marks told to a peer at a time: less than 1 KB.
+const MOST_TOLD: usize = 24;
+
+/// Names a run of a request on an upstream.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PoisonRun {
+    digest: RequestDigest,
+    id: u64,
+}
+
+/// What runs where on this VM, and which digests upstreams died under.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonTracker {
+    /// Sorted by digest and death.
+    marks: Vec<Mark>,
+    /// Sorted by digest and id.
+    runs: Vec<Run>,
+    last: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Mark {
+    digest: RequestDigest,
+    death: UpstreamDeath,
+    at: Instant,
+    told: bool,
+    cleared: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    key: PoisonRun,
+    upstream: UpstreamId,
+    incarnation: Incarnation,
+    watched: bool,
+    steps: u32,
+}
+
+impl PoisonTracker {
+    /// Whether a digest is refused everywhere.
+    #[must_use]
+    pub fn refuses(&self, digest: RequestDigest, now: Instant) -> bool {
+        let (open, all) = self.deaths(digest, now);
+        open >= 2 || all >= MOST_DEATHS
+    }
+
+    /// Whether a request may start on an upstream. `watches` tells whether this VM may watch
+    /// suspects there.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn may_start(
+        &self,
+        digest: RequestDigest,
+        upstream: &UpstreamId,
+        watches: bool,
+        now: Instant,
+    ) -> Result<(), PoisonHold> {
+        if self.refuses(digest, now) {
+            return Err(PoisonHold::Refused);
+        }
+        let mut elsewhere = self.runs[self.range(digest)]
+            .iter()
+            .filter(|run| run.upstream != *upstream)
+            .map(|run| &run.upstream)
+            .collect::<Vec<_>>();
+        elsewhere.sort();
+        elsewhere.dedup();
+        let marked = self.deaths(digest, now).0 > 0;
+        let beside_another = || {
+            self.runs
+                .iter()
+                .any(|run| run.watched && run.upstream == *upstream && run.key.digest != digest)
+        };
+        let free = if marked {
+            watches && elsewhere.is_empty() && !beside_another()
+        } else {
+            elsewhere.len() < MOST_UPSTREAMS
+        };
+        free.then_some(()).ok_or(PoisonHold::Elsewhere)
+    }
+
+    /// Notes that a request starts on an upstream, after [`Self::may_start`].
+    pub fn started(
+        &mut self,
+        digest: RequestDigest,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> PoisonRun {
+        self.last += 1;
+        let key = PoisonRun {
+            digest,
+            id: self.last,
+        };
+        let run = Run {
+            key,
+            upstream,
+            incarnation,
+            watched: self.deaths(digest, now).0 > 0,
+            steps: 0,
+        };
+        self.runs.insert(self.range(digest).end, run);
+        key
+    }
+
+    /// Notes some progress of a run: a few tokens.
+    pub fn progressed(&mut self, run: PoisonRun) {
+        let Some(run) = self.run_mut(run) else { return };
+        if !run.watched {
+            return;
+        }
+        run.steps += 1;
+        if run.steps >= WATCHED_STEPS {
+            let digest = run.key.digest;
+            self.clear(digest);
+        }
+    }
+
+    /// Notes the end of a run that the upstream brought to its end.
+    pub fn finished(&mut self, run: PoisonRun) {
+        if self.remove(run).is_some_and(|run| run.watched) {
+            self.clear(run.digest);
+        }
+    }
+
+    /// Notes that a run was given up here; that says nothing of the request.
+    pub fn left(&mut self, run: PoisonRun) {
+        self.remove(run);
+    }
+
+    /// Notes the death of a process of an upstream and marks all digests in flight on it.
+    pub fn died(&mut self, upstream: &UpstreamId, incarnation: Incarnation, now: Instant) {
+        self.expire(now);
+        let death = UpstreamDeath::of(upstream, incarnation);
+        let (dead, running): (Vec<_>, Vec<_>) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|run| run.upstream == *upstream && run.incarnation == incarnation);
+        self.runs = running;
+        for run in dead {
+            self.mark(Mark {
+                digest: run.key.digest,
+                death,
+                at: now,
+                told: false,
+                cleared: false,
+            });
+            self.watch(run.key.digest);
+        }
+    }
+
+    /// Marks that peers have not been told of, the newest first; at most 24 at a time.
+    pub fn deltas(&mut self, now: Instant) -> Vec<PoisonMark> {
+        self.expire(now);
+        let mut untold = self
+            .marks
+            .iter_mut()
+            .filter(|mark| !mark.told)
+            .collect::<Vec<_>>();
+        untold.sort_by_key(|mark| std::cmp::Reverse(mark.at));
+        untold.truncate(MOST_TOLD);
+        untold
+            .into_iter()
+            .map(|mark| {
+                mark.told = true;
+                mark.tell(now)
+            })
+            .collect()
+    }
+
+    /// All marks, as for a peer that has just started.
+    #[must_use]
+    pub fn marks(&self, now: Instant) -> Vec<PoisonMark> {
+        self.marks.iter().map(|mark| mark.tell(now)).collect()
+    }
+
+    /// Takes marks from a peer. What is new here is told on.
+    pub fn merge(&mut self, marks: &[PoisonMark], now: Instant) {
+        for mark in marks {
+            let age = Duration::from_millis(mark.age_ms.into());
+            self.mark(Mark {
+                digest: mark.digest,
+                death: mark.death,
+                at: Instant(now.0.saturating_sub(age)),
+                told: false,
+                cleared: mark.cleared,
+            });
+            if !mark.cleared {
+                self.watch(mark.digest);
+            }
+        }
+        self.expire(now);
+    }
+
+    /// Deaths under a digest: those not cleared, and all.
+    fn deaths(&self, digest: RequestDigest, now: Instant) -> (usize, usize) {
+        let start = self.marks.partition_point(|mark| mark.digest < digest);
+        self.marks[start..]
+            .iter()
+            .take_while(|mark| mark.digest == digest)
+            .filter(|mark| now.since(mark.at) <= EXPIRY)
+            .fold((0, 0), |(open, all), mark| {
+                (open + usize::from(!mark.cleared), all + 1)
+            })
+    }
+
+    fn mark(&mut self, mark: Mark) {
+        let place = self
+            .marks
+            .binary_search_by(|known| (known.digest, known.death).cmp(&(mark.digest, mark.death)));
+        match place {
+            Ok(i) if mark.cleared && !self.marks[i].cleared => {
+                self.marks[i].cleared = true;
+                self.marks[i].told = false;
+            }
+            Ok(_) => {}
+            Err(i) => self.marks.insert(i, mark),
+        }
+    }
+
+    /// Watches the runs of a digest that has just become a suspect. Without this a second copy
+    /// that was under way already could kill its upstream beside a watched innocent request, and
+    /// both would be taken for the culprit.
+    fn watch(&mut self, digest: RequestDigest) {
+        let range = self.range(digest);
+        for run in self.runs[range].iter_mut().filter(|run| !run.watched) {
+            run.watched = true;
+            run.steps = 0;
+        }
+    }
+
+    fn clear(&mut self, digest: RequestDigest) {
+        let range = self.range(digest);
+        for run in &mut self.runs[range] {
+            run.watched = false;
+        }
+        for mark in &mut self.marks {
+            if mark.digest == digest && !mark.cleared {
+                mark.cleared = true;
+                mark.told = false;
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.marks.retain(|mark| now.since(mark.at) <= EXPIRY);
+        while self.marks.len() > MOST_MARKS {
+            let oldest = self.marks.iter().map(|mark| mark.at).min();
+            self.marks.retain(|mark| Some(mark.at) != oldest);
+        }
+    }
+
+    /// Places of a digest's runs.
+    fn range(&self, digest: RequestDigest) -> std::ops::Range<usize> {
+        let start = self.runs.partition_point(|run| run.key.digest < digest);
+        let end = self.runs.partition_point(|run| run.key.digest <= digest);
+        start..end
+    }
+
+    fn run_mut(&mut self, run: PoisonRun) -> Option<&mut Run> {
+        let i = self.runs.binary_search_by_key(&run, |run| run.key).ok()?;
+        self.runs.get_mut(i)
+    }
+
+    fn remove(&mut self, run: PoisonRun) -> Option<Run> {
+        let i = self.runs.binary_search_by_key(&run, |run| run.key).ok()?;
+        Some(self.runs.remove(i))
+    }
+}
+
+impl Mark {
+    fn tell(&self, now: Instant) -> PoisonMark {
+        let age = now.since(self.at).as_millis();
+        PoisonMark {
+            digest: self.digest,
+            death: self.death,
+            cleared: self.cleared,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+}
--- a/crates/decisions/src/progress_record.rs
+++ b/crates/decisions/src/progress_record.rs
@@ -52,7 +52,7 @@
     fn from(update: &ProgressUpdate) -> Self {
         Self {
             id: update.id.clone(),
-            digest: update.digest.clone(),
+            digest: update.digest,
             attempt: update.attempt,
             upstream: update.upstream.clone(),
             tokens: update.tokens.clone(),
--- /dev/null
+++ b/crates/decisions/src/upstream_death.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+/// Id of the death of one process of an upstream, the same on all VMs that notice it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct UpstreamDeath(pub u64);
+
+impl UpstreamDeath {
+    /// Death of that process.
+    #[must_use]
+    pub fn of(upstream: &UpstreamId, incarnation: Incarnation) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
+            upstream.as_str().as_bytes(),
+            incarnation.0,
+        ))
+    }
+}
