Platform stand-in and its client

Cause: claims, bundles, leases and membership all go through the platform's table service, object store and VM list; there was an interface but neither a client nor anything to call.

Change: `catkin-standins platform` serves the platform's interface over HTTP, with rate limits, outages, slowness, lost answers and a lagging VM list, all switched by POST /fault and counted at GET /stats. `Platform::over_http` is the client: every fault says whether the call can have taken effect, and a budget per VM (token bucket, growing jittered pauses) keeps an outage from ending in a storm. `ScriptedPlatform` is the same in memory with scripted fates. The HTTP library reports a refused connect as a failed request; `never_connected` tells the two apart by their source, found by the contract test.

Conclusion: parts that need the platform can be built and tested against it.

--- a/crates/catkinward/src/http_client.rs
+++ b/crates/catkinward/src/http_client.rs
@@ -52,6 +52,30 @@
     },
 }
 
+impl HttpError {
+    /// Whether no connection was had, so that no byte of the call has left.
+    ///
+    /// The HTTP library gives a failed connect the kind of a failed request. They differ in their
+    /// source: that of a failed connect is the system's own error, that of a request which failed on
+    /// a connection is one of the protocol.
+    #[must_use]
+    pub fn never_connected(&self) -> bool {
+        use std::error::Error as _;
+        use volo_http::error::client::ErrorKind;
+        match self {
+            Self::Build { .. } => true,
+            Self::Call { source, .. } => {
+                let connect = *source.kind() == ErrorKind::Connect;
+                connect
+                    || source
+                        .source()
+                        .is_some_and(<dyn std::error::Error>::is::<io::Error>)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// One call, to be filled in by update syntax.
 #[derive(Clone, Debug)]
 pub struct HttpCall {
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -54,6 +54,7 @@
     logging::start_logging,
     node::Node,
     platform::{Platform, PlatformCall, PlatformFault},
+    platform_client::PlatformSettings,
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timer::Timer,
@@ -85,6 +86,7 @@
 mod logging;
 mod node;
 mod platform;
+mod platform_client;
 mod problem;
 mod service_name;
 mod settings;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -14,6 +14,8 @@
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
+    /// The platform, if there is one.
+    pub platform: Option<Arc<Platform>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
@@ -33,6 +35,15 @@
         let timer = kernel.register(ServiceName::Timer, Timer::start())?;
         let connections = Arc::new(Connections::new()?);
         let connections = kernel.register(ServiceName::Connections, connections)?;
+        let platform = match settings.platform {
+            Some(address) => {
+                let cfg = PlatformSettings::default();
+                let platform =
+                    Platform::over_http(connections.clone(), timer.clone(), address, cfg);
+                Some(kernel.register(ServiceName::Platform, Arc::new(platform))?)
+            }
+            None => None,
+        };
         let bundle = kernel.register(ServiceName::Bundle, Arc::<BundleInForce>::default())?;
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
@@ -47,6 +58,7 @@
             timer,
             connections,
             bundle,
+            platform,
             upstreams,
             generations,
             drain,
--- /dev/null
+++ b/crates/catkinward/src/platform_client.rs
@@ -0,0 +1,216 @@
+use super::*;
+use crate::http_client::{HttpError, json_bytes};
+use catkin_decisions::{CallBudget, CallBudgetSettings};
+use futures::future::BoxFuture;
+
+/// Settings of the platform's client.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformSettings {
+    /// Longest wait for an answer.
+    pub bound: Duration,
+    /// Budget of reads, scans, VM lists and objects fetched.
+    pub reads: CallBudgetSettings,
+    /// Budget of transactions and objects stored.
+    pub writes: CallBudgetSettings,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            bound: Duration::from_secs(1),
+            reads: CallBudgetSettings {
+                per_second: 100,
+                burst: 50,
+                ..CallBudgetSettings::default()
+            },
+            writes: CallBudgetSettings::default(),
+        }
+    }
+}
+
+/// The client behind the closures of a [`Platform`].
+#[derive(Clone)]
+struct PlatformClient {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    connections: Arc<Connections>,
+    timer: Arc<Timer>,
+    address: SocketAddr,
+    bound: Duration,
+    reads: Mutex<CallBudget>,
+    writes: Mutex<CallBudget>,
+}
+
+/// Which budget a call is taken from.
+#[derive(Clone, Copy)]
+enum Budget {
+    Reads,
+    Writes,
+}
+
+impl Platform {
+    /// A platform at `address` that speaks HTTP with JSON.
+    #[must_use]
+    pub fn over_http(
+        connections: Arc<Connections>,
+        timer: Arc<Timer>,
+        address: SocketAddr,
+        cfg: PlatformSettings,
+    ) -> Self {
+        let client = PlatformClient {
+            inner: Arc::new(Inner {
+                connections,
+                timer,
+                address,
+                bound: cfg.bound,
+                reads: Mutex::new(CallBudget::new(cfg.reads)),
+                writes: Mutex::new(CallBudget::new(cfg.writes)),
+            }),
+        };
+        Self {
+            transact: client.call_of(|client, req| async move {
+                let body = json_bytes(&req);
+                client
+                    .post(Budget::Writes, "/v1/table/transact", body)
+                    .await
+            }),
+            read: client.call_of(|client, keys| async move {
+                let body = json_bytes(&platform_border::ReadRequest { keys });
+                client.rows("/v1/table/read", body).await
+            }),
+            scan: client.call_of(|client, req| async move {
+                client.rows("/v1/table/scan", json_bytes(&req)).await
+            }),
+            put_object: client.call_of(|client, (name, body)| async move {
+                client.put_object(&name, body).await
+            }),
+            get_object: client
+                .call_of(|client, name: Arc<str>| async move { client.get_object(&name).await }),
+            vms: client.call_of(|client, ()| async move {
+                let call = client.http_call(Method::GET, "/v1/vms", Bytes::new());
+                let body = client.call(Budget::Reads, call).await?;
+                let list = parsed::<platform_border::VmList>(&body.unwrap_or_default())?;
+                Ok(list.vms)
+            }),
+        }
+    }
+}
+
+impl PlatformClient {
+    fn call_of<Q, A, F>(&self, run: fn(Self, Q) -> F) -> PlatformCall<Q, A>
+    where
+        F: Future<Output = Result<A, PlatformFault>> + Send + 'static,
+        Q: 'static,
+        A: 'static,
+    {
+        let client = self.clone();
+        Box::new(move |q| -> BoxFuture<'static, Result<A, PlatformFault>> {
+            Box::pin(run(client.clone(), q))
+        })
+    }
+
+    async fn rows(
+        &self,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Vec<platform_border::Row>, PlatformFault> {
+        let reply: platform_border::RowsReply = self.post(Budget::Reads, path, body).await?;
+        Ok(reply.rows)
+    }
+
+    async fn post<T: serde::de::DeserializeOwned>(
+        &self,
+        budget: Budget,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, PlatformFault> {
+        let call = self.http_call(Method::POST, path, body);
+        let body = self.call(budget, call).await?;
+        parsed(&body.unwrap_or_default())
+    }
+
+    async fn put_object(&self, name: &str, body: Bytes) -> Result<(), PlatformFault> {
+        let call = self.http_call(Method::PUT, &object_path(name), body);
+        self.call(Budget::Writes, call).await.map(|_| ())
+    }
+
+    async fn get_object(&self, name: &str) -> Result<Option<Bytes>, PlatformFault> {
+        let call = self.http_call(Method::GET, &object_path(name), Bytes::new());
+        self.call(Budget::Reads, call).await
+    }
+
+    fn http_call(&self, method: Method, path: &str, body: Bytes) -> HttpCall {
+        HttpCall {
+            address: self.inner.address,
+            method,
+            path: path.to_owned(),
+            body,
+            bound: self.inner.bound,
+            ..HttpCall::default()
+        }
+    }
+
+    /// Makes a call within its budget; `None` if the platform has no such thing.
+    async fn call(&self, budget: Budget, call: HttpCall) -> Result<Option<Bytes>, PlatformFault> {
+        let inner = &self.inner;
+        let budget = match budget {
+            Budget::Reads => &inner.reads,
+            Budget::Writes => &inner.writes,
+        };
+        if !budget.lock().take(inner.timer.now()) {
+            return Err(PlatformFault::OutOfBudget);
+        }
+        let answer = match inner.connections.call_whole(call).await {
+            Ok((status, body)) => of_status(status, body),
+            Err(error) => Err(of_error(&error)),
+        };
+        match &answer {
+            Ok(_) => budget.lock().answered(),
+            Err(fault) => {
+                tracing::debug!(%fault, "platform call failed");
+                budget.lock().failed(inner.timer.now(), rand::random());
+            }
+        }
+        answer
+    }
+}
+
+/// The platform answers 429 and 503 before a call has any effect; of every other failure the caller
+/// cannot tell.
+fn of_status(status: StatusCode, body: Bytes) -> Result<Option<Bytes>, PlatformFault> {
+    match status {
+        StatusCode::NOT_FOUND => Ok(None),
+        StatusCode::TOO_MANY_REQUESTS => Err(PlatformFault::Throttled),
+        StatusCode::SERVICE_UNAVAILABLE => Err(PlatformFault::NotRun),
+        status if status.is_success() => Ok(Some(body)),
+        status if status.is_client_error() => Err(PlatformFault::NotRun),
+        _ => Err(PlatformFault::Unknown),
+    }
+}
+
+fn of_error(error: &HttpError) -> PlatformFault {
+    if error.never_connected() {
+        PlatformFault::NotRun
+    } else {
+        PlatformFault::Unknown
+    }
+}
+
+fn parsed<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformFault> {
+    serde_json::from_slice(body).map_err(|_| PlatformFault::Unknown)
+}
+
+/// Object names are opaque: all but letters, digits, `-`, `_` and `.` is escaped.
+fn object_path(name: &str) -> String {
+    let plain = |b: &u8| b.is_ascii_alphanumeric() || b"-_.".contains(b);
+    let escaped = name.bytes().map(|b| {
+        if plain(&b) {
+            char::from(b).to_string()
+        } else {
+            format!("%{b:02X}")
+        }
+    });
+    format!("/v1/objects/{}", escaped.collect::<String>())
+}
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -14,6 +14,8 @@
     Generations,
     /// Connections to other processes.
     Connections,
+    /// The platform's table service, object store and VM list.
+    Platform,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -12,6 +12,8 @@
     pub zone: AvailabilityZone,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
+    /// Address of the platform; without it this VM keeps and agrees on nothing.
+    pub platform: Option<SocketAddr>,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
@@ -29,6 +31,7 @@
             vm: "vm-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
             bundle_file: None,
+            platform: None,
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
@@ -61,6 +64,7 @@
   --vm ID                   id of this VM [vm-1]
   --zone NAME               availability zone of this VM [zone-1]
   --bundle-file FILE        bundle to start with, for a system without a platform
+  --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
@@ -120,6 +124,9 @@
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
+            "platform" => {
+                self.platform = Some(parse(flag, "an IP address and port", value)?);
+            }
             "log" => value.clone_into(&mut self.log),
             _ => unreachable!("every flag of FLAGS is set above"),
         }
@@ -135,6 +142,7 @@
     "drain-grace-ms",
     "listen",
     "log",
+    "platform",
     "vm",
     "zone",
 ];
--- a/crates/catkinward/tests/settings.rs
+++ b/crates/catkinward/tests/settings.rs
@@ -98,6 +98,7 @@
         "--vm",
         "--zone",
         "--bundle-file",
+        "--platform",
         "--check",
         "--version",
     ] {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,7 @@
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    call_budget::{CallBudget, CallBudgetSettings},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -60,6 +61,7 @@
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod call_budget;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -38,6 +38,9 @@
     demo_bundle::{DEMO_KEY, demo_bundle},
     engine_server::EngineServer,
     engine_settings::EngineSettings,
+    platform_server::PlatformServer,
+    platform_store::PlatformStore,
+    scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
 };
 
@@ -50,6 +53,10 @@
 mod engine_server;
 mod engine_settings;
 mod killable_listener;
+mod platform_server;
+mod platform_store;
 mod query;
+mod rate_limit;
+mod scripted_platform;
 mod sequence;
 mod token_chain;
--- /dev/null
+++ b/crates/standins/src/scripted_platform.rs
@@ -0,0 +1,112 @@
+use super::*;
+use catkinward::{Platform, PlatformFault};
+use std::collections::VecDeque;
+
+/// Fate of one transaction of a [`ScriptedPlatform`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TransactFate {
+    /// It runs and is answered.
+    Answered,
+    /// It runs, but its answer is lost.
+    LostAfterEffect,
+    /// It is lost on its way, and its sender cannot tell.
+    LostBeforeEffect,
+    /// Its sender hears nothing; it runs right before the next transaction.
+    Late,
+    /// It is refused.
+    NotRun,
+    /// It is refused for the rate limit.
+    Throttled,
+}
+
+/// A platform in memory whose transactions meet scripted fates.
+#[derive(Clone, Default)]
+pub struct ScriptedPlatform {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    store: PlatformStore,
+    fates: VecDeque<TransactFate>,
+    late: Vec<catkin_border::platform::TransactRequest>,
+    out: bool,
+}
+
+impl ScriptedPlatform {
+    /// Gives the next transactions these fates; those after them are answered.
+    pub fn script(&self, fates: impl IntoIterator<Item = TransactFate>) {
+        self.inner.lock().fates.extend(fates);
+    }
+
+    /// Begins or ends an outage in which every call is refused.
+    pub fn outage(&self, out: bool) {
+        self.inner.lock().out = out;
+    }
+
+    /// Looks at the state or changes it, past all faults.
+    pub fn with_store<T>(&self, f: impl FnOnce(&mut PlatformStore) -> T) -> T {
+        f(&mut self.inner.lock().store)
+    }
+
+    /// The closures by which a part of the router uses it.
+    #[must_use]
+    pub fn platform(&self) -> Platform {
+        let call = || self.clone();
+        let (transact, read, scan) = (call(), call(), call());
+        let (put_object, get_object, vms) = (call(), call(), call());
+        Platform {
+            transact: Box::new(move |req| ready(transact.transact(req))),
+            read: Box::new(move |keys| ready(read.up(|store| store.read(&keys)))),
+            scan: Box::new(move |req| ready(scan.up(|store| store.scan(&req)))),
+            put_object: Box::new(move |(name, body)| {
+                ready(put_object.up(|store| store.put_object(&name, body)))
+            }),
+            get_object: Box::new(move |name| ready(get_object.up(|store| store.get_object(&name)))),
+            vms: Box::new(move |()| {
+                let latest = catkin_decisions::Instant(Duration::MAX);
+                ready(vms.up(|store| store.vms(latest)))
+            }),
+        }
+    }
+
+    fn transact(
+        &self,
+        req: catkin_border::platform::TransactRequest,
+    ) -> Result<catkin_border::platform::TransactReply, PlatformFault> {
+        let mut guard = self.inner.lock();
+        let inner = &mut *guard;
+        for late in std::mem::take(&mut inner.late) {
+            inner.store.transact(late);
+        }
+        if inner.out {
+            return Err(PlatformFault::NotRun);
+        }
+        match inner.fates.pop_front().unwrap_or(TransactFate::Answered) {
+            TransactFate::Answered => Ok(inner.store.transact(req)),
+            TransactFate::LostAfterEffect => {
+                inner.store.transact(req);
+                Err(PlatformFault::Unknown)
+            }
+            TransactFate::LostBeforeEffect => Err(PlatformFault::Unknown),
+            TransactFate::Late => {
+                inner.late.push(req);
+                Err(PlatformFault::Unknown)
+            }
+            TransactFate::NotRun => Err(PlatformFault::NotRun),
+            TransactFate::Throttled => Err(PlatformFault::Throttled),
+        }
+    }
+
+    fn up<T>(&self, f: impl FnOnce(&mut PlatformStore) -> T) -> Result<T, PlatformFault> {
+        let mut inner = self.inner.lock();
+        if inner.out {
+            return Err(PlatformFault::NotRun);
+        }
+        Ok(f(&mut inner.store))
+    }
+}
+
+fn ready<T: Send + 'static>(value: T) -> futures::future::BoxFuture<'static, T> {
+    Box::pin(std::future::ready(value))
+}
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,247 @@
+//! Contract of the platform: the router's client against the stand-in, with its faults.
+
+use catkin_border::platform::{
+    Condition, PlatformFaults, PlatformOutage, Row, RowKey, ScanRequest, TransactRequest, VmEntry,
+    VmKind, VmState, Write,
+};
+use catkin_decisions::{CallBudgetSettings, Instant};
+use catkin_standins::{PlatformServer, PlatformStore};
+use catkinward::{Platform, PlatformFault, PlatformSettings, Timer, http_client::Connections};
+use googletest::prelude::*;
+use std::{net::SocketAddr, num::NonZeroU32, sync::Arc, time::Duration};
+
+fn no_faults() -> PlatformFaults {
+    serde_json::from_str("{}").expect("all fields are optional")
+}
+
+async fn server(faults: PlatformFaults) -> PlatformServer {
+    PlatformServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), faults)
+        .await
+        .expect("a free port")
+}
+
+fn client(address: SocketAddr) -> Platform {
+    let connections = Arc::new(Connections::new().expect("a client"));
+    let cfg = PlatformSettings {
+        bound: Duration::from_millis(300),
+        writes: CallBudgetSettings {
+            faults_before_pause: 100,
+            ..CallBudgetSettings::default()
+        },
+        ..PlatformSettings::default()
+    };
+    Platform::over_http(connections, Timer::start(), address, cfg)
+}
+
+fn put(key: &str, version: u64, value: &str) -> TransactRequest {
+    TransactRequest {
+        conditions: vec![Condition {
+            table: "t".into(),
+            key: key.into(),
+            version,
+        }],
+        writes: vec![Write {
+            table: "t".into(),
+            key: key.into(),
+            value: Some(value.into()),
+        }],
+    }
+}
+
+fn key(key: &str) -> RowKey {
+    RowKey {
+        table: "t".into(),
+        key: key.into(),
+    }
+}
+
+fn shown(rows: &[Row]) -> Vec<String> {
+    rows.iter()
+        .map(|row| format!("{}={}@{}", row.key, row.value, row.version))
+        .collect()
+}
+
+#[gtest]
+#[tokio::test]
+async fn conditional_write_is_refused_with_the_row_as_it_is() {
+    let server = server(no_faults()).await;
+    let platform = client(server.address());
+    (platform.transact)(put("a", 0, "one")).await.expect("up");
+
+    let reply = (platform.transact)(put("a", 0, "two")).await.expect("up");
+
+    let rows = (platform.read)(vec![key("a"), key("b")]).await.expect("up");
+    expect_that!(reply.committed, eq(false));
+    expect_that!(shown(&reply.conflicts), eq(&["a=one@1"]));
+    expect_that!(shown(&rows), eq(&["a=one@1"]));
+}
+
+#[gtest]
+#[tokio::test]
+async fn scan_goes_through_a_prefix_page_by_page() {
+    let server = server(no_faults()).await;
+    let platform = client(server.address());
+    for name in ["a/1", "a/2", "a/3", "b/1"] {
+        (platform.transact)(put(name, 0, "x")).await.expect("up");
+    }
+    let page = |after: Option<&str>| ScanRequest {
+        table: "t".into(),
+        prefix: "a/".into(),
+        after: after.map(Into::into),
+        limit: NonZeroU32::new(2).expect("not zero"),
+    };
+
+    let first = (platform.scan)(page(None)).await.expect("up");
+    let second = (platform.scan)(page(Some("a/2"))).await.expect("up");
+
+    expect_that!(shown(&first), eq(&["a/1=x@1", "a/2=x@1"]));
+    expect_that!(shown(&second), eq(&["a/3=x@1"]));
+}
+
+#[gtest]
+#[tokio::test]
+async fn objects_are_found_by_any_name() {
+    let server = server(no_faults()).await;
+    let platform = client(server.address());
+    let name: Arc<str> = "claims/team é?%/1".into();
+    (platform.put_object)((name.clone(), "body".into()))
+        .await
+        .expect("up");
+
+    let found = (platform.get_object)(name).await;
+    let absent = (platform.get_object)("other".into()).await;
+
+    expect_that!(found, ok(some(eq(&"body"))));
+    expect_that!(absent, ok(none()));
+}
+
+struct FaultCase {
+    name: &'static str,
+    faults: PlatformFaults,
+    seen: PlatformFault,
+    took_effect: bool,
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    vec![
+        FaultCase {
+            name: "refused",
+            faults: PlatformFaults {
+                outage: Some(PlatformOutage::Refused),
+                ..no_faults()
+            },
+            seen: PlatformFault::NotRun,
+            took_effect: false,
+        },
+        FaultCase {
+            name: "silent",
+            faults: PlatformFaults {
+                outage: Some(PlatformOutage::Silent),
+                ..no_faults()
+            },
+            seen: PlatformFault::Unknown,
+            took_effect: false,
+        },
+        FaultCase {
+            name: "answer lost",
+            faults: PlatformFaults {
+                lose_answers: Some(1),
+                ..no_faults()
+            },
+            seen: PlatformFault::Unknown,
+            took_effect: true,
+        },
+        FaultCase {
+            name: "answer too late",
+            faults: PlatformFaults {
+                answer_delay_ms: Some(10_000),
+                ..no_faults()
+            },
+            seen: PlatformFault::Unknown,
+            took_effect: true,
+        },
+    ]
+}
+
+/// A call of the platform fails in each way it can. A router that took one for another would tell a
+/// caller that its order did not run while it did, or would never run it.
+#[gtest]
+#[tokio::test]
+async fn each_fault_tells_whether_the_call_can_have_taken_effect() {
+    for case in fault_cases() {
+        let server = server(case.faults).await;
+        let platform = client(server.address());
+
+        let seen = (platform.transact)(put("a", 0, "one")).await;
+
+        expect_that!(seen, err(eq(&case.seen)), "{}", case.name);
+        let took_effect = server.stats().rows_written == 1;
+        expect_that!(took_effect, eq(case.took_effect), "{}", case.name);
+    }
+}
+
+/// The platform's process is gone, so no connection opens. The call certainly did not run.
+#[gtest]
+#[tokio::test]
+async fn refused_connection_is_not_run() {
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = unused.local_addr().expect("bound");
+    drop(unused);
+    let platform = client(address);
+
+    let seen = (platform.transact)(put("a", 0, "one")).await;
+
+    expect_that!(seen, err(eq(&PlatformFault::NotRun)));
+}
+
+/// More writes come than the platform does in a second. Those beyond are refused, and their senders
+/// know that they did not run.
+#[gtest]
+#[tokio::test]
+async fn writes_beyond_the_rate_are_throttled() {
+    let server = server(PlatformFaults {
+        writes_per_second: Some(1),
+        ..no_faults()
+    })
+    .await;
+    let platform = client(server.address());
+    (platform.transact)(put("a", 0, "one"))
+        .await
+        .expect("within the rate");
+
+    let seen = (platform.transact)(put("b", 0, "one")).await;
+
+    expect_that!(seen, err(eq(&PlatformFault::Throttled)));
+    expect_that!(server.stats().throttled, eq(1));
+}
+
+fn vm(id: &str, state: VmState) -> VmEntry {
+    VmEntry {
+        id: id.into(),
+        kind: VmKind::Router,
+        address: "127.0.0.1:1".into(),
+        operator_address: None,
+        availability_zone: "zone-1".into(),
+        state,
+    }
+}
+
+/// A VM is leaving, but the platform's list still says that it is live. Whoever goes by the list
+/// alone sends it new work.
+#[gtest]
+fn vm_list_lags() {
+    let mut store = PlatformStore::default();
+    let at = |seconds| Instant(Duration::from_secs(seconds));
+    store.set_vms(at(1), vec![vm("vm-1", VmState::Live)]);
+    store.set_vms(at(5), vec![vm("vm-1", VmState::Leaving)]);
+
+    let states = [0, 4, 5].map(|then| {
+        let vms = store.vms(at(then));
+        vms.first().map(|vm| vm.state)
+    });
+
+    expect_that!(
+        states,
+        eq([None, Some(VmState::Live), Some(VmState::Leaving)])
+    );
+}
