--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -57,6 +57,7 @@
     logging::start_logging,
     node::Node,
     platform::{Platform, PlatformCall, PlatformFault},
+    platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
@@ -91,6 +92,7 @@
 mod logging;
 mod node;
 mod platform;
+mod platform_client;
 mod problem;
 mod process_clock;
 mod service_name;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -44,9 +44,12 @@
     plain_fault::PlainFault,
     plain_server::{PlainAnswer, PlainServer},
     plain_settings::PlainSettings,
+    platform_server::PlatformServer,
+    platform_store::PlatformStore,
     prefix_cache::prompt_tokens,
     proxy_fault::ProxyFault,
     run_counts::{RunCount, RunCounts, request_digest},
+    scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
 };
 
@@ -64,10 +67,14 @@
 mod plain_fault;
 mod plain_server;
 mod plain_settings;
+mod platform_server;
+mod platform_store;
 mod prefix_cache;
 mod proxy_fault;
 mod proxy_route;
 mod query;
+mod rate_limit;
 mod run_counts;
+mod scripted_platform;
 mod sequence;
 mod token_chain;
