--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -16,6 +16,8 @@
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
+    /// The platform, if there is one.
+    pub platform: Option<Arc<Platform>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
@@ -38,6 +40,15 @@
         let connections = Connections::with_clock(timeline.clock().clone())?;
         let connections = Arc::new(connections);
         let connections = kernel.register(ServiceName::Connections, connections)?;
+        let platform = match settings.platform {
+            Some(address) => {
+                let cfg = PlatformSettings::default();
+                let platform =
+                    Platform::over_http(connections.clone(), timer.clone(), address, cfg);
+                Some(kernel.register(ServiceName::Platform, Arc::new(platform))?)
+            }
+            None => None,
+        };
         let bundle = kernel.register(
             ServiceName::Bundle,
             Arc::new(BundleInForce::new(timeline.clone())),
@@ -56,6 +67,7 @@
             timeline,
             connections,
             bundle,
+            platform,
             upstreams,
             generations,
             drain,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,7 @@
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    call_budget::{CallBudget, CallBudgetSettings},
     candidate::Candidate,
     choice::{ChoiceInput, choose},
     delivery::Delivery,
@@ -88,6 +89,7 @@
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod call_budget;
 mod candidate;
 mod choice;
 mod delivery;
--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -1,4 +1,5 @@
 use super::*;
+use catkin_border::platform::PlatformFaults;
 use std::{ffi::OsString, process::ExitCode, str::FromStr};
 
 /// Why a stand-in cannot run.
@@ -21,7 +22,7 @@
     #[from(skip)]
     Crashed,
     /// No kind of stand-in is named.
-    #[display("name a stand-in: `engine`, `plain` or `proxy`")]
+    #[display("name a stand-in: `engine`, `plain`, `platform` or `proxy`")]
     #[from(skip)]
     Kind,
     /// The address cannot be had.
@@ -33,10 +34,11 @@
 enum Standin {
     Engine(EngineSettings),
     Plain(PlainSettings),
+    Platform(PlatformFaults),
     Proxy(Vec<SocketAddr>),
 }
 
-/// Runs the stand-ins' daemon: `engine`, `plain` or `proxy` with its flags. It prints
+/// Runs the stand-ins' daemon: `engine`, `plain`, `platform` or `proxy` with its flags. It prints
 /// `listening ADDRESS`; the proxy prints the address of its control, then one for each `--to`.
 pub fn run_standin(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     match read_standin(args).map(serve) {
@@ -52,6 +54,7 @@
     let mut parser = lexopt::Parser::from_args(args);
     match parser.next()? {
         Some(lexopt::Arg::Value(kind)) if kind == "plain" => plain(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "platform" => platform(&mut parser),
         Some(lexopt::Arg::Value(kind)) if kind == "proxy" => proxy(&mut parser),
         Some(lexopt::Arg::Value(kind)) if kind == "engine" => engine(&mut parser),
         Some(arg) => Err(arg.unexpected().into()),
@@ -98,6 +101,34 @@
     Ok(Standin::Plain(settings))
 }
 
+fn platform(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut faults = PlatformFaults {
+        answer_delay_ms: None,
+        delay_ms: None,
+        lose_answers: None,
+        lose_every: None,
+        outage: None,
+        reads_per_second: None,
+        vm_lag_ms: None,
+        writes_per_second: None,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("reads-per-second") => {
+                faults.reads_per_second = Some(number("reads-per-second", parser)?);
+            }
+            lexopt::Arg::Long("writes-per-second") => {
+                faults.writes_per_second = Some(number("writes-per-second", parser)?);
+            }
+            lexopt::Arg::Long("vm-lag-ms") => {
+                faults.vm_lag_ms = Some(number("vm-lag-ms", parser)?);
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Standin::Platform(faults))
+}
+
 fn proxy(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
     let mut upstreams = Vec::new();
     while let Some(arg) = parser.next()? {
@@ -134,6 +165,10 @@
             let plain = PlainServer::start(free, settings).await?;
             println!("listening {}", plain.address());
         }
+        Standin::Platform(faults) => {
+            let platform = PlatformServer::start(free, faults).await?;
+            println!("listening {}", platform.address());
+        }
         Standin::Proxy(upstreams) => {
             let proxy = FaultProxy::start(free).await?;
             println!("listening {}", proxy.address());
