Daemon routes by the decisions: eligibility, choice, subset, poison

Cause: the daemon took the least loaded upstream by its own filter, polled every upstream of the bundle, and resumed a request that kills engines without end.

Orders are sent to an UpstreamHandle, which is made from an Eligible. A lost stream is followed by a call that finds out whether the engine died; a death marks the digests in flight there, and a poisoned request ends with poisoned (failed) or poisoned_not_run. A refusal as leaving is sticky. note_leaving, listed, leaving_deltas, poison_deltas, merge_poison and set_watchers are for peers and the platform's list.

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -150,6 +150,7 @@
         };
         Ok(GenerationRequest {
             id: new_request_id(),
+            digest: RequestDigest::of(&caller.team, &json_bytes(order)),
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -18,6 +18,12 @@
 /// this is four of them lost.
 const SILENCE_BOUND: Duration = Duration::from_secs(1);
 
+/// Tokens after which the upstream's watch over suspects hears of progress.
+const PROGRESS_TOKENS: u32 = 8;
+
+/// How long a suspected request waits for an upstream that this VM watches.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
+
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
@@ -100,8 +106,9 @@
 impl Driver {
     async fn run(&mut self) -> GenerationOutcome {
         loop {
-            let Some(upstream) = self.wait_for_upstream().await else {
-                return GenerationOutcome::Failed(ProblemKind::Deadline);
+            let upstream = match self.wait_for_upstream().await {
+                Ok(upstream) => upstream,
+                Err(kind) => return GenerationOutcome::Failed(kind),
             };
             let fault = match self.start(upstream).await {
                 Ok(attempt) => match self.follow(attempt).await {
@@ -114,25 +121,46 @@
         }
     }
 
-    /// Waits until an upstream can take the generation; `None` once its deadline is over.
-    async fn wait_for_upstream(&mut self) -> Option<UpstreamHandle> {
+    /// Waits until an upstream can take the generation.
+    ///
+    /// # Errors
+    ///
+    /// Once its deadline is over, or upstreams died under it.
+    async fn wait_for_upstream(&mut self) -> Result<UpstreamHandle, ProblemKind> {
+        let start = self.node.timer.now();
         loop {
-            if self.node.timer.now() >= self.generation.request.deadline {
-                return None;
+            let now = self.node.timer.now();
+            if now >= self.generation.request.deadline {
+                return Err(ProblemKind::Deadline);
             }
-            if let Some(upstream) = self.choose() {
-                return Some(upstream);
+            match self.choose(now.since(start) > SUSPECT_PATIENCE) {
+                Ok(upstream) => return Ok(upstream),
+                Err(NoUpstream::Poisoned) => return Err(self.poisoned()),
+                Err(NoUpstream::Now) => {}
             }
             self.avoid.clear();
             tokio::time::sleep(RETRY_PERIOD).await;
         }
     }
 
-    fn choose(&self) -> Option<UpstreamHandle> {
+    /// How a poisoned request ends: as not run only if no attempt was ever sent.
+    fn poisoned(&self) -> ProblemKind {
+        match self.generation.attempts() {
+            Attempt(0) => ProblemKind::PoisonedNotRun,
+            _ => ProblemKind::Poisoned,
+        }
+    }
+
+    fn choose(&self, urgent: bool) -> Result<UpstreamHandle, NoUpstream> {
         let request = &self.generation.request;
-        self.node
-            .upstreams
-            .choose(&request.service, Some(&request.model), &self.avoid)
+        self.node.upstreams.choose(&UpstreamWant {
+            model: Some(&request.model),
+            avoid: &self.avoid,
+            digest: Some(request.digest),
+            prefix: &request.prompt,
+            urgent,
+            ..UpstreamWant::new(&request.service)
+        })
     }
 
     /// Starts an attempt and makes it the live one.
@@ -154,11 +182,15 @@
             _ => EventKind::NewAttempt,
         };
         self.record(kind, attempt, upstream.id(), None);
-        let address = upstream.address();
-        let stream =
-            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
-                .await
-                .inspect_err(|_| upstream.failed())?;
+        let connections = &self.node.connections;
+        let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
+        let stream = match started.await {
+            Ok(stream) => stream,
+            Err(fault) => {
+                upstream.lost(&fault).await;
+                return Err(fault);
+            }
+        };
         Ok(RunningAttempt {
             node: self.node.clone(),
             id: self.generation.request.id.clone(),
@@ -175,7 +207,7 @@
                 Ok(finish) => return Ok(finish),
                 Err(fault) => fault,
             };
-            attempt.upstream.failed();
+            attempt.upstream.lost(&fault).await;
             self.record(
                 EventKind::Suspected,
                 attempt.stream.attempt(),
@@ -203,6 +235,9 @@
                 EngineEvent::Token(token) => {
                     let index = token.index;
                     let delivery = self.generation.token(token)?;
+                    if index.0 % PROGRESS_TOKENS == 0 {
+                        attempt.upstream.progressed();
+                    }
                     if !went_on && matches!(delivery, Delivery::Token(..)) {
                         went_on = true;
                         self.record_progress(attempt, index);
@@ -252,9 +287,9 @@
     async fn recover(&mut self, attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
         match self.generation.request.recovery {
             RecoveryPolicy::LeastWork => self.probe(attempt).await,
-            RecoveryPolicy::LeastWait => match self.choose() {
-                Some(other) => self.race(attempt, other).await,
-                None => self.probe(attempt).await,
+            RecoveryPolicy::LeastWait => match self.choose(false) {
+                Ok(other) => self.race(attempt, other).await,
+                Err(_) => self.probe(attempt).await,
             },
         }
     }
@@ -265,6 +300,16 @@
     }
 
     async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
+        match self.reattach(attempt).await {
+            Ok(stream) => Ok(stream),
+            Err(fault) => {
+                attempt.upstream.lost(&fault).await;
+                Err(fault)
+            }
+        }
+    }
+
+    async fn reattach(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
         let mut stream = engine_client::reattach(
             &self.node.connections,
             attempt.upstream.address(),
@@ -335,7 +380,12 @@
             avoid: Vec::new(),
         };
         let mut attempt = driver.open(upstream, order).await?;
-        attempt.stream.wait_for_progress(SILENCE_BOUND).await?;
-        Ok(attempt)
+        match attempt.stream.wait_for_progress(SILENCE_BOUND).await {
+            Ok(()) => Ok(attempt),
+            Err(fault) => {
+                attempt.upstream.lost(&fault).await;
+                Err(fault)
+            }
+        }
     }
 }
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -5,6 +5,8 @@
 pub struct GenerationRequest {
     /// Its id.
     pub id: RequestId,
+    /// Digest of the team and its body, by which a request that kills upstreams is known.
+    pub digest: RequestDigest,
     /// The team that asked.
     pub team: TeamId,
     /// The service asked for.
--- /dev/null
+++ b/crates/catkinward/src/known.rs
@@ -0,0 +1,93 @@
+use super::*;
+use crate::upstream_state::{UpstreamState, read_report};
+
+/// Bound of a call for a load report.
+const POLL_BOUND: Duration = Duration::from_millis(400);
+
+/// Words of leaving kept for peers that have not asked yet.
+const MOST_UNTOLD: usize = 255;
+
+/// What requests and polls tell of upstreams.
+pub(crate) struct Known {
+    pub(crate) timer: Arc<Timer>,
+    pub(crate) connections: Arc<Connections>,
+    pub(crate) poison: Mutex<PoisonTracker>,
+    /// Processes newly known to be leaving, for peers.
+    untold: Mutex<Vec<(UpstreamId, Incarnation)>>,
+}
+
+impl Known {
+    pub(crate) fn new(timer: &Arc<Timer>, connections: &Arc<Connections>) -> Self {
+        Self {
+            timer: timer.clone(),
+            connections: connections.clone(),
+            poison: Mutex::default(),
+            untold: Mutex::default(),
+        }
+    }
+
+    /// Processes newly known to be leaving since the last call.
+    pub(crate) fn take_untold(&self) -> Vec<(UpstreamId, Incarnation)> {
+        std::mem::take(&mut *self.untold.lock())
+    }
+
+    /// Takes a load report; the first one of another process proves the former's death.
+    pub(crate) fn reported(
+        &self,
+        state: &UpstreamState,
+        asked: AskedReport,
+        report: UpstreamReport,
+    ) {
+        let (incarnation, leaving) = (report.incarnation, report.leaving);
+        if leaving {
+            self.note_leaving(state, incarnation, LeavingSource::Report);
+        }
+        let former = state.record.lock().reported(asked, report);
+        if let Some(former) = former {
+            self.died(state, former);
+        }
+    }
+
+    pub(crate) fn note_leaving(
+        &self,
+        state: &UpstreamState,
+        incarnation: Incarnation,
+        source: LeavingSource,
+    ) {
+        let evidence = &mut state.record.lock().evidence;
+        if evidence.note_leaving(incarnation, source) {
+            tracing::info!(upstream = %state.entry.id, %source, "upstream is leaving");
+            let mut untold = self.untold.lock();
+            untold.truncate(MOST_UNTOLD);
+            untold.push((state.entry.id.clone(), incarnation));
+        }
+    }
+
+    /// Notes that a process of an upstream died, under whatever runs there.
+    pub(crate) fn died(&self, state: &UpstreamState, incarnation: Incarnation) {
+        state.record.lock().evidence.gone(incarnation);
+        let now = self.timer.now();
+        let mut poison = self.poison.lock();
+        poison.died(&state.entry.id, incarnation, now);
+        tracing::warn!(upstream = %state.entry.id, "upstream died");
+    }
+
+    /// Asks an upstream for its load, after a random part of `jitter`.
+    pub(crate) async fn poll(&self, state: &UpstreamState, jitter: Duration) {
+        tokio::time::sleep(jitter.mul_f64(rand::random())).await;
+        let asked = state.record.lock().ask(self.timer.now());
+        let call = HttpCall {
+            address: state.entry.address,
+            path: "/v1/load".to_owned(),
+            bound: POLL_BOUND,
+            fresh: state.poll_fresh.load(Ordering::Relaxed),
+            ..HttpCall::default()
+        };
+        let reply = self.connections.call_json(call).await;
+        state.poll_fresh.store(reply.is_err(), Ordering::Relaxed);
+        match reply {
+            Ok(load) => self.reported(state, asked, read_report(load)),
+            Err(fault) => tracing::debug!(upstream = %state.entry.id, %fault, "no load report"),
+        }
+    }
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,10 +9,13 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock, Instant,
-        KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
-        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        AskedReport, Attempt, AvailabilityZone, Bundle, BundleVersion, Candidate, ChoiceInput,
+        Delivery, Eligible, Finish, HybridClock, Incarnation, Instant, KeyHash, LeavingSource,
+        Model, PathRule, PoisonMark, PoisonRun, PoisonTracker, ReceivedEnd, ReceivedToken,
+        RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service, ServiceId,
+        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
+        UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, choose, parse_hex, rendezvous_score,
+        subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -29,7 +32,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -63,6 +66,8 @@
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
+    upstream_handle::UpstreamHandle,
+    upstream_want::{NoUpstream, UpstreamWant},
     upstreams::Upstreams,
 };
 
@@ -89,6 +94,7 @@
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
+mod known;
 mod logging;
 mod node;
 mod platform;
@@ -100,4 +106,6 @@
 mod timeline;
 mod timer;
 mod upstream_handle;
+mod upstream_state;
+mod upstream_want;
 mod upstreams;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -56,7 +56,7 @@
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
-        let upstreams = Upstreams::start(&timer, &connections, &bundle);
+        let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -24,6 +24,10 @@
     NoSuchService,
     /// The VM has no bundle yet.
     NotReady,
+    /// Upstreams died under this request, and it ends here.
+    Poisoned,
+    /// Upstreams died under the same request before; it was not tried again.
+    PoisonedNotRun,
     /// The team may not call this service.
     TeamNotAllowed,
     /// The bearer key is of no team.
@@ -41,6 +45,7 @@
             Self::Draining | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
+            Self::Poisoned | Self::PoisonedNotRun => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
         }
@@ -50,13 +55,14 @@
     #[must_use]
     pub fn outcome(self) -> caller::Outcome {
         match self {
-            Self::Cancelled | Self::Deadline => caller::Outcome::Failed,
+            Self::Cancelled | Self::Deadline | Self::Poisoned => caller::Outcome::Failed,
             Self::BodyTooLarge
             | Self::Draining
             | Self::Malformed
             | Self::NoSuchPath
             | Self::NoSuchService
             | Self::NotReady
+            | Self::PoisonedNotRun
             | Self::TeamNotAllowed
             | Self::UnknownKey => caller::Outcome::NotRun,
         }
@@ -81,6 +87,8 @@
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
             Self::NotReady => "this VM has no configuration bundle yet",
+            Self::Poisoned => "upstreams died under this request",
+            Self::PoisonedNotRun => "upstreams died under this same request before",
             Self::TeamNotAllowed => "this team may not call this service",
             Self::UnknownKey => "the bearer key is not known",
         }
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -1,15 +1,45 @@
 use super::*;
-use crate::upstreams::UpstreamState;
+use crate::{
+    engine_event::AttemptFault,
+    http_client::HttpError,
+    known::Known,
+    upstream_state::{UpstreamState, read_report},
+};
+
+/// Bound of the call that finds out whether an upstream died.
+const DEATH_PROBE_BOUND: Duration = Duration::from_millis(300);
 
 /// One request's hold on an upstream: counted there until it is dropped.
+///
+/// It is made from an [`Eligible`] only, and orders are sent to handles only, so that no work goes
+/// to an upstream that may get none.
 pub struct UpstreamHandle {
+    known: Arc<Known>,
     state: Arc<UpstreamState>,
+    eligible: Eligible,
+    sent: Instant,
+    asked: AskedReport,
+    run: Option<PoisonRun>,
 }
 
 impl UpstreamHandle {
-    pub(crate) fn new(state: Arc<UpstreamState>) -> Self {
-        state.own.fetch_add(1, Ordering::Relaxed);
-        Self { state }
+    pub(crate) fn new(
+        known: &Arc<Known>,
+        state: &Arc<UpstreamState>,
+        eligible: Eligible,
+        run: Option<PoisonRun>,
+        now: Instant,
+    ) -> Self {
+        let mut record = state.record.lock();
+        record.dispatched();
+        Self {
+            known: known.clone(),
+            state: state.clone(),
+            eligible,
+            sent: now,
+            asked: record.ask(now),
+            run,
+        }
     }
 
     /// The upstream's id.
@@ -26,17 +56,129 @@
 
     /// Notes that it failed this request.
     pub fn failed(&self) {
-        self.state.failures.fetch_add(1, Ordering::Relaxed);
+        self.state.record.lock().failed(self.known.timer.now());
+    }
+
+    /// Notes that it has begun to answer.
+    pub fn answered(&self) {
+        let now = self.known.timer.now();
+        let mut record = self.state.record.lock();
+        record.answered(self.eligible.incarnation(), self.sent, now);
+    }
+
+    /// Takes the load report that came with the reply.
+    pub(crate) fn reported(&self, load: engine::UpstreamLoad) {
+        self.known
+            .reported(&self.state, self.asked, read_report(load));
     }
 
-    /// Notes that it served this request.
+    /// Notes some tokens delivered.
+    pub fn progressed(&self) {
+        if let Some(run) = self.run {
+            self.known.poison.lock().progressed(run);
+        }
+    }
+
+    /// Notes that it served this request to its end.
     pub fn succeeded(&self) {
-        self.state.failures.store(0, Ordering::Relaxed);
+        let now = self.known.timer.now();
+        self.state
+            .record
+            .lock()
+            .evidence
+            .replied(self.eligible.incarnation(), now);
+        if let Some(run) = self.run {
+            self.known.poison.lock().finished(run);
+        }
+    }
+
+    /// Takes in why the upstream did not take the request, or broke off its answer, and finds out
+    /// whether it died; only a death bears on whether the request is poisoned.
+    ///
+    /// This comes before the handle is dropped: only a request that is still counted as running
+    /// there is known to have been there when the upstream died.
+    pub(crate) async fn lost(&self, fault: &AttemptFault) {
+        match fault {
+            AttemptFault::Refused {
+                kind: engine::EngineRefusalKind::Leaving,
+            } => self.known.note_leaving(
+                &self.state,
+                self.eligible.incarnation(),
+                LeavingSource::Refusal,
+            ),
+            AttemptFault::Refused { .. } => {}
+            AttemptFault::Http(HttpError::Call { source, .. }) if is_refused(source) => {
+                self.failed();
+                // No connection was made, so the request was not there when the upstream died.
+                self.forget_run();
+                self.find_out().await;
+            }
+            AttemptFault::Http(HttpError::Call { .. } | HttpError::Body { .. })
+            | AttemptFault::Broken => {
+                self.failed();
+                self.find_out().await;
+            }
+            _ => self.failed(),
+        }
+    }
+
+    async fn find_out(&self) {
+        let _probing = self.state.probing.lock().await;
+        let current = self.state.record.lock().evidence.incarnation();
+        if current != Some(self.eligible.incarnation()) {
+            return;
+        }
+        let asked = self.state.record.lock().ask(self.known.timer.now());
+        let call = HttpCall {
+            address: self.address(),
+            path: "/v1/load".to_owned(),
+            bound: DEATH_PROBE_BOUND,
+            fresh: true,
+            ..HttpCall::default()
+        };
+        match self.known.connections.call_json(call).await {
+            Ok(load) => self.known.reported(&self.state, asked, read_report(load)),
+            Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
+                self.known.died(&self.state, self.eligible.incarnation());
+            }
+            Err(fault) => tracing::debug!(upstream = %self.id(), %fault, "no proof of a death"),
+        }
+    }
+
+    fn forget_run(&self) {
+        if let Some(run) = self.run {
+            self.known.poison.lock().left(run);
+        }
     }
 }
 
 impl Drop for UpstreamHandle {
     fn drop(&mut self) {
-        self.state.own.fetch_sub(1, Ordering::Relaxed);
+        self.state.record.lock().finished();
+        self.forget_run();
     }
 }
+
+/// Whether a connection was refused: nothing listens there.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    io_kind(error) == Some(io::ErrorKind::ConnectionRefused)
+}
+
+/// Whether the network, not the upstream, is to blame.
+fn is_unreachable(error: &(dyn std::error::Error + 'static)) -> bool {
+    matches!(
+        io_kind(error),
+        Some(
+            io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::NetworkDown
+                | io::ErrorKind::TimedOut
+        )
+    )
+}
+
+fn io_kind(error: &(dyn std::error::Error + 'static)) -> Option<io::ErrorKind> {
+    std::iter::successors(Some(error), |error| error.source())
+        .find_map(|error| error.downcast_ref::<io::Error>())
+        .map(io::Error::kind)
+}
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -1,25 +1,23 @@
 use super::*;
-use crate::upstream_handle::UpstreamHandle;
+use crate::{known::Known, upstream_handle::UpstreamHandle, upstream_state::UpstreamState};
 
-/// How often each upstream is asked for its load.
+/// How often each upstream of the subset is asked for its load.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
 
-/// How old the last word of an upstream may be for it to get new work.
-const EVIDENCE_BOUND: Duration = Duration::from_millis(2500);
+/// Longest random wait before such a call, so that VMs do not ask all at once.
+const POLL_JITTER: Duration = Duration::from_millis(80);
 
 /// The upstreams of the bundle in force and what is known of them.
 pub struct Upstreams {
-    timer: Arc<Timer>,
-    connections: Arc<Connections>,
+    known: Arc<Known>,
+    vm: VmId,
+    zone: AvailabilityZone,
+    /// Of the whole bundle, sorted by id.
     states: RwLock<Vec<Arc<UpstreamState>>>,
-}
-
-/// What is known of one upstream.
-pub struct UpstreamState {
-    pub(crate) entry: Upstream,
-    pub(crate) own: AtomicUsize,
-    pub(crate) failures: AtomicUsize,
-    report: Mutex<Option<(Instant, engine::UpstreamLoad)>>,
+    /// Those that this VM keeps in touch with.
+    subset: RwLock<Vec<Arc<UpstreamState>>>,
+    /// VMs that share the watching of suspects; none means this one alone.
+    watchers: RwLock<Vec<VmId>>,
 }
 
 impl Upstreams {
@@ -28,32 +26,163 @@
         timer: &Arc<Timer>,
         connections: &Arc<Connections>,
         bundle: &Arc<BundleInForce>,
+        settings: &Settings,
     ) -> Arc<Self> {
         let upstreams = Arc::new(Self {
-            timer: timer.clone(),
-            connections: connections.clone(),
+            known: Arc::new(Known::new(timer, connections)),
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
             states: RwLock::default(),
+            subset: RwLock::default(),
+            watchers: RwLock::default(),
         });
         tokio::spawn(follow(upstreams.clone(), bundle.clone()));
         upstreams
     }
 
-    /// Chooses an upstream for a request: the least loaded of those that may get new work.
-    pub fn choose(
+    /// Chooses an upstream for a request.
+    ///
+    /// # Errors
+    ///
+    /// If none may get it.
+    pub fn choose(&self, want: &UpstreamWant<'_>) -> Result<UpstreamHandle, NoUpstream> {
+        let now = self.known.timer.now();
+        let mut poison = self.known.poison.lock();
+        if want
+            .digest
+            .is_some_and(|digest| poison.refuses(digest, now))
+        {
+            return Err(NoUpstream::Poisoned);
+        }
+        let subset = self.subset.read();
+        let prefix = want.prefix_key();
+        let (mut candidates, states): (Vec<_>, Vec<_>) = subset
+            .iter()
+            .filter(|state| state.entry.services.binary_search(want.service).is_ok())
+            .filter(|state| !want.avoid.contains(&state.entry.id))
+            .filter(|state| self.may_start(&poison, want, state, now))
+            .filter_map(|state| Some((self.candidate(state, want, prefix.as_deref(), now)?, state)))
+            .unzip();
+        let input = ChoiceInput {
+            random: rand::random(),
+            by_prefix: prefix.is_some(),
+        };
+        let i = choose(&candidates, input).ok_or(NoUpstream::Now)?;
+        let (eligible, state) = (candidates.swap_remove(i).eligible, states[i]);
+        let run = want.digest.map(|digest| {
+            poison.started(digest, state.entry.id.clone(), eligible.incarnation(), now)
+        });
+        Ok(UpstreamHandle::new(&self.known, state, eligible, run, now))
+    }
+
+    /// The process of an upstream that was last heard of.
+    #[must_use]
+    pub fn incarnation(&self, id: &UpstreamId) -> Option<Incarnation> {
+        self.state(id)?.record.lock().evidence.incarnation()
+    }
+
+    /// Notes that a process of an upstream is leaving, as `source` says.
+    pub fn note_leaving(&self, id: &UpstreamId, incarnation: Incarnation, source: LeavingSource) {
+        if let Some(state) = self.state(id) {
+            self.known.note_leaving(&state, incarnation, source);
+        }
+    }
+
+    /// Takes an upstream's state in the platform's list, which knows no incarnations.
+    pub fn listed(&self, id: &UpstreamId, leaving: bool) {
+        if let Some(state) = self.state(id) {
+            state.record.lock().evidence.listed(leaving);
+        }
+    }
+
+    /// Processes of upstreams newly known to be leaving, sorted; each is told once.
+    #[must_use]
+    pub fn leaving_deltas(&self) -> Vec<(UpstreamId, Incarnation)> {
+        let mut deltas = self.known.take_untold();
+        deltas.sort();
+        deltas
+    }
+
+    /// Processes of upstreams known to be leaving, sorted, as for a peer that has just started.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<(UpstreamId, Incarnation)> {
+        let states = self.states.read();
+        let mut all = states
+            .iter()
+            .flat_map(|state| {
+                let record = state.record.lock();
+                let leaving = record.evidence.leaving().iter();
+                leaving
+                    .map(|(incarnation, _)| (state.entry.id.clone(), *incarnation))
+                    .collect::<Vec<_>>()
+            })
+            .collect::<Vec<_>>();
+        all.sort();
+        all
+    }
+
+    /// Marks of requests that upstreams died under, new since the last call; less than 1 KB.
+    #[must_use]
+    pub fn poison_deltas(&self) -> Vec<PoisonMark> {
+        let now = self.known.timer.now();
+        self.known.poison.lock().deltas(now)
+    }
+
+    /// Takes such marks from a peer.
+    pub fn merge_poison(&self, marks: &[PoisonMark]) {
+        let now = self.known.timer.now();
+        self.known.poison.lock().merge(marks, now);
+    }
+
+    /// Sets the VMs, this one among them, that share the watching of suspects on the upstreams of
+    /// this availability zone. Without them two VMs may watch suspects on the same upstream.
+    pub fn set_watchers(&self, vms: Vec<VmId>) {
+        *self.watchers.write() = vms;
+    }
+
+    fn may_start(
         &self,
-        service: &ServiceId,
-        model: Option<&Model>,
-        avoid: &[UpstreamId],
-    ) -> Option<UpstreamHandle> {
-        let now = self.timer.now();
-        self.states
+        poison: &PoisonTracker,
+        want: &UpstreamWant<'_>,
+        state: &UpstreamState,
+        now: Instant,
+    ) -> bool {
+        let Some(digest) = want.digest else {
+            return true;
+        };
+        let id = &state.entry.id;
+        let watches = want.urgent || !poison.is_marked(digest, now) || self.watches(id);
+        poison.may_start(digest, id, watches, now).is_ok()
+    }
+
+    /// Whether this VM is the one of the watchers that watches suspects on an upstream.
+    fn watches(&self, id: &UpstreamId) -> bool {
+        self.watchers
             .read()
             .iter()
-            .filter(|state| state.entry.services.binary_search(service).is_ok())
-            .filter(|state| !avoid.contains(&state.entry.id))
-            .filter_map(|state| Some((state.load(now, model)?, state)))
-            .min_by_key(|(load, _)| *load)
-            .map(|(_, state)| UpstreamHandle::new(state.clone()))
+            .max_by_key(|vm| rendezvous_score(id.as_str(), vm.as_str()))
+            .is_none_or(|vm| *vm == self.vm)
+    }
+
+    fn candidate(
+        &self,
+        state: &UpstreamState,
+        want: &UpstreamWant<'_>,
+        prefix: Option<&str>,
+        now: Instant,
+    ) -> Option<Candidate> {
+        let candidate = state.record.lock().candidate(want.model, now).ok()?;
+        Some(Candidate {
+            own_zone: state.entry.zone == self.zone,
+            affinity: prefix.map_or(0, |key| rendezvous_score(key, state.entry.id.as_str())),
+            ..candidate
+        })
+    }
+
+    fn state(&self, id: &UpstreamId) -> Option<Arc<UpstreamState>> {
+        let states = self.states.read();
+        let i = states.binary_search_by(|s| s.entry.id.cmp(id)).ok()?;
+        states.get(i).cloned()
     }
 
     fn apply(&self, bundle: &Bundle) {
@@ -66,71 +195,51 @@
                 None => Arc::new(UpstreamState::new(entry.clone())),
             })
             .collect();
+        let near = self.near(bundle);
+        *self.subset.write() = states
+            .iter()
+            .filter(|state| near.binary_search(&&state.entry.id).is_ok())
+            .cloned()
+            .collect();
     }
 
-    async fn poll(&self) {
-        let states = self.states.read().clone();
-        let polls = states.iter().map(|state| self.poll_one(state));
-        futures::future::join_all(polls).await;
+    /// Ids of the upstreams to keep in touch with: the union over all services, sorted.
+    fn near<'a>(&self, bundle: &'a Bundle) -> Vec<&'a UpstreamId> {
+        let mut near = bundle
+            .services
+            .iter()
+            .flat_map(|service| {
+                let serving = bundle
+                    .upstreams
+                    .iter()
+                    .filter(|upstream| upstream.services.binary_search(&service.id).is_ok());
+                subset(&self.vm, &self.zone, serving)
+            })
+            .map(|upstream| &upstream.id)
+            .collect::<Vec<_>>();
+        near.sort();
+        near.dedup();
+        near
     }
 
-    async fn poll_one(&self, state: &UpstreamState) {
-        let call = HttpCall {
-            address: state.entry.address,
-            path: "/v1/load".to_owned(),
-            bound: POLL_PERIOD,
-            fresh: true,
-            ..HttpCall::default()
-        };
-        match self.connections.call_json(call).await {
-            Ok(load) => *state.report.lock() = Some((self.timer.now(), load)),
-            Err(fault) => tracing::debug!(upstream = %state.entry.id, %fault, "no load report"),
-        }
+    async fn poll(&self, jitter: Duration) {
+        let subset = self.subset.read().clone();
+        let polls = subset.iter().map(|state| self.known.poll(state, jitter));
+        futures::future::join_all(polls).await;
     }
 }
 
 async fn follow(upstreams: Arc<Upstreams>, bundle: Arc<BundleInForce>) {
-    let mut ticks = upstreams.timer.subscribe(POLL_PERIOD);
+    let mut ticks = upstreams.known.timer.subscribe(POLL_PERIOD);
     let mut changes = bundle.changes();
+    let mut jitter = Duration::ZERO;
     loop {
         upstreams.apply(&bundle.current());
-        upstreams.poll().await;
+        upstreams.poll(jitter).await;
+        jitter = POLL_JITTER;
         tokio::select! {
             tick = ticks.recv() => if tick.is_none() { return },
             news = changes.changed() => if news.is_err() { return },
         }
     }
 }
-
-impl UpstreamState {
-    fn new(entry: Upstream) -> Self {
-        Self {
-            entry,
-            own: AtomicUsize::new(0),
-            failures: AtomicUsize::new(0),
-            report: Mutex::default(),
-        }
-    }
-
-    /// Load by which upstreams are compared; `None` if this one may not get new work.
-    fn load(&self, now: Instant, model: Option<&Model>) -> Option<usize> {
-        let report = self.report.lock();
-        let (at, load) = report.as_ref()?;
-        if now.since(*at) > EVIDENCE_BOUND || load.leaving {
-            return None;
-        }
-        if !model.is_none_or(|model| load.models.iter().any(|loaded| is_model(loaded, model))) {
-            return None;
-        }
-        let reported = usize::try_from(load.running + load.waiting).unwrap_or(usize::MAX);
-        let own = self.own.load(Ordering::Relaxed);
-        let failures = self.failures.load(Ordering::Relaxed);
-        Some(reported.max(own) + failures * 100)
-    }
-}
-
-fn is_model(loaded: &engine::LoadedModel, model: &Model) -> bool {
-    loaded.model == *model.name
-        && loaded.version == *model.version
-        && (model.adapter.is_none() || loaded.adapter.as_deref() == model.adapter.as_deref())
-}
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -85,6 +85,12 @@
         open >= 2 || all >= MOST_DEATHS
     }
 
+    /// Whether a digest is a suspect, to be watched on its next run.
+    #[must_use]
+    pub fn is_marked(&self, digest: RequestDigest, now: Instant) -> bool {
+        self.deaths(digest, now).0 > 0
+    }
+
     /// Whether a request may start on an upstream. `watches` tells whether this VM may watch
     /// suspects there.
     ///
@@ -108,7 +114,7 @@
             .collect::<Vec<_>>();
         elsewhere.sort();
         elsewhere.dedup();
-        let marked = self.deaths(digest, now).0 > 0;
+        let marked = self.is_marked(digest, now);
         let beside_another = || {
             self.runs
                 .iter()
@@ -139,7 +145,7 @@
             key,
             upstream,
             incarnation,
-            watched: self.deaths(digest, now).0 > 0,
+            watched: self.is_marked(digest, now),
             steps: 0,
         };
         self.runs.insert(self.range(digest).end, run);
--- a/crates/decisions/src/upstream_evidence.rs
+++ b/crates/decisions/src/upstream_evidence.rs
@@ -82,10 +82,10 @@
         }
     }
 
-    /// Notes for good that this process of the upstream is leaving.
-    pub fn note_leaving(&mut self, incarnation: Incarnation, source: LeavingSource) {
+    /// Notes for good that this process of the upstream is leaving. Returns whether that was new.
+    pub fn note_leaving(&mut self, incarnation: Incarnation, source: LeavingSource) -> bool {
         if self.leaving.iter().any(|(known, _)| *known == incarnation) {
-            return;
+            return false;
         }
         // The note about the present process must outlast any number of others, or an upstream that
         // leaves would get work again.
@@ -94,6 +94,7 @@
             self.leaving.remove(i);
         }
         self.leaving.push((incarnation, source));
+        true
     }
 
     /// Takes the state in the platform's list. The list lags and knows no incarnations, so a word
