Admission decisions: limits, lanes, fair queue, refusal at once, merged reads

Cause: nothing decided who is served when the system is full; every request was sent at once, so an overload made all answers late.

Change: pure modules for an adaptive concurrency limit per upstream, lanes with a reserve for quick calls, start-time fair queueing by team and weight, refusal on arrival of what cannot start before its deadline with Retry-After from the observed pace, consuming request states of which only a queued one can become "not run", a limit on hot keys, merging of identical reads, and engine priorities. A small event loop in the tests drives them in virtual time beside one FIFO.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
+    crate::call_table::CallTable,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -21,71 +22,98 @@
 mod newtype;
 
 pub use crate::{
+    admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePlace},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    call_key::CallKey,
+    concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    engine_priority::EnginePriority,
     error::Error,
+    fair_queue::{FairQueue, QueueTeam},
     finish::Finish,
     hex::{parse_hex, to_hex},
+    hot_keys::HotKeys,
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
+    lane::Lane,
     model::Model,
     path_rule::PathRule,
+    read_merger::ReadMerger,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
+    refusal_reason::RefusalReason,
     relay::Relay,
     request_id::RequestId,
+    request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
     reserved_attempt::ReservedAttempt,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    service_time::ServiceTime,
     team::Team,
     team_id::TeamId,
     term::Term,
+    ticket::Ticket,
     token::Token,
     token_index::TokenIndex,
     upstream::Upstream,
     upstream_id::UpstreamId,
+    upstream_places::{CapacityReport, UpstreamPlaces},
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
 };
 
+mod admission_queue;
 mod attempt;
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod call_key;
+mod call_table;
+mod concurrency_limit;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
+mod engine_priority;
 mod error;
+mod fair_queue;
 mod finish;
 mod hex;
+mod hot_keys;
 mod incarnation;
 mod instant;
 mod key_hash;
+mod lane;
 mod model;
 mod path_rule;
+mod read_merger;
 mod received_end;
 mod received_token;
 mod recovery_policy;
+mod refusal_reason;
 mod relay;
 mod request_id;
+mod request_state;
 mod reserved_attempt;
 mod service;
 mod service_id;
 mod service_kind;
+mod service_time;
 mod team;
 mod team_id;
 mod term;
+mod ticket;
 mod token;
 mod token_index;
 mod upstream;
 mod upstream_id;
+mod upstream_places;
 mod utf8_joiner;
 mod vm_id;
--- /dev/null
+++ b/crates/decisions/src/refusal_reason.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+/// Why a request is refused that has not run.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    EnumString,
+    IntoStaticStr,
+    strum::Display,
+    strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefusalReason {
+    /// Its caller left while it waited.
+    CallerLeft,
+    /// It cannot start before its deadline.
+    DeadlineTooNear,
+    /// Too many requests for one key are under way.
+    HotKey,
+    /// No upstream may be given work.
+    NoUpstream,
+    /// The queue holds as many requests as it may.
+    QueueFull,
+    /// The upstream refused it and says that nothing ran.
+    UpstreamRefused,
+    /// No connection to the upstream could be opened.
+    UpstreamUnreachable,
+}
--- /dev/null
+++ b/crates/decisions/tests/load_support/mod.rs
@@ -0,0 +1,426 @@
+//! A deterministic event loop that drives the admission decisions in virtual time, beside the plain
+//! baseline: one FIFO, fixed places, upstreams in turn, no lanes and no refusals.
+//!
+//! Upstreams have some servers and a FIFO before them. Callers give up at their deadline; what an
+//! upstream runs for them after that is wasted.
+
+mod verdict;
+
+pub use verdict::Verdict;
+
+use catkin_decisions::{
+    AdmissionConfig, AdmissionQueue, Arrival, CallKey, CapacityReport, HotKeys, Instant, Lane,
+    NotRun, QueueTeam, Queued, ReadMerger, UpstreamId,
+};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+/// Entry VMs before the upstreams.
+pub const NODES: usize = 8;
+
+/// One request of a scenario.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub arrival: Duration,
+    pub team: usize,
+    pub lane: Lane,
+    pub service: Duration,
+    /// From the arrival on.
+    pub deadline: Duration,
+    pub key: Option<(u32, bool)>,
+}
+
+/// The upstreams of a service.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub upstreams: usize,
+    /// Requests that an upstream runs at once.
+    pub servers: usize,
+    /// An upstream that takes this many times as long.
+    pub slow: Option<(usize, u32)>,
+    /// True for engines: they answer with a first token at once.
+    pub engines: bool,
+    /// True if they report their capacity.
+    pub report: bool,
+    pub teams: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    Baseline,
+    Product,
+}
+
+/// What a caller received, and when.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Received {
+    #[default]
+    Nothing,
+    Answer(Duration),
+    Refusal(Duration),
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(usize),
+    Finish { job: usize, upstream: usize },
+    Wake(usize),
+}
+
+struct Node {
+    admission: AdmissionQueue<usize>,
+    merger: ReadMerger<usize>,
+    hot_keys: HotKeys,
+    fifo: VecDeque<usize>,
+    in_flight: Vec<u32>,
+    latency: Vec<Duration>,
+    turn: usize,
+}
+
+#[derive(Default)]
+struct Upstream {
+    running: usize,
+    queue: VecDeque<usize>,
+}
+
+struct Run<'a> {
+    site: &'a Site,
+    policy: Policy,
+    jobs: &'a [Job],
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    nodes: Vec<Node>,
+    upstreams: Vec<Upstream>,
+    ids: Vec<UpstreamId>,
+    teams: Vec<QueueTeam>,
+    sent: Vec<Duration>,
+    begun: Vec<Duration>,
+    received: Vec<Received>,
+    /// Time that an upstream spent on each job.
+    work: Vec<Duration>,
+    rng: Xoshiro256PlusPlus,
+}
+
+/// Latency of an engine's first token without a queue.
+const FIRST_TOKEN: Duration = Duration::from_millis(50);
+
+/// Runs all jobs under a policy.
+pub fn run(site: &Site, policy: Policy, jobs: &[Job]) -> Verdict {
+    let mut run = Run::new(site, policy, jobs);
+    for (job, Job { arrival, .. }) in jobs.iter().enumerate() {
+        run.schedule(*arrival, Event::Arrive(job));
+    }
+    while let Some(Reverse((at, _, event))) = run.events.pop() {
+        run.now = at;
+        run.take(event);
+    }
+    Verdict::new(site, jobs, &run.received, &run.work)
+}
+
+/// The node a job comes to.
+fn node_of(job: usize) -> usize {
+    job % NODES
+}
+
+impl<'a> Run<'a> {
+    fn new(site: &'a Site, policy: Policy, jobs: &'a [Job]) -> Self {
+        let ids = (0..site.upstreams)
+            .map(|i| format!("upstream-{i:03}").parse().expect("a valid id"))
+            .collect::<Vec<UpstreamId>>();
+        Self {
+            site,
+            policy,
+            jobs,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            nodes: (0..NODES).map(|_| Node::new(site, &ids)).collect(),
+            upstreams: (0..site.upstreams).map(|_| Upstream::default()).collect(),
+            teams: (0..site.teams).map(team).collect(),
+            ids,
+            sent: vec![Duration::ZERO; jobs.len()],
+            begun: vec![Duration::ZERO; jobs.len()],
+            received: vec![Received::default(); jobs.len()],
+            work: vec![Duration::ZERO; jobs.len()],
+            rng: Xoshiro256PlusPlus::seed_from_u64(1),
+        }
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn take(&mut self, event: Event) {
+        let node = match event {
+            Event::Arrive(job) => {
+                self.arrive(job);
+                node_of(job)
+            }
+            Event::Finish { job, upstream } => {
+                self.finish(job, upstream);
+                node_of(job)
+            }
+            Event::Wake(node) => node,
+        };
+        match self.policy {
+            Policy::Baseline => self.pump_baseline(node),
+            Policy::Product => self.pump(node),
+        }
+    }
+
+    fn arrive(&mut self, job: usize) {
+        if self.policy == Policy::Baseline {
+            return self.nodes[node_of(job)].fifo.push_back(job);
+        }
+        let key = self.key(job);
+        let node = &mut self.nodes[node_of(job)];
+        match (&key, self.jobs[job].key) {
+            (Some(key), Some((_, true))) => {
+                if node.merger.join(key, job).is_some() {
+                    self.offer(job);
+                }
+            }
+            (Some(key), _) if !node.hot_keys.enter(key) => self.refused(job),
+            _ => self.offer(job),
+        }
+    }
+
+    fn offer(&mut self, job: usize) {
+        let Job {
+            team,
+            lane,
+            arrival,
+            deadline,
+            ..
+        } = self.jobs[job];
+        let arrival = Arrival {
+            team: self.teams[team].clone(),
+            lane,
+            cost: 1,
+            deadline: Instant(arrival + deadline),
+        };
+        let (now, node) = (Instant(self.now), node_of(job));
+        let offered = self.nodes[node]
+            .admission
+            .offer(now, &arrival, Queued::new(job));
+        match offered {
+            Ok(_) => {
+                if let Some(Instant(at)) = self.nodes[node].admission.next_expiry() {
+                    self.schedule(at.max(self.now), Event::Wake(node));
+                }
+            }
+            Err(not_run) => self.not_run(&not_run),
+        }
+    }
+
+    fn not_run(&mut self, not_run: &NotRun<usize>) {
+        let job = *not_run.request();
+        self.refused(job);
+        let Some(key) = self.key(job) else { return };
+        let node = &mut self.nodes[node_of(job)];
+        if !self.jobs[job].key.is_some_and(|(_, read)| read) {
+            return node.hot_keys.leave(&key);
+        }
+        if let Some(next) = node.merger.failed(&key) {
+            self.offer(next);
+        }
+    }
+
+    fn refused(&mut self, job: usize) {
+        self.received[job] = Received::Refusal(self.now);
+    }
+
+    fn pump(&mut self, node: usize) {
+        let now = Instant(self.now);
+        for not_run in self.nodes[node].admission.expire(now) {
+            self.not_run(&not_run);
+        }
+        for lane in [Lane::Quick, Lane::Long] {
+            while self.nodes[node].admission.waiting(lane) > 0 {
+                let Some(upstream) = self.choose(node, lane) else {
+                    break;
+                };
+                let id = &self.ids[upstream];
+                let Some(request) = self.nodes[node].admission.dispatch(now, lane, id) else {
+                    break;
+                };
+                self.send(request.unknown().into_request(), upstream);
+            }
+        }
+    }
+
+    /// Power of two choices by latency and own requests: as the choice of upstream does it.
+    fn choose(&mut self, node: usize, lane: Lane) -> Option<usize> {
+        let now = Instant(self.now);
+        let admission = &self.nodes[node].admission;
+        let roomy = (0..self.ids.len())
+            .filter(|i| admission.has_room(now, lane, &self.ids[*i]))
+            .collect::<Vec<_>>();
+        let first = *roomy.get(self.rng.random_range(0..roomy.len().max(1)))?;
+        let second = roomy[self.rng.random_range(0..roomy.len())];
+        let node = &self.nodes[node];
+        let score = |i: usize| node.latency[i] * (node.in_flight[i] + 1);
+        Some(if score(second) < score(first) {
+            second
+        } else {
+            first
+        })
+    }
+
+    fn pump_baseline(&mut self, node: usize) {
+        let places = u32::try_from(self.site.servers.div_ceil(NODES)).expect("a small number");
+        while !self.nodes[node].fifo.is_empty() {
+            let state = &mut self.nodes[node];
+            let n = self.site.upstreams;
+            let Some(upstream) = (0..n)
+                .map(|i| (state.turn + i) % n)
+                .find(|i| state.in_flight[*i] < places)
+            else {
+                return;
+            };
+            state.turn = upstream + 1;
+            if let Some(job) = state.fifo.pop_front() {
+                self.send(job, upstream);
+            }
+        }
+    }
+
+    fn send(&mut self, job: usize, upstream: usize) {
+        self.nodes[node_of(job)].in_flight[upstream] += 1;
+        self.sent[job] = self.now;
+        self.upstreams[upstream].queue.push_back(job);
+        self.begin(upstream);
+    }
+
+    fn begin(&mut self, upstream: usize) {
+        while self.upstreams[upstream].running < self.site.servers {
+            let Some(job) = self.upstreams[upstream].queue.pop_front() else {
+                return;
+            };
+            self.upstreams[upstream].running += 1;
+            self.begun[job] = self.now;
+            let factor = match self.site.slow {
+                Some((slow, factor)) if slow == upstream => factor,
+                _ => 1,
+            };
+            let service = self.jobs[job].service * factor;
+            self.work[job] = service;
+            self.schedule(self.now + service, Event::Finish { job, upstream });
+        }
+    }
+
+    fn finish(&mut self, job: usize, upstream: usize) {
+        self.upstreams[upstream].running -= 1;
+        self.begin(upstream);
+        self.answer(job);
+        let held = self.now.saturating_sub(self.sent[job]);
+        let first_part = if self.site.engines {
+            self.begun[job].saturating_sub(self.sent[job]) + FIRST_TOKEN
+        } else {
+            held
+        };
+        let lane = self.jobs[job].lane;
+        let node = &mut self.nodes[node_of(job)];
+        node.in_flight[upstream] -= 1;
+        if lane == Lane::Quick {
+            node.latency[upstream] = node.latency[upstream] / 8 * 7 + held / 8;
+        }
+        let id = &self.ids[upstream];
+        node.admission.answered(id, first_part);
+        node.admission.leave(lane, id, Some(held));
+        if self.policy == Policy::Baseline {
+            return;
+        }
+        let Some(key) = self.key(job) else { return };
+        let node = &mut self.nodes[node_of(job)];
+        if !self.jobs[job].key.is_some_and(|(_, read)| read) {
+            return node.hot_keys.leave(&key);
+        }
+        for follower in node.merger.answered(&key) {
+            self.answer(follower);
+        }
+    }
+
+    /// A caller who has given up receives nothing.
+    fn answer(&mut self, job: usize) {
+        let Job {
+            arrival, deadline, ..
+        } = self.jobs[job];
+        if self.now <= arrival + deadline {
+            self.received[job] = Received::Answer(self.now);
+        }
+    }
+
+    fn key(&self, job: usize) -> Option<CallKey> {
+        let Job { team, key, .. } = &self.jobs[job];
+        let (key, _) = (*key)?;
+        let team = self.teams[*team].id.clone();
+        Some(CallKey::new(team, [key.to_le_bytes().as_slice()]))
+    }
+}
+
+impl Node {
+    fn new(site: &Site, ids: &[UpstreamId]) -> Self {
+        let mut admission = AdmissionQueue::new(AdmissionConfig::default());
+        admission.set_upstreams(ids.iter().cloned());
+        let capacity = u32::try_from(site.servers).expect("a small number");
+        let sharers = u32::try_from(NODES).expect("a small number");
+        for id in ids.iter().filter(|_| site.report) {
+            let report = CapacityReport {
+                capacity,
+                waiting: 0,
+            };
+            admission.reported(id, report, sharers);
+        }
+        Self {
+            admission,
+            merger: ReadMerger::default(),
+            hot_keys: HotKeys::default(),
+            fifo: VecDeque::new(),
+            in_flight: vec![0; ids.len()],
+            latency: vec![Duration::from_millis(20); ids.len()],
+            turn: 0,
+        }
+    }
+}
+
+fn team(i: usize) -> QueueTeam {
+    QueueTeam {
+        id: format!("team-{i:04}").parse().expect("a valid name"),
+        weight: 1,
+    }
+}
+
+/// Poisson arrivals of `rate` requests a second from `start` to `end`, with service times half
+/// fixed and half exponential around their mean.
+pub fn arrivals(seed: u64, rate: f64, span: (f64, f64), job: &Job) -> Vec<Job> {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut exponential = move || -(1.0 - rng.random_range(0.0..1.0_f64)).ln();
+    let mut at = span.0;
+    let mut jobs = Vec::new();
+    loop {
+        at += exponential() / rate;
+        if at >= span.1 {
+            return jobs;
+        }
+        jobs.push(Job {
+            arrival: Duration::from_secs_f64(at),
+            service: job.service.mul_f64(0.5 + 0.5 * exponential()),
+            ..job.clone()
+        });
+    }
+}
+
+/// Jobs of several sources in the order of their arrival.
+pub fn merged(sources: impl IntoIterator<Item = Vec<Job>>) -> Vec<Job> {
+    let mut jobs = sources.into_iter().flatten().collect::<Vec<_>>();
+    jobs.sort_by_key(|job| job.arrival);
+    jobs
+}
