--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -10,10 +10,14 @@
     pub kernel: Kernel,
     /// Tells the time.
     pub timer: Arc<Timer>,
+    /// Events of this process.
+    pub timeline: Arc<Timeline>,
     /// Connections to other processes.
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
+    /// The platform, if there is one.
+    pub platform: Option<Arc<Platform>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
@@ -31,9 +35,24 @@
     pub fn start(settings: Settings) -> Result<Arc<Self>> {
         let kernel = Kernel::default();
         let timer = kernel.register(ServiceName::Timer, Timer::start())?;
-        let connections = Arc::new(Connections::new()?);
+        let timeline = kernel.register(ServiceName::Timeline, new_timeline(&settings))?;
+        timeline.record(Event::new(EventKind::Started));
+        let connections = Connections::with_clock(timeline.clock().clone())?;
+        let connections = Arc::new(connections);
         let connections = kernel.register(ServiceName::Connections, connections)?;
-        let bundle = kernel.register(ServiceName::Bundle, Arc::<BundleInForce>::default())?;
+        let platform = match settings.platform {
+            Some(address) => {
+                let cfg = PlatformSettings::default();
+                let platform =
+                    Platform::over_http(connections.clone(), timer.clone(), address, cfg);
+                Some(kernel.register(ServiceName::Platform, Arc::new(platform))?)
+            }
+            None => None,
+        };
+        let bundle = kernel.register(
+            ServiceName::Bundle,
+            Arc::new(BundleInForce::new(timeline.clone())),
+        )?;
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
@@ -45,8 +64,10 @@
             settings,
             kernel,
             timer,
+            timeline,
             connections,
             bundle,
+            platform,
             upstreams,
             generations,
             drain,
@@ -87,12 +108,23 @@
 
     async fn drained(&self) {
         self.drain.begin();
+        self.timeline.record(Event::new(EventKind::DrainBegan));
         tracing::info!(in_flight = self.drain.in_flight(), "draining");
         self.drain.finished(self.settings.drain_grace).await;
+        self.timeline.record(Event::new(EventKind::DrainEnded));
         tracing::info!("drained");
     }
 }
 
+fn new_timeline(settings: &Settings) -> Arc<Timeline> {
+    Arc::new(Timeline::new(
+        settings.vm.clone(),
+        settings.zone.clone(),
+        Arc::default(),
+        settings.timeline_events,
+    ))
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -12,12 +12,16 @@
     pub zone: AvailabilityZone,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
+    /// Address of the platform; without it this VM keeps and agrees on nothing.
+    pub platform: Option<SocketAddr>,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
     pub caller_grace: Duration,
     /// Longest request body, in bytes.
     pub body_limit: usize,
+    /// Events that the time line holds; older ones make room for newer.
+    pub timeline_events: usize,
     /// Log levels, as in `info,catkinward=debug`.
     pub log: String,
 }
@@ -29,9 +33,11 @@
             vm: "vm-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
             bundle_file: None,
+            platform: None,
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
+            timeline_events: 20_000,
             log: "info".to_owned(),
         }
     }
@@ -61,9 +67,11 @@
   --vm ID                   id of this VM [vm-1]
   --zone NAME               availability zone of this VM [zone-1]
   --bundle-file FILE        bundle to start with, for a system without a platform
+  --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
+  --timeline-events N       events that the time line holds [20000]
   --log FILTER              log levels [info]
   --check                   check the settings and end
   --help                    print this text
@@ -120,6 +128,12 @@
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
+            "timeline-events" => {
+                self.timeline_events = parse(flag, "a number of events", value)?;
+            }
+            "platform" => {
+                self.platform = Some(parse(flag, "an IP address and port", value)?);
+            }
             "log" => value.clone_into(&mut self.log),
             _ => unreachable!("every flag of FLAGS is set above"),
         }
@@ -135,6 +149,8 @@
     "drain-grace-ms",
     "listen",
     "log",
+    "platform",
+    "timeline-events",
     "vm",
     "zone",
 ];
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,6 +27,7 @@
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
@@ -34,25 +35,38 @@
     dropped_counts::DroppedCounts,
     engine_priority::EnginePriority,
     error::Error,
+    failed_call::FailedCall,
     fair_queue::{FairQueue, QueueTeam},
     finish::Finish,
+    hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     hot_keys::HotKeys,
+    hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
+    hybrid_time::HybridTime,
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
     lane::Lane,
     model::Model,
     path_rule::PathRule,
+    peer_entry::PeerEntry,
+    peer_table::PeerTable,
+    progress_record::ProgressRecord,
+    progress_store::{ProgressLimits, ProgressStore},
+    progress_update::ProgressUpdate,
     read_merger::ReadMerger,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     refusal_reason::RefusalReason,
     relay::Relay,
+    rendezvous::{rendezvous_rank, rendezvous_score},
+    request_digest::RequestDigest,
     request_id::RequestId,
     request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
     reserved_attempt::ReservedAttempt,
+    retry_budget::{RetryBudget, RetryBudgetConfig},
+    retry_refusal::RetryRefusal,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
@@ -63,6 +77,7 @@
     ticket::Ticket,
     token::Token,
     token_index::TokenIndex,
+    token_log::TokenLog,
     upstream::Upstream,
     upstream_id::UpstreamId,
     upstream_places::{CapacityReport, UpstreamPlaces},
@@ -75,6 +90,7 @@
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod call_budget;
 mod call_key;
 mod call_table;
 mod concurrency_limit;
@@ -83,25 +99,38 @@
 mod dropped_counts;
 mod engine_priority;
 mod error;
+mod failed_call;
 mod fair_queue;
 mod finish;
+mod hedge;
 mod hex;
 mod hot_keys;
+mod hybrid_clock;
+mod hybrid_time;
 mod incarnation;
 mod instant;
 mod key_hash;
 mod lane;
 mod model;
 mod path_rule;
+mod peer_entry;
+mod peer_table;
+mod progress_record;
+mod progress_store;
+mod progress_update;
 mod read_merger;
 mod received_end;
 mod received_token;
 mod recovery_policy;
 mod refusal_reason;
 mod relay;
+mod rendezvous;
+mod request_digest;
 mod request_id;
 mod request_state;
 mod reserved_attempt;
+mod retry_budget;
+mod retry_refusal;
 mod service;
 mod service_id;
 mod service_kind;
@@ -112,6 +141,7 @@
 mod ticket;
 mod token;
 mod token_index;
+mod token_log;
 mod upstream;
 mod upstream_id;
 mod upstream_places;
