--- /dev/null
+++ b/crates/catkinward/src/admission.rs
@@ -0,0 +1,112 @@
+use super::*;
+use crate::admission_pool::AdmissionPool;
+
+/// How often queues are looked at when nothing else moves them: an upstream may have come back, or a
+/// request's latest start be over. A refusal that is due comes at most this much later.
+const PUMP_PERIOD: Duration = Duration::from_millis(10);
+
+/// How often the load reports of upstreams are taken in.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// The service that every request passes: it waits here for a place at an upstream, or is refused.
+pub struct Admission {
+    timer: Arc<Timer>,
+    bundle: Arc<BundleInForce>,
+    upstreams: Arc<Upstreams>,
+    /// VMs that share the capacity of the upstreams.
+    sharers: u32,
+    /// Sorted by service.
+    pools: RwLock<Vec<Arc<AdmissionPool>>>,
+}
+
+impl Admission {
+    /// Starts to follow the bundle and the upstreams' load.
+    pub fn start(
+        timer: &Arc<Timer>,
+        bundle: &Arc<BundleInForce>,
+        upstreams: &Arc<Upstreams>,
+        sharers: u32,
+    ) -> Arc<Self> {
+        let admission = Arc::new(Self {
+            timer: timer.clone(),
+            bundle: bundle.clone(),
+            upstreams: upstreams.clone(),
+            sharers,
+            pools: RwLock::default(),
+        });
+        tokio::spawn(pump(admission.clone()));
+        tokio::spawn(follow(admission.clone()));
+        admission
+    }
+
+    /// The pool of a service.
+    pub(crate) fn pool(&self, service: &ServiceId) -> Arc<AdmissionPool> {
+        if let Some(pool) = find(&self.pools.read(), service) {
+            return pool;
+        }
+        let mut pools = self.pools.write();
+        if let Some(pool) = find(&pools, service) {
+            return pool;
+        }
+        let pool = Arc::new(AdmissionPool::new(service.clone(), self.timer.clone()));
+        let i = pools.partition_point(|other| other.service < *service);
+        pools.insert(i, pool.clone());
+        drop(pools);
+        self.take_reports();
+        pool
+    }
+
+    /// Requests of a service that wait for a place.
+    #[must_use]
+    pub fn waiting(&self, service: &ServiceId) -> usize {
+        self.pool(service).waiting()
+    }
+
+    /// Reads of a service that wait for the answer of another like them.
+    #[must_use]
+    pub fn waiting_reads(&self, service: &ServiceId) -> usize {
+        self.pool(service).reads.lock().waiting()
+    }
+
+    fn take_reports(&self) {
+        let bundle = self.bundle.current();
+        let reports = self.upstreams.capacity_reports();
+        for pool in self.pools.read().iter() {
+            let of_pool = reports.iter().filter(|(id, _)| {
+                bundle
+                    .upstream(id)
+                    .is_some_and(|upstream| upstream.services.binary_search(&pool.service).is_ok())
+            });
+            pool.take_reports(of_pool, self.sharers);
+        }
+    }
+}
+
+fn find(pools: &[Arc<AdmissionPool>], service: &ServiceId) -> Option<Arc<AdmissionPool>> {
+    let i = pools
+        .binary_search_by(|pool| pool.service.cmp(service))
+        .ok()?;
+    pools.get(i).cloned()
+}
+
+async fn pump(admission: Arc<Admission>) {
+    let mut ticks = admission.timer.subscribe(PUMP_PERIOD);
+    while ticks.recv().await.is_some() {
+        let pools = admission.pools.read().clone();
+        for pool in pools {
+            pool.pump();
+        }
+    }
+}
+
+async fn follow(admission: Arc<Admission>) {
+    let mut ticks = admission.timer.subscribe(REPORT_PERIOD);
+    let mut changes = admission.bundle.changes();
+    loop {
+        admission.take_reports();
+        tokio::select! {
+            tick = ticks.recv() => if tick.is_none() { return },
+            news = changes.changed() => if news.is_err() { return },
+        }
+    }
+}
--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -5,7 +5,9 @@
     generation_driver,
     generation_request::GenerationRequest,
     http_client::json_bytes,
+    metrics_page::metrics_page,
     problem::{Problem, ProblemKind},
+    waiting_place::WaitingPlace,
 };
 
 /// Header with the caller's deadline in milliseconds from now.
@@ -20,13 +22,23 @@
 /// The HTTP service that callers see.
 #[derive(Clone)]
 pub(crate) struct CallerBorder {
-    node: Arc<Node>,
+    pub(crate) node: Arc<Node>,
 }
 
 /// A caller who has shown who it is.
-struct Caller {
-    bundle: Arc<Bundle>,
-    team: TeamId,
+pub(crate) struct Caller {
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) team: TeamId,
+}
+
+impl Caller {
+    /// The team with its weight, as it queues.
+    pub(crate) fn queue_team(&self) -> QueueTeam {
+        QueueTeam {
+            weight: self.bundle.team(&self.team).map_or(1, |team| team.weight),
+            id: self.team.clone(),
+        }
+    }
 }
 
 impl volo::Service<ServerContext, Request> for CallerBorder {
@@ -78,7 +90,9 @@
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/healthz") => Ok(Response::new("ok\n".into())),
             (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, "/metrics") => Ok(metrics_page()),
             (&Method::POST, "/v1/completions") => self.complete(req).await,
+            (_, path) if path.starts_with("/v1/services/") => self.plain(req).await,
             _ => Err(ProblemKind::NoSuchPath.into()),
         }
     }
@@ -93,7 +107,7 @@
         Ok(Response::new("ready\n".into()))
     }
 
-    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+    pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
         let bundle = self.node.bundle.current();
         if bundle.version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
@@ -119,7 +133,7 @@
         let request = self.accept(&caller, &parts.headers, &order)?;
         let (generation, new) = self.node.generations.add(Generation::new(request));
         if new {
-            self.start(&generation);
+            self.admit(&generation, caller.queue_team())?;
         }
         let from = next_index(&parts.headers)?;
         if order.stream {
@@ -164,7 +178,27 @@
         })
     }
 
-    fn start(&self, generation: &Arc<Generation>) {
+    /// Lets a generation wait for its first place, or refuses it at once.
+    fn admit(&self, generation: &Arc<Generation>, team: QueueTeam) -> Result<(), Problem> {
+        let request = &generation.request;
+        let queued = Queued::new(request.id.clone());
+        match generation_driver::offer(&self.node, request, team) {
+            Ok(waiting) => self.start(generation, waiting),
+            Err(refusal) => {
+                let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+                let problem = Problem::not_run(&not_run);
+                generation.conclude(GenerationOutcome::Failed(problem.kind));
+                self.node.generations.remove(&request.id);
+                return Err(Problem {
+                    request_id: Some(not_run.into_request()),
+                    ..problem
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn start(&self, generation: &Arc<Generation>, waiting: WaitingPlace) {
         self.node.timeline.record(Event {
             request: Some(generation.request.id.clone()),
             bundle: Some(generation.request.bundle),
@@ -174,14 +208,14 @@
         let (node, generation) = (self.node.clone(), generation.clone());
         tokio::spawn(async move {
             tokio::join!(
-                generation_driver::drive(node.clone(), generation.clone()),
+                generation_driver::drive(node.clone(), generation.clone(), waiting),
                 end_if_abandoned(&node, &generation),
             );
             node.generations.remove(&generation.request.id);
         });
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
+    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
         let limited = http_body_util::Limited::new(body, self.node.settings.body_limit);
         http_body_util::BodyExt::collect(limited)
             .await
@@ -226,9 +260,9 @@
         Some(GenerationOutcome::Whole(finish)) => finish,
         Some(GenerationOutcome::Failed(kind)) => {
             return Err(Problem {
-                kind,
                 request_id: Some(generation.request.id.clone()),
                 next_index: Some(generation.next_index()),
+                ..kind.into()
             });
         }
         None => return Err(ProblemKind::Deadline.into()),
@@ -289,7 +323,7 @@
     }
 }
 
-fn new_request_id() -> RequestId {
+pub(crate) fn new_request_id() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
         .parse()
         .expect("hexadecimal digits are visible ASCII")
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -104,9 +104,9 @@
             }
             GenerationOutcome::Failed(kind) => {
                 let problem = Problem {
-                    kind,
                     request_id: Some(self.generation.request.id.clone()),
                     next_index: Some(self.next),
+                    ..kind.into()
                 };
                 write_event(text, Some("error"), None, &problem.body());
             }
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -1,11 +1,14 @@
 use super::*;
 use crate::{
+    admission_pool::{ChooseUpstream, Refusal},
     attempt_stream::AttemptStream,
     engine_client,
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
-    problem::ProblemKind,
-    upstream_handle::UpstreamHandle,
+    generation_request::GenerationRequest,
+    place::Place,
+    problem::{Problem, ProblemKind},
+    waiting_place::WaitingPlace,
 };
 
 /// Bound until an engine answers an order with the headers of its stream.
@@ -21,8 +24,24 @@
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
+/// Lets a generation wait for its first place.
+pub(crate) fn offer(
+    node: &Node,
+    request: &GenerationRequest,
+    team: QueueTeam,
+) -> Result<WaitingPlace, Refusal> {
+    let pool = node.admission.pool(&request.service);
+    pool.offer(&request.arrival(team), chooser(node, request))
+}
+
+fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
+    let upstreams = node.upstreams.clone();
+    let (service, model) = (request.service.clone(), request.model.clone());
+    Box::new(move |taken| upstreams.choose(&service, Some(&model), taken))
+}
+
 /// Runs a generation to its end, over as many attempts as it takes.
-pub(crate) async fn drive(node: Arc<Node>, generation: Arc<Generation>) {
+pub(crate) async fn drive(node: Arc<Node>, generation: Arc<Generation>, waiting: WaitingPlace) {
     let mut driver = Driver {
         node: node.clone(),
         generation: generation.clone(),
@@ -30,7 +49,7 @@
     };
     let mut cancelled = generation.cancelled();
     let outcome = tokio::select! {
-        outcome = driver.run() => outcome,
+        outcome = driver.run(waiting) => outcome,
         _ = cancelled.wait_for(|cancelled| *cancelled) => {
             GenerationOutcome::Failed(ProblemKind::Cancelled)
         }
@@ -70,7 +89,7 @@
 struct RunningAttempt {
     node: Arc<Node>,
     id: RequestId,
-    upstream: UpstreamHandle,
+    upstream: Place,
     stream: AttemptStream,
     ended: bool,
 }
@@ -98,12 +117,17 @@
 }
 
 impl Driver {
-    async fn run(&mut self) -> GenerationOutcome {
+    async fn run(&mut self, waiting: WaitingPlace) -> GenerationOutcome {
+        let queued = Queued::new(());
+        let mut place = match waiting.granted().await {
+            Ok(place) => place,
+            Err(refusal) => {
+                let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+                return GenerationOutcome::Failed(Problem::not_run(&not_run).kind);
+            }
+        };
         loop {
-            let Some(upstream) = self.wait_for_upstream().await else {
-                return GenerationOutcome::Failed(ProblemKind::Deadline);
-            };
-            let fault = match self.start(upstream).await {
+            let fault = match self.start(place).await {
                 Ok(attempt) => match self.follow(attempt).await {
                     Ok(finish) => return GenerationOutcome::Whole(finish),
                     Err(fault) => fault,
@@ -111,11 +135,15 @@
                 Err(fault) => fault,
             };
             tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+            place = match self.wait_for_upstream().await {
+                Some(next) => next,
+                None => return GenerationOutcome::Failed(ProblemKind::Deadline),
+            };
         }
     }
 
     /// Waits until an upstream can take the generation; `None` once its deadline is over.
-    async fn wait_for_upstream(&mut self) -> Option<UpstreamHandle> {
+    async fn wait_for_upstream(&mut self) -> Option<Place> {
         loop {
             if self.node.timer.now() >= self.generation.request.deadline {
                 return None;
@@ -128,15 +156,22 @@
         }
     }
 
-    fn choose(&self) -> Option<UpstreamHandle> {
+    fn choose(&self) -> Option<Place> {
         let request = &self.generation.request;
-        self.node
-            .upstreams
-            .choose(&request.service, Some(&request.model), &self.avoid)
+        // A caller who has had part of the answer waits in the middle of it: an upstream without
+        // room will do.
+        let must = self.generation.next_index() > TokenIndex(0);
+        let pool = self.node.admission.pool(&request.service);
+        pool.take(request.lane(), must, |taken| {
+            let avoid = [&self.avoid, taken].concat();
+            self.node
+                .upstreams
+                .choose(&request.service, Some(&request.model), &avoid)
+        })
     }
 
     /// Starts an attempt and makes it the live one.
-    async fn start(&mut self, upstream: UpstreamHandle) -> Result<RunningAttempt, AttemptFault> {
+    async fn start(&mut self, upstream: Place) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         self.generation.adopt(reserved);
         self.open(upstream, &order).await
@@ -144,7 +179,7 @@
 
     async fn open(
         &mut self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         self.avoid.push(upstream.id().clone());
@@ -158,7 +193,13 @@
         let stream =
             engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
                 .await
-                .inspect_err(|_| upstream.failed())?;
+                .inspect_err(|fault| {
+                    upstream.failed();
+                    let full = engine::EngineRefusalKind::Full;
+                    if matches!(fault, AttemptFault::Refused { kind } if *kind == full) {
+                        upstream.overloaded();
+                    }
+                })?;
         Ok(RunningAttempt {
             node: self.node.clone(),
             id: self.generation.request.id.clone(),
@@ -201,6 +242,7 @@
             match attempt.stream.next(SILENCE_BOUND).await? {
                 EngineEvent::Heartbeat => {}
                 EngineEvent::Token(token) => {
+                    attempt.upstream.begun();
                     let index = token.index;
                     let delivery = self.generation.token(token)?;
                     if !went_on && matches!(delivery, Delivery::Token(..)) {
@@ -211,6 +253,7 @@
                 EngineEvent::End(end) => {
                     if let Delivery::End(finish) = self.generation.end(&end)? {
                         attempt.ended = true;
+                        attempt.upstream.ended();
                         attempt.upstream.succeeded();
                         return Ok(finish);
                     }
@@ -287,7 +330,7 @@
     async fn race(
         &mut self,
         mut old: RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
     ) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         let second = match self.first_to_go_on(&old, other, &order).await? {
@@ -307,7 +350,7 @@
     async fn first_to_go_on(
         &self,
         old: &RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
         order: &engine::EngineGenerate,
     ) -> Result<Raced, AttemptFault> {
         let mut probe = std::pin::pin!(self.reattached(old));
@@ -326,7 +369,7 @@
 
     async fn second_attempt(
         &self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         let mut driver = Driver {
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Tokens that count as much as one call where teams are weighed against each other.
+const TOKENS_PER_COST: u32 = 64;
+
 /// A generation as accepted: all that an attempt needs, fixed for its whole life.
 #[derive(Clone, Debug)]
 pub struct GenerationRequest {
@@ -30,6 +33,21 @@
 }
 
 impl GenerationRequest {
+    /// What it waits and runs beside.
+    #[must_use]
+    pub fn lane(&self) -> Lane {
+        Lane::of(self.max_tokens)
+    }
+
+    pub(crate) fn arrival(&self, team: QueueTeam) -> Arrival {
+        Arrival {
+            team,
+            lane: self.lane(),
+            cost: self.max_tokens.div_ceil(TOKENS_PER_COST),
+            deadline: self.deadline,
+        }
+    }
+
     /// The order for an attempt that goes on after `prefix`.
     pub(crate) fn order(&self, attempt: Attempt, prefix: &TokenLog) -> engine::EngineGenerate {
         engine::EngineGenerate {
@@ -44,7 +62,7 @@
             seed: self.seed,
             temperature: self.temperature,
             stop: self.stop.clone(),
-            priority: 1,
+            priority: EnginePriority::of(self.lane(), prefix.len()).0,
         }
     }
 }
--- a/crates/catkinward/src/http_client.rs
+++ b/crates/catkinward/src/http_client.rs
@@ -170,6 +170,12 @@
             .request(call.method, format!("http://{address}{}", call.path))
             .body(Body::from(call.body));
         req.headers_mut().extend(call.headers);
+        if call.fresh {
+            // Without this the library hands a connection that has just become free to a call that
+            // waits for a new one, also where the pool keeps none.
+            let close = header::HeaderValue::from_static("close");
+            req.headers_mut().insert(header::CONNECTION, close);
+        }
         if let Some(clock) = &self.clock {
             clock.stamp(req.headers_mut());
         }
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,10 +9,13 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock, Instant,
-        KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
-        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleVersion,
+        CallKey, CapacityReport, Delivery, Dispatched, EnginePriority, FailedCall, Finish, Hedge,
+        HotKeys, HybridClock, Instant, KeyHash, Lane, Model, NotRun, NotRunEvidence, PathRule,
+        QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecoveryPolicy,
+        RefusalReason, Relay, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
+        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
+        Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -46,6 +49,7 @@
 pub use catkin_decisions::HybridTime;
 
 pub use crate::{
+    admission::Admission,
     bundle_in_force::BundleInForce,
     daemon::run_daemon,
     drain::Drain,
@@ -69,6 +73,8 @@
 /// The outcome of anything here that can fail.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+mod admission;
+mod admission_pool;
 mod attempt_stream;
 mod bundle_format;
 mod bundle_in_force;
@@ -90,14 +96,25 @@
 pub mod http_server;
 mod kernel;
 mod logging;
+mod metrics_page;
 mod node;
+mod place;
+mod plain_answer;
+mod plain_border;
+mod plain_call;
+mod plain_calls;
+mod plain_dispatch;
+mod plain_headers;
+mod plain_send;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
+mod read_leader;
 mod service_name;
 mod settings;
 mod timeline;
 mod timer;
 mod upstream_handle;
 mod upstreams;
+mod waiting_place;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::{bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener};
+use crate::{
+    bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener,
+    metrics_page::start_metrics,
+};
 use volo_http::server::Server;
 
 /// A router with all its services, and quick ways to those that every request needs.
@@ -20,6 +23,8 @@
     pub platform: Option<Arc<Platform>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
+    /// Queues and places of all services.
+    pub admission: Arc<Admission>,
     /// Generations under way.
     pub generations: Arc<Generations>,
     /// The state of a graceful shutdown.
@@ -58,6 +63,10 @@
         }
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
+        start_metrics();
+        let sharers = settings.entry_vms;
+        let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
+        let admission = kernel.register(ServiceName::Admission, admission)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
@@ -69,6 +78,7 @@
             bundle,
             platform,
             upstreams,
+            admission,
             generations,
             drain,
         }))
--- /dev/null
+++ b/crates/catkinward/src/plain_answer.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// The answer of a plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct PlainAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl PlainAnswer {
+    /// The answer to the caller.
+    pub(crate) fn response(self) -> Response {
+        let mut response = Response::new(Body::from(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/plain_calls.rs
@@ -0,0 +1,84 @@
+//! Calls of plain services: `/v1/services/{service}/...`.
+
+use super::*;
+use crate::{
+    admission_pool::{AdmissionPool, Refusal},
+    plain_answer::PlainAnswer,
+    plain_call::PlainCall,
+    plain_dispatch::PlainDispatch,
+    problem::{Problem, ProblemKind},
+    read_leader::{Merged, ReadLeader},
+};
+
+/// One call for an item, counted until it is dropped.
+struct CountedCall {
+    pool: Arc<AdmissionPool>,
+    key: CallKey,
+}
+
+impl Drop for CountedCall {
+    fn drop(&mut self) {
+        self.pool.hot_keys.lock().leave(&self.key);
+    }
+}
+
+/// Makes a call of a plain service.
+pub(crate) async fn call_plain(node: Arc<Node>, call: PlainCall) -> Result<PlainAnswer, Problem> {
+    let pool = node.admission.pool(&call.service);
+    let dispatch = PlainDispatch { node, pool };
+    let request = call.id.clone();
+    let answer = if call.is_read() {
+        call_merged(&dispatch, call).await
+    } else {
+        call_counted(&dispatch, call).await
+    };
+    answer.map_err(|problem| Problem {
+        request_id: Some(request),
+        ..problem
+    })
+}
+
+/// Makes a call of which only so many for one item are under way.
+async fn call_counted(dispatch: &PlainDispatch, call: PlainCall) -> Result<PlainAnswer, Problem> {
+    let key = call.item_key();
+    if !dispatch.pool.hot_keys.lock().enter(&key) {
+        let refusal = Refusal {
+            reason: RefusalReason::HotKey,
+            retry_after: Duration::ZERO,
+        };
+        dispatch.pool.count_refusal(refusal.reason);
+        let not_run = Queued::new(call).refuse(refusal.reason, refusal.retry_after);
+        return Err(Problem::not_run(&not_run));
+    }
+    let _counted = CountedCall {
+        pool: dispatch.pool.clone(),
+        key,
+    };
+    match (call.idempotent, &call.key) {
+        (true, _) => dispatch.call_repeatedly(call).await,
+        (false, Some(_)) => dispatch.call_with_key(call).await,
+        (false, None) => dispatch.call_once(call).await,
+    }
+}
+
+/// Makes a read, or gets the answer of one like it that is under way.
+async fn call_merged(dispatch: &PlainDispatch, call: PlainCall) -> Result<PlainAnswer, Problem> {
+    let leader = match ReadLeader::join(&dispatch.pool, &call.read_key()) {
+        Ok(leader) => leader,
+        Err(rx) => {
+            dispatch.pool.count("catkin_merged_reads_total");
+            let until_deadline = call.deadline.since(dispatch.pool.timer.now());
+            match tokio::time::timeout(until_deadline, rx).await {
+                Ok(Ok(Merged::Answer(answer))) => return Ok(answer),
+                Ok(Ok(Merged::Lead(leader))) => leader,
+                _ => return Err(ProblemKind::AnswerLost.into()),
+            }
+        }
+    };
+    let answer = dispatch.call_repeatedly(call).await?;
+    // An upstream's failure is the leader's alone: the next one asks by itself.
+    if !answer.status.is_server_error() {
+        leader.answered(&answer);
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/catkinward/src/plain_dispatch.rs
@@ -0,0 +1,267 @@
+//! How calls of plain services are dispatched: once, or with retries and a hedge.
+
+use super::*;
+use crate::{
+    admission_pool::{AdmissionPool, ChooseUpstream, Refusal},
+    place::Place,
+    plain_answer::PlainAnswer,
+    plain_call::PlainCall,
+    plain_send::{SendFault, SendOptions, send},
+    problem::{Problem, ProblemKind},
+    upstream_handle::UpstreamHandle,
+};
+use std::pin::pin;
+
+/// Dispatches the calls of one pool.
+#[derive(Clone)]
+pub(crate) struct PlainDispatch {
+    pub(crate) node: Arc<Node>,
+    pub(crate) pool: Arc<AdmissionPool>,
+}
+
+impl PlainDispatch {
+    /// Dispatches a non-idempotent call that has an idempotency key.
+    ///
+    /// This is the one place where a claim in the table service belongs, before the dispatch. Until
+    /// there is one the call is made as if it had no key: at most once from here, and a caller that
+    /// comes back with the key is not recognised.
+    pub(crate) async fn call_with_key(&self, call: PlainCall) -> Result<PlainAnswer, Problem> {
+        self.call_once(call).await
+    }
+
+    /// Dispatches a call that may not be repeated: once, over a connection of its own, and never
+    /// again. A kept connection may have been closed by the other end just now, and an error on it
+    /// would leave it open whether the call has run.
+    pub(crate) async fn call_once(&self, call: PlainCall) -> Result<PlainAnswer, Problem> {
+        let (queued, mut place) = self.admitted(call).await?;
+        let options = self.options(queued.request(), true);
+        let dispatched = queued.dispatch();
+        let connections = &self.node.connections;
+        match send(connections, &mut place, dispatched.request(), options).await {
+            Ok(answer) => Ok(answer),
+            Err(fault) => Err(self.failed(dispatched, fault)),
+        }
+    }
+
+    /// Dispatches an idempotent call, again while the retry budget pays for it.
+    pub(crate) async fn call_repeatedly(&self, call: PlainCall) -> Result<PlainAnswer, Problem> {
+        let (queued, mut place) = self.admitted(call).await?;
+        let mut dispatched = queued.dispatch();
+        let mut avoid = Vec::new();
+        for sent in 1.. {
+            avoid.push(place.id().clone());
+            let fault = match self
+                .send_hedged(place, dispatched.request(), &mut avoid)
+                .await
+            {
+                Ok(answer) => {
+                    self.pool.retry_budget.lock().succeeded();
+                    return Ok(answer);
+                }
+                Err(fault) => fault,
+            };
+            if !self.wait_for_retry(dispatched.request(), fault, sent).await {
+                return Err(self.failed(dispatched, fault));
+            }
+            let Some(next) = self.place_again(&avoid) else {
+                return Err(self.failed(dispatched, fault));
+            };
+            place = next;
+            self.pool.count("catkin_retries_total");
+            dispatched = match fault {
+                SendFault::NotRun(evidence) => match dispatched.not_run(evidence) {
+                    Ok(queued) => queued.dispatch(),
+                    Err(unknown) => unknown.dispatch_again(),
+                },
+                _ => dispatched.unknown().dispatch_again(),
+            };
+        }
+        unreachable!("the loop ends by returning")
+    }
+
+    async fn admitted(&self, call: PlainCall) -> Result<(Queued<PlainCall>, Place), Problem> {
+        let queued = Queued::new(call);
+        let waiting = match self
+            .pool
+            .offer(&queued.request().arrival(), self.chooser(Vec::new()))
+        {
+            Ok(waiting) => waiting,
+            Err(refusal) => return Err(refused(queued, refusal)),
+        };
+        match waiting.granted().await {
+            Ok(place) => Ok((queued, place)),
+            Err(refusal) => Err(refused(queued, refusal)),
+        }
+    }
+
+    /// Sends a call, and a second copy of it elsewhere if the first is later than almost all are.
+    /// The loser is cancelled by being dropped.
+    async fn send_hedged(
+        &self,
+        mut place: Place,
+        call: &PlainCall,
+        avoid: &mut Vec<UpstreamId>,
+    ) -> Result<PlainAnswer, SendFault> {
+        let start = self.pool.timer.now();
+        let connections = &self.node.connections;
+        let options = SendOptions {
+            // Leaves time for a second try: a kept connection may have gone silent for good.
+            bound: self.until(call.deadline) / 2,
+            ..self.options(call, false)
+        };
+        let mut first = pin!(send(connections, &mut place, call, options));
+        let delay = self.pool.hedge.lock().delay().unwrap_or(options.bound);
+        tokio::select! {
+            answer = &mut first => return self.observed(start, answer),
+            () = tokio::time::sleep(delay) => {}
+        }
+        let Some(mut second_place) = self.place_for_hedge(avoid) else {
+            let answer = first.await;
+            return self.observed(start, answer);
+        };
+        avoid.push(second_place.id().clone());
+        let mut second = pin!(send(
+            connections,
+            &mut second_place,
+            call,
+            self.options(call, true)
+        ));
+        let answer = tokio::select! {
+            answer = &mut first => either(answer, second).await,
+            answer = &mut second => either(answer, first).await,
+        };
+        self.observed(start, answer)
+    }
+
+    fn observed(
+        &self,
+        start: Instant,
+        answer: Result<PlainAnswer, SendFault>,
+    ) -> Result<PlainAnswer, SendFault> {
+        if answer.is_ok() {
+            let latency = self.pool.timer.now().since(start);
+            self.pool.hedge.lock().answered(latency);
+        }
+        answer
+    }
+
+    fn place_for_hedge(&self, avoid: &[UpstreamId]) -> Option<Place> {
+        let choose = self.chooser(avoid.to_vec());
+        let place = self.pool.take(Lane::Quick, false, choose)?;
+        if !self.pool.hedge.lock().pay(true) {
+            return None;
+        }
+        self.pool.count("catkin_hedges_total");
+        Some(place)
+    }
+
+    /// A place for a retry: on an upstream that has not failed this call, if there is one.
+    fn place_again(&self, avoid: &[UpstreamId]) -> Option<Place> {
+        let elsewhere = self.chooser(avoid.to_vec());
+        let anywhere = self.chooser(Vec::new());
+        let choose = |taken: &[UpstreamId]| elsewhere(taken).or_else(|| anywhere(taken));
+        self.pool.take(Lane::Quick, false, choose)
+    }
+
+    async fn wait_for_retry(&self, call: &PlainCall, fault: SendFault, sent: u32) -> bool {
+        if fault == SendFault::TooLarge {
+            return false;
+        }
+        let failed = FailedCall {
+            idempotent: call.idempotent,
+            not_run: matches!(fault, SendFault::NotRun(_)),
+            sent,
+            ..FailedCall::default()
+        };
+        let paid = self.pool.retry_budget.lock().retry(failed, rand::random());
+        match paid {
+            Ok(wait) if wait < self.until(call.deadline) => {
+                tokio::time::sleep(wait).await;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn failed(&self, dispatched: Dispatched<PlainCall>, fault: SendFault) -> Problem {
+        let kind = match fault {
+            SendFault::NotRun(evidence) => match dispatched.not_run(evidence) {
+                Ok(queued) => {
+                    let reason = match evidence {
+                        NotRunEvidence::NoConnection => RefusalReason::UpstreamUnreachable,
+                        NotRunEvidence::UpstreamRefused => RefusalReason::UpstreamRefused,
+                    };
+                    self.pool.count_refusal(reason);
+                    let retry_after = Duration::ZERO;
+                    return refused(
+                        queued,
+                        Refusal {
+                            reason,
+                            retry_after,
+                        },
+                    );
+                }
+                Err(_) => ProblemKind::AnswerLost,
+            },
+            SendFault::Lost => ProblemKind::AnswerLost,
+            SendFault::TooLarge => ProblemKind::AnswerTooLarge,
+        };
+        kind.into()
+    }
+
+    fn chooser(&self, avoid: Vec<UpstreamId>) -> ChooseUpstream {
+        let upstreams = self.node.upstreams.clone();
+        let service = self.pool.service.clone();
+        Box::new(move |taken| choose(&upstreams, &service, &avoid, taken))
+    }
+
+    fn options(&self, call: &PlainCall, fresh: bool) -> SendOptions {
+        let until_deadline = self.until(call.deadline);
+        SendOptions {
+            bound: until_deadline,
+            until_deadline,
+            fresh,
+            limit: self.node.settings.body_limit,
+        }
+    }
+
+    fn until(&self, deadline: Instant) -> Duration {
+        deadline.since(self.pool.timer.now())
+    }
+}
+
+fn choose(
+    upstreams: &Upstreams,
+    service: &ServiceId,
+    avoid: &[UpstreamId],
+    taken: &[UpstreamId],
+) -> Option<UpstreamHandle> {
+    let avoid = [avoid, taken].concat();
+    upstreams.choose(service, None, &avoid)
+}
+
+/// The answer of the first of two copies, or else of the other. If both fail, it is known not to
+/// have run only if neither did.
+async fn either(
+    first: Result<PlainAnswer, SendFault>,
+    other: impl Future<Output = Result<PlainAnswer, SendFault>>,
+) -> Result<PlainAnswer, SendFault> {
+    let fault = match first {
+        Ok(answer) => return Ok(answer),
+        Err(fault) => fault,
+    };
+    match (fault, other.await) {
+        (_, Ok(answer)) => Ok(answer),
+        (SendFault::NotRun(_), Err(other)) => Err(other),
+        (fault, Err(_)) => Err(fault),
+    }
+}
+
+fn refused(queued: Queued<PlainCall>, refusal: Refusal) -> Problem {
+    let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+    let id = not_run.request().id.clone();
+    Problem {
+        request_id: Some(id),
+        ..Problem::not_run(&not_run)
+    }
+}
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -8,26 +8,42 @@
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum ProblemKind {
+    /// An upstream was sent the call, and its answer was lost: the call may have run.
+    AnswerLost,
+    /// The upstream's answer is longer than is passed on: the call has run.
+    AnswerTooLarge,
     /// The body is longer than allowed.
     BodyTooLarge,
+    /// The body was not there before the deadline.
+    BodyTooSlow,
     /// The caller, or a caller's word, ended it.
     Cancelled,
     /// The deadline passed before the whole answer was there.
     Deadline,
     /// The VM is shutting down and takes no new requests.
     Draining,
+    /// Too many calls for one item are under way.
+    HotKey,
     /// The request is no JSON of the right form.
     Malformed,
     /// There is no such path.
     NoSuchPath,
     /// There is no such service, or none of that kind.
     NoSuchService,
+    /// No upstream may be given work.
+    NoUpstream,
     /// The VM has no bundle yet.
     NotReady,
+    /// It cannot be served before its deadline.
+    Overloaded,
     /// The team may not call this service.
     TeamNotAllowed,
     /// The bearer key is of no team.
     UnknownKey,
+    /// The upstream refused it and says that nothing ran.
+    UpstreamRefused,
+    /// No connection to the upstream could be opened.
+    UpstreamUnreachable,
 }
 
 impl ProblemKind {
@@ -37,8 +53,16 @@
         match self {
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Cancelled => StatusCode::CONFLICT,
-            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            Self::Draining | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::AnswerLost | Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerTooLarge => StatusCode::BAD_GATEWAY,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::Draining
+            | Self::NoUpstream
+            | Self::NotReady
+            | Self::Overloaded
+            | Self::UpstreamRefused
+            | Self::UpstreamUnreachable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::HotKey => StatusCode::TOO_MANY_REQUESTS,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
@@ -50,15 +74,22 @@
     #[must_use]
     pub fn outcome(self) -> caller::Outcome {
         match self {
+            Self::AnswerLost | Self::AnswerTooLarge => caller::Outcome::Unknown,
             Self::Cancelled | Self::Deadline => caller::Outcome::Failed,
             Self::BodyTooLarge
+            | Self::BodyTooSlow
             | Self::Draining
+            | Self::HotKey
             | Self::Malformed
             | Self::NoSuchPath
             | Self::NoSuchService
+            | Self::NoUpstream
             | Self::NotReady
+            | Self::Overloaded
             | Self::TeamNotAllowed
-            | Self::UnknownKey => caller::Outcome::NotRun,
+            | Self::UnknownKey
+            | Self::UpstreamRefused
+            | Self::UpstreamUnreachable => caller::Outcome::NotRun,
         }
     }
 
@@ -66,23 +97,37 @@
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Draining | Self::NotReady => Some(Duration::from_secs(1)),
+            Self::Draining
+            | Self::HotKey
+            | Self::NoUpstream
+            | Self::NotReady
+            | Self::Overloaded
+            | Self::UpstreamRefused
+            | Self::UpstreamUnreachable => Some(Duration::from_secs(1)),
             _ => None,
         }
     }
 
     fn title(self) -> &'static str {
         match self {
+            Self::AnswerLost => "the upstream's answer was lost; the call may have run",
+            Self::AnswerTooLarge => "the upstream's answer is too large; the call has run",
             Self::BodyTooLarge => "the request body is too large",
+            Self::BodyTooSlow => "the request body did not come in time",
             Self::Cancelled => "the generation was cancelled",
             Self::Deadline => "the deadline passed before the whole answer was there",
             Self::Draining => "this VM is shutting down",
+            Self::HotKey => "too many calls for this item are under way",
             Self::Malformed => "the request is not of the documented form",
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
+            Self::NoUpstream => "no upstream can take the call",
             Self::NotReady => "this VM has no configuration bundle yet",
+            Self::Overloaded => "the call cannot be served before its deadline",
             Self::TeamNotAllowed => "this team may not call this service",
             Self::UnknownKey => "the bearer key is not known",
+            Self::UpstreamRefused => "the upstream refused the call",
+            Self::UpstreamUnreachable => "the upstream cannot be reached",
         }
     }
 }
@@ -93,9 +138,33 @@
     pub(crate) kind: ProblemKind,
     pub(crate) request_id: Option<RequestId>,
     pub(crate) next_index: Option<TokenIndex>,
+    /// When to come back, if that is known better than its kind tells.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Problem {
+    /// What its caller is told of a request that has not run.
+    pub(crate) fn not_run<T>(not_run: &NotRun<T>) -> Self {
+        let kind = match not_run.reason() {
+            RefusalReason::HotKey => ProblemKind::HotKey,
+            RefusalReason::NoUpstream => ProblemKind::NoUpstream,
+            RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
+            RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
+            RefusalReason::CallerLeft
+            | RefusalReason::DeadlineTooNear
+            | RefusalReason::QueueFull => ProblemKind::Overloaded,
+        };
+        let retry_after = Some(not_run.retry_after()).filter(|after| !after.is_zero());
+        Self {
+            retry_after,
+            ..kind.into()
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        self.retry_after.or(self.kind.retry_after())
+    }
+
     /// The body as the border has it.
     pub(crate) fn body(&self) -> caller::Problem {
         caller::Problem {
@@ -106,7 +175,6 @@
             request_id: self.request_id.as_ref().map(ToString::to_string),
             next_index: self.next_index.map(|index| index.0),
             retry_after_ms: self
-                .kind
                 .retry_after()
                 .and_then(|after| after.as_millis().try_into().ok()),
         }
@@ -121,8 +189,11 @@
             header::CONTENT_TYPE,
             header::HeaderValue::from_static("application/problem+json"),
         );
-        if let Some(after) = self.kind.retry_after() {
-            headers.insert(header::RETRY_AFTER, after.as_secs().max(1).into());
+        if let Some(after) = self.retry_after() {
+            // The header knows whole seconds only.
+            let seconds = after.as_millis().div_ceil(1000).max(1);
+            let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
+            headers.insert(header::RETRY_AFTER, seconds.into());
         }
         response
     }
@@ -134,6 +205,7 @@
             kind,
             request_id: None,
             next_index: None,
+            retry_after: None,
         }
     }
 }
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -6,6 +6,8 @@
 )]
 #[strum(serialize_all = "kebab-case")]
 pub enum ServiceName {
+    /// Queues and places of all services.
+    Admission,
     /// The bundle in force.
     Bundle,
     /// The state of a graceful shutdown.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -18,8 +18,10 @@
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
     pub caller_grace: Duration,
-    /// Longest request body, in bytes.
+    /// Longest request body, and longest answer of a plain service, in bytes.
     pub body_limit: usize,
+    /// VMs that share the capacity of the upstreams; this one takes its part of it.
+    pub entry_vms: u32,
     /// Events that the time line holds; older ones make room for newer.
     pub timeline_events: usize,
     /// Log levels, as in `info,catkinward=debug`.
@@ -37,6 +39,7 @@
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
+            entry_vms: 1,
             timeline_events: 20_000,
             log: "info".to_owned(),
         }
@@ -71,6 +74,7 @@
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
+  --entry-vms N             VMs that share the capacity of the upstreams [1]
   --timeline-events N       events that the time line holds [20000]
   --log FILTER              log levels [info]
   --check                   check the settings and end
@@ -127,6 +131,7 @@
             "bundle-file" => self.bundle_file = Some(value.into()),
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
+            "entry-vms" => self.entry_vms = parse(flag, "a number of VMs", value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
@@ -147,6 +152,7 @@
     "bundle-file",
     "caller-grace-ms",
     "drain-grace-ms",
+    "entry-vms",
     "listen",
     "log",
     "platform",
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -56,6 +56,22 @@
             .map(|(_, state)| UpstreamHandle::new(state.clone()))
     }
 
+    /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
+    #[must_use]
+    pub fn capacity_reports(&self) -> Vec<(UpstreamId, CapacityReport)> {
+        let states = self.states.read();
+        let reports = states.iter().filter_map(|state| {
+            let report = state.report.lock();
+            let (_, load) = report.as_ref()?;
+            let report = CapacityReport {
+                capacity: load.capacity,
+                waiting: load.waiting,
+            };
+            Some((state.entry.id.clone(), report))
+        });
+        reports.collect()
+    }
+
     fn apply(&self, bundle: &Bundle) {
         let mut states = self.states.write();
         *states = bundle
--- /dev/null
+++ b/crates/catkinward/tests/fresh_connections.rs
@@ -0,0 +1,68 @@
+//! Calls that ask for a connection of their own.
+
+use catkinward::http_client::{Connections, HttpCall};
+use googletest::prelude::*;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// A server that keeps its connections open, and the most requests that one connection brought.
+async fn server() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let most = Arc::new(AtomicUsize::new(0));
+    let seen = most.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_all(stream, seen.clone()));
+        }
+    });
+    (address, most)
+}
+
+async fn answer_all(mut stream: TcpStream, most: Arc<AtomicUsize>) {
+    let mut buf = vec![0; 4096];
+    for requests in 1.. {
+        match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => {}
+            _ => return,
+        }
+        most.fetch_max(requests, Ordering::Relaxed);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        if stream.write_all(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Several calls run at once, and one ends while another waits for its connection. The HTTP library
+/// would hand the used connection on, also with a pool that keeps none. It may have gone silent, and
+/// an order sent on it would be lost without a trace.
+#[gtest]
+#[tokio::test]
+async fn no_connection_is_used_twice() {
+    let (address, most) = server().await;
+    let connections = Connections::new().expect("a client");
+    let calls = |_| async {
+        for _ in 0..25 {
+            let call = HttpCall {
+                address,
+                fresh: true,
+                ..HttpCall::default()
+            };
+            connections.call_whole(call).await.expect("an answer");
+        }
+    };
+
+    futures::future::join_all((0..8).map(calls)).await;
+
+    expect_that!(most.load(Ordering::Relaxed), eq(1));
+}
--- a/crates/decisions/src/admission_queue.rs
+++ b/crates/decisions/src/admission_queue.rs
@@ -17,6 +17,10 @@
 use super::*;
 use std::{cmp::Reverse, collections::BinaryHeap};
 
+/// Teams whose first request is tried before a pass over the queue is given up. Requests that can be
+/// sent nowhere while others can are rare: a model that is not loaded yet, or a suspected digest.
+const TEAMS_TRIED: usize = 4;
+
 /// Settings of an [`AdmissionQueue`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionConfig {
@@ -188,6 +192,26 @@
         Some(request.dispatch())
     }
 
+    /// Takes the next request of a lane that `choose` finds an upstream for out of the queue, and
+    /// gives it a place there. `choose` gets the upstreams that are full.
+    pub fn dispatch_where<P>(
+        &mut self,
+        now: Instant,
+        lane: Lane,
+        choose: impl Fn(&T, &[UpstreamId]) -> Option<(UpstreamId, P)>,
+    ) -> Option<(Dispatched<T>, P)> {
+        let taken = self.full(now, lane);
+        if taken.len() == self.upstreams.len() {
+            return None;
+        }
+        let queue = &mut self.lanes[lane.index()].queue;
+        let (request, (upstream, place)) = queue.pop_where(now, TEAMS_TRIED, |request| {
+            choose(request.request(), &taken)
+        })?;
+        self.enter(now, lane, &upstream);
+        Some((request.dispatch(), place))
+    }
+
     /// Takes a place at an upstream without waiting, as for a generation that goes on after a loss:
     /// it was accepted long ago and is not refused now.
     pub fn enter(&mut self, now: Instant, lane: Lane, upstream: &UpstreamId) {
--- a/crates/decisions/src/call_table.rs
+++ b/crates/decisions/src/call_table.rs
@@ -33,6 +33,10 @@
         }
     }
 
+    pub(crate) fn values(&self) -> impl Iterator<Item = &V> {
+        self.shards.iter().flatten().map(|(_, value)| value)
+    }
+
     pub(crate) fn remove(&mut self, key: &CallKey) -> Option<V> {
         let shard = &mut self.shards[key.shard()];
         let i = shard.binary_search_by(|(other, _)| other.cmp(key)).ok()?;
--- a/crates/decisions/src/fair_queue.rs
+++ b/crates/decisions/src/fair_queue.rs
@@ -119,7 +119,24 @@
 
     /// Takes the request that is next.
     pub fn pop(&mut self, now: Instant) -> Option<T> {
-        let (tag, slot) = self.ready.pop()?;
+        self.pop_where(now, 1, |_| Some(())).map(|(item, ())| item)
+    }
+
+    /// Takes the first request that `place` finds a place for, of the first ones of the `teams` teams
+    /// that are next. One that cannot be placed now, as on account of its model, holds up its own
+    /// team only.
+    pub fn pop_where<P>(
+        &mut self,
+        now: Instant,
+        teams: usize,
+        mut place: impl FnMut(&T) -> Option<P>,
+    ) -> Option<(T, P)> {
+        let first = self.ready.len().saturating_sub(teams);
+        let (i, place) = (first..self.ready.len()).rev().find_map(|i| {
+            let request = self.slots[self.ready[i].1].first()?;
+            Some((i, place(request)?))
+        })?;
+        let (tag, slot) = self.ready.remove(i);
         self.virtual_time = self.virtual_time.max(tag);
         let team = &mut self.slots[slot];
         let (cost, item) = team.take_first()?;
@@ -131,7 +148,7 @@
         } else {
             self.insert_ready(slot);
         }
-        Some(item)
+        Some((item, place))
     }
 
     /// Takes a request out of the queue; `None` if it is not there any more.
@@ -252,6 +269,18 @@
 }
 
 impl<T> TeamSlot<T> {
+    /// The first request, after the holes before it are dropped.
+    fn first(&mut self) -> Option<&T> {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.item.is_none())
+        {
+            self.entries.pop_front();
+        }
+        self.entries.front()?.item.as_ref()
+    }
+
     fn take_first(&mut self) -> Option<(u32, T)> {
         while let Some(entry) = self.entries.pop_front() {
             if let Some(item) = entry.item {
--- a/crates/decisions/src/read_merger.rs
+++ b/crates/decisions/src/read_merger.rs
@@ -38,6 +38,12 @@
         Some(follower)
     }
 
+    /// Reads that follow another.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.followers.values().map(VecDeque::len).sum()
+    }
+
     /// Ends a read that was answered, and returns all who followed it.
     #[must_use]
     pub fn answered(&mut self, key: &CallKey) -> VecDeque<F> {
--- a/crates/decisions/src/request_state.rs
+++ b/crates/decisions/src/request_state.rs
@@ -22,6 +22,8 @@
 #[must_use = "a dispatched request ends as done, unknown, or not run by evidence"]
 pub struct Dispatched<T> {
     request: T,
+    /// An earlier dispatch of it may have run.
+    may_have_run: bool,
 }
 
 /// A request that was answered.
@@ -51,8 +53,6 @@
     NoConnection,
     /// The upstream refused this very attempt and said that nothing ran.
     UpstreamRefused,
-    /// It was given back before it was handed to a connection.
-    NotHandedOver,
 }
 
 impl<T> Queued<T> {
@@ -70,6 +70,7 @@
     pub fn dispatch(self) -> Dispatched<T> {
         Dispatched {
             request: self.request,
+            may_have_run: false,
         }
     }
 
@@ -108,11 +109,18 @@
         }
     }
 
-    /// Takes it back, since it has not run.
-    pub fn not_run(self, _: NotRunEvidence) -> Queued<T> {
-        Queued {
-            request: self.request,
+    /// Takes it back, since this dispatch has not run.
+    ///
+    /// # Errors
+    ///
+    /// If an earlier dispatch may have run: what became of it stays unknown.
+    pub fn not_run(self, _: NotRunEvidence) -> Result<Queued<T>, Unknown<T>> {
+        if self.may_have_run {
+            return Err(self.unknown());
         }
+        Ok(Queued {
+            request: self.request,
+        })
     }
 }
 
@@ -124,6 +132,15 @@
 }
 
 impl<T> Unknown<T> {
+    /// Begins to send it once more, which is right for an idempotent request only. It can never
+    /// become "not run" again.
+    pub fn dispatch_again(self) -> Dispatched<T> {
+        Dispatched {
+            request: self.request,
+            may_have_run: true,
+        }
+    }
+
     /// The request.
     pub fn into_request(self) -> T {
         self.request
--- a/crates/decisions/tests/admission_queue.rs
+++ b/crates/decisions/tests/admission_queue.rs
@@ -1,8 +1,8 @@
 //! Admission: who waits, who is refused at once, and what becomes of those whose time is over.
 
 use catkin_decisions::{
-    AdmissionConfig, AdmissionQueue, Arrival, CapacityReport, Instant, Lane, NotRunEvidence,
-    QueuePlace, QueueTeam, Queued, RefusalReason, UpstreamId,
+    AdmissionConfig, AdmissionQueue, Arrival, CapacityReport, Instant, Lane, QueuePlace, QueueTeam,
+    Queued, RefusalReason, UpstreamId,
 };
 use googletest::prelude::*;
 use std::time::Duration;
@@ -149,12 +149,3 @@
 
     expect_that!(queue.full(at(0), Lane::Quick), eq(&vec![upstream()]));
 }
-
-#[gtest]
-fn request_that_an_upstream_refused_is_queued_again() {
-    let dispatched = Queued::new(1).dispatch();
-
-    let queued = dispatched.not_run(NotRunEvidence::UpstreamRefused);
-
-    expect_that!(*queued.request(), eq(1));
-}
--- a/crates/decisions/tests/fair_queue.rs
+++ b/crates/decisions/tests/fair_queue.rs
@@ -104,6 +104,23 @@
     );
 }
 
+/// The first request of one team waits for a model that no upstream has loaded. Other teams must not
+/// wait with it.
+#[gtest]
+fn request_that_cannot_be_placed_holds_up_its_own_team_only() {
+    let mut queue = FairQueue::default();
+    queue.push(&team("a", 1), 1, "nowhere");
+    queue.push(&team("a", 1), 1, "behind it");
+    queue.push(&team("b", 1), 1, "other team");
+
+    let placed = queue.pop_where(at(0), 4, |item| (*item != "nowhere").then_some(7));
+    let next = queue.pop_where(at(0), 4, |item| (*item != "nowhere").then_some(7));
+
+    expect_that!(placed, some(eq(("other team", 7))));
+    expect_that!(next, none());
+    expect_that!(queue.len(), eq(2));
+}
+
 #[gtest]
 fn ticket_of_a_forgotten_team_removes_nothing() {
     let mut queue = FairQueue::default();
--- /dev/null
+++ b/crates/decisions/tests/request_state.rs
@@ -0,0 +1,37 @@
+//! The states of a request, and which of them allow to say that it has not run.
+
+use catkin_decisions::{NotRunEvidence, Queued, RefusalReason};
+use googletest::prelude::*;
+use std::time::Duration;
+
+#[gtest]
+fn refused_request_carries_its_reason_and_when_to_come_back() {
+    let queued = Queued::new("ticket");
+
+    let not_run = queued.refuse(RefusalReason::QueueFull, Duration::from_secs(3));
+
+    expect_that!(not_run.reason(), eq(RefusalReason::QueueFull));
+    expect_that!(not_run.retry_after(), eq(Duration::from_secs(3)));
+    expect_that!(not_run.into_request(), eq("ticket"));
+}
+
+#[gtest]
+fn request_that_an_upstream_refused_is_queued_again() {
+    let dispatched = Queued::new("ticket").dispatch();
+
+    let queued = dispatched.not_run(NotRunEvidence::UpstreamRefused);
+
+    expect_that!(queued.map(|it| *it.request()).ok(), some(eq("ticket")));
+}
+
+/// A call is sent and its answer lost, and the second upstream cannot be reached. That the second
+/// dispatch has not run says nothing about the first: its caller must not be told "not run".
+#[gtest]
+fn request_that_may_have_run_once_is_never_called_not_run() {
+    let unknown = Queued::new("lookup").dispatch().unknown();
+
+    let again = unknown.dispatch_again();
+
+    let settled = again.not_run(NotRunEvidence::NoConnection);
+    expect_that!(settled.is_err(), eq(true));
+}
--- /dev/null
+++ b/crates/load/tests/admission.rs
@@ -0,0 +1,119 @@
+//! Generations under load: who is admitted, and who is told at once that it is not.
+
+mod router_support;
+
+use catkin_border::caller::CompletionRequest;
+use catkin_standins::{Answer, CallerClient, DEMO_KEY, EngineServer, EngineSettings, TokenChain};
+use googletest::prelude::*;
+use router_support::{Router, free_address};
+use std::{num::NonZeroU32, sync::Arc, time::Duration};
+use tokio::{sync::Notify, task::JoinHandle};
+
+async fn engine(capacity: usize) -> EngineServer {
+    let settings = EngineSettings {
+        capacity,
+        step: Duration::from_millis(5),
+        ..EngineSettings::default()
+    };
+    EngineServer::start(free_address(), settings)
+        .await
+        .expect("an engine starts")
+}
+
+fn request(max_tokens: u32) -> CompletionRequest {
+    CompletionRequest {
+        max_tokens: NonZeroU32::new(max_tokens).expect("not zero"),
+        model: "ticket-model".into(),
+        prompt: "menu reprint".into(),
+        seed: Some(3),
+        stop: Vec::new(),
+        stream: true,
+        temperature: None,
+    }
+}
+
+fn chain() -> TokenChain {
+    TokenChain::new("catkin", "1", "menu reprint", 3)
+}
+
+async fn whole(caller: &CallerClient, request: &CompletionRequest) -> Answer {
+    let mut answer = Answer::default();
+    caller
+        .stream(request, None, &mut answer, |_| {})
+        .await
+        .expect("a whole answer or a problem");
+    answer
+}
+
+/// Twenty generations of a hundred thousand tokens ask for an engine of five places, and then a
+/// quick one comes. In one queue it would wait until one of them ends, in eight minutes.
+#[gtest]
+#[tokio::test]
+async fn quick_generation_finds_a_place_beside_long_ones() {
+    let engine = engine(5).await;
+    let router = Router::start(&[engine.address()], &[]).await;
+    let caller = CallerClient::new(router.address, DEMO_KEY).expect("a client");
+    whole(&caller, &request(4)).await;
+    let started = Arc::new(Notify::new());
+    let long = (0..20).map(|_| {
+        let (caller, started) = (caller.clone(), started.clone());
+        tokio::spawn(async move {
+            let mut answer = Answer::default();
+            let on_token = |_: &Answer| started.notify_one();
+            let ended = caller
+                .stream(&request(100_000), None, &mut answer, on_token)
+                .await;
+            ended.map(|()| answer)
+        })
+    });
+    let long = long.collect::<Vec<_>>();
+    let service = "ticket-model".parse().expect("a name");
+    started.notified().await;
+    while router.node.admission.waiting(&service) < 16 {
+        tokio::task::yield_now().await;
+    }
+
+    let quick = whole(&caller, &request(8)).await;
+
+    expect_that!(quick.check(chain(), 8), ok(eq(&())));
+    expect_that!(long.iter().any(JoinHandle::is_finished), eq(false));
+    expect_that!(router.node.admission.waiting(&service), eq(16));
+    for generation in long {
+        generation.abort();
+    }
+}
+
+/// The one place of an engine is taken for minutes. A generation whose caller waits for less is told
+/// so at once, by status and not in the middle of a stream, and no engine has seen it.
+#[gtest]
+#[tokio::test]
+async fn generation_that_cannot_start_in_time_is_refused_at_once() {
+    let engine = engine(1).await;
+    let router = Router::start(&[engine.address()], &[]).await;
+    let caller = CallerClient::new(router.address, DEMO_KEY).expect("a client");
+    whole(&caller, &request(100)).await;
+    let started = Arc::new(Notify::new());
+    let long = tokio::spawn({
+        let (caller, started) = (caller.clone(), started.clone());
+        async move {
+            let mut answer = Answer::default();
+            let on_token = |_: &Answer| started.notify_one();
+            caller
+                .stream(&request(100_000), None, &mut answer, on_token)
+                .await
+        }
+    });
+    started.notified().await;
+    let (decoded, prefilled) = engine.work();
+
+    let reply = router.complete_within(&request(100), 300).await;
+
+    let problem = reply.problem();
+    expect_that!(problem.type_, eq("catkinward:overloaded"));
+    expect_that!(reply.outcome(), eq("not_run"));
+    expect_that!(problem.retry_after_ms, some(gt(0)));
+    expect_that!(reply.headers.contains_key("retry-after"), eq(true));
+    expect_that!(engine.work().0, ge(decoded));
+    expect_that!(engine.work().1, eq(prefilled));
+    long.abort();
+}
--- /dev/null
+++ b/crates/load/tests/plain_calls.rs
@@ -0,0 +1,400 @@
+//! Calls of a plain service through a router, and what its caller is told of them.
+
+mod router_support;
+
+use bytes::Bytes;
+use catkin_standins::{FaultProxy, PlainFault, PlainServer, PlainSettings, ProxyFault};
+use googletest::prelude::*;
+use router_support::{Call, OTHER_KEY, Router, free_address, lookup, order, plain_server};
+use std::{sync::Arc, time::Duration};
+
+async fn servers(count: usize) -> Vec<PlainServer> {
+    let servers = (0..count).map(|_| plain_server(PlainSettings::default()));
+    futures::future::join_all(servers).await
+}
+
+/// Servers that all fail in this way.
+async fn failing(count: usize, fault: PlainFault) -> Vec<PlainServer> {
+    let servers = servers(count).await;
+    for server in &servers {
+        server.fail(fault);
+    }
+    servers
+}
+
+async fn router(servers: &[PlainServer]) -> Router {
+    let addresses = servers.iter().map(PlainServer::address);
+    Router::start(&[], &addresses.collect::<Vec<_>>()).await
+}
+
+fn runs(servers: &[PlainServer], call: &Call) -> u64 {
+    let runs = servers
+        .iter()
+        .map(|server| server.counts().of_digest(call.digest()));
+    runs.sum()
+}
+
+#[gtest]
+#[tokio::test]
+async fn order_is_run_once_and_answered() {
+    let servers = servers(3).await;
+    let router = router(&servers).await;
+    let order = order("menu");
+
+    let reply = router.call(&order).await;
+
+    expect_that!(reply.outcome(), eq("answered"));
+    expect_that!(runs(&servers, &order), eq(1));
+}
+
+/// The upstream runs an order, and its answer breaks off. A second dispatch would print it twice,
+/// and "not run" would make the caller send it again.
+#[gtest]
+#[tokio::test]
+async fn order_whose_answer_breaks_off_is_unknown_and_not_sent_again() {
+    let servers = failing(3, PlainFault::BreakOff).await;
+    let router = router(&servers).await;
+    let order = order("menu");
+
+    let reply = router.call(&order).await;
+
+    expect_that!(reply.outcome(), eq("unknown"));
+    expect_that!(runs(&servers, &order), eq(1));
+}
+
+/// The upstream runs an order and never answers. At its deadline the caller is told that it may have
+/// run.
+#[gtest]
+#[tokio::test]
+async fn order_that_is_never_answered_is_unknown_at_its_deadline() {
+    let servers = failing(2, PlainFault::LoseAnswer).await;
+    let router = router(&servers).await;
+    let order = order("menu").with("catkin-deadline-ms", "1500");
+
+    let reply = router.call(&order).await;
+
+    expect_that!(reply.outcome(), eq("unknown"));
+    expect_that!(runs(&servers, &order), eq(1));
+}
+
+async fn reply_through_proxy(fault: ProxyFault, call: &Call) -> (String, u64) {
+    let server = plain_server(PlainSettings::default()).await;
+    let proxy = FaultProxy::start(free_address()).await.expect("a proxy");
+    let address = proxy.route(server.address()).await.expect("a route");
+    let router = Router::start(&[], &[address]).await;
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    assert!(proxy.inject(0, fault, Duration::ZERO));
+
+    let reply = router.call(call).await;
+
+    (reply.outcome(), runs(&[server], call))
+}
+
+/// The connection is reset just as the answer to an order comes back. It ran.
+#[gtest]
+#[tokio::test]
+async fn order_whose_connection_is_reset_is_unknown_and_not_sent_again() {
+    let order = order("menu").with("catkin-deadline-ms", "1500");
+
+    let (outcome, runs) = reply_through_proxy(ProxyFault::LoseAnswers, &order).await;
+
+    expect_that!(outcome, eq("unknown"));
+    expect_that!(runs, eq(1));
+}
+
+/// New connections are accepted and reset before a byte of the order is read. The reset may come
+/// before the order is written or after, so its caller is told either "not run" or "unknown"; it has
+/// not run, and is not sent again.
+#[gtest]
+#[tokio::test]
+async fn order_on_a_connection_that_is_reset_at_once_does_not_run() {
+    let order = order("menu").with("catkin-deadline-ms", "1500");
+
+    let (outcome, runs) = reply_through_proxy(ProxyFault::Refuse, &order).await;
+
+    expect_that!(outcome, any![eq("unknown"), eq("not_run")]);
+    expect_that!(runs, eq(0));
+}
+
+/// The upstream's process has died a moment ago, and its port refuses connections. No byte of the
+/// order has left, and the caller may send it again.
+#[gtest]
+#[tokio::test]
+async fn order_that_reaches_no_connection_is_not_run() {
+    let server = plain_server(PlainSettings::default()).await;
+    let router = Router::start(&[], &[server.address()]).await;
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    server.kill();
+    while tokio::net::TcpStream::connect(server.address())
+        .await
+        .is_ok()
+    {}
+    let order = order("menu").with("catkin-deadline-ms", "1000");
+
+    let reply = router.call(&order).await;
+
+    expect_that!(reply.outcome(), eq("not_run"));
+    expect_that!(runs(&[server], &order), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn order_that_an_upstream_refuses_is_not_run() {
+    let servers = failing(1, PlainFault::Refuse).await;
+    let router = router(&servers).await;
+    let order = order("menu");
+
+    let reply = router.call(&order).await;
+
+    expect_that!(reply.problem().type_, eq("catkinward:upstream_refused"));
+    expect_that!(reply.outcome(), eq("not_run"));
+    expect_that!(runs(&servers, &order), eq(0));
+}
+
+/// One of two upstreams breaks off its answers. A lookup may be repeated, so its caller notices
+/// nothing.
+#[gtest]
+#[tokio::test]
+async fn lookup_is_sent_again_to_another_upstream() {
+    let servers = servers(2).await;
+    servers[0].fail(PlainFault::BreakOff);
+    let router = router(&servers).await;
+
+    let replies = futures::future::join_all((0..8).map(|i| {
+        let call = lookup(&format!("tile-{i}"));
+        let router = &router;
+        async move { router.call(&call).await.outcome() }
+    }))
+    .await;
+
+    expect_that!(replies, each(eq("answered")));
+}
+
+/// The bundle says that a lookup may be repeated and its caller says that it may not: the stricter
+/// word counts. A path that an upstream could read as another one is never repeated either.
+#[gtest]
+#[tokio::test]
+async fn lookup_is_not_sent_again_against_its_callers_word() {
+    let servers = failing(3, PlainFault::BreakOff).await;
+    let router = router(&servers).await;
+    let forbidden = lookup("one").with("catkin-idempotent", "false");
+    let disguised = Call {
+        path: "items/../orders?item=two".to_owned(),
+        ..lookup("two")
+    };
+    let repeated = lookup("three");
+
+    for call in [&forbidden, &disguised, &repeated] {
+        let reply = router.call(call).await;
+        expect_that!(reply.outcome(), eq("unknown"));
+    }
+
+    expect_that!(runs(&servers, &forbidden), eq(1));
+    expect_that!(runs(&servers, &disguised), eq(1));
+    expect_that!(runs(&servers, &repeated), gt(1));
+}
+
+/// A caller claims that an order may be repeated. The bundle says no, and a doubled order prints two
+/// thousand leaflets too many.
+#[gtest]
+#[tokio::test]
+async fn order_is_not_sent_again_at_its_callers_word() {
+    let servers = failing(3, PlainFault::BreakOff).await;
+    let router = router(&servers).await;
+    let order = order("menu").with("catkin-idempotent", "true");
+
+    router.call(&order).await;
+
+    expect_that!(runs(&servers, &order), eq(1));
+}
+
+/// Thirty orders come at once to an upstream that serves one at a time, and their callers wait for
+/// less than that takes. Those who are told "not run" send theirs again; it must be true.
+#[gtest]
+#[tokio::test]
+async fn refused_orders_of_an_overload_have_not_run() {
+    let server = plain_server(PlainSettings {
+        service_time: Duration::from_millis(100),
+        spread: 0.0,
+        capacity: 1,
+        ..PlainSettings::default()
+    })
+    .await;
+    let router = Router::start(&[], &[server.address()]).await;
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    let orders = (0..30)
+        .map(|i| order(&i.to_string()).with("catkin-deadline-ms", "1000"))
+        .collect::<Vec<_>>();
+
+    let replies = futures::future::join_all(orders.iter().map(|order| router.call(order))).await;
+
+    let mut refused = 0;
+    for (order, reply) in orders.iter().zip(&replies) {
+        let runs = runs(std::slice::from_ref(&server), order);
+        match reply.outcome().as_str() {
+            "answered" => expect_that!(runs, eq(1)),
+            "not_run" => {
+                refused += 1;
+                expect_that!(runs, eq(0));
+                expect_that!(reply.headers.contains_key("retry-after"), eq(true));
+                expect_that!(reply.problem().retry_after_ms, some(gt(0)));
+            }
+            _ => expect_that!(runs, le(1)),
+        }
+    }
+    expect_that!(refused, gt(0));
+}
+
+/// A caller hangs up while its order waits for its turn. The order must not run for nobody.
+#[gtest]
+#[tokio::test]
+async fn order_of_a_caller_that_left_the_queue_does_not_run() {
+    let server = plain_server(PlainSettings {
+        service_time: Duration::from_millis(400),
+        spread: 0.0,
+        capacity: 1,
+        ..PlainSettings::default()
+    })
+    .await;
+    let router = Arc::new(Router::start(&[], &[server.address()]).await);
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    let [first, left, last] = ["first", "left", "last"].map(order);
+    let call = |order: Call| {
+        let router = router.clone();
+        tokio::spawn(async move { router.call(&order).await.outcome() })
+    };
+
+    let first = call(first);
+    while server.counts().runs.len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    let leaving = call(left.clone());
+    while !queue_length_is(&router, 1).await {}
+    leaving.abort();
+    while !queue_length_is(&router, 0).await {}
+    let last = call(last).await.expect("no panic");
+
+    expect_that!(first.await.expect("no panic"), eq("answered"));
+    expect_that!(last, eq("answered"));
+    expect_that!(runs(&[server], &left), eq(0));
+}
+
+async fn queue_length_is(router: &Router, length: usize) -> bool {
+    tokio::task::yield_now().await;
+    router
+        .node
+        .admission
+        .waiting(&"shopfront".parse().expect("a name"))
+        == length
+}
+
+/// Fifty lookups of one tile come while the first of them is served, half of them from another team.
+/// Each team's are one run; neither gets the other's answer.
+#[gtest]
+#[tokio::test]
+async fn identical_lookups_are_merged_within_a_team() {
+    let server = plain_server(PlainSettings {
+        service_time: Duration::from_millis(300),
+        spread: 0.0,
+        ..PlainSettings::default()
+    })
+    .await;
+    let router = Router::start(&[], &[server.address()]).await;
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    let own = lookup("tile");
+    let other = Call {
+        key: OTHER_KEY,
+        ..lookup("tile")
+    };
+
+    let calls = (0..50).map(|i| if i % 2 == 0 { &own } else { &other });
+    let replies = futures::future::join_all(calls.map(|call| router.call(call))).await;
+
+    expect_that!(
+        replies.iter().all(|reply| reply.outcome() == "answered"),
+        eq(true)
+    );
+    let bodies = |from: usize| replies.iter().skip(from).step_by(2).map(|r| r.body.clone());
+    let of_team = |from| bodies(from).collect::<std::collections::BTreeSet<Bytes>>();
+    expect_that!(of_team(0).is_disjoint(&of_team(1)), eq(true));
+    expect_that!(runs(&[server], &own), all![ge(2), lt(10)]);
+}
+
+/// The upstream fails the first of several identical lookups. The others asked for something that
+/// can be answered and are.
+#[gtest]
+#[tokio::test]
+async fn failed_lookup_does_not_fail_those_merged_with_it() {
+    let server = plain_server(PlainSettings {
+        service_time: Duration::from_millis(200),
+        spread: 0.0,
+        ..PlainSettings::default()
+    })
+    .await;
+    let router = Arc::new(Router::start(&[], &[server.address()]).await);
+    let warm_up = router.call(&order("warm-up")).await;
+    assert_eq!(warm_up.outcome(), "answered");
+    let tile = lookup("tile");
+    let call = |call: Call| {
+        let router = router.clone();
+        tokio::spawn(async move { router.call(&call).await.outcome() })
+    };
+
+    let leader = call(tile.clone());
+    while server.counts().of_digest(tile.digest()) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let follower = call(tile.clone());
+    while router
+        .node
+        .admission
+        .waiting_reads(&"shopfront".parse().expect("a name"))
+        == 0
+    {
+        tokio::task::yield_now().await;
+    }
+    leader.abort();
+
+    expect_that!(follower.await.expect("no panic"), eq("answered"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn metrics_tell_of_refusals_and_queues() {
+    let servers = failing(1, PlainFault::Refuse).await;
+    let router = router(&servers).await;
+    router.call(&order("menu")).await;
+
+    let page = router.get("/metrics").await;
+
+    let text = String::from_utf8_lossy(&page.body);
+    expect_that!(text, contains_substring("catkin_refusals_total{"));
+    expect_that!(text, contains_substring("reason=\"upstream_refused\""));
+    expect_that!(
+        text,
+        contains_substring("catkin_in_flight{service=\"shopfront\"")
+    );
+    expect_that!(
+        text,
+        contains_substring("catkin_queue_length{service=\"shopfront\"")
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn service_of_another_kind_or_name_is_not_found() {
+    let servers = servers(1).await;
+    let router = router(&servers).await;
+
+    for service in ["mapfront", "ticket-model"] {
+        let reply = router.call_service(service, &lookup("menu")).await;
+
+        expect_that!(reply.problem().type_, eq("catkinward:no_such_service"));
+        expect_that!(reply.outcome(), eq("not_run"));
+    }
+}
--- /dev/null
+++ b/crates/load/tests/plain_headers.rs
@@ -0,0 +1,108 @@
+//! What a plain service sees of a call, and its caller of the answer.
+
+mod router_support;
+
+use googletest::prelude::*;
+use router_support::{Call, Router, lookup};
+use std::{convert::Infallible, fmt::Write as _, net::SocketAddr};
+use volo_http::{
+    body::Body, context::ServerContext, request::Request, response::Response, server::Server,
+};
+
+/// A plain service that answers with the head of the request, and with headers of its own.
+struct Echo;
+
+impl volo::Service<ServerContext, Request> for Echo {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _: &mut ServerContext,
+        req: Request,
+    ) -> std::result::Result<Response, Infallible> {
+        if req.uri().path() == "/v1/load" {
+            let load = r#"{"incarnation":1,"running":0,"waiting":0,"capacity":4,"leaving":false}"#;
+            return Ok(Response::new(load.into()));
+        }
+        let mut text = format!("{} {}\n", req.method(), req.uri());
+        for (name, value) in req.headers() {
+            let _ = writeln!(text, "{name}: {}", value.to_str().unwrap_or_default());
+        }
+        let mut response = Response::new(Body::from(text));
+        *response.status_mut() = http::StatusCode::IM_A_TEAPOT;
+        let headers = response.headers_mut();
+        headers.insert("x-answer", http::HeaderValue::from_static("kept"));
+        headers.insert("keep-alive", http::HeaderValue::from_static("timeout=5"));
+        Ok(response)
+    }
+}
+
+async fn echo() -> SocketAddr {
+    let listener = catkinward::http_server::Listener::bind(router_support::free_address())
+        .await
+        .expect("a port");
+    let address = listener.address().expect("an address");
+    tokio::spawn(Server::new(Echo).run(listener));
+    address
+}
+
+async fn seen(call: &Call) -> (router_support::Reply, String) {
+    let router = Router::start(&[], &[echo().await]).await;
+    let reply = router.call(call).await;
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    (reply, text)
+}
+
+#[gtest]
+#[tokio::test]
+async fn path_query_and_headers_are_passed_on() {
+    let call = lookup("menu").with("accept-language", "gd");
+
+    let (_, text) = seen(&call).await;
+
+    expect_that!(text, starts_with("GET /items?item=menu\n"));
+    expect_that!(text, contains_substring("accept-language: gd"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn status_and_headers_of_the_answer_are_passed_back() {
+    let (reply, _) = seen(&lookup("menu")).await;
+
+    expect_that!(reply.status, eq(http::StatusCode::IM_A_TEAPOT));
+    expect_that!(reply.headers.contains_key("x-answer"), eq(true));
+    expect_that!(reply.headers.contains_key("keep-alive"), eq(false));
+}
+
+/// A header of the caller's connection that reached the service would speak of another connection,
+/// and the bearer key would let the service call in its team's name.
+#[gtest]
+#[tokio::test]
+async fn headers_of_one_connection_and_the_bearer_key_stay_here() {
+    let call = lookup("menu")
+        .with("te", "trailers")
+        .with("x-hop", "secret")
+        .with("connection", "x-hop")
+        .with("catkin-idempotent", "false");
+
+    let (_, text) = seen(&call).await;
+
+    for absent in ["te: ", "x-hop", "authorization", "catkin-idempotent"] {
+        expect_that!(text, not(contains_substring(absent)));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_is_left_of_the_deadline_is_passed_on() {
+    let call = lookup("menu").with("catkin-deadline-ms", "9000");
+
+    let (_, text) = seen(&call).await;
+
+    let left = text
+        .lines()
+        .find_map(|line| line.strip_prefix("catkin-deadline-ms: "))
+        .and_then(|ms| ms.parse::<u64>().ok());
+    expect_that!(left, some(all![gt(0), le(9000)]));
+}
