--- a/crates/catkinward/src/attempt_stream.rs
+++ b/crates/catkinward/src/attempt_stream.rs
@@ -45,6 +45,11 @@
         EngineEvent::read(event.event(), event.data().unwrap_or_default())
     }
 
+    /// An event that has come already, if there is one.
+    pub(crate) fn ready(&mut self) -> Option<Result<EngineEvent, AttemptFault>> {
+        futures::FutureExt::now_or_never(self.next(Duration::MAX))
+    }
+
     /// Waits for the first event that is more than a heartbeat and keeps it for [`Self::next`].
     ///
     /// # Errors
--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -6,12 +6,16 @@
     generation_request::GenerationRequest,
     http_client::json_bytes,
     problem::{Problem, ProblemKind},
+    returning_caller::{ReturnPoint, find_or_begin},
 };
 
 /// Header with the caller's deadline in milliseconds from now.
 const DEADLINE_HEADER: &str = "catkin-deadline-ms";
 
-/// Header with the index of the last token that a returning caller has.
+/// Header with the key by which a caller who comes back is recognised.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header with the id of the last event that a returning caller has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
 /// How often a generation without a caller is looked at.
@@ -90,7 +94,11 @@
         if self.node.bundle.current().version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
         }
-        Ok(Response::new("ready\n".into()))
+        let bundle = self.node.bundle.current().version;
+        let peers = self.node.peers.as_ref();
+        let peers = peers.map_or(0, |peers| peers.entries().len());
+        let text = format!("ready\nbundle {bundle}\npeers {peers}\n");
+        Ok(Response::new(text.into()))
     }
 
     fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
@@ -117,15 +125,64 @@
         let order: caller::CompletionRequest =
             serde_json::from_slice(&body).map_err(|_| ProblemKind::Malformed)?;
         let request = self.accept(&caller, &parts.headers, &order)?;
-        let (generation, new) = self.node.generations.add(Generation::new(request));
+        let point = match header_text(&parts.headers, LAST_EVENT_ID) {
+            Some(last) => ReturnPoint::read(last)?,
+            None => ReturnPoint::default(),
+        };
+        let generation = match header_text(&parts.headers, IDEMPOTENCY_KEY) {
+            Some(key) => {
+                let request = GenerationRequest {
+                    id: RequestId::of_key(&caller.team, key),
+                    digest: Some(RequestDigest::of(&caller.team, &body)),
+                    ..request
+                };
+                self.keyed(request, &point).await?
+            }
+            None if point.next > TokenIndex(0) => return Err(ProblemKind::KeyAbsent.into()),
+            None => self.begin(Generation::new(request)),
+        };
+        if !order.stream {
+            return whole_answer(&generation).await;
+        }
+        let vm = generation.request.digest.as_ref();
+        let vm = vm.map(|_| self.node.settings.vm.clone());
+        let body = event_stream(generation, point.next, vm, in_flight);
+        Ok(event_response(body))
+    }
+
+    /// The generation of a caller who gave a key: one that runs here or was taken over, or a new
+    /// one.
+    async fn keyed(
+        &self,
+        request: GenerationRequest,
+        point: &ReturnPoint,
+    ) -> Result<Arc<Generation>, Problem> {
+        if let Some(running) = self.node.generations.find(&request.id) {
+            if running.request.digest != request.digest {
+                return Err(ProblemKind::KeyConflict.into());
+            }
+            let superseded = matches!(
+                running.outcome(),
+                Some(GenerationOutcome::Failed(ProblemKind::Superseded))
+            );
+            if !superseded && running.next_index() >= point.next {
+                return Ok(running);
+            }
+        }
+        let generation = find_or_begin(&self.node, request, point).await?;
+        Ok(self.begin(generation))
+    }
+
+    /// Runs a generation to its end, unless it has reached it already.
+    fn begin(&self, generation: Generation) -> Arc<Generation> {
+        if generation.outcome().is_some() {
+            return Arc::new(generation);
+        }
+        let (generation, new) = self.node.generations.add(generation);
         if new {
             self.start(&generation);
         }
-        let from = next_index(&parts.headers)?;
-        if order.stream {
-            return Ok(event_response(event_stream(generation, from, in_flight)));
-        }
-        whole_answer(&generation).await
+        generation
     }
 
     fn accept(
@@ -150,6 +207,7 @@
         };
         Ok(GenerationRequest {
             id: new_request_id(),
+            digest: None,
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
@@ -177,7 +235,12 @@
                 generation_driver::drive(node.clone(), generation.clone()),
                 end_if_abandoned(&node, &generation),
             );
-            node.generations.remove(&generation.request.id);
+            node.generations.remove(&generation);
+            if let (Some(peers), Some(update)) =
+                (&node.peers, generation.progress_from(TokenIndex(0)))
+            {
+                peers.keep_own(&update);
+            }
         });
     }
 
@@ -279,16 +342,6 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn next_index(headers: &HeaderMap) -> Result<TokenIndex, Problem> {
-    match header_text(headers, LAST_EVENT_ID) {
-        Some(last) => last
-            .parse()
-            .map(TokenIndex::next)
-            .map_err(|_| ProblemKind::Malformed.into()),
-        None => Ok(TokenIndex(0)),
-    }
-}
-
 fn new_request_id() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
         .parse()
--- a/crates/catkinward/src/daemon.rs
+++ b/crates/catkinward/src/daemon.rs
@@ -4,7 +4,8 @@
 
 /// Runs the router daemon on a command line without the program's name.
 ///
-/// Once callers are served, it prints `listening ADDRESS` on standard output.
+/// Once callers are served, it prints `listening ADDRESS` on standard output; before that, a line
+/// for each other address that it listens on.
 pub fn run_daemon(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let command = Settings::read(args, |name| std::env::var(name).ok());
     match command.and_then(run) {
@@ -31,6 +32,9 @@
     start_logging(&settings.log);
     let listener = Listener::bind(settings.listen).await?;
     let node = Node::start(settings)?;
+    if let Some(peers) = &node.peers {
+        println!("peers {}", peers.own().address);
+    }
     println!("listening {}", listener.address()?);
     node.serve(listener).await
 }
--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -26,25 +26,43 @@
     open_stream(connections, Attempt(order.attempt), call).await
 }
 
-/// Goes on with a running attempt over a new connection, from `from` on.
+/// A running attempt to go on with.
+pub(crate) struct Reattach<'a> {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: &'a RequestId,
+    /// The attempt as the engine knows it.
+    pub(crate) attempt: Attempt,
+    /// Number that it has from now on. Where it differs, a VM takes over another's attempt: the
+    /// engine then ends the other's stream, and neither its cancel nor its re-attach is heard.
+    pub(crate) becomes: Attempt,
+    /// First token wanted.
+    pub(crate) from: TokenIndex,
+    pub(crate) bound: Duration,
+}
+
+/// Goes on with a running attempt over a new connection.
 ///
 /// The connection is never a kept one: what made the old one silent may have silenced those too.
 pub(crate) async fn reattach(
     connections: &Connections,
-    address: SocketAddr,
-    id: &RequestId,
-    attempt: Attempt,
-    from: TokenIndex,
-    bound: Duration,
+    reattach: Reattach<'_>,
 ) -> Result<AttemptStream, AttemptFault> {
+    let Reattach {
+        address,
+        id,
+        attempt,
+        becomes,
+        from,
+        bound,
+    } = reattach;
     let call = HttpCall {
         address,
-        path: format!("/v1/streams/{id}?attempt={attempt}&from={from}"),
+        path: format!("/v1/streams/{id}?attempt={attempt}&as={becomes}&from={from}"),
         bound,
         fresh: true,
         ..HttpCall::default()
     };
-    open_stream(connections, attempt, call).await
+    open_stream(connections, becomes, call).await
 }
 
 /// Cancels all attempts of a request up to `attempt`; an engine that does not answer is left alone.
--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -48,7 +48,8 @@
         finish: match event.finish_reason {
             engine::FinishReason::Length => Finish::Length,
             engine::FinishReason::Stop => Finish::Stop,
-            engine::FinishReason::Cancelled => Finish::Cancelled,
+            // An answer that was cancelled is not whole, whoever cancelled it.
+            engine::FinishReason::Cancelled => return Err(AttemptFault::Cancelled),
         },
     }))
 }
@@ -60,6 +61,10 @@
     #[display("the stream broke off")]
     #[from(skip)]
     Broken,
+    /// The engine ended the attempt at somebody's word, or for want of a reader.
+    #[display("the engine cancelled the attempt")]
+    #[from(skip)]
+    Cancelled,
     /// An event is no JSON of the agreed form.
     #[display("an event cannot be read: {_0}")]
     Form(serde_json::Error),
--- a/crates/catkinward/src/event.rs
+++ b/crates/catkinward/src/event.rs
@@ -52,6 +52,8 @@
     Started,
     /// An upstream is taken for dead or silent by a request on it.
     Suspected,
+    /// A generation was taken over from another VM.
+    TakenOver,
     /// An upstream is leaving.
     UpstreamLeaving,
     /// A request got its whole answer.
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::{generation::GenerationOutcome, problem::Problem};
+use crate::{generation::GenerationOutcome, problem::Problem, returning_caller::ReturnPoint};
 use std::fmt::Write as _;
 
 /// How often a caller who waits gets a comment line, so that nothing between takes the connection
@@ -13,6 +13,8 @@
     joiner: Utf8Joiner,
     next: TokenIndex,
     ended: bool,
+    /// Named in event ids where the caller can come back to another VM.
+    vm: Option<VmId>,
     _in_flight: crate::drain::InFlight,
 }
 
@@ -20,6 +22,7 @@
 pub(crate) fn event_stream(
     generation: Arc<Generation>,
     from: TokenIndex,
+    vm: Option<VmId>,
     in_flight: crate::drain::InFlight,
 ) -> Body {
     let changes = generation.changes();
@@ -34,6 +37,7 @@
         joiner,
         next: from,
         ended: false,
+        vm,
         _in_flight: in_flight,
     };
     let frames = futures::stream::unfold(reader, |mut reader| async {
@@ -80,7 +84,8 @@
             }],
             ..self.event(vec![id])
         };
-        write_event(text, None, Some(self.next), &event);
+        let id = ReturnPoint::event_id(self.next, self.vm.as_ref());
+        write_event(text, None, Some(&id), &event);
         self.next = self.next.next();
     }
 
@@ -127,7 +132,7 @@
 fn write_event<T: serde::Serialize>(
     text: &mut String,
     name: Option<&str>,
-    id: Option<TokenIndex>,
+    id: Option<&str>,
     data: &T,
 ) {
     let data = serde_json::to_string(data).expect("border types have text keys only");
--- a/crates/catkinward/src/generation.rs
+++ b/crates/catkinward/src/generation.rs
@@ -10,10 +10,16 @@
     state: Mutex<GenerationState>,
     changes: watch::Sender<()>,
     cancelled: watch::Sender<bool>,
+    superseded: watch::Sender<bool>,
 }
 
 struct GenerationState {
     relay: Relay,
+    /// Tokens that the caller may have: those whose copies are on their way, if copies are kept.
+    released: TokenIndex,
+    upstream: Option<UpstreamId>,
+    /// Where another VM's attempt may still run, until this VM has tried to go on with it.
+    left_running: Option<(UpstreamId, Attempt)>,
     outcome: Option<GenerationOutcome>,
 }
 
@@ -33,11 +39,31 @@
         Self {
             state: Mutex::new(GenerationState {
                 relay: Relay::new(request.id.clone()),
+                released: TokenIndex(0),
+                upstream: None,
+                left_running: None,
                 outcome: None,
             }),
             request,
             changes: watch::Sender::new(()),
             cancelled: watch::Sender::new(false),
+            superseded: watch::Sender::new(false),
+        }
+    }
+
+    /// A generation that another VM has run up to `record`; attempts go on above `last`.
+    #[must_use]
+    pub fn resumed(request: GenerationRequest, record: &ProgressRecord, last: Attempt) -> Self {
+        let relay = Relay::resumed(request.id.clone(), last, record.tokens.clone());
+        Self {
+            state: Mutex::new(GenerationState {
+                released: relay.next(),
+                relay,
+                upstream: record.upstream.clone(),
+                left_running: record.upstream.clone().map(|id| (id, record.attempt)),
+                outcome: record.finish.map(GenerationOutcome::Whole),
+            }),
+            ..Self::new(request)
         }
     }
 
@@ -66,7 +92,63 @@
     #[must_use]
     pub fn read_from(&self, from: TokenIndex) -> (TokenLog, Option<GenerationOutcome>) {
         let state = self.state.lock();
-        (state.relay.delivered().tail(from), state.outcome)
+        let mut tokens = state.relay.delivered().tail(from);
+        tokens.truncate(TokenIndex(state.released.0.saturating_sub(from.0)));
+        (tokens, state.outcome)
+    }
+
+    /// Its progress, for those who keep copies or take it over.
+    #[must_use]
+    pub fn progress(&self) -> Option<ProgressRecord> {
+        ProgressRecord::begin(&self.progress_from(TokenIndex(0))?)
+    }
+
+    /// Its progress from token `from` on; `None` for a generation whose caller cannot come back.
+    pub(crate) fn progress_from(&self, from: TokenIndex) -> Option<ProgressUpdate> {
+        let digest = self.request.digest.clone()?;
+        let state = self.state.lock();
+        Some(ProgressUpdate {
+            id: self.request.id.clone(),
+            digest,
+            pinned: (from == TokenIndex(0)).then(|| self.request.pinned()),
+            attempt: state.relay.live(),
+            upstream: state.upstream.clone(),
+            from,
+            tokens: state.relay.delivered().tail(from),
+            finish: state.relay.finish(),
+        })
+    }
+
+    /// Lets the caller have all tokens before `next`.
+    pub(crate) fn release(&self, next: TokenIndex) {
+        let mut state = self.state.lock();
+        if next > state.released {
+            state.released = next;
+            drop(state);
+            self.changes.send_replace(());
+        }
+    }
+
+    /// Notes the upstream that runs it.
+    pub(crate) fn runs_on(&self, upstream: &UpstreamId) {
+        self.state.lock().upstream = Some(upstream.clone());
+    }
+
+    /// Where another VM's attempt may still run; told once.
+    pub(crate) fn take_left_running(&self) -> Option<(UpstreamId, Attempt)> {
+        self.state.lock().left_running.take()
+    }
+
+    /// Ends it here, if another VM runs it under a newer attempt.
+    pub(crate) fn supersede(&self, attempt: Attempt) {
+        if attempt > self.attempts() {
+            self.superseded.send_replace(true);
+        }
+    }
+
+    /// Tells that another VM has taken it over.
+    pub(crate) fn superseded(&self) -> watch::Receiver<bool> {
+        self.superseded.subscribe()
     }
 
     /// What became of it, once that is known.
@@ -101,11 +183,7 @@
     }
 
     pub(crate) fn token(&self, token: ReceivedToken) -> Result<Delivery, catkin_decisions::Error> {
-        let delivery = self.state.lock().relay.token(token)?;
-        if matches!(delivery, Delivery::Token(..)) {
-            self.changes.send_replace(());
-        }
-        Ok(delivery)
+        self.state.lock().relay.token(token)
     }
 
     pub(crate) fn end(&self, end: &ReceivedEnd) -> Result<Delivery, catkin_decisions::Error> {
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -1,10 +1,11 @@
 use super::*;
 use crate::{
     attempt_stream::AttemptStream,
-    engine_client,
+    engine_client::{self, Reattach},
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
     problem::ProblemKind,
+    progress_keeper::ProgressKeeper,
     upstream_handle::UpstreamHandle,
 };
 
@@ -27,13 +28,20 @@
         node: node.clone(),
         generation: generation.clone(),
         avoid: Vec::new(),
+        keeper: ProgressKeeper::new(node.clone(), generation.clone()),
     };
     let mut cancelled = generation.cancelled();
+    let mut superseded = generation.superseded();
+    let left = generation.request.deadline.since(node.timer.now());
     let outcome = tokio::select! {
         outcome = driver.run() => outcome,
         _ = cancelled.wait_for(|cancelled| *cancelled) => {
             GenerationOutcome::Failed(ProblemKind::Cancelled)
         }
+        _ = superseded.wait_for(|superseded| *superseded) => {
+            GenerationOutcome::Failed(ProblemKind::Superseded)
+        }
+        () = tokio::time::sleep(left) => GenerationOutcome::Failed(ProblemKind::Deadline),
     };
     tracing::info!(
         id = %generation.request.id,
@@ -64,6 +72,7 @@
     node: Arc<Node>,
     generation: Arc<Generation>,
     avoid: Vec<UpstreamId>,
+    keeper: ProgressKeeper,
 }
 
 /// An attempt on its upstream. Dropping it cancels the attempt there.
@@ -99,6 +108,14 @@
 
 impl Driver {
     async fn run(&mut self) -> GenerationOutcome {
+        if let Some(attempt) = self.go_on_with_left_running().await {
+            match self.follow(attempt).await {
+                Ok(finish) => return GenerationOutcome::Whole(finish),
+                Err(fault) => {
+                    tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+                }
+            }
+        }
         loop {
             let Some(upstream) = self.wait_for_upstream().await else {
                 return GenerationOutcome::Failed(ProblemKind::Deadline);
@@ -114,6 +131,35 @@
         }
     }
 
+    /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
+    /// computed twice.
+    async fn go_on_with_left_running(&mut self) -> Option<RunningAttempt> {
+        let (id, attempt) = self.generation.take_left_running()?;
+        let upstream = self.node.upstreams.hold(&id)?;
+        let (reserved, _) = self.generation.reserve();
+        let reattach = Reattach {
+            address: upstream.address(),
+            id: &self.generation.request.id,
+            attempt,
+            becomes: reserved.attempt(),
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        let stream = engine_client::reattach(&self.node.connections, reattach).await;
+        let stream = stream.inspect_err(|fault| {
+            tracing::info!(id = %self.generation.request.id, upstream = %id, %fault, "not re-attached");
+        });
+        let stream = stream.ok()?;
+        self.record(EventKind::ReAttached, reserved.attempt(), &id, None);
+        self.generation.adopt(reserved).then(|| RunningAttempt {
+            node: self.node.clone(),
+            id: self.generation.request.id.clone(),
+            upstream,
+            stream,
+            ended: false,
+        })
+    }
+
     /// Waits until an upstream can take the generation; `None` once its deadline is over.
     async fn wait_for_upstream(&mut self) -> Option<UpstreamHandle> {
         loop {
@@ -195,30 +241,53 @@
         }
     }
 
-    async fn relay_events(&self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+    async fn relay_events(&mut self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+        self.generation.runs_on(attempt.upstream.id());
         let mut went_on = false;
         loop {
-            match attempt.stream.next(SILENCE_BOUND).await? {
-                EngineEvent::Heartbeat => {}
-                EngineEvent::Token(token) => {
-                    let index = token.index;
-                    let delivery = self.generation.token(token)?;
-                    if !went_on && matches!(delivery, Delivery::Token(..)) {
-                        went_on = true;
-                        self.record_progress(attempt, index);
-                    }
+            let mut event = attempt.stream.next(SILENCE_BOUND).await?;
+            let mut finish = None;
+            // All that has come already goes on together, with one round of copies.
+            loop {
+                let index = self.generation.next_index();
+                finish = finish.or(self.relay_event(attempt, event)?);
+                if !went_on && self.generation.next_index() > index {
+                    went_on = true;
+                    self.record_progress(attempt, index);
                 }
-                EngineEvent::End(end) => {
-                    if let Delivery::End(finish) = self.generation.end(&end)? {
-                        attempt.ended = true;
-                        attempt.upstream.succeeded();
-                        return Ok(finish);
-                    }
+                match attempt.stream.ready() {
+                    Some(Ok(next)) if finish.is_none() => event = next,
+                    _ => break,
                 }
             }
+            self.keeper.release().await;
+            if let Some(finish) = finish {
+                return Ok(finish);
+            }
         }
     }
 
+    fn relay_event(
+        &self,
+        attempt: &mut RunningAttempt,
+        event: EngineEvent,
+    ) -> Result<Option<Finish>, AttemptFault> {
+        match event {
+            EngineEvent::Heartbeat => {}
+            EngineEvent::Token(token) => {
+                self.generation.token(token)?;
+            }
+            EngineEvent::End(end) => {
+                if let Delivery::End(finish) = self.generation.end(&end)? {
+                    attempt.ended = true;
+                    attempt.upstream.succeeded();
+                    return Ok(Some(finish));
+                }
+            }
+        }
+        Ok(None)
+    }
+
     /// Records the first token that an attempt delivers over one connection.
     fn record_progress(&self, attempt: &RunningAttempt, index: TokenIndex) {
         let kind = match index {
@@ -265,15 +334,15 @@
     }
 
     async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
-        let mut stream = engine_client::reattach(
-            &self.node.connections,
-            attempt.upstream.address(),
-            &attempt.id,
-            attempt.stream.attempt(),
-            self.generation.next_index(),
-            PROBE_BOUND,
-        )
-        .await?;
+        let reattach = Reattach {
+            address: attempt.upstream.address(),
+            id: &attempt.id,
+            attempt: attempt.stream.attempt(),
+            becomes: attempt.stream.attempt(),
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        let mut stream = engine_client::reattach(&self.node.connections, reattach).await?;
         stream.wait_for_progress(PROBE_BOUND).await?;
         self.record(
             EventKind::ReAttached,
@@ -333,6 +402,7 @@
             node: self.node.clone(),
             generation: self.generation.clone(),
             avoid: Vec::new(),
+            keeper: ProgressKeeper::new(self.node.clone(), self.generation.clone()),
         };
         let mut attempt = driver.open(upstream, order).await?;
         attempt.stream.wait_for_progress(SILENCE_BOUND).await?;
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -5,6 +5,8 @@
 pub struct GenerationRequest {
     /// Its id.
     pub id: RequestId,
+    /// Digest by which a caller who comes back is recognised; `None` if it gave no key.
+    pub digest: Option<RequestDigest>,
     /// The team that asked.
     pub team: TeamId,
     /// The service asked for.
@@ -30,6 +32,25 @@
 }
 
 impl GenerationRequest {
+    /// What it keeps on whichever VM goes on with it.
+    pub(crate) fn pinned(&self) -> Pinned {
+        Pinned {
+            bundle: self.bundle,
+            model: self.model.clone(),
+            seed: self.seed,
+        }
+    }
+
+    /// The request with what it was pinned to on the VM that accepted it.
+    pub(crate) fn with_pinned(self, pinned: &Pinned) -> Self {
+        Self {
+            bundle: pinned.bundle,
+            model: pinned.model.clone(),
+            seed: pinned.seed,
+            ..self
+        }
+    }
+
     /// The order for an attempt that goes on after `prefix`.
     pub(crate) fn order(&self, attempt: Attempt, prefix: &TokenLog) -> engine::EngineGenerate {
         engine::EngineGenerate {
--- a/crates/catkinward/src/generations.rs
+++ b/crates/catkinward/src/generations.rs
@@ -17,23 +17,34 @@
         running.get(i).cloned()
     }
 
-    /// Adds a generation, or returns the one that has its id already.
+    /// Adds a generation, or returns the one that runs under its id already. One that another VM
+    /// had taken over, and that has now come back, makes room.
     pub fn add(&self, generation: Generation) -> (Arc<Generation>, bool) {
         let mut running = self.running.write();
-        match running.binary_search_by(|other| other.request.id.cmp(&generation.request.id)) {
-            Ok(i) => (running[i].clone(), false),
-            Err(i) => {
-                let generation = Arc::new(generation);
-                running.insert(i, generation.clone());
-                (generation, true)
+        let found = running.binary_search_by(|other| other.request.id.cmp(&generation.request.id));
+        if let Ok(i) = found
+            && running[i].attempts() >= generation.attempts()
+        {
+            return (running[i].clone(), false);
+        }
+        let generation = Arc::new(generation);
+        match found {
+            Ok(i) => {
+                let before = std::mem::replace(&mut running[i], generation.clone());
+                before.supersede(generation.attempts());
             }
+            Err(i) => running.insert(i, generation.clone()),
         }
+        (generation, true)
     }
 
     /// Forgets a generation.
-    pub fn remove(&self, id: &RequestId) {
+    pub fn remove(&self, generation: &Arc<Generation>) {
         let mut running = self.running.write();
-        if let Ok(i) = running.binary_search_by(|other| other.request.id.cmp(id)) {
+        let id = &generation.request.id;
+        if let Ok(i) = running.binary_search_by(|other| other.request.id.cmp(id))
+            && Arc::ptr_eq(&running[i], generation)
+        {
             running.remove(i);
         }
     }
--- /dev/null
+++ b/crates/catkinward/src/gossip.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+/// News that VMs exchange, about a kilobyte at most: state, so that a lost or repeated exchange
+/// does no harm.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Largest bundle version heard of, and its digest.
+    pub bundle: Option<(BundleVersion, Arc<str>)>,
+    /// Upstreams that are leaving, by incarnation.
+    pub leaving: Vec<(UpstreamId, Incarnation)>,
+    /// Some VMs, each with the milliseconds since it was last heard from.
+    pub vms: Vec<(PeerEntry, u32)>,
+}
+
+type Teller = Box<dyn Fn(&mut Gossip) + Send + Sync>;
+type Hearer = Box<dyn Fn(&Gossip, &VmId) + Send + Sync>;
+
+/// Parts that have news to tell or want to hear it, as closures.
+#[derive(Default)]
+pub struct GossipSources {
+    tellers: RwLock<Vec<Teller>>,
+    hearers: RwLock<Vec<Hearer>>,
+}
+
+impl GossipSources {
+    /// Has `teller` add its news to each message.
+    pub fn tell(&self, teller: impl Fn(&mut Gossip) + Send + Sync + 'static) {
+        self.tellers.write().push(Box::new(teller));
+    }
+
+    /// Has `hearer` called with each message and its sender.
+    pub fn hear(&self, hearer: impl Fn(&Gossip, &VmId) + Send + Sync + 'static) {
+        self.hearers.write().push(Box::new(hearer));
+    }
+
+    pub(crate) fn collect(&self) -> Gossip {
+        let mut gossip = Gossip::default();
+        self.tellers
+            .read()
+            .iter()
+            .for_each(|tell| tell(&mut gossip));
+        gossip
+    }
+
+    pub(crate) fn spread(&self, gossip: &Gossip, sender: &VmId) {
+        self.hearers
+            .read()
+            .iter()
+            .for_each(|hear| hear(gossip, sender));
+    }
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,14 +9,17 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock, Instant,
-        KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
-        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock,
+        Incarnation, Instant, KeyHash, Model, PathRule, PeerEntry, PeerTable, Pinned,
+        ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, ReceivedEnd, ReceivedToken,
+        RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service, ServiceId,
+        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
+        Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         any::Any,
         convert::Infallible,
@@ -29,7 +32,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -53,9 +56,14 @@
     event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
+    gossip::{Gossip, GossipSources},
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    peer_fault::PeerFault,
+    peer_key::PeerKey,
+    peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
+    peers::Peers,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
@@ -84,6 +92,7 @@
 mod generation_driver;
 mod generation_request;
 mod generations;
+mod gossip;
 /// HTTP calls to other processes.
 pub mod http_client;
 /// The HTTP server and its connection limits.
@@ -91,10 +100,19 @@
 mod kernel;
 mod logging;
 mod node;
+mod peer_fault;
+mod peer_handshake;
+mod peer_key;
+mod peer_link;
+mod peer_message;
+mod peer_socket;
+mod peers;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
+mod progress_keeper;
+mod returning_caller;
 mod service_name;
 mod settings;
 mod timeline;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -22,6 +22,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
     pub generations: Arc<Generations>,
+    /// The other VMs, if this one takes calls of peers.
+    pub peers: Option<Arc<Peers>>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -59,6 +61,10 @@
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
+        let peers = start_peers(&settings, &timer, &timeline, &generations)?;
+        if let Some(peers) = &peers {
+            kernel.register(ServiceName::Peers, peers.clone())?;
+        }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
             settings,
@@ -70,6 +76,7 @@
             platform,
             upstreams,
             generations,
+            peers,
             drain,
         }))
     }
@@ -116,6 +123,42 @@
     }
 }
 
+fn start_peers(
+    settings: &Settings,
+    timer: &Arc<Timer>,
+    timeline: &Arc<Timeline>,
+    generations: &Arc<Generations>,
+) -> Result<Option<Arc<Peers>>> {
+    let Some(address) = settings.peer_listen else {
+        return Ok(None);
+    };
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        tokio::net::TcpListener::from_std(listener)
+    };
+    let listener = listen().map_err(|source| Error::Listen { address, source })?;
+    let bound = listener
+        .local_addr()
+        .map_err(|source| Error::Listen { address, source })?;
+    let entry = PeerEntry {
+        vm: settings.vm.clone(),
+        address: settings.peer_advertise.unwrap_or(bound),
+        zone: settings.zone.clone(),
+    };
+    let known = settings.peers.clone();
+    let key = settings.peer_key.clone();
+    Ok(Some(Peers::start(
+        listener,
+        entry,
+        key,
+        known,
+        timer,
+        timeline,
+        generations,
+    )))
+}
+
 fn new_timeline(settings: &Settings) -> Arc<Timeline> {
     Arc::new(Timeline::new(
         settings.vm.clone(),
--- /dev/null
+++ b/crates/catkinward/src/peer_handshake.rs
@@ -0,0 +1,95 @@
+use super::*;
+use crate::peer_socket::{PeerReceiver, PeerSender};
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// How long each step of the handshake may take.
+const STEP_BOUND: Duration = Duration::from_secs(1);
+
+/// What a VM shows of itself in a handshake.
+pub(crate) struct PeerIdentity {
+    pub(crate) entry: PeerEntry,
+    pub(crate) key: PeerKey,
+}
+
+impl PeerIdentity {
+    /// Handshake of the one that calls. Both prove that they know the key, over nonces that both
+    /// have drawn, so that a recorded handshake is of no use.
+    pub(crate) async fn call<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        callee: &VmId,
+        tx: &mut PeerSender<S>,
+        rx: &mut PeerReceiver<S>,
+    ) -> Result<(), PeerFault> {
+        let PeerBody::Challenge(challenge) = rx.receive_within(STEP_BOUND).await?.body else {
+            return Err(PeerFault::Form);
+        };
+        check_protocol(challenge.protocol)?;
+        let nonce = draw_nonce();
+        let hello = PeerHello {
+            entry: self.entry.clone(),
+            proof: self.key.prove(&[
+                b"hello",
+                &challenge.nonce,
+                &nonce,
+                self.entry.vm.as_str().as_bytes(),
+            ]),
+            nonce: nonce.clone(),
+        };
+        tx.send(vec![(0, PeerBody::Hello(hello))]).await?;
+        let PeerBody::Welcome(welcome) = rx.receive_within(STEP_BOUND).await?.body else {
+            return Err(PeerFault::Key);
+        };
+        let vm = welcome.vm.as_str().as_bytes();
+        let parts: [&[u8]; 4] = [b"welcome", &challenge.nonce, &nonce, vm];
+        if !self.key.verify(&parts, &welcome.proof) {
+            return Err(PeerFault::Key);
+        }
+        if welcome.vm != *callee {
+            return Err(PeerFault::OtherVm {
+                expected: callee.clone(),
+                found: welcome.vm,
+            });
+        }
+        Ok(())
+    }
+
+    /// Handshake of the one that was called; returns who calls.
+    pub(crate) async fn answer<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        tx: &mut PeerSender<S>,
+        rx: &mut PeerReceiver<S>,
+    ) -> Result<PeerEntry, PeerFault> {
+        let nonce = draw_nonce();
+        let challenge = PeerChallenge {
+            protocol: PEER_PROTOCOL,
+            nonce: nonce.clone(),
+        };
+        tx.send(vec![(0, PeerBody::Challenge(challenge))]).await?;
+        let PeerBody::Hello(hello) = rx.receive_within(STEP_BOUND).await?.body else {
+            return Err(PeerFault::Form);
+        };
+        let vm = hello.entry.vm.as_str().as_bytes();
+        let parts: [&[u8]; 4] = [b"hello", &nonce, &hello.nonce, vm];
+        if !self.key.verify(&parts, &hello.proof) {
+            return Err(PeerFault::Key);
+        }
+        let own = self.entry.vm.as_str().as_bytes();
+        let welcome = PeerWelcome {
+            vm: self.entry.vm.clone(),
+            proof: self.key.prove(&[b"welcome", &nonce, &hello.nonce, own]),
+        };
+        tx.send(vec![(0, PeerBody::Welcome(welcome))]).await?;
+        Ok(hello.entry)
+    }
+}
+
+fn check_protocol(theirs: u16) -> Result<(), PeerFault> {
+    if theirs == PEER_PROTOCOL {
+        return Ok(());
+    }
+    Err(PeerFault::Protocol { theirs })
+}
+
+fn draw_nonce() -> Vec<u8> {
+    rand::random::<[u8; 16]>().to_vec()
+}
--- /dev/null
+++ b/crates/catkinward/src/peer_socket.rs
@@ -0,0 +1,158 @@
+use super::*;
+use futures::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use tokio::net::TcpStream;
+use tokio_tungstenite::{
+    MaybeTlsStream, WebSocketStream,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
+
+/// Longest message between VMs, in bytes: a copy of a very long answer.
+const MESSAGE_LIMIT: usize = 8 * 1024 * 1024;
+
+/// How long a message may take to leave. A peer that takes nothing for this long is given up.
+const WRITE_BOUND: Duration = Duration::from_secs(1);
+
+/// Writing half of a connection between VMs.
+pub(crate) struct PeerSender<S> {
+    sink: SplitSink<WebSocketStream<S>, Message>,
+    clock: Arc<ProcessClock>,
+    sent: Arc<AtomicU64>,
+}
+
+/// Reading half of a connection between VMs.
+pub(crate) struct PeerReceiver<S> {
+    stream: SplitStream<WebSocketStream<S>>,
+    clock: Arc<ProcessClock>,
+}
+
+/// Both halves of a connection between VMs.
+pub(crate) type PeerSocket<S> = (PeerSender<S>, PeerReceiver<S>);
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_LIMIT))
+        .max_frame_size(Some(MESSAGE_LIMIT))
+}
+
+fn split<S>(
+    socket: WebSocketStream<S>,
+    clock: &Arc<ProcessClock>,
+    sent: &Arc<AtomicU64>,
+) -> PeerSocket<S>
+where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
+{
+    let (sink, stream) = socket.split();
+    let sender = PeerSender {
+        sink,
+        clock: clock.clone(),
+        sent: sent.clone(),
+    };
+    let receiver = PeerReceiver {
+        stream,
+        clock: clock.clone(),
+    };
+    (sender, receiver)
+}
+
+/// Calls a peer.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    clock: &Arc<ProcessClock>,
+    sent: &Arc<AtomicU64>,
+) -> Result<PeerSocket<MaybeTlsStream<TcpStream>>, PeerFault> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_| PeerFault::Broken)?;
+    // Progress must be on its way before the caller gets the token.
+    let _ = stream.set_nodelay(true);
+    let (socket, _) = tokio_tungstenite::client_async_with_config(
+        format!("ws://{address}/"),
+        MaybeTlsStream::Plain(stream),
+        Some(config()),
+    )
+    .await
+    .map_err(|_| PeerFault::Broken)?;
+    Ok(split(socket, clock, sent))
+}
+
+/// Takes a peer's call.
+pub(crate) async fn accept(
+    stream: TcpStream,
+    clock: &Arc<ProcessClock>,
+    sent: &Arc<AtomicU64>,
+) -> Result<PeerSocket<TcpStream>, PeerFault> {
+    let _ = stream.set_nodelay(true);
+    let socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
+        .await
+        .map_err(|_| PeerFault::Broken)?;
+    Ok(split(socket, clock, sent))
+}
+
+impl<S> PeerSender<S>
+where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
+{
+    /// Hands messages to the operating system, in order and in as few writes as they take.
+    pub(crate) async fn send(&mut self, bodies: Vec<(u64, PeerBody)>) -> Result<(), PeerFault> {
+        let all = async {
+            for (number, body) in bodies {
+                let message = PeerMessage {
+                    number,
+                    clock: self.clock.tick().to_string().into(),
+                    body,
+                };
+                let bytes = message.to_bytes();
+                let size = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+                self.sent.fetch_add(size, Ordering::Relaxed);
+                self.sink.feed(Message::Binary(bytes)).await?;
+            }
+            self.sink.flush().await
+        };
+        match tokio::time::timeout(WRITE_BOUND, all).await {
+            Ok(sent) => sent.map_err(|_| PeerFault::Broken),
+            Err(_) => Err(PeerFault::Timeout),
+        }
+    }
+}
+
+impl<S> PeerReceiver<S>
+where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
+{
+    /// The next message.
+    pub(crate) async fn receive(&mut self) -> Result<PeerMessage, PeerFault> {
+        loop {
+            let message = self.stream.next().await;
+            match message
+                .ok_or(PeerFault::Broken)?
+                .map_err(|_| PeerFault::Broken)?
+            {
+                Message::Binary(bytes) => {
+                    let message = PeerMessage::from_bytes(&bytes)?;
+                    if let Ok(reading) = message.clock.parse() {
+                        self.clock.witness(reading);
+                    }
+                    return Ok(message);
+                }
+                Message::Ping(_) | Message::Pong(_) => {}
+                Message::Text(_) | Message::Close(_) | Message::Frame(_) => {
+                    return Err(PeerFault::Form);
+                }
+            }
+        }
+    }
+
+    /// The next message, within a bound.
+    pub(crate) async fn receive_within(
+        &mut self,
+        bound: Duration,
+    ) -> Result<PeerMessage, PeerFault> {
+        tokio::time::timeout(bound, self.receive())
+            .await
+            .unwrap_or(Err(PeerFault::Timeout))
+    }
+}
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -16,6 +16,10 @@
     Deadline,
     /// The VM is shutting down and takes no new requests.
     Draining,
+    /// A caller comes back without the idempotency key of its request.
+    KeyAbsent,
+    /// The idempotency key was used for another request.
+    KeyConflict,
     /// The request is no JSON of the right form.
     Malformed,
     /// There is no such path.
@@ -24,6 +28,10 @@
     NoSuchService,
     /// The VM has no bundle yet.
     NotReady,
+    /// No copy reaches as far as the returning caller has come.
+    ProgressLost,
+    /// Another VM has taken the generation over, for its caller who came back there.
+    Superseded,
     /// The team may not call this service.
     TeamNotAllowed,
     /// The bearer key is of no team.
@@ -36,10 +44,11 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Cancelled => StatusCode::CONFLICT,
+            Self::Cancelled | Self::KeyConflict | Self::Superseded => StatusCode::CONFLICT,
+            Self::ProgressLost => StatusCode::GONE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Draining | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::KeyAbsent | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -50,9 +59,13 @@
     #[must_use]
     pub fn outcome(self) -> caller::Outcome {
         match self {
-            Self::Cancelled | Self::Deadline => caller::Outcome::Failed,
+            Self::Cancelled | Self::Deadline | Self::ProgressLost | Self::Superseded => {
+                caller::Outcome::Failed
+            }
             Self::BodyTooLarge
             | Self::Draining
+            | Self::KeyAbsent
+            | Self::KeyConflict
             | Self::Malformed
             | Self::NoSuchPath
             | Self::NoSuchService
@@ -77,10 +90,14 @@
             Self::Cancelled => "the generation was cancelled",
             Self::Deadline => "the deadline passed before the whole answer was there",
             Self::Draining => "this VM is shutting down",
+            Self::KeyAbsent => "to come back, send the idempotency key of the request",
+            Self::KeyConflict => "the idempotency key was used for another request",
             Self::Malformed => "the request is not of the documented form",
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
             Self::NotReady => "this VM has no configuration bundle yet",
+            Self::ProgressLost => "what was delivered before is not known any more; start anew",
+            Self::Superseded => "another VM goes on with this generation",
             Self::TeamNotAllowed => "this team may not call this service",
             Self::UnknownKey => "the bearer key is not known",
         }
--- /dev/null
+++ b/crates/catkinward/src/progress_keeper.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+/// Sends the progress of one generation to the VMs that keep copies, and only then lets its caller
+/// have the tokens.
+///
+/// A router may die right after a caller got a token. If the copy were sent after that, the caller
+/// would come back with an index that no one else has reached, and if the engine is gone too, its
+/// answer could not be gone on with. So the copy is handed to the operating system first; it is not
+/// waited for any longer, since a round trip for each token would cost more than it saves.
+pub(crate) struct ProgressKeeper {
+    node: Arc<Node>,
+    generation: Arc<Generation>,
+    kept: Vec<Kept>,
+}
+
+/// What a holder has been sent over one connection.
+struct Kept {
+    vm: VmId,
+    serial: u64,
+    next: TokenIndex,
+}
+
+impl ProgressKeeper {
+    pub(crate) fn new(node: Arc<Node>, generation: Arc<Generation>) -> Self {
+        Self {
+            node,
+            generation,
+            kept: Vec::new(),
+        }
+    }
+
+    /// Brings all copies up to date and releases what they hold.
+    pub(crate) async fn release(&mut self) {
+        let next = self.generation.next_index();
+        if self.generation.request.digest.is_some() {
+            self.bring_up_to_date().await;
+        }
+        self.generation.release(next);
+    }
+
+    async fn bring_up_to_date(&mut self) {
+        let Some(peers) = self.node.peers.clone() else {
+            return;
+        };
+        let holders = peers.holders();
+        let updates = holders.iter().map(|peer| self.update(&peers, peer));
+        let kept = futures::future::join_all(updates).await;
+        self.kept = kept.into_iter().flatten().collect();
+        if self.kept.is_empty() && !holders.is_empty() {
+            tracing::warn!(id = %self.generation.request.id, "no copy of the progress is kept");
+        }
+    }
+
+    /// Sends a holder what it lacks. Over a new connection that is everything: what was sent over
+    /// the old one may never have come.
+    async fn update(&self, peers: &Arc<Peers>, peer: &PeerEntry) -> Option<Kept> {
+        let link = peers.link(peer).await.ok()?;
+        let from = self
+            .kept
+            .iter()
+            .find(|kept| kept.vm == peer.vm && kept.serial == link.serial)
+            .map_or(TokenIndex(0), |kept| kept.next);
+        let update = self.generation.progress_from(from)?;
+        let next = TokenIndex(from.0 + update.tokens.len().0);
+        peers.send_progress(peer, &link, update).await.ok()?;
+        Some(Kept {
+            vm: peer.vm.clone(),
+            serial: link.serial,
+            next,
+        })
+    }
+}
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -18,6 +18,8 @@
     Timeline,
     /// The platform's table service, object store and VM list.
     Platform,
+    /// The other VMs.
+    Peers,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -14,6 +14,14 @@
     pub bundle_file: Option<PathBuf>,
     /// Address of the platform; without it this VM keeps and agrees on nothing.
     pub platform: Option<SocketAddr>,
+    /// Address on which other VMs are heard; none means that this VM stands alone.
+    pub peer_listen: Option<SocketAddr>,
+    /// Address at which other VMs reach this one, where it differs from the one above.
+    pub peer_advertise: Option<SocketAddr>,
+    /// Secret that all VMs share.
+    pub peer_key: PeerKey,
+    /// VMs to begin with, besides those of the platform's list.
+    pub peers: Vec<PeerEntry>,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
@@ -34,6 +42,10 @@
             zone: "zone-1".parse().expect("a valid name"),
             bundle_file: None,
             platform: None,
+            peer_listen: None,
+            peer_advertise: None,
+            peer_key: PeerKey::default(),
+            peers: Vec::new(),
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
@@ -68,6 +80,10 @@
   --zone NAME               availability zone of this VM [zone-1]
   --bundle-file FILE        bundle to start with, for a system without a platform
   --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
+  --peer-listen ADDRESS     IP and port for other VMs; without it this VM stands alone
+  --peer-advertise ADDRESS  where other VMs reach this one, if not at --peer-listen
+  --peer-key TEXT           secret that all VMs share; better given as a variable
+  --peers LIST              VMs to begin with, as VM=ADDRESS@ZONE, separated by commas
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
@@ -112,6 +128,7 @@
                 _ => return Err(arg.unexpected().into()),
             }
         }
+        settings.check()?;
         Ok(if check {
             Command::Check(settings)
         } else {
@@ -119,12 +136,31 @@
         })
     }
 
+    /// Checks what no setting shows alone.
+    fn check(&self) -> Result<()> {
+        if self.peer_listen.is_some() && self.peer_key == PeerKey::default() {
+            return Err(Error::SettingAbsent {
+                flag: "peer-key",
+                variable: variable_name("peer-key"),
+            });
+        }
+        Ok(())
+    }
+
     fn set(&mut self, flag: &'static str, value: &str) -> Result<()> {
         match flag {
             "listen" => self.listen = parse(flag, "an IP address and port", value)?,
             "vm" => self.vm = parse(flag, "1 to 200 visible ASCII characters", value)?,
             "zone" => self.zone = parse(flag, "1 to 200 visible ASCII characters", value)?,
             "bundle-file" => self.bundle_file = Some(value.into()),
+            "peer-listen" => {
+                self.peer_listen = Some(parse(flag, "an IP address and port", value)?);
+            }
+            "peer-advertise" => {
+                self.peer_advertise = Some(parse(flag, "an IP address and port", value)?);
+            }
+            "peer-key" => self.peer_key = PeerKey::new(value),
+            "peers" => self.peers = parse_peers(flag, value)?,
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
@@ -150,6 +186,10 @@
     "listen",
     "log",
     "platform",
+    "peer-advertise",
+    "peer-key",
+    "peer-listen",
+    "peers",
     "timeline-events",
     "vm",
     "zone",
@@ -170,3 +210,22 @@
 fn parse_ms(flag: &'static str, value: &str) -> Result<Duration> {
     parse(flag, "a number of milliseconds", value).map(Duration::from_millis)
 }
+
+fn parse_peers(flag: &'static str, value: &str) -> Result<Vec<PeerEntry>> {
+    let entry = |text: &str| {
+        let (vm, rest) = text.split_once('=')?;
+        let (address, zone) = rest.split_once('@')?;
+        Some(PeerEntry {
+            vm: vm.parse().ok()?,
+            address: address.parse().ok()?,
+            zone: zone.parse().ok()?,
+        })
+    };
+    let parts = value.split(',').filter(|part| !part.is_empty());
+    let entries = parts.map(entry).collect::<Option<Vec<_>>>();
+    entries.ok_or_else(|| Error::SettingValue {
+        flag,
+        expected: "VM=ADDRESS@ZONE, separated by commas",
+        value: value.to_owned(),
+    })
+}
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -56,6 +56,13 @@
             .map(|(_, state)| UpstreamHandle::new(state.clone()))
     }
 
+    /// Holds an upstream on which a request runs already, whether or not it may get new work.
+    pub fn hold(&self, id: &UpstreamId) -> Option<UpstreamHandle> {
+        let states = self.states.read();
+        let state = states.iter().find(|state| state.entry.id == *id)?;
+        Some(UpstreamHandle::new(state.clone()))
+    }
+
     fn apply(&self, bundle: &Bundle) {
         let mut states = self.states.write();
         *states = bundle
--- a/crates/decisions/src/finish.rs
+++ b/crates/decisions/src/finish.rs
@@ -20,6 +20,4 @@
     Length,
     /// The model or a stop sequence ended it.
     Stop,
-    /// The caller cancelled it.
-    Cancelled,
 }
--- a/crates/decisions/src/instant.rs
+++ b/crates/decisions/src/instant.rs
@@ -11,6 +11,12 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// This instant moved back by `duration`, to the start at most.
+    #[must_use]
+    pub fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+
     /// This instant moved on by `duration`.
     #[must_use]
     pub fn after(self, duration: Duration) -> Self {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -43,6 +43,7 @@
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    pinned::Pinned,
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -93,6 +94,7 @@
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod pinned;
 mod progress_record;
 mod progress_store;
 mod progress_update;
--- a/crates/decisions/src/peer_table.rs
+++ b/crates/decisions/src/peer_table.rs
@@ -22,7 +22,7 @@
 const FAILED_FOR: Duration = Duration::from_secs(2);
 
 /// How long a VM is remembered of which nobody speaks any more.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_secs(120);
 
 /// Neighbours of a VM in its own availability zone.
 const ZONE_NEIGHBOURS: usize = 4;
@@ -41,15 +41,17 @@
         }
     }
 
-    /// Notes that somebody spoke of a VM.
-    pub fn heard_of(&mut self, now: Instant, entry: PeerEntry) {
+    /// Notes that a VM was there at `at`. What others tell comes with its age: were each mention
+    /// taken for a sign of life, VMs would tell each other of a dead one for ever.
+    pub fn heard_of(&mut self, at: Instant, entry: PeerEntry) {
         if entry.vm == self.own {
             return;
         }
         match self.position(&entry.vm) {
+            Ok(i) if self.peers[i].heard_of >= at => {}
             Ok(i) => {
                 let peer = &mut self.peers[i];
-                peer.heard_of = now;
+                peer.heard_of = at;
                 if peer.entry.address != entry.address {
                     peer.failed = None;
                 }
@@ -59,7 +61,7 @@
                 i,
                 Peer {
                     entry,
-                    heard_of: now,
+                    heard_of: at,
                     failed: None,
                 },
             ),
@@ -93,6 +95,16 @@
         self.position(vm).ok().map(|i| &self.peers[i].entry)
     }
 
+    /// VMs from place `skip` on, going round, each with the age of what is known of it.
+    #[must_use]
+    pub fn told(&self, now: Instant, skip: usize, most: usize) -> Vec<(PeerEntry, Duration)> {
+        let count = self.peers.len().min(most);
+        let peers = self.peers.iter().cycle().skip(skip).take(count);
+        peers
+            .map(|peer| (peer.entry.clone(), now.since(peer.heard_of)))
+            .collect()
+    }
+
     /// All VMs known, sorted by id.
     pub fn entries(&self) -> impl Iterator<Item = &PeerEntry> {
         self.peers.iter().map(|peer| &peer.entry)
--- a/crates/decisions/src/progress_record.rs
+++ b/crates/decisions/src/progress_record.rs
@@ -7,6 +7,8 @@
     pub id: RequestId,
     /// Digest of the request.
     pub digest: RequestDigest,
+    /// What it keeps for its whole life.
+    pub pinned: Pinned,
     /// Largest attempt known of.
     pub attempt: Attempt,
     /// Upstream that runs it.
@@ -48,15 +50,22 @@
     }
 }
 
-impl From<&ProgressUpdate> for ProgressRecord {
-    fn from(update: &ProgressUpdate) -> Self {
-        Self {
+impl ProgressRecord {
+    /// A copy that begins with `update`; `None` if that is not the first one, since a copy without
+    /// its beginning could never be gone on from.
+    #[must_use]
+    pub fn begin(update: &ProgressUpdate) -> Option<Self> {
+        if update.from > TokenIndex(0) {
+            return None;
+        }
+        Some(Self {
             id: update.id.clone(),
             digest: update.digest.clone(),
+            pinned: update.pinned.clone()?,
             attempt: update.attempt,
             upstream: update.upstream.clone(),
             tokens: update.tokens.clone(),
             finish: update.finish,
-        }
+        })
     }
 }
--- a/crates/decisions/src/progress_store.rs
+++ b/crates/decisions/src/progress_store.rs
@@ -40,8 +40,7 @@
         }
     }
 
-    /// Takes in an update; returns whether the copy is now up to it. An update that does not start
-    /// at the first token is refused where nothing is known: its copy could never be gone on from.
+    /// Takes in an update; returns whether the copy is now up to it.
     pub fn keep(&mut self, now: Instant, update: &ProgressUpdate) -> bool {
         let kept = match self.position(&update.id) {
             Ok(i) => {
@@ -52,12 +51,14 @@
                 self.size = self.size + record.tokens.size() - before;
                 merged
             }
-            Err(_) if update.from > TokenIndex(0) => false,
-            Err(i) => {
-                self.size += update.tokens.size();
-                self.records.insert(i, (now, update.into()));
-                true
-            }
+            Err(i) => match ProgressRecord::begin(update) {
+                Some(record) => {
+                    self.size += record.tokens.size();
+                    self.records.insert(i, (now, record));
+                    true
+                }
+                None => false,
+            },
         };
         self.evict();
         kept
--- a/crates/decisions/src/progress_update.rs
+++ b/crates/decisions/src/progress_update.rs
@@ -7,6 +7,8 @@
     pub id: RequestId,
     /// Digest of the request, so that another request under the same key is told apart.
     pub digest: RequestDigest,
+    /// What it keeps for its whole life; sent with the first token, and not again.
+    pub pinned: Option<Pinned>,
     /// Attempt that is live.
     pub attempt: Attempt,
     /// Upstream that runs it.
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -18,6 +18,7 @@
     role: Role,
     child: Child,
     address: SocketAddr,
+    others: Vec<(String, SocketAddr)>,
 }
 
 impl Process {
@@ -39,13 +40,14 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
-        let address = listening_address(&mut child)
+        let (address, others) = listening_addresses(&mut child)
             .await
             .ok_or(Error::NotListening { role })?;
         Ok(Self {
             role,
             child,
             address,
+            others,
         })
     }
 
@@ -55,6 +57,13 @@
         self.address
     }
 
+    /// Another address that it listens on, by the name that it prints.
+    #[must_use]
+    pub fn other_address(&self, name: &str) -> Option<SocketAddr> {
+        let found = self.others.iter().find(|(other, _)| other == name);
+        found.map(|(_, address)| *address)
+    }
+
     /// Kills it without notice.
     ///
     /// # Errors
@@ -87,10 +96,19 @@
     }
 }
 
-async fn listening_address(child: &mut Child) -> Option<SocketAddr> {
+/// Reads lines of a name and an address until the one that says `listening`.
+async fn listening_addresses(child: &mut Child) -> Option<(SocketAddr, Vec<(String, SocketAddr)>)> {
     let mut lines = BufReader::new(child.stdout.take()?).lines();
-    let line = lines.next_line().await.ok()??;
-    line.strip_prefix("listening ")?.parse().ok()
+    let mut others = Vec::new();
+    loop {
+        let line = lines.next_line().await.ok()??;
+        let (name, address) = line.split_once(' ')?;
+        let address = address.parse().ok()?;
+        if name == "listening" {
+            return Some((address, others));
+        }
+        others.push((name.to_owned(), address));
+    }
 }
 
 /// Runs this process as `role`.
--- /dev/null
+++ b/crates/load/tests/router_death.rs
@@ -0,0 +1,244 @@
+//! A router dies, and its caller comes back to another one, with real processes.
+
+use catkin_border::{
+    bundle::RecoveryPolicy,
+    caller::{CompletionRequest, Outcome},
+};
+use catkin_load::{Process, Role};
+use catkin_standins::{Answer, CallerClient, DEMO_KEY, TokenChain, demo_bundle, first_busy};
+use googletest::prelude::*;
+use std::{num::NonZeroU32, path::Path, sync::Arc};
+use tokio::sync::Notify;
+
+const TOKENS: u32 = 150;
+const BEFORE: usize = 50;
+const SEED: u64 = 7;
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_catkin-load"))
+}
+
+struct System {
+    engines: Vec<Process>,
+    routers: Vec<Process>,
+}
+
+async fn engine(seed: &str) -> Process {
+    let args = ["engine", "--seed", seed, "--step-us", "5000"];
+    Process::start(program(), Role::Standin, &args)
+        .await
+        .expect("an engine starts")
+}
+
+async fn router(name: usize, bundle: &str, peers: &str) -> Process {
+    let (vm, zone) = (format!("vm-{name}"), format!("zone-{}", name % 2));
+    let args = [
+        "--listen",
+        "127.0.0.1:0",
+        "--peer-listen",
+        "127.0.0.1:0",
+        "--peer-key",
+        "secret",
+        "--vm",
+        &vm,
+        "--zone",
+        &zone,
+        "--bundle-file",
+        bundle,
+        "--peers",
+        peers,
+        "--log",
+        "error",
+    ];
+    Process::start(program(), Role::Router, &args)
+        .await
+        .expect("a router starts")
+}
+
+async fn system(routers: usize) -> System {
+    let engines = vec![engine("1").await, engine("2").await];
+    let addresses = engines.iter().map(Process::address).collect::<Vec<_>>();
+    let bundle = demo_bundle(&addresses, RecoveryPolicy::LeastWait);
+    let file = std::env::temp_dir().join(format!("catkin-{:x}.json", rand::random::<u64>()));
+    std::fs::write(&file, serde_json::to_string(&bundle).expect("JSON")).expect("a file");
+    let path = file.to_str().expect("a path of text");
+    let mut system = System {
+        engines,
+        routers: Vec::new(),
+    };
+    for name in 0..routers {
+        let peers = system.peers();
+        system.routers.push(router(name, path, &peers).await);
+    }
+    std::fs::remove_file(&file).expect("the file is there");
+    system.wait_for_peers().await;
+    system
+}
+
+impl System {
+    fn peers(&self) -> String {
+        let entry = |(i, router): (usize, &Process)| {
+            let address = router.other_address("peers").expect("it listens for peers");
+            format!("vm-{i}={address}@zone-{}", i % 2)
+        };
+        let entries = self.routers.iter().enumerate().map(entry);
+        entries.collect::<Vec<_>>().join(",")
+    }
+
+    /// Waits until every router has told of all others.
+    async fn wait_for_peers(&self) {
+        for router in &self.routers {
+            let caller = caller(router);
+            while caller.peers().await.expect("an answer") + 1 < self.routers.len() {
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+fn caller(router: &Process) -> CallerClient {
+    CallerClient::new(router.address(), DEMO_KEY).expect("a client")
+}
+
+fn request(prompt: &str) -> CompletionRequest {
+    CompletionRequest {
+        max_tokens: NonZeroU32::new(TOKENS).expect("not zero"),
+        model: "ticket-model".into(),
+        prompt: prompt.into(),
+        seed: Some(SEED),
+        stop: Vec::new(),
+        stream: true,
+        temperature: None,
+    }
+}
+
+/// Reads the beginning of an answer from the first router, and lets `fault` happen then.
+async fn read_until_fault(system: &mut System, fault: impl AsyncFnOnce(&mut System)) -> Answer {
+    let caller = caller(&system.routers[0]);
+    let midway = Arc::new(Notify::new());
+    let reached = midway.clone();
+    let reading = tokio::spawn(async move {
+        let mut answer = Answer::default();
+        let outcome = caller
+            .stream(&request("menu"), Some("key-1"), &mut answer, |answer| {
+                if answer.ids.len() >= BEFORE {
+                    reached.notify_one();
+                }
+            })
+            .await;
+        (outcome, answer)
+    });
+    midway.notified().await;
+    fault(system).await;
+    let (outcome, answer) = reading.await.expect("no panic");
+    expect_that!(outcome, err(anything()));
+    answer
+}
+
+async fn go_on(router: &Process, mut answer: Answer) -> Answer {
+    let outcome = caller(router)
+        .stream(&request("menu"), Some("key-1"), &mut answer, |_| {})
+        .await;
+    expect_that!(outcome, ok(anything()));
+    answer
+}
+
+fn is_whole(answer: &Answer) -> bool {
+    let chain = TokenChain::new("catkin", "1", "menu", SEED);
+    let tokens = usize::try_from(TOKENS).expect("small");
+    answer.check(chain, tokens).is_ok()
+}
+
+/// The VM that relays an answer dies, its engine does not. The caller comes back to each other VM
+/// in turn with its key and last event id, and reads on where it was.
+#[gtest]
+#[tokio::test]
+async fn answer_goes_on_at_any_other_vm() {
+    for survivor in 1..3 {
+        let mut system = system(3).await;
+        let answer = read_until_fault(&mut system, async |system| {
+            system.routers[0].kill().await.expect("it runs");
+        })
+        .await;
+
+        let answer = go_on(&system.routers[survivor], answer).await;
+
+        expect_that!(is_whole(&answer), eq(true), "at vm-{survivor}: {answer:?}");
+    }
+}
+
+/// The VM that relays an answer and the engine that makes it die together, as in a rack that loses
+/// its power. The delivered tokens are known from a copy, and another engine goes on after them.
+#[gtest]
+#[tokio::test]
+async fn answer_goes_on_after_router_and_engine_die_together() {
+    let mut system = system(3).await;
+    let answer = read_until_fault(&mut system, async |system| {
+        let addresses = system.engines.iter().map(Process::address);
+        let busy = first_busy(&addresses.collect::<Vec<_>>()).await;
+        let busy = busy.expect("load reports").expect("an engine that runs it");
+        system.routers[0].kill().await.expect("it runs");
+        system.engines[busy].kill().await.expect("it runs");
+    })
+    .await;
+
+    let answer = go_on(&system.routers[1], answer).await;
+
+    expect_that!(is_whole(&answer), eq(true), "{answer:?}");
+    expect_that!(answer.usage.expect("an end").attempts, gt(1));
+}
+
+/// A key is used again for another prompt, by mistake, while its caller comes back. Were the answer
+/// gone on with, the caller would get the end of another prompt's answer.
+#[gtest]
+#[tokio::test]
+async fn key_of_another_request_is_refused() {
+    let mut system = system(2).await;
+    let answer = read_until_fault(&mut system, async |system| {
+        system.routers[0].kill().await.expect("it runs");
+    })
+    .await;
+    let mut other = Answer {
+        last_event_id: answer.last_event_id,
+        ..Answer::default()
+    };
+
+    let outcome = caller(&system.routers[1])
+        .stream(&request("another menu"), Some("key-1"), &mut other, |_| {})
+        .await;
+
+    expect_that!(outcome, ok(anything()));
+    let problem = other.problem.expect("a problem");
+    expect_that!(problem.type_, eq("catkinward:key_conflict"));
+    expect_that!(problem.outcome, eq(Outcome::NotRun));
+}
+
+/// All VMs that knew of an answer are gone. To begin anew would give the caller tokens of another
+/// generation behind those that it has; it is told so instead.
+#[gtest]
+#[tokio::test]
+async fn lost_progress_is_told() {
+    let mut system = system(2).await;
+    let answer = read_until_fault(&mut system, async |system| {
+        system.routers[0].kill().await.expect("it runs");
+    })
+    .await;
+    let mut answer = Answer {
+        last_event_id: answer.last_event_id,
+        ..Answer::default()
+    };
+
+    let outcome = caller(&system.routers[1])
+        .stream(
+            &request("menu"),
+            Some("a key never used"),
+            &mut answer,
+            |_| {},
+        )
+        .await;
+
+    expect_that!(outcome, ok(anything()));
+    let problem = answer.problem.expect("a problem");
+    expect_that!(problem.type_, eq("catkinward:progress_lost"));
+    expect_that!(problem.next_index, some(eq(0)));
+}
--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -5,6 +5,8 @@
 pub struct Answer {
     /// Request id that the router gave.
     pub request_id: Option<String>,
+    /// Id of the last event, with which the caller comes back.
+    pub last_event_id: Option<String>,
     /// Token ids in the order received.
     pub ids: Vec<u32>,
     /// Text in the order received.
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -33,7 +33,7 @@
         if sequences
             .iter()
             .filter(same)
-            .any(|s| s.order.attempt >= sequence.order.attempt)
+            .any(|s| s.attempt() >= sequence.attempt())
         {
             return None;
         }
@@ -49,7 +49,7 @@
         self.sequences
             .lock()
             .iter()
-            .find(|s| s.order.request_id == request_id && s.order.attempt == attempt)
+            .find(|s| s.order.request_id == request_id && s.attempt() == attempt)
             .cloned()
     }
 
@@ -58,7 +58,7 @@
         self.sequences
             .lock()
             .iter()
-            .filter(|s| s.order.request_id == request_id && s.order.attempt <= attempt)
+            .filter(|s| s.order.request_id == request_id && s.attempt() <= attempt)
             .for_each(|s| s.cancel());
     }
 
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -36,6 +36,7 @@
     changes: watch::Receiver<()>,
     next: u32,
     epoch: u64,
+    attempt: u64,
     ended: bool,
 }
 
@@ -146,8 +147,12 @@
     fn reattach(&self, req: &Request) -> Response {
         let id = stream_id(req);
         let from = u32::try_from(query_number(req, "from")).unwrap_or(u32::MAX);
-        match self.inner.batch.find(id, query_number(req, "attempt")) {
-            Some(sequence) => self.stream(sequence, from),
+        let found = self.inner.batch.find(id, query_number(req, "attempt"));
+        match found.filter(|sequence| sequence.can_be_read_from(from)) {
+            Some(sequence) => {
+                sequence.become_attempt(query_number(req, "as"));
+                self.stream(sequence, from)
+            }
             None => refusal(engine::EngineRefusalKind::NoSuchStream),
         }
     }
@@ -198,9 +203,10 @@
         let reader = Reader {
             server: self.clone(),
             changes: sequence.changes.subscribe(),
-            sequence,
             next: from,
             epoch: *self.inner.epoch.borrow(),
+            attempt: sequence.attempt(),
+            sequence,
             ended: false,
         };
         let frames = futures::stream::unfold(reader, |mut reader| async {
@@ -252,6 +258,9 @@
             if self.epoch != *self.server.inner.epoch.borrow() {
                 std::future::pending::<()>().await;
             }
+            if self.attempt != self.sequence.attempt() {
+                return None;
+            }
             let (text, next, ended) = self.sequence.events_from(self.next);
             (self.next, self.ended) = (next, ended);
             if !text.is_empty() {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -51,6 +51,7 @@
     run_counts::{RunCount, RunCounts, request_digest},
     scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
+    upstream_probe::{first_busy, upstream_load},
 };
 
 mod answer;
@@ -78,3 +79,4 @@
 mod scripted_platform;
 mod sequence;
 mod token_chain;
+mod upstream_probe;
--- a/crates/standins/src/sequence.rs
+++ b/crates/standins/src/sequence.rs
@@ -3,6 +3,8 @@
 /// One attempt as a stand-in engine runs it.
 pub(crate) struct Sequence {
     pub(crate) order: engine::EngineGenerate,
+    /// Attempt that it counts as; a router that takes it over gives it a larger one.
+    attempt: AtomicU64,
     pub(crate) state: Mutex<SequenceState>,
     pub(crate) changes: watch::Sender<()>,
 }
@@ -26,6 +28,7 @@
         let prefill_left = prompt_tokens(&order.prompt) + order.prefix.len();
         let whole = order.prefix.len() >= length(order.max_tokens);
         Self {
+            attempt: AtomicU64::new(order.attempt),
             order,
             state: Mutex::new(SequenceState {
                 chain,
@@ -38,6 +41,23 @@
         }
     }
 
+    /// Attempt that it counts as.
+    pub(crate) fn attempt(&self) -> u64 {
+        self.attempt.load(Ordering::Relaxed)
+    }
+
+    /// Makes it count as a larger attempt; those who read it under a smaller one are cut off.
+    pub(crate) fn become_attempt(&self, attempt: u64) {
+        self.attempt.fetch_max(attempt, Ordering::Relaxed);
+        self.changes.send_replace(());
+    }
+
+    /// Whether it can be read from token `from` on.
+    pub(crate) fn can_be_read_from(&self, from: u32) -> bool {
+        let cancelled = self.state.lock().finish == Some(engine::FinishReason::Cancelled);
+        !cancelled && length(from) >= self.order.prefix.len()
+    }
+
     /// Decodes one token.
     pub(crate) fn step(&self, salt: u64) {
         let mut state = self.state.lock();
@@ -71,7 +91,7 @@
         let mut next = from;
         for (id, bytes) in state.tokens.iter().skip(skip) {
             let event = engine::EngineToken {
-                attempt: self.order.attempt,
+                attempt: self.attempt(),
                 bytes: to_hex(bytes),
                 index: next,
                 request_id: self.order.request_id.clone(),
@@ -82,7 +102,7 @@
         }
         if let Some(finish_reason) = state.finish {
             let event = engine::EngineEnd {
-                attempt: self.order.attempt,
+                attempt: self.attempt(),
                 finish_reason,
                 request_id: self.order.request_id.clone(),
                 tokens: next,
