--- a/crates/catkinward/src/generation.rs
+++ b/crates/catkinward/src/generation.rs
@@ -105,7 +105,7 @@
 
     /// Its progress from token `from` on; `None` for a generation whose caller cannot come back.
     pub(crate) fn progress_from(&self, from: TokenIndex) -> Option<ProgressUpdate> {
-        let digest = self.request.digest.clone()?;
+        let digest = self.request.digest?;
         let state = self.state.lock();
         Some(ProgressUpdate {
             id: self.request.id.clone(),
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,9 +26,12 @@
     bundle::Bundle,
     bundle_version::BundleVersion,
     call_budget::{CallBudget, CallBudgetSettings},
+    candidate::Candidate,
+    choice::{ChoiceInput, choose},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    eligible::Eligible,
     error::Error,
     failed_call::FailedCall,
     finish::Finish,
@@ -37,13 +40,18 @@
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
     incarnation::Incarnation,
+    ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
+    leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
     pinned::Pinned,
+    poison_hold::PoisonHold,
+    poison_mark::PoisonMark,
+    poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -60,6 +68,8 @@
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
     term::Term,
@@ -67,7 +77,11 @@
     token_index::TokenIndex,
     token_log::TokenLog,
     upstream::Upstream,
+    upstream_death::UpstreamDeath,
+    upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_record::{AskedReport, UpstreamRecord},
+    upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
 };
@@ -77,9 +91,12 @@
 mod bundle;
 mod bundle_version;
 mod call_budget;
+mod candidate;
+mod choice;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
+mod eligible;
 mod error;
 mod failed_call;
 mod finish;
@@ -88,13 +105,18 @@
 mod hybrid_clock;
 mod hybrid_time;
 mod incarnation;
+mod ineligible;
 mod instant;
 mod key_hash;
+mod leaving_source;
 mod model;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
 mod pinned;
+mod poison_hold;
+mod poison_mark;
+mod poison_tracker;
 mod progress_record;
 mod progress_store;
 mod progress_update;
@@ -111,6 +133,8 @@
 mod service;
 mod service_id;
 mod service_kind;
+mod subset;
+mod suspicion;
 mod team;
 mod team_id;
 mod term;
@@ -118,6 +142,10 @@
 mod token_index;
 mod token_log;
 mod upstream;
+mod upstream_death;
+mod upstream_evidence;
 mod upstream_id;
+mod upstream_record;
+mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
--- a/crates/decisions/src/progress_record.rs
+++ b/crates/decisions/src/progress_record.rs
@@ -60,7 +60,7 @@
         }
         Some(Self {
             id: update.id.clone(),
-            digest: update.digest.clone(),
+            digest: update.digest,
             pinned: update.pinned.clone()?,
             attempt: update.attempt,
             upstream: update.upstream.clone(),
