Graceful shutdown that cuts off nothing, and callers that send no headers

Cause: the HTTP library ends a server about 30 s after a signal, and it sets no time-out on headers. Change: its shutdown hook waits until nothing has been in flight for the grace period, then shuts the door in the same step, so that no request can begin between drain and end. A second signal ends at once, with an error that says how many requests it cut off. A connection is handed to the library only once the headers of its first request can be read, within 10 s. Left: headers of a second request on a kept connection are not bounded in time.

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -118,7 +118,7 @@
     }
 
     async fn complete(&self, req: Request) -> Result<Response, Problem> {
-        let in_flight = self.node.drain.enter();
+        let in_flight = self.node.drain.enter().ok_or(ProblemKind::Draining)?;
         let (parts, body) = req.into_parts();
         let caller = self.caller(&parts.headers)?;
         let body = self.read_body(body).await?;
--- a/crates/catkinward/src/daemon.rs
+++ b/crates/catkinward/src/daemon.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::http_server::Listener;
 use std::process::ExitCode;
+use tokio::signal;
 
 /// Runs the router daemon on a command line without the program's name.
 ///
@@ -30,11 +31,50 @@
 #[tokio::main]
 async fn serve(settings: Settings) -> Result<()> {
     start_logging(&settings.log);
+    let signals = Signals::new();
     let listener = Listener::bind(settings.listen).await?;
     let node = Node::start(settings)?;
     if let Some(peers) = &node.peers {
         println!("peers {}", peers.own().address);
     }
     println!("listening {}", listener.address()?);
-    node.serve(listener).await
+    let drain = node.drain.clone();
+    tokio::select! {
+        served = node.serve(listener) => served,
+        () = signals.second() => Err(Error::CutOff {
+            in_flight: drain.in_flight(),
+        }),
+    }
+}
+
+/// Signals that ask for the end.
+struct Signals {
+    streams: Vec<signal::unix::Signal>,
+}
+
+impl Signals {
+    /// Listens from now on.
+    fn new() -> Self {
+        let kinds = [
+            signal::unix::SignalKind::interrupt(),
+            signal::unix::SignalKind::terminate(),
+        ];
+        Self {
+            streams: kinds
+                .into_iter()
+                .filter_map(|kind| signal::unix::signal(kind).ok())
+                .collect(),
+        }
+    }
+
+    /// Waits for the second one: the first begins the graceful shutdown, the second ends at once.
+    async fn second(mut self) {
+        for _ in 0..2 {
+            let next = self
+                .streams
+                .iter_mut()
+                .map(|stream| Box::pin(stream.recv()));
+            futures::future::select_all(next).await;
+        }
+    }
 }
--- a/crates/catkinward/src/error.rs
+++ b/crates/catkinward/src/error.rs
@@ -19,6 +19,13 @@
         /// Where and why.
         source: serde_json::Error,
     },
+    /// A second signal ended the process before the drain had.
+    #[display("ended at the second signal; {in_flight} requests were cut off")]
+    #[from(skip)]
+    CutOff {
+        /// Requests that were in flight.
+        in_flight: usize,
+    },
     /// A decision refused its input.
     #[display("{_0}")]
     Decision(catkin_decisions::Error),
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -15,7 +15,7 @@
     ended: bool,
     /// Named in event ids where the caller can come back to another VM.
     vm: Option<VmId>,
-    _in_flight: crate::drain::InFlight,
+    _in_flight: InFlight,
 }
 
 /// Events of a generation from token `from` on, as the body of an answer.
@@ -23,7 +23,7 @@
     generation: Arc<Generation>,
     from: TokenIndex,
     vm: Option<VmId>,
-    in_flight: crate::drain::InFlight,
+    in_flight: InFlight,
 ) -> Body {
     let changes = generation.changes();
     let mut joiner = Utf8Joiner::default();
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -51,7 +51,7 @@
 pub use crate::{
     bundle_in_force::BundleInForce,
     daemon::run_daemon,
-    drain::Drain,
+    drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
     generation::Generation,
--- /dev/null
+++ b/crates/catkinward/tests/connections.rs
@@ -0,0 +1,38 @@
+//! Callers that hold connections without sending requests.
+
+use catkinward::http_server::Listener;
+use googletest::prelude::*;
+use std::net::SocketAddr;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+use volo::net::{MakeIncoming, incoming::Incoming};
+
+async fn listener() -> (Listener, SocketAddr) {
+    let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+    let listener = listener.expect("a free port");
+    let address = listener.address().expect("an address");
+    (listener, address)
+}
+
+/// Callers connect and send nothing, or the beginning of a request only. The server must go on
+/// taking others, and must not be handed those.
+#[gtest]
+#[tokio::test]
+async fn silent_and_trickling_callers_hold_up_no_other() {
+    let (listener, address) = listener().await;
+    let mut incoming = listener.make_incoming().await.expect("it listens");
+    let mut held = Vec::new();
+    for sent in ["", "GET / HT", "GET / HTTP/1.1\r\nhost: a\r\n"] {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(sent.as_bytes()).await.expect("sent");
+        held.push(stream);
+    }
+    let mut whole = TcpStream::connect(address).await.expect("a connection");
+    whole.write_all(b"GET / HTTP/1.1\r\n").await.expect("sent");
+    whole.write_all(b"host: a\r\n\r\n").await.expect("sent");
+
+    let accepted = incoming.accept().await.expect("accepted").expect("one");
+
+    let peer = accepted.info.peer_addr.expect("a peer").to_string();
+    let expected = whole.local_addr().expect("an address").to_string();
+    expect_that!(peer, contains_substring(expected.as_str()));
+}
--- /dev/null
+++ b/crates/catkinward/tests/drain.rs
@@ -0,0 +1,58 @@
+//! When a graceful shutdown may end.
+
+use catkinward::Drain;
+use googletest::prelude::*;
+use std::{sync::Arc, time::Duration};
+
+const GRACE: Duration = Duration::from_secs(1);
+
+/// The router is told to shut down while a generation of minutes runs. Were the drain over before
+/// it ends, the HTTP library would cut it off half a minute later.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn drain_lasts_as_long_as_a_request_is_in_flight() {
+    let drain = Arc::new(Drain::default());
+    let request = drain.enter();
+    drain.begin();
+
+    let early = tokio::time::timeout(Duration::from_secs(600), drain.finished(GRACE)).await;
+    drop(request);
+    let late = tokio::time::timeout(2 * GRACE, drain.finished(GRACE)).await;
+
+    expect_that!(early, err(anything()));
+    expect_that!(late, ok(eq(&())));
+}
+
+/// The balancer goes on sending for some seconds after the readiness check fails. Requests that
+/// come then are still served, and the drain waits for them too.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn request_within_the_grace_period_prolongs_the_drain() {
+    let drain = Arc::new(Drain::default());
+    drain.begin();
+    let finished = tokio::spawn({
+        let drain = drain.clone();
+        async move { drain.finished(GRACE).await }
+    });
+    tokio::time::sleep(GRACE / 2).await;
+    let request = drain.enter();
+
+    tokio::time::sleep(GRACE * 5).await;
+
+    expect_that!(request.is_some(), eq(true));
+    expect_that!(finished.is_finished(), eq(false));
+}
+
+/// A request comes in after the drain has ended and before the process has. It would be cut off, so
+/// it is not begun.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn no_request_begins_after_the_drain() {
+    let drain = Arc::new(Drain::default());
+    drain.begin();
+    drain.finished(GRACE).await;
+
+    let request = drain.enter();
+
+    expect_that!(request.is_none(), eq(true));
+}
