Claims: at most one dispatch for each idempotency key

Cause: a non-idempotent request that is sent again, to any VM, must not run twice, and its caller must get the recorded answer.

Change: a claim (team, key, digest, random token) is inserted under a condition before the dispatch. `Claimed` has no public constructor: only a settled change makes one, and dispatching takes it. One transaction at a time per VM commits all claims and ends that wait. A lost answer is settled by sending the same change again, since a read could miss a transaction that is still under way; a doubtful claim that is given up is released under its own token.

Conclusion: the service is whole by itself; the path of plain calls is next.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -19,3 +19,7 @@
 #[rustfmt::skip]
 #[path = "generated/platform.rs"]
 pub mod platform;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/rows.rs"]
+pub mod rows;
--- /dev/null
+++ b/crates/catkinward/src/claim_committer.rs
@@ -0,0 +1,159 @@
+//! The task that commits claims in groups, one transaction at a time.
+
+use super::*;
+use crate::claim_row::{CLAIMS, claim_value, expiry_write, found_claim};
+use tokio::sync::oneshot;
+
+/// Commits claims and their ends.
+pub(crate) struct ClaimCommitter {
+    platform: Arc<Platform>,
+    timer: Arc<Timer>,
+    cfg: ClaimSettings,
+    queue: Mutex<ClaimQueue<Waiter>>,
+    work: Notify,
+    empty: watch::Sender<bool>,
+}
+
+/// Who is told what became of a claim.
+pub(crate) struct Waiter(pub(crate) oneshot::Sender<ClaimFate>);
+
+/// Claims that expire within so many milliseconds of each other share a row by which they are swept.
+const EXPIRY_STEP: u64 = 60_000;
+
+impl ClaimCommitter {
+    pub(crate) fn start(
+        platform: Arc<Platform>,
+        timer: Arc<Timer>,
+        cfg: ClaimSettings,
+    ) -> Arc<Self> {
+        let committer = Arc::new(Self {
+            platform,
+            timer,
+            cfg,
+            queue: Mutex::new(ClaimQueue::new(cfg.group_max)),
+            work: Notify::new(),
+            empty: watch::Sender::new(true),
+        });
+        tokio::spawn(committer.clone().run());
+        committer
+    }
+
+    pub(crate) fn claim(&self, change: ClaimChange, deadline: Instant, waiter: Waiter) {
+        self.add(|queue| queue.claim(change, deadline, waiter));
+    }
+
+    pub(crate) fn end(&self, change: ClaimChange) {
+        self.add(|queue| queue.end(change));
+    }
+
+    /// Waits until nothing waits or is under way.
+    pub(crate) async fn flush(&self) {
+        let mut empty = self.empty.subscribe();
+        let _ = empty.wait_for(|empty| *empty).await;
+    }
+
+    fn add(&self, add: impl FnOnce(&mut ClaimQueue<Waiter>)) {
+        let mut queue = self.queue.lock();
+        add(&mut queue);
+        self.empty.send_replace(false);
+        drop(queue);
+        self.work.notify_one();
+    }
+
+    /// Notes whether all is settled. It holds the queue meanwhile: an end added in between would
+    /// else be overlooked by a process that waits for it before it ends.
+    fn note_empty(&self) -> bool {
+        let queue = self.queue.lock();
+        self.empty.send_replace(queue.is_empty());
+        queue.is_empty()
+    }
+
+    async fn run(self: Arc<Self>) {
+        loop {
+            let now = self.timer.now();
+            let (given_up, group) = {
+                let mut queue = self.queue.lock();
+                (queue.give_up(now), queue.next_group())
+            };
+            self.tell(given_up);
+            let Some(group) = group else {
+                if self.note_empty() {
+                    self.work.notified().await;
+                }
+                continue;
+            };
+            let answer = self.transact(&group).await;
+            let settled = self.queue.lock().answer(&answer);
+            self.tell(settled);
+            if matches!(answer, GroupAnswer::NotRun | GroupAnswer::Unknown) {
+                tokio::time::sleep(self.cfg.retry_pause).await;
+            }
+        }
+    }
+
+    fn tell(&self, fates: Vec<(Waiter, ClaimFate)>) {
+        for (waiter, fate) in fates {
+            if let Err(ClaimFate::Claimed(claimed)) = waiter.0.send(fate) {
+                self.give_back(claimed);
+            }
+        }
+    }
+
+    /// Gives back a claim that was settled after its caller had been told that it did not run.
+    fn give_back(&self, claimed: Claimed) {
+        let expires = claims::wall_now().after(self.cfg.retention);
+        let held = claimed.give_back();
+        self.queue
+            .lock()
+            .end(held.end(ClaimStage::Released, expires));
+    }
+
+    async fn transact(&self, group: &[ClaimChange]) -> GroupAnswer {
+        let req = platform_border::TransactRequest {
+            conditions: group.iter().map(condition).collect(),
+            writes: group.iter().map(write).chain(expiries(group)).collect(),
+        };
+        match (self.platform.transact)(req).await {
+            Ok(reply) if reply.committed => GroupAnswer::Committed,
+            Ok(reply) => GroupAnswer::Conflicts(reply.conflicts.iter().map(found_claim).collect()),
+            Err(PlatformFault::Unknown) => GroupAnswer::Unknown,
+            Err(PlatformFault::NotRun | PlatformFault::Throttled | PlatformFault::OutOfBudget) => {
+                GroupAnswer::NotRun
+            }
+        }
+    }
+}
+
+fn condition(change: &ClaimChange) -> platform_border::Condition {
+    platform_border::Condition {
+        key: change.key.to_string(),
+        table: CLAIMS.to_owned(),
+        version: change.expected,
+    }
+}
+
+fn write(change: &ClaimChange) -> platform_border::Write {
+    platform_border::Write {
+        key: change.key.to_string(),
+        table: CLAIMS.to_owned(),
+        value: Some(claim_value(&change.record)),
+    }
+}
+
+/// The rows by which the claims of a group are swept: one for each minute in which some expire.
+fn expiries(group: &[ClaimChange]) -> Vec<platform_border::Write> {
+    let mut steps = group
+        .iter()
+        .map(|change| change.record.expires.0.div_ceil(EXPIRY_STEP))
+        .collect::<Vec<_>>();
+    steps.sort_unstable();
+    steps.dedup();
+    let of_step = |step: &u64| {
+        let keys = group
+            .iter()
+            .filter(|change| change.record.expires.0.div_ceil(EXPIRY_STEP) == *step)
+            .map(|change| change.key.to_string());
+        expiry_write(WallTime(step * EXPIRY_STEP), rand::random(), keys.collect())
+    };
+    steps.iter().map(of_step).collect()
+}
--- /dev/null
+++ b/crates/catkinward/src/claim_row.rs
@@ -0,0 +1,140 @@
+//! Rows of the tables `claims` and `claim_expiries`, to and from what the decisions know.
+
+use super::*;
+use catkin_border::rows;
+use catkin_decisions::to_hex;
+
+/// Table of claims.
+pub(crate) const CLAIMS: &str = "claims";
+
+/// Table by which claims are swept.
+pub(crate) const EXPIRIES: &str = "claim_expiries";
+
+/// The claim in a row; `None` in it if the row is absent or cannot be read.
+pub(crate) fn found_claim(row: &platform_border::Row) -> FoundClaim {
+    FoundClaim {
+        key: ClaimRowKey::from(row.key.as_str()),
+        version: row.version,
+        record: read_record(&row.value),
+    }
+}
+
+/// The value of a claim's row.
+pub(crate) fn claim_value(record: &ClaimRecord) -> String {
+    let (stage, answer) = match &record.stage {
+        ClaimStage::Claimed => (rows::ClaimStage::Claimed, None),
+        ClaimStage::Released => (rows::ClaimStage::Released, None),
+        ClaimStage::Done(ClaimOutcome::Unknown) => (rows::ClaimStage::Unknown, None),
+        ClaimStage::Done(ClaimOutcome::Answered(answer)) => {
+            (rows::ClaimStage::Answered, Some(write_answer(answer)))
+        }
+    };
+    json_text(&rows::ClaimRow {
+        answer,
+        deadline_ms: record.deadline.0,
+        digest: record.digest.to_string(),
+        expires_ms: record.expires.0,
+        holder: record.holder.to_string(),
+        incarnation: record.incarnation.0,
+        kind: match record.kind {
+            ClaimKind::Call => rows::ClaimKind::Call,
+            ClaimKind::Generation => rows::ClaimKind::Generation,
+        },
+        request_id: record.request.to_string(),
+        stage,
+        token: record.token.to_string(),
+    })
+}
+
+/// The row by which claims that expire together are found; `salt` keeps such rows apart.
+pub(crate) fn expiry_write(
+    expires: WallTime,
+    salt: u64,
+    keys: Vec<String>,
+) -> platform_border::Write {
+    platform_border::Write {
+        key: format!("{:015}/{salt:016x}", expires.0),
+        table: EXPIRIES.to_owned(),
+        value: Some(json_text(&rows::ClaimExpiryRow { keys })),
+    }
+}
+
+/// When the claims of an expiry row expire, and their keys.
+pub(crate) fn read_expiry(row: &platform_border::Row) -> Option<(WallTime, Vec<String>)> {
+    let (expires, _) = row.key.split_once('/')?;
+    let value = serde_json::from_str::<rows::ClaimExpiryRow>(&row.value).ok()?;
+    Some((expires.parse().ok()?, value.keys))
+}
+
+fn read_record(value: &str) -> Option<ClaimRecord> {
+    let row = serde_json::from_str::<rows::ClaimRow>(value).ok()?;
+    let stage = match (row.stage, row.answer) {
+        (rows::ClaimStage::Claimed, _) => ClaimStage::Claimed,
+        (rows::ClaimStage::Released, _) => ClaimStage::Released,
+        (rows::ClaimStage::Unknown, _) => ClaimStage::Done(ClaimOutcome::Unknown),
+        (rows::ClaimStage::Answered, answer) => {
+            ClaimStage::Done(ClaimOutcome::Answered(read_answer(answer?)?))
+        }
+    };
+    Some(ClaimRecord {
+        digest: row.digest.parse().ok()?,
+        token: row.token.parse().ok()?,
+        kind: match row.kind {
+            rows::ClaimKind::Call => ClaimKind::Call,
+            rows::ClaimKind::Generation => ClaimKind::Generation,
+        },
+        holder: row.holder.parse().ok()?,
+        incarnation: Incarnation(row.incarnation),
+        request: row.request_id.parse().ok()?,
+        deadline: WallTime(row.deadline_ms),
+        expires: WallTime(row.expires_ms),
+        stage,
+    })
+}
+
+fn write_answer(answer: &RecordedAnswer) -> rows::ClaimAnswer {
+    let headers = answer
+        .headers
+        .iter()
+        .map(|(name, value)| rows::ClaimHeader {
+            name: name.to_string(),
+            value: value.to_string(),
+        });
+    let mut row = rows::ClaimAnswer {
+        body_hex: None,
+        body_object: None,
+        body_text: None,
+        headers: headers.collect(),
+        status: answer.status,
+    };
+    match &answer.body {
+        RecordedBody::Inline(body) => match std::str::from_utf8(body) {
+            Ok(text) => row.body_text = Some(text.to_owned()),
+            Err(_) => row.body_hex = Some(to_hex(body)),
+        },
+        RecordedBody::Object(name) => row.body_object = Some(name.to_string()),
+        RecordedBody::TooLarge => {}
+    }
+    row
+}
+
+fn read_answer(row: rows::ClaimAnswer) -> Option<RecordedAnswer> {
+    let body = match (row.body_text, row.body_hex, row.body_object) {
+        (Some(text), ..) => RecordedBody::Inline(text.into_bytes().into()),
+        (_, Some(hex), _) => RecordedBody::Inline(parse_hex(&hex)?.into()),
+        (.., Some(name)) => RecordedBody::Object(name.into()),
+        _ => RecordedBody::TooLarge,
+    };
+    let headers = row.headers.into_iter();
+    Some(RecordedAnswer {
+        status: row.status,
+        headers: headers
+            .map(|header| (header.name.into(), header.value.into()))
+            .collect(),
+        body,
+    })
+}
+
+fn json_text<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("border types have text keys only")
+}
--- /dev/null
+++ b/crates/catkinward/src/claim_sweep.rs
@@ -0,0 +1,81 @@
+//! Deletion of expired claims.
+//!
+//! Load pattern: claims come at hundreds a second and are kept for a day, so there are millions of
+//! rows and nearly all of them must stay. A scan of the claims themselves would read them all to find
+//! the few that expire; it would take the platform's reads from everybody. The expiry table is in
+//! order of time instead, one row for each group and minute, and a sweep reads only what is due.
+
+use super::*;
+use crate::claim_row::{CLAIMS, EXPIRIES, found_claim, read_expiry};
+
+/// Expiry rows of a page. With some ten claims each a page deletes a few hundred rows, about what a
+/// full group writes.
+const PAGE: std::num::NonZeroU32 = std::num::NonZeroU32::new(20).expect("not zero");
+
+pub(crate) async fn sweep_page(platform: &Platform, now: WallTime) -> Result<bool, PlatformFault> {
+    let page = platform_border::ScanRequest {
+        table: EXPIRIES.to_owned(),
+        prefix: String::new(),
+        after: None,
+        limit: PAGE,
+    };
+    let rows = (platform.scan)(page).await?;
+    let due = rows
+        .iter()
+        .filter_map(|row| Some((row, read_expiry(row)?)))
+        .filter(|(_, (expires, _))| *expires <= now)
+        .collect::<Vec<_>>();
+    if due.is_empty() {
+        return Ok(false);
+    }
+    let mut keys = due
+        .iter()
+        .flat_map(|(_, (_, keys))| keys.clone())
+        .collect::<Vec<_>>();
+    keys.sort();
+    keys.dedup();
+    let claims = read_claims(platform, keys).await?;
+    let expired = claims
+        .iter()
+        .filter(|claim| claim.record.as_ref().is_some_and(|r| r.is_expired(now)))
+        .collect::<Vec<_>>();
+    let index = due.iter().map(|(row, _)| deletion(EXPIRIES, &row.key));
+    let rows = expired
+        .iter()
+        .map(|claim| deletion(CLAIMS, claim.key.as_str()));
+    let req = platform_border::TransactRequest {
+        // A claim that has been written meanwhile has a new expiry row, and this one is tried again.
+        conditions: expired.iter().map(|claim| unchanged(claim)).collect(),
+        writes: index.chain(rows).collect(),
+    };
+    (platform.transact)(req).await?;
+    Ok(due.len() == PAGE.get() as usize)
+}
+
+async fn read_claims(
+    platform: &Platform,
+    keys: Vec<String>,
+) -> Result<Vec<FoundClaim>, PlatformFault> {
+    let keys = keys.into_iter().map(|key| platform_border::RowKey {
+        key,
+        table: CLAIMS.to_owned(),
+    });
+    let rows = (platform.read)(keys.collect()).await?;
+    Ok(rows.iter().map(found_claim).collect())
+}
+
+fn deletion(table: &str, key: &str) -> platform_border::Write {
+    platform_border::Write {
+        key: key.to_owned(),
+        table: table.to_owned(),
+        value: None,
+    }
+}
+
+fn unchanged(claim: &FoundClaim) -> platform_border::Condition {
+    platform_border::Condition {
+        key: claim.key.to_string(),
+        table: CLAIMS.to_owned(),
+        version: claim.version,
+    }
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,10 +9,13 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, Instant, KeyHash,
-        Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex,
-        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        Attempt, AvailabilityZone, Bundle, BundleVersion, ClaimChange, ClaimFate, ClaimKind,
+        ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict,
+        Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, IdempotencyKey, Incarnation,
+        Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecordedAnswer,
+        RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service,
+        ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
+        Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -45,6 +48,8 @@
 
 pub use crate::{
     bundle_in_force::BundleInForce,
+    claim_settings::ClaimSettings,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
     drain::Drain,
     error::Error,
@@ -68,6 +73,11 @@
 mod bundle_format;
 mod bundle_in_force;
 mod caller_border;
+mod claim_committer;
+mod claim_row;
+mod claim_settings;
+mod claim_sweep;
+mod claims;
 mod daemon;
 mod drain;
 mod engine_client;
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -42,6 +42,9 @@
         /// Why it is none.
         source: ParseIntError,
     },
+    /// A request digest that is none.
+    #[display("a request digest must have 32 lower-case hexadecimal digits")]
+    RequestDigest,
     /// A token log whose parts do not fit together.
     #[display("a token log's ids, ends and bytes do not fit together")]
     TokenLog,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
+    crate::claim_change::Judged,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -26,6 +27,14 @@
     bundle::Bundle,
     bundle_version::BundleVersion,
     call_budget::{CallBudget, CallBudgetSettings},
+    claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
+    claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
+    claim_record::{
+        ClaimKind, ClaimOutcome, ClaimRecord, ClaimStage, RecordedAnswer, RecordedBody,
+    },
+    claim_token::ClaimToken,
+    claim_verdict::ClaimVerdict,
+    claimed::{Claimed, HeldClaim},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -34,6 +43,7 @@
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
@@ -67,6 +77,7 @@
     upstream_id::UpstreamId,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
+    wall_time::WallTime,
 };
 
 mod attempt;
@@ -74,6 +85,12 @@
 mod bundle;
 mod bundle_version;
 mod call_budget;
+mod claim_change;
+mod claim_queue;
+mod claim_record;
+mod claim_token;
+mod claim_verdict;
+mod claimed;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
@@ -82,6 +99,7 @@
 mod finish;
 mod hedge;
 mod hex;
+mod idempotency_key;
 mod incarnation;
 mod instant;
 mod key_hash;
@@ -115,3 +133,4 @@
 mod upstream_id;
 mod utf8_joiner;
 mod vm_id;
+mod wall_time;
--- a/crates/decisions/src/request_digest.rs
+++ b/crates/decisions/src/request_digest.rs
@@ -12,6 +12,17 @@
     }
 }
 
+impl FromStr for RequestDigest {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self, Error> {
+        match parse_hex(s) {
+            Some(bytes) if bytes.len() == 16 => Ok(Self(s.into())),
+            _ => Err(Error::RequestDigest),
+        }
+    }
+}
+
 impl RequestId {
     /// The id of the request that a team sends under an idempotency key: the same on every VM, so
     /// that a caller who comes back to another one is recognised.
--- /dev/null
+++ b/crates/decisions/tests/claims.rs
@@ -0,0 +1,438 @@
+//! Claims: one dispatch for each key, whatever becomes of the calls of the table service.
+
+use catkin_decisions::{
+    ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey,
+    ClaimStage, ClaimToken, ClaimVerdict, Claimed, FoundClaim, GroupAnswer, HeldClaim, Incarnation,
+    Instant, RequestDigest, TeamId, WallTime,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn team() -> TeamId {
+    "counter".parse().expect("a valid name")
+}
+
+fn change(key: &str, token: u128, digest: &[u8]) -> ClaimChange {
+    ClaimChange {
+        key: ClaimRowKey::new(&team(), &key.parse().expect("a valid key")),
+        expected: 0,
+        record: ClaimRecord {
+            digest: RequestDigest::of(&team(), digest),
+            token: ClaimToken(token),
+            kind: ClaimKind::Call,
+            holder: "vm-1".parse().expect("a valid id"),
+            incarnation: Incarnation(1),
+            request: "request".parse().expect("a valid id"),
+            deadline: WallTime(10_000),
+            expires: WallTime(1_000_000),
+            stage: ClaimStage::Claimed,
+        },
+    }
+}
+
+fn found(change: &ClaimChange, version: u64) -> FoundClaim {
+    FoundClaim {
+        key: change.key.clone(),
+        version,
+        record: Some(change.record.clone()),
+    }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant(Duration::from_millis(ms))
+}
+
+/// Two requests wait; another VM has the key of one. The other one must not suffer for it.
+#[gtest]
+fn a_taken_key_does_not_hold_up_its_group() {
+    let mut queue = ClaimQueue::default();
+    let theirs = change("a", 9, b"order");
+    queue.claim(change("a", 1, b"order"), at(1000), "a");
+    queue.claim(change("b", 2, b"order"), at(1000), "b");
+    queue.next_group().expect("two wait");
+
+    let first = queue.answer(&GroupAnswer::Conflicts(vec![found(&theirs, 1)]));
+    let again = queue.next_group().expect("one is left");
+    let second = queue.answer(&GroupAnswer::Committed);
+
+    expect_that!(
+        first,
+        elements_are![(eq(&"a"), eq(&ClaimFate::Taken(found(&theirs, 1))))]
+    );
+    expect_that!(again, eq(&[change("b", 2, b"order")]));
+    expect_that!(
+        second,
+        elements_are![(eq(&"b"), matches_pattern!(ClaimFate::Claimed(_)))]
+    );
+}
+
+/// The answer to a claim is lost. Sent again, it finds its own row, and its request may run.
+#[gtest]
+fn a_lost_answer_is_settled_by_the_own_token() {
+    let mut queue = ClaimQueue::default();
+    let mine = change("a", 1, b"order");
+    queue.claim(mine.clone(), at(1000), ());
+    queue.next_group().expect("one waits");
+    expect_that!(queue.answer(&GroupAnswer::Unknown), is_empty());
+    queue.next_group().expect("it waits again");
+
+    let told = queue.answer(&GroupAnswer::Conflicts(vec![found(&mine, 1)]));
+
+    expect_that!(
+        told,
+        elements_are![(eq(&()), matches_pattern!(ClaimFate::Claimed(_)))]
+    );
+}
+
+/// The answer to a claim is lost and the table service goes out, so the caller hears that its order
+/// did not run. The claim may stand in the table all the same; left there, the caller's next try
+/// would hear that nobody knows, of an order that certainly never ran.
+#[gtest]
+fn a_doubtful_claim_that_is_given_up_is_released() {
+    let mut queue = ClaimQueue::default();
+    queue.claim(change("a", 1, b"order"), at(1000), ());
+    queue.next_group().expect("one waits");
+    queue.answer(&GroupAnswer::Unknown);
+
+    let told = queue.give_up(at(1000));
+    let group = queue.next_group().expect("the release waits");
+
+    expect_that!(told, elements_are![eq(&((), ClaimFate::GivenUp))]);
+    expect_that!(group[0].record.stage, eq(&ClaimStage::Released));
+    expect_that!(group[0].record.token, eq(ClaimToken(1)));
+}
+
+#[gtest]
+fn a_claim_that_never_left_is_given_up_without_a_write() {
+    let mut queue = ClaimQueue::default();
+    queue.claim(change("a", 1, b"order"), at(1000), ());
+    queue.next_group().expect("one waits");
+    queue.answer(&GroupAnswer::NotRun);
+
+    let told = queue.give_up(at(1000));
+
+    expect_that!(told, elements_are![eq(&((), ClaimFate::GivenUp))]);
+    expect_that!(queue.next_group(), none());
+}
+
+/// An order was refused before its dispatch and its claim released. The caller's next try must run.
+#[gtest]
+fn a_released_key_can_be_claimed_again_by_the_same_request() {
+    let mut queue = ClaimQueue::default();
+    let mut theirs = change("a", 9, b"order");
+    theirs.record.stage = ClaimStage::Released;
+    queue.claim(change("a", 1, b"order"), at(1000), ());
+    queue.next_group().expect("one waits");
+    queue.answer(&GroupAnswer::Conflicts(vec![found(&theirs, 4)]));
+
+    let again = queue.next_group().expect("it waits again");
+
+    expect_that!(again[0].expected, eq(4));
+}
+
+struct VerdictCase {
+    name: &'static str,
+    digest: &'static [u8],
+    stage: ClaimStage,
+    now: u64,
+    verdict: fn(&ClaimVerdict) -> bool,
+}
+
+fn verdict_cases() -> Vec<VerdictCase> {
+    let case = |name, digest, stage, now, verdict| VerdictCase {
+        name,
+        digest,
+        stage,
+        now,
+        verdict,
+    };
+    let unknown = || ClaimStage::Done(ClaimOutcome::Unknown);
+    vec![
+        case("another request", b"other", ClaimStage::Claimed, 0, |v| {
+            *v == ClaimVerdict::Conflict
+        }),
+        case("another request, ended", b"other", unknown(), 0, |v| {
+            *v == ClaimVerdict::Conflict
+        }),
+        case(
+            "holder at work",
+            b"order",
+            ClaimStage::Claimed,
+            9_000,
+            |v| matches!(v, ClaimVerdict::InProgress(_)),
+        ),
+        case(
+            "holder's clock behind",
+            b"order",
+            ClaimStage::Claimed,
+            12_000,
+            |v| matches!(v, ClaimVerdict::InProgress(_)),
+        ),
+        case("holder gone", b"order", ClaimStage::Claimed, 16_000, |v| {
+            *v == ClaimVerdict::Done(ClaimOutcome::Unknown)
+        }),
+        case("unknown end", b"order", unknown(), 0, |v| {
+            *v == ClaimVerdict::Done(ClaimOutcome::Unknown)
+        }),
+    ]
+}
+
+/// A caller sends its order again, in each state that the first one can be in. None of them leads to
+/// a second dispatch.
+#[gtest]
+fn a_taken_key_never_leads_to_a_dispatch() {
+    for case in verdict_cases() {
+        let mut theirs = change("a", 9, b"order");
+        theirs.record.stage = case.stage;
+        let digest = RequestDigest::of(&team(), case.digest);
+
+        let verdict = ClaimVerdict::of_row(
+            &digest,
+            found(&theirs, 1),
+            WallTime(case.now),
+            Duration::from_secs(5),
+        );
+
+        expect_that!((case.verdict)(&verdict), eq(true), "{}", case.name);
+    }
+}
+
+const KEYS: [&str; 3] = ["a", "b", "c"];
+const VMS: usize = 3;
+
+/// A table, VMs with their queues, and a network that loses answers, delays calls beyond their
+/// timeout, and lets VMs crash or hold a claim for as long as it likes.
+#[derive(Default)]
+struct World {
+    now: u64,
+    tokens: u128,
+    rows: Vec<FoundClaim>,
+    vms: Vec<Vm>,
+    calls: Vec<Call>,
+    dispatched: Vec<(ClaimRowKey, ClaimToken)>,
+}
+
+#[derive(Default)]
+struct Vm {
+    epoch: u32,
+    queue: ClaimQueue<()>,
+    waits_for: Option<usize>,
+    claimed: Vec<Claimed>,
+    running: Vec<HeldClaim>,
+}
+
+struct Call {
+    vm: usize,
+    epoch: u32,
+    group: Vec<ClaimChange>,
+    done: bool,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            vms: (0..VMS).map(|_| Vm::default()).collect(),
+            ..Self::default()
+        }
+    }
+
+    fn step(&mut self, action: u8, vm: usize, pick: usize) {
+        match action {
+            0 | 1 => self.submit(vm, pick),
+            2 | 3 => self.send(vm),
+            4 | 5 => self.deliver(pick, true),
+            6 => self.deliver(pick, false),
+            7 => self.answer(vm, &GroupAnswer::Unknown),
+            8 => self.lose(pick),
+            9 => self.give_up(vm),
+            10 | 11 => self.dispatch(vm),
+            12 => self.end(vm),
+            13 => self.release(vm),
+            14 => self.crash(vm),
+            _ => self.refuse(vm),
+        }
+    }
+
+    fn submit(&mut self, vm: usize, pick: usize) {
+        self.tokens += 1;
+        let key = KEYS[pick % KEYS.len()];
+        let change = change(key, self.tokens, b"order");
+        let deadline = at(self.now + 3);
+        self.vms[vm].queue.claim(change, deadline, ());
+    }
+
+    fn send(&mut self, vm: usize) {
+        let Some(group) = self.vms[vm].queue.next_group() else {
+            return;
+        };
+        self.vms[vm].waits_for = Some(self.calls.len());
+        self.calls.push(Call {
+            vm,
+            epoch: self.vms[vm].epoch,
+            group,
+            done: false,
+        });
+    }
+
+    /// A call arrives at the table service; its answer comes through or is lost.
+    fn deliver(&mut self, pick: usize, answered: bool) {
+        let open = self.calls.iter().enumerate().filter(|(_, c)| !c.done);
+        let open = open.map(|(i, _)| i).collect::<Vec<_>>();
+        if open.is_empty() {
+            return;
+        }
+        let i = open[pick % open.len()];
+        self.calls[i].done = true;
+        let group = self.calls[i].group.clone();
+        let answer = self.transact(&group);
+        let call = &self.calls[i];
+        let vm = call.vm;
+        let waits = self.vms[vm].epoch == call.epoch && self.vms[vm].waits_for == Some(i);
+        if waits {
+            self.answer(
+                vm,
+                if answered {
+                    &answer
+                } else {
+                    &GroupAnswer::Unknown
+                },
+            );
+        }
+    }
+
+    fn lose(&mut self, pick: usize) {
+        let count = self.calls.len();
+        if let Some(call) = self.calls.get_mut(pick % count.max(1)) {
+            call.done = true;
+        }
+    }
+
+    fn refuse(&mut self, vm: usize) {
+        let Some(i) = self.vms[vm].waits_for else {
+            return;
+        };
+        if !self.calls[i].done {
+            self.calls[i].done = true;
+            self.answer(vm, &GroupAnswer::NotRun);
+        }
+    }
+
+    fn transact(&mut self, group: &[ClaimChange]) -> GroupAnswer {
+        let row = |key: &ClaimRowKey| self.rows.iter().find(|row| row.key == *key).cloned();
+        let conflicts = group
+            .iter()
+            .filter_map(|change| {
+                let row = row(&change.key).unwrap_or(FoundClaim {
+                    key: change.key.clone(),
+                    version: 0,
+                    record: None,
+                });
+                (row.version != change.expected).then_some(row)
+            })
+            .collect::<Vec<_>>();
+        if !conflicts.is_empty() {
+            return GroupAnswer::Conflicts(conflicts);
+        }
+        for change in group {
+            self.rows.retain(|row| row.key != change.key);
+            self.rows.push(found(change, change.expected + 1));
+        }
+        GroupAnswer::Committed
+    }
+
+    fn answer(&mut self, vm: usize, answer: &GroupAnswer) {
+        let vm = &mut self.vms[vm];
+        if vm.waits_for.take().is_none() {
+            return;
+        }
+        for ((), fate) in vm.queue.answer(answer) {
+            if let ClaimFate::Claimed(claimed) = fate {
+                vm.claimed.push(claimed);
+            }
+        }
+    }
+
+    fn give_up(&mut self, vm: usize) {
+        self.now += 1;
+        self.vms[vm].queue.give_up(at(self.now));
+    }
+
+    fn dispatch(&mut self, vm: usize) {
+        let Some(claimed) = self.vms[vm].claimed.pop() else {
+            return;
+        };
+        let ((), held) = claimed.dispatch();
+        self.dispatched
+            .push((held.key().clone(), held.record().token));
+        self.vms[vm].running.push(held);
+    }
+
+    fn end(&mut self, vm: usize) {
+        if let Some(held) = self.vms[vm].running.pop() {
+            let stage = ClaimStage::Done(ClaimOutcome::Unknown);
+            self.vms[vm].queue.end(held.end(stage, WallTime(1)));
+        }
+    }
+
+    fn release(&mut self, vm: usize) {
+        if let Some(claimed) = self.vms[vm].claimed.pop() {
+            let held = claimed.give_back();
+            let change = held.end(ClaimStage::Released, WallTime(1));
+            self.vms[vm].queue.end(change);
+        }
+    }
+
+    fn crash(&mut self, vm: usize) {
+        let epoch = self.vms[vm].epoch + 1;
+        self.vms[vm] = Vm {
+            epoch,
+            ..Vm::default()
+        };
+    }
+
+    /// All calls arrive and are answered until nothing is left to do.
+    fn settle(&mut self) {
+        while self.calls.iter().any(|call| !call.done) {
+            self.deliver(0, true);
+        }
+        for _ in 0..20 {
+            for vm in 0..VMS {
+                self.answer(vm, &GroupAnswer::Unknown);
+                self.send(vm);
+                self.deliver(0, true);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    /// VMs claim the same keys while calls are lost before and after their effect, arrive after
+    /// their senders gave up, and processes die or pause between claim and dispatch. If any key were
+    /// dispatched twice, a press would print an order twice.
+    #[test]
+    fn no_key_is_dispatched_twice(
+        steps in prop::collection::vec((0_u8..16, 0_usize..VMS, 0_usize..8), 0..120),
+    ) {
+        let mut world = World::new();
+
+        for (action, vm, pick) in steps {
+            world.step(action, vm, pick);
+        }
+        world.settle();
+
+        let mut keys = world.dispatched.iter().map(|(key, _)| key).collect::<Vec<_>>();
+        keys.sort();
+        prop_assert!(keys.windows(2).all(|pair| pair[0] != pair[1]), "{:?}", world.dispatched);
+        for (key, token) in &world.dispatched {
+            let row = world.rows.iter().find(|row| row.key == *key);
+            let record = row.and_then(|row| row.record.as_ref());
+            prop_assert_eq!(record.map(|record| record.token), Some(*token));
+        }
+        for vm in &world.vms {
+            prop_assert!(vm.queue.is_empty(), "something is left: {:?}", vm.queue);
+        }
+    }
+}
--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -74,6 +74,13 @@
         rows
     }
 
+    /// Keys of a table, for tests; not counted as a read.
+    #[must_use]
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.table(table).iter();
+        rows.map(|row| row.key.clone()).collect()
+    }
+
     /// Stores an object.
     pub fn put_object(&mut self, name: &str, body: Bytes) {
         self.stats.object_writes += 1;
--- a/crates/standins/src/scripted_platform.rs
+++ b/crates/standins/src/scripted_platform.rs
@@ -39,6 +39,11 @@
         self.inner.lock().fates.extend(fates);
     }
 
+    /// Forgets the fates that are left: what comes now is answered.
+    pub fn forget_script(&self) {
+        self.inner.lock().fates.clear();
+    }
+
     /// Begins or ends an outage in which every call is refused.
     pub fn outage(&self, out: bool) {
         self.inner.lock().out = out;
