--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -11,11 +11,11 @@
     catkin_decisions::{
         Attempt, AvailabilityZone, Bundle, BundleVersion, ClaimChange, ClaimFate, ClaimKind,
         ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict,
-        Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, IdempotencyKey, Incarnation,
-        Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecordedAnswer,
+        Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, HybridClock, IdempotencyKey,
+        Incarnation, Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecordedAnswer,
         RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service,
-        ServiceId, ServiceKind, Team, TeamId, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
-        Utf8Joiner, VmId, WallTime, parse_hex,
+        ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
+        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -46,6 +46,8 @@
     },
 };
 
+pub use catkin_decisions::HybridTime;
+
 pub use crate::{
     bundle_in_force::BundleInForce,
     claim_settings::ClaimSettings,
@@ -53,6 +55,7 @@
     daemon::run_daemon,
     drain::Drain,
     error::Error,
+    event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
     kernel::Kernel,
@@ -60,8 +63,10 @@
     node::Node,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
+    process_clock::{CLOCK_HEADER, ProcessClock},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
+    timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
     upstreams::Upstreams,
 };
@@ -83,6 +88,7 @@
 mod engine_client;
 mod engine_event;
 mod error;
+mod event;
 mod event_stream;
 mod generation;
 mod generation_driver;
@@ -98,8 +104,10 @@
 mod platform;
 mod platform_client;
 mod problem;
+mod process_clock;
 mod service_name;
 mod settings;
+mod timeline;
 mod timer;
 mod upstream_handle;
 mod upstreams;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -10,12 +10,16 @@
     pub kernel: Kernel,
     /// Tells the time.
     pub timer: Arc<Timer>,
+    /// Events of this process.
+    pub timeline: Arc<Timeline>,
     /// Connections to other processes.
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
+    /// Claims of idempotency keys, if there is a platform.
+    pub claims: Option<Arc<Claims>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
@@ -33,7 +37,10 @@
     pub fn start(settings: Settings) -> Result<Arc<Self>> {
         let kernel = Kernel::default();
         let timer = kernel.register(ServiceName::Timer, Timer::start())?;
-        let connections = Arc::new(Connections::new()?);
+        let timeline = kernel.register(ServiceName::Timeline, new_timeline(&settings))?;
+        timeline.record(Event::new(EventKind::Started));
+        let connections = Connections::with_clock(timeline.clock().clone())?;
+        let connections = Arc::new(connections);
         let connections = kernel.register(ServiceName::Connections, connections)?;
         let platform = match settings.platform {
             Some(address) => {
@@ -44,10 +51,17 @@
             }
             None => None,
         };
-        let bundle = kernel.register(ServiceName::Bundle, Arc::<BundleInForce>::default())?;
+        let bundle = kernel.register(
+            ServiceName::Bundle,
+            Arc::new(BundleInForce::new(timeline.clone())),
+        )?;
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
+        let claims = match &platform {
+            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            None => None,
+        };
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
@@ -56,9 +70,11 @@
             settings,
             kernel,
             timer,
+            timeline,
             connections,
             bundle,
             platform,
+            claims,
             upstreams,
             generations,
             drain,
@@ -99,12 +115,50 @@
 
     async fn drained(&self) {
         self.drain.begin();
+        self.timeline.record(Event::new(EventKind::DrainBegan));
         tracing::info!(in_flight = self.drain.in_flight(), "draining");
         self.drain.finished(self.settings.drain_grace).await;
+        self.timeline.record(Event::new(EventKind::DrainEnded));
         tracing::info!("drained");
     }
 }
 
+fn new_timeline(settings: &Settings) -> Arc<Timeline> {
+    Arc::new(Timeline::new(
+        settings.vm.clone(),
+        settings.zone.clone(),
+        Arc::default(),
+        settings.timeline_events,
+    ))
+}
+
+/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
+/// of the platform a VM that is to be replaced must not wait for it.
+const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
+
+fn start_claims(
+    kernel: &Kernel,
+    platform: &Arc<Platform>,
+    timer: &Arc<Timer>,
+    settings: &Settings,
+) -> Result<Arc<Claims>> {
+    let claims = Claims::start(
+        platform.clone(),
+        timer.clone(),
+        settings.vm.clone(),
+        Incarnation(rand::random::<u64>() >> 1),
+        ClaimSettings::default(),
+    );
+    let stopped = claims.clone();
+    kernel.on_stop(move || async move {
+        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
+        if flushed.is_err() {
+            tracing::warn!("ended with claims whose outcome is not recorded");
+        }
+    });
+    kernel.register(ServiceName::Claims, claims)
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -8,12 +8,16 @@
 pub enum ServiceName {
     /// The bundle in force.
     Bundle,
+    /// Claims of idempotency keys.
+    Claims,
     /// The state of a graceful shutdown.
     Drain,
     /// Generations under way.
     Generations,
     /// Connections to other processes.
     Connections,
+    /// Events of this process.
+    Timeline,
     /// The platform's table service, object store and VM list.
     Platform,
     /// Ticks for parts that do something now and then.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -43,6 +43,8 @@
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
+    hybrid_time::HybridTime,
     idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
     instant::Instant,
@@ -99,6 +101,8 @@
 mod finish;
 mod hedge;
 mod hex;
+mod hybrid_clock;
+mod hybrid_time;
 mod idempotency_key;
 mod incarnation;
 mod instant;
--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -1,6 +1,6 @@
 use super::*;
 use catkin_border::platform::PlatformFaults;
-use std::{ffi::OsString, process::ExitCode};
+use std::{ffi::OsString, process::ExitCode, str::FromStr};
 
 /// Why a stand-in cannot run.
 #[derive(Debug, Display, Error, From)]
@@ -9,7 +9,7 @@
     #[display("{_0}")]
     Flag(lexopt::Error),
     /// A value is wrong.
-    #[display("`--{flag}` must be a number, but is `{value}`")]
+    #[display("`--{flag}` cannot be `{value}`")]
     #[from(skip)]
     Value {
         /// Its flag.
@@ -17,22 +17,29 @@
         /// What it is.
         value: String,
     },
-    /// The kind of stand-in is missing.
-    #[display("the first argument must be `engine` or `platform`")]
+    /// It was killed by a fault or a poison request.
+    #[display("the engine died")]
     #[from(skip)]
-    NoKind,
+    Crashed,
+    /// No kind of stand-in is named.
+    #[display("name a stand-in: `engine`, `plain`, `platform` or `proxy`")]
+    #[from(skip)]
+    Kind,
     /// The address cannot be had.
     #[display("cannot listen: {_0}")]
     Listen(std::io::Error),
 }
 
-/// What the command line asks for.
+/// A stand-in as its command line asks for it.
 enum Standin {
     Engine(EngineSettings),
+    Plain(PlainSettings),
     Platform(PlatformFaults),
+    Proxy(Vec<SocketAddr>),
 }
 
-/// Runs the stand-ins' daemon: `engine` or `platform` with its flags. It prints `listening ADDRESS`.
+/// Runs the stand-ins' daemon: `engine`, `plain`, `platform` or `proxy` with its flags. It prints
+/// `listening ADDRESS`; the proxy prints the address of its control, then one for each `--to`.
 pub fn run_standin(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     match read_standin(args).map(serve) {
         Ok(Ok(())) => ExitCode::SUCCESS,
@@ -46,26 +53,55 @@
 fn read_standin(args: impl IntoIterator<Item = OsString>) -> Result<Standin, StandinError> {
     let mut parser = lexopt::Parser::from_args(args);
     match parser.next()? {
-        Some(lexopt::Arg::Value(kind)) if kind == "engine" => read_engine(parser),
-        Some(lexopt::Arg::Value(kind)) if kind == "platform" => read_platform(parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "plain" => plain(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "platform" => platform(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "proxy" => proxy(&mut parser),
+        Some(lexopt::Arg::Value(kind)) if kind == "engine" => engine(&mut parser),
         Some(arg) => Err(arg.unexpected().into()),
-        None => Err(StandinError::NoKind),
+        None => Err(StandinError::Kind),
     }
 }
 
-fn read_engine(mut parser: lexopt::Parser) -> Result<Standin, StandinError> {
+fn engine(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
     let mut settings = EngineSettings::default();
     while let Some(arg) = parser.next()? {
         match arg {
-            lexopt::Arg::Long("step-us") => settings.step = micros("step-us", &mut parser)?,
-            lexopt::Arg::Long("seed") => settings.seed = number("seed", &mut parser)?,
+            lexopt::Arg::Long("step-us") => settings.step = micros("step-us", parser)?,
+            lexopt::Arg::Long("step-per-sequence-us") => {
+                settings.step_per_sequence = micros("step-per-sequence-us", parser)?;
+            }
+            lexopt::Arg::Long("prefill-us") => {
+                settings.prefill_per_token = micros("prefill-us", parser)?;
+            }
+            lexopt::Arg::Long("capacity") => settings.capacity = number("capacity", parser)?,
+            lexopt::Arg::Long("prefix-cache") => {
+                settings.prefix_cache = number("prefix-cache", parser)?;
+            }
+            lexopt::Arg::Long("load-lag-us") => settings.load_lag = micros("load-lag-us", parser)?,
+            lexopt::Arg::Long("seed") => settings.seed = number("seed", parser)?,
             _ => return Err(arg.unexpected().into()),
         }
     }
     Ok(Standin::Engine(settings))
 }
 
-fn read_platform(mut parser: lexopt::Parser) -> Result<Standin, StandinError> {
+fn plain(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut settings = PlainSettings::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("service-us") => {
+                settings.service_time = micros("service-us", parser)?;
+            }
+            lexopt::Arg::Long("spread") => settings.spread = number("spread", parser)?,
+            lexopt::Arg::Long("capacity") => settings.capacity = number("capacity", parser)?,
+            lexopt::Arg::Long("seed") => settings.seed = number("seed", parser)?,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Standin::Plain(settings))
+}
+
+fn platform(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
     let mut faults = PlatformFaults {
         answer_delay_ms: None,
         delay_ms: None,
@@ -79,13 +115,13 @@
     while let Some(arg) = parser.next()? {
         match arg {
             lexopt::Arg::Long("reads-per-second") => {
-                faults.reads_per_second = Some(number("reads-per-second", &mut parser)?);
+                faults.reads_per_second = Some(number("reads-per-second", parser)?);
             }
             lexopt::Arg::Long("writes-per-second") => {
-                faults.writes_per_second = Some(number("writes-per-second", &mut parser)?);
+                faults.writes_per_second = Some(number("writes-per-second", parser)?);
             }
             lexopt::Arg::Long("vm-lag-ms") => {
-                faults.vm_lag_ms = Some(number("vm-lag-ms", &mut parser)?);
+                faults.vm_lag_ms = Some(number("vm-lag-ms", parser)?);
             }
             _ => return Err(arg.unexpected().into()),
         }
@@ -93,14 +129,22 @@
     Ok(Standin::Platform(faults))
 }
 
+fn proxy(parser: &mut lexopt::Parser) -> Result<Standin, StandinError> {
+    let mut upstreams = Vec::new();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("to") => upstreams.push(number("to", parser)?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Standin::Proxy(upstreams))
+}
+
 fn micros(flag: &'static str, parser: &mut lexopt::Parser) -> Result<Duration, StandinError> {
     number(flag, parser).map(Duration::from_micros)
 }
 
-fn number<T: std::str::FromStr>(
-    flag: &'static str,
-    parser: &mut lexopt::Parser,
-) -> Result<T, StandinError> {
+fn number<T: FromStr>(flag: &'static str, parser: &mut lexopt::Parser) -> Result<T, StandinError> {
     let value = parser.value()?.to_string_lossy().into_owned();
     value
         .parse()
@@ -109,12 +153,30 @@
 
 #[tokio::main]
 async fn serve(standin: Standin) -> Result<(), StandinError> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let address = match standin {
-        Standin::Engine(settings) => EngineServer::start(address, settings).await?.address(),
-        Standin::Platform(faults) => PlatformServer::start(address, faults).await?.address(),
-    };
-    println!("listening {address}");
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    match standin {
+        Standin::Engine(settings) => {
+            let engine = EngineServer::start(free, settings).await?;
+            println!("listening {}", engine.address());
+            engine.died().await;
+            return Err(StandinError::Crashed);
+        }
+        Standin::Plain(settings) => {
+            let plain = PlainServer::start(free, settings).await?;
+            println!("listening {}", plain.address());
+        }
+        Standin::Platform(faults) => {
+            let platform = PlatformServer::start(free, faults).await?;
+            println!("listening {}", platform.address());
+        }
+        Standin::Proxy(upstreams) => {
+            let proxy = FaultProxy::start(free).await?;
+            println!("listening {}", proxy.address());
+            for upstream in upstreams {
+                println!("route {} to {upstream}", proxy.route(upstream).await?);
+            }
+        }
+    }
     std::future::pending::<()>().await;
     Ok(())
 }
