Leases: one holder by its own clock, rising terms

Cause: orders to engines need one orderer at a time, and a returning holder's orders must be told from the new one's.

Change: a pure state machine over one row of the table service. A holder counts from before it sent its write, others from after they first read it, and wait out duration and margin; a lost answer is settled by reading back; a permit for an order is given only if it can be answered before the lease lapses and the row was looked at recently.

--- /dev/null
+++ b/crates/decisions/src/lease.rs
@@ -0,0 +1,300 @@
+//! A lease on a scope, held through one row of the table service.
+//!
+//! No clock of one VM is compared with that of another. A holder counts its lease from before it sent
+//! the write that extends it. Another VM counts from after it first read that write, and waits out
+//! the whole duration and a margin; so it counts from later, and takes the lease only after the
+//! holder has given it up. What is left is a holder that is paused between its last look at the clock
+//! and its order: its term is then old, and engines that check the term refuse it; the state of the
+//! others is read back and corrected.
+
+use super::*;
+
+/// Settings of a [`Lease`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeaseSettings {
+    /// How long the lease lasts after each write. An order stops for as long after a holder's death,
+    /// and orders are worth minutes of loading.
+    pub duration: Duration,
+    /// How much longer another VM waits, for clocks that run at different speeds.
+    pub margin: Duration,
+    /// Age of the last write at which the holder writes again: a third of the duration, so that two
+    /// lost writes cost nothing.
+    pub renew_after: Duration,
+    /// How often a VM that doesn't hold the lease looks at it.
+    pub read_period: Duration,
+    /// Longest time that an order is under way.
+    pub order_timeout: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(10),
+            margin: Duration::from_secs(2),
+            renew_after: Duration::from_secs(3),
+            read_period: Duration::from_secs(3),
+            order_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Who holds a lease: a process, not only a VM, since a returned process knows nothing of its former
+/// self's orders.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaseHolder {
+    /// The VM.
+    pub vm: VmId,
+    /// The process on it.
+    pub incarnation: Incarnation,
+}
+
+/// What the lease's row holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseRecord {
+    /// Last holder.
+    pub holder: LeaseHolder,
+    /// Its fencing number.
+    pub term: Term,
+    /// How long the lease lasts after each write; zero once it is given back.
+    pub duration: Duration,
+}
+
+/// The lease's row with its version; version 0 and no record if there is none.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LeaseRow {
+    /// Its version.
+    pub version: u64,
+    /// Its record; `None` too if it cannot be read.
+    pub record: Option<LeaseRecord>,
+}
+
+/// What is to be done for a lease now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaseStep {
+    /// Nothing for so long.
+    Wait(Duration),
+    /// Read the row.
+    Read,
+    /// Write the record if the row has the expected version.
+    Write(LeaseWrite),
+}
+
+/// A write of the lease's row.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseWrite {
+    /// Version that the row must have.
+    pub expected: u64,
+    /// What is written.
+    pub record: LeaseRecord,
+}
+
+/// Answer to a write of the lease's row.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaseAnswer {
+    /// It is written.
+    Written,
+    /// It is not, since the row is this one.
+    Conflict(LeaseRow),
+    /// It is not.
+    NotRun,
+    /// It is, or it isn't.
+    Unknown,
+}
+
+/// Right to give one order, under a term, until it has to be answered.
+///
+/// Only a lease makes one. An order without it could come from a holder whose lease has lapsed.
+#[derive(Debug, PartialEq)]
+pub struct OrderPermit {
+    term: Term,
+    until: Instant,
+}
+
+impl OrderPermit {
+    /// Fencing number of the order.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Time by which the order has to be answered or given up.
+    #[must_use]
+    pub fn until(&self) -> Instant {
+        self.until
+    }
+}
+
+/// One process's view of a lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    cfg: LeaseSettings,
+    me: LeaseHolder,
+    row: LeaseRow,
+    /// When the row's version was first seen.
+    seen: Option<Instant>,
+    /// When the row was last read or written.
+    looked: Option<Instant>,
+    /// Term held, and from when its duration counts.
+    held: Option<(Term, Instant)>,
+    /// When the first write was sent whose answer is still out.
+    doubt: Option<Instant>,
+    /// Term that must be exceeded.
+    floor: Term,
+    /// Whether it is wanted.
+    wanted: bool,
+}
+
+impl Lease {
+    /// A lease not held yet.
+    #[must_use]
+    pub fn new(me: LeaseHolder, cfg: LeaseSettings) -> Self {
+        Self {
+            cfg,
+            me,
+            row: LeaseRow::default(),
+            seen: None,
+            looked: None,
+            held: None,
+            doubt: None,
+            floor: Term::default(),
+            wanted: true,
+        }
+    }
+
+    /// Says whether this process shall try to hold the lease, and give it back if not.
+    pub fn want(&mut self, wanted: bool) {
+        self.wanted = wanted;
+    }
+
+    /// Notes that an engine knows a term as large as this one, from a lease of former times; the
+    /// next write takes a larger one, or the engine would refuse all orders.
+    pub fn exceed(&mut self, term: Term) {
+        self.floor = self.floor.max(term);
+    }
+
+    /// The term held, if the lease has not lapsed.
+    #[must_use]
+    pub fn held(&self, now: Instant) -> Option<Term> {
+        let (term, since) = self.held?;
+        (now < since.after(self.cfg.duration)).then_some(term)
+    }
+
+    /// Right to give an order, if it can be answered before the lease lapses and the row was looked
+    /// at recently.
+    ///
+    /// A holder that was paused has not looked at the row for longer than it lets pass between two
+    /// renewals; it has to do that first, since another one may have taken the lease meanwhile.
+    #[must_use]
+    pub fn permit(&self, now: Instant) -> Option<OrderPermit> {
+        let term = self.held(now)?;
+        let (_, since) = self.held?;
+        let until = now.after(self.cfg.order_timeout);
+        let in_time = until < since.after(self.cfg.duration);
+        let paused = now.since(self.looked?) > self.cfg.renew_after * 2;
+        (in_time && !paused && term > self.floor).then_some(OrderPermit { term, until })
+    }
+
+    /// What is to be done now.
+    #[must_use]
+    pub fn step(&self, now: Instant) -> LeaseStep {
+        let Some((seen, looked)) = self.seen.zip(self.looked) else {
+            return LeaseStep::Read;
+        };
+        if self.doubt.is_some() {
+            return LeaseStep::Read;
+        }
+        if let Some(term) = self.held(now) {
+            return self.step_of_holder(now, term);
+        }
+        let lapses = self.lapses(seen);
+        if self.wanted && lapses <= now {
+            return self.write(self.next_term(), self.cfg.duration);
+        }
+        let read = looked.after(self.cfg.read_period);
+        if read <= now {
+            return LeaseStep::Read;
+        }
+        let next = if self.wanted { read.min(lapses) } else { read };
+        LeaseStep::Wait(next.since(now))
+    }
+
+    fn step_of_holder(&self, now: Instant, term: Term) -> LeaseStep {
+        let (_, since) = self.held.expect("it is held");
+        if !self.wanted {
+            return self.write(term, Duration::ZERO);
+        }
+        if term <= self.floor {
+            return self.write(self.floor.next(), self.cfg.duration);
+        }
+        let due = since.after(self.cfg.renew_after);
+        if due <= now {
+            return self.write(term, self.cfg.duration);
+        }
+        LeaseStep::Wait(due.since(now))
+    }
+
+    /// Takes the row as read; `now` is the time after the answer came.
+    pub fn read(&mut self, now: Instant, row: LeaseRow) {
+        if self.seen.is_none() || row.version != self.row.version {
+            self.seen = Some(now);
+        }
+        self.looked = Some(now);
+        let doubt = self.doubt.take();
+        let changed = row.version != self.row.version;
+        self.row = row;
+        let mine = self.row.record.as_ref().filter(|r| r.holder == self.me);
+        self.held = match (mine, self.held, doubt) {
+            (Some(record), _, Some(sent)) if changed && !record.duration.is_zero() => {
+                // The write whose answer was lost took effect at some time after it was sent.
+                Some((record.term, sent))
+            }
+            (Some(_), held, _) => held,
+            (None, ..) => None,
+        };
+    }
+
+    /// Takes the answer to a write that was sent at `sent`.
+    pub fn written(&mut self, sent: Instant, now: Instant, write: LeaseWrite, answer: LeaseAnswer) {
+        match answer {
+            LeaseAnswer::Written => {
+                self.doubt = None;
+                self.seen = Some(now);
+                self.looked = Some(now);
+                self.held = (!write.record.duration.is_zero()).then_some((write.record.term, sent));
+                self.row = LeaseRow {
+                    version: write.expected + 1,
+                    record: Some(write.record),
+                };
+            }
+            LeaseAnswer::Conflict(row) => self.read(now, row),
+            LeaseAnswer::NotRun => {}
+            LeaseAnswer::Unknown => self.doubt = self.doubt.or(Some(sent)),
+        }
+    }
+
+    /// When a lease whose row was first seen at `seen` may be taken.
+    fn lapses(&self, seen: Instant) -> Instant {
+        match &self.row.record {
+            Some(record) if record.duration.is_zero() => seen,
+            Some(record) => seen.after(record.duration + self.cfg.margin),
+            None if self.row.version == 0 => seen,
+            None => seen.after(self.cfg.duration + self.cfg.margin),
+        }
+    }
+
+    fn next_term(&self) -> Term {
+        let last = self.row.record.as_ref().map(|record| record.term);
+        last.unwrap_or_default().max(self.floor).next()
+    }
+
+    fn write(&self, term: Term, duration: Duration) -> LeaseStep {
+        LeaseStep::Write(LeaseWrite {
+            expected: self.row.version,
+            record: LeaseRecord {
+                holder: self.me.clone(),
+                term,
+                duration,
+            },
+        })
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -49,6 +49,10 @@
     incarnation::Incarnation,
     instant::Instant,
     key_hash::KeyHash,
+    lease::{
+        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
+        LeaseWrite, OrderPermit,
+    },
     model::Model,
     path_rule::PathRule,
     peer_entry::PeerEntry,
@@ -107,6 +111,7 @@
 mod incarnation;
 mod instant;
 mod key_hash;
+mod lease;
 mod model;
 mod path_rule;
 mod peer_entry;
--- /dev/null
+++ b/crates/decisions/tests/lease.rs
@@ -0,0 +1,396 @@
+//! Leases: one holder at a time by its own clock, and a term that tells old orders from new ones.
+
+use catkin_decisions::{
+    Incarnation, Instant, Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings,
+    LeaseStep, LeaseWrite, Term,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn at(ms: u64) -> Instant {
+    Instant(Duration::from_millis(ms))
+}
+
+fn holder(vm: usize, incarnation: u64) -> LeaseHolder {
+    LeaseHolder {
+        vm: format!("vm-{vm}").parse().expect("a valid id"),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn lease(vm: usize) -> Lease {
+    Lease::new(holder(vm, 1), LeaseSettings::default())
+}
+
+fn row(version: u64, vm: usize, term: u64) -> LeaseRow {
+    LeaseRow {
+        version,
+        record: Some(LeaseRecord {
+            holder: holder(vm, 1),
+            term: Term(term),
+            duration: Duration::from_secs(10),
+        }),
+    }
+}
+
+/// Has the lease take a row that is absent or lapsed, with the write sent at `sent`.
+fn take(lease: &mut Lease, sent: u64, answered: u64, answer: LeaseAnswer) -> LeaseWrite {
+    let LeaseStep::Write(write) = lease.step(at(sent)) else {
+        panic!("no write: {:?}", lease.step(at(sent)));
+    };
+    lease.written(at(sent), at(answered), write.clone(), answer);
+    write
+}
+
+fn held_lease() -> Lease {
+    let mut lease = lease(1);
+    lease.read(at(0), LeaseRow::default());
+    take(&mut lease, 0, 500, LeaseAnswer::Written);
+    lease
+}
+
+#[gtest]
+fn a_free_lease_is_taken_and_counts_from_before_its_write() {
+    let lease = held_lease();
+
+    expect_that!(lease.held(at(9_999)), some(eq(Term(1))));
+    expect_that!(lease.held(at(10_000)), none());
+}
+
+/// Another VM sees a lease for the first time. It cannot know when it was written, and waits the
+/// whole duration and the margin before it takes it under the next term.
+#[gtest]
+fn a_lease_of_another_is_waited_out() {
+    let mut lease = lease(2);
+    lease.read(at(1_000), row(5, 1, 3));
+
+    let before = lease.step(at(3_000));
+    lease.read(at(12_900), row(5, 1, 3));
+    let after = take(&mut lease, 13_000, 13_001, LeaseAnswer::Written);
+
+    expect_that!(before, eq(&LeaseStep::Wait(Duration::from_secs(1))));
+    expect_that!((after.expected, after.record.term), eq((5, Term(4))));
+}
+
+#[gtest]
+fn a_renewed_lease_is_waited_out_anew() {
+    let mut lease = lease(2);
+    lease.read(at(1_000), row(5, 1, 3));
+    lease.read(at(12_900), row(6, 1, 3));
+
+    let step = lease.step(at(13_000));
+
+    expect_that!(step, matches_pattern!(LeaseStep::Wait(_)));
+}
+
+/// The answer to a holder's renewal is lost. It reads its own row back and counts the lease from
+/// when it sent the write, not from when it read it.
+#[gtest]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let mut lease = held_lease();
+    take(&mut lease, 3_000, 5_000, LeaseAnswer::Unknown);
+
+    let step = lease.step(at(5_000));
+    lease.read(at(5_500), row(2, 1, 1));
+
+    expect_that!(step, eq(&LeaseStep::Read));
+    expect_that!(lease.held(at(12_999)), some(eq(Term(1))));
+    expect_that!(lease.held(at(13_000)), none());
+}
+
+/// A holder is paused for 7 s and comes back while its lease still runs by its own reckoning. Its
+/// orders must wait until it has looked at the row.
+#[gtest]
+fn a_paused_holder_looks_at_the_row_before_it_orders() {
+    let mut lease = held_lease();
+
+    let paused = lease.permit(at(7_500));
+    lease.read(at(7_600), row(1, 1, 1));
+    let looked = lease.permit(at(7_700));
+
+    expect_that!(paused, none());
+    expect_that!(looked.map(|permit| permit.term()), some(eq(Term(1))));
+}
+
+/// An order that is still under way when the lease lapses could arrive after the next holder's.
+#[gtest]
+fn no_order_outlasts_the_lease() {
+    let mut lease = held_lease();
+    lease.read(at(7_900), row(1, 1, 1));
+
+    let in_time = lease.permit(at(7_999));
+    let too_late = lease.permit(at(8_000));
+
+    expect_that!(in_time.map(|p| p.until()), some(eq(at(9_999))));
+    expect_that!(too_late, none());
+}
+
+/// A paused holder comes back, and another VM has the lease.
+#[gtest]
+fn a_holder_that_reads_another_ones_row_holds_nothing() {
+    let mut lease = held_lease();
+
+    lease.read(at(5_000), row(2, 2, 2));
+
+    expect_that!(lease.held(at(5_000)), none());
+    expect_that!(lease.permit(at(5_000)), none());
+}
+
+/// The lease's row was lost with its table, so terms begin anew; engines remember larger ones and
+/// would refuse every order.
+#[gtest]
+fn terms_rise_above_what_an_engine_knows() {
+    let mut lease = held_lease();
+    lease.exceed(Term(41));
+
+    let permit = lease.permit(at(600));
+    let write = take(&mut lease, 700, 701, LeaseAnswer::Written);
+
+    expect_that!(permit, none());
+    expect_that!(write.record.term, eq(Term(42)));
+    expect_that!(lease.permit(at(702)).map(|p| p.term()), some(eq(Term(42))));
+}
+
+#[gtest]
+fn a_lease_given_back_is_free_at_once() {
+    let mut first = held_lease();
+    first.want(false);
+    let given_back = take(&mut first, 1_000, 1_001, LeaseAnswer::Written);
+    let mut second = lease(2);
+    second.read(
+        at(1_100),
+        LeaseRow {
+            version: 2,
+            record: Some(given_back.record),
+        },
+    );
+
+    let taken = take(&mut second, 1_100, 1_101, LeaseAnswer::Written);
+
+    expect_that!(first.held(at(1_002)), none());
+    expect_that!(taken.record.term, eq(Term(2)));
+}
+
+const VMS: usize = 3;
+
+/// VMs whose clocks run at different speeds, a table service that delays and loses calls, and an
+/// engine that refuses old terms.
+struct World {
+    now: u64,
+    row: LeaseRow,
+    vms: Vec<Vm>,
+    calls: Vec<Call>,
+    orders: Vec<Term>,
+    holders: Vec<(Term, LeaseHolder)>,
+    applied: Vec<Term>,
+}
+
+struct Vm {
+    me: LeaseHolder,
+    /// Speed of its clock in percent.
+    speed: u64,
+    lease: Lease,
+    paused_until: u64,
+    waits_for: Option<usize>,
+}
+
+struct Call {
+    vm: usize,
+    holder: LeaseHolder,
+    sent: Instant,
+    write: LeaseWrite,
+    done: bool,
+}
+
+impl World {
+    fn new() -> Self {
+        let vm = |i: usize| Vm {
+            me: holder(i, 1),
+            speed: [95, 100, 105][i % 3],
+            lease: lease(i),
+            paused_until: 0,
+            waits_for: None,
+        };
+        Self {
+            now: 0,
+            row: LeaseRow::default(),
+            vms: (0..VMS).map(vm).collect(),
+            calls: Vec::new(),
+            orders: Vec::new(),
+            holders: Vec::new(),
+            applied: Vec::new(),
+        }
+    }
+
+    fn clock(&self, vm: usize) -> Instant {
+        at(self.now * self.vms[vm].speed / 100)
+    }
+
+    fn step(&mut self, action: u8, vm: usize, pick: u64) {
+        self.now += 50 * (pick % 8);
+        match action {
+            0..=4 => self.act(vm),
+            5 | 6 => self.deliver(pick, true),
+            7 => self.deliver(pick, false),
+            8 => self.hear(vm, LeaseAnswer::Unknown),
+            9 | 10 => self.order(vm),
+            11 => self.arrive(pick),
+            12 => self.now += 400 * pick,
+            13 => self.vms[vm].paused_until = self.now + 3_000 * pick,
+            _ => self.crash(vm),
+        }
+        self.check();
+    }
+
+    fn act(&mut self, vm: usize) {
+        let now = self.clock(vm);
+        if self.vms[vm].paused_until > self.now || self.vms[vm].waits_for.is_some() {
+            return;
+        }
+        match self.vms[vm].lease.step(now) {
+            LeaseStep::Wait(_) => {}
+            LeaseStep::Read => {
+                let row = self.row.clone();
+                self.vms[vm].lease.read(now, row);
+            }
+            LeaseStep::Write(write) => {
+                self.vms[vm].waits_for = Some(self.calls.len());
+                self.calls.push(Call {
+                    vm,
+                    holder: self.vms[vm].me.clone(),
+                    sent: now,
+                    write,
+                    done: false,
+                });
+            }
+        }
+    }
+
+    fn deliver(&mut self, pick: u64, answered: bool) {
+        let open = (0..self.calls.len()).filter(|i| !self.calls[*i].done);
+        let open = open.collect::<Vec<_>>();
+        if open.is_empty() {
+            return;
+        }
+        let i = open[usize::try_from(pick).expect("small") % open.len()];
+        self.calls[i].done = true;
+        let write = self.calls[i].write.clone();
+        let answer = if write.expected == self.row.version {
+            self.row = LeaseRow {
+                version: write.expected + 1,
+                record: Some(write.record),
+            };
+            LeaseAnswer::Written
+        } else {
+            LeaseAnswer::Conflict(self.row.clone())
+        };
+        let vm = self.calls[i].vm;
+        let waits = self.vms[vm].waits_for == Some(i) && self.vms[vm].me == self.calls[i].holder;
+        if waits {
+            self.hear(
+                vm,
+                if answered {
+                    answer
+                } else {
+                    LeaseAnswer::Unknown
+                },
+            );
+        }
+    }
+
+    fn hear(&mut self, vm: usize, answer: LeaseAnswer) {
+        let now = self.clock(vm);
+        let Some(i) = self.vms[vm].waits_for.take() else {
+            return;
+        };
+        let (sent, write) = (self.calls[i].sent, self.calls[i].write.clone());
+        self.vms[vm].lease.written(sent, now, write, answer);
+    }
+
+    /// A holder sends the engine an order. The message may arrive at any time.
+    fn order(&mut self, vm: usize) {
+        let now = self.clock(vm);
+        if self.vms[vm].paused_until > self.now {
+            return;
+        }
+        if let Some(permit) = self.vms[vm].lease.permit(now) {
+            self.orders.push(permit.term());
+        }
+    }
+
+    fn arrive(&mut self, pick: u64) {
+        if self.orders.is_empty() {
+            return;
+        }
+        let i = usize::try_from(pick).expect("small") % self.orders.len();
+        let term = self.orders.swap_remove(i);
+        if self.applied.last().is_none_or(|applied| *applied <= term) {
+            self.applied.push(term);
+        }
+    }
+
+    fn crash(&mut self, vm: usize) {
+        let me = LeaseHolder {
+            incarnation: Incarnation(self.vms[vm].me.incarnation.0 + 1),
+            ..self.vms[vm].me.clone()
+        };
+        self.vms[vm].lease = Lease::new(me.clone(), LeaseSettings::default());
+        self.vms[vm].me = me;
+        self.vms[vm].waits_for = None;
+    }
+
+    fn check(&mut self) {
+        let held = (0..VMS).filter_map(|vm| {
+            let term = self.vms[vm].lease.held(self.clock(vm))?;
+            Some((term, self.vms[vm].me.clone()))
+        });
+        let held = held.collect::<Vec<_>>();
+        assert!(held.len() <= 1, "two holders at {}: {held:?}", self.now);
+        for (term, holder) in held {
+            match self.holders.iter().find(|(known, _)| *known == term) {
+                Some((_, known)) => assert_eq!(*known, holder, "term {term} has two holders"),
+                None => self.holders.push((term, holder)),
+            }
+        }
+    }
+
+    /// Faults end, and some VM comes to hold the lease.
+    fn settle(&mut self) -> Option<Term> {
+        for _ in 0..600 {
+            self.now += 100;
+            for vm in 0..VMS {
+                self.act(vm);
+                self.deliver(0, true);
+                self.hear(vm, LeaseAnswer::Unknown);
+            }
+            self.check();
+        }
+        let permits = (0..VMS).filter_map(|vm| self.vms[vm].lease.permit(self.clock(vm)));
+        permits.map(|permit| permit.term()).max()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(500))]
+
+    /// Holders crash, are paused and come back, and lose answers, while calls arrive late. Two
+    /// holders at once would order an engine back and forth, and with one term they could not be
+    /// told apart.
+    #[test]
+    fn there_is_never_more_than_one_holder_nor_one_term_twice(
+        steps in prop::collection::vec((0_u8..16, 0_usize..VMS, 0_u64..12), 0..300),
+    ) {
+        let mut world = World::new();
+
+        for (action, vm, pick) in steps {
+            world.step(action, vm, pick);
+        }
+        let term = world.settle();
+
+        let largest = world.holders.iter().map(|(term, _)| *term).max();
+        prop_assert!(term.is_some());
+        prop_assert_eq!(term, largest);
+        prop_assert!(world.applied.last() <= term.as_ref());
+    }
+}
