--- a/crates/catkinward/src/claims.rs
+++ b/crates/catkinward/src/claims.rs
@@ -205,7 +205,7 @@
             key: ClaimRowKey::new(&req.team, &req.key),
             expected,
             record: ClaimRecord {
-                digest: req.digest.clone(),
+                digest: req.digest,
                 token: ClaimToken(rand::random()),
                 kind: req.kind,
                 holder: self.vm.clone(),
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -12,14 +12,16 @@
         Attempt, AvailabilityZone, Bundle, BundleVersion, ClaimChange, ClaimFate, ClaimKind,
         ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict,
         Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, HybridClock, IdempotencyKey,
-        Incarnation, Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecordedAnswer,
-        RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service,
-        ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
-        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
+        Incarnation, Instant, KeyHash, Model, PathRule, PeerEntry, PeerTable, Pinned,
+        ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, ReceivedEnd, ReceivedToken,
+        RecordedAnswer, RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId,
+        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
+        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         any::Any,
         convert::Infallible,
@@ -32,7 +34,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -58,9 +60,14 @@
     event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
+    gossip::{Gossip, GossipSources},
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    peer_fault::PeerFault,
+    peer_key::PeerKey,
+    peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
+    peers::Peers,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
@@ -94,6 +101,7 @@
 mod generation_driver;
 mod generation_request;
 mod generations;
+mod gossip;
 /// HTTP calls to other processes.
 pub mod http_client;
 /// The HTTP server and its connection limits.
@@ -101,10 +109,19 @@
 mod kernel;
 mod logging;
 mod node;
+mod peer_fault;
+mod peer_handshake;
+mod peer_key;
+mod peer_link;
+mod peer_message;
+mod peer_socket;
+mod peers;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
+mod progress_keeper;
+mod returning_caller;
 mod service_name;
 mod settings;
 mod timeline;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,6 +27,8 @@
     bundle::Bundle,
     bundle_version::BundleVersion,
     call_budget::{CallBudget, CallBudgetSettings},
+    candidate::Candidate,
+    choice::{ChoiceInput, choose},
     claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
     claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
     claim_record::{
@@ -38,6 +40,7 @@
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    eligible::Eligible,
     error::Error,
     failed_call::FailedCall,
     finish::Finish,
@@ -47,16 +50,22 @@
     hybrid_time::HybridTime,
     idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
+    ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
     lease::{
         Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
         LeaseWrite, OrderPermit,
     },
+    leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    pinned::Pinned,
+    poison_hold::PoisonHold,
+    poison_mark::PoisonMark,
+    poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -73,6 +82,8 @@
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
     term::Term,
@@ -80,7 +91,11 @@
     token_index::TokenIndex,
     token_log::TokenLog,
     upstream::Upstream,
+    upstream_death::UpstreamDeath,
+    upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_record::{AskedReport, UpstreamRecord},
+    upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
     wall_time::WallTime,
@@ -91,6 +106,8 @@
 mod bundle;
 mod bundle_version;
 mod call_budget;
+mod candidate;
+mod choice;
 mod claim_change;
 mod claim_queue;
 mod claim_record;
@@ -100,6 +117,7 @@
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
+mod eligible;
 mod error;
 mod failed_call;
 mod finish;
@@ -109,13 +127,19 @@
 mod hybrid_time;
 mod idempotency_key;
 mod incarnation;
+mod ineligible;
 mod instant;
 mod key_hash;
 mod lease;
+mod leaving_source;
 mod model;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod pinned;
+mod poison_hold;
+mod poison_mark;
+mod poison_tracker;
 mod progress_record;
 mod progress_store;
 mod progress_update;
@@ -132,6 +156,8 @@
 mod service;
 mod service_id;
 mod service_kind;
+mod subset;
+mod suspicion;
 mod team;
 mod team_id;
 mod term;
@@ -139,7 +165,11 @@
 mod token_index;
 mod token_log;
 mod upstream;
+mod upstream_death;
+mod upstream_evidence;
 mod upstream_id;
+mod upstream_record;
+mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
 mod wall_time;
