--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,12 +9,14 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock,
+        Attempt, AvailabilityZone, Bundle, BundleVersion, ClaimChange, ClaimFate, ClaimKind,
+        ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict,
+        Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, HybridClock, IdempotencyKey,
         Incarnation, Instant, KeyHash, Model, PathRule, PeerEntry, PeerTable, Pinned,
         ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, ReceivedEnd, ReceivedToken,
-        RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service, ServiceId,
-        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
-        Utf8Joiner, VmId, parse_hex,
+        RecordedAnswer, RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId,
+        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
+        TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -50,6 +52,8 @@
 
 pub use crate::{
     bundle_in_force::BundleInForce,
+    claim_settings::ClaimSettings,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
     drain::{Drain, InFlight},
     error::Error,
@@ -81,6 +85,11 @@
 mod bundle_format;
 mod bundle_in_force;
 mod caller_border;
+mod claim_committer;
+mod claim_row;
+mod claim_settings;
+mod claim_sweep;
+mod claims;
 mod daemon;
 mod drain;
 mod engine_client;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -18,6 +18,8 @@
     pub bundle: Arc<BundleInForce>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
+    /// Claims of idempotency keys, if there is a platform.
+    pub claims: Option<Arc<Claims>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Generations under way.
@@ -58,6 +60,10 @@
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
+        let claims = match &platform {
+            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            None => None,
+        };
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
@@ -74,6 +80,7 @@
             connections,
             bundle,
             platform,
+            claims,
             upstreams,
             generations,
             peers,
@@ -168,6 +175,33 @@
     ))
 }
 
+/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
+/// of the platform a VM that is to be replaced must not wait for it.
+const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
+
+fn start_claims(
+    kernel: &Kernel,
+    platform: &Arc<Platform>,
+    timer: &Arc<Timer>,
+    settings: &Settings,
+) -> Result<Arc<Claims>> {
+    let claims = Claims::start(
+        platform.clone(),
+        timer.clone(),
+        settings.vm.clone(),
+        Incarnation(rand::random::<u64>() >> 1),
+        ClaimSettings::default(),
+    );
+    let stopped = claims.clone();
+    kernel.on_stop(move || async move {
+        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
+        if flushed.is_err() {
+            tracing::warn!("ended with claims whose outcome is not recorded");
+        }
+    });
+    kernel.register(ServiceName::Claims, claims)
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -8,6 +8,8 @@
 pub enum ServiceName {
     /// The bundle in force.
     Bundle,
+    /// Claims of idempotency keys.
+    Claims,
     /// The state of a graceful shutdown.
     Drain,
     /// Generations under way.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
+    crate::claim_change::Judged,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -28,6 +29,14 @@
     call_budget::{CallBudget, CallBudgetSettings},
     candidate::Candidate,
     choice::{ChoiceInput, choose},
+    claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
+    claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
+    claim_record::{
+        ClaimKind, ClaimOutcome, ClaimRecord, ClaimStage, RecordedAnswer, RecordedBody,
+    },
+    claim_token::ClaimToken,
+    claim_verdict::ClaimVerdict,
+    claimed::{Claimed, HeldClaim},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -39,10 +48,15 @@
     hex::{parse_hex, to_hex},
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
+    idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
     ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
+    lease::{
+        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
+        LeaseWrite, OrderPermit,
+    },
     leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
@@ -84,6 +98,7 @@
     upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
+    wall_time::WallTime,
 };
 
 mod attempt;
@@ -93,6 +108,12 @@
 mod call_budget;
 mod candidate;
 mod choice;
+mod claim_change;
+mod claim_queue;
+mod claim_record;
+mod claim_token;
+mod claim_verdict;
+mod claimed;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
@@ -104,10 +125,12 @@
 mod hex;
 mod hybrid_clock;
 mod hybrid_time;
+mod idempotency_key;
 mod incarnation;
 mod ineligible;
 mod instant;
 mod key_hash;
+mod lease;
 mod leaving_source;
 mod model;
 mod path_rule;
@@ -149,3 +172,4 @@
 mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
+mod wall_time;
