catkin-load: scenarios over one runner, with real processes and checks by callers

Cause: the promises need runs that can break them, from a seed, judged by what callers received.

Change: list, run and compare; scenarios are short tables over one runner with open-loop arrivals, a balancer that asks /readyz, callers that come back with their key and last index, faults by signal, proxy or poison request; verdicts that tell missing, repeated, mixed and crossed tokens apart. Short runs of steady, engine-death, engine-pause, silent-connection and drain are tests.

--- /dev/null
+++ b/crates/load/src/balancer.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+/// How often the balancer asks each router whether it is ready.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// The platform's balancer before the routers: round robin over those that say they are ready.
+pub(crate) struct Balancer {
+    ready: Vec<AtomicBool>,
+    next: AtomicUsize,
+}
+
+impl Balancer {
+    pub(crate) fn new(routers: usize) -> Self {
+        Self {
+            ready: (0..routers).map(|_| AtomicBool::new(true)).collect(),
+            next: AtomicUsize::new(0),
+        }
+    }
+
+    /// Router of the next call, another than `avoid` if one is ready.
+    pub(crate) fn pick(&self, avoid: Option<usize>) -> usize {
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let count = self.ready.len();
+        (0..count)
+            .map(|i| (first + i) % count)
+            .find(|i| Some(*i) != avoid && self.ready[*i].load(Ordering::Relaxed))
+            .unwrap_or(first % count)
+    }
+
+    /// Checks the routers until it is dropped.
+    pub(crate) async fn check(&self, fleet: &Fleet) {
+        loop {
+            let checks = fleet.routers.iter().zip(&self.ready);
+            join_all(checks.map(|(router, ready)| async {
+                let now = fleet.is_ready(router.address()).await;
+                ready.store(now, Ordering::Relaxed);
+            }))
+            .await;
+            tokio::time::sleep(CHECK_PERIOD).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,176 @@
+use super::*;
+use std::{io::IsTerminal, str::FromStr};
+
+/// Text of `catkin-load help`.
+const HELP: &str = "\
+Usage: catkin-load COMMAND
+
+  list                                      name the scenarios
+  run SCENARIO [FLAGS]                      run one; exit code 1 if an invariant is broken
+  compare A B SCENARIO [FLAGS]              run it with router flags A and B, by turns
+  help                                      print this text
+
+Flags:
+  --seed N         seed of all that is drawn [1]
+  --size SIZE      small, cobalt or thistlegate [small]
+  --seconds N      time for which calls arrive [the scenario's own]
+  --router-flags F flags of the routers, separated by commas
+  --rounds N       runs of each side of a comparison [3]
+  --json           print nothing but the report, as one line of JSON
+";
+
+/// Runs the command line of `catkin-load`, without the program's name.
+#[must_use]
+pub fn run_command(args: Vec<OsString>) -> ExitCode {
+    match command(args) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn command(args: Vec<OsString>) -> Result<ExitCode, LoadError> {
+    let mut args = args.into_iter();
+    let first = args.next().unwrap_or_default();
+    match first.to_str() {
+        Some("process") => {
+            let role = args.next().and_then(|role| role.to_str()?.parse().ok());
+            let role: Role = role.ok_or(LoadError::UnknownCommand)?;
+            Ok(run_process(role, args.collect()))
+        }
+        Some("list") => {
+            for scenario in SCENARIOS {
+                println!("{:28} {}", scenario.name, scenario.about);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Some("run") => run(&Flags::read(args)?),
+        Some("compare") => compare(&Flags::read(args)?),
+        Some("help" | "--help") => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+        _ => Err(LoadError::UnknownCommand),
+    }
+}
+
+/// Flags and operands behind a command.
+struct Flags {
+    operands: Vec<String>,
+    settings: RunSettings,
+    rounds: usize,
+    json: bool,
+}
+
+impl Flags {
+    fn read(args: impl Iterator<Item = OsString>) -> Result<Self, LoadError> {
+        let mut flags = Self {
+            operands: Vec::new(),
+            settings: RunSettings::default(),
+            rounds: 3,
+            json: false,
+        };
+        let mut parser = lexopt::Parser::from_args(args);
+        while let Some(arg) = parser.next()? {
+            let settings = &mut flags.settings;
+            match arg {
+                lexopt::Arg::Value(operand) => {
+                    flags.operands.push(operand.to_string_lossy().into_owned());
+                }
+                lexopt::Arg::Long("json") => flags.json = true,
+                lexopt::Arg::Long("seed") => settings.seed = value("seed", &mut parser)?,
+                lexopt::Arg::Long("size") => settings.size = value("size", &mut parser)?,
+                lexopt::Arg::Long("rounds") => flags.rounds = value("rounds", &mut parser)?,
+                lexopt::Arg::Long("seconds") => {
+                    let seconds: f64 = value("seconds", &mut parser)?;
+                    settings.arrivals = Duration::try_from_secs_f64(seconds).ok();
+                }
+                lexopt::Arg::Long("router-flags") => {
+                    let text: String = value("router-flags", &mut parser)?;
+                    settings.router_flags = split_flags(&text);
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(flags)
+    }
+
+    fn operand(&self, i: usize) -> Result<&str, LoadError> {
+        let operand = self.operands.get(i).map(String::as_str);
+        operand.ok_or(LoadError::UnknownCommand)
+    }
+}
+
+fn value<T: FromStr>(flag: &'static str, parser: &mut lexopt::Parser) -> Result<T, LoadError> {
+    let value = parser.value()?.to_string_lossy().into_owned();
+    value.parse().map_err(|_| LoadError::Value { flag, value })
+}
+
+fn split_flags(text: &str) -> Vec<String> {
+    let flags = text.split(',').filter(|flag| !flag.is_empty());
+    flags.map(str::to_owned).collect()
+}
+
+#[tokio::main]
+async fn run(flags: &Flags) -> Result<ExitCode, LoadError> {
+    let scenario = Scenario::find(flags.operand(0)?)?;
+    let report = run_with_bar(&scenario, flags, &flags.settings).await?;
+    if !flags.json {
+        for violation in &report.violations {
+            println!("violation: {violation}");
+        }
+    }
+    println!("{}", to_json(&report));
+    Ok(if report.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn run_with_bar(
+    scenario: &Scenario,
+    flags: &Flags,
+    settings: &RunSettings,
+) -> Result<Report, LoadError> {
+    let shown = !flags.json && std::io::stderr().is_terminal();
+    let bar = if shown {
+        indicatif::ProgressBar::new(0)
+    } else {
+        indicatif::ProgressBar::hidden()
+    };
+    let program = std::env::current_exe()?;
+    let report = run_scenario(&program, scenario, settings, |done, count| {
+        bar.set_length(count.try_into().unwrap_or_default());
+        bar.set_position(done.try_into().unwrap_or_default());
+    });
+    let report = report.await;
+    bar.finish_and_clear();
+    report
+}
+
+/// Runs a scenario with two sets of router flags by turns, and prints each measure as a ratio.
+#[tokio::main]
+async fn compare(flags: &Flags) -> Result<ExitCode, LoadError> {
+    let scenario = Scenario::find(flags.operand(2)?)?;
+    let mut sides = [Vec::new(), Vec::new()];
+    for round in 0..flags.rounds {
+        for (side, reports) in sides.iter_mut().enumerate() {
+            let settings = RunSettings {
+                seed: flags.settings.seed + u64::try_from(round).unwrap_or_default(),
+                router_flags: split_flags(flags.operand(side)?),
+                ..flags.settings.clone()
+            };
+            reports.push(run_with_bar(&scenario, flags, &settings).await?);
+        }
+    }
+    let comparison = Comparison::of(&scenario, &sides[0], &sides[1]);
+    println!("{}", to_json(&comparison));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("reports have text keys only")
+}
--- /dev/null
+++ b/crates/load/src/fleet.rs
@@ -0,0 +1,239 @@
+use super::*;
+use crate::fleet_bundle::{fleet_bundle, team_key};
+use catkinward::http_client::{Connections, HttpCall};
+use rustix::process::Signal;
+use serde::de::DeserializeOwned;
+
+/// The processes of one run.
+pub struct Fleet {
+    /// Routers.
+    pub routers: Vec<Process>,
+    /// Engines.
+    pub engines: Vec<Process>,
+    /// Processes of the plain service.
+    pub plains: Vec<Process>,
+    proxy: Option<Process>,
+    connections: Arc<Connections>,
+}
+
+/// How the processes of a run are started.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// How many there are.
+    pub size: FleetSize,
+    /// Time of a decode step.
+    pub step: Duration,
+    /// How services meet losses.
+    pub recovery: RecoveryPolicy,
+    /// Whether engines are reached through the fault-injecting proxy.
+    pub linked: bool,
+    /// Further flags of the routers.
+    pub router_flags: Vec<String>,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// Bound of a control call.
+const CONTROL_BOUND: Duration = Duration::from_secs(2);
+
+/// How long routers may take to become ready.
+const READY_BOUND: Duration = Duration::from_secs(10);
+
+impl Fleet {
+    /// Starts all processes and waits until the routers are ready.
+    ///
+    /// # Errors
+    ///
+    /// If one of them does not start.
+    pub async fn start(program: &Path, settings: &FleetSettings) -> Result<Self, LoadError> {
+        let size = settings.size;
+        let engine = |i: usize| standin(program, "engine", engine_flags(settings, i));
+        let plain = |i: usize| {
+            standin(
+                program,
+                "plain",
+                vec![flag("seed", settings.seed.wrapping_add(n(i)))],
+            )
+        };
+        let engines = try_join_all((0..size.engines).map(engine)).await?;
+        let plains = try_join_all((0..size.plains).map(plain)).await?;
+        let connections = Arc::new(Connections::new()?);
+        let mut fleet = Self {
+            routers: Vec::new(),
+            engines,
+            plains,
+            proxy: None,
+            connections,
+        };
+        let engines = fleet.engine_addresses(program, settings.linked).await?;
+        let plains: Vec<_> = fleet.plains.iter().map(Process::address).collect();
+        let bundle = fleet_bundle(size, settings.recovery, &engines, &plains);
+        fleet.start_routers(program, settings, &bundle).await?;
+        Ok(fleet)
+    }
+
+    async fn engine_addresses(
+        &mut self,
+        program: &Path,
+        linked: bool,
+    ) -> Result<Vec<SocketAddr>, LoadError> {
+        let engines: Vec<_> = self.engines.iter().map(Process::address).collect();
+        if !linked {
+            return Ok(engines);
+        }
+        let proxy = standin(program, "proxy", Vec::new()).await?;
+        let mut routes = Vec::new();
+        for engine in engines {
+            let path = format!("/route?to={engine}");
+            routes.push(self.control(proxy.address(), Method::POST, path).await?);
+        }
+        self.proxy = Some(proxy);
+        Ok(routes)
+    }
+
+    async fn start_routers(
+        &mut self,
+        program: &Path,
+        settings: &FleetSettings,
+        bundle: &bundle::Bundle,
+    ) -> Result<(), LoadError> {
+        let name = format!("catkin-load-{:x}.json", rand::random::<u64>());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, serde_json::to_vec(bundle).unwrap_or_default())?;
+        let router = |i| {
+            let mut flags = vec![
+                format!("--vm=vm-{i}"),
+                format!("--zone=zone-{}", i % settings.size.zones),
+                "--listen=127.0.0.1:0".to_owned(),
+                "--log=error".to_owned(),
+                format!("--bundle-file={}", file.display()),
+            ];
+            flags.extend(settings.router_flags.iter().cloned());
+            async move { Process::start(program, Role::Router, &flags).await }
+        };
+        let routers = try_join_all((0..settings.size.routers).map(router)).await;
+        std::fs::remove_file(&file)?;
+        self.routers = routers?;
+        let ready = async {
+            for router in &self.routers {
+                while !self.is_ready(router.address()).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        };
+        let waited = tokio::time::timeout(READY_BOUND, ready).await;
+        waited.map_err(|_| LoadError::NotReady)
+    }
+
+    /// Whether a router says that it may be sent calls.
+    pub async fn is_ready(&self, router: SocketAddr) -> bool {
+        let call = HttpCall {
+            address: router,
+            path: "/readyz".to_owned(),
+            bound: Duration::from_millis(300),
+            fresh: true,
+            ..HttpCall::default()
+        };
+        let answer = self.connections.call_whole(call).await;
+        answer.is_ok_and(|(status, _)| status.is_success())
+    }
+
+    /// A client of one team for each router.
+    ///
+    /// # Errors
+    ///
+    /// If no client can be made.
+    pub fn clients(&self, team: usize) -> Result<Vec<CallerClient>, LoadError> {
+        let key = team_key(team);
+        let client = |router: &Process| CallerClient::new(router.address(), &key);
+        Ok(self.routers.iter().map(client).collect::<Result<_, _>>()?)
+    }
+
+    /// Sends a signal to a router.
+    ///
+    /// # Errors
+    ///
+    /// If it has ended.
+    pub fn signal_router(&self, router: usize, signal: Signal) -> Result<(), LoadError> {
+        self.routers[router].signal(signal)
+    }
+
+    /// Sends a signal to an engine.
+    ///
+    /// # Errors
+    ///
+    /// If it has ended.
+    pub fn signal_engine(&self, engine: usize, signal: Signal) -> Result<(), LoadError> {
+        self.engines[engine].signal(signal)
+    }
+
+    /// Injects a fault on the way to an engine; only for linked fleets.
+    ///
+    /// # Errors
+    ///
+    /// If there is no proxy, or it does not answer.
+    pub async fn inject(&self, engine: usize, fault: ProxyFault) -> Result<(), LoadError> {
+        let role = Role::Standin;
+        let proxy = self.proxy.as_ref().ok_or(LoadError::NotRunning { role })?;
+        let path = format!("/fault?route={engine}&kind={fault}");
+        let call = control_call(proxy.address(), Method::POST, path);
+        self.connections.call_whole(call).await?;
+        Ok(())
+    }
+
+    /// Work of an engine so far, unless it is dead.
+    pub async fn engine_load(&self, engine: usize) -> Option<engine::UpstreamLoad> {
+        self.read(self.engines[engine].address(), "/v1/load").await
+    }
+
+    /// Runs that an engine counted, unless it is dead.
+    pub async fn engine_runs(&self, engine: usize) -> Option<RunCounts> {
+        self.read(self.engines[engine].address(), "/stats").await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Option<T> {
+        let answer = self.control(address, Method::GET, path.to_owned()).await;
+        answer.ok()
+    }
+
+    async fn control<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: String,
+    ) -> Result<T, LoadError> {
+        let call = control_call(address, method, path);
+        Ok(self.connections.call_json(call).await?)
+    }
+}
+
+fn control_call(address: SocketAddr, method: Method, path: String) -> HttpCall {
+    HttpCall {
+        address,
+        method,
+        path,
+        bound: CONTROL_BOUND,
+        fresh: true,
+        ..HttpCall::default()
+    }
+}
+
+async fn standin(program: &Path, kind: &str, flags: Vec<String>) -> Result<Process, LoadError> {
+    let args: Vec<_> = std::iter::once(kind.to_owned()).chain(flags).collect();
+    Process::start(program, Role::Standin, &args).await
+}
+
+fn engine_flags(settings: &FleetSettings, i: usize) -> Vec<String> {
+    vec![
+        flag("seed", settings.seed.wrapping_add(n(i))),
+        flag("step-us", settings.step.as_micros()),
+    ]
+}
+
+fn flag(name: &str, value: impl std::fmt::Display) -> String {
+    format!("--{name}={value}")
+}
+
+fn n(i: usize) -> u64 {
+    u64::try_from(i).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/load/src/injector.rs
@@ -0,0 +1,105 @@
+use super::*;
+use crate::{balancer::Balancer, generation_call::GenerationCall};
+use rustix::process::Signal;
+
+/// Carries out the faults of a scenario, and notes what a killed engine had done.
+pub(crate) struct Injector<'a> {
+    pub(crate) fleet: &'a Fleet,
+    pub(crate) balancer: &'a Balancer,
+    pub(crate) start: Instant,
+    pub(crate) random: Xoshiro256PlusPlus,
+    pub(crate) outcome: Injected,
+}
+
+/// What the faults of a run were and left behind.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Injected {
+    /// When each fault began.
+    pub(crate) at: Vec<Instant>,
+    /// Work and runs of engines that are dead now.
+    pub(crate) dead: Vec<(engine::UpstreamLoad, RunCounts)>,
+    /// Engines and routers that were killed.
+    pub(crate) killed_engines: Vec<usize>,
+    pub(crate) killed_routers: Vec<usize>,
+    /// Routers that were asked to end.
+    pub(crate) drained: Vec<usize>,
+}
+
+impl Injector<'_> {
+    /// Injects the faults of a scenario, each at its time.
+    pub(crate) async fn run(mut self, scenario: &Scenario) -> Result<Injected, LoadError> {
+        for (share, fault) in scenario.faults {
+            tokio::time::sleep_until(self.start + scenario.arrivals.mul_f64(*share)).await;
+            self.inject(*fault).await?;
+        }
+        Ok(self.outcome)
+    }
+
+    async fn inject(&mut self, fault: Fault) -> Result<(), LoadError> {
+        let fleet = self.fleet;
+        let engine = self.draw(fleet.engines.len(), &self.outcome.killed_engines.clone());
+        let router = self.draw(fleet.routers.len(), &self.outcome.killed_routers.clone());
+        if fault == Fault::KillEngine {
+            self.note_work(engine).await;
+        }
+        self.outcome.at.push(Instant::now());
+        match fault {
+            Fault::KillEngine => {
+                self.outcome.killed_engines.push(engine);
+                fleet.signal_engine(engine, Signal::KILL)?;
+            }
+            Fault::PauseEngine(pause) => {
+                fleet.signal_engine(engine, Signal::STOP)?;
+                tokio::time::sleep(pause).await;
+                fleet.signal_engine(engine, Signal::CONT)?;
+            }
+            Fault::SilenceEngine => fleet.inject(engine, ProxyFault::Silence).await?,
+            Fault::KillRouter => {
+                self.outcome.killed_routers.push(router);
+                fleet.signal_router(router, Signal::KILL)?;
+            }
+            Fault::PauseRouter(pause) => {
+                fleet.signal_router(router, Signal::STOP)?;
+                tokio::time::sleep(pause).await;
+                fleet.signal_router(router, Signal::CONT)?;
+            }
+            Fault::DrainRouter => {
+                self.outcome.drained.push(router);
+                fleet.signal_router(router, Signal::TERM)?;
+            }
+            Fault::Poison => self.poison().await?,
+        }
+        Ok(())
+    }
+
+    async fn note_work(&mut self, engine: usize) {
+        let load = self.fleet.engine_load(engine).await;
+        let runs = self.fleet.engine_runs(engine).await;
+        self.outcome.dead.extend(load.zip(runs));
+    }
+
+    /// Sends a request that crashes its engine, and sends it again as its caller would.
+    async fn poison(&mut self) -> Result<(), LoadError> {
+        let clients = self.fleet.clients(0)?;
+        let call = GenerationCall {
+            due: Duration::ZERO,
+            team: 0,
+            prompt: format!("{POISON} {:x}", self.random.random::<u64>()),
+            seed: 1,
+            tokens: 50,
+            key: format!("poison-{:x}", self.random.random::<u64>()),
+        };
+        let bound = Duration::from_secs(4);
+        for _ in 0..2 {
+            let deadline = Instant::now() + bound;
+            let call = call.clone();
+            call.make(&clients, self.balancer, bound, deadline).await;
+        }
+        Ok(())
+    }
+
+    fn draw(&mut self, count: usize, except: &[usize]) -> usize {
+        let left: Vec<_> = (0..count).filter(|i| !except.contains(i)).collect();
+        left[self.random.random_range(0..left.len())]
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,23 +1,66 @@
 //! Load and experiments: real processes of routers and stand-ins, faults, and checks by callers.
 
 pub(crate) use {
+    catkin_border::{
+        bundle::{self, RecoveryPolicy},
+        caller, engine,
+    },
+    catkin_standins::{
+        Answer, CallerClient, POISON, ProxyFault, RunCounts, TokenChain, prompt_tokens,
+        request_digest,
+    },
     derive_more::{Display, Error, From},
+    futures::future::{join_all, try_join_all},
+    http::Method,
+    rand::{RngExt, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
+    serde::Serialize,
     std::{
         ffi::OsString,
         io,
         net::SocketAddr,
+        path::Path,
         process::{ExitCode, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     tokio::{
         io::{AsyncBufReadExt, BufReader},
         process::{Child, Command},
+        time::Instant,
     },
 };
 
 pub use crate::{
+    command::run_command,
+    comparison::{Comparison, Spread},
     error::Error as LoadError,
+    fleet::{Fleet, FleetSettings},
+    percentiles::Percentiles,
     process::{Process, Role, run_process},
+    report::Report,
+    run::{RunSettings, run_scenario},
+    scenario::{Fault, Scenario},
+    scenarios::SCENARIOS,
+    size::{FleetSize, Size},
 };
 
+mod balancer;
+mod command;
+mod comparison;
 mod error;
+mod fleet;
+mod fleet_bundle;
+mod generation_call;
+mod injector;
+mod percentiles;
 mod process;
+mod report;
+mod run;
+mod scenario;
+mod scenarios;
+mod size;
+mod tally;
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::error::Error;
+use rustix::process::{Pid, Signal};
 
 /// What a process of an experiment is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString, strum::Display)]
@@ -29,7 +30,7 @@
     pub async fn start(
         program: &std::path::Path,
         role: Role,
-        args: &[&str],
+        args: &[impl AsRef<std::ffi::OsStr>],
     ) -> Result<Self, Error> {
         let mut child = Command::new(program)
             .args(["process", &role.to_string()])
@@ -68,6 +69,23 @@
             .map_err(|source| Error::Process { role, source })
     }
 
+    /// Sends it a signal: kills, pauses or resumes it, or asks it to end.
+    ///
+    /// # Errors
+    ///
+    /// If it has been waited for already.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let role = self.role;
+        let pid = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.and_then(Pid::from_raw);
+        let pid = pid.ok_or(Error::NotRunning { role })?;
+        let sent = rustix::process::kill_process(pid, signal);
+        sent.map_err(|source| Error::Process {
+            role,
+            source: source.into(),
+        })
+    }
+
     /// Waits for its end and returns its exit code.
     ///
     /// # Errors
@@ -89,8 +107,12 @@
 
 async fn listening_address(child: &mut Child) -> Option<SocketAddr> {
     let mut lines = BufReader::new(child.stdout.take()?).lines();
-    let line = lines.next_line().await.ok()??;
-    line.strip_prefix("listening ")?.parse().ok()
+    loop {
+        let line = lines.next_line().await.ok()??;
+        if let Some(address) = line.strip_prefix("listening ") {
+            return address.parse().ok();
+        }
+    }
 }
 
 /// Runs this process as `role`.
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,169 @@
+use super::*;
+use crate::{
+    balancer::Balancer,
+    generation_call::{GenerationCall, GenerationResult},
+    injector::{Injected, Injector},
+    tally::Tally,
+};
+
+/// How one scenario is run.
+#[derive(Clone, Debug)]
+pub struct RunSettings {
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Size of the fleet.
+    pub size: Size,
+    /// Time for which calls arrive, in place of the scenario's own.
+    pub arrivals: Option<Duration>,
+    /// Further flags of the routers.
+    pub router_flags: Vec<String>,
+}
+
+impl Default for RunSettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            size: Size::Small,
+            arrivals: None,
+            router_flags: Vec::new(),
+        }
+    }
+}
+
+/// How long a router that was asked to end may take after its last stream.
+const DRAIN_BOUND: Duration = Duration::from_secs(10);
+
+/// Runs a scenario with real processes of `program`; `progress` is told of each call that ended.
+///
+/// # Errors
+///
+/// If the experiment itself cannot be run. Broken invariants stand in the report.
+pub async fn run_scenario(
+    program: &Path,
+    scenario: &Scenario,
+    settings: &RunSettings,
+    progress: impl Fn(usize, usize),
+) -> Result<Report, LoadError> {
+    let mut scenario = scenario.clone();
+    scenario.arrivals = settings.arrivals.unwrap_or(scenario.arrivals);
+    let fleet = Fleet::start(program, &fleet_settings(&scenario, settings)).await?;
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(settings.seed);
+    let calls = draw_calls(&scenario, settings.size.fleet(), &mut random);
+    let balancer = Balancer::new(fleet.routers.len());
+    let start = Instant::now();
+    let injector = Injector {
+        fleet: &fleet,
+        balancer: &balancer,
+        start,
+        random,
+        outcome: Injected::default(),
+    };
+    let load = async {
+        tokio::try_join!(
+            make_calls(&scenario, &fleet, &balancer, calls, start, progress),
+            injector.run(&scenario),
+        )
+    };
+    let (results, injected) = tokio::select! {
+        done = load => done?,
+        () = balancer.check(&fleet) => unreachable!("the balancer checks for ever"),
+    };
+    let mut report = settle(&scenario, fleet, &results, &injected).await?;
+    report.seed = settings.seed;
+    report.size = settings.size.to_string();
+    Ok(report)
+}
+
+fn fleet_settings(scenario: &Scenario, settings: &RunSettings) -> FleetSettings {
+    FleetSettings {
+        size: settings.size.fleet(),
+        step: scenario.step,
+        recovery: scenario.recovery,
+        linked: scenario.linked,
+        router_flags: settings.router_flags.clone(),
+        seed: settings.seed,
+    }
+}
+
+/// Draws arrivals at random times, whatever becomes of earlier calls.
+fn draw_calls(
+    scenario: &Scenario,
+    size: FleetSize,
+    random: &mut Xoshiro256PlusPlus,
+) -> Vec<GenerationCall> {
+    let engines = u32::try_from(size.engines).unwrap_or(u32::MAX);
+    let rate = scenario.generations * f64::from(engines);
+    let mut calls = Vec::new();
+    let mut due = Duration::ZERO;
+    loop {
+        let uniform: f64 = random.random_range(1e-9..1.0);
+        due += Duration::from_secs_f64(-uniform.ln() / rate);
+        if due > scenario.arrivals {
+            return calls;
+        }
+        let id: u64 = random.random();
+        calls.push(GenerationCall {
+            due,
+            team: random.random_range(0..size.teams),
+            prompt: format!("proofing note {id:016x}, folded twice, two colours, by Friday"),
+            seed: random.random::<u64>() >> 1,
+            tokens: random.random_range(scenario.tokens.0..=scenario.tokens.1),
+            key: format!("call-{id:016x}"),
+        });
+    }
+}
+
+async fn make_calls(
+    scenario: &Scenario,
+    fleet: &Fleet,
+    balancer: &Balancer,
+    calls: Vec<GenerationCall>,
+    start: Instant,
+    progress: impl Fn(usize, usize),
+) -> Result<Vec<GenerationResult>, LoadError> {
+    let teams = calls.iter().map(|call| call.team + 1).max().unwrap_or(0);
+    let clients = (0..teams).map(|team| fleet.clients(team));
+    let clients = clients.collect::<Result<Vec<_>, _>>()?;
+    let deadline = start + scenario.arrivals + scenario.tail;
+    let (count, done) = (calls.len(), AtomicUsize::new(0));
+    let calls = calls.into_iter().map(|call| async {
+        let clients = &clients[call.team];
+        tokio::time::sleep_until(start + call.due).await;
+        let result = call
+            .make(clients, balancer, scenario.patience, deadline)
+            .await;
+        progress(done.fetch_add(1, Ordering::Relaxed) + 1, count);
+        result
+    });
+    Ok(join_all(calls).await)
+}
+
+/// Collects what the processes know after the load, and judges.
+async fn settle(
+    scenario: &Scenario,
+    mut fleet: Fleet,
+    results: &[GenerationResult],
+    injected: &Injected,
+) -> Result<Report, LoadError> {
+    let mut engines = injected.dead.clone();
+    let mut engines_lost = 0;
+    for i in 0..fleet.engines.len() {
+        let work = fleet.engine_load(i).await.zip(fleet.engine_runs(i).await);
+        engines_lost += usize::from(work.is_none());
+        engines.extend(work);
+    }
+    let mut drained = Vec::new();
+    for router in &injected.drained {
+        let ended = tokio::time::timeout(DRAIN_BOUND, fleet.routers[*router].wait()).await;
+        drained.push(ended.ok().transpose()?.flatten());
+    }
+    let tally = Tally {
+        scenario,
+        results,
+        injected,
+        engines,
+        engines_lost,
+        drained,
+    };
+    Ok(tally.report())
+}
--- /dev/null
+++ b/crates/load/src/scenarios.rs
@@ -0,0 +1,89 @@
+use super::*;
+
+/// Length of a pause after which most bounds have run out.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// All scenarios.
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "steady",
+        about: "no fault",
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "engine-death",
+        about: "two engine processes are killed under running generations",
+        faults: &[(0.4, Fault::KillEngine), (0.8, Fault::KillEngine)],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "engine-death-least-work",
+        about: "the same under the policy of least extra engine time",
+        faults: &[(0.4, Fault::KillEngine), (0.8, Fault::KillEngine)],
+        recovery: RecoveryPolicy::LeastWork,
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "engine-pause",
+        about: "an engine process is stopped for 3 s and comes back",
+        faults: &[(0.4, Fault::PauseEngine(PAUSE))],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "silent-connection",
+        about: "all open connections to an engine go silent for good; new ones work",
+        faults: &[(0.4, Fault::SilenceEngine), (0.7, Fault::SilenceEngine)],
+        linked: true,
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "silent-connection-least-work",
+        about: "the same under the policy of least extra engine time",
+        faults: &[(0.4, Fault::SilenceEngine), (0.7, Fault::SilenceEngine)],
+        recovery: RecoveryPolicy::LeastWork,
+        linked: true,
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "drain",
+        about: "a router is asked to end while its streams run",
+        faults: &[(0.4, Fault::DrainRouter)],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "drain-long",
+        about: "the same with streams that outlast 45 s",
+        arrivals: Duration::from_secs(2),
+        generations: 0.5,
+        tokens: (950, 1000),
+        step: Duration::from_millis(50),
+        faults: &[(0.9, Fault::DrainRouter)],
+        tail: Duration::from_secs(65),
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "router-death",
+        about: "a router process is killed; its callers come back to others",
+        faults: &[(0.5, Fault::KillRouter)],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "router-pause",
+        about: "a router process is stopped for 3 s; its callers turn to others; it comes back",
+        faults: &[(0.4, Fault::PauseRouter(PAUSE))],
+        patience: Duration::from_millis(1500),
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "router-and-engine-death",
+        about: "a router and an engine are killed together",
+        faults: &[(0.5, Fault::KillRouter), (0.5, Fault::KillEngine)],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "poison",
+        about: "a request crashes each engine that runs it; its caller sends it again",
+        faults: &[(0.3, Fault::Poison)],
+        ..Scenario::BASE
+    },
+];
--- /dev/null
+++ b/crates/load/src/tally.rs
@@ -0,0 +1,163 @@
+use super::*;
+use crate::{
+    generation_call::{CallEnd, GenerationResult},
+    injector::Injected,
+};
+
+/// A wait that is longer than so many steps, and [`NOISE`], was caused by the fault before it.
+const HELD_UP_STEPS: u32 = 3;
+
+/// Waits that the scheduling of a busy machine causes.
+const NOISE: Duration = Duration::from_millis(20);
+
+/// All that a run left behind.
+pub(crate) struct Tally<'a> {
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) results: &'a [GenerationResult],
+    pub(crate) injected: &'a Injected,
+    /// Work and runs of the engines, dead ones as of their death.
+    pub(crate) engines: Vec<(engine::UpstreamLoad, RunCounts)>,
+    pub(crate) engines_lost: usize,
+    /// Exit codes of routers that were asked to end.
+    pub(crate) drained: Vec<Option<i32>>,
+}
+
+impl Tally<'_> {
+    /// Works out measures and verdict.
+    pub(crate) fn report(&self) -> Report {
+        let mut report = Report {
+            scenario: self.scenario.name.to_owned(),
+            accepted: self.results.iter().filter(|r| r.answer.accepted).count(),
+            completed: self.ended(CallEnd::Whole),
+            refused: self.ended(CallEnd::NotRun),
+            failed: self.ended(CallEnd::Failed),
+            returns: self.results.iter().map(|r| r.returns).sum(),
+            lost_answers: self.ended(CallEnd::Lost),
+            false_not_run: self.results.iter().filter(|r| self.ran_anyway(r)).count(),
+            resume_ms: Percentiles::of(self.results.iter().filter_map(|r| self.held_up(r))),
+            first_token_ms: Percentiles::of(self.results.iter().filter_map(first_token)),
+            token_gap_ms: Percentiles::of(self.results.iter().flat_map(gaps)),
+            engines_lost: self.engines_lost,
+            ..Report::default()
+        };
+        self.count_faults(&mut report);
+        self.count_work(&mut report);
+        report.violations = self.violations(&report);
+        report
+    }
+
+    fn ended(&self, end: CallEnd) -> usize {
+        self.results.iter().filter(|r| r.end == end).count()
+    }
+
+    fn count_faults(&self, report: &mut Report) {
+        for result in self.results {
+            let call = &result.call;
+            let verdict = result.answer.verdict(call.chain(), length(call.tokens));
+            report.missing_tokens += verdict.missing;
+            report.repeated_tokens += verdict.repeated;
+            report.mixed_answers += usize::from(verdict.mixed > 0);
+            report.crossed_answers += usize::from(verdict.crossed > 0);
+        }
+    }
+
+    fn ran_anyway(&self, result: &GenerationResult) -> bool {
+        let digest = request_digest("", result.call.prompt.as_bytes());
+        let ran = || {
+            self.engines
+                .iter()
+                .any(|(_, runs)| runs.of_digest(digest) > 0)
+        };
+        result.end == CallEnd::NotRun && ran()
+    }
+
+    /// Compares what engines computed with what callers asked for and received.
+    fn count_work(&self, report: &mut Report) {
+        let sum = |tokens: fn(&engine::UpstreamLoad) -> Option<u64>| {
+            let tokens = self.engines.iter().filter_map(|(load, _)| tokens(load));
+            tokens.sum::<u64>()
+        };
+        let decoded = sum(|load| load.decoded_tokens);
+        let prefilled = sum(|load| load.prefilled_tokens);
+        let prompts = |r: &GenerationResult| prompt_tokens(&r.call.prompt);
+        let received: usize = self.results.iter().map(|r| r.answer.ids.len()).sum();
+        let prompts: usize = self.results.iter().map(prompts).sum();
+        report.extra_decoded_ratio = ratio(decoded, received) - 1.0;
+        report.extra_engine_tokens_ratio = ratio(decoded + prefilled, received + prompts) - 1.0;
+    }
+
+    /// How long the fault that held an answer up most did so.
+    fn held_up(&self, result: &GenerationResult) -> Option<Duration> {
+        let answer = &result.answer;
+        let started = answer.started?;
+        let resumed = result.returns > 0 || answer.usage.as_ref().is_some_and(|u| u.attempts > 1);
+        let bound = self.scenario.step * HELD_UP_STEPS + NOISE;
+        let wait = |fault: &Instant| {
+            let fault = fault.checked_duration_since(started)?;
+            let next = answer.arrivals.partition_point(|arrival| *arrival < fault);
+            let before = next.checked_sub(1)?;
+            let gap = answer
+                .arrivals
+                .get(next)?
+                .checked_sub(answer.arrivals[before])?;
+            (resumed || gap > bound).then(|| answer.arrivals[next].saturating_sub(fault))
+        };
+        self.injected.at.iter().filter_map(wait).max()
+    }
+
+    fn violations(&self, report: &Report) -> Vec<String> {
+        let counts = [
+            ("tokens missing", report.missing_tokens),
+            ("tokens repeated", report.repeated_tokens),
+            ("answers mixed", report.mixed_answers),
+            ("answers crossed", report.crossed_answers),
+            ("answers lost", report.lost_answers),
+            ("accepted requests failed", report.failed),
+            ("requests refused", report.refused),
+            (
+                "requests ran that were told they had not",
+                report.false_not_run,
+            ),
+            ("requests ran twice", report.double_runs),
+        ];
+        let counts = counts.into_iter().filter(|(_, count)| *count > 0);
+        let mut violations: Vec<_> = counts.map(|(what, n)| format!("{n} {what}")).collect();
+        if self.results.is_empty() {
+            violations.push("no request was made".to_owned());
+        }
+        if self.engines_lost > self.injected.killed_engines.len() + POISON_LOSSES {
+            let lost = self.engines_lost;
+            violations.push(format!(
+                "{lost} engines lost, {POISON_LOSSES} to one request at most"
+            ));
+        }
+        for code in self.drained.iter().filter(|code| **code != Some(0)) {
+            violations.push(format!("a drained router ended with code {code:?}"));
+        }
+        violations
+    }
+}
+
+/// Engines that one poison request may cost.
+const POISON_LOSSES: usize = 2;
+
+fn first_token(result: &GenerationResult) -> Option<Duration> {
+    result.answer.arrivals.first().copied()
+}
+
+fn gaps(result: &GenerationResult) -> impl Iterator<Item = Duration> {
+    let pairs = result.answer.arrivals.windows(2);
+    pairs.map(|pair| pair[1].saturating_sub(pair[0]))
+}
+
+fn length(tokens: u32) -> usize {
+    usize::try_from(tokens).unwrap_or(usize::MAX)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a run are far below 2^52"
+)]
+fn ratio(part: u64, whole: usize) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
--- /dev/null
+++ b/crates/load/tests/scenarios.rs
@@ -0,0 +1,75 @@
+//! Short runs of the scenarios with real processes; what callers received must hold.
+
+use catkin_load::{Report, RunSettings, Scenario, run_scenario};
+use googletest::prelude::*;
+use std::{path::Path, time::Duration};
+
+async fn short_run(name: &str, seed: u64) -> Report {
+    let scenario = Scenario {
+        tokens: (60, 160),
+        step: Duration::from_millis(5),
+        ..Scenario::find(name).expect("a scenario")
+    };
+    let settings = RunSettings {
+        seed,
+        arrivals: Some(Duration::from_millis(1200)),
+        ..RunSettings::default()
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_catkin-load"));
+    run_scenario(program, &scenario, &settings, |_, _| {})
+        .await
+        .expect("the experiment runs")
+}
+
+#[gtest]
+#[tokio::test]
+async fn steady() {
+    let report = short_run("steady", 1).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.completed, gt(0));
+    expect_that!(report.extra_decoded_ratio, eq(0.0));
+}
+
+/// Engine processes are killed under running generations. Callers read on; tokens that they have
+/// are not decoded again.
+#[gtest]
+#[tokio::test]
+async fn engine_death() {
+    let report = short_run("engine-death", 1).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.engines_lost, eq(2));
+    expect_that!(report.resume_ms.count, gt(0));
+}
+
+/// An engine process stops for a while and comes back, still acting on what it believed before.
+#[gtest]
+#[tokio::test]
+async fn engine_pause() {
+    let report = short_run("engine-pause", 2).await;
+
+    expect_that!(report.violations, is_empty());
+}
+
+/// Open connections go silent for good. The generation goes on over a new connection to the same
+/// engine, which computes nothing again.
+#[gtest]
+#[tokio::test]
+async fn silent_connection() {
+    let report = short_run("silent-connection-least-work", 2).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.extra_engine_tokens_ratio, eq(0.0));
+}
+
+/// A router is asked to end while it streams. Its streams run to their end, new calls go to the
+/// others, and it ends by itself.
+#[gtest]
+#[tokio::test]
+async fn drain() {
+    let report = short_run("drain", 1).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.returns, eq(0));
+}
--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -5,11 +5,15 @@
 pub struct Answer {
     /// Request id that the router gave.
     pub request_id: Option<String>,
+    /// Whether a router took the request on.
+    pub accepted: bool,
     /// Token ids in the order received.
     pub ids: Vec<u32>,
     /// Text in the order received.
     pub text: String,
-    /// When each token came, from the start of the call.
+    /// When the first call for it began.
+    pub started: Option<tokio::time::Instant>,
+    /// When each token came, from the start of the first call.
     pub arrivals: Vec<Duration>,
     /// Why the answer ended; only then is it whole.
     pub finish: Option<String>,
@@ -30,6 +34,13 @@
             .unwrap_or_default()
     }
 
+    /// Judges its tokens; it need not be whole.
+    #[must_use]
+    pub fn verdict(&self, chain: TokenChain, max_tokens: usize) -> AnswerVerdict {
+        let whole = self.finish.is_some();
+        AnswerVerdict::of(chain, max_tokens, &self.ids, &self.text, whole)
+    }
+
     /// Checks it against the request.
     ///
     /// # Errors
--- a/crates/standins/src/answer_check.rs
+++ b/crates/standins/src/answer_check.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::answer_verdict::chain_text;
 
 /// What is wrong with an answer.
 #[derive(Clone, Debug, Display, Error, PartialEq)]
@@ -30,7 +31,7 @@
 ///
 /// Says what is wrong.
 pub fn check_answer(
-    mut chain: TokenChain,
+    chain: TokenChain,
     max_tokens: usize,
     ids: &[u32],
     text: &str,
@@ -41,11 +42,7 @@
             found: ids.len(),
         });
     }
-    let bytes = ids
-        .iter()
-        .flat_map(|id| chain.push(*id))
-        .collect::<Vec<_>>();
-    let expected = String::from_utf8_lossy(&bytes);
+    let expected = chain_text(chain, ids);
     if expected == text {
         return Ok(());
     }
--- a/crates/standins/src/caller_client.rs
+++ b/crates/standins/src/caller_client.rs
@@ -60,7 +60,8 @@
         answer: &mut Answer,
         mut on_token: impl FnMut(&Answer),
     ) -> Result<(), CallFault> {
-        let start = Instant::now();
+        let start = *answer.started.get_or_insert_with(Instant::now);
+        answer.problem = None;
         let mut headers = self.headers(idempotency_key);
         if let Some(last) = answer.ids.len().checked_sub(1) {
             headers.insert("last-event-id", last.into());
@@ -81,6 +82,7 @@
             answer.problem = Some(serde_json::from_slice(&body)?);
             return Ok(());
         }
+        answer.accepted = true;
         let mut reader = SseReader::into_sse(response).map_err(|_| CallFault::Broken)?;
         loop {
             let event = reader.read().await.map_err(|_| CallFault::Broken)?;
--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -37,7 +37,8 @@
 }
 
 /// Runs the stand-ins' daemon: `engine`, `plain` or `proxy` with its flags. It prints
-/// `listening ADDRESS`; the proxy prints the address of its control, then one for each `--to`.
+/// `listening ADDRESS`; before that, the proxy prints the address of a route for each `--to`, and
+/// what it listens on is its control.
 pub fn run_standin(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     match read_standin(args).map(serve) {
         Ok(Ok(())) => ExitCode::SUCCESS,
@@ -136,10 +137,10 @@
         }
         Standin::Proxy(upstreams) => {
             let proxy = FaultProxy::start(free).await?;
-            println!("listening {}", proxy.address());
             for upstream in upstreams {
                 println!("route {} to {upstream}", proxy.route(upstream).await?);
             }
+            println!("listening {}", proxy.address());
         }
     }
     std::future::pending::<()>().await;
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -9,6 +9,7 @@
     settings: EngineSettings,
     sequences: Mutex<Vec<Arc<Sequence>>>,
     cache: Mutex<PrefixCache>,
+    runs: Mutex<RunCounts>,
     pub(crate) decoded: AtomicU64,
     pub(crate) prefilled: AtomicU64,
     pub(crate) paused: watch::Sender<bool>,
@@ -17,6 +18,7 @@
 impl EngineBatch {
     pub(crate) fn new(settings: EngineSettings) -> Self {
         Self {
+            runs: Mutex::default(),
             cache: Mutex::new(PrefixCache::new(settings.prefix_cache)),
             settings,
             sequences: Mutex::default(),
@@ -38,6 +40,9 @@
             return None;
         }
         sequences.iter().filter(same).for_each(|s| s.cancel());
+        let digest = request_digest("", sequence.order.prompt.as_bytes());
+        let id = &sequence.order.request_id;
+        self.runs.lock().add(id, digest);
         let cached = self.cache.lock().take(&sequence.order.prompt);
         sequence.state.lock().prefill_left -= cached;
         let sequence = Arc::new(sequence);
@@ -62,6 +67,11 @@
             .for_each(|s| s.cancel());
     }
 
+    /// Attempts started, by request id and digest of the prompt.
+    pub(crate) fn runs(&self) -> RunCounts {
+        self.runs.lock().clone()
+    }
+
     /// Sequences being decoded, and sequences that wait for a place.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let unfinished = self
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -232,6 +232,7 @@
         Ok(match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/generate") => self.generate(req).await,
             (&Method::GET, "/v1/load") => self.load(),
+            (&Method::GET, "/stats") => Response::new(json_bytes(&self.inner.batch.runs()).into()),
             (&Method::GET, path) if path.starts_with(STREAMS) => self.reattach(&req),
             (&Method::DELETE, path) if path.starts_with(STREAMS) => self.cancel(&req),
             _ => refusal(engine::EngineRefusalKind::Malformed),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::{
     answer::Answer,
     answer_check::{AnswerFault, check_answer},
+    answer_verdict::AnswerVerdict,
     caller_client::{CallFault, CallerClient},
     daemon::{StandinError, run_standin},
     demo_bundle::{DEMO_KEY, demo_bundle},
@@ -52,6 +53,7 @@
 
 mod answer;
 mod answer_check;
+mod answer_verdict;
 mod caller_client;
 mod daemon;
 mod demo_bundle;
--- /dev/null
+++ b/crates/standins/tests/answer_verdict.rs
@@ -0,0 +1,101 @@
+//! Faults of an answer, told apart from what its caller received alone.
+
+use catkin_standins::{AnswerVerdict, TokenChain};
+use googletest::prelude::*;
+
+const TOKENS: usize = 20;
+
+fn chain(prompt: &str) -> TokenChain {
+    TokenChain::new("catkin", "1", prompt, 7)
+}
+
+/// Ids and token bytes of a generation that goes on from `prefix`, sampled with `salt`.
+fn generate(prompt: &str, prefix: &[u32], salt: u64) -> (Vec<u32>, Vec<Vec<u8>>) {
+    let mut chain = chain(prompt);
+    let mut ids = prefix.to_vec();
+    let mut bytes: Vec<_> = prefix.iter().map(|id| chain.push(*id)).collect();
+    while ids.len() < TOKENS {
+        let id = chain.sample(salt);
+        ids.push(id);
+        bytes.push(chain.push(id));
+    }
+    (ids, bytes)
+}
+
+fn verdict(ids: &[u32], bytes: &[Vec<u8>]) -> AnswerVerdict {
+    let text = String::from_utf8_lossy(&bytes.concat()).into_owned();
+    AnswerVerdict::of(chain("menu"), TOKENS, ids, &text, true)
+}
+
+#[gtest]
+fn whole_and_resumed_answers_are_right() {
+    let (ids, bytes) = generate("menu", &[], 1);
+    let resumed = generate("menu", &ids[..8], 2);
+
+    expect_that!(verdict(&ids, &bytes).is_right(), eq(true));
+    expect_that!(verdict(&resumed.0, &resumed.1).is_right(), eq(true));
+}
+
+#[gtest]
+fn missing_tokens_are_counted() {
+    let (mut ids, mut bytes) = generate("menu", &[], 1);
+    ids.drain(5..7);
+    bytes.drain(5..7);
+
+    let expected = AnswerVerdict {
+        missing: 2,
+        ..AnswerVerdict::default()
+    };
+    expect_that!(verdict(&ids, &bytes), eq(expected));
+}
+
+#[gtest]
+fn an_answer_cut_at_its_end_misses_the_rest() {
+    let (ids, bytes) = generate("menu", &[], 1);
+
+    let expected = AnswerVerdict {
+        missing: 4,
+        ..AnswerVerdict::default()
+    };
+    expect_that!(verdict(&ids[..16], &bytes[..16]), eq(expected));
+}
+
+#[gtest]
+fn repeated_tokens_are_counted() {
+    let (mut ids, mut bytes) = generate("menu", &[], 1);
+    ids.insert(6, ids[5]);
+    bytes.insert(6, bytes[5].clone());
+
+    let expected = AnswerVerdict {
+        repeated: 1,
+        ..AnswerVerdict::default()
+    };
+    expect_that!(verdict(&ids, &bytes), eq(expected));
+}
+
+/// The answer went on with a second generation of the same request that was not forced to the
+/// tokens delivered before.
+#[gtest]
+fn mixed_generations_are_counted() {
+    let (mut ids, mut bytes) = generate("menu", &[], 1);
+    let (other_ids, other_bytes) = generate("menu", &[], 2);
+    ids.splice(10.., other_ids[10..].iter().copied());
+    bytes.splice(10.., other_bytes[10..].iter().cloned());
+
+    let expected = AnswerVerdict {
+        mixed: 10,
+        ..AnswerVerdict::default()
+    };
+    expect_that!(verdict(&ids, &bytes), eq(expected));
+}
+
+#[gtest]
+fn an_answer_to_another_request_is_crossed() {
+    let (ids, bytes) = generate("reprint", &[], 1);
+
+    let expected = AnswerVerdict {
+        crossed: TOKENS,
+        ..AnswerVerdict::default()
+    };
+    expect_that!(verdict(&ids, &bytes), eq(expected));
+}
