--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -16,6 +16,10 @@
     Connections,
     /// Events of this process.
     Timeline,
+    /// The platform's table service, object store and VM list.
+    Platform,
+    /// The other VMs.
+    Peers,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,7 @@
     availability_zone::AvailabilityZone,
     bundle::Bundle,
     bundle_version::BundleVersion,
+    call_budget::{CallBudget, CallBudgetSettings},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -42,6 +43,7 @@
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    pinned::Pinned,
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -74,6 +76,7 @@
 mod availability_zone;
 mod bundle;
 mod bundle_version;
+mod call_budget;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
@@ -91,6 +94,7 @@
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod pinned;
 mod progress_record;
 mod progress_store;
 mod progress_update;
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -100,29 +100,46 @@
         let name = format!("catkin-load-{:x}.json", rand::random::<u64>());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, serde_json::to_vec(bundle).unwrap_or_default())?;
-        let router = |i| {
+        let flags = |i: usize, peers: &str| {
             let mut flags = vec![
                 format!("--vm=vm-{i}"),
                 format!("--zone=zone-{}", i % settings.size.zones),
                 "--listen=127.0.0.1:0".to_owned(),
+                "--peer-listen=127.0.0.1:0".to_owned(),
+                "--peer-key=secret-of-the-fleet".to_owned(),
+                format!("--peers={peers}"),
                 "--log=error".to_owned(),
                 format!("--bundle-file={}", file.display()),
             ];
             flags.extend(settings.router_flags.iter().cloned());
-            async move { Process::start(program, Role::Router, &flags).await }
+            flags
         };
-        let routers = try_join_all((0..settings.size.routers).map(router)).await;
+        let mut peers = Vec::new();
+        for i in 0..settings.size.routers {
+            let flags = flags(i, &peers.join(","));
+            let router = Process::start(program, Role::Router, &flags).await?;
+            if let Some(address) = router.other_address("peers") {
+                peers.push(format!("vm-{i}={address}@zone-{}", i % settings.size.zones));
+            }
+            self.routers.push(router);
+        }
+        let ready = tokio::time::timeout(READY_BOUND, self.wait_until_ready()).await;
         std::fs::remove_file(&file)?;
-        self.routers = routers?;
-        let ready = async {
-            for router in &self.routers {
-                while !self.is_ready(router.address()).await {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
+        ready.map_err(|_| LoadError::NotReady)?
+    }
+
+    /// Waits until each router is ready and knows all others.
+    async fn wait_until_ready(&self) -> Result<(), LoadError> {
+        for client in self.clients(0)? {
+            while !client
+                .peers()
+                .await
+                .is_ok_and(|n| n + 1 >= self.routers.len())
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
             }
-        };
-        let waited = tokio::time::timeout(READY_BOUND, ready).await;
-        waited.map_err(|_| LoadError::NotReady)
+        }
+        Ok(())
     }
 
     /// Whether a router says that it may be sent calls.
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -73,3 +73,24 @@
     expect_that!(report.violations, is_empty());
     expect_that!(report.returns, eq(0));
 }
+
+/// A router process is killed. Its callers come back to another one with what they have and get the
+/// rest of the same answer.
+#[gtest]
+#[tokio::test]
+async fn router_death() {
+    let report = short_run("router-death", 1).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.returns, gt(0));
+}
+
+/// A router and an engine die at the same moment.
+#[gtest]
+#[tokio::test]
+async fn router_and_engine_death() {
+    let report = short_run("router-and-engine-death", 1).await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.engines_lost, eq(1));
+}
--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -7,6 +7,8 @@
     pub request_id: Option<String>,
     /// Whether a router took the request on.
     pub accepted: bool,
+    /// Id of the last event, with which the caller comes back.
+    pub last_event_id: Option<String>,
     /// Token ids in the order received.
     pub ids: Vec<u32>,
     /// Text in the order received.
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -35,7 +35,7 @@
         if sequences
             .iter()
             .filter(same)
-            .any(|s| s.order.attempt >= sequence.order.attempt)
+            .any(|s| s.attempt() >= sequence.attempt())
         {
             return None;
         }
@@ -54,7 +54,7 @@
         self.sequences
             .lock()
             .iter()
-            .find(|s| s.order.request_id == request_id && s.order.attempt == attempt)
+            .find(|s| s.order.request_id == request_id && s.attempt() == attempt)
             .cloned()
     }
 
@@ -63,7 +63,7 @@
         self.sequences
             .lock()
             .iter()
-            .filter(|s| s.order.request_id == request_id && s.order.attempt <= attempt)
+            .filter(|s| s.order.request_id == request_id && s.attempt() <= attempt)
             .for_each(|s| s.cancel());
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -45,10 +45,14 @@
     plain_fault::PlainFault,
     plain_server::{PlainAnswer, PlainServer},
     plain_settings::PlainSettings,
+    platform_server::PlatformServer,
+    platform_store::PlatformStore,
     prefix_cache::prompt_tokens,
     proxy_fault::ProxyFault,
     run_counts::{RunCount, RunCounts, request_digest},
+    scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
+    upstream_probe::{first_busy, upstream_load},
 };
 
 mod answer;
@@ -66,10 +70,15 @@
 mod plain_fault;
 mod plain_server;
 mod plain_settings;
+mod platform_server;
+mod platform_store;
 mod prefix_cache;
 mod proxy_fault;
 mod proxy_route;
 mod query;
+mod rate_limit;
 mod run_counts;
+mod scripted_platform;
 mod sequence;
 mod token_chain;
+mod upstream_probe;
