catkin-load bench relay: throughput, memory and added delay of one router

Cause: the cost of relaying is a promise and was not measured.

Change: 500 open streams over 4 engines; processor time and memory of the router from /proc, and for 25 of the streams each token's arrival through the router against that on a direct connection to the same running stream.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -8,6 +8,7 @@
   list                                      name the scenarios
   run SCENARIO [FLAGS]                      run one; exit code 1 if an invariant is broken
   compare A B SCENARIO [FLAGS]              run it with router flags A and B, by turns
+  bench relay [FLAGS]                       what one router costs that relays streams
   help                                      print this text
 
 Flags:
@@ -16,6 +17,8 @@
   --seconds N      time for which calls arrive [the scenario's own]
   --router-flags F flags of the routers, separated by commas
   --rounds N       runs of each side of a comparison [3]
+  --streams N      open streams of a benchmark [500]
+  --routers N      routers of a benchmark that know each other [1]
   --json           print nothing but the report, as one line of JSON
 ";
 
@@ -47,6 +50,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Some("run") => run(&Flags::read(args)?),
+        Some("bench") => bench(&Flags::read(args)?),
         Some("compare") => compare(&Flags::read(args)?),
         Some("help" | "--help") => {
             print!("{HELP}");
@@ -60,6 +64,7 @@
 struct Flags {
     operands: Vec<String>,
     settings: RunSettings,
+    relay: RelaySettings,
     rounds: usize,
     json: bool,
 }
@@ -69,6 +74,7 @@
         let mut flags = Self {
             operands: Vec::new(),
             settings: RunSettings::default(),
+            relay: RelaySettings::default(),
             rounds: 3,
             json: false,
         };
@@ -86,6 +92,13 @@
                 lexopt::Arg::Long("seconds") => {
                     let seconds: f64 = value("seconds", &mut parser)?;
                     settings.arrivals = Duration::try_from_secs_f64(seconds).ok();
+                    flags.relay.window = settings.arrivals.unwrap_or(flags.relay.window);
+                }
+                lexopt::Arg::Long("streams") => {
+                    flags.relay.streams = value("streams", &mut parser)?;
+                }
+                lexopt::Arg::Long("routers") => {
+                    flags.relay.routers = value("routers", &mut parser)?;
                 }
                 lexopt::Arg::Long("router-flags") => {
                     let text: String = value("router-flags", &mut parser)?;
@@ -171,6 +184,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+#[tokio::main]
+async fn bench(flags: &Flags) -> Result<ExitCode, LoadError> {
+    if flags.operand(0)? != "relay" {
+        return Err(LoadError::UnknownCommand);
+    }
+    let program = std::env::current_exe()?;
+    println!("{}", to_json(&bench_relay(&program, &flags.relay).await?));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn to_json(value: &impl Serialize) -> String {
     serde_json::to_string(value).expect("reports have text keys only")
 }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -29,10 +29,26 @@
     pub linked: bool,
     /// Further flags of the routers.
     pub router_flags: Vec<String>,
+    /// Further flags of the engines.
+    pub engine_flags: Vec<String>,
     /// Seed of all that is drawn.
     pub seed: u64,
 }
 
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            size: Size::Small.fleet(),
+            step: Duration::from_millis(10),
+            recovery: RecoveryPolicy::LeastWait,
+            linked: false,
+            router_flags: Vec::new(),
+            engine_flags: Vec::new(),
+            seed: 1,
+        }
+    }
+}
+
 /// Bound of a control call.
 const CONTROL_BOUND: Duration = Duration::from_secs(2);
 
@@ -208,6 +224,13 @@
         self.read(self.engines[engine].address(), "/stats").await
     }
 
+    /// Opens a stream of a process; `None` if it refuses.
+    pub(crate) async fn open(&self, address: SocketAddr, path: String) -> Option<Response> {
+        let call = control_call(address, Method::GET, path);
+        let response = self.connections.call(call).await.ok()?;
+        response.status().is_success().then_some(response)
+    }
+
     async fn read<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Option<T> {
         let answer = self.control(address, Method::GET, path.to_owned()).await;
         answer.ok()
@@ -241,10 +264,12 @@
 }
 
 fn engine_flags(settings: &FleetSettings, i: usize) -> Vec<String> {
-    vec![
+    let mut flags = vec![
         flag("seed", settings.seed.wrapping_add(n(i))),
         flag("step-us", settings.step.as_micros()),
-    ]
+    ];
+    flags.extend(settings.engine_flags.iter().cloned());
+    flags
 }
 
 fn flag(name: &str, value: impl std::fmt::Display) -> String {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -32,6 +32,7 @@
         process::{Child, Command},
         time::Instant,
     },
+    volo_http::response::Response,
 };
 
 pub use crate::{
@@ -41,6 +42,8 @@
     fleet::{Fleet, FleetSettings},
     percentiles::Percentiles,
     process::{Process, Role, run_process},
+    process_usage::ProcessUsage,
+    relay_bench::{RelayReport, RelaySettings, bench_relay},
     report::Report,
     run::{RunSettings, run_scenario},
     scenario::{Fault, Scenario},
@@ -58,6 +61,8 @@
 mod injector;
 mod percentiles;
 mod process;
+mod process_usage;
+mod relay_bench;
 mod report;
 mod run;
 mod scenario;
--- /dev/null
+++ b/crates/load/src/relay_bench.rs
@@ -0,0 +1,193 @@
+use super::*;
+use crate::fleet_bundle::GENERATION_SERVICE;
+use parking_lot::Mutex;
+use std::{num::NonZeroU32, sync::atomic::AtomicU64};
+use volo_http::client::sse::SseReader;
+
+/// What is measured of a router that relays streams.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RelayReport {
+    /// Open streams.
+    pub streams: usize,
+    /// Routers that know each other; callers use one of them.
+    pub routers: usize,
+    /// Tokens that callers received a second.
+    pub tokens_per_s: f64,
+    /// Processor time that the router took, in cores.
+    pub router_cores: f64,
+    /// Tokens relayed for a second of the router's processor time.
+    pub tokens_per_cpu_s: f64,
+    /// Growth of the router's resident memory for each open stream, in bytes.
+    pub memory_per_stream: u64,
+    /// How much later a token came through the router than on a direct connection to its engine.
+    pub overhead_ms: Percentiles,
+}
+
+/// Settings of the measurement.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// Open streams.
+    pub streams: usize,
+    /// Routers.
+    pub routers: usize,
+    /// Time of a decode step.
+    pub step: Duration,
+    /// How long is measured.
+    pub window: Duration,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            streams: 500,
+            routers: 1,
+            step: Duration::from_millis(10),
+            window: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Engines before the router.
+const ENGINES: usize = 4;
+
+/// Streams that are read directly beside.
+const OBSERVED: usize = 25;
+
+/// Tokens that each stream has before the measurement begins.
+const WARM: usize = 50;
+
+/// A stream's arrivals through the router.
+#[derive(Default)]
+struct Stream {
+    request_id: Mutex<Option<String>>,
+    arrivals: Mutex<Vec<Instant>>,
+}
+
+/// Measures what one router costs that relays streams without any fault.
+///
+/// # Errors
+///
+/// If the processes do not start.
+pub async fn bench_relay(
+    program: &Path,
+    settings: &RelaySettings,
+) -> Result<RelayReport, LoadError> {
+    let fleet = Fleet::start(program, &fleet_settings(settings)).await?;
+    let pid = fleet.routers[0].id().unwrap_or_default();
+    let usage = || ProcessUsage::read(pid).unwrap_or_default();
+    let received = Arc::new(AtomicU64::new(0));
+    let idle = usage();
+    let streams = open_streams(&fleet, settings, &received)?;
+    for stream in &streams {
+        while stream.arrivals.lock().len() < WARM {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let observers = streams.iter().take(OBSERVED);
+    let observers = observers.map(|stream| observe(&fleet, stream, settings.window));
+    let (start, before) = (Instant::now(), usage());
+    let tokens_before = received.load(Ordering::Relaxed);
+    let (observed, ()) = tokio::join!(join_all(observers), tokio::time::sleep(settings.window));
+    let (elapsed, after) = (start.elapsed(), usage());
+    let tokens = received.load(Ordering::Relaxed) - tokens_before;
+    let cpu = after.cpu.saturating_sub(before.cpu);
+    let tokens = Duration::from_secs(tokens).as_secs_f64();
+    Ok(RelayReport {
+        streams: settings.streams,
+        routers: settings.routers,
+        tokens_per_s: tokens / elapsed.as_secs_f64(),
+        router_cores: cpu.div_duration_f64(elapsed),
+        tokens_per_cpu_s: tokens / cpu.as_secs_f64(),
+        memory_per_stream: after.resident.saturating_sub(idle.resident)
+            / u64::try_from(settings.streams.max(1)).unwrap_or(1),
+        overhead_ms: Percentiles::of(observed.into_iter().flatten()),
+    })
+}
+
+fn fleet_settings(settings: &RelaySettings) -> FleetSettings {
+    FleetSettings {
+        size: FleetSize {
+            routers: settings.routers,
+            engines: ENGINES,
+            plains: 0,
+            zones: 1,
+            teams: 1,
+        },
+        step: settings.step,
+        engine_flags: vec![
+            "--step-per-sequence-us=0".to_owned(),
+            format!("--capacity={}", settings.streams),
+        ],
+        ..FleetSettings::default()
+    }
+}
+
+fn open_streams(
+    fleet: &Fleet,
+    settings: &RelaySettings,
+    received: &Arc<AtomicU64>,
+) -> Result<Vec<Arc<Stream>>, LoadError> {
+    let clients = fleet.clients(0)?;
+    let streams = (0..settings.streams).map(|i| {
+        let stream = Arc::new(Stream::default());
+        let (client, received, seen) = (clients[0].clone(), received.clone(), stream.clone());
+        tokio::spawn(async move {
+            let mut answer = Answer::default();
+            let (request, key) = (endless(i), format!("stream-{i}"));
+            let reading = client.stream(&request, Some(&key), &mut answer, |answer| {
+                received.fetch_add(1, Ordering::Relaxed);
+                seen.arrivals.lock().push(Instant::now());
+                if seen.request_id.lock().is_none() {
+                    seen.request_id.lock().clone_from(&answer.request_id);
+                }
+            });
+            if let Err(fault) = reading.await {
+                tracing::debug!(%fault, "stream ended");
+            }
+        });
+        stream
+    });
+    Ok(streams.collect())
+}
+
+fn endless(i: usize) -> caller::CompletionRequest {
+    caller::CompletionRequest {
+        max_tokens: NonZeroU32::MAX,
+        model: GENERATION_SERVICE.to_owned(),
+        prompt: format!("catalogue {i}"),
+        seed: Some(1),
+        stop: Vec::new(),
+        stream: true,
+        temperature: None,
+    }
+}
+
+/// Reads a running stream from its engine directly, and compares the arrivals.
+async fn observe(fleet: &Fleet, stream: &Stream, window: Duration) -> Vec<Duration> {
+    let id = stream.request_id.lock().clone().unwrap_or_default();
+    let from = stream.arrivals.lock().len();
+    let mut direct = Vec::new();
+    let mut reader = None;
+    for engine in &fleet.engines {
+        let path = format!("/v1/streams/{id}?attempt=1&from={from}");
+        reader = reader.or(fleet.open(engine.address(), path).await);
+    }
+    let reading = async {
+        let mut reader = SseReader::into_sse(reader?).ok()?;
+        loop {
+            let event = reader.read().await.ok()??;
+            if event.event() == "token" {
+                direct.push(Instant::now());
+            }
+        }
+    };
+    let _: Result<Option<()>, _> = tokio::time::timeout(window, reading).await;
+    let routed = stream.arrivals.lock();
+    let routed = routed.get(from..).unwrap_or_default();
+    let pairs = direct.iter().zip(routed);
+    // The first events come together, as fast as the new connection takes them.
+    let pairs = pairs.skip(WARM);
+    pairs
+        .map(|(direct, routed)| routed.saturating_duration_since(*direct))
+        .collect()
+}
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -82,6 +82,7 @@
         linked: scenario.linked,
         router_flags: settings.router_flags.clone(),
         seed: settings.seed,
+        ..FleetSettings::default()
     }
 }
 
