--- a/crates/catkinward/src/admission_pool.rs
+++ b/crates/catkinward/src/admission_pool.rs
@@ -90,6 +90,13 @@
         Some(Place::new(self.clone(), lane, upstream))
     }
 
+    /// Takes a place for a request that runs at an upstream already.
+    pub(crate) fn hold(self: &Arc<Self>, lane: Lane, upstream: UpstreamHandle) -> Place {
+        let now = self.timer.now();
+        self.queue.lock().enter(now, lane, upstream.id());
+        Place::new(self.clone(), lane, upstream)
+    }
+
     /// Gives places to those who wait, and tells those whose time is over.
     pub(crate) fn pump(self: &Arc<Self>) {
         let now = self.timer.now();
--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -7,13 +7,17 @@
     http_client::json_bytes,
     metrics_page::metrics_page,
     problem::{Problem, ProblemKind},
+    returning_caller::{ReturnPoint, find_or_begin},
     waiting_place::WaitingPlace,
 };
 
 /// Header with the caller's deadline in milliseconds from now.
 const DEADLINE_HEADER: &str = "catkin-deadline-ms";
 
-/// Header with the index of the last token that a returning caller has.
+/// Header with the key by which a caller who comes back is recognised.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header with the id of the last event that a returning caller has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
 /// How often a generation without a caller is looked at.
@@ -104,7 +108,11 @@
         if self.node.bundle.current().version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
         }
-        Ok(Response::new("ready\n".into()))
+        let bundle = self.node.bundle.current().version;
+        let peers = self.node.peers.as_ref();
+        let peers = peers.map_or(0, |peers| peers.entries().len());
+        let text = format!("ready\nbundle {bundle}\npeers {peers}\n");
+        Ok(Response::new(text.into()))
     }
 
     pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
@@ -124,22 +132,72 @@
     }
 
     async fn complete(&self, req: Request) -> Result<Response, Problem> {
-        let in_flight = self.node.drain.enter();
+        let in_flight = self.node.drain.enter().ok_or(ProblemKind::Draining)?;
         let (parts, body) = req.into_parts();
         let caller = self.caller(&parts.headers)?;
         let body = self.read_body(body).await?;
         let order: caller::CompletionRequest =
             serde_json::from_slice(&body).map_err(|_| ProblemKind::Malformed)?;
         let request = self.accept(&caller, &parts.headers, &order)?;
-        let (generation, new) = self.node.generations.add(Generation::new(request));
-        if new {
-            self.admit(&generation, caller.queue_team())?;
+        let point = match header_text(&parts.headers, LAST_EVENT_ID) {
+            Some(last) => ReturnPoint::read(last)?,
+            None => ReturnPoint::default(),
+        };
+        let generation = match header_text(&parts.headers, IDEMPOTENCY_KEY) {
+            Some(key) => {
+                let request = GenerationRequest {
+                    id: RequestId::of_key(&caller.team, key),
+                    digest: Some(RequestDigest::of(&caller.team, &body)),
+                    ..request
+                };
+                self.keyed(request, &point, caller.queue_team()).await?
+            }
+            None if point.next > TokenIndex(0) => return Err(ProblemKind::KeyAbsent.into()),
+            None => self.begin(Generation::new(request), caller.queue_team())?,
+        };
+        if !order.stream {
+            return whole_answer(&generation).await;
         }
-        let from = next_index(&parts.headers)?;
-        if order.stream {
-            return Ok(event_response(event_stream(generation, from, in_flight)));
+        let vm = generation.request.digest.as_ref();
+        let vm = vm.map(|_| self.node.settings.vm.clone());
+        let body = event_stream(generation, point.next, vm, in_flight);
+        Ok(event_response(body))
+    }
+
+    /// The generation of a caller who gave a key: one that runs here or was taken over, or a new
+    /// one.
+    async fn keyed(
+        &self,
+        request: GenerationRequest,
+        point: &ReturnPoint,
+        team: QueueTeam,
+    ) -> Result<Arc<Generation>, Problem> {
+        if let Some(running) = self.node.generations.find(&request.id) {
+            if running.request.digest != request.digest {
+                return Err(ProblemKind::KeyConflict.into());
+            }
+            let superseded = matches!(
+                running.outcome(),
+                Some(GenerationOutcome::Failed(ProblemKind::Superseded))
+            );
+            if !superseded && running.next_index() >= point.next {
+                return Ok(running);
+            }
         }
-        whole_answer(&generation).await
+        let generation = find_or_begin(&self.node, request, point).await?;
+        self.begin(generation, team)
+    }
+
+    /// Runs a generation to its end, unless it has reached it already.
+    fn begin(&self, generation: Generation, team: QueueTeam) -> Result<Arc<Generation>, Problem> {
+        if generation.outcome().is_some() {
+            return Ok(Arc::new(generation));
+        }
+        let (generation, new) = self.node.generations.add(generation);
+        if new {
+            self.admit(&generation, team)?;
+        }
+        Ok(generation)
     }
 
     fn accept(
@@ -164,6 +222,7 @@
         };
         Ok(GenerationRequest {
             id: new_request_id(),
+            digest: None,
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
@@ -178,17 +237,22 @@
         })
     }
 
-    /// Lets a generation wait for its first place, or refuses it at once.
+    /// Lets a generation wait for its first place, or refuses it at once. One that was taken over
+    /// from another VM was admitted there, and goes on.
     fn admit(&self, generation: &Arc<Generation>, team: QueueTeam) -> Result<(), Problem> {
         let request = &generation.request;
+        if generation.attempts() > Attempt::default() {
+            self.start(generation, None);
+            return Ok(());
+        }
         let queued = Queued::new(request.id.clone());
         match generation_driver::offer(&self.node, request, team) {
-            Ok(waiting) => self.start(generation, waiting),
+            Ok(waiting) => self.start(generation, Some(waiting)),
             Err(refusal) => {
                 let not_run = queued.refuse(refusal.reason, refusal.retry_after);
                 let problem = Problem::not_run(&not_run);
                 generation.conclude(GenerationOutcome::Failed(problem.kind));
-                self.node.generations.remove(&request.id);
+                self.node.generations.remove(generation);
                 return Err(Problem {
                     request_id: Some(not_run.into_request()),
                     ..problem
@@ -198,7 +262,7 @@
         Ok(())
     }
 
-    fn start(&self, generation: &Arc<Generation>, waiting: WaitingPlace) {
+    fn start(&self, generation: &Arc<Generation>, waiting: Option<WaitingPlace>) {
         self.node.timeline.record(Event {
             request: Some(generation.request.id.clone()),
             bundle: Some(generation.request.bundle),
@@ -211,7 +275,12 @@
                 generation_driver::drive(node.clone(), generation.clone(), waiting),
                 end_if_abandoned(&node, &generation),
             );
-            node.generations.remove(&generation.request.id);
+            node.generations.remove(&generation);
+            if let (Some(peers), Some(update)) =
+                (&node.peers, generation.progress_from(TokenIndex(0)))
+            {
+                peers.keep_own(&update);
+            }
         });
     }
 
@@ -313,16 +382,6 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn next_index(headers: &HeaderMap) -> Result<TokenIndex, Problem> {
-    match header_text(headers, LAST_EVENT_ID) {
-        Some(last) => last
-            .parse()
-            .map(TokenIndex::next)
-            .map_err(|_| ProblemKind::Malformed.into()),
-        None => Ok(TokenIndex(0)),
-    }
-}
-
 pub(crate) fn new_request_id() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
         .parse()
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -10,16 +10,21 @@
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
         AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleVersion,
-        CallKey, CapacityReport, Delivery, Dispatched, EnginePriority, FailedCall, Finish, Hedge,
-        HotKeys, HybridClock, Instant, KeyHash, Lane, Model, NotRun, NotRunEvidence, PathRule,
-        QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecoveryPolicy,
-        RefusalReason, Relay, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
-        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
-        Utf8Joiner, VmId, parse_hex,
+        CallKey, CapacityReport, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue,
+        ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery,
+        Dispatched, EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim,
+        HotKeys, HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane, Model, NotRun,
+        NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, ProgressLimits, ProgressRecord,
+        ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd,
+        ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason, Relay,
+        RequestDigest, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId, ServiceKind,
+        Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId,
+        WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         any::Any,
         convert::Infallible,
@@ -32,7 +37,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -51,15 +56,22 @@
 pub use crate::{
     admission::Admission,
     bundle_in_force::BundleInForce,
+    claim_settings::ClaimSettings,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
-    drain::Drain,
+    drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
+    gossip::{Gossip, GossipSources},
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    peer_fault::PeerFault,
+    peer_key::PeerKey,
+    peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
+    peers::Peers,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
@@ -79,6 +91,11 @@
 mod bundle_format;
 mod bundle_in_force;
 mod caller_border;
+mod claim_committer;
+mod claim_row;
+mod claim_settings;
+mod claim_sweep;
+mod claims;
 mod daemon;
 mod drain;
 mod engine_client;
@@ -90,6 +107,7 @@
 mod generation_driver;
 mod generation_request;
 mod generations;
+mod gossip;
 /// HTTP calls to other processes.
 pub mod http_client;
 /// The HTTP server and its connection limits.
@@ -98,6 +116,13 @@
 mod logging;
 mod metrics_page;
 mod node;
+mod peer_fault;
+mod peer_handshake;
+mod peer_key;
+mod peer_link;
+mod peer_message;
+mod peer_socket;
+mod peers;
 mod place;
 mod plain_answer;
 mod plain_border;
@@ -110,7 +135,9 @@
 mod platform_client;
 mod problem;
 mod process_clock;
+mod progress_keeper;
 mod read_leader;
+mod returning_caller;
 mod service_name;
 mod settings;
 mod timeline;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -21,12 +21,16 @@
     pub bundle: Arc<BundleInForce>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
+    /// Claims of idempotency keys, if there is a platform.
+    pub claims: Option<Arc<Claims>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
     /// Queues and places of all services.
     pub admission: Arc<Admission>,
     /// Generations under way.
     pub generations: Arc<Generations>,
+    /// The other VMs, if this one takes calls of peers.
+    pub peers: Option<Arc<Peers>>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -61,6 +65,10 @@
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
+        let claims = match &platform {
+            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            None => None,
+        };
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         start_metrics();
@@ -68,6 +76,10 @@
         let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
         let admission = kernel.register(ServiceName::Admission, admission)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
+        let peers = start_peers(&settings, &timer, &timeline, &generations)?;
+        if let Some(peers) = &peers {
+            kernel.register(ServiceName::Peers, peers.clone())?;
+        }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
             settings,
@@ -77,9 +89,11 @@
             connections,
             bundle,
             platform,
+            claims,
             upstreams,
             admission,
             generations,
+            peers,
             drain,
         }))
     }
@@ -126,6 +140,42 @@
     }
 }
 
+fn start_peers(
+    settings: &Settings,
+    timer: &Arc<Timer>,
+    timeline: &Arc<Timeline>,
+    generations: &Arc<Generations>,
+) -> Result<Option<Arc<Peers>>> {
+    let Some(address) = settings.peer_listen else {
+        return Ok(None);
+    };
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        tokio::net::TcpListener::from_std(listener)
+    };
+    let listener = listen().map_err(|source| Error::Listen { address, source })?;
+    let bound = listener
+        .local_addr()
+        .map_err(|source| Error::Listen { address, source })?;
+    let entry = PeerEntry {
+        vm: settings.vm.clone(),
+        address: settings.peer_advertise.unwrap_or(bound),
+        zone: settings.zone.clone(),
+    };
+    let known = settings.peers.clone();
+    let key = settings.peer_key.clone();
+    Ok(Some(Peers::start(
+        listener,
+        entry,
+        key,
+        known,
+        timer,
+        timeline,
+        generations,
+    )))
+}
+
 fn new_timeline(settings: &Settings) -> Arc<Timeline> {
     Arc::new(Timeline::new(
         settings.vm.clone(),
@@ -135,6 +185,33 @@
     ))
 }
 
+/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
+/// of the platform a VM that is to be replaced must not wait for it.
+const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
+
+fn start_claims(
+    kernel: &Kernel,
+    platform: &Arc<Platform>,
+    timer: &Arc<Timer>,
+    settings: &Settings,
+) -> Result<Arc<Claims>> {
+    let claims = Claims::start(
+        platform.clone(),
+        timer.clone(),
+        settings.vm.clone(),
+        Incarnation(rand::random::<u64>() >> 1),
+        ClaimSettings::default(),
+    );
+    let stopped = claims.clone();
+    kernel.on_stop(move || async move {
+        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
+        if flushed.is_err() {
+            tracing::warn!("ended with claims whose outcome is not recorded");
+        }
+    });
+    kernel.register(ServiceName::Claims, claims)
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -24,6 +24,10 @@
     Draining,
     /// Too many calls for one item are under way.
     HotKey,
+    /// A caller comes back without the idempotency key of its request.
+    KeyAbsent,
+    /// The idempotency key was used for another request.
+    KeyConflict,
     /// The request is no JSON of the right form.
     Malformed,
     /// There is no such path.
@@ -36,6 +40,10 @@
     NotReady,
     /// It cannot be served before its deadline.
     Overloaded,
+    /// No copy reaches as far as the returning caller has come.
+    ProgressLost,
+    /// Another VM has taken the generation over, for its caller who came back there.
+    Superseded,
     /// The team may not call this service.
     TeamNotAllowed,
     /// The bearer key is of no team.
@@ -51,11 +59,11 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Cancelled => StatusCode::CONFLICT,
             Self::AnswerLost | Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerTooLarge => StatusCode::BAD_GATEWAY,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::Cancelled | Self::KeyConflict | Self::Superseded => StatusCode::CONFLICT,
             Self::Draining
             | Self::NoUpstream
             | Self::NotReady
@@ -63,7 +71,8 @@
             | Self::UpstreamRefused
             | Self::UpstreamUnreachable => StatusCode::SERVICE_UNAVAILABLE,
             Self::HotKey => StatusCode::TOO_MANY_REQUESTS,
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::KeyAbsent | Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::ProgressLost => StatusCode::GONE,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -75,11 +84,15 @@
     pub fn outcome(self) -> caller::Outcome {
         match self {
             Self::AnswerLost | Self::AnswerTooLarge => caller::Outcome::Unknown,
-            Self::Cancelled | Self::Deadline => caller::Outcome::Failed,
+            Self::Cancelled | Self::Deadline | Self::ProgressLost | Self::Superseded => {
+                caller::Outcome::Failed
+            }
             Self::BodyTooLarge
             | Self::BodyTooSlow
             | Self::Draining
             | Self::HotKey
+            | Self::KeyAbsent
+            | Self::KeyConflict
             | Self::Malformed
             | Self::NoSuchPath
             | Self::NoSuchService
@@ -118,12 +131,16 @@
             Self::Deadline => "the deadline passed before the whole answer was there",
             Self::Draining => "this VM is shutting down",
             Self::HotKey => "too many calls for this item are under way",
+            Self::KeyAbsent => "to come back, send the idempotency key of the request",
+            Self::KeyConflict => "the idempotency key was used for another request",
             Self::Malformed => "the request is not of the documented form",
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
             Self::NoUpstream => "no upstream can take the call",
             Self::NotReady => "this VM has no configuration bundle yet",
             Self::Overloaded => "the call cannot be served before its deadline",
+            Self::ProgressLost => "what was delivered before is not known any more; start anew",
+            Self::Superseded => "another VM goes on with this generation",
             Self::TeamNotAllowed => "this team may not call this service",
             Self::UnknownKey => "the bearer key is not known",
             Self::UpstreamRefused => "the upstream refused the call",
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -10,6 +10,8 @@
     Admission,
     /// The bundle in force.
     Bundle,
+    /// Claims of idempotency keys.
+    Claims,
     /// The state of a graceful shutdown.
     Drain,
     /// Generations under way.
@@ -20,6 +22,8 @@
     Timeline,
     /// The platform's table service, object store and VM list.
     Platform,
+    /// The other VMs.
+    Peers,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub(crate) use {
     crate::call_table::CallTable,
+    crate::claim_change::Judged,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -29,10 +30,21 @@
     bundle_version::BundleVersion,
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
+    candidate::Candidate,
+    choice::{ChoiceInput, choose},
+    claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
+    claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
+    claim_record::{
+        ClaimKind, ClaimOutcome, ClaimRecord, ClaimStage, RecordedAnswer, RecordedBody,
+    },
+    claim_token::ClaimToken,
+    claim_verdict::ClaimVerdict,
+    claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    eligible::Eligible,
     engine_priority::EnginePriority,
     error::Error,
     failed_call::FailedCall,
@@ -43,14 +55,25 @@
     hot_keys::HotKeys,
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
+    idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
+    ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
     lane::Lane,
+    lease::{
+        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
+        LeaseWrite, OrderPermit,
+    },
+    leaving_source::LeavingSource,
     model::Model,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    pinned::Pinned,
+    poison_hold::PoisonHold,
+    poison_mark::PoisonMark,
+    poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
@@ -71,6 +94,8 @@
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
+    subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
     term::Term,
@@ -79,10 +104,15 @@
     token_index::TokenIndex,
     token_log::TokenLog,
     upstream::Upstream,
+    upstream_death::UpstreamDeath,
+    upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
     upstream_places::{CapacityReport, UpstreamPlaces},
+    upstream_record::{AskedReport, UpstreamRecord},
+    upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
+    wall_time::WallTime,
 };
 
 mod admission_queue;
@@ -93,10 +123,19 @@
 mod call_budget;
 mod call_key;
 mod call_table;
+mod candidate;
+mod choice;
+mod claim_change;
+mod claim_queue;
+mod claim_record;
+mod claim_token;
+mod claim_verdict;
+mod claimed;
 mod concurrency_limit;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
+mod eligible;
 mod engine_priority;
 mod error;
 mod failed_call;
@@ -107,14 +146,22 @@
 mod hot_keys;
 mod hybrid_clock;
 mod hybrid_time;
+mod idempotency_key;
 mod incarnation;
+mod ineligible;
 mod instant;
 mod key_hash;
 mod lane;
+mod lease;
+mod leaving_source;
 mod model;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod pinned;
+mod poison_hold;
+mod poison_mark;
+mod poison_tracker;
 mod progress_record;
 mod progress_store;
 mod progress_update;
@@ -135,6 +182,8 @@
 mod service_id;
 mod service_kind;
 mod service_time;
+mod subset;
+mod suspicion;
 mod team;
 mod team_id;
 mod term;
@@ -143,7 +192,12 @@
 mod token_index;
 mod token_log;
 mod upstream;
+mod upstream_death;
+mod upstream_evidence;
 mod upstream_id;
 mod upstream_places;
+mod upstream_record;
+mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
+mod wall_time;
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::error::Error;
+use rustix::process::{Pid, Signal};
 
 /// What a process of an experiment is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString, strum::Display)]
@@ -18,6 +19,7 @@
     role: Role,
     child: Child,
     address: SocketAddr,
+    others: Vec<(String, SocketAddr)>,
 }
 
 impl Process {
@@ -29,7 +31,7 @@
     pub async fn start(
         program: &std::path::Path,
         role: Role,
-        args: &[&str],
+        args: &[impl AsRef<std::ffi::OsStr>],
     ) -> Result<Self, Error> {
         let mut child = Command::new(program)
             .args(["process", &role.to_string()])
@@ -39,13 +41,14 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
-        let address = listening_address(&mut child)
+        let (address, others) = listening_addresses(&mut child)
             .await
             .ok_or(Error::NotListening { role })?;
         Ok(Self {
             role,
             child,
             address,
+            others,
         })
     }
 
@@ -55,6 +58,13 @@
         self.address
     }
 
+    /// Another address that it listens on, by the name that it prints.
+    #[must_use]
+    pub fn other_address(&self, name: &str) -> Option<SocketAddr> {
+        let found = self.others.iter().find(|(other, _)| other == name);
+        found.map(|(_, address)| *address)
+    }
+
     /// Kills it without notice.
     ///
     /// # Errors
@@ -68,6 +78,23 @@
             .map_err(|source| Error::Process { role, source })
     }
 
+    /// Sends it a signal: kills, pauses or resumes it, or asks it to end.
+    ///
+    /// # Errors
+    ///
+    /// If it has been waited for already.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let role = self.role;
+        let pid = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.and_then(Pid::from_raw);
+        let pid = pid.ok_or(Error::NotRunning { role })?;
+        let sent = rustix::process::kill_process(pid, signal);
+        sent.map_err(|source| Error::Process {
+            role,
+            source: source.into(),
+        })
+    }
+
     /// Waits for its end and returns its exit code.
     ///
     /// # Errors
@@ -87,10 +114,19 @@
     }
 }
 
-async fn listening_address(child: &mut Child) -> Option<SocketAddr> {
+/// Reads lines of a name and an address until the one that says `listening`.
+async fn listening_addresses(child: &mut Child) -> Option<(SocketAddr, Vec<(String, SocketAddr)>)> {
     let mut lines = BufReader::new(child.stdout.take()?).lines();
-    let line = lines.next_line().await.ok()??;
-    line.strip_prefix("listening ")?.parse().ok()
+    let mut others = Vec::new();
+    loop {
+        let line = lines.next_line().await.ok()??;
+        let (name, address) = line.split_once(' ')?;
+        let address = address.parse().ok()?;
+        if name == "listening" {
+            return Some((address, others));
+        }
+        others.push((name.to_owned(), address));
+    }
 }
 
 /// Runs this process as `role`.
