Keyed calls of plain services are claimed before their one dispatch

Cause: a non-idempotent call with an idempotency key was made as if it had none, so a caller who sent it again to another VM could have it run twice.

Change: the call is checked against admission first, since a claim and its release are two writes; then it is claimed, waits for its place, and is dispatched once in a task of its own. Its outcome is recorded: the answer, or that nobody knows, or the claim is released if it certainly did not run. A call sent again gets the recorded answer, waits for one that still runs, or is told the conflict.

Conclusion: non-idempotent calls with a key run at most once over all VMs, as long as the table service keeps its rows.

--- a/crates/catkinward/src/admission_pool.rs
+++ b/crates/catkinward/src/admission_pool.rs
@@ -46,6 +46,22 @@
         }
     }
 
+    /// Whether a request would be let in now.
+    ///
+    /// # Errors
+    ///
+    /// If it would be refused, which is counted as a refusal.
+    pub(crate) fn check(&self, arrival: &Arrival) -> Result<(), Refusal> {
+        let checked = self.queue.lock().check(self.timer.now(), arrival);
+        checked.map(|_| ()).map_err(|(reason, retry_after)| {
+            self.count_refusal(reason);
+            Refusal {
+                reason,
+                retry_after,
+            }
+        })
+    }
+
     /// Lets a request wait for a place.
     ///
     /// # Errors
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -128,6 +128,7 @@
 mod plain_border;
 mod plain_call;
 mod plain_calls;
+mod plain_claim;
 mod plain_dispatch;
 mod plain_headers;
 mod plain_send;
--- a/crates/catkinward/src/plain_call.rs
+++ b/crates/catkinward/src/plain_call.rs
@@ -24,7 +24,7 @@
     pub(crate) body: Bytes,
     pub(crate) deadline: Instant,
     pub(crate) idempotent: bool,
-    pub(crate) key: Option<Arc<str>>,
+    pub(crate) key: Option<IdempotencyKey>,
 }
 
 impl PlainCall {
@@ -61,6 +61,17 @@
         CallKey::new(self.team.id.clone(), self.address_parts())
     }
 
+    /// Digest of all that makes it this call, by which a key used for another one is found.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let parts = self.address_parts().into_iter().chain([&*self.body]);
+        let mut bytes = Vec::with_capacity(self.body.len() + 256);
+        for part in parts {
+            bytes.extend((part.len() as u64).to_le_bytes());
+            bytes.extend(part);
+        }
+        RequestDigest::of(&self.team.id, &bytes)
+    }
+
     fn address_parts(&self) -> [&[u8]; 3] {
         [
             self.service.as_str().as_bytes(),
@@ -110,14 +121,14 @@
 }
 
 /// The idempotency key, if there is one.
-pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, ProblemKind> {
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, ProblemKind> {
     let mut keys = headers.get_all(KEY_HEADER).iter();
     let Some(key) = keys.next() else {
         return Ok(None);
     };
     let text = key.to_str().map_err(|_| ProblemKind::Malformed)?;
-    if keys.next().is_some() || text.is_empty() {
+    if keys.next().is_some() {
         return Err(ProblemKind::Malformed);
     }
-    Ok(Some(text.into()))
+    text.parse().map(Some).map_err(|_| ProblemKind::Malformed)
 }
--- a/crates/catkinward/src/plain_calls.rs
+++ b/crates/catkinward/src/plain_calls.rs
@@ -54,9 +54,9 @@
         pool: dispatch.pool.clone(),
         key,
     };
-    match (call.idempotent, &call.key) {
+    match (call.idempotent, call.key.clone()) {
         (true, _) => dispatch.call_repeatedly(call).await,
-        (false, Some(_)) => dispatch.call_with_key(call).await,
+        (false, Some(key)) => dispatch.call_with_key(call, key).await,
         (false, None) => dispatch.call_once(call).await,
     }
 }
--- /dev/null
+++ b/crates/catkinward/src/plain_claim.rs
@@ -0,0 +1,153 @@
+//! Non-idempotent calls with an idempotency key: claimed in the table service, then dispatched once.
+
+use super::*;
+use crate::{
+    admission_pool::Refusal,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
+    place::Place,
+    plain_answer::PlainAnswer,
+    plain_call::PlainCall,
+    plain_dispatch::{PlainDispatch, refused},
+    plain_send::{SendFault, send},
+    problem::{Problem, ProblemKind},
+};
+
+impl PlainDispatch {
+    /// Dispatches a non-idempotent call that has an idempotency key: at most once over all VMs, and
+    /// a caller who sends it again gets the answer of the first time.
+    ///
+    /// Without a platform there are no claims, and the call is made as if it had no key.
+    pub(crate) async fn call_with_key(
+        &self,
+        call: PlainCall,
+        key: IdempotencyKey,
+    ) -> Result<PlainAnswer, Problem> {
+        let Some(claims) = self.node.claims.clone() else {
+            return self.call_once(call).await;
+        };
+        // A claim costs the table service a write and its release another one, so what would be
+        // refused anyway is refused before.
+        if let Err(refusal) = self.pool.check(&call.arrival()) {
+            return Err(refused(Queued::new(call), refusal));
+        }
+        let request = self.claim_request(&call, key);
+        let digest = request.digest;
+        let verdict = match claims.claim(request).await {
+            ClaimVerdict::InProgress(found) => {
+                let left = self.until(call.deadline);
+                claims.outcome(&digest, found, left).await
+            }
+            verdict => verdict,
+        };
+        match verdict {
+            ClaimVerdict::Claimed(claimed) => {
+                self.dispatch_claimed(claims, claimed.with(call)).await
+            }
+            ClaimVerdict::Done(ClaimOutcome::Answered(answer)) => replay(&claims, answer).await,
+            ClaimVerdict::Done(ClaimOutcome::Unknown) => Err(ProblemKind::AnswerLost.into()),
+            ClaimVerdict::InProgress(_) => Err(ProblemKind::KeyInUse.into()),
+            ClaimVerdict::Conflict => Err(ProblemKind::KeyConflict.into()),
+            ClaimVerdict::NotRun => {
+                self.pool.count_refusal(RefusalReason::NotClaimed);
+                let refusal = Refusal {
+                    reason: RefusalReason::NotClaimed,
+                    retry_after: Duration::ZERO,
+                };
+                Err(refused(Queued::new(call), refusal))
+            }
+        }
+    }
+
+    /// Dispatches a claimed call in a task of its own: a caller who hangs up and sends it again
+    /// finds its outcome recorded, and not a claim of which nobody knows the end.
+    async fn dispatch_claimed(
+        &self,
+        claims: Arc<Claims>,
+        claimed: Claimed<PlainCall>,
+    ) -> Result<PlainAnswer, Problem> {
+        let dispatch = self.clone();
+        let in_flight = self.node.drain.enter();
+        let task = tokio::spawn(async move {
+            let _in_flight = in_flight;
+            dispatch.settle(&claims, claimed).await
+        });
+        task.await.unwrap_or(Err(ProblemKind::AnswerLost.into()))
+    }
+
+    async fn settle(
+        &self,
+        claims: &Arc<Claims>,
+        claimed: Claimed<PlainCall>,
+    ) -> Result<PlainAnswer, Problem> {
+        let mut place = match self.place(claimed.request()).await {
+            Ok(place) => place,
+            Err(refusal) => {
+                let queued = Queued::new(claimed.request().clone());
+                claims.release(claimed.give_back());
+                return Err(refused(queued, refusal));
+            }
+        };
+        let (call, held) = claimed.dispatch();
+        let options = self.options(&call, true);
+        let dispatched = Queued::new(call).dispatch();
+        let connections = &self.node.connections;
+        match send(connections, &mut place, dispatched.request(), options).await {
+            Ok(answer) => {
+                claims.record(held, to_record(&answer));
+                Ok(answer)
+            }
+            Err(fault) => {
+                match fault {
+                    SendFault::NotRun(_) => claims.release(held),
+                    SendFault::Lost | SendFault::TooLarge => claims.record_unknown(held),
+                }
+                Err(self.failed(dispatched, fault))
+            }
+        }
+    }
+
+    async fn place(&self, call: &PlainCall) -> Result<Place, Refusal> {
+        let waiting = self.pool.offer(&call.arrival(), self.chooser(Vec::new()))?;
+        waiting.granted().await
+    }
+
+    fn claim_request(&self, call: &PlainCall, key: IdempotencyKey) -> ClaimRequest {
+        ClaimRequest {
+            team: call.team.id.clone(),
+            key,
+            digest: call.digest(),
+            kind: ClaimKind::Call,
+            request: call.id.clone(),
+            time_left: self.until(call.deadline),
+        }
+    }
+}
+
+fn to_record(answer: &PlainAnswer) -> AnswerToRecord {
+    let headers = answer.headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((name.as_str().into(), value.into()))
+    });
+    AnswerToRecord {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: answer.body.clone(),
+    }
+}
+
+async fn replay(claims: &Claims, answer: RecordedAnswer) -> Result<PlainAnswer, Problem> {
+    let body = match claims.body(&answer.body).await {
+        Ok(Some(body)) => body,
+        Ok(None) => return Err(ProblemKind::AnswerTooLarge.into()),
+        Err(_) => return Err(ProblemKind::AnswerLost.into()),
+    };
+    let headers = answer.headers.iter().filter_map(|(name, value)| {
+        let name: header::HeaderName = name.parse().ok()?;
+        Some((name, value.parse().ok()?))
+    });
+    Ok(PlainAnswer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers: headers.collect(),
+        body,
+    })
+}
--- a/crates/catkinward/src/plain_dispatch.rs
+++ b/crates/catkinward/src/plain_dispatch.rs
@@ -20,15 +20,6 @@
 }
 
 impl PlainDispatch {
-    /// Dispatches a non-idempotent call that has an idempotency key.
-    ///
-    /// This is the one place where a claim in the table service belongs, before the dispatch. Until
-    /// there is one the call is made as if it had no key: at most once from here, and a caller that
-    /// comes back with the key is not recognised.
-    pub(crate) async fn call_with_key(&self, call: PlainCall) -> Result<PlainAnswer, Problem> {
-        self.call_once(call).await
-    }
-
     /// Dispatches a call that may not be repeated: once, over a connection of its own, and never
     /// again. A kept connection may have been closed by the other end just now, and an error on it
     /// would leave it open whether the call has run.
@@ -183,7 +174,7 @@
         }
     }
 
-    fn failed(&self, dispatched: Dispatched<PlainCall>, fault: SendFault) -> Problem {
+    pub(crate) fn failed(&self, dispatched: Dispatched<PlainCall>, fault: SendFault) -> Problem {
         let kind = match fault {
             SendFault::NotRun(evidence) => match dispatched.not_run(evidence) {
                 Ok(queued) => {
@@ -209,13 +200,13 @@
         kind.into()
     }
 
-    fn chooser(&self, avoid: Vec<UpstreamId>) -> ChooseUpstream {
+    pub(crate) fn chooser(&self, avoid: Vec<UpstreamId>) -> ChooseUpstream {
         let upstreams = self.node.upstreams.clone();
         let service = self.pool.service.clone();
         Box::new(move |taken| choose(&upstreams, &service, &avoid, taken))
     }
 
-    fn options(&self, call: &PlainCall, fresh: bool) -> SendOptions {
+    pub(crate) fn options(&self, call: &PlainCall, fresh: bool) -> SendOptions {
         let until_deadline = self.until(call.deadline);
         SendOptions {
             bound: until_deadline,
@@ -225,7 +216,7 @@
         }
     }
 
-    fn until(&self, deadline: Instant) -> Duration {
+    pub(crate) fn until(&self, deadline: Instant) -> Duration {
         deadline.since(self.pool.timer.now())
     }
 }
@@ -257,7 +248,7 @@
     }
 }
 
-fn refused(queued: Queued<PlainCall>, refusal: Refusal) -> Problem {
+pub(crate) fn refused(queued: Queued<PlainCall>, refusal: Refusal) -> Problem {
     let not_run = queued.refuse(refusal.reason, refusal.retry_after);
     let id = not_run.request().id.clone();
     Problem {
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -28,6 +28,8 @@
     KeyAbsent,
     /// The idempotency key was used for another request.
     KeyConflict,
+    /// The same call runs under its key, and had not ended at the deadline.
+    KeyInUse,
     /// The request is no JSON of the right form.
     Malformed,
     /// There is no such path.
@@ -36,6 +38,8 @@
     NoSuchService,
     /// No upstream may be given work.
     NoUpstream,
+    /// Its idempotency key could not be claimed in time.
+    NotClaimed,
     /// The VM has no bundle yet.
     NotReady,
     /// It cannot be served before its deadline.
@@ -63,9 +67,12 @@
             Self::AnswerTooLarge => StatusCode::BAD_GATEWAY,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Cancelled | Self::KeyConflict | Self::Superseded => StatusCode::CONFLICT,
+            Self::Cancelled | Self::KeyConflict | Self::KeyInUse | Self::Superseded => {
+                StatusCode::CONFLICT
+            }
             Self::Draining
             | Self::NoUpstream
+            | Self::NotClaimed
             | Self::NotReady
             | Self::Overloaded
             | Self::UpstreamRefused
@@ -83,7 +90,7 @@
     #[must_use]
     pub fn outcome(self) -> caller::Outcome {
         match self {
-            Self::AnswerLost | Self::AnswerTooLarge => caller::Outcome::Unknown,
+            Self::AnswerLost | Self::AnswerTooLarge | Self::KeyInUse => caller::Outcome::Unknown,
             Self::Cancelled | Self::Deadline | Self::ProgressLost | Self::Superseded => {
                 caller::Outcome::Failed
             }
@@ -97,6 +104,7 @@
             | Self::NoSuchPath
             | Self::NoSuchService
             | Self::NoUpstream
+            | Self::NotClaimed
             | Self::NotReady
             | Self::Overloaded
             | Self::TeamNotAllowed
@@ -112,7 +120,9 @@
         match self {
             Self::Draining
             | Self::HotKey
+            | Self::KeyInUse
             | Self::NoUpstream
+            | Self::NotClaimed
             | Self::NotReady
             | Self::Overloaded
             | Self::UpstreamRefused
@@ -132,11 +142,13 @@
             Self::Draining => "this VM is shutting down",
             Self::HotKey => "too many calls for this item are under way",
             Self::KeyAbsent => "to come back, send the idempotency key of the request",
+            Self::KeyInUse => "the same call still runs; come back with its key",
             Self::KeyConflict => "the idempotency key was used for another request",
             Self::Malformed => "the request is not of the documented form",
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
             Self::NoUpstream => "no upstream can take the call",
+            Self::NotClaimed => "the idempotency key could not be claimed in time",
             Self::NotReady => "this VM has no configuration bundle yet",
             Self::Overloaded => "the call cannot be served before its deadline",
             Self::ProgressLost => "what was delivered before is not known any more; start anew",
@@ -165,6 +177,7 @@
         let kind = match not_run.reason() {
             RefusalReason::HotKey => ProblemKind::HotKey,
             RefusalReason::NoUpstream => ProblemKind::NoUpstream,
+            RefusalReason::NotClaimed => ProblemKind::NotClaimed,
             RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
             RefusalReason::CallerLeft
--- a/crates/decisions/src/admission_queue.rs
+++ b/crates/decisions/src/admission_queue.rs
@@ -140,21 +140,38 @@
         for (_, places) in &mut self.upstreams {
             places.note_arrival(now, lane);
         }
+        let latest = match self.check(now, arrival) {
+            Ok(latest) => latest,
+            Err((reason, retry_after)) => return Err(request.refuse(reason, retry_after)),
+        };
+        let queue = &mut self.lanes[lane.index()];
+        let ticket = queue.queue.push(&arrival.team, arrival.cost, request);
+        queue.expiries.push(Reverse((latest, ticket)));
+        queue.compact();
+        Ok(QueuePlace { lane, ticket })
+    }
+
+    /// Latest start of a request that would be admitted now.
+    ///
+    /// # Errors
+    ///
+    /// If it would be refused: why, and when it may come back.
+    pub fn check(
+        &self,
+        now: Instant,
+        arrival: &Arrival,
+    ) -> Result<Instant, (RefusalReason, Duration)> {
         let wait = self.estimated_wait(now, arrival);
         let latest = self.latest_start(arrival);
         let allowed = latest.since(now) * self.cfg.margin_percent / 100;
-        let queue = &mut self.lanes[lane.index()];
-        if queue.queue.len() >= self.cfg.longest_queue {
-            return Err(request.refuse(RefusalReason::QueueFull, wait));
+        if self.waiting(arrival.lane) >= self.cfg.longest_queue {
+            return Err((RefusalReason::QueueFull, wait));
         }
         if latest <= now || wait > allowed {
             let retry_after = wait.saturating_sub(allowed);
-            return Err(request.refuse(RefusalReason::DeadlineTooNear, retry_after));
+            return Err((RefusalReason::DeadlineTooNear, retry_after));
         }
-        let ticket = queue.queue.push(&arrival.team, arrival.cost, request);
-        queue.expiries.push(Reverse((latest, ticket)));
-        queue.compact();
-        Ok(QueuePlace { lane, ticket })
+        Ok(latest)
     }
 
     /// Requests that wait in a lane.
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -22,6 +22,8 @@
     DeadlineTooNear,
     /// Too many requests for one key are under way.
     HotKey,
+    /// Its idempotency key could not be claimed in time.
+    NotClaimed,
     /// No upstream may be given work.
     NoUpstream,
     /// The queue holds as many requests as it may.
--- a/crates/load/tests/router_support/mod.rs
+++ b/crates/load/tests/router_support/mod.rs
@@ -108,9 +108,17 @@
 
 impl Router {
     pub async fn start(engines: &[SocketAddr], plain: &[SocketAddr]) -> Self {
+        Self::start_with(Settings::default(), engines, plain).await
+    }
+
+    pub async fn start_with(
+        settings: Settings,
+        engines: &[SocketAddr],
+        plain: &[SocketAddr],
+    ) -> Self {
         let listener = Listener::bind(free_address()).await.expect("a free port");
         let address = listener.address().expect("an address");
-        let node = Node::start(Settings::default()).expect("a node starts");
+        let node = Node::start(settings).expect("a node starts");
         let bundle = serde_json::to_string(&bundle_of(engines, plain)).expect("JSON");
         node.put_bundle_in_force(1, &bundle)
             .expect("a valid bundle");
