Notice a silent stream after 400 ms instead of a second

Cause: a stream counted as silent after a fixed second, and an attempt began over a kept connection that might be silent itself. Change: StallDetector follows the gaps of the stream between 400 ms and 1 s; attempts begin over a fresh connection, within 500 ms.

--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -8,7 +8,8 @@
 /// Longest body of a refusal that is read, in bytes.
 const REFUSAL_LIMIT: usize = 64 * 1024;
 
-/// Starts an attempt on an engine.
+/// Starts an attempt on an engine, over a connection of its own: a kept one may have gone silent,
+/// and the caller would wait for the whole bound where a new connection costs one round trip.
 pub(crate) async fn start_attempt(
     connections: &Connections,
     address: SocketAddr,
@@ -21,6 +22,7 @@
         path: "/v1/generate".to_owned(),
         body: json_bytes(order),
         bound,
+        fresh: true,
         ..HttpCall::default()
     };
     open_stream(connections, Attempt(order.attempt), call).await
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -10,14 +10,13 @@
 };
 
 /// Bound until an engine answers an order with the headers of its stream.
-const START_BOUND: Duration = Duration::from_secs(1);
+const START_BOUND: Duration = Duration::from_millis(500);
 
 /// Bound until a probe of a running attempt is answered.
 const PROBE_BOUND: Duration = Duration::from_millis(500);
 
-/// How long an engine may send nothing at all. Engines send heartbeats four times a second, so
-/// this is four of them lost.
-const SILENCE_BOUND: Duration = Duration::from_secs(1);
+/// Bound until a second attempt makes its first token or says that it is waiting.
+const SECOND_BOUND: Duration = Duration::from_secs(1);
 
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
@@ -244,8 +243,11 @@
     async fn relay_events(&mut self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
         self.generation.runs_on(attempt.upstream.id());
         let mut went_on = false;
+        let mut stalls = StallDetector::default();
         loop {
-            let mut event = attempt.stream.next(SILENCE_BOUND).await?;
+            let waiting = self.node.timer.now();
+            let mut event = attempt.stream.next(stalls.bound()).await?;
+            stalls.observe(self.node.timer.now().since(waiting));
             let mut finish = None;
             // All that has come already goes on together, with one round of copies.
             loop {
@@ -405,7 +407,7 @@
             keeper: ProgressKeeper::new(self.node.clone(), self.generation.clone()),
         };
         let mut attempt = driver.open(upstream, order).await?;
-        attempt.stream.wait_for_progress(SILENCE_BOUND).await?;
+        attempt.stream.wait_for_progress(SECOND_BOUND).await?;
         Ok(attempt)
     }
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -82,6 +82,7 @@
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
@@ -156,6 +157,7 @@
 mod service;
 mod service_id;
 mod service_kind;
+mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
