--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -94,6 +94,7 @@
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
+    stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
@@ -182,6 +183,7 @@
 mod service_id;
 mod service_kind;
 mod service_time;
+mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
