Relay: timers are set when they fire, not for each token

Cause: each token set and cleared a timer for the engine's silence and one for the caller's comment line.

Change: both timers stay and are set anew only when they fire.

--- a/crates/catkinward/src/attempt_stream.rs
+++ b/crates/catkinward/src/attempt_stream.rs
@@ -1,14 +1,22 @@
 use super::*;
 use crate::engine_event::{AttemptFault, EngineEvent};
-use volo_http::client::sse::SseReader;
+use std::pin::Pin;
+use tokio::time::{Instant, Sleep};
+use volo_http::client::sse::{SseEvent, SseReader};
 
 /// The events of one attempt over one connection.
 pub(crate) struct AttemptStream {
     attempt: Attempt,
     reader: SseReader<Body>,
     unread: Option<EngineEvent>,
+    /// Wakes the reader to look whether the stream is silent. It is set anew only when it fires:
+    /// to set a timer for each token costs more than to read the token.
+    look: Pin<Box<Sleep>>,
 }
 
+/// What reading from the library's event stream gives.
+type ReadEvent = Result<Option<SseEvent>, volo_http::error::BoxError>;
+
 impl AttemptStream {
     /// Reads the events of an answer whose headers have come.
     ///
@@ -20,6 +28,7 @@
             attempt,
             reader: SseReader::into_sse(response).map_err(|_| AttemptFault::Broken)?,
             unread: None,
+            look: Box::pin(tokio::time::sleep(Duration::ZERO)),
         })
     }
 
@@ -37,17 +46,27 @@
         if let Some(event) = self.unread.take() {
             return Ok(event);
         }
-        let event = tokio::time::timeout(bound, self.reader.read())
-            .await
-            .map_err(|_| AttemptFault::Silent { bound })?
-            .map_err(|_| AttemptFault::Broken)?
-            .ok_or(AttemptFault::Broken)?;
-        EngineEvent::read(event.event(), event.data().unwrap_or_default())
+        let silent_at = Instant::now() + bound;
+        loop {
+            tokio::select! {
+                biased;
+                read = self.reader.read() => return read_event(read),
+                () = &mut self.look => {
+                    if Instant::now() >= silent_at {
+                        return Err(AttemptFault::Silent { bound });
+                    }
+                    self.look.as_mut().reset(silent_at);
+                }
+            }
+        }
     }
 
     /// An event that has come already, if there is one.
     pub(crate) fn ready(&mut self) -> Option<Result<EngineEvent, AttemptFault>> {
-        futures::FutureExt::now_or_never(self.next(Duration::MAX))
+        if let Some(event) = self.unread.take() {
+            return Some(Ok(event));
+        }
+        futures::FutureExt::now_or_never(self.reader.read()).map(read_event)
     }
 
     /// Waits for the first event that is more than a heartbeat and keeps it for [`Self::next`].
@@ -65,3 +84,8 @@
         }
     }
 }
+
+fn read_event(read: ReadEvent) -> Result<EngineEvent, AttemptFault> {
+    let event = read.ok().flatten().ok_or(AttemptFault::Broken)?;
+    EngineEvent::read(event.event(), event.data().unwrap_or_default())
+}
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::{generation::GenerationOutcome, problem::Problem, returning_caller::ReturnPoint};
-use std::fmt::Write as _;
+use std::{fmt::Write as _, pin::Pin};
+use tokio::time::{Instant, Sleep};
 
 /// How often a caller who waits gets a comment line, so that nothing between takes the connection
 /// for dead.
@@ -13,6 +14,8 @@
     joiner: Utf8Joiner,
     next: TokenIndex,
     ended: bool,
+    /// Fires when a comment line may be due; set anew only then, not for each token.
+    keep_alive: Pin<Box<Sleep>>,
     /// Named in event ids where the caller can come back to another VM.
     vm: Option<VmId>,
     _in_flight: InFlight,
@@ -37,6 +40,7 @@
         joiner,
         next: from,
         ended: false,
+        keep_alive: Box::pin(tokio::time::sleep(KEEP_ALIVE)),
         vm,
         _in_flight: in_flight,
     };
@@ -52,6 +56,7 @@
         if self.ended {
             return None;
         }
+        let due = Instant::now() + KEEP_ALIVE;
         loop {
             self.changes.borrow_and_update();
             let (tokens, outcome) = self.generation.read_from(self.next);
@@ -66,11 +71,15 @@
             if !text.is_empty() {
                 return Some(text);
             }
-            if tokio::time::timeout(KEEP_ALIVE, self.changes.changed())
-                .await
-                .is_err()
-            {
-                return Some(": waiting\n\n".to_owned());
+            tokio::select! {
+                biased;
+                _ = self.changes.changed() => {}
+                () = &mut self.keep_alive => {
+                    self.keep_alive.as_mut().reset(due.max(Instant::now()));
+                    if Instant::now() >= due {
+                        return Some(": waiting\n\n".to_owned());
+                    }
+                }
             }
         }
     }
