Relay: events are written into one buffer from a kept event

Cause: each token built a whole event of fresh strings and vectors and serialised it into a text of its own before it was copied into the answer.

Change: the reader keeps one event, changes its token and text, and serialises straight into the answer's buffer.

--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -1,12 +1,15 @@
 use super::*;
 use crate::{generation::GenerationOutcome, problem::Problem, returning_caller::ReturnPoint};
-use std::{fmt::Write as _, pin::Pin};
+use std::pin::Pin;
 use tokio::time::{Instant, Sleep};
 
 /// How often a caller who waits gets a comment line, so that nothing between takes the connection
 /// for dead.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
+/// Bytes that the event of one token takes, about.
+const EVENT_SIZE: usize = 220;
+
 /// What a caller reads of a generation, as server-sent events.
 struct Reader {
     generation: Arc<Generation>,
@@ -14,6 +17,8 @@
     joiner: Utf8Joiner,
     next: TokenIndex,
     ended: bool,
+    /// The event of the next token; only its token and text change.
+    event: caller::CompletionEvent,
     /// Fires when a comment line may be due; set anew only then, not for each token.
     keep_alive: Pin<Box<Sleep>>,
     /// Named in event ids where the caller can come back to another VM.
@@ -35,6 +40,7 @@
         joiner.push(bytes);
     }
     let reader = Reader {
+        event: token_event(&generation),
         generation,
         changes,
         joiner,
@@ -52,7 +58,7 @@
 }
 
 impl Reader {
-    async fn read(&mut self) -> Option<String> {
+    async fn read(&mut self) -> Option<Vec<u8>> {
         if self.ended {
             return None;
         }
@@ -60,16 +66,16 @@
         loop {
             self.changes.borrow_and_update();
             let (tokens, outcome) = self.generation.read_from(self.next);
-            let mut text = String::with_capacity(tokens.len().as_usize() * 160 + 400);
+            let mut buf = Vec::with_capacity(tokens.len().as_usize() * EVENT_SIZE);
             for (id, bytes) in tokens.iter_from(TokenIndex(0)) {
-                self.write_token(&mut text, id, bytes);
+                self.write_token(&mut buf, id, bytes);
             }
             if let Some(outcome) = outcome {
-                self.write_outcome(&mut text, outcome);
+                self.write_outcome(&mut buf, outcome);
                 self.ended = true;
             }
-            if !text.is_empty() {
-                return Some(text);
+            if !buf.is_empty() {
+                return Some(buf);
             }
             tokio::select! {
                 biased;
@@ -77,28 +83,22 @@
                 () = &mut self.keep_alive => {
                     self.keep_alive.as_mut().reset(due.max(Instant::now()));
                     if Instant::now() >= due {
-                        return Some(": waiting\n\n".to_owned());
+                        return Some(b": waiting\n\n".to_vec());
                     }
                 }
             }
         }
     }
 
-    fn write_token(&mut self, text: &mut String, id: u32, bytes: &[u8]) {
-        let event = caller::CompletionEvent {
-            choices: vec![caller::CompletionChoice {
-                finish_reason: None,
-                index: 0,
-                text: self.joiner.push(bytes),
-            }],
-            ..self.event(vec![id])
-        };
+    fn write_token(&mut self, buf: &mut Vec<u8>, id: u32, bytes: &[u8]) {
+        self.event.choices[0].text = self.joiner.push(bytes);
+        self.event.tokens[0] = id;
         let id = ReturnPoint::event_id(self.next, self.vm.as_ref());
-        write_event(text, None, Some(&id), &event);
+        write_event(buf, None, Some(&id), &self.event);
         self.next = self.next.next();
     }
 
-    fn write_outcome(&mut self, text: &mut String, outcome: GenerationOutcome) {
+    fn write_outcome(&mut self, buf: &mut Vec<u8>, outcome: GenerationOutcome) {
         match outcome {
             GenerationOutcome::Whole(finish) => {
                 let event = caller::CompletionEvent {
@@ -111,10 +111,11 @@
                         attempts: self.generation.attempts().0,
                         completion_tokens: self.next.0,
                     }),
-                    ..self.event(Vec::new())
+                    tokens: Vec::new(),
+                    ..self.event.clone()
                 };
-                write_event(text, None, None, &event);
-                text.push_str("data: [DONE]\n\n");
+                write_event(buf, None, None, &event);
+                buf.extend_from_slice(b"data: [DONE]\n\n");
             }
             GenerationOutcome::Failed(kind) => {
                 let problem = Problem {
@@ -122,34 +123,46 @@
                     request_id: Some(self.generation.request.id.clone()),
                     next_index: Some(self.next),
                 };
-                write_event(text, Some("error"), None, &problem.body());
+                write_event(buf, Some("error"), None, &problem.body());
             }
         }
     }
+}
 
-    fn event(&self, tokens: Vec<u32>) -> caller::CompletionEvent {
-        caller::CompletionEvent {
-            choices: Vec::new(),
-            id: self.generation.request.id.to_string(),
-            object: "text_completion".to_owned(),
-            tokens,
-            usage: None,
-        }
+/// An event of one token of a generation, without the token.
+fn token_event(generation: &Generation) -> caller::CompletionEvent {
+    caller::CompletionEvent {
+        choices: vec![caller::CompletionChoice {
+            finish_reason: None,
+            index: 0,
+            text: String::new(),
+        }],
+        id: generation.request.id.to_string(),
+        object: "text_completion".to_owned(),
+        tokens: vec![0],
+        usage: None,
     }
 }
 
 fn write_event<T: serde::Serialize>(
-    text: &mut String,
+    buf: &mut Vec<u8>,
     name: Option<&str>,
     id: Option<&str>,
     data: &T,
 ) {
-    let data = serde_json::to_string(data).expect("border types have text keys only");
     if let Some(name) = name {
-        let _ = writeln!(text, "event: {name}");
+        write_line(buf, "event: ", name);
     }
     if let Some(id) = id {
-        let _ = writeln!(text, "id: {id}");
+        write_line(buf, "id: ", id);
+    }
+    buf.extend_from_slice(b"data: ");
+    serde_json::to_writer(&mut *buf, data).expect("border types have text keys only");
+    buf.extend_from_slice(b"\n\n");
+}
+
+fn write_line(buf: &mut Vec<u8>, field: &str, value: &str) {
+    for part in [field, value, "\n"] {
+        buf.extend_from_slice(part.as_bytes());
     }
-    let _ = write!(text, "data: {data}\n\n");
 }
