--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -234,15 +234,22 @@
         asked
     }
 
+    /// Asks a peer for a copy. One that does not answer is passed over for a while: each new request
+    /// would wait for it again.
     async fn ask_for(self: Arc<Self>, peer: PeerEntry, id: RequestId) -> Option<ProgressRecord> {
         let asked = async {
             let link = self.link(&peer).await.ok()?;
-            link.ask(PeerBody::Find(id), ANSWER_BOUND).await.ok()
+            let answer = link.ask(PeerBody::Find(id), ANSWER_BOUND).await;
+            if answer.is_err() {
+                self.drop_link(&peer.vm, link.serial);
+            }
+            answer.ok()
         };
-        match tokio::time::timeout(ANSWER_BOUND, asked).await {
-            Ok(Some(PeerBody::Found(found))) => found.map(|record| *record),
-            _ => None,
+        if let Ok(Some(PeerBody::Found(found))) = tokio::time::timeout(ANSWER_BOUND, asked).await {
+            return found.map(|record| *record);
         }
+        self.lost(&peer.vm);
+        None
     }
 
     fn open_link(&self, vm: &VmId) -> Option<Arc<PeerLink>> {
