Tests of the connections between VMs: handshake, spread, damaged messages

Cause: what comes from the network between VMs was untested. Change: tests that a wrong key, a recorded handshake and a question before the handshake are refused, that VMs learn of each other, and that any bytes are a message or a typed error. No measurement. Conclusion: no fault found.

--- /dev/null
+++ b/crates/catkinward/tests/peers.rs
@@ -0,0 +1,198 @@
+//! The connections between VMs.
+
+use catkin_decisions::PeerEntry;
+use catkinward::{
+    Generations, PEER_PROTOCOL, PeerBody, PeerChallenge, PeerFault, PeerHello, PeerKey,
+    PeerMessage, Peers, ProcessClock, Timeline, Timer,
+};
+use futures::{SinkExt, StreamExt};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::{net::SocketAddr, sync::Arc};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, tungstenite::Message};
+
+type Socket = WebSocketStream<MaybeTlsStream<TcpStream>>;
+
+fn entry(vm: &str, address: SocketAddr) -> PeerEntry {
+    PeerEntry {
+        vm: vm.parse().expect("a name"),
+        address,
+        zone: "zone-1".parse().expect("a name"),
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+async fn peers(vm: &str, key: &str, known: Vec<PeerEntry>) -> Arc<Peers> {
+    let (listener, address) = listener().await;
+    let entry = entry(vm, address);
+    let timer = Timer::start();
+    let clock = Arc::<ProcessClock>::default();
+    let timeline = Timeline::new(entry.vm.clone(), entry.zone.clone(), clock, 100);
+    Peers::start(
+        listener,
+        entry,
+        PeerKey::new(key),
+        known,
+        &timer,
+        &Arc::new(timeline),
+        &Arc::<Generations>::default(),
+    )
+}
+
+async fn call(address: SocketAddr) -> Socket {
+    let (socket, _) = tokio_tungstenite::connect_async(format!("ws://{address}/"))
+        .await
+        .expect("a connection");
+    socket
+}
+
+async fn receive(socket: &mut Socket) -> Option<PeerMessage> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => PeerMessage::from_bytes(&bytes).ok(),
+        _ => None,
+    }
+}
+
+async fn send(socket: &mut Socket, body: PeerBody) {
+    let message = PeerMessage {
+        number: 0,
+        clock: "".into(),
+        body,
+    };
+    let sent = socket.send(Message::Binary(message.to_bytes())).await;
+    sent.expect("the connection is open");
+}
+
+async fn challenge(socket: &mut Socket) -> PeerChallenge {
+    match receive(socket).await.map(|message| message.body) {
+        Some(PeerBody::Challenge(challenge)) => challenge,
+        other => panic!("a challenge was due, not {other:?}"),
+    }
+}
+
+/// Says hello with a proof made with `key` over a challenge's nonce, as `shown`.
+async fn hello(socket: &mut Socket, key: &str, nonce: &[u8], shown: &str) {
+    let own = vec![1; 16];
+    let entry = entry(shown, SocketAddr::from(([127, 0, 0, 1], 1)));
+    let proof = PeerKey::new(key).prove(&[b"hello", nonce, &own, entry.vm.as_str().as_bytes()]);
+    let hello = PeerHello {
+        entry,
+        nonce: own,
+        proof,
+    };
+    send(socket, PeerBody::Hello(hello)).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn peer_with_the_key_is_welcome() {
+    let peers = peers("vm-1", "secret", Vec::new()).await;
+    let mut socket = call(peers.own().address).await;
+    let challenge = challenge(&mut socket).await;
+
+    hello(&mut socket, "secret", &challenge.nonce, "vm-2").await;
+
+    let answer = receive(&mut socket).await.map(|message| message.body);
+    expect_that!(answer, some(matches_pattern!(PeerBody::Welcome(_))));
+    expect_that!(challenge.protocol, eq(PEER_PROTOCOL));
+}
+
+/// Somebody on the network calls a VM without knowing the key. It could ask for answers of any
+/// caller, or end generations.
+#[gtest]
+#[tokio::test]
+async fn peer_without_the_key_is_refused() {
+    let peers = peers("vm-1", "secret", Vec::new()).await;
+    let mut socket = call(peers.own().address).await;
+    let challenge = challenge(&mut socket).await;
+
+    hello(&mut socket, "guessed", &challenge.nonce, "vm-2").await;
+
+    expect_that!(receive(&mut socket).await.is_none(), eq(true));
+    expect_that!(peers.entries(), is_empty());
+}
+
+/// Somebody recorded a handshake and sends it again. The nonce of the new connection differs.
+#[gtest]
+#[tokio::test]
+async fn recorded_handshake_is_refused() {
+    let peers = peers("vm-1", "secret", Vec::new()).await;
+    let mut first = call(peers.own().address).await;
+    let recorded = challenge(&mut first).await;
+    let mut second = call(peers.own().address).await;
+    challenge(&mut second).await;
+
+    hello(&mut second, "secret", &recorded.nonce, "vm-2").await;
+
+    expect_that!(receive(&mut second).await.is_none(), eq(true));
+}
+
+/// A peer skips the handshake and asks at once.
+#[gtest]
+#[tokio::test]
+async fn question_before_the_handshake_is_refused() {
+    let peers = peers("vm-1", "secret", Vec::new()).await;
+    let mut socket = call(peers.own().address).await;
+    challenge(&mut socket).await;
+
+    send(
+        &mut socket,
+        PeerBody::Find("request".parse().expect("an id")),
+    )
+    .await;
+
+    expect_that!(receive(&mut socket).await.is_none(), eq(true));
+}
+
+/// VMs are told of one other only, and learn of the rest from it.
+#[gtest]
+#[tokio::test]
+async fn vms_learn_of_each_other() {
+    let first = peers("vm-1", "secret", Vec::new()).await;
+    let second = peers("vm-2", "secret", vec![first.own().clone()]).await;
+    let third = peers("vm-3", "secret", vec![second.own().clone()]).await;
+
+    while first.entries().len() < 2 || third.entries().len() < 2 {
+        tokio::task::yield_now().await;
+        second.exchange_now();
+        third.exchange_now();
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+
+    let known = first.entries();
+    expect_that!(known, contains(eq(third.own())));
+}
+
+proptest! {
+    /// Whatever comes over the network is a message or a typed error, never a panic.
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let read = PeerMessage::from_bytes(&bytes);
+
+        prop_assert!(read.is_ok() || matches!(read, Err(PeerFault::Form)));
+    }
+
+    /// A message is damaged on its way. What is read from it is still sound, or refused.
+    #[test]
+    fn damaged_message_is_sound_or_refused(at in 0..200_usize, to in any::<u8>()) {
+        let challenge = PeerChallenge { protocol: PEER_PROTOCOL, nonce: vec![7; 16] };
+        let message = PeerMessage {
+            number: 1,
+            clock: "1.0".into(),
+            body: PeerBody::Challenge(challenge),
+        };
+        let mut bytes = message.to_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = to;
+
+        let read = PeerMessage::from_bytes(&bytes);
+
+        prop_assert!(read.is_ok() || matches!(read, Err(PeerFault::Form)));
+    }
+}
