--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -12,21 +12,24 @@
 /// Header in which an engine may send its load report with a reply.
 const LOAD_HEADER: &str = "catkin-load";
 
-/// Starts an attempt on an engine.
+/// Starts an attempt on an engine, over a connection of its own: a kept one may have gone silent,
+/// and the caller would wait for the whole bound where a new connection costs one round trip.
 ///
-/// It takes a handle, which exists only for upstreams that may get new work.
+/// It takes a handle that has proof that its upstream may get new work.
 pub(crate) async fn start_attempt(
     connections: &Connections,
     upstream: &UpstreamHandle,
     order: &engine::EngineGenerate,
     bound: Duration,
 ) -> Result<AttemptStream, AttemptFault> {
+    upstream.check_eligible()?;
     let call = HttpCall {
         address: upstream.address(),
         method: Method::POST,
         path: "/v1/generate".to_owned(),
         body: json_bytes(order),
         bound,
+        fresh: true,
         ..HttpCall::default()
     };
     let (stream, load) = open_stream(connections, Attempt(order.attempt), call).await?;
@@ -37,25 +40,43 @@
     Ok(stream)
 }
 
-/// Goes on with a running attempt over a new connection, from `from` on.
+/// A running attempt to go on with.
+pub(crate) struct Reattach<'a> {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: &'a RequestId,
+    /// The attempt as the engine knows it.
+    pub(crate) attempt: Attempt,
+    /// Number that it has from now on. Where it differs, a VM takes over another's attempt: the
+    /// engine then ends the other's stream, and neither its cancel nor its re-attach is heard.
+    pub(crate) becomes: Attempt,
+    /// First token wanted.
+    pub(crate) from: TokenIndex,
+    pub(crate) bound: Duration,
+}
+
+/// Goes on with a running attempt over a new connection.
 ///
 /// The connection is never a kept one: what made the old one silent may have silenced those too.
 pub(crate) async fn reattach(
     connections: &Connections,
-    address: SocketAddr,
-    id: &RequestId,
-    attempt: Attempt,
-    from: TokenIndex,
-    bound: Duration,
+    reattach: Reattach<'_>,
 ) -> Result<AttemptStream, AttemptFault> {
+    let Reattach {
+        address,
+        id,
+        attempt,
+        becomes,
+        from,
+        bound,
+    } = reattach;
     let call = HttpCall {
         address,
-        path: format!("/v1/streams/{id}?attempt={attempt}&from={from}"),
+        path: format!("/v1/streams/{id}?attempt={attempt}&as={becomes}&from={from}"),
         bound,
         fresh: true,
         ..HttpCall::default()
     };
-    let (stream, _) = open_stream(connections, attempt, call).await?;
+    let (stream, _) = open_stream(connections, becomes, call).await?;
     Ok(stream)
 }
 
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -1,22 +1,25 @@
 use super::*;
 use crate::{
+    admission_pool::{ChooseUpstream, Refusal},
     attempt_stream::AttemptStream,
-    engine_client,
+    engine_client::{self, Reattach},
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
-    problem::ProblemKind,
-    upstream_handle::UpstreamHandle,
+    generation_request::GenerationRequest,
+    place::Place,
+    problem::{Problem, ProblemKind},
+    progress_keeper::ProgressKeeper,
+    waiting_place::WaitingPlace,
 };
 
 /// Bound until an engine answers an order with the headers of its stream.
-const START_BOUND: Duration = Duration::from_secs(1);
+const START_BOUND: Duration = Duration::from_millis(500);
 
 /// Bound until a probe of a running attempt is answered.
 const PROBE_BOUND: Duration = Duration::from_millis(500);
 
-/// How long an engine may send nothing at all. Engines send heartbeats four times a second, so
-/// this is four of them lost.
-const SILENCE_BOUND: Duration = Duration::from_secs(1);
+/// Bound until a second attempt makes its first token or says that it is waiting.
+const SECOND_BOUND: Duration = Duration::from_secs(1);
 
 /// Tokens after which the upstream's watch over suspects hears of progress.
 const PROGRESS_TOKENS: u32 = 8;
@@ -27,19 +30,51 @@
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
+/// Lets a generation wait for its first place.
+pub(crate) fn offer(
+    node: &Node,
+    request: &GenerationRequest,
+    team: QueueTeam,
+) -> Result<WaitingPlace, Refusal> {
+    let pool = node.admission.pool(&request.service);
+    pool.offer(&request.arrival(team), chooser(node, request))
+}
+
+fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
+    let (upstreams, request) = (node.upstreams.clone(), request.clone());
+    Box::new(move |taken| {
+        let want = UpstreamWant {
+            avoid: taken,
+            ..request.want()
+        };
+        upstreams.choose(&want).ok()
+    })
+}
+
 /// Runs a generation to its end, over as many attempts as it takes.
-pub(crate) async fn drive(node: Arc<Node>, generation: Arc<Generation>) {
+pub(crate) async fn drive(
+    node: Arc<Node>,
+    generation: Arc<Generation>,
+    waiting: Option<WaitingPlace>,
+) {
     let mut driver = Driver {
         node: node.clone(),
         generation: generation.clone(),
         avoid: Vec::new(),
+        keeper: ProgressKeeper::new(node.clone(), generation.clone()),
     };
     let mut cancelled = generation.cancelled();
+    let mut superseded = generation.superseded();
+    let left = generation.request.deadline.since(node.timer.now());
     let outcome = tokio::select! {
-        outcome = driver.run() => outcome,
+        outcome = driver.run(waiting) => outcome,
         _ = cancelled.wait_for(|cancelled| *cancelled) => {
             GenerationOutcome::Failed(ProblemKind::Cancelled)
         }
+        _ = superseded.wait_for(|superseded| *superseded) => {
+            GenerationOutcome::Failed(ProblemKind::Superseded)
+        }
+        () = tokio::time::sleep(left) => GenerationOutcome::Failed(ProblemKind::Deadline),
     };
     tracing::info!(
         id = %generation.request.id,
@@ -70,13 +105,14 @@
     node: Arc<Node>,
     generation: Arc<Generation>,
     avoid: Vec<UpstreamId>,
+    keeper: ProgressKeeper,
 }
 
 /// An attempt on its upstream. Dropping it cancels the attempt there.
 struct RunningAttempt {
     node: Arc<Node>,
     id: RequestId,
-    upstream: UpstreamHandle,
+    upstream: Place,
     stream: AttemptStream,
     ended: bool,
 }
@@ -104,13 +140,21 @@
 }
 
 impl Driver {
-    async fn run(&mut self) -> GenerationOutcome {
+    async fn run(&mut self, waiting: Option<WaitingPlace>) -> GenerationOutcome {
+        if let Some(attempt) = self.go_on_with_left_running().await {
+            match self.follow(attempt).await {
+                Ok(finish) => return GenerationOutcome::Whole(finish),
+                Err(fault) => {
+                    tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+                }
+            }
+        }
+        let mut place = match self.first_place(waiting).await {
+            Ok(place) => place,
+            Err(kind) => return GenerationOutcome::Failed(kind),
+        };
         loop {
-            let upstream = match self.wait_for_upstream().await {
-                Ok(upstream) => upstream,
-                Err(kind) => return GenerationOutcome::Failed(kind),
-            };
-            let fault = match self.start(upstream).await {
+            let fault = match self.start(place).await {
                 Ok(attempt) => match self.follow(attempt).await {
                     Ok(finish) => return GenerationOutcome::Whole(finish),
                     Err(fault) => fault,
@@ -118,25 +162,74 @@
                 Err(fault) => fault,
             };
             tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+            place = match self.wait_for_upstream().await {
+                Ok(next) => next,
+                Err(kind) => return GenerationOutcome::Failed(kind),
+            };
         }
     }
 
+    /// The place that a new generation waits for in the queue, or that one which was taken over
+    /// takes by itself.
+    async fn first_place(&mut self, waiting: Option<WaitingPlace>) -> Result<Place, ProblemKind> {
+        let Some(waiting) = waiting else {
+            return self.wait_for_upstream().await;
+        };
+        let queued = Queued::new(());
+        waiting.granted().await.map_err(|refusal| {
+            let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+            Problem::not_run(&not_run).kind
+        })
+    }
+
+    /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
+    /// computed twice.
+    async fn go_on_with_left_running(&mut self) -> Option<RunningAttempt> {
+        let (id, attempt) = self.generation.take_left_running()?;
+        let request = &self.generation.request;
+        let pool = self.node.admission.pool(&request.service);
+        let upstream = pool.hold(request.lane(), self.node.upstreams.hold(&id)?);
+        let (reserved, _) = self.generation.reserve();
+        let reattach = Reattach {
+            address: upstream.address(),
+            id: &self.generation.request.id,
+            attempt,
+            becomes: reserved.attempt(),
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        let stream = engine_client::reattach(&self.node.connections, reattach).await;
+        let stream = stream.inspect_err(|fault| {
+            tracing::info!(id = %self.generation.request.id, upstream = %id, %fault, "not re-attached");
+        });
+        let stream = stream.ok()?;
+        self.record(EventKind::ReAttached, reserved.attempt(), &id, None);
+        self.generation.adopt(reserved).then(|| RunningAttempt {
+            node: self.node.clone(),
+            id: self.generation.request.id.clone(),
+            upstream,
+            stream,
+            ended: false,
+        })
+    }
+
     /// Waits until an upstream can take the generation.
     ///
     /// # Errors
     ///
     /// Once its deadline is over, or upstreams died under it.
-    async fn wait_for_upstream(&mut self) -> Result<UpstreamHandle, ProblemKind> {
+    async fn wait_for_upstream(&mut self) -> Result<Place, ProblemKind> {
         let start = self.node.timer.now();
         loop {
             let now = self.node.timer.now();
             if now >= self.generation.request.deadline {
                 return Err(ProblemKind::Deadline);
             }
-            match self.choose(now.since(start) > SUSPECT_PATIENCE) {
-                Ok(upstream) => return Ok(upstream),
-                Err(NoUpstream::Poisoned) => return Err(self.poisoned()),
-                Err(NoUpstream::Now) => {}
+            if self.node.upstreams.refuses(self.generation.request.body) {
+                return Err(self.poisoned());
+            }
+            if let Some(place) = self.choose(now.since(start) > SUSPECT_PATIENCE) {
+                return Ok(place);
             }
             self.avoid.clear();
             tokio::time::sleep(RETRY_PERIOD).await;
@@ -151,20 +244,24 @@
         }
     }
 
-    fn choose(&self, urgent: bool) -> Result<UpstreamHandle, NoUpstream> {
+    fn choose(&self, urgent: bool) -> Option<Place> {
         let request = &self.generation.request;
-        self.node.upstreams.choose(&UpstreamWant {
-            model: Some(&request.model),
-            avoid: &self.avoid,
-            digest: Some(request.digest),
-            prefix: &request.prompt,
-            urgent,
-            ..UpstreamWant::new(&request.service)
+        // A caller who has had part of the answer waits in the middle of it: an upstream without
+        // room will do.
+        let must = self.generation.next_index() > TokenIndex(0);
+        let pool = self.node.admission.pool(&request.service);
+        pool.take(request.lane(), must, |taken| {
+            let want = UpstreamWant {
+                avoid: &[&self.avoid, taken].concat(),
+                urgent,
+                ..request.want()
+            };
+            self.node.upstreams.choose(&want).ok()
         })
     }
 
     /// Starts an attempt and makes it the live one.
-    async fn start(&mut self, upstream: UpstreamHandle) -> Result<RunningAttempt, AttemptFault> {
+    async fn start(&mut self, upstream: Place) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         self.generation.adopt(reserved);
         self.open(upstream, &order).await
@@ -172,7 +269,7 @@
 
     async fn open(
         &mut self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         self.avoid.push(upstream.id().clone());
@@ -187,6 +284,10 @@
         let stream = match started.await {
             Ok(stream) => stream,
             Err(fault) => {
+                let full = engine::EngineRefusalKind::Full;
+                if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
+                    upstream.overloaded();
+                }
                 upstream.lost(&fault).await;
                 return Err(fault);
             }
@@ -227,33 +328,61 @@
         }
     }
 
-    async fn relay_events(&self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+    async fn relay_events(&mut self, attempt: &mut RunningAttempt) -> Result<Finish, AttemptFault> {
+        self.generation.runs_on(attempt.upstream.id());
         let mut went_on = false;
+        let mut stalls = StallDetector::default();
         loop {
-            match attempt.stream.next(SILENCE_BOUND).await? {
-                EngineEvent::Heartbeat => {}
-                EngineEvent::Token(token) => {
-                    let index = token.index;
-                    let delivery = self.generation.token(token)?;
-                    if index.0 % PROGRESS_TOKENS == 0 {
-                        attempt.upstream.progressed();
-                    }
-                    if !went_on && matches!(delivery, Delivery::Token(..)) {
-                        went_on = true;
-                        self.record_progress(attempt, index);
-                    }
+            let waiting = self.node.timer.now();
+            let mut event = attempt.stream.next(stalls.bound()).await?;
+            stalls.observe(self.node.timer.now().since(waiting));
+            let mut finish = None;
+            // All that has come already goes on together, with one round of copies.
+            loop {
+                let index = self.generation.next_index();
+                finish = finish.or(self.relay_event(attempt, event)?);
+                if !went_on && self.generation.next_index() > index {
+                    went_on = true;
+                    self.record_progress(attempt, index);
                 }
-                EngineEvent::End(end) => {
-                    if let Delivery::End(finish) = self.generation.end(&end)? {
-                        attempt.ended = true;
-                        attempt.upstream.succeeded();
-                        return Ok(finish);
-                    }
+                match attempt.stream.ready() {
+                    Some(Ok(next)) if finish.is_none() => event = next,
+                    _ => break,
                 }
             }
+            self.keeper.release().await;
+            if let Some(finish) = finish {
+                return Ok(finish);
+            }
         }
     }
 
+    fn relay_event(
+        &self,
+        attempt: &mut RunningAttempt,
+        event: EngineEvent,
+    ) -> Result<Option<Finish>, AttemptFault> {
+        match event {
+            EngineEvent::Heartbeat => {}
+            EngineEvent::Token(token) => {
+                attempt.upstream.begun();
+                if token.index.0 % PROGRESS_TOKENS == 0 {
+                    attempt.upstream.progressed();
+                }
+                self.generation.token(token)?;
+            }
+            EngineEvent::End(end) => {
+                if let Delivery::End(finish) = self.generation.end(&end)? {
+                    attempt.ended = true;
+                    attempt.upstream.ended();
+                    attempt.upstream.succeeded();
+                    return Ok(Some(finish));
+                }
+            }
+        }
+        Ok(None)
+    }
+
     /// Records the first token that an attempt delivers over one connection.
     fn record_progress(&self, attempt: &RunningAttempt, index: TokenIndex) {
         let kind = match index {
@@ -288,8 +417,8 @@
         match self.generation.request.recovery {
             RecoveryPolicy::LeastWork => self.probe(attempt).await,
             RecoveryPolicy::LeastWait => match self.choose(false) {
-                Ok(other) => self.race(attempt, other).await,
-                Err(_) => self.probe(attempt).await,
+                Some(other) => self.race(attempt, other).await,
+                None => self.probe(attempt).await,
             },
         }
     }
@@ -310,15 +439,15 @@
     }
 
     async fn reattach(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
-        let mut stream = engine_client::reattach(
-            &self.node.connections,
-            attempt.upstream.address(),
-            &attempt.id,
-            attempt.stream.attempt(),
-            self.generation.next_index(),
-            PROBE_BOUND,
-        )
-        .await?;
+        let reattach = Reattach {
+            address: attempt.upstream.address(),
+            id: &attempt.id,
+            attempt: attempt.stream.attempt(),
+            becomes: attempt.stream.attempt(),
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        let mut stream = engine_client::reattach(&self.node.connections, reattach).await?;
         stream.wait_for_progress(PROBE_BOUND).await?;
         self.record(
             EventKind::ReAttached,
@@ -332,7 +461,7 @@
     async fn race(
         &mut self,
         mut old: RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
     ) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         let second = match self.first_to_go_on(&old, other, &order).await? {
@@ -352,7 +481,7 @@
     async fn first_to_go_on(
         &self,
         old: &RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
         order: &engine::EngineGenerate,
     ) -> Result<Raced, AttemptFault> {
         let mut probe = std::pin::pin!(self.reattached(old));
@@ -371,16 +500,17 @@
 
     async fn second_attempt(
         &self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         let mut driver = Driver {
             node: self.node.clone(),
             generation: self.generation.clone(),
             avoid: Vec::new(),
+            keeper: ProgressKeeper::new(self.node.clone(), self.generation.clone()),
         };
         let mut attempt = driver.open(upstream, order).await?;
-        match attempt.stream.wait_for_progress(SILENCE_BOUND).await {
+        match attempt.stream.wait_for_progress(SECOND_BOUND).await {
             Ok(()) => Ok(attempt),
             Err(fault) => {
                 attempt.upstream.lost(&fault).await;
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -1,12 +1,17 @@
 use super::*;
 
+/// Tokens that count as much as one call where teams are weighed against each other.
+const TOKENS_PER_COST: u32 = 64;
+
 /// A generation as accepted: all that an attempt needs, fixed for its whole life.
 #[derive(Clone, Debug)]
 pub struct GenerationRequest {
     /// Its id.
     pub id: RequestId,
+    /// Digest by which a caller who comes back is recognised; `None` if it gave no key.
+    pub digest: Option<RequestDigest>,
     /// Digest of the team and its body, by which a request that kills upstreams is known.
-    pub digest: RequestDigest,
+    pub body: RequestDigest,
     /// The team that asked.
     pub team: TeamId,
     /// The service asked for.
@@ -32,6 +37,50 @@
 }
 
 impl GenerationRequest {
+    /// What it waits and runs beside.
+    #[must_use]
+    pub fn lane(&self) -> Lane {
+        Lane::of(self.max_tokens)
+    }
+
+    pub(crate) fn arrival(&self, team: QueueTeam) -> Arrival {
+        Arrival {
+            team,
+            lane: self.lane(),
+            cost: self.max_tokens.div_ceil(TOKENS_PER_COST),
+            deadline: self.deadline,
+        }
+    }
+
+    /// What it wants of an upstream.
+    pub(crate) fn want(&self) -> UpstreamWant<'_> {
+        UpstreamWant {
+            model: Some(&self.model),
+            digest: Some(self.body),
+            prefix: &self.prompt,
+            ..UpstreamWant::new(&self.service)
+        }
+    }
+
+    /// What it keeps on whichever VM goes on with it.
+    pub(crate) fn pinned(&self) -> Pinned {
+        Pinned {
+            bundle: self.bundle,
+            model: self.model.clone(),
+            seed: self.seed,
+        }
+    }
+
+    /// The request with what it was pinned to on the VM that accepted it.
+    pub(crate) fn with_pinned(self, pinned: &Pinned) -> Self {
+        Self {
+            bundle: pinned.bundle,
+            model: pinned.model.clone(),
+            seed: pinned.seed,
+            ..self
+        }
+    }
+
     /// The order for an attempt that goes on after `prefix`.
     pub(crate) fn order(&self, attempt: Attempt, prefix: &TokenLog) -> engine::EngineGenerate {
         engine::EngineGenerate {
@@ -46,7 +95,7 @@
             seed: self.seed,
             temperature: self.temperature,
             stop: self.stop.clone(),
-            priority: 1,
+            priority: EnginePriority::of(self.lane(), prefix.len()).0,
         }
     }
 }
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -9,17 +9,24 @@
     bytes::Bytes,
     catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
     catkin_decisions::{
-        AskedReport, Attempt, AvailabilityZone, Bundle, BundleVersion, Candidate, ChoiceInput,
-        Delivery, Eligible, Finish, HybridClock, Incarnation, Instant, KeyHash, LeavingSource,
-        Model, PathRule, PoisonMark, PoisonRun, PoisonTracker, ReceivedEnd, ReceivedToken,
-        RecoveryPolicy, Relay, RequestDigest, RequestId, ReservedAttempt, Service, ServiceId,
-        ServiceKind, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
-        UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, choose, parse_hex, rendezvous_score,
-        subset,
+        AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
+        BundleVersion, CallKey, Candidate, CapacityReport, ChoiceInput, ClaimChange, ClaimFate,
+        ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken,
+        ClaimVerdict, Claimed, Delivery, Dispatched, Eligible, EnginePriority, FailedCall, Finish,
+        FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys, HybridClock, IdempotencyKey,
+        Incarnation, Instant, KeyHash, Lane, LeavingSource, Model, NotRun, NotRunEvidence,
+        PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun, PoisonTracker,
+        ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam,
+        Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
+        RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
+        RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
+        TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
+        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         any::Any,
         convert::Infallible,
@@ -32,7 +39,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -49,16 +56,24 @@
 pub use catkin_decisions::HybridTime;
 
 pub use crate::{
+    admission::Admission,
     bundle_in_force::BundleInForce,
+    claim_settings::ClaimSettings,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
-    drain::Drain,
+    drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
+    gossip::{Gossip, GossipSources},
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    peer_fault::PeerFault,
+    peer_key::PeerKey,
+    peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
+    peers::Peers,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
@@ -74,10 +89,17 @@
 /// The outcome of anything here that can fail.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+mod admission;
+mod admission_pool;
 mod attempt_stream;
 mod bundle_format;
 mod bundle_in_force;
 mod caller_border;
+mod claim_committer;
+mod claim_row;
+mod claim_settings;
+mod claim_sweep;
+mod claims;
 mod daemon;
 mod drain;
 mod engine_client;
@@ -89,6 +111,7 @@
 mod generation_driver;
 mod generation_request;
 mod generations;
+mod gossip;
 /// HTTP calls to other processes.
 pub mod http_client;
 /// The HTTP server and its connection limits.
@@ -96,11 +119,31 @@
 mod kernel;
 mod known;
 mod logging;
+mod metrics_page;
 mod node;
+mod peer_fault;
+mod peer_handshake;
+mod peer_key;
+mod peer_link;
+mod peer_message;
+mod peer_socket;
+mod peers;
+mod place;
+mod plain_answer;
+mod plain_border;
+mod plain_call;
+mod plain_calls;
+mod plain_claim;
+mod plain_dispatch;
+mod plain_headers;
+mod plain_send;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
+mod progress_keeper;
+mod read_leader;
+mod returning_caller;
 mod service_name;
 mod settings;
 mod timeline;
@@ -109,3 +152,4 @@
 mod upstream_state;
 mod upstream_want;
 mod upstreams;
+mod waiting_place;
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -16,29 +16,58 @@
 pub struct UpstreamHandle {
     known: Arc<Known>,
     state: Arc<UpstreamState>,
-    eligible: Eligible,
+    incarnation: Incarnation,
+    /// None for a request that runs there already and is only held.
+    eligible: Option<Eligible>,
     sent: Instant,
     asked: AskedReport,
     run: Option<PoisonRun>,
 }
 
 impl UpstreamHandle {
+    /// A hold for new work.
     pub(crate) fn new(
         known: &Arc<Known>,
         state: &Arc<UpstreamState>,
         eligible: Eligible,
         run: Option<PoisonRun>,
-        now: Instant,
     ) -> Self {
+        let mut handle = Self::held(known, state, eligible.incarnation());
+        handle.eligible = Some(eligible);
+        handle.run = run;
+        handle
+    }
+
+    /// A hold for a request that runs there already.
+    pub(crate) fn held(
+        known: &Arc<Known>,
+        state: &Arc<UpstreamState>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let now = known.timer.now();
         let mut record = state.record.lock();
         record.dispatched();
         Self {
             known: known.clone(),
             state: state.clone(),
-            eligible,
+            incarnation,
+            eligible: None,
             sent: now,
             asked: record.ask(now),
-            run,
+            run: None,
+        }
+    }
+
+    /// Checks that the upstream may get new work now.
+    ///
+    /// # Errors
+    ///
+    /// If the hold is not for new work, or the proof that the upstream may get it is too old.
+    pub(crate) fn check_eligible(&self) -> Result<(), AttemptFault> {
+        let now = self.known.timer.now();
+        match &self.eligible {
+            Some(eligible) if eligible.holds(now) => Ok(()),
+            _ => Err(AttemptFault::NotEligible),
         }
     }
 
@@ -63,7 +92,7 @@
     pub fn answered(&self) {
         let now = self.known.timer.now();
         let mut record = self.state.record.lock();
-        record.answered(self.eligible.incarnation(), self.sent, now);
+        record.answered(self.incarnation, self.sent, now);
     }
 
     /// Takes the load report that came with the reply.
@@ -86,7 +115,7 @@
             .record
             .lock()
             .evidence
-            .replied(self.eligible.incarnation(), now);
+            .replied(self.incarnation, now);
         if let Some(run) = self.run {
             self.known.poison.lock().finished(run);
         }
@@ -99,15 +128,9 @@
     /// there is known to have been there when the upstream died.
     pub(crate) async fn lost(&self, fault: &AttemptFault) {
         match fault {
-            AttemptFault::Refused {
-                kind: engine::EngineRefusalKind::Leaving,
-            } => self.known.note_leaving(
-                &self.state,
-                self.eligible.incarnation(),
-                LeavingSource::Refusal,
-            ),
-            AttemptFault::Refused { .. } => {}
-            AttemptFault::Http(HttpError::Call { source, .. }) if is_refused(source) => {
+            AttemptFault::Refused { kind } => self.refused(*kind),
+            AttemptFault::NotEligible => {}
+            AttemptFault::Http(fault) if fault.never_connected() => {
                 self.failed();
                 // No connection was made, so the request was not there when the upstream died.
                 self.forget_run();
@@ -122,10 +145,19 @@
         }
     }
 
+    /// Takes in that it refused the request.
+    pub(crate) fn refused(&self, kind: engine::EngineRefusalKind) {
+        if kind == engine::EngineRefusalKind::Leaving {
+            let source = LeavingSource::Refusal;
+            self.known
+                .note_leaving(&self.state, self.incarnation, source);
+        }
+    }
+
     async fn find_out(&self) {
         let _probing = self.state.probing.lock().await;
         let current = self.state.record.lock().evidence.incarnation();
-        if current != Some(self.eligible.incarnation()) {
+        if current != Some(self.incarnation) {
             return;
         }
         let asked = self.state.record.lock().ask(self.known.timer.now());
@@ -139,7 +171,7 @@
         match self.known.connections.call_json(call).await {
             Ok(load) => self.known.reported(&self.state, asked, read_report(load)),
             Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
-                self.known.died(&self.state, self.eligible.incarnation());
+                self.known.died(&self.state, self.incarnation);
             }
             Err(fault) => tracing::debug!(upstream = %self.id(), %fault, "no proof of a death"),
         }
@@ -159,11 +191,6 @@
     }
 }
 
-/// Whether a connection was refused: nothing listens there.
-fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
-    io_kind(error) == Some(io::ErrorKind::ConnectionRefused)
-}
-
 /// Whether the network, not the upstream, is to blame.
 fn is_unreachable(error: &(dyn std::error::Error + 'static)) -> bool {
     matches!(
--- a/crates/catkinward/src/upstream_state.rs
+++ b/crates/catkinward/src/upstream_state.rs
@@ -27,6 +27,7 @@
     UpstreamReport {
         incarnation: Incarnation(load.incarnation),
         load: load.running.saturating_add(load.waiting),
+        waiting: load.waiting,
         capacity: load.capacity,
         leaving: load.leaving,
         serves: load
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -72,7 +72,41 @@
         let run = want.digest.map(|digest| {
             poison.started(digest, state.entry.id.clone(), eligible.incarnation(), now)
         });
-        Ok(UpstreamHandle::new(&self.known, state, eligible, run, now))
+        Ok(UpstreamHandle::new(&self.known, state, eligible, run))
+    }
+
+    /// Whether upstreams died under a request, so that it runs nowhere for now.
+    #[must_use]
+    pub fn refuses(&self, digest: RequestDigest) -> bool {
+        self.known
+            .poison
+            .lock()
+            .refuses(digest, self.known.timer.now())
+    }
+
+    /// Holds an upstream on which a request runs already, whether or not it may get new work.
+    #[must_use]
+    pub fn hold(&self, id: &UpstreamId) -> Option<UpstreamHandle> {
+        let state = self.state(id)?;
+        let incarnation = state.record.lock().evidence.incarnation();
+        let incarnation = incarnation.unwrap_or_default();
+        Some(UpstreamHandle::held(&self.known, &state, incarnation))
+    }
+
+    /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
+    #[must_use]
+    pub fn capacity_reports(&self) -> Vec<(UpstreamId, CapacityReport)> {
+        let subset = self.subset.read();
+        let reports = subset.iter().filter_map(|state| {
+            let record = state.record.lock();
+            record.evidence.incarnation()?;
+            let report = CapacityReport {
+                capacity: record.report().capacity,
+                waiting: record.report().waiting,
+            };
+            Some((state.entry.id.clone(), report))
+        });
+        reports.collect()
     }
 
     /// The process of an upstream that was last heard of.
--- a/crates/load/tests/thin_path.rs
+++ b/crates/load/tests/thin_path.rs
@@ -1,9 +1,8 @@
 //! The whole path with real processes: caller, router, two engines.
 
-use catkin_border::{bundle::RecoveryPolicy, caller::CompletionRequest, engine::UpstreamLoad};
+use catkin_border::{bundle::RecoveryPolicy, caller::CompletionRequest};
 use catkin_load::{Process, Role};
-use catkin_standins::{Answer, CallerClient, DEMO_KEY, TokenChain, demo_bundle};
-use catkinward::http_client::{Connections, HttpCall};
+use catkin_standins::{Answer, CallerClient, DEMO_KEY, TokenChain, demo_bundle, first_busy};
 use googletest::prelude::*;
 use std::{num::NonZeroU32, path::Path, sync::Arc};
 use tokio::sync::Notify;
@@ -58,23 +57,6 @@
     TokenChain::new("catkin", "1", "menu reprint", 3)
 }
 
-/// The one engine that has a request.
-async fn busy_engine(engines: &[Process]) -> usize {
-    let connections = Connections::new().expect("a client");
-    let mut busy = Vec::new();
-    for (i, engine) in engines.iter().enumerate() {
-        let call = HttpCall {
-            address: engine.address(),
-            path: "/v1/load".into(),
-            ..HttpCall::default()
-        };
-        let load: UpstreamLoad = connections.call_json(call).await.expect("a report");
-        busy.extend((load.running > 0).then_some(i));
-    }
-    assert_that!(busy, len(eq(1)));
-    busy[0]
-}
-
 async fn killed_engine_answer(recovery: RecoveryPolicy) -> Answer {
     let mut engines = vec![engine("1").await, engine("2").await];
     let router = router(&engines, recovery).await;
@@ -93,7 +75,9 @@
         outcome.map(|()| answer)
     });
     midway.notified().await;
-    let busy = busy_engine(&engines).await;
+    let addresses = engines.iter().map(Process::address).collect::<Vec<_>>();
+    let busy = first_busy(&addresses).await.expect("load reports");
+    let busy = busy.expect("an engine that runs it");
     engines[busy].kill().await.expect("the engine runs");
     reading.await.expect("no panic").expect("a whole answer")
 }
