Look for, or cancel, an attempt whose start brought no stream

Change: under the policy of least work such an attempt is looked for by re-attaching; otherwise, or if it is not found, it is cancelled.

--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -68,12 +68,7 @@
 }
 
 /// Cancels all attempts of a request up to `attempt`; an engine that does not answer is left alone.
-pub(crate) async fn cancel(
-    connections: &Connections,
-    address: SocketAddr,
-    id: &RequestId,
-    attempt: Attempt,
-) {
+async fn cancel(connections: &Connections, address: SocketAddr, id: &RequestId, attempt: Attempt) {
     let call = HttpCall {
         address,
         method: Method::DELETE,
@@ -86,6 +81,17 @@
     }
 }
 
+/// Cancels in the background.
+pub(crate) fn cancel_later(
+    connections: &Arc<Connections>,
+    address: SocketAddr,
+    id: &RequestId,
+    attempt: Attempt,
+) {
+    let (connections, id) = (connections.clone(), id.clone());
+    tokio::spawn(async move { cancel(&connections, address, &id, attempt).await });
+}
+
 async fn open_stream(
     connections: &Connections,
     attempt: Attempt,
--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -100,3 +100,14 @@
         name: Arc<str>,
     },
 }
+
+impl AttemptFault {
+    /// Whether the engine may run the attempt although its stream did not come.
+    pub(crate) fn may_have_started(&self) -> bool {
+        use http_client::HttpError;
+        matches!(
+            self,
+            Self::Broken | Self::Http(HttpError::Call { .. } | HttpError::Timeout { .. })
+        )
+    }
+}
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -119,12 +119,9 @@
         if self.ended {
             return;
         }
-        let connections = self.node.connections.clone();
+        let attempt = self.stream.attempt();
         let address = self.upstream.address();
-        let (id, attempt) = (self.id.clone(), self.stream.attempt());
-        tokio::spawn(async move {
-            engine_client::cancel(&connections, address, &id, attempt).await;
-        });
+        engine_client::cancel_later(&self.node.connections, address, &self.id, attempt);
     }
 }
 
@@ -251,16 +248,12 @@
         };
         self.record(kind, attempt, upstream.id(), None);
         let address = upstream.address();
-        let stream =
-            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
-                .await
-                .inspect_err(|fault| {
-                    upstream.failed();
-                    let full = engine::EngineRefusalKind::Full;
-                    if matches!(fault, AttemptFault::Refused { kind } if *kind == full) {
-                        upstream.overloaded();
-                    }
-                })?;
+        let started =
+            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND).await;
+        let stream = match started {
+            Ok(stream) => stream,
+            Err(fault) => self.find_started(&upstream, order, fault).await?,
+        };
         Ok(RunningAttempt {
             node: self.node.clone(),
             id: self.generation.request.id.clone(),
@@ -270,6 +263,44 @@
         })
     }
 
+    /// After an order that brought no stream: the engine may run it all the same, unseen. Under the
+    /// policy of least work the attempt is looked for and gone on with; else, and if it is not
+    /// found, it is cancelled. Without that it would run to its end for nobody.
+    async fn find_started(
+        &self,
+        upstream: &Place,
+        order: &engine::EngineGenerate,
+        fault: AttemptFault,
+    ) -> Result<AttemptStream, AttemptFault> {
+        upstream.failed();
+        let full = engine::EngineRefusalKind::Full;
+        if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
+            upstream.overloaded();
+        }
+        if !fault.may_have_started() {
+            return Err(fault);
+        }
+        let id = &self.generation.request.id;
+        let attempt = Attempt(order.attempt);
+        if self.generation.request.recovery == RecoveryPolicy::LeastWork {
+            let reattach = Reattach {
+                address: upstream.address(),
+                id,
+                attempt,
+                becomes: attempt,
+                from: self.generation.next_index(),
+                bound: PROBE_BOUND,
+            };
+            let found = engine_client::reattach(&self.node.connections, reattach).await;
+            if let Ok(stream) = found {
+                self.record(EventKind::ReAttached, attempt, upstream.id(), None);
+                return Ok(stream);
+            }
+        }
+        engine_client::cancel_later(&self.node.connections, upstream.address(), id, attempt);
+        Err(fault)
+    }
+
     /// Hands on tokens until the end, recovering what can be recovered.
     async fn follow(&mut self, mut attempt: RunningAttempt) -> Result<Finish, AttemptFault> {
         loop {
