Operator border: status and time line on an address and key of their own

Cause: events and state of a VM could only be read in its log, and callers' addresses must not show them.

Change: GET /v1/status and /v1/timeline behind a bearer key whose hash is a setting, with border types generated from a schema. The HTTP library takes signals in each server of a process by itself, so the operators' server waits in its shutdown hook for the end of the callers' drain. A bundle now has a canonical form and its digest, which the status shows.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -17,5 +17,9 @@
 pub mod engine;
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
+#[path = "generated/operator.rs"]
+pub mod operator;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
 #[path = "generated/platform.rs"]
 pub mod platform;
--- a/crates/catkinward/src/bundle_format.rs
+++ b/crates/catkinward/src/bundle_format.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::error::BundleFault;
+use crate::{bundle_canonical::canonical_bundle, error::BundleFault};
 
 /// Deadline of a call where neither the call nor the bundle names one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
@@ -30,6 +30,7 @@
     })?;
     let bundle = Bundle {
         version,
+        digest: canonical_bundle(bundle).1,
         teams,
         services,
         upstreams,
--- a/crates/catkinward/src/daemon.rs
+++ b/crates/catkinward/src/daemon.rs
@@ -4,7 +4,8 @@
 
 /// Runs the router daemon on a command line without the program's name.
 ///
-/// Once callers are served, it prints `listening ADDRESS` on standard output.
+/// On standard output it prints `operators ADDRESS`, if operators are served, and then, once callers
+/// are served, `listening ADDRESS`.
 pub fn run_daemon(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let command = Settings::read(args, |name| std::env::var(name).ok());
     match command.and_then(run) {
@@ -30,7 +31,21 @@
 async fn serve(settings: Settings) -> Result<()> {
     start_logging(&settings.log);
     let listener = Listener::bind(settings.listen).await?;
+    let operators = match settings.operator_listen {
+        Some(address) => Some(Listener::bind(address).await?),
+        None => None,
+    };
     let node = Node::start(settings)?;
+    if let Some(operators) = &operators {
+        println!("operators {}", operators.address()?);
+    }
     println!("listening {}", listener.address()?);
-    node.serve(listener).await
+    let serve_operators = async {
+        match operators {
+            Some(operators) => node.serve_operators(operators).await,
+            None => Ok(()),
+        }
+    };
+    let (callers, operators) = tokio::join!(node.serve(listener), serve_operators);
+    callers.and(operators)
 }
--- a/crates/catkinward/src/drain.rs
+++ b/crates/catkinward/src/drain.rs
@@ -5,6 +5,7 @@
 pub struct Drain {
     draining: AtomicBool,
     in_flight: watch::Sender<usize>,
+    ended: watch::Sender<bool>,
 }
 
 /// A request in flight, counted until it is dropped.
@@ -24,6 +25,17 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Ends the shutdown: nothing is in flight, and the servers may close.
+    pub(crate) fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Waits until the shutdown has ended.
+    pub(crate) async fn ended(&self) {
+        // The sender lives as long as this does.
+        let _ = self.ended.subscribe().wait_for(|ended| *ended).await;
+    }
+
     /// Requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -7,12 +7,14 @@
     crate::http_client::{Connections, HttpCall},
     arc_swap::ArcSwap,
     bytes::Bytes,
-    catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
+    catkin_border::{
+        bundle as border_bundle, caller, engine, operator, platform as platform_border,
+    },
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, Delivery, Finish, HybridClock, Instant,
-        KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy, Relay, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term, Token, TokenIndex,
-        Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        Attempt, AvailabilityZone, Bundle, BundleDigest, BundleVersion, Delivery, Finish,
+        HybridClock, Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy,
+        Relay, RequestId, ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term,
+        Token, TokenIndex, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -69,6 +71,7 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 mod attempt_stream;
+mod bundle_canonical;
 mod bundle_format;
 mod bundle_in_force;
 mod caller_border;
@@ -90,6 +93,8 @@
 mod kernel;
 mod logging;
 mod node;
+mod operator_border;
+mod operator_problem;
 mod platform;
 mod problem;
 mod process_clock;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::{bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener};
+use crate::{
+    bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener,
+    operator_border::OperatorBorder,
+};
 use volo_http::server::Server;
 
 /// A router with all its services, and quick ways to those that every request needs.
@@ -94,12 +97,32 @@
         Ok(())
     }
 
+    /// Serves operators until the callers' server has drained, so that they can look on.
+    ///
+    /// Each server of a process takes signals by itself. This one waits in its shutdown hook for
+    /// the end of the drain; without that it would close while generations still run.
+    ///
+    /// # Errors
+    ///
+    /// If no operator key is set, or the server ends otherwise.
+    pub async fn serve_operators(self: &Arc<Self>, listener: Listener) -> Result<()> {
+        let address = listener.address()?;
+        let key = self.settings.operator_key()?;
+        let node = self.clone();
+        Server::new(OperatorBorder::new(self.clone(), key))
+            .register_shutdown_hook(move || Box::pin(async move { node.drain.ended().await }))
+            .run(listener)
+            .await
+            .map_err(|source| Error::Server { address, source })
+    }
+
     async fn drained(&self) {
         self.drain.begin();
         self.timeline.record(Event::new(EventKind::DrainBegan));
         tracing::info!(in_flight = self.drain.in_flight(), "draining");
         self.drain.finished(self.settings.drain_grace).await;
         self.timeline.record(Event::new(EventKind::DrainEnded));
+        self.drain.end();
         tracing::info!("drained");
     }
 }
--- /dev/null
+++ b/crates/catkinward/src/operator_border.rs
@@ -0,0 +1,124 @@
+use super::*;
+use crate::{http_client::json_bytes, operator_problem::OperatorProblem};
+
+/// The HTTP service that operators see, on an address of its own.
+#[derive(Clone)]
+pub(crate) struct OperatorBorder {
+    node: Arc<Node>,
+    key: KeyHash,
+}
+
+impl volo::Service<ServerContext, Request> for OperatorBorder {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        let mut response = match self.route(&req) {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        };
+        self.node.timeline.clock().stamp(response.headers_mut());
+        Ok(response)
+    }
+}
+
+impl OperatorBorder {
+    pub(crate) fn new(node: Arc<Node>, key: KeyHash) -> Self {
+        Self { node, key }
+    }
+
+    fn route(&self, req: &Request) -> Result<Response, OperatorProblem> {
+        self.check_key(req.headers())?;
+        // Only one who has the key may move the clock.
+        self.node.timeline.clock().witness_headers(req.headers());
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/v1/status") => Ok(json_response(&self.status())),
+            (&Method::GET, "/v1/timeline") => {
+                let query = timeline_query(req.uri().query().unwrap_or_default())?;
+                Ok(json_response(&self.timeline(&query)))
+            }
+            _ => Err(OperatorProblem::NoSuchPath),
+        }
+    }
+
+    fn check_key(&self, headers: &HeaderMap) -> Result<(), OperatorProblem> {
+        // The digests are compared, so the time taken tells nothing of the key.
+        headers
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "))
+            .filter(|key| KeyHash::of(key) == self.key)
+            .map(|_| ())
+            .ok_or(OperatorProblem::UnknownKey)
+    }
+
+    fn timeline(&self, query: &TimelineQuery) -> operator::TimelineReply {
+        let timeline = &self.node.timeline;
+        let extract = timeline.extract(query);
+        operator::TimelineReply {
+            availability_zone: timeline.zone().to_string(),
+            events: extract.records.iter().map(border_event).collect(),
+            overwritten: extract.overwritten,
+            vm: timeline.vm().to_string(),
+        }
+    }
+
+    fn status(&self) -> operator::StatusReply {
+        let node = &self.node;
+        let bundle = node.bundle.current();
+        let absent = bundle.version == BundleVersion::default();
+        operator::StatusReply {
+            availability_zone: node.settings.zone.to_string(),
+            bundle_digest: (!absent).then(|| bundle.digest.to_string()),
+            bundle_version: bundle.version.0,
+            draining: node.drain.has_begun(),
+            in_flight: u64::try_from(node.drain.in_flight()).unwrap_or(u64::MAX),
+            ready: !absent && !node.drain.has_begun(),
+            upstreams: node.upstreams.statuses(),
+            vm: node.settings.vm.to_string(),
+        }
+    }
+}
+
+fn timeline_query(query: &str) -> Result<TimelineQuery, OperatorProblem> {
+    let mut wanted = TimelineQuery::default();
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match &*name {
+            "request" => set(&mut wanted.request, &value)?,
+            "upstream" => set(&mut wanted.upstream, &value)?,
+            "since" => set(&mut wanted.since, &value)?,
+            _ => return Err(OperatorProblem::MalformedQuery),
+        }
+    }
+    Ok(wanted)
+}
+
+fn set<T: FromStr>(field: &mut Option<T>, value: &str) -> Result<(), OperatorProblem> {
+    let value = value.parse().map_err(|_| OperatorProblem::MalformedQuery)?;
+    match field.replace(value) {
+        Some(_) => Err(OperatorProblem::MalformedQuery),
+        None => Ok(()),
+    }
+}
+
+fn border_event(record: &TimelineRecord) -> operator::TimelineEvent {
+    let event = &record.event;
+    operator::TimelineEvent {
+        attempt: event.attempt.map(|attempt| attempt.0),
+        bundle: event.bundle.map(|version| version.0),
+        detail: event.detail.as_deref().map(str::to_owned),
+        kind: event.kind.to_string(),
+        request: event.request.as_ref().map(ToString::to_string),
+        term: event.term.map(|term| term.0),
+        time: record.time.to_string(),
+        upstream: event.upstream.as_ref().map(ToString::to_string),
+    }
+}
+
+fn json_response<T: serde::Serialize>(value: &T) -> Response {
+    let mut response = Response::new(Body::from(json_bytes(value)));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -10,6 +10,10 @@
     pub vm: VmId,
     /// Availability zone of this VM.
     pub zone: AvailabilityZone,
+    /// Address on which operators are served, if at all.
+    pub operator_listen: Option<SocketAddr>,
+    /// SHA-256 of the key that operators show.
+    pub operator_key: Option<KeyHash>,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
     /// How long nothing must have been in flight before the process ends.
@@ -30,6 +34,8 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
             vm: "vm-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
+            operator_listen: None,
+            operator_key: None,
             bundle_file: None,
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
@@ -63,6 +69,8 @@
   --listen ADDRESS          IP and port for callers [127.0.0.1:8080]
   --vm ID                   id of this VM [vm-1]
   --zone NAME               availability zone of this VM [zone-1]
+  --operator-listen ADDRESS IP and port for operators; needs --operator-key-sha256
+  --operator-key-sha256 HEX SHA-256 of the key that operators show
   --bundle-file FILE        bundle to start with, for a system without a platform
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
@@ -108,6 +116,7 @@
                 _ => return Err(arg.unexpected().into()),
             }
         }
+        settings.check()?;
         Ok(if check {
             Command::Check(settings)
         } else {
@@ -115,11 +124,38 @@
         })
     }
 
+    /// Hash of the operators' key.
+    ///
+    /// # Errors
+    ///
+    /// If it is not set.
+    pub fn operator_key(&self) -> Result<KeyHash> {
+        let flag = "operator-key-sha256";
+        self.operator_key.ok_or_else(|| Error::SettingAbsent {
+            flag,
+            variable: variable_name(flag),
+        })
+    }
+
+    fn check(&self) -> Result<()> {
+        if self.operator_listen.is_some() {
+            self.operator_key()?;
+        }
+        Ok(())
+    }
+
     fn set(&mut self, flag: &'static str, value: &str) -> Result<()> {
         match flag {
             "listen" => self.listen = parse(flag, "an IP address and port", value)?,
             "vm" => self.vm = parse(flag, "1 to 200 visible ASCII characters", value)?,
             "zone" => self.zone = parse(flag, "1 to 200 visible ASCII characters", value)?,
+            "operator-listen" => {
+                self.operator_listen = Some(parse(flag, "an IP address and port", value)?);
+            }
+            "operator-key-sha256" => {
+                let digits = "64 lower-case hexadecimal digits";
+                self.operator_key = Some(parse(flag, digits, value)?);
+            }
             "bundle-file" => self.bundle_file = Some(value.into()),
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
@@ -142,6 +178,8 @@
     "drain-grace-ms",
     "listen",
     "log",
+    "operator-key-sha256",
+    "operator-listen",
     "timeline-events",
     "vm",
     "zone",
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -56,6 +56,13 @@
             .map(|(_, state)| UpstreamHandle::new(state.clone()))
     }
 
+    /// What an operator is told of each.
+    pub(crate) fn statuses(&self) -> Vec<operator::UpstreamStatus> {
+        let now = self.timer.now();
+        let states = self.states.read();
+        states.iter().map(|state| state.status(now)).collect()
+    }
+
     fn apply(&self, bundle: &Bundle) {
         let mut states = self.states.write();
         *states = bundle
@@ -112,6 +119,15 @@
         }
     }
 
+    fn status(&self, now: Instant) -> operator::UpstreamStatus {
+        operator::UpstreamStatus {
+            availability_zone: self.entry.zone.to_string(),
+            id: self.entry.id.to_string(),
+            in_flight: u64::try_from(self.own.load(Ordering::Relaxed)).unwrap_or(u64::MAX),
+            takes_new_work: self.load(now, None).is_some(),
+        }
+    }
+
     /// Load by which upstreams are compared; `None` if this one may not get new work.
     fn load(&self, now: Instant, model: Option<&Model>) -> Option<usize> {
         let report = self.report.lock();
--- a/crates/catkinward/tests/settings.rs
+++ b/crates/catkinward/tests/settings.rs
@@ -71,6 +71,16 @@
     expect_that!(output, eq(&(Some(1), String::new(), error.into())));
 }
 
+/// Operators would be served to anyone who reaches their address.
+#[gtest]
+fn operators_are_not_served_without_a_key() {
+    let output = run(&["--check", "--operator-listen", "127.0.0.1:0"]).output();
+
+    let error =
+        "error: `--operator-key-sha256` or `CATKINWARD_OPERATOR_KEY_SHA256` must be given\n";
+    expect_that!(output, eq(&(Some(1), String::new(), error.into())));
+}
+
 #[gtest]
 fn flag_goes_before_variable() {
     let output = run(&["--check", "--vm", "vm-9"])
@@ -98,6 +108,9 @@
         "--vm",
         "--zone",
         "--bundle-file",
+        "--operator-listen",
+        "--operator-key-sha256",
+        "--timeline-events",
         "--check",
         "--version",
     ] {
--- a/crates/decisions/src/bundle.rs
+++ b/crates/decisions/src/bundle.rs
@@ -5,6 +5,8 @@
 pub struct Bundle {
     /// Version under which it was rolled out.
     pub version: BundleVersion,
+    /// Digest of its canonical form.
+    pub digest: BundleDigest,
     /// Teams that may call.
     pub teams: Vec<Team>,
     /// Services offered.
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -31,9 +31,12 @@
         /// Request that the reply names.
         found: RequestId,
     },
-    /// A key hash that is none.
-    #[display("a key hash must have 64 lower-case hexadecimal digits")]
-    KeyHash,
+    /// A digest that is none.
+    #[display("a {what} must have 64 lower-case hexadecimal digits")]
+    Digest {
+        /// What it is a digest of.
+        what: &'static str,
+    },
     /// A number that is none.
     #[display("`{what}` must be a whole number: {source}")]
     Number {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -24,6 +24,7 @@
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
+    bundle_digest::BundleDigest,
     bundle_version::BundleVersion,
     delivery::Delivery,
     drop_reason::DropReason,
@@ -62,6 +63,7 @@
 mod attempt;
 mod availability_zone;
 mod bundle;
+mod bundle_digest;
 mod bundle_version;
 mod delivery;
 mod drop_reason;
--- a/crates/decisions/src/newtype.rs
+++ b/crates/decisions/src/newtype.rs
@@ -79,3 +79,54 @@
         }
     };
 }
+
+/// Defines a newtype over a SHA-256 digest, written as 64 lower-case hexadecimal digits.
+macro_rules! digest_newtype {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+        )]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name([u8; 32]);
+
+        impl $name {
+            /// Digest of a text or of bytes.
+            #[must_use]
+            pub fn of(content: impl AsRef<[u8]>) -> Self {
+                use sha2::Digest;
+                Self(sha2::Sha256::digest(content.as_ref()).into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self, Error> {
+                let fault = Error::Digest { what: $what };
+                let bytes = parse_hex(s).and_then(|bytes| bytes.try_into().ok());
+                bytes.map(Self).ok_or(fault)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(digest: $name) -> Self {
+                digest.to_string()
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(s: String) -> Result<Self, Error> {
+                s.parse()
+            }
+        }
+    };
+}
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -11,13 +11,20 @@
     Standin,
 }
 
+/// Where a process listens.
+#[derive(Debug)]
+struct Addresses {
+    callers: SocketAddr,
+    operators: Option<SocketAddr>,
+}
+
 /// A process of an experiment: this program again, as a router or stand-in. It is killed when it is
 /// dropped.
 #[derive(Debug)]
 pub struct Process {
     role: Role,
     child: Child,
-    address: SocketAddr,
+    addresses: Addresses,
 }
 
 impl Process {
@@ -39,20 +46,26 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
-        let address = listening_address(&mut child)
+        let addresses = read_addresses(&mut child)
             .await
             .ok_or(Error::NotListening { role })?;
         Ok(Self {
             role,
             child,
-            address,
+            addresses,
         })
     }
 
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.addresses.callers
+    }
+
+    /// Where it serves operators, if it does.
+    #[must_use]
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.addresses.operators
     }
 
     /// Kills it without notice.
@@ -87,10 +100,20 @@
     }
 }
 
-async fn listening_address(child: &mut Child) -> Option<SocketAddr> {
+async fn read_addresses(child: &mut Child) -> Option<Addresses> {
     let mut lines = BufReader::new(child.stdout.take()?).lines();
-    let line = lines.next_line().await.ok()??;
-    line.strip_prefix("listening ")?.parse().ok()
+    let mut operators = None;
+    loop {
+        let line = lines.next_line().await.ok()??;
+        match line.split_once(' ')? {
+            ("operators", address) => operators = Some(address.parse().ok()?),
+            ("listening", address) => {
+                let callers = address.parse().ok()?;
+                return Some(Addresses { callers, operators });
+            }
+            _ => return None,
+        }
+    }
 }
 
 /// Runs this process as `role`.
