--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -14,7 +14,7 @@
         Attempt, AvailabilityZone, Bundle, BundleDigest, BundleVersion, Delivery, Finish,
         HybridClock, Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy,
         Relay, RequestId, ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term,
-        Token, TokenIndex, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        Token, TokenIndex, TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -45,6 +45,9 @@
         /// Why it is none.
         source: ParseIntError,
     },
+    /// A token log whose parts do not fit together.
+    #[display("a token log's ids, ends and bytes do not fit together")]
+    TokenLog,
     /// A clock reading that is too far in the future to be taken in.
     #[display("a received clock reading is {} s ahead of this process", lead.as_secs())]
     ClockLead {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,7 +30,9 @@
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     error::Error,
+    failed_call::FailedCall,
     finish::Finish,
+    hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
@@ -39,13 +41,21 @@
     key_hash::KeyHash,
     model::Model,
     path_rule::PathRule,
+    peer_entry::PeerEntry,
+    peer_table::PeerTable,
+    progress_record::ProgressRecord,
+    progress_store::{ProgressLimits, ProgressStore},
+    progress_update::ProgressUpdate,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
+    request_digest::RequestDigest,
     request_id::RequestId,
     reserved_attempt::ReservedAttempt,
+    retry_budget::{RetryBudget, RetryBudgetConfig},
+    retry_refusal::RetryRefusal,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
@@ -54,6 +64,7 @@
     term::Term,
     token::Token,
     token_index::TokenIndex,
+    token_log::TokenLog,
     upstream::Upstream,
     upstream_id::UpstreamId,
     utf8_joiner::Utf8Joiner,
@@ -69,7 +80,9 @@
 mod drop_reason;
 mod dropped_counts;
 mod error;
+mod failed_call;
 mod finish;
+mod hedge;
 mod hex;
 mod hybrid_clock;
 mod hybrid_time;
@@ -78,13 +91,21 @@
 mod key_hash;
 mod model;
 mod path_rule;
+mod peer_entry;
+mod peer_table;
+mod progress_record;
+mod progress_store;
+mod progress_update;
 mod received_end;
 mod received_token;
 mod recovery_policy;
 mod relay;
 mod rendezvous;
+mod request_digest;
 mod request_id;
 mod reserved_attempt;
+mod retry_budget;
+mod retry_refusal;
 mod service;
 mod service_id;
 mod service_kind;
@@ -93,6 +114,7 @@
 mod term;
 mod token;
 mod token_index;
+mod token_log;
 mod upstream;
 mod upstream_id;
 mod utf8_joiner;
