--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -59,6 +59,7 @@
     logging::start_logging,
     node::Node,
     platform::{Platform, PlatformCall, PlatformFault},
+    platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
@@ -96,6 +97,7 @@
 mod operator_border;
 mod operator_problem;
 mod platform;
+mod platform_client;
 mod problem;
 mod process_clock;
 mod service_name;
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -16,6 +16,8 @@
     pub operator_key: Option<KeyHash>,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
+    /// Address of the platform; without it this VM keeps and agrees on nothing.
+    pub platform: Option<SocketAddr>,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
@@ -37,6 +39,7 @@
             operator_listen: None,
             operator_key: None,
             bundle_file: None,
+            platform: None,
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
@@ -72,6 +75,7 @@
   --operator-listen ADDRESS IP and port for operators; needs --operator-key-sha256
   --operator-key-sha256 HEX SHA-256 of the key that operators show
   --bundle-file FILE        bundle to start with, for a system without a platform
+  --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
@@ -163,6 +167,9 @@
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
             }
+            "platform" => {
+                self.platform = Some(parse(flag, "an IP address and port", value)?);
+            }
             "log" => value.clone_into(&mut self.log),
             _ => unreachable!("every flag of FLAGS is set above"),
         }
@@ -180,6 +187,7 @@
     "log",
     "operator-key-sha256",
     "operator-listen",
+    "platform",
     "timeline-events",
     "vm",
     "zone",
--- a/crates/catkinward/tests/settings.rs
+++ b/crates/catkinward/tests/settings.rs
@@ -111,6 +111,7 @@
         "--operator-listen",
         "--operator-key-sha256",
         "--timeline-events",
+        "--platform",
         "--check",
         "--version",
     ] {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,6 +26,7 @@
     bundle::Bundle,
     bundle_digest::BundleDigest,
     bundle_version::BundleVersion,
+    call_budget::{CallBudget, CallBudgetSettings},
     delivery::Delivery,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -76,6 +77,7 @@
 mod bundle;
 mod bundle_digest;
 mod bundle_version;
+mod call_budget;
 mod delivery;
 mod drop_reason;
 mod dropped_counts;
