Bundle store: pure steps from draft to release, and what a VM puts in force

Cause: operators race each other, and a call of the table service may take effect while its answer is lost; a VM hears of releases late, crossed and repeated, and one that starts knows nothing.

Change: each step (propose, sign off, roll out, roll back) is one transaction on the row versions that it was decided on, and marks a row by which its author learns what became of it. A VM only moves to a larger version, and one that starts takes its peers' word only after the table service has not answered for three seconds.

Either condition of a release alone suffices; both stay, since the row of each version must never be written twice.

--- /dev/null
+++ b/crates/decisions/src/bundle_change.rs
@@ -0,0 +1,289 @@
+//! The steps by which a bundle comes into force.
+//!
+//! Operators race each other, and a call of the table service may take effect while its answer is
+//! lost. Each step is therefore one transaction whose conditions are the versions of the rows that
+//! it was decided on, so that of two racing operators one wins and the other changes nothing, and a
+//! repeated transaction takes effect once at most. Each step marks one row with a random token; by
+//! reading that row back its author learns what became of it, however late.
+
+use super::*;
+
+/// One transaction of the bundle store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BundleChange {
+    /// Rows that must have these versions; 0 means that there is none.
+    pub conditions: Vec<(BundleKey, u64)>,
+    /// Rows to write.
+    pub writes: Vec<BundleRow>,
+    witness: Witness,
+    change: ChangeToken,
+}
+
+/// What tells whether a change took effect.
+#[derive(Clone, Debug, PartialEq)]
+enum Witness {
+    Proposal(DraftId),
+    SignOff(DraftId),
+    Release(BundleVersion),
+}
+
+/// What became of a change whose answer was lost or says that a condition did not hold.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settled {
+    /// It took effect.
+    Done,
+    /// It can never take effect: another operator was first.
+    Lost(BundleRefusal),
+    /// It has not taken effect; repeating it is safe.
+    Open,
+}
+
+impl BundleChange {
+    /// Proposes content over the release in force.
+    ///
+    /// # Errors
+    ///
+    /// If that content is in force.
+    pub fn propose(
+        current: Option<&Stored<CurrentBundle>>,
+        digest: BundleDigest,
+        author: BundleAuthor,
+    ) -> Result<Self, BundleRefusal> {
+        check_new_content(current, digest)?;
+        let id = DraftId {
+            base: version_of(current),
+            mark: author.change.clone(),
+        };
+        let change = author.change.clone();
+        Ok(Self {
+            conditions: vec![(BundleKey::Draft(id.clone()), 0)],
+            writes: vec![BundleRow::Draft(BundleDraft {
+                id: id.clone(),
+                digest,
+                proposed: author,
+                signed_off: None,
+            })],
+            witness: Witness::Proposal(id),
+            change,
+        })
+    }
+
+    /// Signs a draft off by what was looked at, `digest`.
+    ///
+    /// # Errors
+    ///
+    /// If the author proposed it, if it is signed off, or if it has another digest.
+    pub fn sign_off(
+        draft: &Stored<BundleDraft>,
+        digest: BundleDigest,
+        author: BundleAuthor,
+    ) -> Result<Self, BundleRefusal> {
+        let BundleDraft { id, proposed, .. } = &draft.value;
+        if proposed.operator == author.operator {
+            return Err(BundleRefusal::OwnDraft {
+                draft: id.clone(),
+                operator: author.operator,
+            });
+        }
+        if let Some(signed_off) = &draft.value.signed_off {
+            return Err(signed_off_first(id, signed_off));
+        }
+        check_digest(&draft.value, digest)?;
+        let change = author.change.clone();
+        Ok(Self {
+            conditions: vec![(BundleKey::Draft(id.clone()), draft.row)],
+            writes: vec![BundleRow::Draft(BundleDraft {
+                signed_off: Some(SignOff { author, digest }),
+                ..draft.value.clone()
+            })],
+            witness: Witness::SignOff(id.clone()),
+            change,
+        })
+    }
+
+    /// Rolls a draft out over the release that it was proposed over. `next` is the release after
+    /// that one, if there is any.
+    ///
+    /// # Errors
+    ///
+    /// If it is not signed off, or anything was rolled out since it was proposed: its author could
+    /// not have seen that, and it would be undone unnoticed.
+    pub fn roll_out(
+        draft: &Stored<BundleDraft>,
+        current: Option<&Stored<CurrentBundle>>,
+        next: Option<&BundleRelease>,
+        author: BundleAuthor,
+    ) -> Result<Self, BundleRefusal> {
+        let BundleDraft { id, proposed, .. } = &draft.value;
+        if let Some(next) = next {
+            return Err(overtaken_by(next, Some(id)));
+        }
+        check_base(id, current)?;
+        let signed_off = draft.value.signed_off.as_ref();
+        let signed_off = signed_off.ok_or(BundleRefusal::NotSignedOff { draft: id.clone() })?;
+        check_digest(&draft.value, signed_off.digest)?;
+        let source = ReleaseSource::Draft {
+            draft: id.clone(),
+            proposed_by: proposed.operator.clone(),
+            signed_off_by: signed_off.author.operator.clone(),
+        };
+        let mut change = Self::release(current, draft.value.digest, source, author)?;
+        let draft_unchanged = (BundleKey::Draft(id.clone()), draft.row);
+        change.conditions.push(draft_unchanged);
+        Ok(change)
+    }
+
+    /// Rolls out the content of an earlier release as a new version.
+    ///
+    /// # Errors
+    ///
+    /// If that content is in force.
+    pub fn roll_back(
+        earlier: &BundleRelease,
+        current: Option<&Stored<CurrentBundle>>,
+        author: BundleAuthor,
+    ) -> Result<Self, BundleRefusal> {
+        let source = ReleaseSource::RollBack {
+            version: earlier.version,
+        };
+        Self::release(current, earlier.digest, source, author)
+    }
+
+    fn release(
+        current: Option<&Stored<CurrentBundle>>,
+        digest: BundleDigest,
+        source: ReleaseSource,
+        author: BundleAuthor,
+    ) -> Result<Self, BundleRefusal> {
+        check_new_content(current, digest)?;
+        let version = version_of(current).next();
+        let change = author.change.clone();
+        Ok(Self {
+            conditions: vec![
+                (BundleKey::Current, current.map_or(0, |stored| stored.row)),
+                (BundleKey::Release(version), 0),
+            ],
+            writes: vec![
+                BundleRow::Current(CurrentBundle {
+                    version,
+                    digest,
+                    by: author.operator.clone(),
+                }),
+                BundleRow::Release(BundleRelease {
+                    version,
+                    digest,
+                    source,
+                    released: author,
+                }),
+            ],
+            witness: Witness::Release(version),
+            change,
+        })
+    }
+
+    /// Key of the row that tells whether it took effect.
+    #[must_use]
+    pub fn witness(&self) -> BundleKey {
+        match &self.witness {
+            Witness::Proposal(id) | Witness::SignOff(id) => BundleKey::Draft(id.clone()),
+            Witness::Release(version) => BundleKey::Release(*version),
+        }
+    }
+
+    /// What became of it, by the row of [`Self::witness`] as it is now.
+    #[must_use]
+    pub fn settled(&self, row: Option<&BundleRow>) -> Settled {
+        match (&self.witness, row) {
+            (Witness::Proposal(_), Some(BundleRow::Draft(draft))) => {
+                self.by_author(&draft.proposed, || BundleRefusal::Unexplained)
+            }
+            (Witness::SignOff(id), Some(BundleRow::Draft(draft))) => match &draft.signed_off {
+                Some(sign_off) => {
+                    self.by_author(&sign_off.author, || signed_off_first(id, sign_off))
+                }
+                None => Settled::Open,
+            },
+            (Witness::Release(_), Some(BundleRow::Release(release))) => {
+                self.by_author(&release.released, || overtaken_by(release, None))
+            }
+            _ => Settled::Open,
+        }
+    }
+
+    fn by_author(&self, author: &BundleAuthor, lost: impl FnOnce() -> BundleRefusal) -> Settled {
+        if author.change == self.change {
+            Settled::Done
+        } else {
+            Settled::Lost(lost())
+        }
+    }
+}
+
+/// The rows may have been read while another operator wrote them: then the base may be gone although
+/// no release after it was seen.
+fn check_base(
+    draft: &DraftId,
+    current: Option<&Stored<CurrentBundle>>,
+) -> Result<(), BundleRefusal> {
+    match current {
+        Some(Stored { value, .. }) if value.version != draft.base => {
+            Err(BundleRefusal::Overtaken {
+                by: value.by.clone(),
+                version: value.version,
+            })
+        }
+        None if draft.base != BundleVersion::default() => Err(BundleRefusal::NoVersion {
+            version: draft.base,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn version_of(current: Option<&Stored<CurrentBundle>>) -> BundleVersion {
+    current.map_or(BundleVersion::default(), |stored| stored.value.version)
+}
+
+fn check_new_content(
+    current: Option<&Stored<CurrentBundle>>,
+    digest: BundleDigest,
+) -> Result<(), BundleRefusal> {
+    match current {
+        Some(current) if current.value.digest == digest => Err(BundleRefusal::InForceAlready {
+            version: current.value.version,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn check_digest(draft: &BundleDraft, expected: BundleDigest) -> Result<(), BundleRefusal> {
+    if draft.digest == expected {
+        return Ok(());
+    }
+    Err(BundleRefusal::OtherDigest {
+        draft: draft.id.clone(),
+        expected,
+        found: draft.digest,
+    })
+}
+
+fn signed_off_first(draft: &DraftId, sign_off: &SignOff) -> BundleRefusal {
+    BundleRefusal::SignedOff {
+        draft: draft.clone(),
+        by: sign_off.author.operator.clone(),
+    }
+}
+
+fn overtaken_by(release: &BundleRelease, draft: Option<&DraftId>) -> BundleRefusal {
+    let by = release.released.operator.clone();
+    let version = release.version;
+    match (&release.source, draft) {
+        (ReleaseSource::Draft { draft: found, .. }, Some(draft)) if found == draft => {
+            BundleRefusal::Released {
+                draft: draft.clone(),
+                version,
+                by,
+            }
+        }
+        _ => BundleRefusal::Overtaken { by, version },
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/draft_id.rs
@@ -0,0 +1,43 @@
+use super::*;
+
+/// Id of a draft, as in `7-k3f9`: the version it was proposed over, and a random text.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct DraftId {
+    /// Version over which the draft was proposed, and which it replaces if it is rolled out.
+    pub base: BundleVersion,
+    /// Tells drafts over the same version apart.
+    pub mark: ChangeToken,
+}
+
+impl fmt::Display for DraftId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.base, self.mark)
+    }
+}
+
+impl FromStr for DraftId {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self, Error> {
+        let (base, mark) = s.split_once('-').ok_or(Error::DraftId)?;
+        Ok(Self {
+            base: base.parse().map_err(|_| Error::DraftId)?,
+            mark: mark.parse().map_err(|_| Error::DraftId)?,
+        })
+    }
+}
+
+impl From<DraftId> for String {
+    fn from(id: DraftId) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for DraftId {
+    type Error = Error;
+
+    fn try_from(s: String) -> Result<Self, Error> {
+        s.parse()
+    }
+}
--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -37,6 +37,9 @@
         /// What it is a digest of.
         what: &'static str,
     },
+    /// A draft id that is none.
+    #[display("a draft id must be a version, a dash and a text, as in `7-k3f9`")]
+    DraftId,
     /// A number that is none.
     #[display("`{what}` must be a whole number: {source}")]
     Number {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -24,10 +24,19 @@
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
+    bundle_author::BundleAuthor,
+    bundle_change::{BundleChange, Settled},
     bundle_digest::BundleDigest,
+    bundle_draft::{BundleDraft, SignOff},
+    bundle_refusal::BundleRefusal,
+    bundle_release::{BundleRelease, CurrentBundle, ReleaseSource},
+    bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
+    bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
+    change_token::ChangeToken,
     delivery::Delivery,
+    draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     error::Error,
@@ -41,6 +50,7 @@
     instant::Instant,
     key_hash::KeyHash,
     model::Model,
+    operator_name::OperatorName,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -75,10 +85,19 @@
 mod attempt;
 mod availability_zone;
 mod bundle;
+mod bundle_author;
+mod bundle_change;
 mod bundle_digest;
+mod bundle_draft;
+mod bundle_refusal;
+mod bundle_release;
+mod bundle_row;
 mod bundle_version;
+mod bundle_view;
 mod call_budget;
+mod change_token;
 mod delivery;
+mod draft_id;
 mod drop_reason;
 mod dropped_counts;
 mod error;
@@ -92,6 +111,7 @@
 mod instant;
 mod key_hash;
 mod model;
+mod operator_name;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
--- /dev/null
+++ b/crates/decisions/src/operator_name.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_newtype!(
+    /// Name of an operator.
+    OperatorName,
+    "operator"
+);
--- /dev/null
+++ b/crates/decisions/tests/bundle_change.rs
@@ -0,0 +1,368 @@
+//! Steps of a bundle under racing operators, lost answers and calls that come late.
+
+use catkin_decisions::{
+    BundleAuthor, BundleChange, BundleDigest, BundleDraft, BundleKey, BundleRefusal, BundleRelease,
+    BundleRow, BundleVersion, CurrentBundle, DraftId, OperatorName, ReleaseSource, Settled, Stored,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+/// Rows of a table service: key, row version, value.
+#[derive(Clone, Default)]
+struct Table(Vec<(BundleKey, u64, BundleRow)>);
+
+impl Table {
+    fn find(&self, key: &BundleKey) -> Option<&(BundleKey, u64, BundleRow)> {
+        self.0.iter().find(|(found, ..)| found == key)
+    }
+
+    fn row(&self, key: &BundleKey) -> Option<&BundleRow> {
+        self.find(key).map(|(_, _, row)| row)
+    }
+
+    fn transact(&mut self, change: &BundleChange) -> bool {
+        let holds = |(key, version): &(BundleKey, u64)| {
+            self.find(key).map_or(0, |(_, found, _)| *found) == *version
+        };
+        if !change.conditions.iter().all(holds) {
+            return false;
+        }
+        for row in &change.writes {
+            let version = self.find(&row.key()).map_or(1, |(_, found, _)| found + 1);
+            self.0.retain(|(key, ..)| *key != row.key());
+            self.0.push((row.key(), version, row.clone()));
+        }
+        true
+    }
+
+    fn settled(&self, change: &BundleChange) -> Settled {
+        change.settled(self.row(&change.witness()))
+    }
+
+    fn current(&self) -> Option<Stored<CurrentBundle>> {
+        match self.find(&BundleKey::Current)? {
+            (_, row, BundleRow::Current(value)) => Some(Stored {
+                row: *row,
+                value: value.clone(),
+            }),
+            _ => None,
+        }
+    }
+
+    fn draft(&self, id: &DraftId) -> Option<Stored<BundleDraft>> {
+        match self.find(&BundleKey::Draft(id.clone()))? {
+            (_, row, BundleRow::Draft(value)) => Some(Stored {
+                row: *row,
+                value: value.clone(),
+            }),
+            _ => None,
+        }
+    }
+
+    fn release(&self, version: BundleVersion) -> Option<BundleRelease> {
+        match self.row(&BundleKey::Release(version))? {
+            BundleRow::Release(release) => Some(release.clone()),
+            _ => None,
+        }
+    }
+
+    fn drafts(&self) -> Vec<BundleDraft> {
+        let rows = self.0.iter().filter_map(|(_, _, row)| match row {
+            BundleRow::Draft(draft) => Some(draft.clone()),
+            _ => None,
+        });
+        rows.collect()
+    }
+
+    fn releases(&self) -> Vec<BundleRelease> {
+        let mut releases = self
+            .0
+            .iter()
+            .filter_map(|(_, _, row)| match row {
+                BundleRow::Release(release) => Some(release.clone()),
+                _ => None,
+            })
+            .collect::<Vec<_>>();
+        releases.sort_by_key(|release| release.version);
+        releases
+    }
+}
+
+fn operator(name: &str) -> OperatorName {
+    name.parse().expect("a valid name")
+}
+
+fn author(name: &str, change: u32) -> BundleAuthor {
+    BundleAuthor {
+        operator: operator(name),
+        change: format!("c{change}").parse().expect("a valid token"),
+        at: 0,
+    }
+}
+
+fn digest(content: &str) -> BundleDigest {
+    BundleDigest::of(content)
+}
+
+/// A table with a draft of `content` by ada, signed off by bea.
+fn signed_off(table: &mut Table, content: &str, change: u32) -> DraftId {
+    let current = table.current();
+    let proposal =
+        BundleChange::propose(current.as_ref(), digest(content), author("ada", change)).unwrap();
+    assert!(table.transact(&proposal));
+    let BundleKey::Draft(id) = proposal.witness() else {
+        panic!("a proposal is witnessed by its draft");
+    };
+    let draft = table.draft(&id).expect("the draft");
+    let sign_off =
+        BundleChange::sign_off(&draft, digest(content), author("bea", change + 1)).unwrap();
+    assert!(table.transact(&sign_off));
+    id
+}
+
+fn roll_out(
+    table: &Table,
+    id: &DraftId,
+    author: BundleAuthor,
+) -> std::result::Result<BundleChange, BundleRefusal> {
+    BundleChange::roll_out(
+        &table.draft(id).expect("the draft"),
+        table.current().as_ref(),
+        table.release(id.base.next()).as_ref(),
+        author,
+    )
+}
+
+/// Both operators read before either writes. The second to write must change nothing and be told
+/// who won.
+#[gtest]
+fn second_of_two_racing_operators_is_told_who_won() {
+    let mut table = Table::default();
+    let one = signed_off(&mut table, "one", 1);
+    let two = signed_off(&mut table, "two", 3);
+    let winner = roll_out(&table, &one, author("ada", 5)).unwrap();
+    let loser = roll_out(&table, &two, author("cy", 6)).unwrap();
+
+    assert!(table.transact(&winner));
+    assert!(!table.transact(&loser));
+
+    let overtaken = BundleRefusal::Overtaken {
+        by: operator("ada"),
+        version: BundleVersion(1),
+    };
+    expect_that!(table.settled(&winner), eq(&Settled::Done));
+    expect_that!(
+        overtaken.to_string(),
+        eq("ada rolled out version 1 first; nothing of yours was changed")
+    );
+    expect_that!(table.settled(&loser), eq(&Settled::Lost(overtaken)));
+}
+
+#[gtest]
+fn second_of_two_racing_sign_offs_is_told_who_won() {
+    let mut table = Table::default();
+    let proposal = BundleChange::propose(None, digest("one"), author("ada", 1)).unwrap();
+    assert!(table.transact(&proposal));
+    let draft = table.drafts().remove(0);
+    let stored = table.draft(&draft.id).expect("the draft");
+    let winner = BundleChange::sign_off(&stored, digest("one"), author("bea", 2)).unwrap();
+    let loser = BundleChange::sign_off(&stored, digest("one"), author("cy", 3)).unwrap();
+
+    assert!(table.transact(&winner));
+    assert!(!table.transact(&loser));
+
+    let signed_off = BundleRefusal::SignedOff {
+        draft: draft.id,
+        by: operator("bea"),
+    };
+    expect_that!(table.settled(&winner), eq(&Settled::Done));
+    expect_that!(table.settled(&loser), eq(&Settled::Lost(signed_off)));
+}
+
+/// A bundle comes into force unseen by a second person, or takes back a release that its author has
+/// not seen. Operators notice it when callers do.
+#[gtest]
+fn steps_out_of_order_are_refused() {
+    let mut table = Table::default();
+    let first = signed_off(&mut table, "one", 1);
+    let stale = signed_off(&mut table, "two", 3);
+    let proposal = BundleChange::propose(None, digest("three"), author("ada", 5)).unwrap();
+    assert!(table.transact(&proposal));
+    let BundleKey::Draft(unsigned) = proposal.witness() else {
+        panic!("a proposal is witnessed by its draft");
+    };
+    let release = roll_out(&table, &first, author("ada", 6)).unwrap();
+    let no_sign_off = roll_out(&table, &unsigned, author("ada", 7));
+    let own = BundleChange::sign_off(
+        &table.draft(&unsigned).expect("the draft"),
+        digest("three"),
+        author("ada", 8),
+    );
+    let other_digest = BundleChange::sign_off(
+        &table.draft(&unsigned).expect("the draft"),
+        digest("four"),
+        author("bea", 9),
+    );
+    assert!(table.transact(&release));
+    let current = table.current();
+    let refusals = [
+        no_sign_off,
+        own,
+        other_digest,
+        roll_out(&table, &first, author("ada", 10)),
+        roll_out(&table, &stale, author("ada", 11)),
+        BundleChange::propose(current.as_ref(), digest("one"), author("ada", 12)),
+        BundleChange::roll_back(
+            &table.release(BundleVersion(1)).expect("the release"),
+            current.as_ref(),
+            author("ada", 13),
+        ),
+    ]
+    .map(|refused| refused.unwrap_err().to_string());
+
+    expect_that!(
+        refusals,
+        elements_are![
+            eq("draft `0-c5` is not signed off"),
+            eq("draft `0-c5` was proposed by ada, and another operator must sign it off"),
+            eq(&format!(
+                "draft `0-c5` has the digest {}, not {}",
+                digest("three"),
+                digest("four")
+            )),
+            eq("draft `0-c1` is version 1 already, rolled out by ada"),
+            eq("ada rolled out version 1 first; nothing of yours was changed"),
+            eq("this is the content of version 1, which is in force"),
+            eq("this is the content of version 1, which is in force"),
+        ]
+    );
+}
+
+/// One step of an operator of the property test.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    operator: usize,
+    kind: u8,
+    pick: usize,
+    /// How many other steps take place between reading and writing.
+    delay: usize,
+    /// Whether the transaction is sent a second time, late.
+    repeated: bool,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (
+        0..3_usize,
+        0..4_u8,
+        any::<usize>(),
+        0..4_usize,
+        any::<bool>(),
+    )
+        .prop_map(|(operator, kind, pick, delay, repeated)| Step {
+            operator,
+            kind,
+            pick,
+            delay,
+            repeated,
+        });
+    prop::collection::vec(step, 1..60)
+}
+
+fn decide(table: &Table, step: Step, change: u32) -> Option<BundleChange> {
+    let author = author(["ada", "bea", "cy"][step.operator], change);
+    let current = table.current();
+    let drafts = table.drafts();
+    let draft = (!drafts.is_empty()).then(|| drafts[step.pick % drafts.len()].id.clone());
+    let decided = match step.kind {
+        0 => BundleChange::propose(
+            current.as_ref(),
+            digest(&format!("{}", step.pick % 4)),
+            author,
+        ),
+        1 => {
+            let stored = table.draft(&draft?)?;
+            BundleChange::sign_off(&stored, stored.value.digest, author)
+        }
+        2 => roll_out(table, &draft?, author),
+        _ => {
+            let releases = table.releases();
+            let earlier = releases.get(step.pick % releases.len().max(1))?;
+            BundleChange::roll_back(earlier, current.as_ref(), author)
+        }
+    };
+    decided.ok()
+}
+
+/// Each change that was sent, whether any of its calls took effect, and what its author was told.
+type Told = Vec<(BundleChange, bool, Settled)>;
+
+fn run(steps: &[Step]) -> (Table, Told) {
+    let mut table = Table::default();
+    let mut under_way: Vec<(usize, BundleChange, bool)> = Vec::new();
+    let mut told = Told::new();
+    for (now, step) in steps.iter().enumerate() {
+        let (due, rest) = under_way.into_iter().partition(|(at, ..)| *at <= now);
+        under_way = rest;
+        write_all(&mut table, due, &mut under_way, &mut told, now);
+        let change = u32::try_from(now).expect("few steps");
+        if let Some(change) = decide(&table, *step, change) {
+            under_way.push((now + step.delay, change, step.repeated));
+        }
+    }
+    let due = std::mem::take(&mut under_way);
+    write_all(&mut table, due, &mut under_way, &mut told, steps.len());
+    let late = std::mem::take(&mut under_way);
+    write_all(&mut table, late, &mut under_way, &mut told, steps.len());
+    (table, told)
+}
+
+fn write_all(
+    table: &mut Table,
+    due: Vec<(usize, BundleChange, bool)>,
+    under_way: &mut Vec<(usize, BundleChange, bool)>,
+    told: &mut Told,
+    now: usize,
+) {
+    for (_, change, repeated) in due {
+        let committed = table.transact(&change);
+        let settled = table.settled(&change);
+        if repeated {
+            under_way.push((now + 2, change.clone(), false));
+        }
+        told.push((change, committed, settled));
+    }
+}
+
+proptest! {
+    /// Operators read, wait, write, and write again late, all crossed. Versions stay dense, every
+    /// content was seen by two people, no change takes effect twice, and everyone was told the truth.
+    #[test]
+    fn racing_operators_leave_a_dense_and_signed_off_history(steps in steps()) {
+        let (table, told) = run(&steps);
+
+        let releases = table.releases();
+        for (release, version) in releases.iter().zip(1..) {
+            prop_assert_eq!(release.version, BundleVersion(version));
+            match &release.source {
+                ReleaseSource::Draft { draft, proposed_by, signed_off_by } => {
+                    prop_assert_ne!(proposed_by, signed_off_by);
+                    prop_assert_eq!(draft.base.next(), release.version);
+                }
+                ReleaseSource::RollBack { version } => {
+                    let earlier = table.release(*version).expect("an earlier release");
+                    prop_assert!(*version < release.version);
+                    prop_assert_eq!(earlier.digest, release.digest);
+                }
+            }
+        }
+        let last = releases.last().map(|release| (release.version, release.digest));
+        let current = table.current().map(|stored| (stored.value.version, stored.value.digest));
+        prop_assert_eq!(last, current);
+        for (change, _, settled) in &told {
+            prop_assert_ne!(settled, &Settled::Open, "{:?}", change);
+            let effects = told.iter().filter(|(other, took, _)| other == change && *took).count();
+            let expected = usize::from(*settled == Settled::Done);
+            prop_assert_eq!(effects, expected, "{:?}", change);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/bundle_view.rs
@@ -0,0 +1,252 @@
+//! What a VM puts in force, from word that comes late, crossed and repeated.
+
+use catkin_decisions::{BundleDigest, BundleVersion, BundleView, Instant, PEERS_WORD_AFTER};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn word(version: u64) -> (BundleVersion, BundleDigest) {
+    let digest = BundleDigest::of(version.to_string());
+    (BundleVersion(version), digest)
+}
+
+fn hear(view: &mut BundleView, version: u64) {
+    let (version, digest) = word(version);
+    view.hear(version, digest);
+}
+
+fn at(millis: u64) -> Instant {
+    Instant(Duration::from_millis(millis))
+}
+
+/// A VM starts and a peer that lags tells it of an old release first. Served under it, callers would
+/// see the rollout taken back.
+#[gtest]
+fn starting_vm_waits_for_the_table_service() {
+    let mut view = BundleView::new(at(0));
+    hear(&mut view, 4);
+
+    let before = view.wanted(at(100));
+    view.table(Some(word(5)));
+
+    expect_that!(before, none());
+    expect_that!(view.wanted(at(100)), some(eq(word(5))));
+}
+
+/// A VM starts while the platform is cut off. It must serve what its peers serve, once all of them
+/// had time to speak.
+#[gtest]
+fn starting_vm_that_is_cut_off_takes_the_largest_of_its_peers() {
+    let mut view = BundleView::new(at(0));
+    for version in [4, 6, 5] {
+        hear(&mut view, version);
+    }
+
+    let early = view.wanted(at(2_999));
+
+    expect_that!(early, none());
+    expect_that!(view.wanted(Instant(PEERS_WORD_AFTER)), some(eq(word(6))));
+}
+
+#[gtest]
+fn serving_vm_takes_a_peers_word_at_once() {
+    let mut view = BundleView::new(at(0));
+    view.table(Some(word(5)));
+    view.advanced(BundleVersion(5));
+    hear(&mut view, 4);
+    let old = view.wanted(at(10));
+    hear(&mut view, 6);
+
+    expect_that!(old, none());
+    expect_that!(view.wanted(at(10)), some(eq(word(6))));
+}
+
+#[gtest]
+fn vm_serves_nothing_where_nothing_was_rolled_out() {
+    let mut view = BundleView::new(at(0));
+    view.table(None);
+
+    expect_that!(view.wanted(Instant(PEERS_WORD_AFTER)), none());
+}
+
+/// One event of the property test: VMs of one availability zone, with and without the platform.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A release is rolled out.
+    RollOut,
+    /// A VM asks the table service; the answer comes `delay` steps later, if at all.
+    Read { vm: usize, delay: usize },
+    /// A VM tells another what it has in force; the message comes late, and perhaps twice.
+    Tell {
+        from: usize,
+        to: usize,
+        delay: usize,
+        twice: bool,
+    },
+    /// The platform is cut off, or reachable again.
+    CutOff(bool),
+    /// A VM is restarted and has to ask anew; its peers answer while it waits.
+    Restart(usize),
+    /// Time passes.
+    Wait,
+}
+
+const VMS: usize = 3;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::RollOut),
+        (0..VMS, 0..5_usize).prop_map(|(vm, delay)| Step::Read { vm, delay }),
+        (0..VMS, 0..VMS, 0..5_usize, any::<bool>()).prop_map(|(from, to, delay, twice)| {
+            Step::Tell {
+                from,
+                to,
+                delay,
+                twice,
+            }
+        }),
+        any::<bool>().prop_map(Step::CutOff),
+        (0..VMS).prop_map(Step::Restart),
+        Just(Step::Wait),
+    ]
+}
+
+/// A message to a VM: due at a step, from the table service or a peer.
+struct Message {
+    due: usize,
+    to: usize,
+    version: u64,
+    from_table: bool,
+    /// Start of the process it is addressed to; a later one never gets it.
+    start: usize,
+}
+
+struct Zone {
+    views: Vec<BundleView>,
+    in_force: Vec<u64>,
+    starts: Vec<usize>,
+    messages: Vec<Message>,
+    current: u64,
+    cut_off: bool,
+    now: usize,
+}
+
+impl Zone {
+    fn new() -> Self {
+        Self {
+            views: vec![BundleView::new(at(0)); VMS],
+            in_force: vec![0; VMS],
+            starts: vec![0; VMS],
+            messages: Vec::new(),
+            current: 0,
+            cut_off: false,
+            now: 0,
+        }
+    }
+
+    fn time(&self) -> Instant {
+        at(u64::try_from(self.now).expect("few steps") * 1_000)
+    }
+
+    fn send(&mut self, to: usize, version: u64, from_table: bool, delay: usize) {
+        self.messages.push(Message {
+            due: self.now + delay,
+            to,
+            version,
+            from_table,
+            start: self.starts[to],
+        });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition::<Vec<_>, _>(|message| message.due <= now);
+        self.messages = rest;
+        for message in due
+            .into_iter()
+            .rev()
+            .filter(|m| m.start == self.starts[m.to])
+        {
+            let view = &mut self.views[message.to];
+            match (message.from_table, message.version) {
+                (true, 0) => view.table(None),
+                (true, version) => view.table(Some(word(version))),
+                (false, 0) => {}
+                (false, version) => hear(view, version),
+            }
+        }
+    }
+
+    /// Puts in force what each VM wants; returns false if a VM went back.
+    fn advance(&mut self) -> bool {
+        let time = self.time();
+        let mut forward = true;
+        for (view, in_force) in self.views.iter_mut().zip(&mut self.in_force) {
+            if let Some((version, _)) = view.wanted(time) {
+                forward &= version.0 > *in_force;
+                *in_force = version.0;
+                view.advanced(version);
+            }
+        }
+        forward
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::RollOut => self.current += 1,
+            Step::Read { vm, delay } if !self.cut_off => {
+                self.send(vm, self.current, true, delay);
+            }
+            Step::Tell {
+                from,
+                to,
+                delay,
+                twice,
+            } => {
+                let version = self.in_force[from];
+                self.send(to, version, false, delay);
+                if twice {
+                    self.send(to, version, false, delay + 2);
+                }
+            }
+            Step::CutOff(cut_off) => self.cut_off = cut_off,
+            Step::Restart(vm) => self.restart(vm),
+            Step::Read { .. } | Step::Wait => {}
+        }
+    }
+
+    /// The new process knows nothing. Its peers tell it what they have in force within the wait.
+    fn restart(&mut self, vm: usize) {
+        self.starts[vm] = self.now + 1;
+        self.views[vm] = BundleView::new(self.time());
+        self.in_force[vm] = 0;
+        for peer in (0..VMS).filter(|peer| *peer != vm) {
+            let version = self.in_force[peer];
+            self.send(vm, version, false, 1);
+        }
+    }
+}
+
+proptest! {
+    /// VMs hear of releases late, crossed and twice, are cut off and restarted. No VM ever goes back
+    /// while it runs, and none that starts while cut off serves less than a peer did when it asked.
+    #[test]
+    fn versions_never_go_back(steps in prop::collection::vec(step(), 1..120)) {
+        let mut zone = Zone::new();
+        let mut floors = [0; VMS];
+        for step in steps {
+            if let Step::Restart(vm) = step {
+                floors[vm] = (0..VMS).filter(|p| *p != vm).map(|p| zone.in_force[p]).max().unwrap_or(0);
+            }
+            zone.take(step);
+            zone.now += 1;
+            zone.deliver();
+            prop_assert!(zone.advance());
+            for (in_force, floor) in zone.in_force.iter().zip(floors) {
+                prop_assert!(*in_force == 0 || *in_force >= floor);
+            }
+        }
+    }
+}
