Bundle store, format and watch: a release reaches every VM and none takes it back

Cause: a bundle came from a file only.

Change: the bundle format names the field of every error, refuses fields of the other kind of service, shared keys and doubled entries, and has a canonical form whose digest is signed off and names the object. BundleStore does each step as one transaction, sends it again while nothing is known of it and settles a lost answer by reading back. BundleWatch reads the row current about once a second, takes peers' word, fetches the content from a peer or the object store, checks its digest and only moves to a larger version.

Conclusion: fault tables cover lost, late and refused answers at each step. Taking out the doubt of a lost answer, the refusal of a lost race, the check of the digest or the bound on a source fails a test.

--- a/crates/catkinward/src/bundle_format.rs
+++ b/crates/catkinward/src/bundle_format.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::{bundle_canonical::canonical_bundle, error::BundleFault};
+use crate::error::BundleFault;
 
 /// Deadline of a call where neither the call nor the bundle names one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
@@ -7,17 +7,16 @@
 /// Deadline of a generation where neither the call nor the bundle names one.
 const DEFAULT_GENERATION_DEADLINE: Duration = Duration::from_secs(3600);
 
-/// Reads and checks a bundle.
+/// Checks a bundle and sorts its lists.
 ///
 /// # Errors
 ///
 /// Names the field that is wrong, and how.
-pub fn read_bundle(version: BundleVersion, json: &str) -> Result<Bundle> {
-    let bundle = serde_json::from_str(json).map_err(|source| Error::BundleSyntax { source })?;
-    check_bundle(version, &bundle)
-}
-
-fn check_bundle(version: BundleVersion, bundle: &border_bundle::Bundle) -> Result<Bundle> {
+pub(crate) fn check_bundle(
+    version: BundleVersion,
+    digest: BundleDigest,
+    bundle: &border_bundle::Bundle,
+) -> Result<Bundle> {
     let teams = each("teams", &bundle.teams, check_team)?;
     let teams = sorted("teams", teams, |team: &Team| team.id.to_string())?;
     let services = each("services", &bundle.services, check_service)?;
@@ -30,11 +29,12 @@
     })?;
     let bundle = Bundle {
         version,
-        digest: canonical_bundle(bundle).1,
+        digest,
         teams,
         services,
         upstreams,
     };
+    check_keys(&bundle)?;
     check_references(&bundle)?;
     Ok(bundle)
 }
@@ -50,6 +50,7 @@
 }
 
 fn check_service(place: &str, entry: &border_bundle::ServiceEntry) -> Result<Service> {
+    check_kind(place, entry)?;
     let kind = match entry.kind {
         border_bundle::ServiceKind::Generation => ServiceKind::Generation {
             model: check_model(place, entry.model.as_ref())?,
@@ -59,7 +60,7 @@
             },
         },
         border_bundle::ServiceKind::Plain => ServiceKind::Plain {
-            paths: entry.paths.iter().map(path_rule).collect(),
+            paths: check_paths(place, &entry.paths)?,
         },
     };
     let default_deadline = match kind {
@@ -72,6 +73,7 @@
         .map(|team| field(place, "teams", team.parse()))
         .collect::<Result<Vec<_>>>()?;
     teams.sort();
+    check_distinct(place, "teams", &teams)?;
     Ok(Service {
         id: field(place, "name", entry.name.parse())?,
         kind,
@@ -84,18 +86,75 @@
 
 fn check_model(place: &str, entry: Option<&border_bundle::ModelEntry>) -> Result<Model> {
     let model = entry.ok_or_else(|| fault(place, "model", BundleFault::ModelAbsent))?;
+    let text = |name: &str, value: &str| match value {
+        "" => Err(fault(place, &format!("model.{name}"), BundleFault::Empty)),
+        value => Ok(value.into()),
+    };
     Ok(Model {
-        name: model.name.as_str().into(),
-        version: model.version.as_str().into(),
-        adapter: model.adapter.as_deref().map(Into::into),
+        name: text("name", &model.name)?,
+        version: text("version", &model.version)?,
+        adapter: match &model.adapter {
+            Some(adapter) => Some(text("adapter", adapter)?),
+            None => None,
+        },
     })
 }
 
-fn path_rule(entry: &border_bundle::PathRule) -> PathRule {
-    PathRule {
-        method: entry.method.as_str().into(),
-        prefix: entry.prefix.as_str().into(),
-        idempotent: entry.idempotent,
+/// A field that only the other kind of service has would be ignored, and its author would believe
+/// that it is in force.
+fn check_kind(place: &str, entry: &border_bundle::ServiceEntry) -> Result<()> {
+    let foreign = match entry.kind {
+        border_bundle::ServiceKind::Generation => [("paths", !entry.paths.is_empty())].to_vec(),
+        border_bundle::ServiceKind::Plain => [
+            ("model", entry.model.is_some()),
+            ("recovery", entry.recovery.is_some()),
+        ]
+        .to_vec(),
+    };
+    match foreign.iter().find(|(_, present)| *present) {
+        Some((name, _)) => Err(fault(place, name, BundleFault::OtherKind(entry.kind))),
+        None => Ok(()),
+    }
+}
+
+fn check_paths(place: &str, entries: &[border_bundle::PathRule]) -> Result<Vec<PathRule>> {
+    let rules = entries.iter().enumerate().map(|(i, entry)| {
+        let place = format!("{place}.paths[{i}]");
+        if entry.method.is_empty() || !entry.method.bytes().all(|b| b.is_ascii_uppercase()) {
+            return Err(fault(&place, "method", BundleFault::Method));
+        }
+        if !entry.prefix.starts_with('/') {
+            return Err(fault(&place, "prefix", BundleFault::Prefix));
+        }
+        Ok(PathRule {
+            method: entry.method.as_str().into(),
+            prefix: entry.prefix.as_str().into(),
+            idempotent: entry.idempotent,
+        })
+    });
+    let rules = rules.collect::<Result<Vec<_>>>()?;
+    let mut names = rules
+        .iter()
+        .map(|rule| format!("{} {}", rule.method, rule.prefix))
+        .collect::<Vec<_>>();
+    names.sort();
+    check_distinct(place, "paths", &names)?;
+    Ok(rules)
+}
+
+/// Refuses a sorted list in which anything stands twice.
+fn check_distinct<T: PartialEq + std::fmt::Display>(
+    place: &str,
+    name: &str,
+    sorted: &[T],
+) -> Result<()> {
+    match sorted.windows(2).find(|pair| pair[0] == pair[1]) {
+        Some(pair) => Err(fault(
+            place,
+            name,
+            BundleFault::Duplicate(pair[0].to_string()),
+        )),
+        None => Ok(()),
     }
 }
 
@@ -106,6 +165,7 @@
         .map(|service| field(place, "services", service.parse()))
         .collect::<Result<Vec<_>>>()?;
     services.sort();
+    check_distinct(place, "services", &services)?;
     let address = entry.address.parse().map_err(|_| {
         fault(
             place,
@@ -123,6 +183,20 @@
     })
 }
 
+/// Two teams with one key could not be told apart: calls of one would be counted as the other's.
+fn check_keys(bundle: &Bundle) -> Result<()> {
+    let mut teams = bundle.teams.iter().collect::<Vec<_>>();
+    teams.sort_by_key(|team| team.key);
+    match teams.windows(2).find(|pair| pair[0].key == pair[1].key) {
+        Some(pair) => Err(fault(
+            &format!("team `{}`", pair[1].id),
+            "key_sha256",
+            BundleFault::SharedKey(pair[0].id.clone()),
+        )),
+        None => Ok(()),
+    }
+}
+
 fn check_references(bundle: &Bundle) -> Result<()> {
     for upstream in &bundle.upstreams {
         for service in &upstream.services {
--- a/crates/catkinward/src/bundle_in_force.rs
+++ b/crates/catkinward/src/bundle_in_force.rs
@@ -3,11 +3,17 @@
 /// The bundle in force on this VM. It only ever moves to a larger version.
 pub struct BundleInForce {
     timeline: Arc<Timeline>,
-    current: ArcSwap<Bundle>,
+    current: ArcSwap<InForce>,
     advancing: Mutex<()>,
     changed: watch::Sender<BundleVersion>,
 }
 
+#[derive(Default)]
+struct InForce {
+    bundle: Arc<Bundle>,
+    body: Arc<str>,
+}
+
 impl BundleInForce {
     /// No bundle yet; each one that comes into force is recorded in `timeline`.
     #[must_use]
@@ -23,20 +29,34 @@
     /// The bundle in force now. A request keeps the one it was accepted under.
     #[must_use]
     pub fn current(&self) -> Arc<Bundle> {
-        self.current.load_full()
+        self.current.load().bundle.clone()
+    }
+
+    /// The bundle in force in its canonical form, if it has this digest; peers are given it.
+    #[must_use]
+    pub fn body(&self, digest: BundleDigest) -> Option<Arc<str>> {
+        let current = self.current.load();
+        let asked_for =
+            current.bundle.version > BundleVersion::default() && current.bundle.digest == digest;
+        asked_for.then(|| current.body.clone())
     }
 
     /// Puts a bundle in force if its version is larger; returns whether it was.
     ///
     /// Without the comparison a late message with an older bundle would undo a rollout on this VM;
     /// one would notice it by callers served under two versions for long.
-    pub fn advance(&self, bundle: Bundle) -> bool {
+    pub fn advance(&self, read: ReadBundle) -> bool {
+        let ReadBundle { bundle, body } = read;
         let _guard = self.advancing.lock();
-        if bundle.version <= self.current.load().version {
+        if bundle.version <= self.current.load().bundle.version {
             return false;
         }
         let version = bundle.version;
-        self.current.store(Arc::new(bundle));
+        tracing::info!(%version, digest = %bundle.digest, "bundle in force");
+        self.current.store(Arc::new(InForce {
+            bundle: Arc::new(bundle),
+            body,
+        }));
         self.timeline.record(Event {
             bundle: Some(version),
             ..Event::new(EventKind::BundleInForce)
--- /dev/null
+++ b/crates/catkinward/src/bundle_rows.rs
@@ -0,0 +1,90 @@
+//! Rows of the bundle store as the table service has them: JSON under a key.
+
+use super::*;
+use catkin_decisions::{BundleChange, BundleKey, BundleRow};
+
+/// Table of the bundle store.
+pub(crate) const TABLE: &str = "bundle";
+
+/// Reads rows with the versions of the table service; absent ones are left out.
+///
+/// # Errors
+///
+/// If the platform does not answer, or a row has another form than agreed.
+pub(crate) async fn read_rows(
+    platform: &Platform,
+    keys: &[BundleKey],
+) -> Result<Vec<(u64, BundleRow)>> {
+    let keys = keys.iter().map(|key| platform_border::RowKey {
+        key: key.to_string(),
+        table: TABLE.to_owned(),
+    });
+    let rows = (platform.read)(keys.collect()).await?;
+    parse_rows(&rows)
+}
+
+/// Reads rows by key prefix.
+///
+/// # Errors
+///
+/// As for [`read_rows`].
+pub(crate) async fn scan_rows(
+    platform: &Platform,
+    prefix: &str,
+    after: Option<&BundleKey>,
+    limit: std::num::NonZeroU32,
+) -> Result<Vec<(u64, BundleRow)>> {
+    let rows = (platform.scan)(platform_border::ScanRequest {
+        after: after.map(ToString::to_string),
+        limit,
+        prefix: prefix.to_owned(),
+        table: TABLE.to_owned(),
+    });
+    parse_rows(&rows.await?)
+}
+
+/// A change as a transaction of the table service.
+pub(crate) fn transaction(change: &BundleChange) -> platform_border::TransactRequest {
+    let conditions = change.conditions.iter();
+    let conditions = conditions.map(|(key, version)| platform_border::Condition {
+        key: key.to_string(),
+        table: TABLE.to_owned(),
+        version: *version,
+    });
+    let writes = change.writes.iter().map(|row| platform_border::Write {
+        key: row.key().to_string(),
+        table: TABLE.to_owned(),
+        value: Some(value(row)),
+    });
+    platform_border::TransactRequest {
+        conditions: conditions.collect(),
+        writes: writes.collect(),
+    }
+}
+
+fn value(row: &BundleRow) -> String {
+    let value = match row {
+        BundleRow::Current(current) => serde_json::to_string(current),
+        BundleRow::Draft(draft) => serde_json::to_string(draft),
+        BundleRow::Release(release) => serde_json::to_string(release),
+    };
+    value.expect("rows have text keys only")
+}
+
+fn parse_rows(rows: &[platform_border::Row]) -> Result<Vec<(u64, BundleRow)>> {
+    rows.iter()
+        .map(|row| Ok((row.version, parse_row(&row.key, &row.value)?)))
+        .collect()
+}
+
+fn parse_row(key: &str, value: &str) -> Result<BundleRow> {
+    let row = match key.split('/').next() {
+        Some("draft") => serde_json::from_str(value).map(BundleRow::Draft),
+        Some("release") => serde_json::from_str(value).map(BundleRow::Release),
+        _ => serde_json::from_str(value).map(BundleRow::Current),
+    };
+    row.map_err(|source| Error::BundleRow {
+        key: key.to_owned(),
+        source,
+    })
+}
--- /dev/null
+++ b/crates/catkinward/src/bundle_store.rs
@@ -0,0 +1,321 @@
+use super::*;
+use crate::{bundle_rows, bundle_watch::object_name};
+use catkin_decisions::{
+    BundleAuthor, BundleChange, BundleDraft, BundleKey, BundleRefusal, BundleRelease, BundleRow,
+    CurrentBundle, DraftId, Settled, Stored,
+};
+use std::num::NonZeroU32;
+
+/// Settings of a [`BundleStore`].
+#[derive(Clone, Copy, Debug)]
+pub struct BundleStoreSettings {
+    /// How often a call is sent before it is given up.
+    pub tries: u32,
+    /// Wait between two tries.
+    pub pause: Duration,
+}
+
+impl Default for BundleStoreSettings {
+    /// Ten tries of one second each at most: an operator waits for that long.
+    fn default() -> Self {
+        Self {
+            tries: 10,
+            pause: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Drafts and releases in the platform's table service, their content in its object store.
+pub struct BundleStore {
+    platform: Arc<Platform>,
+    cfg: BundleStoreSettings,
+}
+
+/// A change that took effect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied<T> {
+    /// What was made.
+    pub made: T,
+    /// True if the table service's answer was lost and reading back showed the effect.
+    pub settled: bool,
+}
+
+/// Largest number of drafts over one release that are listed.
+const DRAFTS_LIMIT: NonZeroU32 = NonZeroU32::new(100).expect("not zero");
+
+impl BundleStore {
+    /// A store on a platform.
+    #[must_use]
+    pub fn new(platform: Arc<Platform>, cfg: BundleStoreSettings) -> Self {
+        Self { platform, cfg }
+    }
+
+    /// Proposes a bundle over the release in force. Its content is stored first, so that no draft
+    /// ever names content that is not there.
+    ///
+    /// # Errors
+    ///
+    /// If the bundle is wrong or in force already, or the platform does not answer.
+    pub async fn propose(&self, json: &str, author: BundleAuthor) -> Result<Applied<BundleDraft>> {
+        let read = read_bundle(BundleVersion::default(), json)?;
+        let digest = read.bundle.digest;
+        let current = self.current().await?;
+        let change = BundleChange::propose(current.as_ref(), digest, author)?;
+        let body = Bytes::copy_from_slice(read.body.as_bytes());
+        self.repeated(|| (self.platform.put_object)((object_name(digest), body.clone())))
+            .await?;
+        let settled = self.apply(&change).await?;
+        match change.writes.into_iter().next() {
+            Some(BundleRow::Draft(made)) => Ok(Applied { made, settled }),
+            _ => Err(BundleRefusal::Unexplained.into()),
+        }
+    }
+
+    /// Signs a draft off.
+    ///
+    /// # Errors
+    ///
+    /// If the author may not, another operator was first, or the platform does not answer.
+    pub async fn sign_off(
+        &self,
+        id: &DraftId,
+        digest: BundleDigest,
+        author: BundleAuthor,
+    ) -> Result<Applied<BundleDraft>> {
+        let draft = self.draft(id).await?;
+        let change = BundleChange::sign_off(&draft, digest, author)?;
+        let settled = self.apply(&change).await?;
+        let made = draft.value;
+        Ok(Applied { made, settled })
+    }
+
+    /// Rolls a draft out.
+    ///
+    /// # Errors
+    ///
+    /// If it may not be, another operator was first, or the platform does not answer.
+    pub async fn roll_out(
+        &self,
+        id: &DraftId,
+        author: BundleAuthor,
+    ) -> Result<Applied<BundleVersion>> {
+        let next = BundleKey::Release(id.base.next());
+        let keys = [BundleKey::Draft(id.clone()), BundleKey::Current, next];
+        let rows = self.read(&keys).await?;
+        let draft = find_draft(&rows).ok_or_else(|| no_draft(id))?;
+        let current = find_current(&rows);
+        let next = find_release(&rows);
+        let change = BundleChange::roll_out(&draft, current.as_ref(), next.as_ref(), author)?;
+        self.apply_release(&change).await
+    }
+
+    /// Rolls the content of an earlier release out as a new version.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such version or its content is in force, another operator was first, or the
+    /// platform does not answer.
+    pub async fn roll_back(
+        &self,
+        version: BundleVersion,
+        author: BundleAuthor,
+    ) -> Result<Applied<BundleVersion>> {
+        let keys = [BundleKey::Current, BundleKey::Release(version)];
+        let rows = self.read(&keys).await?;
+        let earlier = find_release(&rows).ok_or(BundleRefusal::NoVersion { version })?;
+        let current = find_current(&rows);
+        let change = BundleChange::roll_back(&earlier, current.as_ref(), author)?;
+        self.apply_release(&change).await
+    }
+
+    /// The row that says which release is in force; `None` before the first.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn current(&self) -> Result<Option<Stored<CurrentBundle>>> {
+        Ok(find_current(&self.read(&[BundleKey::Current]).await?))
+    }
+
+    /// A draft.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such draft, or the platform does not answer.
+    pub async fn draft(&self, id: &DraftId) -> Result<Stored<BundleDraft>> {
+        let rows = self.read(&[BundleKey::Draft(id.clone())]).await?;
+        Ok(find_draft(&rows).ok_or_else(|| no_draft(id))?)
+    }
+
+    /// A release.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such version, or the platform does not answer.
+    pub async fn release(&self, version: BundleVersion) -> Result<BundleRelease> {
+        let rows = self.read(&[BundleKey::Release(version)]).await?;
+        Ok(find_release(&rows).ok_or(BundleRefusal::NoVersion { version })?)
+    }
+
+    /// Drafts over a release, which it is not too late to roll out while that is in force.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn drafts_over(&self, base: BundleVersion) -> Result<Vec<BundleDraft>> {
+        let prefix = format!("draft/{base}-");
+        let rows = self.scan(&prefix, None, DRAFTS_LIMIT).await?;
+        let drafts = rows.into_iter().filter_map(|(_, row)| match row {
+            BundleRow::Draft(draft) => Some(draft),
+            _ => None,
+        });
+        Ok(drafts.collect())
+    }
+
+    /// The latest releases, at most `limit`, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn history(&self, limit: NonZeroU32) -> Result<Vec<BundleRelease>> {
+        let current = self.current().await?;
+        let latest = current.map_or(0, |stored| stored.value.version.0);
+        let before = BundleVersion(latest.saturating_sub(limit.get().into()));
+        let after = BundleKey::Release(before);
+        let rows = self.scan("release/", Some(&after), limit).await?;
+        let releases = rows.into_iter().filter_map(|(_, row)| match row {
+            BundleRow::Release(release) => Some(release),
+            _ => None,
+        });
+        Ok(releases.collect())
+    }
+
+    /// The content of a digest.
+    ///
+    /// # Errors
+    ///
+    /// If it is not there, was altered, or the platform does not answer.
+    pub async fn content(&self, digest: BundleDigest) -> Result<Arc<str>> {
+        let body = self
+            .repeated(|| (self.platform.get_object)(object_name(digest)))
+            .await?
+            .ok_or(Error::BundleContent { digest })?;
+        Ok(read_canonical(BundleVersion::default(), digest, &body)?.body)
+    }
+
+    async fn apply_release(&self, change: &BundleChange) -> Result<Applied<BundleVersion>> {
+        let settled = self.apply(change).await?;
+        match change.witness() {
+            BundleKey::Release(made) => Ok(Applied { made, settled }),
+            _ => Err(BundleRefusal::Unexplained.into()),
+        }
+    }
+
+    /// Makes a change; returns whether its effect was learned by reading back.
+    ///
+    /// The same transaction is sent again as long as nothing is known of it: its conditions let it
+    /// take effect once at most, so an earlier call that comes late does no harm.
+    async fn apply(&self, change: &BundleChange) -> Result<bool> {
+        let mut in_doubt = false;
+        let mut last = PlatformFault::NotRun;
+        for attempt in 0..self.cfg.tries {
+            if attempt > 0 {
+                tokio::time::sleep(self.cfg.pause).await;
+            }
+            match (self.platform.transact)(bundle_rows::transaction(change)).await {
+                Ok(reply) if reply.committed => return Ok(false),
+                Ok(_) => {}
+                Err(fault) => {
+                    in_doubt |= fault == PlatformFault::Unknown;
+                    last = fault;
+                    if last != PlatformFault::Unknown {
+                        continue;
+                    }
+                }
+            }
+            match self.settle(change).await {
+                Ok(Settled::Done) => return Ok(true),
+                Ok(Settled::Lost(refusal)) => return Err(refusal.into()),
+                Ok(Settled::Open) => {}
+                Err(Error::Platform(fault)) => last = fault,
+                Err(error) => return Err(error),
+            }
+        }
+        if in_doubt {
+            return Err(Error::ChangeInDoubt { fault: last });
+        }
+        Err(Error::NothingChanged { fault: last })
+    }
+
+    async fn settle(&self, change: &BundleChange) -> Result<Settled> {
+        let rows = bundle_rows::read_rows(&self.platform, &[change.witness()]).await?;
+        Ok(change.settled(rows.first().map(|(_, row)| row)))
+    }
+
+    async fn read(&self, keys: &[BundleKey]) -> Result<Vec<(u64, BundleRow)>> {
+        self.repeated(|| bundle_rows::read_rows(&self.platform, keys))
+            .await
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: Option<&BundleKey>,
+        limit: NonZeroU32,
+    ) -> Result<Vec<(u64, BundleRow)>> {
+        self.repeated(|| bundle_rows::scan_rows(&self.platform, prefix, after, limit))
+            .await
+    }
+
+    /// Sends a call that may be repeated until it is answered.
+    async fn repeated<T, E, F>(&self, call: impl Fn() -> F) -> Result<T>
+    where
+        E: Into<Error>,
+        F: Future<Output = Result<T, E>>,
+    {
+        let mut tries = 1;
+        loop {
+            match call().await.map_err(Into::into) {
+                Err(Error::Platform(fault)) if tries >= self.cfg.tries => {
+                    return Err(Error::NothingChanged { fault });
+                }
+                Err(Error::Platform(_)) => {
+                    tries += 1;
+                    tokio::time::sleep(self.cfg.pause).await;
+                }
+                other => return other,
+            }
+        }
+    }
+}
+
+fn no_draft(id: &DraftId) -> BundleRefusal {
+    BundleRefusal::NoDraft { draft: id.clone() }
+}
+
+fn find_draft(rows: &[(u64, BundleRow)]) -> Option<Stored<BundleDraft>> {
+    rows.iter().find_map(|(row, value)| match value {
+        BundleRow::Draft(draft) => Some(Stored {
+            row: *row,
+            value: draft.clone(),
+        }),
+        _ => None,
+    })
+}
+
+fn find_current(rows: &[(u64, BundleRow)]) -> Option<Stored<CurrentBundle>> {
+    rows.iter().find_map(|(row, value)| match value {
+        BundleRow::Current(current) => Some(Stored {
+            row: *row,
+            value: current.clone(),
+        }),
+        _ => None,
+    })
+}
+
+fn find_release(rows: &[(u64, BundleRow)]) -> Option<BundleRelease> {
+    rows.iter().find_map(|(_, value)| match value {
+        BundleRow::Release(release) => Some(release.clone()),
+        _ => None,
+    })
+}
--- a/crates/catkinward/src/error.rs
+++ b/crates/catkinward/src/error.rs
@@ -12,6 +12,38 @@
         /// What is wrong.
         source: BundleFault,
     },
+    /// A row of the bundle store cannot be read.
+    #[display("the row `{key}` of the bundle store cannot be read: {source}")]
+    #[from(skip)]
+    BundleRow {
+        /// Its key.
+        key: String,
+        /// Why not.
+        source: serde_json::Error,
+    },
+    /// The content of a release or draft is not in the object store.
+    #[display("the object store has no content with the digest {digest}")]
+    #[from(skip)]
+    BundleContent {
+        /// Its digest.
+        digest: BundleDigest,
+    },
+    /// The content of a release is not what its digest says.
+    #[display("the bundle's content has the digest {found}, not {expected}")]
+    #[from(skip)]
+    BundleDigest {
+        /// Digest that it should have.
+        expected: BundleDigest,
+        /// Digest that it has.
+        found: BundleDigest,
+    },
+    /// The content of a release is no text.
+    #[display("the bundle {digest} is no UTF-8 text")]
+    #[from(skip)]
+    BundleText {
+        /// Its digest.
+        digest: BundleDigest,
+    },
     /// A bundle is no JSON of the right shape.
     #[display("bundle: {source}")]
     #[from(skip)]
@@ -19,6 +51,19 @@
         /// Where and why.
         source: serde_json::Error,
     },
+    /// A step of a bundle was refused.
+    #[display("{_0}")]
+    BundleRefused(catkin_decisions::BundleRefusal),
+    /// Whether a change took effect cannot be learned now.
+    #[display(
+        "{fault}, and reading back did not settle it: the change may have taken effect, or may yet; \
+         `catkinctl bundle status` tells once the platform answers"
+    )]
+    #[from(skip)]
+    ChangeInDoubt {
+        /// The last fault.
+        fault: PlatformFault,
+    },
     /// A decision refused its input.
     #[display("{_0}")]
     Decision(catkin_decisions::Error),
@@ -46,6 +91,16 @@
         /// Why not.
         source: io::Error,
     },
+    /// A change certainly took no effect.
+    #[display("{fault}; nothing was changed")]
+    #[from(skip)]
+    NothingChanged {
+        /// The last fault.
+        fault: PlatformFault,
+    },
+    /// The platform gave no answer.
+    #[display("{_0}")]
+    Platform(PlatformFault),
     /// The HTTP server ended by itself.
     #[display("the HTTP server on {address} ended: {source}")]
     #[from(skip)]
@@ -106,6 +161,30 @@
     #[display("must be an IP address and port, but is `{_0}`")]
     #[from(skip)]
     Address(#[error(not(source))] String),
+    /// It is empty.
+    #[display("must not be empty")]
+    #[from(skip)]
+    Empty,
+    /// It is no HTTP method.
+    #[display("must be an HTTP method in capitals")]
+    #[from(skip)]
+    Method,
+    /// It belongs to the other kind of service.
+    #[display("is not allowed for a service of kind `{_0}`")]
+    #[from(skip)]
+    OtherKind(#[error(not(source))] border_bundle::ServiceKind),
+    /// It is no path.
+    #[display("must begin with `/`")]
+    #[from(skip)]
+    Prefix,
+    /// Two teams have one key.
+    #[display("is the key of team `{_0}` too")]
+    #[from(skip)]
+    SharedKey(#[error(not(source))] TeamId),
+    /// It is no JSON of the right shape.
+    #[display("{_0}")]
+    #[from(skip)]
+    Syntax(serde_json::Error),
     /// Its form is wrong.
     #[display("{_0}")]
     Form(catkin_decisions::Error),
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -49,6 +49,8 @@
 
 pub use crate::{
     bundle_in_force::BundleInForce,
+    bundle_store::{Applied, BundleStore, BundleStoreSettings},
+    bundle_watch::{BundleWatch, FetchBundle},
     daemon::run_daemon,
     drain::Drain,
     error::Error,
@@ -61,6 +63,7 @@
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
+    read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
@@ -75,6 +78,9 @@
 mod bundle_canonical;
 mod bundle_format;
 mod bundle_in_force;
+mod bundle_rows;
+mod bundle_store;
+mod bundle_watch;
 mod caller_border;
 mod daemon;
 mod drain;
@@ -100,6 +106,7 @@
 mod platform_client;
 mod problem;
 mod process_clock;
+mod read_bundle;
 mod service_name;
 mod settings;
 mod timeline;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,8 +1,5 @@
 use super::*;
-use crate::{
-    bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener,
-    operator_border::OperatorBorder,
-};
+use crate::{caller_border::CallerBorder, http_server::Listener, operator_border::OperatorBorder};
 use volo_http::server::Server;
 
 /// A router with all its services, and quick ways to those that every request needs.
@@ -19,6 +16,8 @@
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
+    /// Word of releases.
+    pub bundle_watch: Arc<BundleWatch>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
     /// Upstreams and what is known of them.
@@ -59,6 +58,8 @@
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
+        let bundle_watch = BundleWatch::start(platform.clone(), &timer, &bundle);
+        let bundle_watch = kernel.register(ServiceName::BundleWatch, bundle_watch)?;
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
@@ -70,6 +71,7 @@
             timeline,
             connections,
             bundle,
+            bundle_watch,
             platform,
             upstreams,
             generations,
@@ -148,7 +150,7 @@
     ))
 }
 
-fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
+fn read_bundle_file(path: &std::path::Path) -> Result<ReadBundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
         source,
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -8,6 +8,8 @@
 pub enum ServiceName {
     /// The bundle in force.
     Bundle,
+    /// Word of releases.
+    BundleWatch,
     /// The state of a graceful shutdown.
     Drain,
     /// Generations under way.
--- /dev/null
+++ b/crates/catkinward/tests/bundle_store.rs
@@ -0,0 +1,323 @@
+//! The bundle store on a platform whose answers are lost, late or refused.
+
+use catkin_decisions::{BundleAuthor, BundleVersion, DraftId};
+use catkin_standins::{ScriptedPlatform, TransactFate};
+use catkinward::{Applied, BundleStore, BundleStoreSettings, Platform, PlatformCall, Result};
+use googletest::prelude::*;
+use std::{num::NonZeroU32, sync::Arc, time::Duration};
+
+struct Site {
+    platform: ScriptedPlatform,
+    store: BundleStore,
+}
+
+fn site() -> Site {
+    let platform = ScriptedPlatform::default();
+    let store = BundleStore::new(
+        Arc::new(stepwise(platform.platform())),
+        BundleStoreSettings {
+            tries: 3,
+            pause: Duration::ZERO,
+        },
+    );
+    Site { platform, store }
+}
+
+/// The platform with a yield before each call, so that racing operators take turns call by call:
+/// both have read before either writes.
+fn stepwise(platform: Platform) -> Platform {
+    Platform {
+        transact: yielding(platform.transact),
+        read: yielding(platform.read),
+        scan: yielding(platform.scan),
+        put_object: yielding(platform.put_object),
+        get_object: yielding(platform.get_object),
+        vms: yielding(platform.vms),
+    }
+}
+
+fn yielding<Q: Send + 'static, A: Send + 'static>(call: PlatformCall<Q, A>) -> PlatformCall<Q, A> {
+    let call = Arc::new(call);
+    Box::new(move |query| {
+        let call = call.clone();
+        Box::pin(async move {
+            tokio::task::yield_now().await;
+            call(query).await
+        })
+    })
+}
+
+fn author(operator: &str) -> BundleAuthor {
+    BundleAuthor {
+        operator: operator.parse().expect("a valid name"),
+        change: format!("{:08x}", rand::random::<u32>())
+            .parse()
+            .expect("a valid token"),
+        at: 0,
+    }
+}
+
+fn bundle(team: &str) -> String {
+    let key = catkin_decisions::KeyHash::of(team);
+    format!(
+        r#"{{"teams": [{{"name": "{team}", "key_sha256": "{key}"}}], "services": [], "upstreams": []}}"#
+    )
+}
+
+impl Site {
+    async fn propose(&self, team: &str) -> Result<Applied<DraftId>> {
+        let applied = self.store.propose(&bundle(team), author("ada")).await?;
+        Ok(Applied {
+            made: applied.made.id,
+            settled: applied.settled,
+        })
+    }
+
+    async fn sign_off(&self, id: &DraftId) -> Result<Applied<DraftId>> {
+        let digest = self.store.draft(id).await?.value.digest;
+        let applied = self.store.sign_off(id, digest, author("bea")).await?;
+        Ok(Applied {
+            made: applied.made.id,
+            settled: applied.settled,
+        })
+    }
+
+    /// A draft, signed off.
+    async fn draft(&self, team: &str) -> DraftId {
+        let id = self.propose(team).await.expect("a draft").made;
+        self.sign_off(&id).await.expect("a sign-off");
+        id
+    }
+
+    /// A release.
+    async fn release(&self, team: &str) -> BundleVersion {
+        let id = self.draft(team).await;
+        let release = self.store.roll_out(&id, author("ada")).await;
+        release.expect("a release").made
+    }
+
+    async fn versions(&self) -> Vec<u64> {
+        let limit = NonZeroU32::new(10).expect("not zero");
+        let history = self.store.history(limit).await.expect("a history");
+        history.iter().map(|release| release.version.0).collect()
+    }
+}
+
+/// A step that the fault tables run, on a site with two releases and a draft that is signed off.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Propose,
+    SignOff,
+    RollOut,
+    RollBack,
+}
+
+const STEPS: [Step; 4] = [Step::Propose, Step::SignOff, Step::RollOut, Step::RollBack];
+
+/// Runs a step under the fates; returns whether its answer was settled, or its error, and whether
+/// it took effect in the end.
+async fn run(step: Step, fates: &[TransactFate]) -> (Result<bool>, bool) {
+    let site = site();
+    site.release("one").await;
+    site.release("two").await;
+    let signed_off = site.draft("three").await;
+    let unsigned = site.propose("four").await.expect("a draft").made;
+    site.platform.script(fates.iter().copied());
+    let settled = match step {
+        Step::Propose => site.propose("five").await.map(|applied| applied.settled),
+        Step::SignOff => site
+            .sign_off(&unsigned)
+            .await
+            .map(|applied| applied.settled),
+        Step::RollOut => {
+            let applied = site.store.roll_out(&signed_off, author("ada")).await;
+            applied.map(|applied| applied.settled)
+        }
+        Step::RollBack => {
+            let applied = site.store.roll_back(BundleVersion(1), author("ada")).await;
+            applied.map(|applied| applied.settled)
+        }
+    };
+    // Whatever is under way arrives before the next transaction.
+    site.platform.script([TransactFate::Answered]);
+    let _ = site.propose("six").await;
+    let took_effect = match step {
+        Step::Propose => {
+            site.store
+                .drafts_over(BundleVersion(2))
+                .await
+                .expect("drafts")
+                .len()
+                == 4
+        }
+        Step::SignOff => {
+            let draft = site.store.draft(&unsigned).await.expect("the draft");
+            draft.value.signed_off.is_some()
+        }
+        Step::RollOut | Step::RollBack => site.versions().await == [1, 2, 3],
+    };
+    (settled, took_effect)
+}
+
+/// At any step the answer of the table service is lost, the call is lost, or it comes late. The
+/// operator must be told the truth, and the step must take effect once at most.
+#[gtest]
+#[tokio::test]
+async fn each_step_tells_the_truth_under_each_fault() {
+    use TransactFate::{Answered, Late, LostAfterEffect, LostBeforeEffect, NotRun, Throttled};
+    const REFUSED: &str = "the platform is not available; nothing was changed";
+    const LIMITED: &str = "the platform's rate limit is reached; nothing was changed";
+    const IN_DOUBT: &str = "the platform's answer was lost, and reading back did not settle it: \
+                            the change may have taken effect, or may yet; `catkinctl bundle \
+                            status` tells once the platform answers";
+    let cases: [(&[TransactFate], std::result::Result<bool, &str>, bool); 10] = [
+        (&[Answered], Ok(false), true),
+        (&[LostAfterEffect], Ok(true), true),
+        (&[LostBeforeEffect, Answered], Ok(false), true),
+        (&[Late, Answered], Ok(true), true),
+        (&[Late, LostBeforeEffect], Ok(true), true),
+        (&[NotRun, Throttled, Answered], Ok(false), true),
+        (&[NotRun, LostAfterEffect], Ok(true), true),
+        (&[NotRun, NotRun, NotRun], Err(REFUSED), false),
+        (&[NotRun, NotRun, Throttled], Err(LIMITED), false),
+        (
+            &[LostBeforeEffect, LostBeforeEffect, Late],
+            Err(IN_DOUBT),
+            true,
+        ),
+    ];
+    for step in STEPS {
+        for (fates, expected, takes_effect) in &cases {
+            let (told, took_effect) = run(step, fates).await;
+
+            let told = told.map_err(|error| error.to_string());
+            let expected = expected.map_err(str::to_owned);
+            expect_that!(told, eq(&expected), "{step:?} under {fates:?}");
+            expect_that!(took_effect, eq(*takes_effect), "{step:?} under {fates:?}");
+        }
+    }
+}
+
+/// Two operators take the same step at the same moment. One wins; the other is told who, also where
+/// its own answer was lost.
+#[gtest]
+#[tokio::test]
+async fn loser_of_a_race_is_told_who_won() {
+    for fates in [
+        [TransactFate::Answered; 2],
+        [TransactFate::LostAfterEffect; 2],
+    ] {
+        let site = site();
+        site.release("one").await;
+        site.release("two").await;
+        let drafts = [site.draft("three").await, site.draft("four").await];
+        site.platform.script(fates);
+        let (won, lost) = tokio::join!(
+            site.store.roll_out(&drafts[0], author("ada")),
+            site.store.roll_out(&drafts[1], author("bea")),
+        );
+        expect_that!(won.expect("a release").made, eq(BundleVersion(3)));
+        expect_that!(
+            lost.expect_err("overtaken").to_string(),
+            eq("ada rolled out version 3 first; nothing of yours was changed")
+        );
+        expect_that!(site.versions().await, elements_are![eq(&1), eq(&2), eq(&3)]);
+    }
+}
+
+/// One operator rolls back while another rolls out. Whoever is second would undo the first without
+/// having seen it.
+#[gtest]
+#[tokio::test]
+async fn roll_back_and_roll_out_do_not_undo_each_other() {
+    let site = site();
+    site.release("one").await;
+    site.release("two").await;
+    let draft = site.draft("three").await;
+
+    let (back, out) = tokio::join!(
+        site.store.roll_back(BundleVersion(1), author("cy")),
+        site.store.roll_out(&draft, author("ada")),
+    );
+
+    expect_that!(back.expect("a release").made, eq(BundleVersion(3)));
+    expect_that!(
+        out.expect_err("overtaken").to_string(),
+        eq("cy rolled out version 3 first; nothing of yours was changed")
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn second_sign_off_is_told_of_the_first() {
+    let site = site();
+    let id = site.propose("one").await.expect("a draft").made;
+    let digest = site.store.draft(&id).await.expect("the draft").value.digest;
+
+    let (first, second) = tokio::join!(
+        site.store.sign_off(&id, digest, author("bea")),
+        site.store.sign_off(&id, digest, author("cy")),
+    );
+
+    expect_that!(first.expect("a sign-off").settled, eq(false));
+    let expected = format!("bea signed off draft `{id}` first");
+    expect_that!(second.expect_err("second").to_string(), eq(&expected));
+}
+
+/// Two operators propose at once: both drafts stand, and neither hides the other.
+#[gtest]
+#[tokio::test]
+async fn racing_proposals_both_stand() {
+    let site = site();
+
+    let (one, two) = tokio::join!(site.propose("one"), site.propose("two"));
+
+    expect_that!(one, ok(anything()));
+    expect_that!(two, ok(anything()));
+    let drafts = site.store.drafts_over(BundleVersion(0)).await;
+    expect_that!(drafts.expect("drafts").len(), eq(2));
+}
+
+/// The platform is out for long. Operators are told that nothing was changed, and once it is back
+/// the same step works.
+#[gtest]
+#[tokio::test]
+async fn outage_changes_nothing() {
+    let site = site();
+    let id = site.draft("one").await;
+    site.platform.outage(true);
+
+    let during = site.store.roll_out(&id, author("ada")).await;
+    site.platform.outage(false);
+    let after = site.store.roll_out(&id, author("ada")).await;
+
+    expect_that!(
+        during.expect_err("an outage").to_string(),
+        eq("the platform is not available; nothing was changed")
+    );
+    expect_that!(after.expect("a release").made, eq(BundleVersion(1)));
+}
+
+/// Someone alters an object in the object store. What was signed off is not what would be read.
+#[gtest]
+#[tokio::test]
+async fn altered_content_is_refused() {
+    let site = site();
+    let version = site.release("one").await;
+    let digest = site
+        .store
+        .release(version)
+        .await
+        .expect("it is there")
+        .digest;
+    let altered = bundle("someone-else");
+    site.platform.with_store(|store| {
+        store.put_object(&format!("bundle/{digest}"), altered.clone().into());
+    });
+
+    let content = site.store.content(digest).await;
+
+    let found = catkin_decisions::BundleDigest::of(&altered);
+    let expected = format!("the bundle's content has the digest {found}, not {digest}");
+    expect_that!(content.expect_err("altered").to_string(), eq(&expected));
+}
--- /dev/null
+++ b/crates/catkinward/tests/bundle_watch.rs
@@ -0,0 +1,204 @@
+//! How a release comes into force on a VM, with faults of the platform and of peers.
+
+use catkin_decisions::{BundleAuthor, BundleDigest, BundleVersion};
+use catkin_standins::ScriptedPlatform;
+use catkinward::{
+    BundleInForce, BundleStore, BundleStoreSettings, BundleWatch, Timeline, Timer, read_bundle,
+};
+use googletest::prelude::*;
+use std::{sync::Arc, time::Duration};
+
+struct Vm {
+    bundle: Arc<BundleInForce>,
+    watch: Arc<BundleWatch>,
+}
+
+fn vm(platform: Option<&ScriptedPlatform>) -> Vm {
+    let name = "vm-1".parse().expect("a valid name");
+    let zone = "zone-1".parse().expect("a valid name");
+    let timeline = Arc::new(Timeline::new(name, zone, Arc::default(), 100));
+    let bundle = Arc::new(BundleInForce::new(timeline));
+    let platform = platform.map(|platform| Arc::new(platform.platform()));
+    let watch = BundleWatch::start(platform, &Timer::start(), &bundle);
+    Vm { bundle, watch }
+}
+
+impl Vm {
+    async fn in_force(&self, version: u64) {
+        let mut changes = self.bundle.changes();
+        let reached = changes.wait_for(|found| found.0 >= version);
+        reached.await.expect("the bundle is there");
+    }
+
+    fn version(&self) -> u64 {
+        self.bundle.current().version.0
+    }
+}
+
+fn body(team: &str) -> String {
+    let key = catkin_decisions::KeyHash::of(team);
+    let json = format!(
+        r#"{{"teams": [{{"name": "{team}", "key_sha256": "{key}"}}], "services": [], "upstreams": []}}"#
+    );
+    let read = read_bundle(BundleVersion(1), &json).expect("a valid bundle");
+    read.body.to_string()
+}
+
+async fn roll_out(platform: &ScriptedPlatform, team: &str) -> BundleDigest {
+    let author = |operator: &str| BundleAuthor {
+        operator: operator.parse().expect("a valid name"),
+        change: format!("{:08x}", rand::random::<u32>())
+            .parse()
+            .expect("a valid token"),
+        at: 0,
+    };
+    let store = BundleStore::new(
+        Arc::new(platform.platform()),
+        BundleStoreSettings::default(),
+    );
+    let draft = store.propose(&body(team), author("ada")).await;
+    let draft = draft.expect("a draft").made;
+    let sign_off = store.sign_off(&draft.id, draft.digest, author("bea")).await;
+    sign_off.expect("a sign-off");
+    let release = store.roll_out(&draft.id, author("ada")).await;
+    release.expect("a release");
+    draft.digest
+}
+
+/// Lets the time pass in which a VM that may move would move.
+async fn wait() {
+    tokio::time::sleep(Duration::from_secs(10)).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn releases_come_into_force_one_after_the_other() {
+    let platform = ScriptedPlatform::default();
+    let vm = vm(Some(&platform));
+    wait().await;
+    let before = vm.version();
+
+    for (team, version) in [("one", 1), ("two", 2), ("three", 3)] {
+        roll_out(&platform, team).await;
+        vm.in_force(version).await;
+        expect_that!(vm.bundle.current().teams[0].id.as_str(), eq(team));
+    }
+
+    expect_that!(before, eq(0));
+}
+
+/// The table service and the object store are out for long. Callers are served as before, and a
+/// release made right after the outage is taken.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn outage_keeps_the_bundle_in_force() {
+    let platform = ScriptedPlatform::default();
+    roll_out(&platform, "one").await;
+    let vm = vm(Some(&platform));
+    vm.in_force(1).await;
+
+    platform.outage(true);
+    wait().await;
+    let during = vm.version();
+    platform.outage(false);
+    roll_out(&platform, "two").await;
+    vm.in_force(2).await;
+
+    expect_that!(during, eq(1));
+}
+
+/// A VM starts while its availability zone is cut off from the platform. It must wait for its peers'
+/// word, take the largest, and fetch the content from a peer; the first word may be an old one.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_starts_cut_off_takes_what_its_peers_have() {
+    let platform = ScriptedPlatform::default();
+    platform.outage(true);
+    let vm = vm(Some(&platform));
+    let (old, new) = (body("old"), body("new"));
+    for (version, body) in [(4, &old), (5, &new), (4, &old)] {
+        vm.watch
+            .heard(BundleVersion(version), BundleDigest::of(body));
+    }
+    let bodies = [old, new];
+    vm.watch.add_source(Box::new(move |digest| {
+        let found = bodies.iter().find(|body| BundleDigest::of(body) == digest);
+        let found = found.map(|body| body.clone().into());
+        Box::pin(std::future::ready(found))
+    }));
+
+    let mut versions = Vec::new();
+    let mut changes = vm.bundle.changes();
+    tokio::time::timeout(Duration::from_secs(10), async {
+        while changes.changed().await.is_ok() {
+            versions.push(changes.borrow_and_update().0);
+        }
+    })
+    .await
+    .expect_err("no more changes");
+
+    expect_that!(versions, elements_are![eq(&5)]);
+    platform.outage(false);
+    roll_out(&platform, "one").await;
+    wait().await;
+    expect_that!(vm.version(), eq(5));
+}
+
+/// A peer sends content that was altered, or never answers. The VM must neither take it nor wait
+/// for it: the object store has what was signed off.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn content_that_is_wrong_or_late_comes_from_the_object_store() {
+    let platform = ScriptedPlatform::default();
+    let vm = vm(Some(&platform));
+    vm.watch
+        .add_source(Box::new(|_| Box::pin(std::future::pending())));
+    vm.watch.add_source(Box::new(|_| {
+        Box::pin(std::future::ready(Some(body("altered").into())))
+    }));
+
+    let digest = roll_out(&platform, "one").await;
+    vm.in_force(1).await;
+
+    expect_that!(vm.bundle.current().digest, eq(digest));
+}
+
+/// A peer names a release that no source has the content of.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn word_without_content_does_not_stop_later_releases() {
+    let platform = ScriptedPlatform::default();
+    roll_out(&platform, "one").await;
+    let vm = vm(Some(&platform));
+    vm.in_force(1).await;
+
+    vm.watch
+        .heard(BundleVersion(900), BundleDigest::of("nothing"));
+    wait().await;
+    roll_out(&platform, "two").await;
+    vm.in_force(2).await;
+
+    expect_that!(vm.version(), eq(2));
+}
+
+/// A peer's word comes while the table service does not answer: the release is in force at once.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn peers_word_is_taken_while_the_platform_is_out() {
+    let platform = ScriptedPlatform::default();
+    roll_out(&platform, "one").await;
+    let vm = vm(Some(&platform));
+    vm.in_force(1).await;
+    platform.outage(true);
+    let next = body("two");
+    let digest = BundleDigest::of(&next);
+    vm.watch.add_source(Box::new(move |_| {
+        Box::pin(std::future::ready(Some(next.clone().into())))
+    }));
+
+    vm.watch.heard(BundleVersion(2), digest);
+    vm.in_force(2).await;
+
+    expect_that!(vm.watch.in_force(), some(eq((BundleVersion(2), digest))));
+    expect_that!(vm.bundle.body(digest), some(anything()));
+}
--- a/crates/decisions/src/bundle_view.rs
+++ b/crates/decisions/src/bundle_view.rs
@@ -20,7 +20,8 @@
 pub struct BundleView {
     started: Instant,
     in_force: BundleVersion,
-    largest: Option<(BundleVersion, BundleDigest)>,
+    peers: Option<(BundleVersion, BundleDigest)>,
+    table: Option<(BundleVersion, BundleDigest)>,
     heard_table: bool,
 }
 
@@ -31,7 +32,8 @@
         Self {
             started: now,
             in_force: BundleVersion::default(),
-            largest: None,
+            peers: None,
+            table: None,
             heard_table: false,
         }
     }
@@ -39,18 +41,22 @@
     /// Takes in an answer of the table service; `None` if nothing was ever rolled out.
     pub fn table(&mut self, current: Option<(BundleVersion, BundleDigest)>) {
         self.heard_table = true;
-        if let Some((version, digest)) = current {
-            self.hear(version, digest);
-        }
+        self.table = self.table.max(current);
     }
 
     /// Takes in the word of a peer.
     pub fn hear(&mut self, version: BundleVersion, digest: BundleDigest) {
-        if self.largest.is_none_or(|(largest, _)| version > largest) {
-            self.largest = Some((version, digest));
+        if self.peers.is_none_or(|(largest, _)| version > largest) {
+            self.peers = Some((version, digest));
         }
     }
 
+    /// Notes that no source has the content of a release. If only peers spoke of it, their word is
+    /// forgotten: a wrong one would otherwise stand before every true release to come.
+    pub fn unfetchable(&mut self, version: BundleVersion) {
+        self.peers = self.peers.filter(|(largest, _)| *largest != version);
+    }
+
     /// Notes the version in force.
     pub fn advanced(&mut self, version: BundleVersion) {
         self.in_force = self.in_force.max(version);
@@ -61,7 +67,11 @@
     pub fn wanted(&self, now: Instant) -> Option<(BundleVersion, BundleDigest)> {
         let serves = self.in_force > BundleVersion::default();
         let may_start = self.heard_table || now.since(self.started) >= PEERS_WORD_AFTER;
-        self.largest
-            .filter(|(version, _)| *version > self.in_force && (serves || may_start))
+        // Where both name one version, the table service knows its digest.
+        let largest = match (self.peers, self.table) {
+            (Some(peers), Some(table)) if peers.0 <= table.0 => Some(table),
+            (peers, table) => peers.or(table),
+        };
+        largest.filter(|(version, _)| *version > self.in_force && (serves || may_start))
     }
 }
--- a/crates/decisions/tests/bundle_view.rs
+++ b/crates/decisions/tests/bundle_view.rs
@@ -61,6 +61,32 @@
     expect_that!(view.wanted(at(10)), some(eq(word(6))));
 }
 
+/// A peer speaks of a release that does not exist, because of a fault or a wrong table. Without
+/// forgetting its word, this VM would ask for that content for ever and take no true release.
+#[gtest]
+fn word_without_content_is_forgotten() {
+    let mut view = BundleView::new(at(0));
+    view.table(Some(word(5)));
+    view.advanced(BundleVersion(5));
+    hear(&mut view, 900);
+    let wrong = view.wanted(at(10));
+    view.unfetchable(BundleVersion(900));
+    view.table(Some(word(6)));
+
+    expect_that!(wrong, some(eq(word(900))));
+    expect_that!(view.wanted(at(10)), some(eq(word(6))));
+}
+
+/// A peer and the table service name one version with two digests.
+#[gtest]
+fn table_service_goes_before_peers() {
+    let mut view = BundleView::new(at(0));
+    view.hear(BundleVersion(6), BundleDigest::of("something else"));
+    view.table(Some(word(6)));
+
+    expect_that!(view.wanted(at(0)), some(eq(word(6))));
+}
+
 #[gtest]
 fn vm_serves_nothing_where_nothing_was_rolled_out() {
     let mut view = BundleView::new(at(0));
