--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -23,3 +23,7 @@
 #[rustfmt::skip]
 #[path = "generated/platform.rs"]
 pub mod platform;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+#[path = "generated/rows.rs"]
+pub mod rows;
--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -5,13 +5,19 @@
     generation_driver,
     generation_request::GenerationRequest,
     http_client::json_bytes,
+    metrics_page::metrics_page,
     problem::{Problem, ProblemKind},
+    returning_caller::{ReturnPoint, find_or_begin},
+    waiting_place::WaitingPlace,
 };
 
 /// Header with the caller's deadline in milliseconds from now.
 const DEADLINE_HEADER: &str = "catkin-deadline-ms";
 
-/// Header with the index of the last token that a returning caller has.
+/// Header with the key by which a caller who comes back is recognised.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header with the id of the last event that a returning caller has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
 /// How often a generation without a caller is looked at.
@@ -20,13 +26,23 @@
 /// The HTTP service that callers see.
 #[derive(Clone)]
 pub(crate) struct CallerBorder {
-    node: Arc<Node>,
+    pub(crate) node: Arc<Node>,
 }
 
 /// A caller who has shown who it is.
-struct Caller {
-    bundle: Arc<Bundle>,
-    team: TeamId,
+pub(crate) struct Caller {
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) team: TeamId,
+}
+
+impl Caller {
+    /// The team with its weight, as it queues.
+    pub(crate) fn queue_team(&self) -> QueueTeam {
+        QueueTeam {
+            weight: self.bundle.team(&self.team).map_or(1, |team| team.weight),
+            id: self.team.clone(),
+        }
+    }
 }
 
 impl volo::Service<ServerContext, Request> for CallerBorder {
@@ -78,7 +94,9 @@
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/healthz") => Ok(Response::new("ok\n".into())),
             (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, "/metrics") => Ok(metrics_page()),
             (&Method::POST, "/v1/completions") => self.complete(req).await,
+            (_, path) if path.starts_with("/v1/services/") => self.plain(req).await,
             _ => Err(ProblemKind::NoSuchPath.into()),
         }
     }
@@ -90,10 +108,14 @@
         if self.node.bundle.current().version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
         }
-        Ok(Response::new("ready\n".into()))
+        let bundle = self.node.bundle.current().version;
+        let peers = self.node.peers.as_ref();
+        let peers = peers.map_or(0, |peers| peers.entries().len());
+        let text = format!("ready\nbundle {bundle}\npeers {peers}\n");
+        Ok(Response::new(text.into()))
     }
 
-    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+    pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
         let bundle = self.node.bundle.current();
         if bundle.version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
@@ -110,22 +132,72 @@
     }
 
     async fn complete(&self, req: Request) -> Result<Response, Problem> {
-        let in_flight = self.node.drain.enter();
+        let in_flight = self.node.drain.enter().ok_or(ProblemKind::Draining)?;
         let (parts, body) = req.into_parts();
         let caller = self.caller(&parts.headers)?;
         let body = self.read_body(body).await?;
         let order: caller::CompletionRequest =
             serde_json::from_slice(&body).map_err(|_| ProblemKind::Malformed)?;
         let request = self.accept(&caller, &parts.headers, &order)?;
-        let (generation, new) = self.node.generations.add(Generation::new(request));
-        if new {
-            self.start(&generation);
+        let point = match header_text(&parts.headers, LAST_EVENT_ID) {
+            Some(last) => ReturnPoint::read(last)?,
+            None => ReturnPoint::default(),
+        };
+        let generation = match header_text(&parts.headers, IDEMPOTENCY_KEY) {
+            Some(key) => {
+                let request = GenerationRequest {
+                    id: RequestId::of_key(&caller.team, key),
+                    digest: Some(RequestDigest::of(&caller.team, &body)),
+                    ..request
+                };
+                self.keyed(request, &point, caller.queue_team()).await?
+            }
+            None if point.next > TokenIndex(0) => return Err(ProblemKind::KeyAbsent.into()),
+            None => self.begin(Generation::new(request), caller.queue_team())?,
+        };
+        if !order.stream {
+            return whole_answer(&generation).await;
         }
-        let from = next_index(&parts.headers)?;
-        if order.stream {
-            return Ok(event_response(event_stream(generation, from, in_flight)));
+        let vm = generation.request.digest.as_ref();
+        let vm = vm.map(|_| self.node.settings.vm.clone());
+        let body = event_stream(generation, point.next, vm, in_flight);
+        Ok(event_response(body))
+    }
+
+    /// The generation of a caller who gave a key: one that runs here or was taken over, or a new
+    /// one.
+    async fn keyed(
+        &self,
+        request: GenerationRequest,
+        point: &ReturnPoint,
+        team: QueueTeam,
+    ) -> Result<Arc<Generation>, Problem> {
+        if let Some(running) = self.node.generations.find(&request.id) {
+            if running.request.digest != request.digest {
+                return Err(ProblemKind::KeyConflict.into());
+            }
+            let superseded = matches!(
+                running.outcome(),
+                Some(GenerationOutcome::Failed(ProblemKind::Superseded))
+            );
+            if !superseded && running.next_index() >= point.next {
+                return Ok(running);
+            }
         }
-        whole_answer(&generation).await
+        let generation = find_or_begin(&self.node, request, point).await?;
+        self.begin(generation, team)
+    }
+
+    /// Runs a generation to its end, unless it has reached it already.
+    fn begin(&self, generation: Generation, team: QueueTeam) -> Result<Arc<Generation>, Problem> {
+        if generation.outcome().is_some() {
+            return Ok(Arc::new(generation));
+        }
+        let (generation, new) = self.node.generations.add(generation);
+        if new {
+            self.admit(&generation, team)?;
+        }
+        Ok(generation)
     }
 
     fn accept(
@@ -150,6 +222,7 @@
         };
         Ok(GenerationRequest {
             id: new_request_id(),
+            digest: None,
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
@@ -164,7 +237,32 @@
         })
     }
 
-    fn start(&self, generation: &Arc<Generation>) {
+    /// Lets a generation wait for its first place, or refuses it at once. One that was taken over
+    /// from another VM was admitted there, and goes on.
+    fn admit(&self, generation: &Arc<Generation>, team: QueueTeam) -> Result<(), Problem> {
+        let request = &generation.request;
+        if generation.attempts() > Attempt::default() {
+            self.start(generation, None);
+            return Ok(());
+        }
+        let queued = Queued::new(request.id.clone());
+        match generation_driver::offer(&self.node, request, team) {
+            Ok(waiting) => self.start(generation, Some(waiting)),
+            Err(refusal) => {
+                let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+                let problem = Problem::not_run(&not_run);
+                generation.conclude(GenerationOutcome::Failed(problem.kind));
+                self.node.generations.remove(generation);
+                return Err(Problem {
+                    request_id: Some(not_run.into_request()),
+                    ..problem
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn start(&self, generation: &Arc<Generation>, waiting: Option<WaitingPlace>) {
         self.node.timeline.record(Event {
             request: Some(generation.request.id.clone()),
             bundle: Some(generation.request.bundle),
@@ -174,14 +272,19 @@
         let (node, generation) = (self.node.clone(), generation.clone());
         tokio::spawn(async move {
             tokio::join!(
-                generation_driver::drive(node.clone(), generation.clone()),
+                generation_driver::drive(node.clone(), generation.clone(), waiting),
                 end_if_abandoned(&node, &generation),
             );
-            node.generations.remove(&generation.request.id);
+            node.generations.remove(&generation);
+            if let (Some(peers), Some(update)) =
+                (&node.peers, generation.progress_from(TokenIndex(0)))
+            {
+                peers.keep_own(&update);
+            }
         });
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
+    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
         let limited = http_body_util::Limited::new(body, self.node.settings.body_limit);
         http_body_util::BodyExt::collect(limited)
             .await
@@ -226,9 +329,9 @@
         Some(GenerationOutcome::Whole(finish)) => finish,
         Some(GenerationOutcome::Failed(kind)) => {
             return Err(Problem {
-                kind,
                 request_id: Some(generation.request.id.clone()),
                 next_index: Some(generation.next_index()),
+                ..kind.into()
             });
         }
         None => return Err(ProblemKind::Deadline.into()),
@@ -279,17 +382,7 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn next_index(headers: &HeaderMap) -> Result<TokenIndex, Problem> {
-    match header_text(headers, LAST_EVENT_ID) {
-        Some(last) => last
-            .parse()
-            .map(TokenIndex::next)
-            .map_err(|_| ProblemKind::Malformed.into()),
-        None => Ok(TokenIndex(0)),
-    }
-}
-
-fn new_request_id() -> RequestId {
+pub(crate) fn new_request_id() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
         .parse()
         .expect("hexadecimal digits are visible ASCII")
--- /dev/null
+++ b/crates/catkinward/src/ctl_status.rs
@@ -0,0 +1,59 @@
+use super::*;
+use crate::{
+    ctl_settings::CtlSettings,
+    ctl_vms::{CtlVms, MissingVm, missing_lines},
+};
+
+/// What `status --json` prints.
+#[derive(serde::Serialize)]
+struct StatusOutput {
+    vms: Vec<operator::StatusReply>,
+    missing: Vec<MissingVm>,
+}
+
+/// Asks all VMs for their state.
+pub(crate) async fn run(settings: &CtlSettings, vms: &CtlVms) -> Result<String> {
+    let answers = vms.ask::<operator::StatusReply>("/v1/status").await?;
+    if settings.json {
+        let output = StatusOutput {
+            vms: answers.answers,
+            missing: answers.missing,
+        };
+        return Ok(json_line(&output));
+    }
+    let lines = answers.answers.iter().map(status_line);
+    let mut text = lines.collect::<String>();
+    text.push_str(&missing_lines(&answers.missing));
+    Ok(text)
+}
+
+fn status_line(status: &operator::StatusReply) -> String {
+    let bundle = match &status.bundle_digest {
+        Some(digest) => format!("bundle {} {}", status.bundle_version, short(digest)),
+        None => "no bundle".to_owned(),
+    };
+    let state = match (status.draining, status.ready) {
+        (true, _) => "draining",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    let open = status.upstreams.iter().filter(|u| u.takes_new_work).count();
+    format!(
+        "{} {} {bundle}, {state}, {} in flight, {open} of {} upstreams take new work\n",
+        status.vm,
+        status.availability_zone,
+        status.in_flight,
+        status.upstreams.len(),
+    )
+}
+
+/// The first digits of a digest, enough to tell two apart by eye.
+fn short(digest: &str) -> &str {
+    digest.get(..12).unwrap_or(digest)
+}
+
+/// A value as one line of JSON.
+pub(crate) fn json_line<T: serde::Serialize>(value: &T) -> String {
+    let json = serde_json::to_string(value).expect("outputs have text keys only");
+    json + "\n"
+}
--- a/crates/catkinward/src/daemon.rs
+++ b/crates/catkinward/src/daemon.rs
@@ -1,11 +1,12 @@
 use super::*;
 use crate::http_server::Listener;
 use std::process::ExitCode;
+use tokio::signal;
 
 /// Runs the router daemon on a command line without the program's name.
 ///
-/// On standard output it prints `operators ADDRESS`, if operators are served, and then, once callers
-/// are served, `listening ADDRESS`.
+/// Once callers are served, it prints `listening ADDRESS` on standard output; before that, a line
+/// for each other address that it listens on.
 pub fn run_daemon(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let command = Settings::read(args, |name| std::env::var(name).ok());
     match command.and_then(run) {
@@ -30,22 +31,65 @@
 #[tokio::main]
 async fn serve(settings: Settings) -> Result<()> {
     start_logging(&settings.log);
+    let signals = Signals::new();
     let listener = Listener::bind(settings.listen).await?;
     let operators = match settings.operator_listen {
         Some(address) => Some(Listener::bind(address).await?),
         None => None,
     };
     let node = Node::start(settings)?;
+    if let Some(peers) = &node.peers {
+        println!("peers {}", peers.own().address);
+    }
     if let Some(operators) = &operators {
         println!("operators {}", operators.address()?);
     }
     println!("listening {}", listener.address()?);
-    let serve_operators = async {
-        match operators {
-            Some(operators) => node.serve_operators(operators).await,
-            None => Ok(()),
-        }
+    let drain = node.drain.clone();
+    tokio::select! {
+        served = serve_all(&node, listener, operators) => served,
+        () = signals.second() => Err(Error::CutOff {
+            in_flight: drain.in_flight(),
+        }),
+    }
+}
+
+async fn serve_all(node: &Arc<Node>, callers: Listener, operators: Option<Listener>) -> Result<()> {
+    let Some(operators) = operators else {
+        return node.serve(callers).await;
     };
-    let (callers, operators) = tokio::join!(node.serve(listener), serve_operators);
+    let (callers, operators) = tokio::join!(node.serve(callers), node.serve_operators(operators));
     callers.and(operators)
 }
+
+/// Signals that ask for the end.
+struct Signals {
+    streams: Vec<signal::unix::Signal>,
+}
+
+impl Signals {
+    /// Listens from now on.
+    fn new() -> Self {
+        let kinds = [
+            signal::unix::SignalKind::interrupt(),
+            signal::unix::SignalKind::terminate(),
+        ];
+        Self {
+            streams: kinds
+                .into_iter()
+                .filter_map(|kind| signal::unix::signal(kind).ok())
+                .collect(),
+        }
+    }
+
+    /// Waits for the second one: the first begins the graceful shutdown, the second ends at once.
+    async fn second(mut self) {
+        for _ in 0..2 {
+            let next = self
+                .streams
+                .iter_mut()
+                .map(|stream| Box::pin(stream.recv()));
+            futures::future::select_all(next).await;
+        }
+    }
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -11,14 +11,22 @@
         bundle as border_bundle, caller, engine, operator, platform as platform_border,
     },
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleDigest, BundleVersion, Delivery, Finish,
-        HybridClock, Instant, KeyHash, Model, PathRule, ReceivedEnd, ReceivedToken, RecoveryPolicy,
-        Relay, RequestId, ReservedAttempt, Service, ServiceId, ServiceKind, Team, TeamId, Term,
-        Token, TokenIndex, TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, parse_hex,
+        AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleDigest,
+        BundleVersion, CallKey, CapacityReport, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome,
+        ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed,
+        Delivery, Dispatched, EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge,
+        HeldClaim, HotKeys, HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane,
+        Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, ProgressLimits,
+        ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger,
+        ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason,
+        Relay, RequestDigest, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
+        ServiceKind, StallDetector, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
+        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         any::Any,
         convert::Infallible,
@@ -31,7 +39,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -48,18 +56,26 @@
 pub use catkin_decisions::HybridTime;
 
 pub use crate::{
+    admission::Admission,
     bundle_in_force::BundleInForce,
     bundle_store::{Applied, BundleStore, BundleStoreSettings},
     bundle_watch::{BundleWatch, FetchBundle},
+    claim_settings::ClaimSettings,
+    claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
-    drain::Drain,
+    drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
     generation::Generation,
     generations::Generations,
+    gossip::{Gossip, GossipSources},
     kernel::Kernel,
     logging::start_logging,
     node::Node,
+    peer_fault::PeerFault,
+    peer_key::PeerKey,
+    peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
+    peers::Peers,
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
@@ -74,6 +90,8 @@
 /// The outcome of anything here that can fail.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+mod admission;
+mod admission_pool;
 mod attempt_stream;
 mod bundle_canonical;
 mod bundle_format;
@@ -82,6 +100,11 @@
 mod bundle_store;
 mod bundle_watch;
 mod caller_border;
+mod claim_committer;
+mod claim_row;
+mod claim_settings;
+mod claim_sweep;
+mod claims;
 mod daemon;
 mod drain;
 mod engine_client;
@@ -93,23 +116,45 @@
 mod generation_driver;
 mod generation_request;
 mod generations;
+mod gossip;
 /// HTTP calls to other processes.
 pub mod http_client;
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
 mod logging;
+mod metrics_page;
 mod node;
 mod operator_border;
 mod operator_problem;
+mod peer_fault;
+mod peer_handshake;
+mod peer_key;
+mod peer_link;
+mod peer_message;
+mod peer_socket;
+mod peers;
+mod place;
+mod plain_answer;
+mod plain_border;
+mod plain_call;
+mod plain_calls;
+mod plain_claim;
+mod plain_dispatch;
+mod plain_headers;
+mod plain_send;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
+mod progress_keeper;
 mod read_bundle;
+mod read_leader;
+mod returning_caller;
 mod service_name;
 mod settings;
 mod timeline;
 mod timer;
 mod upstream_handle;
 mod upstreams;
+mod waiting_place;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::{caller_border::CallerBorder, http_server::Listener, operator_border::OperatorBorder};
+use crate::{
+    caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
+    operator_border::OperatorBorder,
+};
 use volo_http::server::Server;
 
 /// A router with all its services, and quick ways to those that every request needs.
@@ -20,10 +23,16 @@
     pub bundle_watch: Arc<BundleWatch>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
+    /// Claims of idempotency keys, if there is a platform.
+    pub claims: Option<Arc<Claims>>,
     /// Upstreams and what is known of them.
     pub upstreams: Arc<Upstreams>,
+    /// Queues and places of all services.
+    pub admission: Arc<Admission>,
     /// Generations under way.
     pub generations: Arc<Generations>,
+    /// The other VMs, if this one takes calls of peers.
+    pub peers: Option<Arc<Peers>>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -60,9 +69,21 @@
         }
         let bundle_watch = BundleWatch::start(platform.clone(), &timer, &bundle);
         let bundle_watch = kernel.register(ServiceName::BundleWatch, bundle_watch)?;
+        let claims = match &platform {
+            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            None => None,
+        };
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
+        start_metrics();
+        let sharers = settings.entry_vms;
+        let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
+        let admission = kernel.register(ServiceName::Admission, admission)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
+        let peers = start_peers(&settings, &timer, &timeline, &generations)?;
+        if let Some(peers) = &peers {
+            kernel.register(ServiceName::Peers, peers.clone())?;
+        }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
             settings,
@@ -73,8 +94,11 @@
             bundle,
             bundle_watch,
             platform,
+            claims,
             upstreams,
+            admission,
             generations,
+            peers,
             drain,
         }))
     }
@@ -136,11 +160,46 @@
         tracing::info!(in_flight = self.drain.in_flight(), "draining");
         self.drain.finished(self.settings.drain_grace).await;
         self.timeline.record(Event::new(EventKind::DrainEnded));
-        self.drain.end();
         tracing::info!("drained");
     }
 }
 
+fn start_peers(
+    settings: &Settings,
+    timer: &Arc<Timer>,
+    timeline: &Arc<Timeline>,
+    generations: &Arc<Generations>,
+) -> Result<Option<Arc<Peers>>> {
+    let Some(address) = settings.peer_listen else {
+        return Ok(None);
+    };
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        tokio::net::TcpListener::from_std(listener)
+    };
+    let listener = listen().map_err(|source| Error::Listen { address, source })?;
+    let bound = listener
+        .local_addr()
+        .map_err(|source| Error::Listen { address, source })?;
+    let entry = PeerEntry {
+        vm: settings.vm.clone(),
+        address: settings.peer_advertise.unwrap_or(bound),
+        zone: settings.zone.clone(),
+    };
+    let known = settings.peers.clone();
+    let key = settings.peer_key.clone();
+    Ok(Some(Peers::start(
+        listener,
+        entry,
+        key,
+        known,
+        timer,
+        timeline,
+        generations,
+    )))
+}
+
 fn new_timeline(settings: &Settings) -> Arc<Timeline> {
     Arc::new(Timeline::new(
         settings.vm.clone(),
@@ -150,6 +209,33 @@
     ))
 }
 
+/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
+/// of the platform a VM that is to be replaced must not wait for it.
+const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
+
+fn start_claims(
+    kernel: &Kernel,
+    platform: &Arc<Platform>,
+    timer: &Arc<Timer>,
+    settings: &Settings,
+) -> Result<Arc<Claims>> {
+    let claims = Claims::start(
+        platform.clone(),
+        timer.clone(),
+        settings.vm.clone(),
+        Incarnation(rand::random::<u64>() >> 1),
+        ClaimSettings::default(),
+    );
+    let stopped = claims.clone();
+    kernel.on_stop(move || async move {
+        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
+        if flushed.is_err() {
+            tracing::warn!("ended with claims whose outcome is not recorded");
+        }
+    });
+    kernel.register(ServiceName::Claims, claims)
+}
+
 fn read_bundle_file(path: &std::path::Path) -> Result<ReadBundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -6,10 +6,14 @@
 )]
 #[strum(serialize_all = "kebab-case")]
 pub enum ServiceName {
+    /// Queues and places of all services.
+    Admission,
     /// The bundle in force.
     Bundle,
     /// Word of releases.
     BundleWatch,
+    /// Claims of idempotency keys.
+    Claims,
     /// The state of a graceful shutdown.
     Drain,
     /// Generations under way.
@@ -20,6 +24,8 @@
     Timeline,
     /// The platform's table service, object store and VM list.
     Platform,
+    /// The other VMs.
+    Peers,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -63,6 +63,29 @@
         states.iter().map(|state| state.status(now)).collect()
     }
 
+    /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
+    #[must_use]
+    pub fn capacity_reports(&self) -> Vec<(UpstreamId, CapacityReport)> {
+        let states = self.states.read();
+        let reports = states.iter().filter_map(|state| {
+            let report = state.report.lock();
+            let (_, load) = report.as_ref()?;
+            let report = CapacityReport {
+                capacity: load.capacity,
+                waiting: load.waiting,
+            };
+            Some((state.entry.id.clone(), report))
+        });
+        reports.collect()
+    }
+
+    /// Holds an upstream on which a request runs already, whether or not it may get new work.
+    pub fn hold(&self, id: &UpstreamId) -> Option<UpstreamHandle> {
+        let states = self.states.read();
+        let state = states.iter().find(|state| state.entry.id == *id)?;
+        Some(UpstreamHandle::new(state.clone()))
+    }
+
     fn apply(&self, bundle: &Bundle) {
         let mut states = self.states.write();
         *states = bundle
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,8 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
+    crate::call_table::CallTable,
+    crate::claim_change::Judged,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -21,6 +23,7 @@
 mod newtype;
 
 pub use crate::{
+    admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePlace},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
@@ -34,54 +37,97 @@
     bundle_version::BundleVersion,
     bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
+    call_key::CallKey,
+    candidate::Candidate,
     change_token::ChangeToken,
+    choice::{ChoiceInput, choose},
+    claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
+    claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
+    claim_record::{
+        ClaimKind, ClaimOutcome, ClaimRecord, ClaimStage, RecordedAnswer, RecordedBody,
+    },
+    claim_token::ClaimToken,
+    claim_verdict::ClaimVerdict,
+    claimed::{Claimed, HeldClaim},
+    concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
+    eligible::Eligible,
+    engine_priority::EnginePriority,
     error::Error,
     failed_call::FailedCall,
+    fair_queue::{FairQueue, QueueTeam},
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    hot_keys::HotKeys,
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
+    idempotency_key::IdempotencyKey,
     incarnation::Incarnation,
+    ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
+    lane::Lane,
+    lease::{
+        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
+        LeaseWrite, OrderPermit,
+    },
+    leaving_source::LeavingSource,
     model::Model,
     operator_name::OperatorName,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    pinned::Pinned,
+    poison_hold::PoisonHold,
+    poison_mark::PoisonMark,
+    poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
+    read_merger::ReadMerger,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
+    refusal_reason::RefusalReason,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
     request_digest::RequestDigest,
     request_id::RequestId,
+    request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
     reserved_attempt::ReservedAttempt,
     retry_budget::{RetryBudget, RetryBudgetConfig},
     retry_refusal::RetryRefusal,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    service_time::ServiceTime,
+    stall_detector::StallDetector,
+    subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
     term::Term,
+    ticket::Ticket,
     token::Token,
     token_index::TokenIndex,
     token_log::TokenLog,
     upstream::Upstream,
+    upstream_death::UpstreamDeath,
+    upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_places::{CapacityReport, UpstreamPlaces},
+    upstream_record::{AskedReport, UpstreamRecord},
+    upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
+    wall_time::WallTime,
 };
 
+mod admission_queue;
 mod attempt;
 mod availability_zone;
 mod bundle;
@@ -95,49 +141,87 @@
 mod bundle_version;
 mod bundle_view;
 mod call_budget;
+mod call_key;
+mod call_table;
+mod candidate;
 mod change_token;
+mod choice;
+mod claim_change;
+mod claim_queue;
+mod claim_record;
+mod claim_token;
+mod claim_verdict;
+mod claimed;
+mod concurrency_limit;
 mod delivery;
 mod draft_id;
 mod drop_reason;
 mod dropped_counts;
+mod eligible;
+mod engine_priority;
 mod error;
 mod failed_call;
+mod fair_queue;
 mod finish;
 mod hedge;
 mod hex;
+mod hot_keys;
 mod hybrid_clock;
 mod hybrid_time;
+mod idempotency_key;
 mod incarnation;
+mod ineligible;
 mod instant;
 mod key_hash;
+mod lane;
+mod lease;
+mod leaving_source;
 mod model;
 mod operator_name;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod pinned;
+mod poison_hold;
+mod poison_mark;
+mod poison_tracker;
 mod progress_record;
 mod progress_store;
 mod progress_update;
+mod read_merger;
 mod received_end;
 mod received_token;
 mod recovery_policy;
+mod refusal_reason;
 mod relay;
 mod rendezvous;
 mod request_digest;
 mod request_id;
+mod request_state;
 mod reserved_attempt;
 mod retry_budget;
 mod retry_refusal;
 mod service;
 mod service_id;
 mod service_kind;
+mod service_time;
+mod stall_detector;
+mod subset;
+mod suspicion;
 mod team;
 mod team_id;
 mod term;
+mod ticket;
 mod token;
 mod token_index;
 mod token_log;
 mod upstream;
+mod upstream_death;
+mod upstream_evidence;
 mod upstream_id;
+mod upstream_places;
+mod upstream_record;
+mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
+mod wall_time;
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::error::Error;
+use rustix::process::{Pid, Signal};
 
 /// What a process of an experiment is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString, strum::Display)]
@@ -11,20 +12,14 @@
     Standin,
 }
 
-/// Where a process listens.
-#[derive(Debug)]
-struct Addresses {
-    callers: SocketAddr,
-    operators: Option<SocketAddr>,
-}
-
 /// A process of an experiment: this program again, as a router or stand-in. It is killed when it is
 /// dropped.
 #[derive(Debug)]
 pub struct Process {
     role: Role,
     child: Child,
-    addresses: Addresses,
+    address: SocketAddr,
+    others: Vec<(String, SocketAddr)>,
 }
 
 impl Process {
@@ -36,7 +31,7 @@
     pub async fn start(
         program: &std::path::Path,
         role: Role,
-        args: &[&str],
+        args: &[impl AsRef<std::ffi::OsStr>],
     ) -> Result<Self, Error> {
         let mut child = Command::new(program)
             .args(["process", &role.to_string()])
@@ -46,26 +41,28 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
-        let addresses = read_addresses(&mut child)
+        let (address, others) = listening_addresses(&mut child)
             .await
             .ok_or(Error::NotListening { role })?;
         Ok(Self {
             role,
             child,
-            addresses,
+            address,
+            others,
         })
     }
 
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.addresses.callers
+        self.address
     }
 
-    /// Where it serves operators, if it does.
+    /// Another address that it listens on, by the name that it prints.
     #[must_use]
-    pub fn operator_address(&self) -> Option<SocketAddr> {
-        self.addresses.operators
+    pub fn other_address(&self, name: &str) -> Option<SocketAddr> {
+        let found = self.others.iter().find(|(other, _)| other == name);
+        found.map(|(_, address)| *address)
     }
 
     /// Kills it without notice.
@@ -81,6 +78,23 @@
             .map_err(|source| Error::Process { role, source })
     }
 
+    /// Sends it a signal: kills, pauses or resumes it, or asks it to end.
+    ///
+    /// # Errors
+    ///
+    /// If it has been waited for already.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let role = self.role;
+        let pid = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.and_then(Pid::from_raw);
+        let pid = pid.ok_or(Error::NotRunning { role })?;
+        let sent = rustix::process::kill_process(pid, signal);
+        sent.map_err(|source| Error::Process {
+            role,
+            source: source.into(),
+        })
+    }
+
     /// Waits for its end and returns its exit code.
     ///
     /// # Errors
@@ -100,19 +114,18 @@
     }
 }
 
-async fn read_addresses(child: &mut Child) -> Option<Addresses> {
+/// Reads lines of a name and an address until the one that says `listening`.
+async fn listening_addresses(child: &mut Child) -> Option<(SocketAddr, Vec<(String, SocketAddr)>)> {
     let mut lines = BufReader::new(child.stdout.take()?).lines();
-    let mut operators = None;
+    let mut others = Vec::new();
     loop {
         let line = lines.next_line().await.ok()??;
-        match line.split_once(' ')? {
-            ("operators", address) => operators = Some(address.parse().ok()?),
-            ("listening", address) => {
-                let callers = address.parse().ok()?;
-                return Some(Addresses { callers, operators });
-            }
-            _ => return None,
+        let (name, address) = line.split_once(' ')?;
+        let address = address.parse().ok()?;
+        if name == "listening" {
+            return Some((address, others));
         }
+        others.push((name.to_owned(), address));
     }
 }
 
--- a/crates/load/tests/operator_drain.rs
+++ b/crates/load/tests/operator_drain.rs
@@ -82,7 +82,9 @@
 async fn drain_cuts_no_generation_and_keeps_operators_served() {
     let engine = engine().await;
     let mut router = router(engine.address()).await;
-    let operators = router.operator_address().expect("operators are served");
+    let operators = router
+        .other_address("operators")
+        .expect("operators are served");
     let caller = CallerClient::new(router.address(), DEMO_KEY).expect("a client");
     let progress = Arc::new((Notify::new(), Notify::new()));
     let reached = progress.clone();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::{
     answer::Answer,
     answer_check::{AnswerFault, check_answer},
+    answer_verdict::AnswerVerdict,
     caller_client::{CallFault, CallerClient},
     daemon::{StandinError, run_standin},
     demo_bundle::{DEMO_KEY, demo_bundle},
@@ -51,10 +52,12 @@
     run_counts::{RunCount, RunCounts, request_digest},
     scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
+    upstream_probe::{first_busy, upstream_load},
 };
 
 mod answer;
 mod answer_check;
+mod answer_verdict;
 mod caller_client;
 mod daemon;
 mod demo_bundle;
@@ -78,3 +81,4 @@
 mod scripted_platform;
 mod sequence;
 mod token_chain;
+mod upstream_probe;
