--- a/crates/catkinward/src/daemon.rs
+++ b/crates/catkinward/src/daemon.rs
@@ -33,20 +33,35 @@
     start_logging(&settings.log);
     let signals = Signals::new();
     let listener = Listener::bind(settings.listen).await?;
+    let operators = match settings.operator_listen {
+        Some(address) => Some(Listener::bind(address).await?),
+        None => None,
+    };
     let node = Node::start(settings)?;
     if let Some(peers) = &node.peers {
         println!("peers {}", peers.own().address);
     }
+    if let Some(operators) = &operators {
+        println!("operators {}", operators.address()?);
+    }
     println!("listening {}", listener.address()?);
     let drain = node.drain.clone();
     tokio::select! {
-        served = node.serve(listener) => served,
+        served = serve_all(&node, listener, operators) => served,
         () = signals.second() => Err(Error::CutOff {
             in_flight: drain.in_flight(),
         }),
     }
 }
 
+async fn serve_all(node: &Arc<Node>, callers: Listener, operators: Option<Listener>) -> Result<()> {
+    let Some(operators) = operators else {
+        return node.serve(callers).await;
+    };
+    let (callers, operators) = tokio::join!(node.serve(callers), node.serve_operators(operators));
+    callers.and(operators)
+}
+
 /// Signals that ask for the end.
 struct Signals {
     streams: Vec<signal::unix::Signal>,
--- a/crates/catkinward/src/drain.rs
+++ b/crates/catkinward/src/drain.rs
@@ -31,6 +31,12 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Waits until the shutdown has ended.
+    pub(crate) async fn ended(&self) {
+        // The sender lives as long as this does.
+        let _ = self.state.subscribe().wait_for(|state| state.shut).await;
+    }
+
     /// Requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::{
-    bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener,
-    metrics_page::start_metrics,
+    caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
+    operator_border::OperatorBorder,
 };
 use volo_http::server::Server;
 
@@ -19,6 +19,8 @@
     pub connections: Arc<Connections>,
     /// The bundle in force.
     pub bundle: Arc<BundleInForce>,
+    /// Word of releases.
+    pub bundle_watch: Arc<BundleWatch>,
     /// The platform, if there is one.
     pub platform: Option<Arc<Platform>>,
     /// Claims of idempotency keys, if there is a platform.
@@ -65,6 +67,8 @@
         if let Some(path) = &settings.bundle_file {
             bundle.advance(read_bundle_file(path)?);
         }
+        let bundle_watch = BundleWatch::start(platform.clone(), &timer, &bundle);
+        let bundle_watch = kernel.register(ServiceName::BundleWatch, bundle_watch)?;
         let claims = match &platform {
             Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
             None => None,
@@ -88,6 +92,7 @@
             timeline,
             connections,
             bundle,
+            bundle_watch,
             platform,
             claims,
             upstreams,
@@ -130,6 +135,25 @@
         Ok(())
     }
 
+    /// Serves operators until the callers' server has drained, so that they can look on.
+    ///
+    /// Each server of a process takes signals by itself. This one waits in its shutdown hook for
+    /// the end of the drain; without that it would close while generations still run.
+    ///
+    /// # Errors
+    ///
+    /// If no operator key is set, or the server ends otherwise.
+    pub async fn serve_operators(self: &Arc<Self>, listener: Listener) -> Result<()> {
+        let address = listener.address()?;
+        let key = self.settings.operator_key()?;
+        let node = self.clone();
+        Server::new(OperatorBorder::new(self.clone(), key))
+            .register_shutdown_hook(move || Box::pin(async move { node.drain.ended().await }))
+            .run(listener)
+            .await
+            .map_err(|source| Error::Server { address, source })
+    }
+
     async fn drained(&self) {
         self.drain.begin();
         self.timeline.record(Event::new(EventKind::DrainBegan));
@@ -212,7 +236,7 @@
     kernel.register(ServiceName::Claims, claims)
 }
 
-fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
+fn read_bundle_file(path: &std::path::Path) -> Result<ReadBundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
         source,
