--- /dev/null
+++ b/crates/catkinward/src/ctl.rs
@@ -0,0 +1,67 @@
+use super::*;
+use crate::{
+    ctl_bundle::CtlBundle,
+    ctl_settings::{CTL_HELP, CtlCommand, CtlSettings},
+    ctl_status, ctl_timeline,
+    ctl_vms::CtlVms,
+};
+use catkin_decisions::CallBudgetSettings;
+use std::process::ExitCode;
+
+/// Runs the operators' tool on a command line without the program's name.
+pub fn run_ctl(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let read = CtlSettings::read(args, |name| std::env::var(name).ok());
+    match read.and_then(|(settings, command)| run(&settings, command)) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Does what is asked; returns what to print.
+#[tokio::main(flavor = "current_thread")]
+async fn run(settings: &CtlSettings, command: CtlCommand) -> Result<String> {
+    match command {
+        CtlCommand::Help => Ok(CTL_HELP.to_owned()),
+        CtlCommand::Version => Ok(format!("catkinctl {}\n", env!("CARGO_PKG_VERSION"))),
+        CtlCommand::Check(file) => CtlBundle::check(&file),
+        CtlCommand::Status => ctl_status::run(settings, &vms(settings)?).await,
+        CtlCommand::Timeline => ctl_timeline::run(settings, &vms(settings)?).await,
+        step => {
+            let platform = platform(settings.platform()?)?;
+            CtlBundle::new(platform, settings).run(step).await
+        }
+    }
+}
+
+fn vms(settings: &CtlSettings) -> Result<CtlVms> {
+    let platform = match (settings.vms.is_empty(), settings.platform) {
+        (true, _) => Some(platform(settings.platform()?)?),
+        (false, _) => None,
+    };
+    CtlVms::new(platform, settings)
+}
+
+/// One operator makes a few calls, so the budget that VMs share is not needed; pauses after faults
+/// are the store's.
+fn platform(address: SocketAddr) -> Result<Arc<Platform>> {
+    let unlimited = CallBudgetSettings {
+        per_second: 1_000,
+        burst: 1_000,
+        faults_before_pause: u32::MAX,
+        ..CallBudgetSettings::default()
+    };
+    let cfg = PlatformSettings {
+        reads: unlimited,
+        writes: unlimited,
+        ..PlatformSettings::default()
+    };
+    let connections = Arc::new(Connections::new()?);
+    let platform = Platform::over_http(connections, Timer::start(), address, cfg);
+    Ok(Arc::new(platform))
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -7,17 +7,19 @@
     crate::http_client::{Connections, HttpCall},
     arc_swap::ArcSwap,
     bytes::Bytes,
-    catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
+    catkin_border::{
+        bundle as border_bundle, caller, engine, operator, platform as platform_border,
+    },
     catkin_decisions::{
         AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
-        BundleVersion, CallKey, Candidate, CapacityReport, ChoiceInput, ClaimChange, ClaimFate,
-        ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken,
-        ClaimVerdict, Claimed, Delivery, Dispatched, Eligible, EnginePriority, FailedCall, Finish,
-        FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys, HybridClock, IdempotencyKey,
-        Incarnation, Instant, KeyHash, Lane, LeavingSource, Model, NotRun, NotRunEvidence,
-        PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun, PoisonTracker,
-        ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam,
-        Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
+        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, ChoiceInput, ClaimChange,
+        ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage,
+        ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible, EnginePriority,
+        FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys, HybridClock,
+        IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, Model, NotRun,
+        NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
+        PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
+        QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
         RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
         RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
         TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
@@ -58,6 +60,8 @@
 pub use crate::{
     admission::Admission,
     bundle_in_force::BundleInForce,
+    bundle_store::{Applied, BundleStore, BundleStoreSettings},
+    bundle_watch::{BundleWatch, FetchBundle},
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
@@ -77,6 +81,7 @@
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
+    read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
@@ -92,8 +97,12 @@
 mod admission;
 mod admission_pool;
 mod attempt_stream;
+mod bundle_canonical;
 mod bundle_format;
 mod bundle_in_force;
+mod bundle_rows;
+mod bundle_store;
+mod bundle_watch;
 mod caller_border;
 mod claim_committer;
 mod claim_row;
@@ -121,6 +130,8 @@
 mod logging;
 mod metrics_page;
 mod node;
+mod operator_border;
+mod operator_problem;
 mod peer_fault;
 mod peer_handshake;
 mod peer_key;
@@ -142,6 +153,7 @@
 mod problem;
 mod process_clock;
 mod progress_keeper;
+mod read_bundle;
 mod read_leader;
 mod returning_caller;
 mod service_name;
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -10,6 +10,10 @@
     pub vm: VmId,
     /// Availability zone of this VM.
     pub zone: AvailabilityZone,
+    /// Address on which operators are served, if at all.
+    pub operator_listen: Option<SocketAddr>,
+    /// SHA-256 of the key that operators show.
+    pub operator_key: Option<KeyHash>,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
     /// Address of the platform; without it this VM keeps and agrees on nothing.
@@ -42,6 +46,8 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
             vm: "vm-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
+            operator_listen: None,
+            operator_key: None,
             bundle_file: None,
             platform: None,
             peer_listen: None,
@@ -81,6 +87,8 @@
   --listen ADDRESS          IP and port for callers [127.0.0.1:8080]
   --vm ID                   id of this VM [vm-1]
   --zone NAME               availability zone of this VM [zone-1]
+  --operator-listen ADDRESS IP and port for operators; needs --operator-key-sha256
+  --operator-key-sha256 HEX SHA-256 of the key that operators show
   --bundle-file FILE        bundle to start with, for a system without a platform
   --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
   --peer-listen ADDRESS     IP and port for other VMs; without it this VM stands alone
@@ -140,8 +148,24 @@
         })
     }
 
+    /// Hash of the operators' key.
+    ///
+    /// # Errors
+    ///
+    /// If it is not set.
+    pub fn operator_key(&self) -> Result<KeyHash> {
+        let flag = "operator-key-sha256";
+        self.operator_key.ok_or_else(|| Error::SettingAbsent {
+            flag,
+            variable: variable_name(flag),
+        })
+    }
+
     /// Checks what no setting shows alone.
     fn check(&self) -> Result<()> {
+        if self.operator_listen.is_some() {
+            self.operator_key()?;
+        }
         if self.peer_listen.is_some() && self.peer_key == PeerKey::default() {
             return Err(Error::SettingAbsent {
                 flag: "peer-key",
@@ -156,6 +180,13 @@
             "listen" => self.listen = parse(flag, "an IP address and port", value)?,
             "vm" => self.vm = parse(flag, "1 to 200 visible ASCII characters", value)?,
             "zone" => self.zone = parse(flag, "1 to 200 visible ASCII characters", value)?,
+            "operator-listen" => {
+                self.operator_listen = Some(parse(flag, "an IP address and port", value)?);
+            }
+            "operator-key-sha256" => {
+                let digits = "64 lower-case hexadecimal digits";
+                self.operator_key = Some(parse(flag, digits, value)?);
+            }
             "bundle-file" => self.bundle_file = Some(value.into()),
             "peer-listen" => {
                 self.peer_listen = Some(parse(flag, "an IP address and port", value)?);
@@ -191,6 +222,8 @@
     "entry-vms",
     "listen",
     "log",
+    "operator-key-sha256",
+    "operator-listen",
     "platform",
     "peer-advertise",
     "peer-key",
--- a/crates/catkinward/src/upstream_state.rs
+++ b/crates/catkinward/src/upstream_state.rs
@@ -20,6 +20,17 @@
             poll_fresh: AtomicBool::new(true),
         }
     }
+
+    /// What an operator is told of it.
+    pub(crate) fn status(&self, now: Instant) -> operator::UpstreamStatus {
+        let record = self.record.lock();
+        operator::UpstreamStatus {
+            availability_zone: self.entry.zone.to_string(),
+            id: self.entry.id.to_string(),
+            in_flight: record.own().into(),
+            takes_new_work: record.evidence.eligible(now).is_ok(),
+        }
+    }
 }
 
 /// A load report as decisions take it.
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -93,6 +93,13 @@
         Some(UpstreamHandle::held(&self.known, &state, incarnation))
     }
 
+    /// What an operator is told of each.
+    pub(crate) fn statuses(&self) -> Vec<operator::UpstreamStatus> {
+        let now = self.known.timer.now();
+        let states = self.states.read();
+        states.iter().map(|state| state.status(now)).collect()
+    }
+
     /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
     #[must_use]
     pub fn capacity_reports(&self) -> Vec<(UpstreamId, CapacityReport)> {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,10 +27,19 @@
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
+    bundle_author::BundleAuthor,
+    bundle_change::{BundleChange, Settled},
+    bundle_digest::BundleDigest,
+    bundle_draft::{BundleDraft, SignOff},
+    bundle_refusal::BundleRefusal,
+    bundle_release::{BundleRelease, CurrentBundle, ReleaseSource},
+    bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
+    bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     candidate::Candidate,
+    change_token::ChangeToken,
     choice::{ChoiceInput, choose},
     claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
     claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
@@ -42,6 +51,7 @@
     claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
+    draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     eligible::Eligible,
@@ -67,6 +77,7 @@
     },
     leaving_source::LeavingSource,
     model::Model,
+    operator_name::OperatorName,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -120,11 +131,20 @@
 mod attempt;
 mod availability_zone;
 mod bundle;
+mod bundle_author;
+mod bundle_change;
+mod bundle_digest;
+mod bundle_draft;
+mod bundle_refusal;
+mod bundle_release;
+mod bundle_row;
 mod bundle_version;
+mod bundle_view;
 mod call_budget;
 mod call_key;
 mod call_table;
 mod candidate;
+mod change_token;
 mod choice;
 mod claim_change;
 mod claim_queue;
@@ -134,6 +154,7 @@
 mod claimed;
 mod concurrency_limit;
 mod delivery;
+mod draft_id;
 mod drop_reason;
 mod dropped_counts;
 mod eligible;
@@ -156,6 +177,7 @@
 mod lease;
 mod leaving_source;
 mod model;
+mod operator_name;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
