--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -71,6 +71,10 @@
     /// The call failed.
     #[display("{_0}")]
     Http(http_client::HttpError),
+    /// The upstream may get no new work; nothing was sent.
+    #[display("the upstream may get no new work")]
+    #[from(skip)]
+    NotEligible,
     /// The engine refused; nothing ran.
     #[display("the engine refused: {kind}")]
     #[from(skip)]
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -73,7 +73,7 @@
             Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
             None => None,
         };
-        let upstreams = Upstreams::start(&timer, &connections, &bundle);
+        let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         start_metrics();
         let sharers = settings.entry_vms;
--- a/crates/catkinward/src/plain_send.rs
+++ b/crates/catkinward/src/plain_send.rs
@@ -71,9 +71,11 @@
         if kind == engine::EngineRefusalKind::Full {
             place.overloaded();
         }
+        place.refused(kind);
         return Err(SendFault::NotRun(NotRunEvidence::UpstreamRefused));
     }
     place.begun();
+    place.answered();
     place.ended();
     place.succeeded();
     Ok(answer)
