catkinctl: steps of a bundle, and status and time line of all VMs

Cause: bundles could be rolled out by no command, and the events of a request stood on as many VMs as it had touched.

Change: catkinctl bundle check, propose, sign-off, roll-out, roll-back, diff, status and history; status and timeline, which ask all VMs of the platform's list, or those named, 32 at a time, merge their events by the hybrid clock and name the VMs that gave no answer. A lost answer that was settled is said; the loser of a race is told the winner's name and version.

--- /dev/null
+++ b/crates/catkinward/src/bin/catkinctl.rs
@@ -0,0 +1,7 @@
+//! The operators' tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    catkinward::run_ctl(std::env::args_os().skip(1))
+}
--- a/crates/catkinward/src/bundle_diff.rs
+++ b/crates/catkinward/src/bundle_diff.rs
@@ -1,4 +1,3 @@
-use super::*;
 use serde_json::{Map, Value};
 
 /// What one bundle changes in another, a line for each change: `+` and `-` for entries, `~` for
@@ -11,8 +10,9 @@
         ("upstreams", "upstream", "id"),
     ];
     let lines = lists.iter().flat_map(|(list, kind, name)| {
-        let entries = |bundle: &Value| by_name(&bundle[*list], name);
-        diff_entries(kind, &entries(&before), &entries(&after))
+        let before = by_name(&before[*list], name);
+        let after = by_name(&after[*list], name);
+        diff_entries(kind, &before, &after)
     });
     lines.map(|line| line + "\n").collect()
 }
@@ -32,8 +32,8 @@
 }
 
 fn diff_entries(kind: &str, before: &[Entry], after: &[Entry]) -> Vec<String> {
-    let mut names = before.iter().chain(after).map(|(name, _)| *name);
-    let mut names = names.by_ref().collect::<Vec<_>>();
+    let names = before.iter().chain(after).map(|(name, _)| *name);
+    let mut names = names.collect::<Vec<_>>();
     names.sort_unstable();
     names.dedup();
     names
--- a/crates/catkinward/src/ctl_bundle.rs
+++ b/crates/catkinward/src/ctl_bundle.rs
@@ -81,8 +81,8 @@
         let author = self.author()?;
         let operator = author.operator.clone();
         let digest = self.store.draft(id).await?.value.digest;
-        let changes = self.changes(id.base, &self.store.content(digest).await?);
-        let changes = changes.await?;
+        let content = self.store.content(digest).await?;
+        let changes = self.changes(id.base, &content).await?;
         let applied = self.store.sign_off(id, digest, author).await?;
         Ok(format!(
             "{}{changes}draft {id} is signed off by {operator}, digest {digest}\n\
@@ -139,7 +139,11 @@
                 None => "not signed off".to_owned(),
             };
             let proposer = &draft.proposed.operator;
-            let _ = writeln!(text, "draft {}: proposed by {proposer}, {signed_off}", draft.id);
+            let _ = writeln!(
+                text,
+                "draft {}: proposed by {proposer}, {signed_off}",
+                draft.id
+            );
         }
         Ok(text)
     }
@@ -150,10 +154,10 @@
             .iter()
             .map(|release| describe(release) + "\n")
             .collect::<String>();
-        Ok(match lines.is_empty() {
-            true => "no bundle was ever rolled out\n".to_owned(),
-            false => lines,
-        })
+        if lines.is_empty() {
+            return Ok("no bundle was ever rolled out\n".to_owned());
+        }
+        Ok(lines)
     }
 
     async fn content(&self, reference: &BundleReference) -> Result<Arc<str>> {
--- a/crates/catkinward/src/ctl_settings.rs
+++ b/crates/catkinward/src/ctl_settings.rs
@@ -183,7 +183,6 @@
     let first = words.next().ok_or(Error::CtlCommandAbsent)?;
     let name = match (first.as_str(), words.next()) {
         ("bundle", Some(second)) => format!("bundle {second}"),
-        ("bundle", None) => first,
         (_, Some(extra)) => return Err(Error::CtlArgumentExtra { argument: extra }),
         (_, None) => first,
     };
--- a/crates/catkinward/src/ctl_timeline.rs
+++ b/crates/catkinward/src/ctl_timeline.rs
@@ -5,6 +5,7 @@
     ctl_time::utc_micros,
     ctl_vms::{CtlVms, MissingVm, missing_lines},
 };
+use std::fmt::Write;
 
 /// An event with the VM that recorded it.
 #[derive(serde::Serialize)]
@@ -41,7 +42,7 @@
     }
     let mut text = output.events.iter().map(line).collect::<String>();
     for Overwritten { vm, events } in &output.overwritten {
-        text.push_str(&format!("incomplete: {vm} has lost its {events} oldest events\n"));
+        let _ = writeln!(text, "incomplete: {vm} has lost its {events} oldest events");
     }
     text.push_str(&missing_lines(&output.missing));
     Ok(text)
--- a/crates/catkinward/src/ctl_vms.rs
+++ b/crates/catkinward/src/ctl_vms.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::ctl_settings::CtlSettings;
 use futures::StreamExt;
+use std::fmt::Write;
 
 /// Calls of VMs that are under way at once; 400 VMs are asked in rounds of this many.
 const FAN_OUT: usize = 32;
@@ -127,8 +128,9 @@
 
 /// A line for each VM that gave no answer.
 pub(crate) fn missing_lines(missing: &[MissingVm]) -> String {
-    missing
-        .iter()
-        .map(|missing| format!("missing: {}: {}\n", missing.vm, missing.reason))
-        .collect()
+    let mut lines = String::new();
+    for MissingVm { vm, reason } in missing {
+        let _ = writeln!(lines, "missing: {vm}: {reason}");
+    }
+    lines
 }
--- a/crates/catkinward/src/error.rs
+++ b/crates/catkinward/src/error.rs
@@ -71,6 +71,55 @@
         /// Requests that were in flight.
         in_flight: usize,
     },
+    /// A command of `catkinctl` lacks an argument.
+    #[display("`{command}` needs {argument}; `catkinctl --help` tells more")]
+    #[from(skip)]
+    CtlArgumentAbsent {
+        /// The command.
+        command: String,
+        /// What it lacks.
+        argument: &'static str,
+    },
+    /// A command of `catkinctl` has an argument too many.
+    #[display("`{argument}` is one argument too many")]
+    #[from(skip)]
+    CtlArgumentExtra {
+        /// The argument.
+        argument: String,
+    },
+    /// `catkinctl` was given no command.
+    #[display("no command is given; `catkinctl --help` lists them")]
+    #[from(skip)]
+    CtlCommandAbsent,
+    /// `catkinctl` was given a command that it does not have.
+    #[display("there is no command `{command}`; `catkinctl --help` lists them")]
+    #[from(skip)]
+    CtlCommandUnknown {
+        /// The command.
+        command: String,
+    },
+    /// A flag of `catkinctl` is not known, or has no value.
+    #[display("{source}; `catkinctl --help` lists the flags")]
+    #[from(skip)]
+    CtlFlag {
+        /// Which, and why.
+        source: lexopt::Error,
+    },
+    /// The operators' key is not set.
+    #[display("the operators' key must be given in `CATKINCTL_KEY`")]
+    #[from(skip)]
+    CtlKeyAbsent,
+    /// The operators' key cannot be sent.
+    #[display("the operators' key must have visible ASCII characters only")]
+    #[from(skip)]
+    CtlKeyForm,
+    /// The platform does not tell which VMs there are.
+    #[display("the platform's list of VMs cannot be had: {fault}; name VMs with `--vm ADDRESS`")]
+    #[from(skip)]
+    CtlVmList {
+        /// Why not.
+        fault: PlatformFault,
+    },
     /// A decision refused its input.
     #[display("{_0}")]
     Decision(catkin_decisions::Error),
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -62,6 +62,7 @@
     bundle_watch::{BundleWatch, FetchBundle},
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
+    ctl::run_ctl,
     daemon::run_daemon,
     drain::{Drain, InFlight},
     error::Error,
@@ -94,6 +95,7 @@
 mod admission_pool;
 mod attempt_stream;
 mod bundle_canonical;
+mod bundle_diff;
 mod bundle_format;
 mod bundle_in_force;
 mod bundle_rows;
@@ -105,6 +107,13 @@
 mod claim_settings;
 mod claim_sweep;
 mod claims;
+mod ctl;
+mod ctl_bundle;
+mod ctl_settings;
+mod ctl_status;
+mod ctl_time;
+mod ctl_timeline;
+mod ctl_vms;
 mod daemon;
 mod drain;
 mod engine_client;
--- a/crates/catkinward/src/process_clock.rs
+++ b/crates/catkinward/src/process_clock.rs
@@ -39,7 +39,8 @@
     }
 }
 
-fn wall() -> Duration {
+/// Time since 1970 by the wall clock.
+pub(crate) fn wall() -> Duration {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default()
--- a/crates/load/tests/operator_drain.rs
+++ b/crates/load/tests/operator_drain.rs
@@ -7,10 +7,12 @@
 use catkinward::http_client::{Connections, HttpCall};
 use googletest::prelude::*;
 use http::{HeaderMap, header};
-use std::{net::SocketAddr, num::NonZeroU32, path::Path, sync::Arc};
+use std::{net::SocketAddr, num::NonZeroU32, path::Path, sync::Arc, time::Duration};
 use tokio::sync::Notify;
 
 const TOKENS: u32 = 400;
+/// A watchdog: the test fails, and does not hang, if a process of it dies.
+const WATCHDOG: Duration = Duration::from_secs(60);
 const OPERATOR_KEY: &str = "operator-key";
 
 fn program() -> &'static Path {
@@ -80,6 +82,12 @@
 #[gtest]
 #[tokio::test]
 async fn drain_cuts_no_generation_and_keeps_operators_served() {
+    let drained = tokio::time::timeout(WATCHDOG, drain_under_a_generation());
+
+    drained.await.expect("it ends");
+}
+
+async fn drain_under_a_generation() {
     let engine = engine().await;
     let mut router = router(engine.address()).await;
     let operators = router
