catkin-load run control-cost: slopes of what control costs a node

Cause: the budget of a node for control is 2.7% of a core, 32 MB and 3 KB/s, and nothing measured it.

Change: nodes, upstreams, teams and streams are varied one at a time; processor time and memory of a router from /proc, bytes of load reports and between routers counted by the proxy they pass through.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -22,6 +22,9 @@
   --json           print nothing but the report, as one line of JSON
 ";
 
+/// Name under which [`control_cost`] is run; it has no load and no faults.
+const CONTROL_COST: &str = "control-cost";
+
 /// Runs the command line of `catkin-load`, without the program's name.
 #[must_use]
 pub fn run_command(args: Vec<OsString>) -> ExitCode {
@@ -47,6 +50,7 @@
             for scenario in SCENARIOS {
                 println!("{:28} {}", scenario.name, scenario.about);
             }
+            println!("{CONTROL_COST:28} slopes of what control costs a node");
             Ok(ExitCode::SUCCESS)
         }
         Some("run") => run(&Flags::read(args)?),
@@ -128,6 +132,11 @@
 
 #[tokio::main]
 async fn run(flags: &Flags) -> Result<ExitCode, LoadError> {
+    if flags.operand(0)? == CONTROL_COST {
+        let program = std::env::current_exe()?;
+        println!("{}", to_json(&control_cost(&program).await?));
+        return Ok(ExitCode::SUCCESS);
+    }
     let scenario = Scenario::find(flags.operand(0)?)?;
     let report = run_with_bar(&scenario, flags, &flags.settings).await?;
     if !flags.json {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -27,6 +27,10 @@
     pub recovery: RecoveryPolicy,
     /// Whether engines are reached through the fault-injecting proxy.
     pub linked: bool,
+    /// Whether routers reach each other through it.
+    pub peers_linked: bool,
+    /// How often the bundle names each engine, under other ids.
+    pub engine_copies: usize,
     /// Further flags of the routers.
     pub router_flags: Vec<String>,
     /// Further flags of the engines.
@@ -42,6 +46,8 @@
             step: Duration::from_millis(10),
             recovery: RecoveryPolicy::LeastWait,
             linked: false,
+            peers_linked: false,
+            engine_copies: 1,
             router_flags: Vec::new(),
             engine_flags: Vec::new(),
             seed: 1,
@@ -81,30 +87,66 @@
             proxy: None,
             connections,
         };
-        let engines = fleet.engine_addresses(program, settings.linked).await?;
+        if settings.linked || settings.peers_linked {
+            fleet.proxy = Some(standin(program, "proxy", Vec::new()).await?);
+        }
+        let engines = fleet.engine_addresses(settings.linked).await?;
+        let engines = engines.repeat(settings.engine_copies);
         let plains: Vec<_> = fleet.plains.iter().map(Process::address).collect();
         let bundle = fleet_bundle(size, settings.recovery, &engines, &plains);
         fleet.start_routers(program, settings, &bundle).await?;
         Ok(fleet)
     }
 
-    async fn engine_addresses(
-        &mut self,
-        program: &Path,
-        linked: bool,
-    ) -> Result<Vec<SocketAddr>, LoadError> {
-        let engines: Vec<_> = self.engines.iter().map(Process::address).collect();
-        if !linked {
-            return Ok(engines);
+    async fn engine_addresses(&self, linked: bool) -> Result<Vec<SocketAddr>, LoadError> {
+        let mut engines = Vec::new();
+        for engine in &self.engines {
+            let address = engine.address();
+            engines.push(if linked {
+                self.route(address).await?
+            } else {
+                address
+            });
         }
-        let proxy = standin(program, "proxy", Vec::new()).await?;
-        let mut routes = Vec::new();
-        for engine in engines {
-            let path = format!("/route?to={engine}");
-            routes.push(self.control(proxy.address(), Method::POST, path).await?);
+        Ok(engines)
+    }
+
+    /// Opens a route through the proxy.
+    async fn route(&self, to: SocketAddr) -> Result<SocketAddr, LoadError> {
+        let path = format!("/route?to={to}");
+        self.control(self.proxy()?, Method::POST, path).await
+    }
+
+    fn proxy(&self) -> Result<SocketAddr, LoadError> {
+        let role = Role::Standin;
+        let proxy = self.proxy.as_ref().ok_or(LoadError::NotRunning { role })?;
+        Ok(proxy.address())
+    }
+
+    /// Bytes that went through the proxy to and from engines, and between routers.
+    ///
+    /// # Errors
+    ///
+    /// If there is no proxy, or it does not answer.
+    pub async fn passed(&self) -> Result<(u64, u64), LoadError> {
+        let path = "/stats".to_owned();
+        let passed: Vec<u64> = self.control(self.proxy()?, Method::GET, path).await?;
+        let (engines, peers) = passed.split_at(self.engines.len().min(passed.len()));
+        Ok((engines.iter().sum(), peers.iter().sum()))
+    }
+
+    /// Flags of a router for its peers. Behind the proxy its address must be known before it
+    /// starts, so a free one is taken and given back.
+    async fn peer_flags(&self, linked: bool) -> Result<Vec<String>, LoadError> {
+        if !linked {
+            return Ok(vec!["--peer-listen=127.0.0.1:0".to_owned()]);
         }
-        self.proxy = Some(proxy);
-        Ok(routes)
+        let free = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let route = self.route(free).await?;
+        Ok(vec![
+            flag("peer-listen", free),
+            flag("peer-advertise", route),
+        ])
     }
 
     async fn start_routers(
@@ -121,7 +163,7 @@
                 format!("--vm=vm-{i}"),
                 format!("--zone=zone-{}", i % settings.size.zones),
                 "--listen=127.0.0.1:0".to_owned(),
-                "--peer-listen=127.0.0.1:0".to_owned(),
+                format!("--entry-vms={}", settings.size.routers),
                 "--peer-key=secret-of-the-fleet".to_owned(),
                 format!("--peers={peers}"),
                 "--log=error".to_owned(),
@@ -132,7 +174,8 @@
         };
         let mut peers = Vec::new();
         for i in 0..settings.size.routers {
-            let flags = flags(i, &peers.join(","));
+            let mut flags = flags(i, &peers.join(","));
+            flags.extend(self.peer_flags(settings.peers_linked).await?);
             let router = Process::start(program, Role::Router, &flags).await?;
             if let Some(address) = router.other_address("peers") {
                 peers.push(format!("vm-{i}={address}@zone-{}", i % settings.size.zones));
@@ -206,10 +249,8 @@
     ///
     /// If there is no proxy, or it does not answer.
     pub async fn inject(&self, engine: usize, fault: ProxyFault) -> Result<(), LoadError> {
-        let role = Role::Standin;
-        let proxy = self.proxy.as_ref().ok_or(LoadError::NotRunning { role })?;
         let path = format!("/fault?route={engine}&kind={fault}");
-        let call = control_call(proxy.address(), Method::POST, path);
+        let call = control_call(self.proxy()?, Method::POST, path);
         self.connections.call_whole(call).await?;
         Ok(())
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -38,6 +38,7 @@
 pub use crate::{
     command::run_command,
     comparison::{Comparison, Spread},
+    control_cost::{ControlPoint, ControlReport, ControlSlope, control_cost},
     error::Error as LoadError,
     fleet::{Fleet, FleetSettings},
     percentiles::Percentiles,
@@ -54,6 +55,7 @@
 mod balancer;
 mod command;
 mod comparison;
+mod control_cost;
 mod error;
 mod fleet;
 mod fleet_bundle;
--- a/crates/load/src/relay_bench.rs
+++ b/crates/load/src/relay_bench.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::fleet_bundle::GENERATION_SERVICE;
 use parking_lot::Mutex;
-use std::{num::NonZeroU32, sync::atomic::AtomicU64};
+use std::num::NonZeroU32;
 use volo_http::client::sse::SseReader;
 
 /// What is measured of a router that relays streams.
@@ -58,7 +58,7 @@
 
 /// A stream's arrivals through the router.
 #[derive(Default)]
-struct Stream {
+pub(crate) struct Stream {
     request_id: Mutex<Option<String>>,
     arrivals: Mutex<Vec<Instant>>,
 }
@@ -75,9 +75,14 @@
     let fleet = Fleet::start(program, &fleet_settings(settings)).await?;
     let pid = fleet.routers[0].id().unwrap_or_default();
     let usage = || ProcessUsage::read(pid).unwrap_or_default();
-    let received = Arc::new(AtomicU64::new(0));
     let idle = usage();
-    let streams = open_streams(&fleet, settings, &received)?;
+    let streams = open_streams(&fleet, settings.streams)?;
+    let received = || {
+        streams
+            .iter()
+            .map(|stream| stream.arrivals.lock().len())
+            .sum::<usize>()
+    };
     for stream in &streams {
         while stream.arrivals.lock().len() < WARM {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -86,12 +91,11 @@
     let observers = streams.iter().take(OBSERVED);
     let observers = observers.map(|stream| observe(&fleet, stream, settings.window));
     let (start, before) = (Instant::now(), usage());
-    let tokens_before = received.load(Ordering::Relaxed);
+    let tokens_before = received();
     let (observed, ()) = tokio::join!(join_all(observers), tokio::time::sleep(settings.window));
     let (elapsed, after) = (start.elapsed(), usage());
-    let tokens = received.load(Ordering::Relaxed) - tokens_before;
+    let tokens = f64::from(u32::try_from(received() - tokens_before).unwrap_or(u32::MAX));
     let cpu = after.cpu.saturating_sub(before.cpu);
-    let tokens = Duration::from_secs(tokens).as_secs_f64();
     Ok(RelayReport {
         streams: settings.streams,
         routers: settings.routers,
@@ -122,20 +126,16 @@
     }
 }
 
-fn open_streams(
-    fleet: &Fleet,
-    settings: &RelaySettings,
-    received: &Arc<AtomicU64>,
-) -> Result<Vec<Arc<Stream>>, LoadError> {
+/// Opens endless streams at the first router.
+pub(crate) fn open_streams(fleet: &Fleet, count: usize) -> Result<Vec<Arc<Stream>>, LoadError> {
     let clients = fleet.clients(0)?;
-    let streams = (0..settings.streams).map(|i| {
+    let streams = (0..count).map(|i| {
         let stream = Arc::new(Stream::default());
-        let (client, received, seen) = (clients[0].clone(), received.clone(), stream.clone());
+        let (client, seen) = (clients[0].clone(), stream.clone());
         tokio::spawn(async move {
             let mut answer = Answer::default();
             let (request, key) = (endless(i), format!("stream-{i}"));
             let reading = client.stream(&request, Some(&key), &mut answer, |answer| {
-                received.fetch_add(1, Ordering::Relaxed);
                 seen.arrivals.lock().push(Instant::now());
                 if seen.request_id.lock().is_none() {
                     seen.request_id.lock().clone_from(&answer.request_id);
--- a/crates/standins/src/fault_proxy.rs
+++ b/crates/standins/src/fault_proxy.rs
@@ -8,7 +8,8 @@
 use volo_http::server::Server;
 
 /// A TCP proxy that injects faults. It is controlled over HTTP: `POST /route?to=ADDRESS` answers
-/// with the address of a new route, `POST /fault?route=N&kind=K&ms=N` changes a route.
+/// with the address of a new route, `POST /fault?route=N&kind=K&ms=N` changes a route, and
+/// `GET /stats` tells the bytes that each route passed on.
 #[derive(Clone)]
 pub struct FaultProxy {
     address: SocketAddr,
@@ -60,6 +61,12 @@
         true
     }
 
+    /// Bytes that each route passed on, in both directions.
+    #[must_use]
+    pub fn passed(&self) -> Vec<u64> {
+        self.routes.lock().iter().map(ProxyRoute::passed).collect()
+    }
+
     async fn take_route(&self, req: &Request) -> Response {
         let Some(to) = query_value(req, "to").and_then(|to| to.parse().ok()) else {
             return malformed();
@@ -86,6 +93,7 @@
 
     async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
         Ok(match (req.method(), req.uri().path()) {
+            (&Method::GET, "/stats") => Response::new(json_bytes(&self.passed()).into()),
             (&Method::POST, "/route") => self.take_route(&req).await,
             (&Method::POST, "/fault") => self.take_fault(&req),
             _ => malformed(),
--- a/crates/standins/src/proxy_route.rs
+++ b/crates/standins/src/proxy_route.rs
@@ -16,6 +16,7 @@
 /// One way through the fault-injecting proxy: an address of its own before one upstream.
 pub(crate) struct ProxyRoute {
     address: SocketAddr,
+    passed: Arc<AtomicU64>,
     state: watch::Sender<RouteState>,
 }
 
@@ -49,8 +50,18 @@
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let state = watch::Sender::new(RouteState::default());
-        tokio::spawn(accept(listener, to, state.subscribe()));
-        Ok(Self { address, state })
+        let passed = Arc::new(AtomicU64::new(0));
+        tokio::spawn(accept(listener, to, state.subscribe(), passed.clone()));
+        Ok(Self {
+            address,
+            passed,
+            state,
+        })
+    }
+
+    /// Bytes passed on in both directions.
+    pub(crate) fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -67,17 +78,27 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, state: watch::Receiver<RouteState>) {
+async fn accept(
+    listener: TcpListener,
+    to: SocketAddr,
+    state: watch::Receiver<RouteState>,
+    passed: Arc<AtomicU64>,
+) {
     while let Ok((caller, _)) = listener.accept().await {
         if state.borrow().fault == ProxyFault::Refuse {
             let _ = caller.set_zero_linger();
             continue;
         }
-        tokio::spawn(connect(caller, to, state.clone()));
+        tokio::spawn(connect(caller, to, state.clone(), passed.clone()));
     }
 }
 
-async fn connect(mut caller: TcpStream, to: SocketAddr, mut state: watch::Receiver<RouteState>) {
+async fn connect(
+    mut caller: TcpStream,
+    to: SocketAddr,
+    mut state: watch::Receiver<RouteState>,
+    passed: Arc<AtomicU64>,
+) {
     let opened = *state.borrow();
     let reachable = state.wait_for(|state| state.fault != ProxyFault::BlackHole);
     if reachable.await.is_err() {
@@ -88,7 +109,7 @@
         return;
     };
     let _ = (caller.set_nodelay(true), upstream.set_nodelay(true));
-    match pass(&mut caller, &mut upstream, opened, &state).await {
+    match pass(&mut caller, &mut upstream, opened, &state, &passed).await {
         End::Closed => {}
         End::Reset => {
             let _ = (caller.set_zero_linger(), upstream.set_zero_linger());
@@ -106,6 +127,7 @@
     upstream: &mut TcpStream,
     opened: RouteState,
     state: &watch::Receiver<RouteState>,
+    passed: &Arc<AtomicU64>,
 ) -> End {
     let (caller_rx, caller_tx) = caller.split();
     let (upstream_rx, upstream_tx) = upstream.split();
@@ -113,6 +135,7 @@
         direction,
         opened,
         state: state.clone(),
+        passed: passed.clone(),
     };
     let up = link(Direction::Up).copy(caller_rx, upstream_tx);
     let down = link(Direction::Down).copy(upstream_rx, caller_tx);
@@ -137,6 +160,7 @@
     direction: Direction,
     opened: RouteState,
     state: watch::Receiver<RouteState>,
+    passed: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -162,6 +186,8 @@
             if fault == ProxyFault::LoseAnswers && self.direction == Direction::Down {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
+            self.passed
+                .fetch_add(u64::try_from(n).unwrap_or(0), Ordering::Relaxed);
             let due = match fault {
                 ProxyFault::Delay => Instant::now() + delay,
                 _ => Instant::now(),
