--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -277,9 +277,8 @@
         };
         self.record(kind, attempt, upstream.id(), None);
         let connections = &self.node.connections;
-        let started =
-            engine_client::start_attempt(connections, &upstream, order, START_BOUND).await;
-        let stream = match started {
+        let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
+        let stream = match started.await {
             Ok(stream) => stream,
             Err(fault) => self.find_started(&upstream, order, fault).await?,
         };
@@ -301,11 +300,11 @@
         order: &engine::EngineGenerate,
         fault: AttemptFault,
     ) -> Result<AttemptStream, AttemptFault> {
-        upstream.lost(&fault).await;
         let full = engine::EngineRefusalKind::Full;
         if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
             upstream.overloaded();
         }
+        upstream.lost(&fault).await;
         if !fault.may_have_started() {
             return Err(fault);
         }
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -97,7 +97,16 @@
     pub(crate) fn statuses(&self) -> Vec<operator::UpstreamStatus> {
         let now = self.known.timer.now();
         let states = self.states.read();
-        states.iter().map(|state| state.status(now)).collect()
+        let tell = |state: &Arc<UpstreamState>| {
+            let record = state.record.lock();
+            operator::UpstreamStatus {
+                availability_zone: state.entry.zone.to_string(),
+                id: state.entry.id.to_string(),
+                in_flight: u64::from(record.own()),
+                takes_new_work: record.candidate(None, now).is_ok(),
+            }
+        };
+        states.iter().map(tell).collect()
     }
 
     /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
