Team limits over VMs: slices from a home, compared with three other ways

Cause: a team's limit holds over all VMs, and its demand moves between them.

Change: SliceHome hands out slices by max-min fair share, TeamSlice is a VM's bucket, SliceRequest and SliceGrant are the messages between them. Slices in force never add up to more than the limit: they count until they have expired, holders keep a floor, and a new home waits out its predecessor's slices.

The daemon does not enforce team limits yet.

--- /dev/null
+++ b/crates/decisions/examples/slices.rs
@@ -0,0 +1,258 @@
+//! Compares ways of keeping a team's limit over 8 VMs: fixed shares, a table write per request,
+//! batched table writes (the net use of 100 ms), and slices from a home. Then counts platform
+//! writes and slice requests at the target size.
+
+use catkin_decisions::{
+    Instant, LimitKind, SLICE_PERIOD, SliceHome, SliceRequest, TeamSlice, VmId,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::time::Duration;
+
+const VMS: usize = 8;
+const LIMIT: f64 = 100.0;
+const PHASE: u64 = 20;
+const BATCH_MS: u64 = 100;
+
+/// Demand of each VM, a second, and the VMs that are cut off from the home and the platform.
+struct Phase {
+    name: &'static str,
+    demand: [f64; VMS],
+    cut_off: &'static [usize],
+}
+
+const PHASES: [Phase; 4] = [
+    Phase {
+        name: "150/s, 70% at one VM",
+        demand: [6.4, 6.4, 6.4, 6.4, 6.4, 105.0, 6.4, 6.4],
+        cut_off: &[],
+    },
+    Phase {
+        name: "150/s, moved to another VM",
+        demand: [6.4, 6.4, 105.0, 6.4, 6.4, 6.4, 6.4, 6.4],
+        cut_off: &[],
+    },
+    Phase {
+        name: "150/s, two VMs cut off",
+        demand: [17.5, 17.5, 17.5, 17.5, 17.5, 17.5, 0.0, 45.0],
+        cut_off: &[6, 7],
+    },
+    Phase {
+        name: "60/s, all at one VM",
+        demand: [0.0, 0.0, 0.0, 0.0, 60.0, 0.0, 0.0, 0.0],
+        cut_off: &[],
+    },
+];
+
+fn at(ms: u64) -> Instant {
+    Instant(Duration::from_millis(ms))
+}
+
+fn vm(n: usize) -> VmId {
+    format!("vm-{n}").parse().expect("a name")
+}
+
+/// One way of keeping the limit.
+enum Way {
+    Fixed(Vec<TeamSlice>),
+    PerRequest(PerRequest),
+    Batched(Batched),
+    Slices(Slices),
+}
+
+impl Way {
+    fn tick(&mut self, now: u64, cut_off: &[usize]) {
+        match self {
+            Self::Fixed(_) | Self::PerRequest(_) => {}
+            Self::Batched(way) => way.tick(now, cut_off),
+            Self::Slices(way) => way.tick(now, cut_off),
+        }
+    }
+
+    fn admits(&mut self, vm: usize, now: u64, cut_off: bool) -> bool {
+        match self {
+            Self::Fixed(slices) => slices[vm].take(1.0, at(now)).is_ok(),
+            Self::PerRequest(way) => !cut_off && way.admits(now),
+            Self::Batched(way) => way.admits(vm),
+            Self::Slices(way) => way.slices[vm].take(1.0, at(now)).is_ok(),
+        }
+    }
+
+    fn writes(&self) -> u64 {
+        match self {
+            Self::Fixed(_) | Self::Slices(_) => 0,
+            Self::PerRequest(way) => way.writes,
+            Self::Batched(way) => way.writes,
+        }
+    }
+}
+
+struct PerRequest {
+    table: TeamSlice,
+    writes: u64,
+}
+
+impl PerRequest {
+    fn admits(&mut self, now: u64) -> bool {
+        self.writes += 1;
+        self.table.take(1.0, at(now)).is_ok()
+    }
+}
+
+/// The paper's way: admit by what was last read and the own net use since, and write that now and
+/// then.
+#[derive(Default)]
+struct Batched {
+    second: u64,
+    table: f64,
+    seen: [f64; VMS],
+    own: [f64; VMS],
+    writes: u64,
+}
+
+impl Batched {
+    fn tick(&mut self, now: u64, cut_off: &[usize]) {
+        if now / 1000 != self.second {
+            *self = Self {
+                second: now / 1000,
+                writes: self.writes,
+                ..Self::default()
+            };
+        }
+        if !now.is_multiple_of(BATCH_MS) {
+            return;
+        }
+        for vm in (0..VMS).filter(|vm| !cut_off.contains(vm)) {
+            if self.own[vm] > 0.0 {
+                self.table += std::mem::take(&mut self.own[vm]);
+                self.writes += 1;
+            }
+            self.seen[vm] = self.table;
+        }
+    }
+
+    fn admits(&mut self, vm: usize) -> bool {
+        let admits = self.seen[vm] + self.own[vm] < LIMIT;
+        self.own[vm] += f64::from(u8::from(admits));
+        admits
+    }
+}
+
+struct Slices {
+    home: SliceHome,
+    slices: Vec<TeamSlice>,
+}
+
+impl Slices {
+    fn tick(&mut self, now: u64, cut_off: &[usize]) {
+        let period = u64::try_from(SLICE_PERIOD.as_millis()).expect("short");
+        for vm_number in (0..VMS).filter(|vm| !cut_off.contains(vm)) {
+            // Each VM asks at its own moment of the period.
+            if now % period != u64::try_from(vm_number).expect("few") * 120 {
+                continue;
+            }
+            let request = SliceRequest {
+                team: "counter".parse().expect("a name"),
+                kind: LimitKind::Requests,
+                vm: vm(vm_number),
+                demand: self.slices[vm_number].demand(at(now)),
+            };
+            let grant = self.home.grant(&request, at(now)).expect("a holder");
+            self.slices[vm_number].granted(&grant, at(now), at(now));
+        }
+    }
+}
+
+fn fixed_slices() -> Vec<TeamSlice> {
+    vec![TeamSlice::fixed(LIMIT / 8.0, at(0)); VMS]
+}
+
+fn run(name: &str, mut way: Way) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let mut now = 0;
+    for phase in &PHASES {
+        let (mut admitted, mut cut, mut peak, mut wanted) = (0_u32, 0_u32, 0_u32, 0_u32);
+        let writes = way.writes();
+        for second in 0..PHASE {
+            // The first seconds of a phase count as well: a limit is kept while demand moves.
+            let mut in_second = 0;
+            for _ in 0..1000 {
+                way.tick(now, phase.cut_off);
+                for vm in 0..VMS {
+                    if !rng.random_bool(phase.demand[vm] / 1000.0) {
+                        continue;
+                    }
+                    wanted += 1;
+                    let cut_off = phase.cut_off.contains(&vm);
+                    if way.admits(vm, now, cut_off) {
+                        in_second += 1;
+                        cut += u32::from(cut_off);
+                    }
+                }
+                now += 1;
+            }
+            admitted += in_second;
+            if second > 0 {
+                peak = peak.max(in_second);
+            }
+        }
+        let allowed = f64::from(wanted).min(LIMIT * 20.0);
+        println!(
+            "| {name} | {} | {:.0}% | {:.0}% | {peak} | {:.1} | {:.1} |",
+            phase.name,
+            100.0 * (f64::from(admitted) / (LIMIT * 20.0) - 1.0).max(0.0),
+            100.0 * (1.0 - f64::from(admitted) / allowed).max(0.0),
+            f64::from(u32::try_from(way.writes() - writes).expect("few")) / 20.0,
+            f64::from(cut) / 20.0,
+        );
+    }
+}
+
+/// Distinct pairs of VM and team in each window of `window_ms`, a second, at the target size.
+fn pairs_a_second(window_ms: u64) -> usize {
+    const REQUESTS: u64 = 5800;
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(2);
+    let weights = (1..=2100)
+        .map(|rank| 1.0 / f64::from(rank))
+        .collect::<Vec<_>>();
+    let total = weights.iter().sum::<f64>();
+    let mut pairs = Vec::new();
+    for n in 0..REQUESTS * 10 {
+        let mut pick = rng.random_range(0.0..total);
+        let team = weights.iter().position(|weight| {
+            pick -= weight;
+            pick <= 0.0
+        });
+        pairs.push((
+            n * 1000 / REQUESTS / window_ms,
+            rng.random_range(0..400),
+            team,
+        ));
+    }
+    pairs.sort_unstable();
+    pairs.dedup();
+    pairs.len() / 10
+}
+
+fn main() {
+    println!("| way | phase | over | under | peak second | writes/s | cut off/s |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    run("fixed", Way::Fixed(fixed_slices()));
+    let table = TeamSlice::fixed(LIMIT, at(0));
+    run(
+        "per request",
+        Way::PerRequest(PerRequest { table, writes: 0 }),
+    );
+    run("batched", Way::Batched(Batched::default()));
+    let home = SliceHome::new(LIMIT, (0..VMS).map(vm).collect(), at(0));
+    let slices = fixed_slices();
+    run("slices", Way::Slices(Slices { home, slices }));
+    println!(
+        "target: 5800 writes/s per request, {} batched over 100 ms",
+        pairs_a_second(100)
+    );
+    println!(
+        "target: {:.1} slice requests a second and VM, none of them to the platform",
+        f64::from(u32::try_from(pairs_a_second(1000)).expect("few")) / 400.0
+    );
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -76,6 +76,7 @@
         LeaseWrite, OrderPermit,
     },
     leaving_source::LeavingSource,
+    limit_kind::LimitKind,
     model::Model,
     operator_name::OperatorName,
     path_rule::PathRule,
@@ -105,11 +106,15 @@
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
+    slice_grant::SliceGrant,
+    slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
+    slice_request::SliceRequest,
     stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
+    team_slice::TeamSlice,
     term::Term,
     ticket::Ticket,
     token::Token,
@@ -176,6 +181,7 @@
 mod lane;
 mod lease;
 mod leaving_source;
+mod limit_kind;
 mod model;
 mod operator_name;
 mod path_rule;
@@ -205,11 +211,15 @@
 mod service_id;
 mod service_kind;
 mod service_time;
+mod slice_grant;
+mod slice_home;
+mod slice_request;
 mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
 mod team_id;
+mod team_slice;
 mod term;
 mod ticket;
 mod token;
--- /dev/null
+++ b/crates/decisions/tests/slices.rs
@@ -0,0 +1,159 @@
+//! Slices of a team's limit.
+
+use catkin_decisions::{Instant, LimitKind, SliceGrant, SliceHome, SliceRequest, TeamSlice, VmId};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const LIMIT: f64 = 100.0;
+
+fn ms(ms: u64) -> Instant {
+    Instant(Duration::from_millis(ms))
+}
+
+fn vm(n: usize) -> VmId {
+    format!("vm-{n}").parse().expect("a name")
+}
+
+fn home(vms: usize) -> SliceHome {
+    SliceHome::new(LIMIT, (0..vms).map(vm).collect(), ms(0))
+}
+
+fn ask(home: &mut SliceHome, n: usize, demand: f64, at: Instant) -> SliceGrant {
+    let request = SliceRequest {
+        team: "counter".parse().expect("a name"),
+        kind: LimitKind::Requests,
+        vm: vm(n),
+        demand,
+    };
+    home.grant(&request, at).expect("a holder")
+}
+
+/// Requests of a second that go through, at `per_second` evenly spread.
+fn let_through(slice: &mut TeamSlice, second: u64, per_second: u64) -> usize {
+    (0..per_second)
+        .filter(|n| {
+            slice
+                .take(1.0, ms(second * 1000 + n * 1000 / per_second))
+                .is_ok()
+        })
+        .count()
+}
+
+#[gtest]
+fn the_limit_goes_where_the_demand_is() {
+    let mut home = home(8);
+
+    let rates = [4000, 5000, 6000, 7000, 8000].map(|at| {
+        (0..8)
+            .map(|n| ask(&mut home, n, if n == 3 { 90.0 } else { 0.0 }, ms(at)).rate)
+            .collect::<Vec<_>>()
+    });
+
+    expect_that!(rates[4][3], ge(70.0));
+    expect_that!(rates[4].iter().sum::<f64>(), le(LIMIT + 1e-9));
+}
+
+#[gtest]
+fn equal_demands_beyond_the_limit_share_it_evenly() {
+    let mut home = home(4);
+
+    let rates = [4000, 5000, 6000, 7000, 8000, 9000].map(|at| {
+        (0..4)
+            .map(|n| ask(&mut home, n, 80.0, ms(at)).rate)
+            .collect::<Vec<_>>()
+    });
+
+    expect_that!(rates[5], each(near(25.0, 0.1)));
+}
+
+/// The home of a limit dies and another VM takes its place, while slices of the first are still in
+/// force. If it handed out the whole limit at once, the team could call at twice its limit.
+#[gtest]
+fn a_new_home_hands_out_floors_first() {
+    let mut home = home(4);
+
+    let early = ask(&mut home, 0, 80.0, ms(2999));
+    let later = ask(&mut home, 0, 80.0, ms(6000));
+
+    expect_that!(early.rate, near(6.25, 0.01));
+    expect_that!(later.rate, gt(50.0));
+}
+
+/// A VM is cut off from the home of a limit. It goes on with its slice and then with its floor, and
+/// its callers are neither all refused nor let through without a limit.
+#[gtest]
+fn a_vm_that_is_cut_off_goes_on_with_its_floor() {
+    let mut home = home(4);
+    let grant = ask(&mut home, 0, 80.0, ms(4000));
+    let mut slice = TeamSlice::fixed(25.0, ms(0));
+    slice.granted(&grant, ms(4000), ms(4000));
+
+    let with_slice = slice.rate(ms(6999));
+    let cut_off = slice.rate(ms(7000));
+    let admitted = let_through(&mut slice, 20, 100);
+
+    expect_that!(with_slice, gt(50.0));
+    expect_that!(cut_off, near(6.25, 0.01));
+    expect_that!(admitted, le(14));
+}
+
+#[gtest]
+fn a_slice_lets_its_rate_through() {
+    let mut slice = TeamSlice::fixed(20.0, ms(0));
+    let_through(&mut slice, 0, 100);
+
+    let admitted = (1..11)
+        .map(|second| let_through(&mut slice, second, 100))
+        .sum::<usize>();
+
+    expect_that!(admitted, all![ge(199), le(201)]);
+}
+
+#[gtest]
+fn a_refusal_says_when_to_come_back() {
+    let mut slice = TeamSlice::fixed(2.0, ms(0));
+    while slice.take(1.0, ms(0)).is_ok() {}
+
+    let wait = slice.take(1.0, ms(0)).expect_err("used up");
+
+    expect_that!(slice.take(1.0, Instant(wait)), ok(anything()));
+}
+
+#[gtest]
+fn a_large_request_goes_through_and_is_made_up_for() {
+    let mut slice = TeamSlice::fixed(10.0, ms(0));
+
+    let large = slice.take(50.0, ms(0));
+    let next = slice.take(1.0, ms(1000));
+    slice.give_back(45.0);
+    let after = slice.take(1.0, ms(1000));
+
+    expect_that!(large, ok(anything()));
+    expect_that!(next, err(anything()));
+    expect_that!(after, ok(anything()));
+}
+
+proptest! {
+    /// Whatever VMs ask for, and whichever answers are lost, the slices that may be in force never
+    /// add up to more than the limit.
+    #[test]
+    fn slices_never_exceed_the_limit(
+        asks in prop::collection::vec((0..900_u64, 0..6_usize, 0.0..300.0_f64, any::<bool>()), 1..120)
+    ) {
+        let mut home = home(6);
+        let mut slices = (0..6).map(|_| TeamSlice::fixed(home.floor(), ms(0))).collect::<Vec<_>>();
+        let mut now = 3000;
+
+        for (wait, n, demand, lost) in asks {
+            now += wait;
+            let grant = ask(&mut home, n, demand, ms(now));
+            if !lost {
+                slices[n].granted(&grant, ms(now), ms(now));
+            }
+
+            let sum = slices.iter().map(|slice| slice.rate(ms(now))).sum::<f64>();
+            prop_assert!(sum <= LIMIT + 1e-6, "{sum}");
+        }
+    }
+}
