Team limits are enforced by each VM's slice

Cause: the bundle's limits of a team were read and not enforced.

Change: TeamLimits takes requests and tokens from this VM's slice before a request waits in the queue, gives back what was not used, and refuses beyond it with the typed problem team_limit (not run, 429, Retry-After).

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -1,6 +1,5 @@
 use super::*;
 use crate::{
-    admission_pool::Refusal,
     event_stream::event_stream,
     generation::GenerationOutcome,
     generation_driver,
@@ -248,14 +247,7 @@
             return Ok(());
         }
         let queued = Queued::new(request.id.clone());
-        let offered = if self.node.upstreams.refuses(request.body) {
-            Err(Refusal {
-                reason: RefusalReason::Poisoned,
-                retry_after: Duration::ZERO,
-            })
-        } else {
-            generation_driver::offer(&self.node, request, team)
-        };
+        let offered = generation_driver::offer(&self.node, request, team);
         match offered {
             Ok(waiting) => self.start(generation, Some(waiting)),
             Err(refusal) => {
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -31,13 +31,45 @@
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
 /// Lets a generation wait for its first place.
+///
+/// # Errors
+///
+/// At once, if upstreams died under the same request before, its team's limit is reached, or it
+/// could not start in time.
 pub(crate) fn offer(
     node: &Node,
     request: &GenerationRequest,
     team: QueueTeam,
 ) -> Result<WaitingPlace, Refusal> {
     let pool = node.admission.pool(&request.service);
-    pool.offer(&request.arrival(team), chooser(node, request))
+    if node.upstreams.refuses(request.body) {
+        pool.count_refusal(RefusalReason::Poisoned);
+        return Err(Refusal {
+            reason: RefusalReason::Poisoned,
+            retry_after: Duration::ZERO,
+        });
+    }
+    take_from_limits(node, request).map_err(|retry_after| {
+        pool.count_refusal(RefusalReason::TeamLimit);
+        Refusal {
+            reason: RefusalReason::TeamLimit,
+            retry_after,
+        }
+    })?;
+    let offered = pool.offer(&request.arrival(team), chooser(node, request));
+    offered.inspect_err(|_| {
+        let limits = &node.limits;
+        limits.give_back(&request.team, LimitKind::Requests, 1);
+        limits.give_back(&request.team, LimitKind::Tokens, request.max_tokens);
+    })
+}
+
+/// Takes a request and all tokens that it may generate from its team's limits.
+fn take_from_limits(node: &Node, request: &GenerationRequest) -> Result<(), Duration> {
+    let (limits, team) = (&node.limits, &request.team);
+    limits.take(team, LimitKind::Requests, 1)?;
+    let tokens = limits.take(team, LimitKind::Tokens, request.max_tokens);
+    tokens.inspect_err(|_| limits.give_back(team, LimitKind::Requests, 1))
 }
 
 fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
@@ -57,6 +89,7 @@
     generation: Arc<Generation>,
     waiting: Option<WaitingPlace>,
 ) {
+    let admitted_here = waiting.is_some();
     let mut driver = Driver {
         node: node.clone(),
         generation: generation.clone(),
@@ -84,6 +117,12 @@
         "generation ended"
     );
     record_end(&node, &generation, outcome);
+    if admitted_here && outcome != GenerationOutcome::Failed(ProblemKind::Superseded) {
+        let request = &generation.request;
+        let unused = request.max_tokens.saturating_sub(generation.next_index().0);
+        node.limits
+            .give_back(&request.team, LimitKind::Tokens, unused);
+    }
     generation.conclude(outcome);
 }
 
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -16,14 +16,15 @@
         ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage,
         ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible, EnginePriority,
         FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys, HybridClock,
-        IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, Model, NotRun,
-        NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
+        IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, LimitKind, Model,
+        NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
         PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
         QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
         RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
-        RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
-        TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
-        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
+        RetryBudget, Service, ServiceId, ServiceKind, SliceGrant, SliceHome, SliceRequest,
+        StallDetector, Team, TeamId, TeamSlice, Term, Token, TokenIndex, TokenLog, Upstream,
+        UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex,
+        rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -85,6 +86,7 @@
     read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
+    team_limits::{SliceAsk, TeamLimits},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
     upstream_handle::UpstreamHandle,
@@ -167,6 +169,7 @@
 mod returning_caller;
 mod service_name;
 mod settings;
+mod team_limits;
 mod timeline;
 mod timer;
 mod upstream_gossip;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -29,6 +29,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Queues and places of all services.
     pub admission: Arc<Admission>,
+    /// Slices of the teams' limits.
+    pub limits: Arc<TeamLimits>,
     /// Generations under way.
     pub generations: Arc<Generations>,
     /// The other VMs, if this one takes calls of peers.
@@ -79,6 +81,8 @@
         let sharers = settings.entry_vms;
         let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
         let admission = kernel.register(ServiceName::Admission, admission)?;
+        let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
+        let limits = kernel.register(ServiceName::TeamLimits, limits)?;
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
         let peers = start_peers(&settings, &timer, &timeline, &generations)?;
         if let Some(peers) = &peers {
@@ -98,6 +102,7 @@
             claims,
             upstreams,
             admission,
+            limits,
             generations,
             peers,
             drain,
--- a/crates/catkinward/src/plain_calls.rs
+++ b/crates/catkinward/src/plain_calls.rs
@@ -27,7 +27,16 @@
     let pool = node.admission.pool(&call.service);
     let dispatch = PlainDispatch { node, pool };
     let request = call.id.clone();
-    let answer = if call.is_read() {
+    let taken = dispatch
+        .node
+        .limits
+        .take(&call.team.id, LimitKind::Requests, 1);
+    let answer = if let Err(retry_after) = taken {
+        let reason = RefusalReason::TeamLimit;
+        dispatch.pool.count_refusal(reason);
+        let not_run = Queued::new(call).refuse(reason, retry_after);
+        Err(Problem::not_run(&not_run))
+    } else if call.is_read() {
         call_merged(&dispatch, call).await
     } else {
         call_counted(&dispatch, call).await
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -52,6 +52,8 @@
     ProgressLost,
     /// Another VM has taken the generation over, for its caller who came back there.
     Superseded,
+    /// The team's limit is reached.
+    TeamLimit,
     /// The team may not call this service.
     TeamNotAllowed,
     /// The bearer key is of no team.
@@ -81,7 +83,7 @@
             | Self::Overloaded
             | Self::UpstreamRefused
             | Self::UpstreamUnreachable => StatusCode::SERVICE_UNAVAILABLE,
-            Self::HotKey => StatusCode::TOO_MANY_REQUESTS,
+            Self::HotKey | Self::TeamLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::KeyAbsent | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::ProgressLost => StatusCode::GONE,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
@@ -115,6 +117,7 @@
             | Self::NotReady
             | Self::Overloaded
             | Self::PoisonedNotRun
+            | Self::TeamLimit
             | Self::TeamNotAllowed
             | Self::UnknownKey
             | Self::UpstreamRefused
@@ -163,6 +166,7 @@
             Self::PoisonedNotRun => "upstreams died under this same request before",
             Self::ProgressLost => "what was delivered before is not known any more; start anew",
             Self::Superseded => "another VM goes on with this generation",
+            Self::TeamLimit => "the team's limit is reached",
             Self::TeamNotAllowed => "this team may not call this service",
             Self::UnknownKey => "the bearer key is not known",
             Self::UpstreamRefused => "the upstream refused the call",
@@ -189,6 +193,7 @@
             RefusalReason::NoUpstream => ProblemKind::NoUpstream,
             RefusalReason::NotClaimed => ProblemKind::NotClaimed,
             RefusalReason::Poisoned => ProblemKind::PoisonedNotRun,
+            RefusalReason::TeamLimit => ProblemKind::TeamLimit,
             RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
             RefusalReason::CallerLeft
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -26,6 +26,8 @@
     Platform,
     /// The other VMs.
     Peers,
+    /// Slices of the teams' limits.
+    TeamLimits,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
