VMs ask each other for slices of the teams' limits

Cause: with an even share for each VM a team that calls through few VMs is held far below its limit.

Change: once a second a VM asks the homes of the limits in use, over the connections between VMs, and homes answer; a VM may ask for itself only. The homes of an availability zone share out the zone's part of a limit.

Bytes a second are not measured.

Conclusion: limits follow demand within an availability zone, and zones are independent of each other.

--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -21,10 +21,10 @@
         PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
         QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
         RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
-        RetryBudget, Service, ServiceId, ServiceKind, SliceGrant, SliceHome, SliceRequest,
-        StallDetector, Team, TeamId, TeamSlice, Term, Token, TokenIndex, TokenLog, Upstream,
-        UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex,
-        rendezvous_score, subset,
+        RetryBudget, SLICE_PERIOD, Service, ServiceId, ServiceKind, SliceGrant, SliceHome,
+        SliceRequest, StallDetector, Team, TeamId, TeamSlice, Term, Token, TokenIndex, TokenLog,
+        Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, WallTime, choose,
+        parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -169,6 +169,7 @@
 mod returning_caller;
 mod service_name;
 mod settings;
+mod slice_exchange;
 mod team_limits;
 mod timeline;
 mod timer;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    operator_border::OperatorBorder, upstream_gossip::gossip_upstreams,
+    operator_border::OperatorBorder, slice_exchange::exchange_slices,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -88,6 +89,7 @@
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
             gossip_upstreams(peers, &upstreams);
+            exchange_slices(peers, &limits, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
--- a/crates/catkinward/src/peer_message.rs
+++ b/crates/catkinward/src/peer_message.rs
@@ -31,6 +31,10 @@
     Progress(Vec<ProgressUpdate>),
     /// Generations that another VM has taken over.
     Superseded(Vec<(RequestId, Attempt)>),
+    /// Question for slices of teams' limits; answered by [`PeerBody::Slices`].
+    AskSlices(Vec<SliceRequest>),
+    /// Slices granted.
+    Slices(Vec<SliceGrant>),
     /// Question for a copy; answered by [`PeerBody::Found`].
     Find(RequestId),
     /// A copy, if there is one.
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -38,8 +38,12 @@
     store: Mutex<ProgressStore>,
     generations: Arc<Generations>,
     sent: Arc<AtomicU64>,
+    granter: std::sync::OnceLock<Granter>,
 }
 
+/// Grants a slice of a team's limit.
+type Granter = Box<dyn Fn(&SliceRequest) -> Option<SliceGrant> + Send + Sync>;
+
 impl Peers {
     /// Starts to take peers' calls on `listener` and to exchange news.
     pub fn start(
@@ -68,6 +72,7 @@
             store: Mutex::new(ProgressStore::new(ProgressLimits::default())),
             generations: generations.clone(),
             sent: Arc::default(),
+            granter: std::sync::OnceLock::new(),
         });
         peers.choose_holders();
         tokio::spawn(accept_calls(peers.clone(), listener));
@@ -116,6 +121,40 @@
         self.links.lock().len()
     }
 
+    /// Has `granter` answer peers that ask for slices of teams' limits.
+    pub(crate) fn grant_slices(
+        &self,
+        granter: impl Fn(&SliceRequest) -> Option<SliceGrant> + Send + Sync + 'static,
+    ) {
+        let _ = self.granter.set(Box::new(granter));
+    }
+
+    /// VMs that somebody has heard of lately.
+    pub(crate) fn heard_within(&self, bound: Duration) -> Vec<PeerEntry> {
+        let now = self.timer.now();
+        self.table.lock().heard_within(now, bound)
+    }
+
+    /// Asks a VM; `None` if it is not known or does not answer in time.
+    pub(crate) async fn ask(
+        self: &Arc<Self>,
+        vm: &VmId,
+        question: PeerBody,
+        bound: Duration,
+    ) -> Option<PeerBody> {
+        let peer = self.table.lock().find(vm).cloned()?;
+        let link = self.link(&peer).await.ok()?;
+        match link.ask(question, bound).await {
+            Ok(answer) => Some(answer),
+            Err(fault) => {
+                tracing::debug!(peer = %vm, %fault, "peer did not answer");
+                self.drop_link(vm, link.serial);
+                self.lost(vm);
+                None
+            }
+        }
+    }
+
     /// The open connection to a holder; opens one if there is none.
     pub(crate) async fn link(
         self: &Arc<Self>,
@@ -319,6 +358,7 @@
                 self.hear(&gossip, peer);
                 Some(PeerBody::Gossip(Box::new(self.news())))
             }
+            PeerBody::AskSlices(requests) => Some(self.slices(peer, &requests)),
             PeerBody::Progress(updates) => self.keep(&updates),
             PeerBody::Find(id) => Some(PeerBody::Found(self.copy(&id).map(Box::new))),
             PeerBody::TakenOver(update) => {
@@ -329,6 +369,7 @@
             | PeerBody::Hello(_)
             | PeerBody::Welcome(_)
             | PeerBody::Superseded(_)
+            | PeerBody::Slices(_)
             | PeerBody::Found(_) => {
                 let name: &str = (&body).into();
                 tracing::warn!(%peer, message = name, "peer sent what was not due");
@@ -337,6 +378,13 @@
         }
     }
 
+    /// Slices for a peer, which may ask for itself only.
+    fn slices(&self, peer: &VmId, requests: &[SliceRequest]) -> PeerBody {
+        let own = requests.iter().filter(|request| request.vm == *peer);
+        let granter = self.granter.get();
+        PeerBody::Slices(own.filter_map(|request| granter?(request)).collect())
+    }
+
     fn keep(&self, updates: &[ProgressUpdate]) -> Option<PeerBody> {
         let now = self.timer.now();
         let mut store = self.store.lock();
--- a/crates/catkinward/src/team_limits.rs
+++ b/crates/catkinward/src/team_limits.rs
@@ -28,11 +28,14 @@
 struct LimitHome {
     team: TeamId,
     kind: LimitKind,
-    limit: u32,
+    limit: f64,
     vms: Vec<VmId>,
     home: SliceHome,
 }
 
+/// Average demand, a second, below which a slice is not asked for any more.
+const LEAST_DEMAND: f64 = 0.05;
+
 /// A slice to ask for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SliceAsk {
@@ -93,7 +96,7 @@
                     team: entry.team.clone(),
                     kind: entry.kind,
                     vm: self.vm.clone(),
-                    demand: (demand > 0.0).then_some(demand)?,
+                    demand: (demand > LEAST_DEMAND).then_some(demand)?,
                 },
                 asked: now,
             })
@@ -101,11 +104,11 @@
         asks.collect()
     }
 
-    /// Grants a slice as the home of a limit over `vms`; `None` if there is no such limit, this VM
+    /// Grants a slice as the home of `part` of a limit over `vms`; `None` if there is no such limit, this VM
     /// is not its home, or the one that asks is not among them.
     #[must_use]
-    pub fn grant(&self, request: &SliceRequest, vms: &[VmId]) -> Option<SliceGrant> {
-        let limit = self.limit(&request.team, request.kind)?;
+    pub fn grant(&self, request: &SliceRequest, vms: &[VmId], part: f64) -> Option<SliceGrant> {
+        let limit = part * f64::from(self.limit(&request.team, request.kind)?);
         if home_of(&request.team, request.kind, vms)? != self.vm {
             return None;
         }
@@ -115,7 +118,7 @@
             kind: request.kind,
             limit,
             vms: vms.to_vec(),
-            home: SliceHome::new(limit.into(), vms.to_vec(), now),
+            home: SliceHome::new(limit, vms.to_vec(), now),
         };
         let mut homes = self.homes.lock();
         let key = (&request.team, request.kind);
@@ -126,7 +129,7 @@
                 i
             }
         };
-        if homes[i].limit != limit || homes[i].vms != vms {
+        if homes[i].limit.total_cmp(&limit).is_ne() || homes[i].vms != vms {
             homes[i] = fresh();
         }
         homes[i].home.grant(request, now)
@@ -141,6 +144,14 @@
         }
     }
 
+    /// What this VM lets through of a limit now, a second; `None` if it was not used here.
+    #[must_use]
+    pub fn rate(&self, team: &TeamId, kind: LimitKind) -> Option<f64> {
+        let slices = self.slices.lock();
+        let i = find(&slices, team, kind).ok()?;
+        Some(slices[i].slice.rate(self.timer.now()))
+    }
+
     fn limit(&self, team: &TeamId, kind: LimitKind) -> Option<u32> {
         let bundle = self.bundle.current();
         let team = bundle.team(team)?;
--- a/crates/decisions/src/peer_table.rs
+++ b/crates/decisions/src/peer_table.rs
@@ -105,6 +105,14 @@
             .collect()
     }
 
+    /// VMs that somebody has heard of within `bound`.
+    #[must_use]
+    pub fn heard_within(&self, now: Instant, bound: Duration) -> Vec<PeerEntry> {
+        let lately = |peer: &&Peer| now.since(peer.heard_of) <= bound;
+        let peers = self.peers.iter().filter(lately);
+        peers.map(|peer| peer.entry.clone()).collect()
+    }
+
     /// All VMs known, sorted by id.
     pub fn entries(&self) -> impl Iterator<Item = &PeerEntry> {
         self.peers.iter().map(|peer| &peer.entry)
--- a/crates/standins/tests/team_limits.rs
+++ b/crates/standins/tests/team_limits.rs
@@ -4,11 +4,16 @@
     bundle::RecoveryPolicy,
     caller::{CompletionRequest, Outcome},
 };
-use catkin_decisions::{LimitKind, SliceRequest, VmId};
+use catkin_decisions::{LimitKind, PeerEntry, SliceRequest, VmId};
 use catkin_standins::{Answer, CallerClient, DEMO_KEY, EngineServer, EngineSettings, demo_bundle};
-use catkinward::{Node, Settings, http_server::Listener};
+use catkinward::{Node, PeerKey, Settings, http_server::Listener};
 use googletest::prelude::*;
-use std::{net::SocketAddr, num::NonZeroU32, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    num::NonZeroU32,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 const TOKENS: u32 = 10;
 const LIMIT: u32 = 4;
@@ -24,6 +29,14 @@
 }
 
 async fn site(entry_vms: u32) -> Site {
+    let settings = Settings {
+        entry_vms,
+        ..Settings::default()
+    };
+    site_with(settings).await
+}
+
+async fn site_with(settings: Settings) -> Site {
     let engine = EngineServer::start(free_address(), EngineSettings::default())
         .await
         .expect("a free address");
@@ -33,10 +46,6 @@
         .await
         .expect("a free address");
     let router = listener.address().expect("it listens");
-    let settings = Settings {
-        entry_vms,
-        ..Settings::default()
-    };
     let node = Node::start(settings).expect("valid settings");
     let json = serde_json::to_string(&bundle).expect("JSON");
     node.put_bundle_in_force(1, &json).expect("a valid bundle");
@@ -122,15 +131,57 @@
 
     let home = site.node.limits.asks(&vms())[0].home.clone();
     let only_vm = &vms()[..1];
-    let granted = site.node.limits.grant(&request("counter", "vm-1"), only_vm);
-    let stranger = site.node.limits.grant(&request("counter", "vm-9"), only_vm);
-    let unknown = site.node.limits.grant(&request("nobody", "vm-1"), only_vm);
+    let granted = site
+        .node
+        .limits
+        .grant(&request("counter", "vm-1"), only_vm, 1.0);
+    let stranger = site
+        .node
+        .limits
+        .grant(&request("counter", "vm-9"), only_vm, 1.0);
+    let unknown = site
+        .node
+        .limits
+        .grant(&request("nobody", "vm-1"), only_vm, 1.0);
     let elsewhere = site
         .node
         .limits
-        .grant(&request("counter", "vm-1"), &vms()[1..]);
+        .grant(&request("counter", "vm-1"), &vms()[1..], 1.0);
 
     expect_that!(vms(), contains(eq(&home)));
     expect_that!(granted.map(|grant| grant.rate), some(near(1.0, 0.001)));
     expect_that!([stranger, unknown, elsewhere], each(none()));
 }
+
+/// A team calls through one of two VMs only. With an even share for each VM half of its limit would
+/// lie idle and its callers would be refused all the same.
+#[gtest]
+#[tokio::test]
+async fn a_slice_follows_the_demand() {
+    let first = site_with(peer(1, vec![])).await;
+    let known = vec![first.node.peers.as_ref().expect("peers").own().clone()];
+    let second = site_with(peer(2, known)).await;
+    let team = "counter".parse().expect("a name");
+
+    let slice_grows = async {
+        let limits = &second.node.limits;
+        while limits.rate(&team, LimitKind::Requests).unwrap_or_default() < 3.0 {
+            let _ = limits.take(&team, LimitKind::Requests, 1);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let grown = tokio::time::timeout(Duration::from_secs(20), slice_grows).await;
+
+    expect_that!(grown, ok(anything()));
+}
+
+fn peer(n: usize, known: Vec<PeerEntry>) -> Settings {
+    Settings {
+        vm: format!("vm-{n}").parse().expect("a name"),
+        entry_vms: 2,
+        peer_listen: Some(free_address()),
+        peer_key: PeerKey::new("shared by both"),
+        peers: known,
+        ..Settings::default()
+    }
+}
