Scenarios of plain calls under load, each beside plain round robin

Cause: decisions under load are judged by what callers receive.

Change: quick, burst, hot-team, hot-key, slow-upstream, mixed-lengths, overload, overload-5x and brownout as a table over one runner: open-loop calls through three routers, then the same calls round robin to upstreams of their own; shares answered in time, refusals and their time, latency, Jain's index, wasted work, and what ran against what callers were told. Three short runs are tests.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -50,6 +50,9 @@
             for scenario in SCENARIOS {
                 println!("{:28} {}", scenario.name, scenario.about);
             }
+            for scenario in QUICK_SCENARIOS {
+                println!("{:28} {}", scenario.name, scenario.about);
+            }
             println!("{CONTROL_COST:28} slopes of what control costs a node");
             Ok(ExitCode::SUCCESS)
         }
@@ -137,19 +140,28 @@
         println!("{}", to_json(&control_cost(&program).await?));
         return Ok(ExitCode::SUCCESS);
     }
+    if let Some(scenario) = QuickScenario::find(flags.operand(0)?) {
+        let program = std::env::current_exe()?;
+        let report = run_quick(&program, &scenario, &flags.settings).await?;
+        return Ok(print_verdict(&report, &report.violations, flags.json));
+    }
     let scenario = Scenario::find(flags.operand(0)?)?;
     let report = run_with_bar(&scenario, flags, &flags.settings).await?;
-    if !flags.json {
-        for violation in &report.violations {
+    Ok(print_verdict(&report, &report.violations, flags.json))
+}
+
+fn print_verdict(report: &impl Serialize, violations: &[String], json: bool) -> ExitCode {
+    if !json {
+        for violation in violations {
             println!("violation: {violation}");
         }
     }
-    println!("{}", to_json(&report));
-    Ok(if report.violations.is_empty() {
+    println!("{}", to_json(report));
+    if violations.is_empty() {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
-    })
+    }
 }
 
 async fn run_with_bar(
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -35,6 +35,8 @@
     pub router_flags: Vec<String>,
     /// Further flags of the engines.
     pub engine_flags: Vec<String>,
+    /// Further flags of the plain service.
+    pub plain_flags: Vec<String>,
     /// Seed of all that is drawn.
     pub seed: u64,
 }
@@ -50,6 +52,7 @@
             engine_copies: 1,
             router_flags: Vec::new(),
             engine_flags: Vec::new(),
+            plain_flags: Vec::new(),
             seed: 1,
         }
     }
@@ -70,13 +73,7 @@
     pub async fn start(program: &Path, settings: &FleetSettings) -> Result<Self, LoadError> {
         let size = settings.size;
         let engine = |i: usize| standin(program, "engine", engine_flags(settings, i));
-        let plain = |i: usize| {
-            standin(
-                program,
-                "plain",
-                vec![flag("seed", settings.seed.wrapping_add(n(i)))],
-            )
-        };
+        let plain = |i: usize| standin(program, "plain", plain_flags(settings, i));
         let engines = try_join_all((0..size.engines).map(engine)).await?;
         let plains = try_join_all((0..size.plains).map(plain)).await?;
         let connections = Arc::new(Connections::new()?);
@@ -265,6 +262,26 @@
         self.read(self.engines[engine].address(), "/stats").await
     }
 
+    /// Runs that a process of the plain service counted.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn plain_runs(&self, plain: SocketAddr) -> Result<RunCounts, LoadError> {
+        self.control(plain, Method::GET, "/stats".to_owned()).await
+    }
+
+    /// Makes a process of the plain service fail from now on.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn fail_plain(&self, plain: SocketAddr, fault: PlainFault) -> Result<(), LoadError> {
+        let call = control_call(plain, Method::POST, format!("/fault?kind={fault}"));
+        self.connections.call_whole(call).await?;
+        Ok(())
+    }
+
     /// Opens a stream of a process; `None` if it refuses.
     pub(crate) async fn open(&self, address: SocketAddr, path: String) -> Option<Response> {
         let call = control_call(address, Method::GET, path);
@@ -313,6 +330,12 @@
     flags
 }
 
+fn plain_flags(settings: &FleetSettings, i: usize) -> Vec<String> {
+    let mut flags = vec![flag("seed", settings.seed.wrapping_add(n(i)))];
+    flags.extend(settings.plain_flags.iter().cloned());
+    flags
+}
+
 fn flag(name: &str, value: impl std::fmt::Display) -> String {
     format!("--{name}={value}")
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,7 +6,7 @@
         caller, engine,
     },
     catkin_standins::{
-        Answer, CallerClient, POISON, ProxyFault, RunCounts, TokenChain, prompt_tokens,
+        Answer, CallerClient, POISON, PlainFault, ProxyFault, RunCounts, TokenChain, prompt_tokens,
         request_digest,
     },
     derive_more::{Display, Error, From},
@@ -44,6 +44,9 @@
     percentiles::Percentiles,
     process::{Process, Role, run_process},
     process_usage::ProcessUsage,
+    quick_report::{QuickMeasures, QuickReport},
+    quick_run::run_quick,
+    quick_scenario::{QUICK_SCENARIOS, QuickScenario},
     relay_bench::{RelayReport, RelaySettings, bench_relay},
     report::Report,
     run::{RunSettings, run_scenario},
@@ -64,6 +67,10 @@
 mod percentiles;
 mod process;
 mod process_usage;
+mod quick_call;
+mod quick_report;
+mod quick_run;
+mod quick_scenario;
 mod relay_bench;
 mod report;
 mod run;
--- /dev/null
+++ b/crates/load/src/quick_report.rs
@@ -0,0 +1,157 @@
+use super::*;
+use crate::{
+    quick_call::{QuickEnd, QuickResult},
+    quick_run::CAPACITY,
+};
+
+/// Measures and verdict of a run of plain calls.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct QuickReport {
+    /// Scenario that was run.
+    pub scenario: String,
+    /// Seed it was drawn from.
+    pub seed: u64,
+    /// Measures through the routers.
+    #[serde(flatten)]
+    pub measures: QuickMeasures,
+    /// The same calls round robin to the upstreams.
+    pub baseline: QuickMeasures,
+    /// Latency of the teams other than the hot one.
+    pub others_quick_ms: Percentiles,
+    /// Requests that were told that they did not run, and did.
+    pub false_not_run: usize,
+    /// Non-idempotent requests that ran more than once.
+    pub double_runs: usize,
+    /// Invariants that were broken; empty in a good run.
+    pub violations: Vec<String>,
+}
+
+/// Measures of plain calls over one way.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct QuickMeasures {
+    /// Calls made.
+    pub calls: usize,
+    /// Calls answered, in time or late.
+    pub completed: usize,
+    /// Calls answered within their deadline, as a share of those that could have been.
+    pub answered_in_deadline: f64,
+    /// Calls that were told that they did not run.
+    pub refused: usize,
+    /// Calls that ended in another typed error.
+    pub failed: usize,
+    /// Calls that got neither.
+    pub lost_answers: usize,
+    /// Calls that got the answer to another one.
+    pub crossed_answers: usize,
+    /// Time until a refusal.
+    pub refused_ms: Percentiles,
+    /// Time until an answer.
+    pub quick_ms: Percentiles,
+    /// Jain's index over the teams' shares of calls answered in time.
+    pub fairness: f64,
+    /// Runs whose answer no caller had in time, as a share of all runs.
+    pub wasted_work_ratio: f64,
+}
+
+impl QuickMeasures {
+    pub(crate) fn of(results: &[QuickResult], runs: &RunCounts, arrivals: Duration) -> Self {
+        let count = |end| results.iter().filter(|result| result.end == end).count();
+        let times = |end| {
+            let ended = results.iter().filter(move |result| result.end == end);
+            Percentiles::of(ended.map(|result| result.took))
+        };
+        let in_time = results.iter().filter(|result| result.in_deadline()).count();
+        let possible = to_f64(results.len()).min(CAPACITY * arrivals.as_secs_f64());
+        let run: u64 = runs.runs.iter().map(|run| run.count).sum();
+        let wanted: u64 = useful_runs(results, runs);
+        Self {
+            calls: results.len(),
+            completed: count(QuickEnd::Answered),
+            answered_in_deadline: to_f64(in_time) / possible,
+            refused: count(QuickEnd::NotRun),
+            failed: count(QuickEnd::Failed),
+            lost_answers: count(QuickEnd::Lost),
+            crossed_answers: count(QuickEnd::Crossed),
+            refused_ms: times(QuickEnd::NotRun),
+            quick_ms: times(QuickEnd::Answered),
+            fairness: fairness(results),
+            wasted_work_ratio: 1.0 - to_f64(wanted) / to_f64(run.max(1)),
+        }
+    }
+}
+
+/// Runs of requests that some caller had answered in time, each no oftener than such callers.
+fn useful_runs(results: &[QuickResult], runs: &RunCounts) -> u64 {
+    let in_time = results.iter().filter(|result| result.in_deadline());
+    let mut digests: Vec<u64> = in_time.map(|result| result.call.digest()).collect();
+    digests.sort_unstable();
+    let callers = |digest: u64| {
+        let first = digests.partition_point(|other| *other < digest);
+        let after = digests.partition_point(|other| *other <= digest);
+        u64::try_from(after - first).unwrap_or(u64::MAX)
+    };
+    let useful = runs
+        .runs
+        .iter()
+        .map(|run| run.count.min(callers(run.digest)));
+    useful.sum()
+}
+
+/// Jain's index: 1 if each team has the same share of its calls answered in time.
+fn fairness(results: &[QuickResult]) -> f64 {
+    let teams = results.iter().map(|result| result.call.team + 1).max();
+    let shares: Vec<f64> = (0..teams.unwrap_or(0))
+        .filter_map(|team| {
+            let own = || results.iter().filter(|result| result.call.team == team);
+            let made = own().count();
+            let answered = own().filter(|result| result.in_deadline()).count();
+            (made > 0).then(|| to_f64(answered) / to_f64(made))
+        })
+        .collect();
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|share| share * share).sum();
+    sum * sum / (to_f64(shares.len()) * squares)
+}
+
+impl QuickReport {
+    /// Judges the calls through the routers by what their callers received and what ran.
+    pub(crate) fn judge(&mut self, results: &[QuickResult], runs: &RunCounts) {
+        let ran = |result: &QuickResult| runs.of_digest(result.call.digest());
+        let writes = || results.iter().filter(|result| result.call.write);
+        let refused = results
+            .iter()
+            .filter(|result| result.end == QuickEnd::NotRun);
+        self.double_runs = writes().filter(|result| ran(result) > 1).count();
+        // A read of an item that others read too may have run for them.
+        let own = refused.filter(|result| !result.call.query.starts_with(HOT));
+        self.false_not_run = own.filter(|result| ran(result) > 0).count();
+        let others = results.iter().filter(|result| result.call.team > 0);
+        let others = others.filter(|result| result.end == QuickEnd::Answered);
+        self.others_quick_ms = Percentiles::of(others.map(|result| result.took));
+        let counts = [
+            ("answers lost", self.measures.lost_answers),
+            ("answers crossed", self.measures.crossed_answers),
+            (
+                "requests ran that were told they had not",
+                self.false_not_run,
+            ),
+            ("requests ran twice", self.double_runs),
+        ];
+        let broken = counts.into_iter().filter(|(_, count)| *count > 0);
+        self.violations = broken.map(|(what, n)| format!("{n} {what}")).collect();
+        if results.is_empty() {
+            self.violations.push("no request was made".to_owned());
+        }
+    }
+}
+
+/// Beginning of the query of a read of the hot item.
+pub(crate) const HOT: &str = "hot=";
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a run are far below 2^52"
+)]
+fn to_f64(n: impl TryInto<u64>) -> f64 {
+    n.try_into().unwrap_or(u64::MAX) as f64
+}
--- /dev/null
+++ b/crates/load/src/quick_run.rs
@@ -0,0 +1,178 @@
+use super::*;
+use crate::{
+    balancer::Balancer,
+    quick_call::{QuickCall, QuickResult},
+    quick_report::HOT,
+    run::{draw_calls, make_calls},
+};
+use catkinward::http_client::Connections;
+
+/// Places of one plain upstream.
+const PLACES: f64 = 8.0;
+
+/// Mean time that it takes for a call.
+const SERVICE_TIME: Duration = Duration::from_millis(40);
+
+/// Plain upstreams.
+const PLAINS: f64 = 3.0;
+
+/// Calls a second that all of them serve.
+pub(crate) const CAPACITY: f64 = PLAINS * PLACES * 25.0;
+
+/// Runs a scenario of plain calls through routers, then round robin to upstreams of their own.
+///
+/// # Errors
+///
+/// If the experiment itself cannot be run. Broken invariants stand in the report.
+pub async fn run_quick(
+    program: &Path,
+    scenario: &QuickScenario,
+    settings: &RunSettings,
+) -> Result<QuickReport, LoadError> {
+    let mut scenario = scenario.clone();
+    scenario.arrivals = settings.arrivals.unwrap_or(scenario.arrivals);
+    let size = settings.size.fleet();
+    let bare = FleetSize {
+        routers: 0,
+        engines: 0,
+        ..size
+    };
+    let (results, runs) = run_way(program, &scenario, settings, size).await?;
+    let (direct, direct_runs) = run_way(program, &scenario, settings, bare).await?;
+    let mut report = QuickReport {
+        scenario: scenario.name.to_owned(),
+        seed: settings.seed,
+        measures: QuickMeasures::of(&results, &runs, scenario.arrivals),
+        baseline: QuickMeasures::of(&direct, &direct_runs, scenario.arrivals),
+        ..QuickReport::default()
+    };
+    report.judge(&results, &runs);
+    Ok(report)
+}
+
+async fn run_way(
+    program: &Path,
+    scenario: &QuickScenario,
+    settings: &RunSettings,
+    size: FleetSize,
+) -> Result<(Vec<QuickResult>, RunCounts), LoadError> {
+    let fleet_settings = FleetSettings {
+        size,
+        router_flags: settings.router_flags.clone(),
+        plain_flags: vec![
+            format!("--service-us={}", SERVICE_TIME.as_micros()),
+            format!("--capacity={PLACES}"),
+        ],
+        seed: settings.seed,
+        ..FleetSettings::default()
+    };
+    let fleet = Fleet::start(program, &fleet_settings).await?;
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(settings.seed);
+    let calls = draw_quick(scenario, size, &mut random);
+    let start = Instant::now();
+    let (results, (), ()) = tokio::try_join!(
+        make_quick(&fleet, calls, start),
+        inject(&fleet, scenario, start),
+        generate(&fleet, scenario, size, random, start),
+    )?;
+    let mut runs = RunCounts::default();
+    for plain in &fleet.plains {
+        runs.runs
+            .extend(fleet.plain_runs(plain.address()).await?.runs);
+    }
+    Ok((results, runs))
+}
+
+fn draw_quick(
+    scenario: &QuickScenario,
+    size: FleetSize,
+    random: &mut Xoshiro256PlusPlus,
+) -> Vec<QuickCall> {
+    let mut calls = Vec::new();
+    let mut due = Duration::ZERO;
+    loop {
+        let share = due.div_duration_f64(scenario.arrivals);
+        let times = match scenario.burst {
+            Some((from, to, times)) if (from..to).contains(&share) => times,
+            _ => 1.0,
+        };
+        let uniform: f64 = random.random_range(1e-9..1.0);
+        due += Duration::from_secs_f64(-uniform.ln() / (scenario.load * times * CAPACITY));
+        if due > scenario.arrivals {
+            return calls;
+        }
+        let write = random.random_bool(scenario.writes);
+        let hot = !write && random.random_bool(scenario.hot_key);
+        calls.push(QuickCall {
+            due,
+            team: if random.random_bool(scenario.hot_team) {
+                0
+            } else {
+                random.random_range(1..size.teams)
+            },
+            query: if hot {
+                format!("{HOT}1")
+            } else {
+                format!("n={:016x}", random.random::<u64>())
+            },
+            write,
+        });
+    }
+}
+
+async fn make_quick(
+    fleet: &Fleet,
+    calls: Vec<QuickCall>,
+    start: Instant,
+) -> Result<Vec<QuickResult>, LoadError> {
+    let through_router = !fleet.routers.is_empty();
+    let ways = if through_router {
+        &fleet.routers
+    } else {
+        &fleet.plains
+    };
+    let connections = Connections::new()?;
+    let calls = calls.into_iter().enumerate().map(|(i, call)| {
+        let address = ways[i % ways.len()].address();
+        let connections = &connections;
+        async move {
+            tokio::time::sleep_until(start + call.due).await;
+            call.make(connections, address, through_router, start).await
+        }
+    });
+    let calls: futures::stream::FuturesUnordered<_> = calls.collect();
+    Ok(futures::StreamExt::collect(calls).await)
+}
+
+async fn inject(fleet: &Fleet, scenario: &QuickScenario, start: Instant) -> Result<(), LoadError> {
+    for (share, plain, fault) in scenario.faults {
+        tokio::time::sleep_until(start + scenario.arrivals.mul_f64(*share)).await;
+        let hit = |i: usize| plain.is_none_or(|plain| plain == i);
+        for (_, plain) in fleet.plains.iter().enumerate().filter(|(i, _)| hit(*i)) {
+            fleet.fail_plain(plain.address(), *fault).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Runs generations beside the plain calls.
+async fn generate(
+    fleet: &Fleet,
+    scenario: &QuickScenario,
+    size: FleetSize,
+    mut random: Xoshiro256PlusPlus,
+    start: Instant,
+) -> Result<(), LoadError> {
+    if scenario.generations == 0.0 || fleet.routers.is_empty() {
+        return Ok(());
+    }
+    let beside = Scenario {
+        arrivals: scenario.arrivals,
+        generations: scenario.generations,
+        ..Scenario::BASE
+    };
+    let calls = draw_calls(&beside, size, &mut random);
+    let balancer = Balancer::new(fleet.routers.len());
+    make_calls(&beside, fleet, &balancer, calls, start, |_, _| {}).await?;
+    Ok(())
+}
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -87,7 +87,7 @@
 }
 
 /// Draws arrivals at random times, whatever becomes of earlier calls.
-fn draw_calls(
+pub(crate) fn draw_calls(
     scenario: &Scenario,
     size: FleetSize,
     random: &mut Xoshiro256PlusPlus,
@@ -114,7 +114,7 @@
     }
 }
 
-async fn make_calls(
+pub(crate) async fn make_calls(
     scenario: &Scenario,
     fleet: &Fleet,
     balancer: &Balancer,
--- /dev/null
+++ b/crates/load/tests/quick_scenarios.rs
@@ -0,0 +1,49 @@
+//! Short runs of the scenarios of plain calls with real processes.
+
+use catkin_load::{QuickReport, QuickScenario, RunSettings, run_quick};
+use googletest::prelude::*;
+use std::{path::Path, time::Duration};
+
+async fn short_run(name: &str) -> QuickReport {
+    let scenario = QuickScenario::find(name).expect("a scenario");
+    let settings = RunSettings {
+        arrivals: Some(Duration::from_secs(1)),
+        ..RunSettings::default()
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_catkin-load"));
+    run_quick(program, &scenario, &settings)
+        .await
+        .expect("the experiment runs")
+}
+
+/// Twice as many calls arrive as can be served. Some are refused, and those have not run; the
+/// others get the answer to their own request.
+#[gtest]
+#[tokio::test]
+async fn overload() {
+    let report = short_run("overload").await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.measures.refused, gt(0));
+    expect_that!(report.measures.completed, gt(0));
+}
+
+/// Most calls read one item. They share answers, and only reads do.
+#[gtest]
+#[tokio::test]
+async fn hot_key() {
+    let report = short_run("hot-key").await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.measures.completed, gt(0));
+}
+
+/// All upstreams refuse for a while. What callers are told did not run has not.
+#[gtest]
+#[tokio::test]
+async fn brownout() {
+    let report = short_run("brownout").await;
+
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.measures.completed, gt(0));
+}
