--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -44,6 +44,10 @@
     NotReady,
     /// It cannot be served before its deadline.
     Overloaded,
+    /// Upstreams died under this request, and it ends here.
+    Poisoned,
+    /// Upstreams died under the same request before; it was not tried again.
+    PoisonedNotRun,
     /// No copy reaches as far as the returning caller has come.
     ProgressLost,
     /// Another VM has taken the generation over, for its caller who came back there.
@@ -81,6 +85,7 @@
             Self::KeyAbsent | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::ProgressLost => StatusCode::GONE,
             Self::NoSuchPath | Self::NoSuchService => StatusCode::NOT_FOUND,
+            Self::Poisoned | Self::PoisonedNotRun => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
         }
@@ -91,9 +96,11 @@
     pub fn outcome(self) -> caller::Outcome {
         match self {
             Self::AnswerLost | Self::AnswerTooLarge | Self::KeyInUse => caller::Outcome::Unknown,
-            Self::Cancelled | Self::Deadline | Self::ProgressLost | Self::Superseded => {
-                caller::Outcome::Failed
-            }
+            Self::Cancelled
+            | Self::Deadline
+            | Self::Poisoned
+            | Self::ProgressLost
+            | Self::Superseded => caller::Outcome::Failed,
             Self::BodyTooLarge
             | Self::BodyTooSlow
             | Self::Draining
@@ -107,6 +114,7 @@
             | Self::NotClaimed
             | Self::NotReady
             | Self::Overloaded
+            | Self::PoisonedNotRun
             | Self::TeamNotAllowed
             | Self::UnknownKey
             | Self::UpstreamRefused
@@ -151,6 +159,8 @@
             Self::NotClaimed => "the idempotency key could not be claimed in time",
             Self::NotReady => "this VM has no configuration bundle yet",
             Self::Overloaded => "the call cannot be served before its deadline",
+            Self::Poisoned => "upstreams died under this request",
+            Self::PoisonedNotRun => "upstreams died under this same request before",
             Self::ProgressLost => "what was delivered before is not known any more; start anew",
             Self::Superseded => "another VM goes on with this generation",
             Self::TeamNotAllowed => "this team may not call this service",
@@ -178,6 +188,7 @@
             RefusalReason::HotKey => ProblemKind::HotKey,
             RefusalReason::NoUpstream => ProblemKind::NoUpstream,
             RefusalReason::NotClaimed => ProblemKind::NotClaimed,
+            RefusalReason::Poisoned => ProblemKind::PoisonedNotRun,
             RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
             RefusalReason::CallerLeft
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -26,6 +26,8 @@
     NotClaimed,
     /// No upstream may be given work.
     NoUpstream,
+    /// Upstreams died under the same request before.
+    Poisoned,
     /// The queue holds as many requests as it may.
     QueueFull,
     /// The upstream refused it and says that nothing ran.
