--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    operator_border::OperatorBorder, slice_exchange::exchange_slices,
-    upstream_gossip::gossip_upstreams,
+    news::start_news, operator_border::OperatorBorder, slice_exchange::exchange_slices,
+    watchers::share_watching,
 };
 use volo_http::server::Server;
 
@@ -84,12 +84,29 @@
         let admission = kernel.register(ServiceName::Admission, admission)?;
         let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
         let limits = kernel.register(ServiceName::TeamLimits, limits)?;
-        let generations = kernel.register(ServiceName::Generations, Arc::default())?;
-        let peers = start_peers(&settings, &timer, &timeline, &generations)?;
+        let generations: Arc<Generations> =
+            kernel.register(ServiceName::Generations, Arc::default())?;
+        let peers = start_peers(&settings, |entry| PeerParts {
+            entry,
+            key: settings.peer_key.clone(),
+            known: settings.peers.clone(),
+            timer: timer.clone(),
+            timeline: timeline.clone(),
+            generations: generations.clone(),
+            bundle: bundle.clone(),
+        })?;
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
-            gossip_upstreams(peers, &upstreams);
+            start_news(
+                peers,
+                &bundle_watch,
+                &upstreams,
+                platform.as_ref(),
+                &timer,
+                &bundle,
+            );
             exchange_slices(peers, &limits, &timer);
+            share_watching(peers, &upstreams, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
@@ -174,9 +191,7 @@
 
 fn start_peers(
     settings: &Settings,
-    timer: &Arc<Timer>,
-    timeline: &Arc<Timeline>,
-    generations: &Arc<Generations>,
+    parts: impl FnOnce(PeerEntry) -> PeerParts,
 ) -> Result<Option<Arc<Peers>>> {
     let Some(address) = settings.peer_listen else {
         return Ok(None);
@@ -195,17 +210,7 @@
         address: settings.peer_advertise.unwrap_or(bound),
         zone: settings.zone.clone(),
     };
-    let known = settings.peers.clone();
-    let key = settings.peer_key.clone();
-    Ok(Some(Peers::start(
-        listener,
-        entry,
-        key,
-        known,
-        timer,
-        timeline,
-        generations,
-    )))
+    Ok(Some(Peers::start(listener, parts(entry))))
 }
 
 fn new_timeline(settings: &Settings) -> Arc<Timeline> {
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -145,11 +145,12 @@
         }
     }
 
-    /// Processes of upstreams lately known to be leaving, for a peer, sorted; each is told eight
-    /// times.
+    /// Processes of upstreams newly known to be leaving, sorted; each is told once.
     #[must_use]
     pub fn leaving_deltas(&self) -> Vec<(UpstreamId, Incarnation)> {
-        self.known.tell_leaving()
+        let mut deltas = self.known.take_untold();
+        deltas.sort();
+        deltas
     }
 
     /// Processes of upstreams known to be leaving, sorted, as for a peer that has just started.
@@ -170,7 +171,7 @@
         all
     }
 
-    /// Marks of requests that upstreams died under, for a peer; each is told eight times.
+    /// Marks of requests that upstreams died under, new since the last call; less than 1 KB.
     #[must_use]
     pub fn poison_deltas(&self) -> Vec<PoisonMark> {
         let now = self.known.timer.now();
