--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -17,14 +17,14 @@
         ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible,
         EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys,
         HybridClock, IdempotencyKey, Incarnation, Instant, KeptProgress, KeyHash, Lane,
-        LeavingSource, Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, PoisonMark,
-        PoisonRun, PoisonTracker, ProgressHead, ProgressLimits, ProgressRecord, ProgressStore,
-        ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken,
-        RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason, Relay, RequestDigest,
-        RequestId, ReservedAttempt, RetryBudget, ReturnPoint, Service, ServiceId, ServiceKind,
-        StallDetector, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId,
-        UpstreamRecord, UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex,
-        rendezvous_score, subset,
+        LeavingSource, LimitKind, Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable,
+        PoisonMark, PoisonRun, PoisonTracker, ProgressHead, ProgressLimits, ProgressRecord,
+        ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd,
+        ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason, Relay,
+        RequestDigest, RequestId, ReservedAttempt, RetryBudget, ReturnPoint, Service, ServiceId,
+        ServiceKind, SliceGrant, SliceHome, SliceRequest, StallDetector, Team, TeamId, TeamSlice,
+        Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport,
+        Utf8Joiner, VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -87,6 +87,7 @@
     read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
+    team_limits::{SliceAsk, TeamLimits},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
     upstream_handle::UpstreamHandle,
@@ -171,8 +172,10 @@
 mod returning_caller;
 mod service_name;
 mod settings;
+mod team_limits;
 mod timeline;
 mod timer;
+mod upstream_gossip;
 mod upstream_handle;
 mod upstream_state;
 mod upstream_want;
