--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -2,7 +2,7 @@
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
     news::start_news, operator_border::OperatorBorder, slice_exchange::exchange_slices,
-    watchers::share_watching,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -97,6 +97,7 @@
         })?;
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
+            gossip_upstreams(peers, &upstreams);
             start_news(
                 peers,
                 &bundle_watch,
@@ -106,7 +107,6 @@
                 &bundle,
             );
             exchange_slices(peers, &limits, &timer);
-            share_watching(peers, &upstreams, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -145,12 +145,11 @@
         }
     }
 
-    /// Processes of upstreams newly known to be leaving, sorted; each is told once.
+    /// Processes of upstreams lately known to be leaving, for a peer, sorted; each is told eight
+    /// times.
     #[must_use]
     pub fn leaving_deltas(&self) -> Vec<(UpstreamId, Incarnation)> {
-        let mut deltas = self.known.take_untold();
-        deltas.sort();
-        deltas
+        self.known.tell_leaving()
     }
 
     /// Processes of upstreams known to be leaving, sorted, as for a peer that has just started.
@@ -171,7 +170,7 @@
         all
     }
 
-    /// Marks of requests that upstreams died under, new since the last call; less than 1 KB.
+    /// Marks of requests that upstreams died under, for a peer; each is told eight times.
     #[must_use]
     pub fn poison_deltas(&self) -> Vec<PoisonMark> {
         let now = self.known.timer.now();
@@ -188,7 +187,15 @@
     /// Takes such marks from a peer.
     pub fn merge_poison(&self, marks: &[PoisonMark]) {
         let now = self.known.timer.now();
-        self.known.poison.lock().merge(marks, now);
+        let changed = self.known.poison.lock().merge(marks, now);
+        if changed {
+            self.known.news.notify_one();
+        }
+    }
+
+    /// Waits until there is something new for peers.
+    pub(crate) async fn has_news(&self) {
+        self.known.news.notified().await;
     }
 
     /// Sets the VMs, this one among them, that share the watching of suspects on the upstreams of
