Give the probe of a running attempt a head start of 25 ms

Cause: under least wait a second attempt started at once beside the probe, decoded some tokens and was cancelled when the probe was answered a millisecond later. Change: the second attempt starts after 25 ms, or as soon as the probe fails. Ruled out: no head start but cancelling sooner, since the decoding is done by then.

--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -27,6 +27,10 @@
 /// How long a suspected request waits for an upstream that this VM watches.
 const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Time that the probe of a running attempt has before a second attempt starts. A live engine answers
+/// within a round trip of a few milliseconds, and the second attempt would only be cancelled again.
+const HEAD_START: Duration = Duration::from_millis(25);
+
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
@@ -553,6 +557,13 @@
     ) -> Result<Raced, AttemptFault> {
         let mut probe = std::pin::pin!(self.reattached(old));
         let mut second = std::pin::pin!(self.second_attempt(other, order));
+        tokio::select! {
+            probed = &mut probe => return match probed {
+                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
+                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
+            },
+            () = tokio::time::sleep(HEAD_START) => {}
+        }
         tokio::select! {
             probed = &mut probe => match probed {
                 Ok(stream) => Ok(Raced::Old(Box::new(stream))),
