--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    news::start_news, operator_border::OperatorBorder, upstream_gossip::gossip_upstreams,
+    news::start_news, operator_border::OperatorBorder, slice_exchange::exchange_slices,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -105,6 +106,7 @@
                 &timer,
                 &bundle,
             );
+            exchange_slices(peers, &limits, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -39,8 +39,12 @@
     store: Mutex<ProgressStore>,
     generations: Arc<Generations>,
     sent: Arc<AtomicU64>,
+    granter: std::sync::OnceLock<Granter>,
 }
 
+/// Grants a slice of a team's limit.
+type Granter = Box<dyn Fn(&SliceRequest) -> Option<SliceGrant> + Send + Sync>;
+
 /// What the service of the other VMs is made of.
 pub struct PeerParts {
     /// This VM.
@@ -83,6 +87,7 @@
             store: Mutex::new(ProgressStore::new(ProgressLimits::default())),
             generations: parts.generations,
             sent: Arc::default(),
+            granter: std::sync::OnceLock::new(),
         });
         peers.choose_holders();
         tokio::spawn(accept_calls(peers.clone(), listener));
@@ -131,6 +136,40 @@
         self.links.lock().len()
     }
 
+    /// Has `granter` answer peers that ask for slices of teams' limits.
+    pub(crate) fn grant_slices(
+        &self,
+        granter: impl Fn(&SliceRequest) -> Option<SliceGrant> + Send + Sync + 'static,
+    ) {
+        let _ = self.granter.set(Box::new(granter));
+    }
+
+    /// VMs that somebody has heard of lately.
+    pub(crate) fn heard_within(&self, bound: Duration) -> Vec<PeerEntry> {
+        let now = self.timer.now();
+        self.table.lock().heard_within(now, bound)
+    }
+
+    /// Asks a VM; `None` if it is not known or does not answer in time.
+    pub(crate) async fn ask(
+        self: &Arc<Self>,
+        vm: &VmId,
+        question: PeerBody,
+        bound: Duration,
+    ) -> Option<PeerBody> {
+        let peer = self.table.lock().find(vm).cloned()?;
+        let link = self.link(&peer).await.ok()?;
+        match link.ask(question, bound).await {
+            Ok(answer) => Some(answer),
+            Err(fault) => {
+                tracing::debug!(peer = %vm, %fault, "peer did not answer");
+                self.drop_link(vm, link.serial);
+                self.lost(vm);
+                None
+            }
+        }
+    }
+
     /// The open connection to a holder; opens one if there is none.
     pub(crate) async fn link(
         self: &Arc<Self>,
@@ -335,6 +374,7 @@
                 self.hear(&gossip, peer);
                 Some(PeerBody::Gossip(Box::new(self.news())))
             }
+            PeerBody::AskSlices(requests) => Some(self.slices(peer, &requests)),
             PeerBody::Progress(updates) => self.keep(&updates),
             PeerBody::Find(id, next, from) => {
                 let copy = self.copy(&id, &ReturnPoint { next, from });
@@ -351,6 +391,7 @@
             | PeerBody::Hello(_)
             | PeerBody::Welcome(_)
             | PeerBody::Superseded(_)
+            | PeerBody::Slices(_)
             | PeerBody::BundleContent(_)
             | PeerBody::Found(_) => {
                 let name: &str = (&body).into();
@@ -360,6 +401,13 @@
         }
     }
 
+    /// Slices for a peer, which may ask for itself only.
+    fn slices(&self, peer: &VmId, requests: &[SliceRequest]) -> PeerBody {
+        let own = requests.iter().filter(|request| request.vm == *peer);
+        let granter = self.granter.get();
+        PeerBody::Slices(own.filter_map(|request| granter?(request)).collect())
+    }
+
     fn keep(&self, updates: &[ProgressUpdate]) -> Option<PeerBody> {
         let now = self.timer.now();
         let mut store = self.store.lock();
