Releases spread among peers, so that a VM that starts cut off comes to serve

Cause: a VM heard of releases from the table service only. One that started in an outage of the platform served nothing until its end.

Change: each exchange of news carries the version and digest in force, content is fetched from one of the peers that told of it, and a VM tells its neighbours at once when a release comes into force.

--- a/crates/catkinward/src/gossip.rs
+++ b/crates/catkinward/src/gossip.rs
@@ -4,8 +4,8 @@
 /// does no harm.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Gossip {
-    /// Largest bundle version heard of, and its digest.
-    pub bundle: Option<(BundleVersion, Arc<str>)>,
+    /// Release in force on the sender, and its digest.
+    pub bundle: Option<(BundleVersion, BundleDigest)>,
     /// Upstreams that are leaving, by incarnation.
     pub leaving: Vec<(UpstreamId, Incarnation)>,
     /// Some VMs, each with the milliseconds since it was last heard from.
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -99,6 +99,7 @@
 mod bundle_format;
 mod bundle_in_force;
 mod bundle_rows;
+mod bundle_spread;
 mod bundle_store;
 mod bundle_watch;
 mod caller_border;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::{
-    caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    operator_border::OperatorBorder,
+    bundle_spread::spread_bundles, caller_border::CallerBorder, http_server::Listener,
+    metrics_page::start_metrics, operator_border::OperatorBorder,
 };
 use volo_http::server::Server;
 
@@ -82,6 +82,7 @@
         let generations = kernel.register(ServiceName::Generations, Arc::default())?;
         let peers = start_peers(&settings, &timer, &timeline, &generations)?;
         if let Some(peers) = &peers {
+            spread_bundles(peers, &bundle_watch, &bundle);
             kernel.register(ServiceName::Peers, peers.clone())?;
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
--- a/crates/catkinward/src/peer_message.rs
+++ b/crates/catkinward/src/peer_message.rs
@@ -35,6 +35,10 @@
     Find(RequestId),
     /// A copy, if there is one.
     Found(Option<Box<ProgressRecord>>),
+    /// Question for the content of a bundle; answered by [`PeerBody::FoundBundle`].
+    FindBundle(BundleDigest),
+    /// The content, if it is in force on the sender.
+    FoundBundle(Option<Arc<str>>),
     /// A VM has taken over a generation under this attempt; older ones end. Not answered.
     TakenOver(Box<ProgressUpdate>),
 }
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -37,6 +37,8 @@
     holders: ArcSwap<Vec<PeerEntry>>,
     store: Mutex<ProgressStore>,
     generations: Arc<Generations>,
+    /// Whose content peers may ask for.
+    bundle: std::sync::OnceLock<Arc<BundleInForce>>,
     sent: Arc<AtomicU64>,
 }
 
@@ -67,6 +69,7 @@
             holders: ArcSwap::default(),
             store: Mutex::new(ProgressStore::new(ProgressLimits::default())),
             generations: generations.clone(),
+            bundle: std::sync::OnceLock::new(),
             sent: Arc::default(),
         });
         peers.choose_holders();
@@ -252,6 +255,25 @@
         None
     }
 
+    /// Lets peers ask for the content of the bundle in force.
+    pub(crate) fn serve_bundle(&self, bundle: &Arc<BundleInForce>) {
+        self.bundle.get_or_init(|| bundle.clone());
+    }
+
+    /// Asks a peer for the content of a bundle; `None` if it has it no more or does not answer.
+    pub(crate) async fn ask_for_bundle(
+        self: &Arc<Self>,
+        vm: &VmId,
+        digest: BundleDigest,
+    ) -> Option<Bytes> {
+        let peer = self.table.lock().find(vm).cloned()?;
+        let link = self.link(&peer).await.ok()?;
+        match link.ask(PeerBody::FindBundle(digest), ANSWER_BOUND).await {
+            Ok(PeerBody::FoundBundle(found)) => Some(Bytes::copy_from_slice(found?.as_bytes())),
+            _ => None,
+        }
+    }
+
     fn open_link(&self, vm: &VmId) -> Option<Arc<PeerLink>> {
         let links = self.links.lock();
         let i = links.binary_search_by(|(other, _)| other.cmp(vm)).ok()?;
@@ -321,6 +343,10 @@
             }
             PeerBody::Progress(updates) => self.keep(&updates),
             PeerBody::Find(id) => Some(PeerBody::Found(self.copy(&id).map(Box::new))),
+            PeerBody::FindBundle(digest) => {
+                let body = self.bundle.get().and_then(|bundle| bundle.body(digest));
+                Some(PeerBody::FoundBundle(body))
+            }
             PeerBody::TakenOver(update) => {
                 self.take_over(&update);
                 None
@@ -329,7 +355,8 @@
             | PeerBody::Hello(_)
             | PeerBody::Welcome(_)
             | PeerBody::Superseded(_)
-            | PeerBody::Found(_) => {
+            | PeerBody::Found(_)
+            | PeerBody::FoundBundle(_) => {
                 let name: &str = (&body).into();
                 tracing::warn!(%peer, message = name, "peer sent what was not due");
                 None
