--- a/crates/catkinward/src/plain_dispatch.rs
+++ b/crates/catkinward/src/plain_dispatch.rs
@@ -228,7 +228,11 @@
     taken: &[UpstreamId],
 ) -> Option<UpstreamHandle> {
     let avoid = [avoid, taken].concat();
-    upstreams.choose(service, None, &avoid)
+    let want = UpstreamWant {
+        avoid: &avoid,
+        ..UpstreamWant::new(service)
+    };
+    upstreams.choose(&want).ok()
 }
 
 /// The answer of the first of two copies, or else of the other. If both fail, it is known not to
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -1,15 +1,74 @@
 use super::*;
-use crate::upstreams::UpstreamState;
+use crate::{
+    engine_event::AttemptFault,
+    http_client::HttpError,
+    known::Known,
+    upstream_state::{UpstreamState, read_report},
+};
+
+/// Bound of the call that finds out whether an upstream died.
+const DEATH_PROBE_BOUND: Duration = Duration::from_millis(300);
 
 /// One request's hold on an upstream: counted there until it is dropped.
+///
+/// It is made from an [`Eligible`] only, and orders are sent to handles only, so that no work goes
+/// to an upstream that may get none.
 pub struct UpstreamHandle {
+    known: Arc<Known>,
     state: Arc<UpstreamState>,
+    incarnation: Incarnation,
+    /// None for a request that runs there already and is only held.
+    eligible: Option<Eligible>,
+    sent: Instant,
+    asked: AskedReport,
+    run: Option<PoisonRun>,
 }
 
 impl UpstreamHandle {
-    pub(crate) fn new(state: Arc<UpstreamState>) -> Self {
-        state.own.fetch_add(1, Ordering::Relaxed);
-        Self { state }
+    /// A hold for new work.
+    pub(crate) fn new(
+        known: &Arc<Known>,
+        state: &Arc<UpstreamState>,
+        eligible: Eligible,
+        run: Option<PoisonRun>,
+    ) -> Self {
+        let mut handle = Self::held(known, state, eligible.incarnation());
+        handle.eligible = Some(eligible);
+        handle.run = run;
+        handle
+    }
+
+    /// A hold for a request that runs there already.
+    pub(crate) fn held(
+        known: &Arc<Known>,
+        state: &Arc<UpstreamState>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let now = known.timer.now();
+        let mut record = state.record.lock();
+        record.dispatched();
+        Self {
+            known: known.clone(),
+            state: state.clone(),
+            incarnation,
+            eligible: None,
+            sent: now,
+            asked: record.ask(now),
+            run: None,
+        }
+    }
+
+    /// Checks that the upstream may get new work now.
+    ///
+    /// # Errors
+    ///
+    /// If the hold is not for new work, or the proof that the upstream may get it is too old.
+    pub(crate) fn check_eligible(&self) -> Result<(), AttemptFault> {
+        let now = self.known.timer.now();
+        match &self.eligible {
+            Some(eligible) if eligible.holds(now) => Ok(()),
+            _ => Err(AttemptFault::NotEligible),
+        }
     }
 
     /// The upstream's id.
@@ -26,17 +85,127 @@
 
     /// Notes that it failed this request.
     pub fn failed(&self) {
-        self.state.failures.fetch_add(1, Ordering::Relaxed);
+        self.state.record.lock().failed(self.known.timer.now());
+    }
+
+    /// Notes that it has begun to answer.
+    pub fn answered(&self) {
+        let now = self.known.timer.now();
+        let mut record = self.state.record.lock();
+        record.answered(self.incarnation, self.sent, now);
+    }
+
+    /// Takes the load report that came with the reply.
+    pub(crate) fn reported(&self, load: engine::UpstreamLoad) {
+        self.known
+            .reported(&self.state, self.asked, read_report(load));
     }
 
-    /// Notes that it served this request.
+    /// Notes some tokens delivered.
+    pub fn progressed(&self) {
+        if let Some(run) = self.run {
+            self.known.poison.lock().progressed(run);
+        }
+    }
+
+    /// Notes that it served this request to its end.
     pub fn succeeded(&self) {
-        self.state.failures.store(0, Ordering::Relaxed);
+        let now = self.known.timer.now();
+        self.state
+            .record
+            .lock()
+            .evidence
+            .replied(self.incarnation, now);
+        if let Some(run) = self.run {
+            self.known.poison.lock().finished(run);
+        }
+    }
+
+    /// Takes in why the upstream did not take the request, or broke off its answer, and finds out
+    /// whether it died; only a death bears on whether the request is poisoned.
+    ///
+    /// This comes before the handle is dropped: only a request that is still counted as running
+    /// there is known to have been there when the upstream died.
+    pub(crate) async fn lost(&self, fault: &AttemptFault) {
+        match fault {
+            AttemptFault::Refused { kind } => self.refused(*kind),
+            AttemptFault::NotEligible => {}
+            AttemptFault::Http(fault) if fault.never_connected() => {
+                self.failed();
+                // No connection was made, so the request was not there when the upstream died.
+                self.forget_run();
+                self.find_out().await;
+            }
+            AttemptFault::Http(HttpError::Call { .. } | HttpError::Body { .. })
+            | AttemptFault::Broken => {
+                self.failed();
+                self.find_out().await;
+            }
+            _ => self.failed(),
+        }
+    }
+
+    /// Takes in that it refused the request.
+    pub(crate) fn refused(&self, kind: engine::EngineRefusalKind) {
+        if kind == engine::EngineRefusalKind::Leaving {
+            let source = LeavingSource::Refusal;
+            self.known
+                .note_leaving(&self.state, self.incarnation, source);
+        }
+    }
+
+    async fn find_out(&self) {
+        let _probing = self.state.probing.lock().await;
+        let current = self.state.record.lock().evidence.incarnation();
+        if current != Some(self.incarnation) {
+            return;
+        }
+        let asked = self.state.record.lock().ask(self.known.timer.now());
+        let call = HttpCall {
+            address: self.address(),
+            path: "/v1/load".to_owned(),
+            bound: DEATH_PROBE_BOUND,
+            fresh: true,
+            ..HttpCall::default()
+        };
+        match self.known.connections.call_json(call).await {
+            Ok(load) => self.known.reported(&self.state, asked, read_report(load)),
+            Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
+                self.known.died(&self.state, self.incarnation);
+            }
+            Err(fault) => tracing::debug!(upstream = %self.id(), %fault, "no proof of a death"),
+        }
+    }
+
+    fn forget_run(&self) {
+        if let Some(run) = self.run {
+            self.known.poison.lock().left(run);
+        }
     }
 }
 
 impl Drop for UpstreamHandle {
     fn drop(&mut self) {
-        self.state.own.fetch_sub(1, Ordering::Relaxed);
+        self.state.record.lock().finished();
+        self.forget_run();
     }
 }
+
+/// Whether the network, not the upstream, is to blame.
+fn is_unreachable(error: &(dyn std::error::Error + 'static)) -> bool {
+    matches!(
+        io_kind(error),
+        Some(
+            io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::NetworkDown
+                | io::ErrorKind::TimedOut
+        )
+    )
+}
+
+fn io_kind(error: &(dyn std::error::Error + 'static)) -> Option<io::ErrorKind> {
+    std::iter::successors(Some(error), |error| error.source())
+        .find_map(|error| error.downcast_ref::<io::Error>())
+        .map(io::Error::kind)
+}
