--- a/crates/catkinward/src/plain_claim.rs
+++ b/crates/catkinward/src/plain_claim.rs
@@ -41,6 +41,10 @@
         };
         match verdict {
             ClaimVerdict::Claimed(claimed) => {
+                self.node.timeline.record(Event {
+                    request: Some(call.id.clone()),
+                    ..Event::new(EventKind::Claimed)
+                });
                 self.dispatch_claimed(claims, claimed.with(call)).await
             }
             ClaimVerdict::Done(ClaimOutcome::Answered(answer)) => replay(&claims, answer).await,
@@ -89,6 +93,7 @@
         };
         let (call, held) = claimed.dispatch();
         let options = self.options(&call, true);
+        self.record(EventKind::Dispatched, &call, place.id());
         let dispatched = Queued::new(call).dispatch();
         let connections = &self.node.connections;
         match send(connections, &mut place, dispatched.request(), options).await {
--- a/crates/catkinward/src/plain_dispatch.rs
+++ b/crates/catkinward/src/plain_dispatch.rs
@@ -27,6 +27,7 @@
         let (queued, mut place) = self.admitted(call).await?;
         let options = self.options(queued.request(), true);
         let dispatched = queued.dispatch();
+        self.record(EventKind::Dispatched, dispatched.request(), place.id());
         let connections = &self.node.connections;
         match send(connections, &mut place, dispatched.request(), options).await {
             Ok(answer) => Ok(answer),
@@ -70,6 +71,14 @@
         unreachable!("the loop ends by returning")
     }
 
+    pub(crate) fn record(&self, kind: EventKind, call: &PlainCall, upstream: &UpstreamId) {
+        self.node.timeline.record(Event {
+            request: Some(call.id.clone()),
+            upstream: Some(upstream.clone()),
+            ..Event::new(kind)
+        });
+    }
+
     async fn admitted(&self, call: PlainCall) -> Result<(Queued<PlainCall>, Place), Problem> {
         let queued = Queued::new(call);
         let waiting = match self
@@ -94,6 +103,7 @@
         avoid: &mut Vec<UpstreamId>,
     ) -> Result<PlainAnswer, SendFault> {
         let start = self.pool.timer.now();
+        self.record(EventKind::Dispatched, call, place.id());
         let connections = &self.node.connections;
         let options = SendOptions {
             // Leaves time for a second try: a kept connection may have gone silent for good.
@@ -111,6 +121,7 @@
             return self.observed(start, answer);
         };
         avoid.push(second_place.id().clone());
+        self.record(EventKind::Dispatched, call, second_place.id());
         let mut second = pin!(send(
             connections,
             &mut second_place,
