catkin-load run racing-operators: two operators at once, lost answers, time until in force

Cause: how soon a release is in force was only worked out, and races ran against fakes only.

Change: a run with real routers in which two operators roll out at the same moment, again and again, while answers of the table service are lost; the routers' time lines tell when each version came into force and whether any went back.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -25,6 +25,12 @@
 /// Name under which [`control_cost`] is run; it has no load and no faults.
 const CONTROL_COST: &str = "control-cost";
 
+/// Name under which [`racing_operators`] is run; it has no load.
+const RACING_OPERATORS: &str = "racing-operators";
+
+/// Races of a run of [`racing_operators`].
+const RACES: u64 = 20;
+
 /// Runs the command line of `catkin-load`, without the program's name.
 #[must_use]
 pub fn run_command(args: Vec<OsString>) -> ExitCode {
@@ -51,6 +57,7 @@
                 println!("{:28} {}", scenario.name, scenario.about);
             }
             println!("{CONTROL_COST:28} slopes of what control costs a node");
+            println!("{RACING_OPERATORS:28} two operators roll out at once, answers are lost");
             Ok(ExitCode::SUCCESS)
         }
         Some("run") => run(&Flags::read(args)?),
@@ -137,6 +144,9 @@
         println!("{}", to_json(&control_cost(&program).await?));
         return Ok(ExitCode::SUCCESS);
     }
+    if flags.operand(0)? == RACING_OPERATORS {
+        return race(flags).await;
+    }
     let scenario = Scenario::find(flags.operand(0)?)?;
     let report = run_with_bar(&scenario, flags, &flags.settings).await?;
     if !flags.json {
@@ -152,6 +162,22 @@
     })
 }
 
+async fn race(flags: &Flags) -> Result<ExitCode, LoadError> {
+    let settings = OperatorsSettings {
+        seed: flags.settings.seed,
+        routers: flags.relay.routers,
+        races: RACES,
+    };
+    let program = std::env::current_exe()?;
+    let report = racing_operators(&program, &settings).await?;
+    println!("{}", to_json(&report));
+    Ok(if report.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 async fn run_with_bar(
     scenario: &Scenario,
     flags: &Flags,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -44,6 +44,7 @@
     percentiles::Percentiles,
     process::{Process, Role, run_process},
     process_usage::ProcessUsage,
+    racing_operators::{OperatorsReport, OperatorsSettings, racing_operators},
     relay_bench::{RelayReport, RelaySettings, bench_relay},
     report::Report,
     run::{RunSettings, run_scenario},
@@ -64,6 +65,7 @@
 mod percentiles;
 mod process;
 mod process_usage;
+mod racing_operators;
 mod relay_bench;
 mod report;
 mod run;
--- /dev/null
+++ b/crates/load/src/racing_operators.rs
@@ -0,0 +1,280 @@
+use super::*;
+use catkin_border::{
+    operator::TimelineReply,
+    platform::{PlatformFaults, PlatformStats},
+};
+use catkin_decisions::{BundleAuthor, BundleRefusal, BundleVersion, DraftId, KeyHash};
+use catkin_standins::PlatformServer;
+use catkinward::{
+    BundleStore, BundleStoreSettings, HybridTime, Platform, PlatformSettings, Timer,
+    http_client::{Connections, HttpCall},
+};
+use http::{HeaderMap, header};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// What a run of racing operators showed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct OperatorsReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Routers, which know each other.
+    pub routers: usize,
+    /// Pairs of operators that rolled out at the same moment.
+    pub races: u64,
+    /// Answers of the table service that were lost.
+    pub answers_lost: u64,
+    /// From the call that rolled a bundle out until a router had it in force.
+    pub bundle_in_force_ms: Percentiles,
+    /// Times that a router went back to an older bundle.
+    pub bundle_reverts: usize,
+    /// Reads of the table service a second, over all routers and operators.
+    pub platform_reads_per_s: f64,
+    /// Transactions a second.
+    pub platform_writes_per_s: f64,
+    /// What must hold and did not.
+    pub violations: Vec<String>,
+}
+
+/// Settings of the run.
+#[derive(Clone, Debug)]
+pub struct OperatorsSettings {
+    /// Seed of faults and pauses.
+    pub seed: u64,
+    /// Routers.
+    pub routers: usize,
+    /// Races.
+    pub races: u64,
+}
+
+const KEY: &str = "operator-key";
+
+/// Routers that all others are told of at their start.
+const FIRST_KNOWN: usize = 3;
+
+/// Longest wait until the last router has the last bundle in force.
+const LAST_BOUND: Duration = Duration::from_secs(10);
+
+/// Two operators roll out at the same moment, again and again, while answers of the table service
+/// are lost; routers are watched through their time lines.
+///
+/// # Errors
+///
+/// If the processes do not start, or the platform does not answer.
+pub async fn racing_operators(
+    program: &Path,
+    cfg: &OperatorsSettings,
+) -> Result<OperatorsReport, LoadError> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformServer::start(any, PlatformFaults::default()).await?;
+    let routers = start_routers(program, platform.address(), cfg.routers).await?;
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(cfg.seed);
+    let mut report = OperatorsReport {
+        seed: cfg.seed,
+        routers: cfg.routers,
+        races: cfg.races,
+        ..OperatorsReport::default()
+    };
+    let store = bundle_store(platform.address())?;
+    let start = Instant::now();
+    let before = platform.stats();
+    let mut rolled_out = Vec::new();
+    for version in 1..=cfg.races {
+        let lost = rng.random_range(0..3);
+        rolled_out.push(race(&store, &platform, version, lost, &mut report).await?);
+        // Releases as far apart as the routers' reads, at no fixed phase to them.
+        tokio::time::sleep(Duration::from_millis(rng.random_range(1_000..2_000))).await;
+    }
+    let timelines = timelines(&routers, cfg.races).await?;
+    report.count_platform(&before, &platform.stats(), start.elapsed());
+    report.count_in_force(&rolled_out, &timelines);
+    Ok(report)
+}
+
+async fn start_routers(
+    program: &Path,
+    platform: SocketAddr,
+    count: usize,
+) -> Result<Vec<Process>, LoadError> {
+    let mut routers = Vec::new();
+    let mut known = Vec::new();
+    for i in 0..count {
+        let args = [
+            "--listen=127.0.0.1:0".to_owned(),
+            "--operator-listen=127.0.0.1:0".to_owned(),
+            format!("--operator-key-sha256={}", KeyHash::of(KEY)),
+            format!("--platform={platform}"),
+            "--peer-listen=127.0.0.1:0".to_owned(),
+            "--peer-key=secret".to_owned(),
+            format!("--peers={}", known.join(",")),
+            format!("--vm=vm-{i}"),
+            format!("--zone=zone-{}", i % 3),
+            "--log=error".to_owned(),
+        ];
+        let router = Process::start(program, Role::Router, &args).await?;
+        if let Some(address) = router.other_address("peers").filter(|_| i < FIRST_KNOWN) {
+            known.push(format!("vm-{i}={address}@zone-{}", i % 3));
+        }
+        routers.push(router);
+    }
+    Ok(routers)
+}
+
+fn bundle_store(platform: SocketAddr) -> Result<BundleStore, LoadError> {
+    let connections = Arc::new(Connections::new()?);
+    let cfg = PlatformSettings::default();
+    let platform = Platform::over_http(connections, Timer::start(), platform, cfg);
+    Ok(BundleStore::new(
+        Arc::new(platform),
+        BundleStoreSettings::default(),
+    ))
+}
+
+/// Two drafts over one version are rolled out at once; `lost` answers are lost meanwhile. Returns
+/// when the calls began.
+async fn race(
+    store: &BundleStore,
+    platform: &PlatformServer,
+    version: u64,
+    lost: u32,
+    report: &mut OperatorsReport,
+) -> Result<Duration, LoadError> {
+    let one = signed_off(store, version * 2, "ada", "bea").await?;
+    let two = signed_off(store, version * 2 + 1, "bea", "ada").await?;
+    platform.fault(&PlatformFaults {
+        lose_answers: Some(lost),
+        ..PlatformFaults::default()
+    });
+    let began = wall();
+    let outcomes = tokio::join!(
+        store.roll_out(&one, author("ada")),
+        store.roll_out(&two, author("bea")),
+    );
+    let winner = match outcomes {
+        (Ok(won), Err(lost)) => Some(("ada", won.made, lost)),
+        (Err(lost), Ok(won)) => Some(("bea", won.made, lost)),
+        _ => None,
+    };
+    match winner {
+        Some((by, made, refused)) if made == BundleVersion(version) => {
+            let expected = BundleRefusal::Overtaken {
+                by: author(by).operator,
+                version: made,
+            };
+            if refused.to_string() != expected.to_string() {
+                report.violate(format!("version {version}: the loser was told `{refused}`"));
+            }
+        }
+        _ => report.violate(format!(
+            "version {version}: not exactly one operator won it"
+        )),
+    }
+    Ok(began)
+}
+
+async fn signed_off(
+    store: &BundleStore,
+    weight: u64,
+    proposer: &str,
+    signer: &str,
+) -> Result<DraftId, LoadError> {
+    let key = KeyHash::of("caller-key");
+    let json = format!(
+        r#"{{"teams": [{{"name": "counter", "key_sha256": "{key}", "weight": {weight}}}],
+            "services": [], "upstreams": []}}"#
+    );
+    let draft = store.propose(&json, author(proposer)).await?.made;
+    let signed_off = store.sign_off(&draft.id, draft.digest, author(signer));
+    Ok(signed_off.await?.made.id)
+}
+
+fn author(operator: &str) -> BundleAuthor {
+    let change = format!("{:08x}", rand::random::<u32>());
+    BundleAuthor {
+        operator: operator.parse().expect("a valid name"),
+        change: change.parse().expect("digits are visible ASCII"),
+        at: wall().as_secs(),
+    }
+}
+
+fn wall() -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default()
+}
+
+/// The routers' time lines, once each has the last version in force.
+async fn timelines(routers: &[Process], last: u64) -> Result<Vec<TimelineReply>, LoadError> {
+    let connections = Connections::new()?;
+    let mut headers = HeaderMap::new();
+    let bearer = header::HeaderValue::from_static("Bearer operator-key");
+    headers.insert(header::AUTHORIZATION, bearer);
+    let end = Instant::now() + LAST_BOUND;
+    let mut replies = Vec::new();
+    for router in routers {
+        let role = Role::Router;
+        let operators = router.other_address("operators");
+        let address = operators.ok_or(LoadError::NotListening { role })?;
+        loop {
+            let call = HttpCall {
+                address,
+                path: "/v1/timeline".to_owned(),
+                headers: headers.clone(),
+                ..HttpCall::default()
+            };
+            let reply: TimelineReply = connections.call_json(call).await?;
+            let there = reply.events.iter().any(|event| event.bundle == Some(last));
+            if there || Instant::now() > end {
+                replies.push(reply);
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(replies)
+}
+
+impl OperatorsReport {
+    fn violate(&mut self, violation: String) {
+        self.violations.push(violation);
+    }
+
+    fn count_platform(&mut self, before: &PlatformStats, after: &PlatformStats, time: Duration) {
+        let per_second = |calls: u64| {
+            let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+            f64::from(calls) / time.as_secs_f64()
+        };
+        self.answers_lost = after.answers_lost - before.answers_lost;
+        self.platform_reads_per_s = per_second(after.reads - before.reads);
+        self.platform_writes_per_s = per_second(after.writes - before.writes);
+    }
+
+    fn count_in_force(&mut self, rolled_out: &[Duration], timelines: &[TimelineReply]) {
+        let mut times = Vec::new();
+        for timeline in timelines {
+            let mut last = 0;
+            for event in &timeline.events {
+                let Some(version) = event.bundle else {
+                    continue;
+                };
+                if version <= last {
+                    self.bundle_reverts += 1;
+                }
+                last = version;
+                let began = usize::try_from(version - 1).ok();
+                let began = began.and_then(|i| rolled_out.get(i));
+                if let (Some(began), Ok(time)) = (began, event.time.parse::<HybridTime>()) {
+                    times.push(Duration::from_micros(time.micros).saturating_sub(*began));
+                }
+            }
+            if last != self.races {
+                self.violate(format!(
+                    "{}: version {last} is in force at the end",
+                    timeline.vm
+                ));
+            }
+        }
+        if self.bundle_reverts > 0 {
+            self.violate("a router went back to an older bundle".to_owned());
+        }
+        self.bundle_in_force_ms = Percentiles::of(times);
+    }
+}
