--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -56,6 +56,9 @@
             for scenario in SCENARIOS {
                 println!("{:28} {}", scenario.name, scenario.about);
             }
+            for scenario in QUICK_SCENARIOS {
+                println!("{:28} {}", scenario.name, scenario.about);
+            }
             println!("{CONTROL_COST:28} slopes of what control costs a node");
             println!("{RACING_OPERATORS:28} two operators roll out at once, answers are lost");
             Ok(ExitCode::SUCCESS)
@@ -147,19 +150,28 @@
     if flags.operand(0)? == RACING_OPERATORS {
         return race(flags).await;
     }
+    if let Some(scenario) = QuickScenario::find(flags.operand(0)?) {
+        let program = std::env::current_exe()?;
+        let report = run_quick(&program, &scenario, &flags.settings).await?;
+        return Ok(print_verdict(&report, &report.violations, flags.json));
+    }
     let scenario = Scenario::find(flags.operand(0)?)?;
     let report = run_with_bar(&scenario, flags, &flags.settings).await?;
-    if !flags.json {
-        for violation in &report.violations {
+    Ok(print_verdict(&report, &report.violations, flags.json))
+}
+
+fn print_verdict(report: &impl Serialize, violations: &[String], json: bool) -> ExitCode {
+    if !json {
+        for violation in violations {
             println!("violation: {violation}");
         }
     }
-    println!("{}", to_json(&report));
-    Ok(if report.violations.is_empty() {
+    println!("{}", to_json(report));
+    if violations.is_empty() {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
-    })
+    }
 }
 
 async fn race(flags: &Flags) -> Result<ExitCode, LoadError> {
@@ -170,12 +182,7 @@
     };
     let program = std::env::current_exe()?;
     let report = racing_operators(&program, &settings).await?;
-    println!("{}", to_json(&report));
-    Ok(if report.violations.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    Ok(print_verdict(&report, &report.violations, flags.json))
 }
 
 async fn run_with_bar(
