--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -25,6 +25,12 @@
 /// Name under which [`control_cost`] is run; it has no load and no faults.
 const CONTROL_COST: &str = "control-cost";
 
+/// Name under which [`racing_operators`] is run; it has no load.
+const RACING_OPERATORS: &str = "racing-operators";
+
+/// Races of a run of [`racing_operators`].
+const RACES: u64 = 20;
+
 /// Runs the command line of `catkin-load`, without the program's name.
 #[must_use]
 pub fn run_command(args: Vec<OsString>) -> ExitCode {
@@ -54,6 +60,7 @@
                 println!("{:28} {}", scenario.name, scenario.about);
             }
             println!("{CONTROL_COST:28} slopes of what control costs a node");
+            println!("{RACING_OPERATORS:28} two operators roll out at once, answers are lost");
             Ok(ExitCode::SUCCESS)
         }
         Some("run") => run(&Flags::read(args)?),
@@ -140,6 +147,9 @@
         println!("{}", to_json(&control_cost(&program).await?));
         return Ok(ExitCode::SUCCESS);
     }
+    if flags.operand(0)? == RACING_OPERATORS {
+        return race(flags).await;
+    }
     if let Some(scenario) = QuickScenario::find(flags.operand(0)?) {
         let program = std::env::current_exe()?;
         let report = run_quick(&program, &scenario, &flags.settings).await?;
@@ -164,6 +174,17 @@
     }
 }
 
+async fn race(flags: &Flags) -> Result<ExitCode, LoadError> {
+    let settings = OperatorsSettings {
+        seed: flags.settings.seed,
+        routers: flags.relay.routers,
+        races: RACES,
+    };
+    let program = std::env::current_exe()?;
+    let report = racing_operators(&program, &settings).await?;
+    Ok(print_verdict(&report, &report.violations, flags.json))
+}
+
 async fn run_with_bar(
     scenario: &Scenario,
     flags: &Flags,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -47,6 +47,7 @@
     quick_report::{QuickMeasures, QuickReport},
     quick_run::run_quick,
     quick_scenario::{QUICK_SCENARIOS, QuickScenario},
+    racing_operators::{OperatorsReport, OperatorsSettings, racing_operators},
     relay_bench::{RelayReport, RelaySettings, bench_relay},
     report::Report,
     run::{RunSettings, run_scenario},
@@ -71,6 +72,7 @@
 mod quick_report;
 mod quick_run;
 mod quick_scenario;
+mod racing_operators;
 mod relay_bench;
 mod report;
 mod run;
