--- a/crates/catkinward/tests/bundle_watch.rs
+++ b/crates/catkinward/tests/bundle_watch.rs
@@ -202,3 +202,19 @@
     expect_that!(vm.watch.in_force(), some(eq((BundleVersion(2), digest))));
     expect_that!(vm.bundle.body(digest), some(anything()));
 }
+
+/// Messages with an older bundle, and with another one of the same version, come late. Taken in,
+/// they would undo a rollout on this VM.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn bundle_in_force_only_moves_to_larger_versions() {
+    let vm = vm(None);
+
+    let moved = [(5, "five"), (5, "another"), (4, "four"), (6, "six")].map(|(version, team)| {
+        let read = read_bundle(BundleVersion(version), &body(team)).expect("a valid bundle");
+        vm.bundle.advance(read)
+    });
+
+    expect_that!(moved, eq([true, false, false, true]));
+    expect_that!(vm.bundle.current().teams[0].id.as_str(), eq("six"));
+}
