--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    news::start_news, operator_border::OperatorBorder,
+    news::start_news, operator_border::OperatorBorder, slice_exchange::exchange_slices,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -29,6 +30,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Queues and places of all services.
     pub admission: Arc<Admission>,
+    /// Slices of the teams' limits.
+    pub limits: Arc<TeamLimits>,
     /// Generations under way.
     pub generations: Arc<Generations>,
     /// The other VMs, if this one takes calls of peers.
@@ -79,6 +82,8 @@
         let sharers = settings.entry_vms;
         let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
         let admission = kernel.register(ServiceName::Admission, admission)?;
+        let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
+        let limits = kernel.register(ServiceName::TeamLimits, limits)?;
         let generations: Arc<Generations> =
             kernel.register(ServiceName::Generations, Arc::default())?;
         let peers = start_peers(&settings, |entry| PeerParts {
@@ -92,6 +97,7 @@
         })?;
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
+            gossip_upstreams(peers, &upstreams);
             start_news(
                 peers,
                 &bundle_watch,
@@ -100,6 +106,7 @@
                 &timer,
                 &bundle,
             );
+            exchange_slices(peers, &limits, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
@@ -114,6 +121,7 @@
             claims,
             upstreams,
             admission,
+            limits,
             generations,
             peers,
             drain,
--- a/crates/catkinward/src/peer_message.rs
+++ b/crates/catkinward/src/peer_message.rs
@@ -33,6 +33,10 @@
     /// another VM has taken one over, else not at all.
     #[serde(rename = "p")]
     Progress(Vec<ProgressUpdate>),
+    /// Question for slices of teams' limits; answered by [`PeerBody::Slices`].
+    AskSlices(Vec<SliceRequest>),
+    /// Slices granted.
+    Slices(Vec<SliceGrant>),
     /// Chains that another VM has taken over, each with the attempt that it goes on with.
     Superseded(Vec<(RequestId, ChainId, Attempt)>),
     /// Question for the best copy for a caller who has come so far, and from that chain; answered
