--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -61,8 +61,8 @@
 /// Bound of a control call.
 const CONTROL_BOUND: Duration = Duration::from_secs(2);
 
-/// How long routers may take to become ready.
-const READY_BOUND: Duration = Duration::from_secs(10);
+/// How long routers may take to become ready and to know each other.
+const READY_BOUND: Duration = Duration::from_secs(40);
 
 impl Fleet {
     /// Starts all processes and waits until the routers are ready.
