--- /dev/null
+++ b/crates/catkinward/src/agreement.rs
@@ -0,0 +1,70 @@
+//! Start of the services that agree on something or keep it through the platform.
+
+use super::*;
+use catkin_decisions::{LeaseHolder, LeaseSettings, OrderSettings};
+
+/// Longest wait at the end of the process for ends of claims that are not recorded yet, and for
+/// leases to be given back. In an outage of the platform a VM that is to be replaced must not wait
+/// for its end.
+const STOP_BOUND: Duration = Duration::from_secs(10);
+
+/// Scope of the lease under which expired claims are swept.
+const SWEEP_SCOPE: &str = "claims-sweep";
+
+/// What the services of agreement are made of.
+pub(crate) struct AgreementParts {
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) timer: Arc<Timer>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) connections: Arc<Connections>,
+    pub(crate) bundle: Arc<BundleInForce>,
+}
+
+/// Starts claims, leases and orders, and returns the claims.
+pub(crate) fn start_agreement(
+    kernel: &Kernel,
+    settings: &Settings,
+    parts: AgreementParts,
+) -> Result<Arc<Claims>> {
+    let AgreementParts {
+        platform,
+        timer,
+        timeline,
+        connections,
+        bundle,
+    } = parts;
+    let me = LeaseHolder {
+        vm: settings.vm.clone(),
+        incarnation: Incarnation(rand::random::<u64>() >> 1),
+    };
+    let claims = Claims::start(
+        platform.clone(),
+        timer.clone(),
+        me.vm.clone(),
+        me.incarnation,
+        ClaimSettings::default(),
+    );
+    let leases = Leases::start(platform, timer.clone(), me, LeaseSettings::default());
+    let orders = Orders::start(
+        leases.clone(),
+        timer,
+        timeline,
+        connections,
+        bundle,
+        settings.orders,
+        OrderSettings::default(),
+    );
+    let sweep_lease = leases.compete(SWEEP_SCOPE);
+    let sweep = claims.clone().sweep(move || sweep_lease.held().is_some());
+    tokio::spawn(sweep);
+    kernel.register(ServiceName::Leases, leases.clone())?;
+    kernel.register(ServiceName::Orders, orders)?;
+    let stopped = claims.clone();
+    kernel.on_stop(move || async move {
+        let stop = async { tokio::join!(stopped.flush(), leases.give_back()) };
+        if tokio::time::timeout(STOP_BOUND, stop).await.is_err() {
+            tracing::warn!("ended with claims whose outcome is not recorded, or leases held");
+        }
+    });
+    kernel.register(ServiceName::Claims, claims)
+}
--- /dev/null
+++ b/crates/catkinward/src/engine_orders.rs
@@ -0,0 +1,131 @@
+//! Orders to engines over HTTP, and the states read back.
+
+use super::*;
+use crate::http_client::{HttpError, json_bytes};
+use catkin_decisions::{EngineReport, EngineState, OrderPermit};
+
+/// Bound of a read of an engine's state.
+const READ_BOUND: Duration = Duration::from_millis(800);
+
+/// Why an order may have had no effect.
+#[derive(Debug, Display, StdError, From)]
+pub(crate) enum OrderFault {
+    /// The engine did not answer in time.
+    #[display("{_0}")]
+    Call(HttpError),
+    /// The engine refused it.
+    #[display("the engine refused: {_0}")]
+    #[from(skip)]
+    Refused(#[error(not(source))] engine::EngineRefusalKind),
+    /// The engine knows a larger term.
+    #[display("the engine knows term {_0}")]
+    #[from(skip)]
+    StaleTerm(#[error(not(source))] Term),
+    /// Its refusal cannot be read.
+    #[display("the engine's refusal cannot be read")]
+    #[from(skip)]
+    Form,
+}
+
+/// Client for orders.
+pub(crate) struct EngineOrders {
+    connections: Arc<Connections>,
+    timer: Arc<Timer>,
+    vm: VmId,
+}
+
+impl EngineOrders {
+    pub(crate) fn new(connections: Arc<Connections>, timer: Arc<Timer>, vm: VmId) -> Self {
+        Self {
+            connections,
+            timer,
+            vm,
+        }
+    }
+
+    /// The state of an engine, if it answers.
+    pub(crate) async fn report(&self, upstream: &Upstream) -> Option<(UpstreamId, EngineReport)> {
+        let at = self.timer.now();
+        let call = HttpCall {
+            address: upstream.address,
+            path: "/v1/load".to_owned(),
+            bound: READ_BOUND,
+            ..HttpCall::default()
+        };
+        let load: engine::UpstreamLoad = self.connections.call_json(call).await.ok()?;
+        Some((upstream.id.clone(), engine_report(at, load)))
+    }
+
+    /// Gives an order. It takes the permit: each one is for one order.
+    pub(crate) async fn order(
+        &self,
+        upstream: &Upstream,
+        permit: OrderPermit,
+        state: &EngineState,
+    ) -> Result<(), OrderFault> {
+        let order = engine::EngineOrder {
+            holder: self.vm.to_string(),
+            models: state.models.iter().map(border_model).collect(),
+            role: engine::EngineRole::Serve,
+            term: permit.term().0,
+        };
+        let call = HttpCall {
+            address: upstream.address,
+            method: Method::POST,
+            path: "/v1/orders".to_owned(),
+            body: json_bytes(&order),
+            bound: permit.until().since(self.timer.now()),
+            fresh: true,
+            ..HttpCall::default()
+        };
+        let (status, body) = self.connections.call_whole(call).await?;
+        if status.is_success() {
+            return Ok(());
+        }
+        let refusal = serde_json::from_slice::<engine::EngineRefusal>(&body);
+        let refusal = refusal.map_err(|_| OrderFault::Form)?;
+        Err(match (refusal.kind, refusal.highest_term) {
+            (engine::EngineRefusalKind::StaleTerm, Some(term)) => OrderFault::StaleTerm(Term(term)),
+            (kind, _) => OrderFault::Refused(kind),
+        })
+    }
+}
+
+fn engine_report(at: Instant, load: engine::UpstreamLoad) -> EngineReport {
+    let mut loaded = load
+        .models
+        .iter()
+        // An engine that doesn't say how many streams run may run some.
+        .map(|entry| (decided_model(entry), entry.streams.unwrap_or(1)))
+        .collect::<Vec<_>>();
+    loaded.sort();
+    let loading = load.loading.map(|list| {
+        let mut models = list.models.iter().map(decided_model).collect::<Vec<_>>();
+        models.sort();
+        models
+    });
+    EngineReport {
+        at,
+        loaded,
+        loading,
+        serves: load.role.unwrap_or(engine::EngineRole::Serve) == engine::EngineRole::Serve,
+        highest_term: Term(load.highest_term.unwrap_or(0)),
+    }
+}
+
+fn decided_model(entry: &engine::LoadedModel) -> Model {
+    Model {
+        name: entry.model.as_str().into(),
+        version: entry.version.as_str().into(),
+        adapter: entry.adapter.as_deref().map(Into::into),
+    }
+}
+
+fn border_model(model: &Model) -> engine::LoadedModel {
+    engine::LoadedModel {
+        adapter: model.adapter.as_deref().map(ToOwned::to_owned),
+        model: model.name.to_string(),
+        streams: None,
+        version: model.version.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/lease_row.rs
@@ -0,0 +1,39 @@
+//! Rows of the table `leases`.
+
+use super::*;
+use catkin_border::rows;
+use catkin_decisions::{LeaseHolder, LeaseRecord, LeaseRow};
+
+/// Table of leases.
+pub(crate) const LEASES: &str = "leases";
+
+/// The lease in a row.
+pub(crate) fn lease_row(row: &platform_border::Row) -> LeaseRow {
+    LeaseRow {
+        version: row.version,
+        record: read_record(&row.value),
+    }
+}
+
+/// The value of a lease's row.
+pub(crate) fn lease_value(record: &LeaseRecord) -> String {
+    let row = rows::LeaseRow {
+        duration_ms: u64::try_from(record.duration.as_millis()).unwrap_or(u64::MAX),
+        holder: record.holder.vm.to_string(),
+        incarnation: record.holder.incarnation.0,
+        term: record.term.0,
+    };
+    serde_json::to_string(&row).expect("border types have text keys only")
+}
+
+fn read_record(value: &str) -> Option<LeaseRecord> {
+    let row = serde_json::from_str::<rows::LeaseRow>(value).ok()?;
+    Some(LeaseRecord {
+        holder: LeaseHolder {
+            vm: row.holder.parse().ok()?,
+            incarnation: Incarnation(row.incarnation),
+        },
+        term: Term(row.term),
+        duration: Duration::from_millis(row.duration_ms),
+    })
+}
--- /dev/null
+++ b/crates/catkinward/src/leases.rs
@@ -0,0 +1,272 @@
+use super::*;
+use crate::lease_row::{LEASES, lease_row, lease_value};
+use catkin_decisions::{
+    Lease, LeaseAnswer, LeaseHolder, LeaseSettings, LeaseStep, LeaseWrite, OrderPermit,
+    rendezvous_rank,
+};
+
+/// Wait after a call of the table service that brought no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// VMs that compete for a scope. With all of 400 nodes at 17 scopes, reads of the rows alone would be
+/// more than the table service does; three outlive any two deaths at once.
+const CANDIDATES: usize = 3;
+
+/// How often the platform's list is looked at for who competes.
+const CANDIDATES_PERIOD: Duration = Duration::from_secs(10);
+
+/// The leases service: for each scope that this VM competes for, a task that takes and renews its
+/// lease.
+pub struct Leases {
+    platform: Arc<Platform>,
+    timer: Arc<Timer>,
+    me: LeaseHolder,
+    cfg: LeaseSettings,
+    handles: Mutex<Vec<Arc<LeaseHandle>>>,
+    /// Routers that the platform lists as live; empty if it doesn't say.
+    routers: Mutex<Vec<VmId>>,
+}
+
+/// A lease that this VM competes for.
+pub struct LeaseHandle {
+    scope: Arc<str>,
+    platform: Arc<Platform>,
+    timer: Arc<Timer>,
+    lease: Mutex<Lease>,
+    /// Held during a call for the lease's row, so that answers are taken in the order of their calls.
+    calling: tokio::sync::Mutex<()>,
+    woken: Notify,
+    ended: AtomicBool,
+}
+
+/// Why no order may be given.
+#[derive(Clone, Debug, Display, PartialEq, StdError)]
+pub enum NoPermit {
+    /// The lease's row cannot be read, so another VM may have taken it.
+    #[display("the lease cannot be confirmed: {_0}")]
+    Unconfirmed(PlatformFault),
+    /// This VM does not hold the lease, or not for long enough.
+    #[display("the lease is not held")]
+    NotHeld,
+}
+
+impl Leases {
+    /// Starts the service; it competes for no lease yet.
+    pub fn start(
+        platform: Arc<Platform>,
+        timer: Arc<Timer>,
+        me: LeaseHolder,
+        cfg: LeaseSettings,
+    ) -> Arc<Self> {
+        let leases = Arc::new(Self {
+            platform,
+            timer,
+            me,
+            cfg,
+            handles: Mutex::default(),
+            routers: Mutex::default(),
+        });
+        tokio::spawn(follow_routers(leases.clone()));
+        leases
+    }
+
+    /// Competes for the lease of a scope from now on, while this VM is among its candidates.
+    pub fn compete(&self, scope: &str) -> Arc<LeaseHandle> {
+        let mut handles = self.handles.lock();
+        let place = handles.binary_search_by(|handle| handle.scope.as_ref().cmp(scope));
+        match place {
+            Ok(i) => handles[i].clone(),
+            Err(i) => {
+                let handle = Arc::new(LeaseHandle {
+                    scope: scope.into(),
+                    platform: self.platform.clone(),
+                    timer: self.timer.clone(),
+                    lease: Mutex::new(Lease::new(self.me.clone(), self.cfg)),
+                    calling: tokio::sync::Mutex::default(),
+                    woken: Notify::new(),
+                    ended: AtomicBool::new(false),
+                });
+                handle.want(self.is_candidate(scope));
+                handles.insert(i, handle.clone());
+                tokio::spawn(handle.clone().run());
+                handle
+            }
+        }
+    }
+
+    /// Competes for the lease of a scope no more; a lease that is held lapses.
+    pub fn leave(&self, scope: &str) {
+        let mut handles = self.handles.lock();
+        let place = handles.binary_search_by(|handle| handle.scope.as_ref().cmp(scope));
+        if let Ok(i) = place {
+            let handle = handles.remove(i);
+            handle.ended.store(true, Ordering::Relaxed);
+            handle.woken.notify_one();
+        }
+    }
+
+    /// Whether this VM is among the first of the listed routers and itself for a scope. It counts
+    /// itself in, so that VMs that have all been replaced need not wait for the list.
+    fn is_candidate(&self, scope: &str) -> bool {
+        let mut vms = self.routers.lock().clone();
+        if vms.is_empty() {
+            return true;
+        }
+        if !vms.contains(&self.me.vm) {
+            vms.push(self.me.vm.clone());
+        }
+        let ranked = rendezvous_rank(scope, vms, ToString::to_string);
+        ranked[..CANDIDATES.min(ranked.len())].contains(&self.me.vm)
+    }
+
+    async fn look_at_routers(&self) {
+        let Ok(vms) = (self.platform.vms)(()).await else {
+            return;
+        };
+        let routers = vms
+            .iter()
+            .filter(|vm| vm.kind == platform_border::VmKind::Router)
+            .filter(|vm| vm.state == platform_border::VmState::Live)
+            .filter_map(|vm| vm.id.parse().ok());
+        *self.routers.lock() = routers.collect();
+        for handle in self.handles.lock().clone() {
+            handle.want(self.is_candidate(&handle.scope));
+        }
+    }
+
+    /// Gives all leases back, so that another VM need not wait them out.
+    pub async fn give_back(&self) {
+        let handles = std::mem::take(&mut *self.handles.lock());
+        futures::future::join_all(handles.iter().map(|handle| handle.give_back())).await;
+    }
+}
+
+impl LeaseHandle {
+    /// The term held, if the lease has not lapsed.
+    #[must_use]
+    pub fn held(&self) -> Option<Term> {
+        self.lease.lock().held(self.timer.now())
+    }
+
+    /// Has the term rise above one that an engine knows.
+    pub fn exceed(&self, term: Term) {
+        self.lease.lock().exceed(term);
+        self.woken.notify_one();
+    }
+
+    /// Right to give one order, after a look at the lease's row.
+    ///
+    /// # Errors
+    ///
+    /// If the row cannot be read, or another VM has the lease.
+    pub async fn permit(&self) -> Result<OrderPermit, NoPermit> {
+        if self.held().is_none() {
+            return Err(NoPermit::NotHeld);
+        }
+        let _calling = self.calling.lock().await;
+        self.read().await.map_err(NoPermit::Unconfirmed)?;
+        let permit = self.lease.lock().permit(self.timer.now());
+        permit.ok_or(NoPermit::NotHeld)
+    }
+
+    fn want(&self, wanted: bool) {
+        self.lease.lock().want(wanted);
+    }
+
+    async fn run(self: Arc<Self>) {
+        while !self.ended.load(Ordering::Relaxed) {
+            let wait = self.step().await;
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = self.woken.notified() => {}
+            }
+        }
+    }
+
+    /// Does what is to be done now, and returns how long there is nothing more.
+    async fn step(&self) -> Duration {
+        let _calling = self.calling.lock().await;
+        let step = self.lease.lock().step(self.timer.now());
+        let done = match step {
+            LeaseStep::Wait(wait) => return wait,
+            LeaseStep::Read => self.read().await,
+            LeaseStep::Write(write) => self.write(write).await,
+        };
+        match done {
+            Ok(()) => Duration::ZERO,
+            Err(fault) => {
+                tracing::debug!(scope = %self.scope, %fault, "lease not settled");
+                RETRY_PAUSE
+            }
+        }
+    }
+
+    async fn give_back(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.woken.notify_one();
+        let _calling = self.calling.lock().await;
+        let step = {
+            let mut lease = self.lease.lock();
+            lease.want(false);
+            lease.step(self.timer.now())
+        };
+        if let LeaseStep::Write(write) = step {
+            // Lost or refused, the lease lapses by itself.
+            let _ = self.write(write).await;
+        }
+    }
+
+    async fn read(&self) -> Result<(), PlatformFault> {
+        let key = platform_border::RowKey {
+            key: self.scope.to_string(),
+            table: LEASES.to_owned(),
+        };
+        let rows = (self.platform.read)(vec![key]).await?;
+        let row = rows.first().map(lease_row).unwrap_or_default();
+        self.lease.lock().read(self.timer.now(), row);
+        Ok(())
+    }
+
+    async fn write(&self, write: LeaseWrite) -> Result<(), PlatformFault> {
+        let sent = self.timer.now();
+        let reply = (self.platform.transact)(self.transaction(&write)).await;
+        let (answer, fault) = match reply {
+            Ok(reply) if reply.committed => (LeaseAnswer::Written, None),
+            Ok(reply) => {
+                let row = reply.conflicts.first().map(lease_row);
+                (LeaseAnswer::Conflict(row.unwrap_or_default()), None)
+            }
+            Err(fault @ PlatformFault::Unknown) => (LeaseAnswer::Unknown, Some(fault)),
+            Err(fault) => (LeaseAnswer::NotRun, Some(fault)),
+        };
+        self.lease
+            .lock()
+            .written(sent, self.timer.now(), write, answer);
+        fault.map_or(Ok(()), Err)
+    }
+
+    fn transaction(&self, write: &LeaseWrite) -> platform_border::TransactRequest {
+        platform_border::TransactRequest {
+            conditions: vec![platform_border::Condition {
+                key: self.scope.to_string(),
+                table: LEASES.to_owned(),
+                version: write.expected,
+            }],
+            writes: vec![platform_border::Write {
+                key: self.scope.to_string(),
+                table: LEASES.to_owned(),
+                value: Some(lease_value(&write.record)),
+            }],
+        }
+    }
+}
+
+async fn follow_routers(leases: Arc<Leases>) {
+    let mut ticks = leases.timer.subscribe(CANDIDATES_PERIOD);
+    loop {
+        leases.look_at_routers().await;
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -62,8 +62,10 @@
     generations::Generations,
     gossip::{Gossip, GossipSources},
     kernel::Kernel,
+    leases::{LeaseHandle, Leases, NoPermit},
     logging::start_logging,
     node::Node,
+    orders::{OrderRight, Orders},
     peer_fault::PeerFault,
     peer_key::PeerKey,
     peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
@@ -81,6 +83,7 @@
 /// The outcome of anything here that can fail.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+mod agreement;
 mod attempt_stream;
 mod bundle_format;
 mod bundle_in_force;
@@ -94,6 +97,7 @@
 mod drain;
 mod engine_client;
 mod engine_event;
+mod engine_orders;
 mod error;
 mod event;
 mod event_stream;
@@ -107,8 +111,11 @@
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
+mod lease_row;
+mod leases;
 mod logging;
 mod node;
+mod orders;
 mod peer_fault;
 mod peer_handshake;
 mod peer_key;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,5 +1,10 @@
 use super::*;
-use crate::{bundle_format::read_bundle, caller_border::CallerBorder, http_server::Listener};
+use crate::{
+    agreement::{AgreementParts, start_agreement},
+    bundle_format::read_bundle,
+    caller_border::CallerBorder,
+    http_server::Listener,
+};
 use volo_http::server::Server;
 
 /// A router with all its services, and quick ways to those that every request needs.
@@ -61,7 +66,16 @@
             bundle.advance(read_bundle_file(path)?);
         }
         let claims = match &platform {
-            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            Some(platform) => {
+                let parts = AgreementParts {
+                    platform: platform.clone(),
+                    timer: timer.clone(),
+                    timeline: timeline.clone(),
+                    connections: connections.clone(),
+                    bundle: bundle.clone(),
+                };
+                Some(start_agreement(&kernel, &settings, parts)?)
+            }
             None => None,
         };
         let upstreams = Upstreams::start(&timer, &connections, &bundle);
@@ -175,33 +189,6 @@
     ))
 }
 
-/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
-/// of the platform a VM that is to be replaced must not wait for it.
-const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
-
-fn start_claims(
-    kernel: &Kernel,
-    platform: &Arc<Platform>,
-    timer: &Arc<Timer>,
-    settings: &Settings,
-) -> Result<Arc<Claims>> {
-    let claims = Claims::start(
-        platform.clone(),
-        timer.clone(),
-        settings.vm.clone(),
-        Incarnation(rand::random::<u64>() >> 1),
-        ClaimSettings::default(),
-    );
-    let stopped = claims.clone();
-    kernel.on_stop(move || async move {
-        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
-        if flushed.is_err() {
-            tracing::warn!("ended with claims whose outcome is not recorded");
-        }
-    });
-    kernel.register(ServiceName::Claims, claims)
-}
-
 fn read_bundle_file(path: &std::path::Path) -> Result<Bundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -22,6 +22,10 @@
     Platform,
     /// The other VMs.
     Peers,
+    /// Leases that this VM competes for.
+    Leases,
+    /// Orders to engines.
+    Orders,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -22,6 +22,8 @@
     pub peer_key: PeerKey,
     /// VMs to begin with, besides those of the platform's list.
     pub peers: Vec<PeerEntry>,
+    /// Which upstreams this VM may give orders to.
+    pub orders: OrderRight,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
@@ -42,6 +44,7 @@
             zone: "zone-1".parse().expect("a valid name"),
             bundle_file: None,
             platform: None,
+            orders: OrderRight::default(),
             peer_listen: None,
             peer_advertise: None,
             peer_key: PeerKey::default(),
@@ -84,6 +87,8 @@
   --peer-advertise ADDRESS  where other VMs reach this one, if not at --peer-listen
   --peer-key TEXT           secret that all VMs share; better given as a variable
   --peers LIST              VMs to begin with, as VM=ADDRESS@ZONE, separated by commas
+  --orders WHICH            upstreams that this VM may order: all, checked (those that check who
+                            orders) or none [all]
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
@@ -167,6 +172,7 @@
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
             }
+            "orders" => self.orders = parse(flag, "all, checked or none", value)?,
             "platform" => {
                 self.platform = Some(parse(flag, "an IP address and port", value)?);
             }
@@ -185,6 +191,7 @@
     "drain-grace-ms",
     "listen",
     "log",
+    "orders",
     "platform",
     "peer-advertise",
     "peer-key",
--- a/crates/catkinward/tests/settings.rs
+++ b/crates/catkinward/tests/settings.rs
@@ -99,6 +99,7 @@
         "--zone",
         "--bundle-file",
         "--platform",
+        "--orders",
         "--check",
         "--version",
     ] {
--- a/crates/decisions/src/lease.rs
+++ b/crates/decisions/src/lease.rs
@@ -206,16 +206,18 @@
         if let Some(term) = self.held(now) {
             return self.step_of_holder(now, term);
         }
+        if !self.wanted {
+            return LeaseStep::Wait(self.cfg.read_period);
+        }
         let lapses = self.lapses(seen);
-        if self.wanted && lapses <= now {
+        if lapses <= now {
             return self.write(self.next_term(), self.cfg.duration);
         }
         let read = looked.after(self.cfg.read_period);
         if read <= now {
             return LeaseStep::Read;
         }
-        let next = if self.wanted { read.min(lapses) } else { read };
-        LeaseStep::Wait(next.since(now))
+        LeaseStep::Wait(read.min(lapses).since(now))
     }
 
     fn step_of_holder(&self, now: Instant, term: Term) -> LeaseStep {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -41,6 +41,7 @@
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     eligible::Eligible,
+    engine_report::EngineReport,
     error::Error,
     failed_call::FailedCall,
     finish::Finish,
@@ -59,6 +60,8 @@
     },
     leaving_source::LeavingSource,
     model::Model,
+    order_planner::{EngineState, OrderPlanner, OrderSettings},
+    order_scope::{EngineGoal, OrderScope, order_scopes},
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -82,6 +85,7 @@
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    serving_model::serving_model,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
@@ -118,6 +122,7 @@
 mod drop_reason;
 mod dropped_counts;
 mod eligible;
+mod engine_report;
 mod error;
 mod failed_call;
 mod finish;
@@ -133,6 +138,8 @@
 mod lease;
 mod leaving_source;
 mod model;
+mod order_planner;
+mod order_scope;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
@@ -156,6 +163,7 @@
 mod service;
 mod service_id;
 mod service_kind;
+mod serving_model;
 mod subset;
 mod suspicion;
 mod team;
--- /dev/null
+++ b/crates/decisions/tests/orders.rs
@@ -0,0 +1,443 @@
+//! Orders to engines: a rollout keeps serving, keeps what runs resumable, and spares the weight store.
+
+use catkin_decisions::{
+    AvailabilityZone, EngineGoal, EngineReport, EngineState, Instant, Model, OrderPlanner,
+    OrderSettings, Term, UpstreamId, serving_model,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const LOAD_MS: u64 = 20_000;
+
+fn model(version: &str) -> Model {
+    Model {
+        name: "ticket".into(),
+        version: version.into(),
+        adapter: None,
+    }
+}
+
+fn engine_id(i: usize) -> UpstreamId {
+    format!("engine-{i}").parse().expect("a valid id")
+}
+
+fn zone(i: usize) -> AvailabilityZone {
+    format!("zone-{}", i / 2).parse().expect("a valid name")
+}
+
+/// Engines that carry out orders: loading takes 20 s, and giving a model up is at once.
+struct World {
+    now: u64,
+    goals: Vec<EngineGoal>,
+    engines: Vec<Engine>,
+    planner: OrderPlanner,
+    most_loading: usize,
+    fewest_serving: usize,
+}
+
+struct Engine {
+    loaded: Vec<(Model, u32)>,
+    loading: Vec<(Model, u64)>,
+    says_loading: bool,
+    reached: bool,
+    refuses: bool,
+    report: EngineReport,
+}
+
+impl World {
+    fn new(engines: usize, cfg: OrderSettings) -> Self {
+        let mut world = Self {
+            now: 0,
+            goals: Vec::new(),
+            engines: (0..engines).map(|_| Engine::new()).collect(),
+            planner: OrderPlanner::new(cfg),
+            most_loading: 0,
+            fewest_serving: engines,
+        };
+        world.want("1");
+        world
+    }
+
+    fn want(&mut self, version: &str) {
+        let goal = |i| EngineGoal {
+            upstream: engine_id(i),
+            zone: zone(i),
+            models: vec![model(version)],
+        };
+        self.goals = (0..self.engines.len()).map(goal).collect();
+    }
+
+    fn instant(&self) -> Instant {
+        Instant(Duration::from_millis(self.now))
+    }
+
+    /// A second passes: the engines report, and are ordered what the planner says.
+    fn second(&mut self) {
+        self.now += 1000;
+        let (now, instant) = (self.now, self.instant());
+        for engine in &mut self.engines {
+            engine.pass(now);
+            if engine.reached {
+                engine.report = engine.report_at(instant);
+            }
+        }
+        for state in self.plan() {
+            self.planner.sent(instant, &state);
+            self.obey(&state);
+        }
+        let loading = self.engines.iter().filter(|e| !e.loading.is_empty());
+        self.most_loading = self.most_loading.max(loading.count());
+        let serving = self.engines.iter().filter(|e| !e.loaded.is_empty());
+        self.fewest_serving = self.fewest_serving.min(serving.count());
+    }
+
+    fn plan(&mut self) -> Vec<EngineState> {
+        let reports = self.engines.iter().enumerate();
+        let reports = reports.map(|(i, engine)| (engine_id(i), engine.report.clone()));
+        let reports = reports.collect::<Vec<_>>();
+        self.planner.plan(self.instant(), &self.goals, &reports)
+    }
+
+    fn obey(&mut self, state: &EngineState) {
+        let (now, id) = (self.now, &state.upstream);
+        let i = (0..self.engines.len()).find(|i| engine_id(*i) == *id);
+        let engine = &mut self.engines[i.expect("an engine")];
+        if engine.refuses {
+            self.planner.refused(id);
+        } else {
+            engine.obey(now, &state.models);
+        }
+    }
+
+    fn seconds(&mut self, seconds: usize) {
+        (0..seconds).for_each(|_| self.second());
+    }
+
+    /// Indices of the engines that hold a version.
+    fn holders(&self, version: &str) -> Vec<usize> {
+        let held = |i: &usize| self.engines[*i].report.has(&model(version));
+        (0..self.engines.len()).filter(held).collect()
+    }
+
+    fn zones_holding(&self, version: &str) -> usize {
+        let mut zones = self
+            .holders(version)
+            .into_iter()
+            .map(zone)
+            .collect::<Vec<_>>();
+        zones.sort();
+        zones.dedup();
+        zones.len()
+    }
+
+    fn set_streams(&mut self, i: usize, version: &str, streams: u32) {
+        let wanted = model(version);
+        for (_, count) in self.engines[i]
+            .loaded
+            .iter_mut()
+            .filter(|(m, _)| *m == wanted)
+        {
+            *count = streams;
+        }
+    }
+}
+
+impl Engine {
+    fn new() -> Self {
+        let loaded = vec![(model("1"), 0)];
+        Self {
+            report: EngineReport {
+                at: Instant::default(),
+                loaded: loaded.clone(),
+                loading: None,
+                serves: true,
+                highest_term: Term(0),
+            },
+            loaded,
+            loading: Vec::new(),
+            says_loading: true,
+            reached: true,
+            refuses: false,
+        }
+    }
+
+    fn pass(&mut self, now: u64) {
+        let (ready, loading) = std::mem::take(&mut self.loading)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(_, at)| *at <= now);
+        self.loading = loading;
+        self.loaded.extend(ready.into_iter().map(|(m, _)| (m, 0)));
+        self.loaded.sort();
+    }
+
+    fn obey(&mut self, now: u64, models: &[Model]) {
+        self.loaded.retain(|(model, _)| models.contains(model));
+        self.loading.retain(|(model, _)| models.contains(model));
+        for model in models {
+            let known = self.loaded.iter().any(|(m, _)| m == model)
+                || self.loading.iter().any(|(m, _)| m == model);
+            if !known {
+                self.loading.push((model.clone(), now + LOAD_MS));
+            }
+        }
+    }
+
+    fn report_at(&self, at: Instant) -> EngineReport {
+        let loading = self.loading.iter().map(|(model, _)| model.clone());
+        EngineReport {
+            at,
+            loaded: self.loaded.clone(),
+            loading: self.says_loading.then(|| loading.collect()),
+            serves: true,
+            highest_term: Term(0),
+        }
+    }
+}
+
+#[gtest]
+fn nothing_is_ordered_where_all_is_as_wanted() {
+    let mut world = World::new(3, OrderSettings::default());
+    world.second();
+
+    expect_that!(world.plan(), is_empty());
+}
+
+/// A new version is rolled out to six engines. If they all loaded at once, no engine would serve
+/// for as long, and the weight store would be asked for six copies in one moment.
+#[gtest]
+fn a_rollout_loads_few_engines_at_once_and_keeps_serving() {
+    for says_loading in [true, false] {
+        let mut world = World::new(6, OrderSettings::default());
+        for engine in &mut world.engines {
+            engine.says_loading = says_loading;
+        }
+        world.want("2");
+
+        world.seconds(6 * 22 + 30);
+
+        expect_that!(world.holders("2").len(), eq(6));
+        expect_that!(world.holders("1"), is_empty());
+        expect_that!(world.most_loading, eq(1));
+        expect_that!(world.fewest_serving, eq(6));
+    }
+}
+
+/// The weight store would allow more loads at once than there are engines. One engine still is left
+/// out each time, to serve.
+#[gtest]
+fn never_all_replicas_load_at_once() {
+    let mut world = World::new(
+        3,
+        OrderSettings {
+            loads_at_once: 10,
+            ..OrderSettings::default()
+        },
+    );
+    world.want("2");
+
+    world.seconds(70);
+
+    expect_that!(world.most_loading, eq(2));
+    expect_that!(world.holders("2").len(), eq(3));
+}
+
+#[gtest]
+fn a_single_engine_loads_too() {
+    let mut world = World::new(1, OrderSettings::default());
+    world.want("2");
+
+    world.seconds(60);
+
+    expect_that!(world.holders("2"), eq(&[0]));
+}
+
+/// A long generation runs on the old version while the new one is rolled out. If that version were
+/// gone everywhere else, the generation could not go on when its engine dies.
+#[gtest]
+fn an_old_version_in_use_stays_on_two_engines_in_two_zones() {
+    let mut world = World::new(6, OrderSettings::default());
+    world.set_streams(0, "1", 1);
+    world.want("2");
+
+    world.seconds(6 * 22 + 100);
+    let in_use = (world.holders("1"), world.zones_holding("1"));
+    world.set_streams(0, "1", 0);
+    world.seconds(10);
+    let quiet_for_10_s = world.holders("1").len();
+    world.seconds(10);
+
+    expect_that!(in_use.0.len(), eq(2));
+    expect_that!(in_use.0, contains(eq(&0)));
+    expect_that!(in_use.1, eq(2));
+    expect_that!(quiet_for_10_s, eq(2));
+    expect_that!(world.holders("1"), is_empty());
+}
+
+/// Generations run on the old version on three engines. None of them may give it up under a stream.
+#[gtest]
+fn an_old_version_stays_wherever_it_runs() {
+    let mut world = World::new(6, OrderSettings::default());
+    for i in [0, 3, 5] {
+        world.set_streams(i, "1", 2);
+    }
+    world.want("2");
+
+    world.seconds(6 * 22 + 100);
+
+    expect_that!(world.holders("1"), eq(&[0, 3, 5]));
+}
+
+/// One of the two engines that keep an old version in use restarts without it. A second copy is
+/// loaded elsewhere, or the next death would end the generation.
+#[gtest]
+fn a_lost_copy_of_an_old_version_in_use_is_replaced() {
+    let mut world = World::new(6, OrderSettings::default());
+    world.set_streams(4, "1", 1);
+    world.want("2");
+    world.seconds(6 * 22 + 100);
+    let other = world.holders("1").into_iter().find(|i| *i != 4);
+    let other = other.expect("two keep it");
+    world.engines[other]
+        .loaded
+        .retain(|(m, _)| *m != model("1"));
+
+    world.seconds(30);
+
+    expect_that!(world.holders("1").len(), eq(2));
+    expect_that!(world.zones_holding("1"), eq(2));
+}
+
+/// An engine cannot be asked, and may run streams on the old version.
+#[gtest]
+fn an_old_version_on_an_engine_out_of_reach_counts_as_in_use() {
+    let mut world = World::new(4, OrderSettings::default());
+    world.seconds(1);
+    world.engines[3].reached = false;
+    world.want("2");
+
+    world.seconds(4 * 22 + 60);
+
+    expect_that!(world.holders("2"), eq(&[0, 1, 2]));
+    expect_that!(world.zones_holding("1"), ge(2));
+}
+
+/// A former holder of the lease, paused for long, wakes up and orders an engine that ignores terms
+/// back to the old version. The state read back differs, and the holder orders it again.
+#[gtest]
+fn a_state_changed_by_a_stale_order_is_corrected() {
+    let mut world = World::new(3, OrderSettings::default());
+    world.want("2");
+    world.seconds(120);
+    world.obey(&EngineState {
+        upstream: engine_id(1),
+        models: vec![model("1")],
+    });
+
+    world.seconds(60);
+
+    expect_that!(world.holders("2").len(), eq(3));
+    expect_that!(world.holders("1"), is_empty());
+}
+
+/// An engine that doesn't report loads refuses its orders, since this VM may not give it any. The
+/// others must not wait until its load, which never began, has timed out.
+#[gtest]
+fn a_refused_order_holds_up_no_other_engine() {
+    let mut world = World::new(3, OrderSettings::default());
+    world.engines[0].says_loading = false;
+    world.engines[0].refuses = true;
+    world.want("2");
+
+    world.seconds(60);
+
+    expect_that!(world.holders("2"), eq(&[1, 2]));
+}
+
+/// An order is lost on its way.
+#[gtest]
+fn a_lost_order_is_sent_again() {
+    let mut world = World::new(1, OrderSettings::default());
+    world.want("2");
+    world.second();
+    world.engines[0].loading.clear();
+
+    world.seconds(30);
+
+    expect_that!(world.holders("2"), eq(&[0]));
+}
+
+/// A version is rolled out to four engines; requests come all the while. Each gets a version that
+/// some engine holds, and the first engine with the new one is not flooded.
+#[gtest]
+fn new_requests_move_over_with_the_engines() {
+    let (old, new) = ([model("1")], [model("2")]);
+    let share = |ready: usize| {
+        let engines = (0..4).map(|i| if i < ready { &new[..] } else { &old[..] });
+        let engines = engines.collect::<Vec<_>>();
+        let picks = (0..400).filter(|n| serving_model(&model("2"), &engines, *n) == model("2"));
+        picks.count()
+    };
+
+    let shares = [0, 1, 2, 4].map(share);
+
+    expect_that!(shares, eq([0, 100, 200, 400]));
+    expect_that!(serving_model(&model("2"), &[], 7), eq(&model("2")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Bundles change, streams come and go, engines restart empty or go out of reach, orders are
+    /// lost, old orders arrive late, and the lease changes hands. In the end every engine holds what
+    /// the last bundle wants, and no more; on the way an old version with a stream on it stays where
+    /// the stream is.
+    #[test]
+    fn the_last_bundle_wins(
+        steps in prop::collection::vec((0_u8..9, 0_usize..4, 0_u32..3), 0..60),
+    ) {
+        let mut world = World::new(4, OrderSettings::default());
+        let mut version = "1";
+
+        for (action, i, pick) in steps {
+            match action {
+                0 => {
+                    version = ["1", "2", "3"][i % 3];
+                    world.want(version);
+                }
+                1 => world.set_streams(i, ["1", "2", "3"][i % 3], pick),
+                2 => {
+                    world.engines[i].loaded.clear();
+                    world.engines[i].loading.clear();
+                }
+                3 => world.engines[i].reached = !world.engines[i].reached,
+                4 => world.engines[i].loading.clear(),
+                5 => world.planner = OrderPlanner::new(OrderSettings::default()),
+                6 => {
+                    let now = world.now;
+                    world.engines[i].obey(now, &[model(["1", "2", "3"][pick as usize])]);
+                }
+                _ => {
+                    let before = world.engines.iter().map(|e| e.loaded.clone());
+                    let before = before.collect::<Vec<_>>();
+                    world.seconds(pick as usize + 1);
+                    for (engine, before) in world.engines.iter().zip(before) {
+                        let running = before.iter().filter(|(_, streams)| *streams > 0);
+                        for (model, _) in running {
+                            prop_assert!(engine.loaded.iter().any(|(m, _)| m == model));
+                        }
+                    }
+                }
+            }
+        }
+        for i in 0..4 {
+            world.engines[i].reached = true;
+            world.engines[i].loaded.iter_mut().for_each(|(_, streams)| *streams = 0);
+        }
+        world.seconds(300);
+
+        for engine in &world.engines {
+            prop_assert_eq!(&engine.loaded, &vec![(model(version), 0)]);
+        }
+    }
+}
--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -77,6 +77,14 @@
             lexopt::Arg::Long("prefix-cache") => {
                 settings.prefix_cache = number("prefix-cache", parser)?;
             }
+            lexopt::Arg::Long("load-model-us") => {
+                settings.load_time = micros("load-model-us", parser)?;
+            }
+            lexopt::Arg::Long("ignore-fencing") => settings.enforces_fencing = false,
+            lexopt::Arg::Long("orderer") => {
+                let vm = parser.value()?.to_string_lossy().into_owned();
+                settings.orderers.push(vm.into());
+            }
             lexopt::Arg::Long("load-lag-us") => settings.load_lag = micros("load-lag-us", parser)?,
             lexopt::Arg::Long("seed") => settings.seed = number("seed", parser)?,
             _ => return Err(arg.unexpected().into()),
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -62,6 +62,25 @@
             .for_each(|s| s.cancel());
     }
 
+    /// Cancels all attempts on a model version that is no longer loaded.
+    pub(crate) fn cancel_model(&self, model: &str, version: &str) {
+        self.sequences
+            .lock()
+            .iter()
+            .filter(|s| s.order.model == model && s.order.version == version)
+            .for_each(|s| s.cancel());
+    }
+
+    /// Unfinished sequences on a model version.
+    pub(crate) fn streams(&self, model: &str, version: &str) -> usize {
+        self.sequences
+            .lock()
+            .iter()
+            .filter(|s| s.order.model == model && s.order.version == version)
+            .filter(|s| s.state.lock().finish.is_none())
+            .count()
+    }
+
     /// Sequences being decoded, and sequences that wait for a place.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let unfinished = self
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::{
     engine_batch::EngineBatch,
+    engine_models::EngineModels,
     killable_listener::KillableListener,
     query::{malformed, query_number, query_value},
     sequence::{Sequence, write_event},
@@ -22,6 +23,7 @@
     settings: EngineSettings,
     incarnation: u64,
     batch: Arc<EngineBatch>,
+    models: EngineModels,
     leaving: AtomicBool,
     reported: Mutex<Option<(tokio::time::Instant, engine::UpstreamLoad)>>,
     killed: CancellationToken,
@@ -52,6 +54,7 @@
             inner: Arc::new(Inner {
                 address: listener.local_addr()?,
                 batch: Arc::new(EngineBatch::new(settings.clone())),
+                models: EngineModels::new(settings.clone()),
                 settings,
                 incarnation: rand::random::<u64>() >> 1,
                 leaving: AtomicBool::new(false),
@@ -130,11 +133,7 @@
         if self.inner.leaving.load(Ordering::Relaxed) {
             return refusal(engine::EngineRefusalKind::Leaving);
         }
-        let models = &self.inner.settings.models;
-        if !models
-            .iter()
-            .any(|(model, version)| **model == order.model && **version == order.version)
-        {
+        if !self.inner.models.is_loaded(&order.model, &order.version) {
             return refusal(engine::EngineRefusalKind::ModelNotLoaded);
         }
         let from = u32::try_from(order.prefix.len()).unwrap_or(u32::MAX);
@@ -176,20 +175,67 @@
     fn load_now(&self) -> engine::UpstreamLoad {
         let (running, waiting) = self.inner.batch.counts();
         let (decoded, prefilled) = self.work();
+        let (loaded, loading) = self.inner.models.lists();
         engine::UpstreamLoad {
             capacity: count(self.inner.settings.capacity),
             decoded_tokens: Some(decoded),
-            highest_term: None,
+            highest_term: self.inner.models.highest_term(),
             incarnation: self.inner.incarnation,
             leaving: self.inner.leaving.load(Ordering::Relaxed),
-            models: self.inner.settings.models.iter().map(loaded).collect(),
+            loading: Some(engine::ModelList { models: loading }),
+            models: loaded.into_iter().map(|m| self.with_streams(m)).collect(),
             prefilled_tokens: Some(prefilled),
-            role: Some(engine::EngineRole::Serve),
+            role: Some(self.inner.models.role()),
             running: count(running),
             waiting: count(waiting),
         }
     }
 
+    fn with_streams(&self, model: engine::LoadedModel) -> engine::LoadedModel {
+        let streams = self.inner.batch.streams(&model.model, &model.version);
+        engine::LoadedModel {
+            streams: Some(count(streams)),
+            ..model
+        }
+    }
+
+    /// Models that are loaded.
+    #[must_use]
+    pub fn loaded_models(&self) -> Vec<engine::LoadedModel> {
+        self.inner.models.lists().0
+    }
+
+    /// Orders that this engine has had.
+    #[must_use]
+    pub fn order_counts(&self) -> engine::OrderCounts {
+        self.inner.models.counts()
+    }
+
+    /// Takes an order past all faults, as one that was long under way.
+    ///
+    /// # Errors
+    ///
+    /// If the engine refuses it.
+    pub fn take_order(&self, order: engine::EngineOrder) -> Result<(), engine::EngineRefusalKind> {
+        for model in self.inner.models.order(order)? {
+            self.inner.batch.cancel_model(&model.model, &model.version);
+        }
+        Ok(())
+    }
+
+    async fn order(&self, req: Request) -> Response {
+        let Ok(body) = req.into_body().into_bytes().await else {
+            return refusal(engine::EngineRefusalKind::Malformed);
+        };
+        let Ok(order) = serde_json::from_slice(&body) else {
+            return refusal(engine::EngineRefusalKind::Malformed);
+        };
+        match self.take_order(order) {
+            Ok(()) => Response::new(Body::empty()),
+            Err(kind) => refusal_of_order(kind, self.inner.models.highest_term()),
+        }
+    }
+
     fn take_fault(&self, req: &Request) -> Response {
         let Some(fault) = query_value(req, "kind").and_then(|kind| kind.parse().ok()) else {
             return malformed();
@@ -238,6 +284,8 @@
         Ok(match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/generate") => self.generate(req).await,
             (&Method::GET, "/v1/load") => self.load(),
+            (&Method::POST, "/v1/orders") => self.order(req).await,
+            (&Method::GET, "/orders") => Response::new(json_bytes(&self.order_counts()).into()),
             (&Method::GET, path) if path.starts_with(STREAMS) => self.reattach(&req),
             (&Method::DELETE, path) if path.starts_with(STREAMS) => self.cancel(&req),
             _ => refusal(engine::EngineRefusalKind::Malformed),
@@ -293,8 +341,13 @@
 }
 
 fn refusal(kind: engine::EngineRefusalKind) -> Response {
+    refusal_of_order(kind, None)
+}
+
+fn refusal_of_order(kind: engine::EngineRefusalKind, highest_term: Option<u64>) -> Response {
     let body = engine::EngineRefusal {
         attempt: None,
+        highest_term,
         kind,
         request_id: None,
     };
@@ -307,15 +360,6 @@
     req.uri().path().strip_prefix(STREAMS).unwrap_or_default()
 }
 
-fn loaded((model, version): &(Arc<str>, Arc<str>)) -> engine::LoadedModel {
-    engine::LoadedModel {
-        adapter: None,
-        model: model.to_string(),
-        streams: None,
-        version: version.to_string(),
-    }
-}
-
 fn count(n: usize) -> u32 {
     u32::try_from(n).unwrap_or(u32::MAX)
 }
--- a/crates/standins/src/engine_settings.rs
+++ b/crates/standins/src/engine_settings.rs
@@ -13,6 +13,14 @@
     pub capacity: usize,
     /// Models loaded, as name and version.
     pub models: Vec<(Arc<str>, Arc<str>)>,
+    /// Time to load a model.
+    pub load_time: Duration,
+    /// Where models are loaded from, if loads are counted.
+    pub weight_store: Option<WeightStore>,
+    /// Whether orders under an old fencing number are refused.
+    pub enforces_fencing: bool,
+    /// VMs that may give orders; empty means that nobody is checked.
+    pub orderers: Vec<Arc<str>>,
     /// How long a sequence runs on, and stays readable, without a reader.
     pub detach_grace: Duration,
     /// Prompt and prefix tokens that its prefix cache holds.
@@ -31,6 +39,10 @@
             prefill_per_token: Duration::from_micros(20),
             capacity: 64,
             models: vec![("catkin".into(), "1".into())],
+            load_time: Duration::from_secs(2),
+            weight_store: None,
+            enforces_fencing: true,
+            orderers: Vec::new(),
             detach_grace: Duration::from_secs(10),
             prefix_cache: 200_000,
             load_lag: Duration::ZERO,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! answers that a checker at the caller can verify.
 
 pub(crate) use {
+    crate::weight_store::WeightStorePlace,
     bytes::Bytes,
     catkin_border::{caller, engine},
     catkin_decisions::to_hex,
@@ -52,6 +53,7 @@
     scripted_platform::{ScriptedPlatform, TransactFate},
     token_chain::TokenChain,
     upstream_probe::{first_busy, upstream_load},
+    weight_store::WeightStore,
 };
 
 mod answer;
@@ -61,6 +63,7 @@
 mod demo_bundle;
 mod engine_batch;
 mod engine_fault;
+mod engine_models;
 mod engine_server;
 mod engine_settings;
 mod fault_proxy;
@@ -80,3 +83,4 @@
 mod sequence;
 mod token_chain;
 mod upstream_probe;
+mod weight_store;
--- a/crates/standins/src/plain_server.rs
+++ b/crates/standins/src/plain_server.rs
@@ -148,6 +148,7 @@
     fn load(&self) -> Response {
         let count = |n: &AtomicU64| u32::try_from(n.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
         let load = engine::UpstreamLoad {
+            loading: None,
             capacity: u32::try_from(self.inner.settings.capacity).unwrap_or(u32::MAX),
             decoded_tokens: None,
             highest_term: None,
@@ -192,6 +193,7 @@
         _ => engine::EngineRefusalKind::Malformed,
     };
     let body = engine::EngineRefusal {
+        highest_term: None,
         attempt: None,
         kind,
         request_id: None,
--- /dev/null
+++ b/crates/standins/tests/orders.rs
@@ -0,0 +1,433 @@
+//! Leases and orders: VMs on a platform in memory, and engines over HTTP.
+
+use catkin_border::engine;
+use catkin_decisions::{
+    AvailabilityZone, Bundle, BundleVersion, Incarnation, LeaseHolder, LeaseSettings, Model,
+    OrderSettings, RecoveryPolicy, Service, ServiceKind, Term, Upstream, VmId,
+};
+use catkin_standins::{EngineServer, EngineSettings, ScriptedPlatform, TransactFate, WeightStore};
+use catkinward::{
+    BundleInForce, EventKind, Leases, NoPermit, OrderRight, Orders, Platform, PlatformFault,
+    Timeline, TimelineQuery, Timer, http_client::Connections,
+};
+use googletest::prelude::*;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+/// A VM with its leases and orders, which can be cut off from the platform.
+struct Vm {
+    leases: Arc<Leases>,
+    bundle: Arc<BundleInForce>,
+    timeline: Arc<Timeline>,
+    cut: Arc<AtomicBool>,
+    _orders: Arc<Orders>,
+}
+
+const SCOPE: &str = "orders/ticket-model";
+
+fn lease_settings() -> LeaseSettings {
+    LeaseSettings {
+        duration: Duration::from_millis(600),
+        margin: Duration::from_millis(100),
+        renew_after: Duration::from_millis(150),
+        read_period: Duration::from_millis(50),
+        order_timeout: Duration::from_millis(200),
+    }
+}
+
+fn order_settings() -> OrderSettings {
+    OrderSettings {
+        read_period: Duration::from_millis(20),
+        report_bound: Duration::from_millis(500),
+        quiet: Duration::from_millis(100),
+        resend_after: Duration::from_millis(100),
+        ..OrderSettings::default()
+    }
+}
+
+/// The platform as a VM sees it that may be cut off from it.
+fn cut_off(platform: &ScriptedPlatform, cut: &Arc<AtomicBool>) -> Platform {
+    let inner = Arc::new(platform.platform());
+    macro_rules! unless_cut {
+        ($call:ident) => {{
+            let (inner, cut) = (inner.clone(), cut.clone());
+            Box::new(move |q| {
+                if cut.load(Ordering::Relaxed) {
+                    Box::pin(std::future::ready(Err(PlatformFault::NotRun)))
+                } else {
+                    (inner.$call)(q)
+                }
+            })
+        }};
+    }
+    Platform {
+        transact: unless_cut!(transact),
+        read: unless_cut!(read),
+        scan: unless_cut!(scan),
+        put_object: unless_cut!(put_object),
+        get_object: unless_cut!(get_object),
+        vms: unless_cut!(vms),
+    }
+}
+
+fn vm(platform: &ScriptedPlatform, name: &str) -> Vm {
+    let cut = Arc::new(AtomicBool::new(false));
+    let id: VmId = name.parse().expect("a valid id");
+    let zone: AvailabilityZone = "zone-0".parse().expect("a valid name");
+    let timer = Timer::start();
+    let timeline = Arc::new(Timeline::new(id.clone(), zone, Arc::default(), 1000));
+    let bundle = Arc::new(BundleInForce::new(timeline.clone()));
+    let me = LeaseHolder {
+        vm: id,
+        incarnation: Incarnation(1),
+    };
+    let seen = Arc::new(cut_off(platform, &cut));
+    let leases = Leases::start(seen, timer.clone(), me, lease_settings());
+    let orders = Orders::start(
+        leases.clone(),
+        timer,
+        timeline.clone(),
+        Arc::new(Connections::new().expect("a client")),
+        bundle.clone(),
+        OrderRight::All,
+        order_settings(),
+    );
+    Vm {
+        leases,
+        bundle,
+        timeline,
+        cut,
+        _orders: orders,
+    }
+}
+
+impl Vm {
+    fn events(&self, kind: EventKind) -> usize {
+        let extract = self.timeline.extract(&TimelineQuery::default());
+        let of_kind = |record: &&catkinward::TimelineRecord| record.event.kind == kind;
+        extract.records.iter().filter(of_kind).count()
+    }
+
+    fn holds(&self) -> bool {
+        self.leases.compete(SCOPE).held().is_some()
+    }
+}
+
+fn model(version: &str) -> Model {
+    Model {
+        name: "catkin".into(),
+        version: version.into(),
+        adapter: None,
+    }
+}
+
+fn bundle(number: u64, engines: &[EngineServer], version: &str) -> Bundle {
+    let service = Service {
+        id: "ticket-model".parse().expect("a valid name"),
+        kind: ServiceKind::Generation {
+            model: model(version),
+            recovery: RecoveryPolicy::LeastWait,
+        },
+        teams: Vec::new(),
+        deadline: Duration::from_secs(60),
+    };
+    let upstream = |(i, engine): (usize, &EngineServer)| Upstream {
+        id: format!("engine-{i}").parse().expect("a valid id"),
+        address: engine.address(),
+        zone: format!("zone-{i}").parse().expect("a valid name"),
+        services: vec![service.id.clone()],
+        enforces_fencing: true,
+        checks_orderer: false,
+    };
+    Bundle {
+        version: BundleVersion(number),
+        teams: Vec::new(),
+        upstreams: engines.iter().enumerate().map(upstream).collect(),
+        services: vec![service.clone()],
+    }
+}
+
+async fn engines(count: usize, settings: EngineSettings) -> Vec<EngineServer> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let engine = EngineServer::start(address, settings.clone()).await;
+        engines.push(engine.expect("a free port"));
+    }
+    engines
+}
+
+fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        load_time: Duration::from_millis(100),
+        ..EngineSettings::default()
+    }
+}
+
+fn holds_only(engine: &EngineServer, version: &str) -> bool {
+    let loaded = engine.loaded_models();
+    loaded.len() == 1 && loaded[0].version == version
+}
+
+/// Waits until something is so, and fails if that takes beyond all reason.
+async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(30), waiting).await;
+    assert!(waited.is_ok(), "never so: {what}");
+}
+
+fn stale_order(term: u64, version: &str) -> engine::EngineOrder {
+    engine::EngineOrder {
+        holder: "vm-0".into(),
+        models: vec![engine::LoadedModel {
+            adapter: None,
+            model: "catkin".into(),
+            streams: None,
+            version: version.into(),
+        }],
+        role: engine::EngineRole::Serve,
+        term,
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_rollout_reaches_every_engine_one_at_a_time() {
+    let weight_store = WeightStore::default();
+    let engines = engines(
+        4,
+        EngineSettings {
+            weight_store: Some(weight_store.clone()),
+            ..engine_settings()
+        },
+    )
+    .await;
+    let platform = ScriptedPlatform::default();
+    let vm = vm(&platform, "vm-1");
+    vm.bundle.advance(bundle(1, &engines, "1"));
+
+    vm.bundle.advance(bundle(2, &engines, "2"));
+
+    until("all engines hold version 2 only", || {
+        engines.iter().all(|engine| holds_only(engine, "2"))
+    })
+    .await;
+    expect_that!(weight_store.most_at_once(), eq(1));
+    expect_that!(vm.events(EventKind::LeaseWon), eq(1));
+}
+
+/// Two VMs start at once and want the same lease. Engines must have orders of one of them only.
+#[gtest]
+#[tokio::test]
+async fn two_vms_race_and_one_orders() {
+    let engines = engines(2, engine_settings()).await;
+    let platform = ScriptedPlatform::default();
+    let vms = [vm(&platform, "vm-1"), vm(&platform, "vm-2")];
+    for vm in &vms {
+        vm.bundle.advance(bundle(1, &engines, "2"));
+    }
+
+    until("both engines hold version 2", || {
+        engines.iter().all(|engine| holds_only(engine, "2"))
+    })
+    .await;
+
+    let orderers = vms.iter().filter(|vm| vm.events(EventKind::OrderSent) > 0);
+    expect_that!(orderers.count(), eq(1));
+}
+
+/// The holder is cut off from the platform. Its lease lapses, another VM takes over under a larger
+/// term, and the former holder comes back and orders nothing more.
+#[gtest]
+#[tokio::test]
+async fn a_holder_that_is_cut_off_is_replaced() {
+    let engines = engines(2, engine_settings()).await;
+    let platform = ScriptedPlatform::default();
+    let first = vm(&platform, "vm-1");
+    first.bundle.advance(bundle(1, &engines, "2"));
+    until("the first VM holds the lease", || first.holds()).await;
+    let second = vm(&platform, "vm-2");
+    second.bundle.advance(bundle(1, &engines, "2"));
+    first.cut.store(true, Ordering::Relaxed);
+    until("the second VM holds the lease", || second.holds()).await;
+    let held_at_once = first.holds();
+    first.cut.store(false, Ordering::Relaxed);
+    first.bundle.advance(bundle(2, &engines, "3"));
+    second.bundle.advance(bundle(2, &engines, "3"));
+
+    until("both engines hold version 3", || {
+        engines.iter().all(|engine| holds_only(engine, "3"))
+    })
+    .await;
+
+    expect_that!(held_at_once, eq(false));
+    expect_that!(second.leases.compete(SCOPE).held(), some(eq(Term(2))));
+    for engine in &engines {
+        expect_that!(engine.order_counts().stale_applied, eq(0));
+    }
+}
+
+/// An order of a former holder was long under way and arrives after those of the next one. An engine
+/// that checks terms refuses it; the state of one that doesn't is read back and corrected.
+#[gtest]
+#[tokio::test]
+async fn a_stale_order_is_refused_or_corrected() {
+    for enforces_fencing in [true, false] {
+        let engines = engines(
+            1,
+            EngineSettings {
+                enforces_fencing,
+                ..engine_settings()
+            },
+        )
+        .await;
+        let engine = &engines[0];
+        let platform = ScriptedPlatform::default();
+        let vm = vm(&platform, "vm-1");
+        vm.bundle.advance(bundle(1, &engines, "2"));
+        until("the engine holds version 2", || holds_only(engine, "2")).await;
+
+        let taken = engine.take_order(stale_order(0, "1"));
+
+        expect_that!(taken.is_ok(), eq(!enforces_fencing));
+        until("the engine holds version 2 again", || {
+            holds_only(engine, "2")
+        })
+        .await;
+        let stale = engine.order_counts().stale_applied;
+        expect_that!(stale, eq(u64::from(!enforces_fencing)));
+    }
+}
+
+/// The lease's row was lost with its table, and engines know terms of former times.
+#[gtest]
+#[tokio::test]
+async fn terms_rise_above_what_the_engine_knows() {
+    let engines = engines(1, engine_settings()).await;
+    engines[0]
+        .take_order(stale_order(41, "1"))
+        .expect("the first order is taken");
+    let platform = ScriptedPlatform::default();
+    let vm = vm(&platform, "vm-1");
+
+    vm.bundle.advance(bundle(1, &engines, "2"));
+
+    until("the engine holds version 2", || {
+        holds_only(&engines[0], "2")
+    })
+    .await;
+    expect_that!(vm.leases.compete(SCOPE).held(), some(gt(Term(41))));
+}
+
+/// An engine that checks who orders has not been told of this VM. Its refusals end no order to the
+/// others.
+#[gtest]
+#[tokio::test]
+async fn an_engine_that_refuses_its_orderer_holds_up_no_other() {
+    let mut engines = engines(
+        1,
+        EngineSettings {
+            orderers: vec!["vm-9".into()],
+            ..engine_settings()
+        },
+    )
+    .await;
+    engines.extend(self::engines(2, engine_settings()).await);
+    let platform = ScriptedPlatform::default();
+    let vm = vm(&platform, "vm-1");
+
+    vm.bundle.advance(bundle(1, &engines, "2"));
+
+    until("the first engine has refused", || {
+        engines[0].order_counts().refused > 0
+    })
+    .await;
+    until("the others hold version 2", || {
+        engines[1..].iter().all(|engine| holds_only(engine, "2"))
+    })
+    .await;
+    expect_that!(holds_only(&engines[0], "1"), eq(true));
+}
+
+/// Each fate that a write of the lease's row can have, on the first write and on renewals.
+#[gtest]
+#[tokio::test]
+async fn a_lease_is_held_through_every_fate_of_its_writes() {
+    let fates = [
+        TransactFate::Answered,
+        TransactFate::LostAfterEffect,
+        TransactFate::LostBeforeEffect,
+        TransactFate::Late,
+        TransactFate::NotRun,
+        TransactFate::Throttled,
+    ];
+    for fate in fates {
+        let platform = ScriptedPlatform::default();
+        platform.script([fate]);
+        let vm = vm(&platform, "vm-1");
+        let lease = vm.leases.compete(SCOPE);
+
+        until("the lease is held", || lease.held().is_some()).await;
+
+        let permit = lease.permit().await;
+        expect_that!(permit.map(|p| p.term()), ok(ge(&Term(1))), "{fate:?}");
+    }
+}
+
+/// The platform goes out between two orders. The holder cannot know whether it still is one, and
+/// gives none.
+#[gtest]
+#[tokio::test]
+async fn no_order_is_given_while_the_lease_cannot_be_confirmed() {
+    let platform = ScriptedPlatform::default();
+    let vm = vm(&platform, "vm-1");
+    let lease = vm.leases.compete(SCOPE);
+    until("the lease is held", || lease.held().is_some()).await;
+    platform.outage(true);
+
+    let refused = lease.permit().await;
+
+    expect_that!(
+        refused,
+        err(any![
+            eq(&NoPermit::Unconfirmed(PlatformFault::NotRun)),
+            eq(&NoPermit::NotHeld)
+        ])
+    );
+}
+
+/// The platform goes out in the middle of a rollout and comes back later.
+#[gtest]
+#[tokio::test]
+async fn a_rollout_goes_on_after_an_outage() {
+    let engines = engines(3, engine_settings()).await;
+    let platform = ScriptedPlatform::default();
+    let vm = vm(&platform, "vm-1");
+    vm.bundle.advance(bundle(1, &engines, "2"));
+    until("the first order is taken", || {
+        engines.iter().any(|engine| engine.order_counts().taken > 0)
+    })
+    .await;
+    platform.outage(true);
+    until("the lease has lapsed", || !vm.holds()).await;
+    platform.outage(false);
+
+    until("all engines hold version 2", || {
+        engines.iter().all(|engine| holds_only(engine, "2"))
+    })
+    .await;
+
+    for engine in &engines {
+        expect_that!(engine.order_counts().stale_applied, eq(0));
+    }
+}
