--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -55,7 +55,7 @@
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
-    drain::Drain,
+    drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
     generation::Generation,
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -286,6 +286,7 @@
             (&Method::GET, "/v1/load") => self.load(),
             (&Method::POST, "/v1/orders") => self.order(req).await,
             (&Method::GET, "/orders") => Response::new(json_bytes(&self.order_counts()).into()),
+            (&Method::GET, "/stats") => Response::new(json_bytes(&self.inner.batch.runs()).into()),
             (&Method::GET, path) if path.starts_with(STREAMS) => self.reattach(&req),
             (&Method::DELETE, path) if path.starts_with(STREAMS) => self.cancel(&req),
             _ => refusal(engine::EngineRefusalKind::Malformed),
