Property test of leases and orders together; lease and planner in smaller files

Cause: leases and the planner were each tested alone; what they promise together is that no engine which checks terms acts on a stale order, and that every engine ends up with what the last bundle wants.

Change: a world of three VMs and four engines, half of which ignore terms, with crashes, pauses, lost answers, a slow network whose orders arrive late and out of order, restarted engines and changing bundles. Types of leases and of the planner have files of their own.

A first version of the test hardly ever had two holders' orders under way and stayed green with the planner's repeat removed and with engines that ignore terms; the one kept goes red in both cases.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -42,6 +42,7 @@
     dropped_counts::DroppedCounts,
     eligible::Eligible,
     engine_report::EngineReport,
+    engine_state::EngineState,
     error::Error,
     failed_call::FailedCall,
     finish::Finish,
@@ -54,14 +55,16 @@
     ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
-    lease::{
-        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
-        LeaseWrite, OrderPermit,
-    },
+    lease::Lease,
+    lease_row::{LeaseHolder, LeaseRecord, LeaseRow},
+    lease_settings::LeaseSettings,
+    lease_step::{LeaseAnswer, LeaseStep, LeaseWrite},
     leaving_source::LeavingSource,
     model::Model,
-    order_planner::{EngineState, OrderPlanner, OrderSettings},
+    order_permit::OrderPermit,
+    order_planner::OrderPlanner,
     order_scope::{EngineGoal, OrderScope, order_scopes},
+    order_settings::OrderSettings,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -123,6 +126,8 @@
 mod dropped_counts;
 mod eligible;
 mod engine_report;
+mod engine_state;
+mod engine_view;
 mod error;
 mod failed_call;
 mod finish;
@@ -136,10 +141,15 @@
 mod instant;
 mod key_hash;
 mod lease;
+mod lease_row;
+mod lease_settings;
+mod lease_step;
 mod leaving_source;
 mod model;
+mod order_permit;
 mod order_planner;
 mod order_scope;
+mod order_settings;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
--- a/crates/decisions/src/order_planner.rs
+++ b/crates/decisions/src/order_planner.rs
@@ -11,54 +11,7 @@
 //! old order has changed is seen in the next report and ordered back.
 
 use super::*;
-
-/// Engines that keep an old version in use: one can die, and its streams still are resumed.
-const KEEPERS: usize = 2;
-
-/// Settings of an [`OrderPlanner`].
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct OrderSettings {
-    /// How often the holder reads its engines' states back.
-    pub read_period: Duration,
-    /// Engines of the scope that load at once; from the weight store's limit.
-    pub loads_at_once: usize,
-    /// How old a report may be to be acted on.
-    pub report_bound: Duration,
-    /// How long no stream must have run on an old version before the last engines give it up. Longer
-    /// than reports lag, and than a request that was accepted under the old bundle waits for its
-    /// first engine.
-    pub quiet: Duration,
-    /// How long a load may take, for engines that don't report it.
-    pub load_timeout: Duration,
-    /// How long an engine that cannot be asked may have streams on what it held; after that they are
-    /// past every deadline.
-    pub lost_after: Duration,
-    /// Wait before an order is repeated whose effect is not seen.
-    pub resend_after: Duration,
-}
-
-impl Default for OrderSettings {
-    fn default() -> Self {
-        Self {
-            read_period: Duration::from_secs(1),
-            loads_at_once: 1,
-            report_bound: Duration::from_secs(3),
-            quiet: Duration::from_secs(15),
-            load_timeout: Duration::from_secs(300),
-            lost_after: Duration::from_secs(3600),
-            resend_after: Duration::from_secs(3),
-        }
-    }
-}
-
-/// The state that an engine is ordered to take.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineState {
-    /// The engine.
-    pub upstream: UpstreamId,
-    /// All models that it shall hold, sorted.
-    pub models: Vec<Model>,
-}
+use crate::engine_view::{EngineView, keepers, may_load, missing};
 
 /// Plans the orders of one scope, for as long as its lease is held.
 #[derive(Clone, Debug)]
@@ -77,14 +30,6 @@
     refused: bool,
 }
 
-/// An engine as the planner sees it; `report` is `None` if there is none that may be acted on.
-struct View<'a> {
-    goal: &'a EngineGoal,
-    report: Option<&'a EngineReport>,
-    /// Models that are being loaded there.
-    loading: Vec<Model>,
-}
-
 impl OrderPlanner {
     /// A planner that knows of no former orders.
     #[must_use]
@@ -147,10 +92,10 @@
         now: Instant,
         goal: &'a EngineGoal,
         reports: &'a [(UpstreamId, EngineReport)],
-    ) -> View<'a> {
+    ) -> EngineView<'a> {
         let report = find(reports, &goal.upstream);
         let fresh = report.filter(|report| now.since(report.at) <= self.cfg.report_bound);
-        let mut view = View {
+        let mut view = EngineView {
             goal,
             report: fresh,
             loading: Vec::new(),
@@ -166,7 +111,7 @@
     fn ordered_loads(
         &self,
         now: Instant,
-        view: &View,
+        view: &EngineView,
         report: Option<&EngineReport>,
     ) -> Vec<Model> {
         let Ok(i) = self.place(&view.goal.upstream) else {
@@ -206,7 +151,7 @@
     }
 
     /// Old models in use, each with the engines that keep it.
-    fn kept(&self, now: Instant, views: &[View]) -> Vec<(Model, Vec<UpstreamId>)> {
+    fn kept(&self, now: Instant, views: &[EngineView]) -> Vec<(Model, Vec<UpstreamId>)> {
         self.old
             .iter()
             .filter(|(_, used)| now.since(*used) < self.cfg.quiet)
@@ -218,7 +163,7 @@
     fn next_state(
         &self,
         i: usize,
-        views: &[View],
+        views: &[EngineView],
         kept: &[(Model, Vec<UpstreamId>)],
     ) -> Option<EngineState> {
         let view = &views[i];
@@ -253,7 +198,7 @@
     }
 
     /// Whether an order is to be sent now, or the same one is being carried out.
-    fn is_due(&self, now: Instant, view: &View, state: &EngineState) -> bool {
+    fn is_due(&self, now: Instant, view: &EngineView, state: &EngineState) -> bool {
         let Ok(i) = self.place(&state.upstream) else {
             return true;
         };
@@ -271,58 +216,6 @@
     }
 }
 
-/// Models of a wanted state that the engine doesn't hold.
-fn missing(models: &[Model], view: &View) -> Vec<Model> {
-    let absent = |model: &&Model| !view.report.is_some_and(|report| report.has(model));
-    models.iter().filter(absent).cloned().collect()
-}
-
-/// Whether an engine shall hold some version of a model.
-fn has_name(view: &View, model: &Model) -> bool {
-    view.goal.models.iter().any(|m| m.name == model.name)
-}
-
-/// Whether one more engine may load a model now.
-fn may_load(i: usize, model: &Model, views: &[View], loads_at_once: usize) -> bool {
-    if views[i].loading.contains(model) {
-        return true;
-    }
-    let others = || views.iter().enumerate().filter(|(j, _)| *j != i);
-    let busy = others()
-        .filter(|(_, view)| !view.loading.is_empty())
-        .count();
-    let replicas = |view: &View| view.report.is_some() && has_name(view, model);
-    let serving = others()
-        .filter(|(_, view)| replicas(view) && view.loading.is_empty())
-        .count();
-    let alone = !others().any(|(_, view)| replicas(view));
-    busy < loads_at_once.max(1) && (alone || serving > 0)
-}
-
-/// The engines that keep an old model: those that have it first, then those with most streams on it,
-/// and a second one in another availability zone if there is any.
-fn keepers(model: &Model, views: &[View]) -> Vec<UpstreamId> {
-    let able = |view: &&View| view.report.is_some() && has_name(view, model);
-    let mut able = views.iter().filter(able).collect::<Vec<_>>();
-    let rank = |view: &&View| {
-        let streams = view.report.and_then(|report| report.streams(model));
-        std::cmp::Reverse(streams.map(|n| n + 1).unwrap_or_default())
-    };
-    able.sort_by_key(rank);
-    let Some(first) = able.first().copied() else {
-        return Vec::new();
-    };
-    let second = able[1..]
-        .iter()
-        .find(|view| view.goal.zone != first.goal.zone)
-        .or(able.get(1));
-    let chosen = std::iter::once(first).chain(second.copied());
-    chosen
-        .take(KEEPERS)
-        .map(|view| view.goal.upstream.clone())
-        .collect()
-}
-
 fn find<'a>(
     reports: &'a [(UpstreamId, EngineReport)],
     id: &UpstreamId,
