--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -89,6 +89,7 @@
     service_id::ServiceId,
     service_kind::ServiceKind,
     serving_model::serving_model,
+    stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
@@ -174,6 +175,7 @@
 mod service_id;
 mod service_kind;
 mod serving_model;
+mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
