--- a/crates/catkinward/src/agreement.rs
+++ b/crates/catkinward/src/agreement.rs
@@ -40,7 +40,7 @@
     let claims = Claims::start(
         platform.clone(),
         timer.clone(),
-        me.vm.clone(),
+        timeline.clone(),
         me.incarnation,
         ClaimSettings::default(),
     );
--- a/crates/catkinward/src/claim_committer.rs
+++ b/crates/catkinward/src/claim_committer.rs
@@ -113,6 +113,7 @@
             conditions: group.iter().map(condition).collect(),
             writes: group.iter().map(write).chain(expiries(group)).collect(),
         };
+        metrics::histogram!("catkin_claim_group_size").record(group_size(group));
         match (self.platform.transact)(req).await {
             Ok(reply) if reply.committed => GroupAnswer::Committed,
             Ok(reply) => GroupAnswer::Conflicts(reply.conflicts.iter().map(found_claim).collect()),
@@ -124,6 +125,10 @@
     }
 }
 
+fn group_size(group: &[ClaimChange]) -> f64 {
+    f64::from(u32::try_from(group.len()).unwrap_or(u32::MAX))
+}
+
 fn condition(change: &ClaimChange) -> platform_border::Condition {
     platform_border::Condition {
         key: change.key.to_string(),
--- a/crates/catkinward/src/claims.rs
+++ b/crates/catkinward/src/claims.rs
@@ -6,10 +6,10 @@
 /// The claims service: at most one dispatch for each idempotency key of a team, over all VMs.
 pub struct Claims {
     cfg: ClaimSettings,
-    vm: VmId,
     incarnation: Incarnation,
     platform: Arc<Platform>,
     timer: Arc<Timer>,
+    timeline: Arc<Timeline>,
     committer: Arc<ClaimCommitter>,
     /// Ends whose bodies are on their way to the object store.
     storing: watch::Sender<usize>,
@@ -48,17 +48,17 @@
     pub fn start(
         platform: Arc<Platform>,
         timer: Arc<Timer>,
-        vm: VmId,
+        timeline: Arc<Timeline>,
         incarnation: Incarnation,
         cfg: ClaimSettings,
     ) -> Arc<Self> {
         let committer = ClaimCommitter::start(platform.clone(), timer.clone(), cfg);
         Arc::new(Self {
             cfg,
-            vm,
             incarnation,
             platform,
             timer,
+            timeline,
             committer,
             storing: watch::Sender::new(0),
         })
@@ -67,7 +67,16 @@
     /// Tries to claim a request's key.
     pub async fn claim(&self, req: ClaimRequest) -> ClaimVerdict {
         let change = self.change(&req, 0);
-        self.commit(change, &req).await
+        let verdict = self.commit(change, &req).await;
+        let name: &'static str = (&verdict).into();
+        metrics::counter!("catkin_claims_total", "verdict" => name).increment(1);
+        if matches!(verdict, ClaimVerdict::Claimed(_)) {
+            self.timeline.record(Event {
+                request: Some(req.request),
+                ..Event::new(EventKind::Claimed)
+            });
+        }
+        verdict
     }
 
     /// Takes over a generation whose holder is gone, by writing its row under an own token. Whoever
@@ -208,7 +217,7 @@
                 digest: req.digest,
                 token: ClaimToken(rand::random()),
                 kind: req.kind,
-                holder: self.vm.clone(),
+                holder: self.timeline.vm().clone(),
                 incarnation: self.incarnation,
                 request: req.request.clone(),
                 deadline: now.after(req.time_left),
@@ -223,6 +232,8 @@
             ClaimOutcome::Answered(_) => self.cfg.retention,
             ClaimOutcome::Unknown => self.cfg.unknown_retention,
         };
+        let name: &'static str = (&outcome).into();
+        metrics::counter!("catkin_claim_outcomes_total", "outcome" => name).increment(1);
         let stage = ClaimStage::Done(outcome);
         self.committer.end(held.end(stage, wall_now().after(keep)));
     }
--- a/crates/catkinward/src/engine_orders.rs
+++ b/crates/catkinward/src/engine_orders.rs
@@ -8,7 +8,8 @@
 const READ_BOUND: Duration = Duration::from_millis(800);
 
 /// Why an order may have had no effect.
-#[derive(Debug, Display, StdError, From)]
+#[derive(Debug, Display, StdError, From, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum OrderFault {
     /// The engine did not answer in time.
     #[display("{_0}")]
--- a/crates/catkinward/src/platform.rs
+++ b/crates/catkinward/src/platform.rs
@@ -23,7 +23,8 @@
     Box<dyn Fn(Q) -> BoxFuture<'static, Result<A, PlatformFault>> + Send + Sync>;
 
 /// Why a call of the platform brought no answer.
-#[derive(Clone, Debug, Display, PartialEq, StdError)]
+#[derive(Clone, Debug, Display, IntoStaticStr, PartialEq, StdError)]
+#[strum(serialize_all = "snake_case")]
 pub enum PlatformFault {
     /// It certainly took no effect: it was refused, or never left.
     #[display("the platform is not available")]
--- a/crates/catkinward/src/platform_client.rs
+++ b/crates/catkinward/src/platform_client.rs
@@ -160,12 +160,14 @@
             Budget::Writes => &inner.writes,
         };
         if !budget.lock().take(inner.timer.now()) {
+            count(Some(&PlatformFault::OutOfBudget));
             return Err(PlatformFault::OutOfBudget);
         }
         let answer = match inner.connections.call_whole(call).await {
             Ok((status, body)) => of_status(status, body),
             Err(error) => Err(of_error(&error)),
         };
+        count(answer.as_ref().err());
         match &answer {
             Ok(_) => budget.lock().answered(),
             Err(fault) => {
@@ -177,6 +179,11 @@
     }
 }
 
+fn count(fault: Option<&PlatformFault>) {
+    let result = fault.map_or("answered", Into::into);
+    metrics::counter!("catkin_platform_calls_total", "result" => result).increment(1);
+}
+
 /// The platform answers 429 and 503 before a call has any effect; of every other failure the caller
 /// cannot tell.
 fn of_status(status: StatusCode, body: Bytes) -> Result<Option<Bytes>, PlatformFault> {
--- a/crates/decisions/src/claim_verdict.rs
+++ b/crates/decisions/src/claim_verdict.rs
@@ -1,7 +1,8 @@
 use super::*;
 
 /// What became of a try to claim a key.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, PartialEq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum ClaimVerdict {
     /// The key is claimed: the request may be dispatched once.
     Claimed(Claimed),
--- a/crates/standins/examples/claim_rate.rs
+++ b/crates/standins/examples/claim_rate.rs
@@ -8,8 +8,8 @@
 use catkin_decisions::{ClaimKind, ClaimVerdict, Incarnation, RequestDigest, TeamId};
 use catkin_standins::PlatformServer;
 use catkinward::{
-    AnswerToRecord, ClaimRequest, ClaimSettings, Claims, Platform, PlatformSettings, Timer,
-    http_client::Connections,
+    AnswerToRecord, ClaimRequest, ClaimSettings, Claims, Platform, PlatformSettings, Timeline,
+    Timer, http_client::Connections,
 };
 use std::{
     error::Error,
@@ -95,10 +95,11 @@
         ..ClaimSettings::default()
     };
     let vm = format!("vm-{i}").parse()?;
+    let timeline = Timeline::new(vm, "zone-1".parse()?, Arc::default(), 1000);
     Ok(Claims::start(
         Arc::new(platform),
         timer,
-        vm,
+        Arc::new(timeline),
         Incarnation(1),
         cfg,
     ))
--- a/crates/standins/tests/claims.rs
+++ b/crates/standins/tests/claims.rs
@@ -6,7 +6,7 @@
     TeamId, WallTime,
 };
 use catkin_standins::{ScriptedPlatform, TransactFate};
-use catkinward::{AnswerToRecord, ClaimRequest, ClaimSettings, Claims, Timer};
+use catkinward::{AnswerToRecord, ClaimRequest, ClaimSettings, Claims, Timeline, Timer};
 use googletest::prelude::*;
 use std::{sync::Arc, time::Duration};
 
@@ -14,22 +14,32 @@
 const LONG: Duration = Duration::from_secs(30);
 
 fn vm(platform: &ScriptedPlatform, name: &str) -> Arc<Claims> {
-    let cfg = ClaimSettings {
-        retry_pause: Duration::from_millis(1),
-        poll_period: Duration::from_millis(1),
-        inline_max: 16,
-        object_max: 64,
-        ..ClaimSettings::default()
-    };
+    start(platform, name, quick())
+}
+
+fn start(platform: &ScriptedPlatform, name: &str, cfg: ClaimSettings) -> Arc<Claims> {
+    let vm = name.parse().expect("a valid id");
+    let zone = "zone-1".parse().expect("a valid name");
+    let timeline = Timeline::new(vm, zone, Arc::default(), 1000);
     Claims::start(
         Arc::new(platform.platform()),
         Timer::start(),
-        name.parse().expect("a valid id"),
+        Arc::new(timeline),
         Incarnation(1),
         cfg,
     )
 }
 
+fn quick() -> ClaimSettings {
+    ClaimSettings {
+        retry_pause: Duration::from_millis(1),
+        poll_period: Duration::from_millis(1),
+        inline_max: 16,
+        object_max: 64,
+        ..ClaimSettings::default()
+    }
+}
+
 fn team() -> TeamId {
     "counter".parse().expect("a valid name")
 }
@@ -222,18 +232,9 @@
     let first = vm(&platform, "vm-1");
     let cfg = ClaimSettings {
         clocks_differ: Duration::ZERO,
-        poll_period: Duration::from_millis(1),
-        ..ClaimSettings::default()
+        ..quick()
     };
-    let vm_id = "vm-2".parse().expect("a valid id");
-    let timer = Timer::start();
-    let second = Claims::start(
-        Arc::new(platform.platform()),
-        timer,
-        vm_id,
-        Incarnation(1),
-        cfg,
-    );
+    let second = start(&platform, "vm-2", cfg);
     let short = ClaimRequest {
         time_left: Duration::from_millis(200),
         ..order("k")
@@ -267,6 +268,53 @@
     expect_that!(recorded(verdict).status, eq(201));
 }
 
+/// The VM of a generation is gone. Of the VMs that its caller may come back to, one takes it over;
+/// two would send the caller two generations.
+#[gtest]
+#[tokio::test]
+async fn a_generation_is_taken_over_by_one_vm() {
+    let platform = ScriptedPlatform::default();
+    let vms = ["vm-1", "vm-2", "vm-3"].map(|name| vm(&platform, name));
+    let generation = ClaimRequest {
+        kind: ClaimKind::Generation,
+        ..order("k")
+    };
+    drop(dispatched(vms[0].claim(generation.clone()).await));
+    let ClaimVerdict::InProgress(found) = vms[1].claim(generation.clone()).await else {
+        panic!("the first VM has it");
+    };
+
+    let second = vms[1].take_over(generation.clone(), &found).await;
+    let third = vms[2].take_over(generation, &found).await;
+
+    let holder = found.record.map(|record| record.holder.to_string());
+    expect_that!(holder, some(eq("vm-1")));
+    expect_that!(second, matches_pattern!(ClaimVerdict::Claimed(_)));
+    expect_that!(third, matches_pattern!(ClaimVerdict::InProgress(_)));
+}
+
+/// A call that must run at most once is never taken over, whoever asks for it.
+#[gtest]
+#[tokio::test]
+async fn a_call_is_not_taken_over() {
+    let platform = ScriptedPlatform::default();
+    let (first, second) = (vm(&platform, "vm-1"), vm(&platform, "vm-2"));
+    drop(dispatched(first.claim(order("k")).await));
+    let ClaimVerdict::InProgress(found) = second.claim(order("k")).await else {
+        panic!("the first VM has it");
+    };
+    let as_generation = ClaimRequest {
+        kind: ClaimKind::Generation,
+        ..order("k")
+    };
+
+    let as_call = second.take_over(order("k"), &found).await;
+    let as_generation = second.take_over(as_generation, &found).await;
+
+    expect_that!(as_call, matches_pattern!(ClaimVerdict::InProgress(_)));
+    expect_that!(as_generation, matches_pattern!(ClaimVerdict::InProgress(_)));
+}
+
 /// Answers longer than a row should hold go to the object store, and those longer than what is kept
 /// are recorded without their body: the resend must not run the order to get it.
 #[gtest]
