--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -5,8 +5,10 @@
     generation_driver,
     generation_request::GenerationRequest,
     http_client::json_bytes,
+    metrics_page::metrics_page,
     problem::{Problem, ProblemKind},
     returning_caller::{ReturnPoint, find_or_begin},
+    waiting_place::WaitingPlace,
 };
 
 /// Header with the caller's deadline in milliseconds from now.
@@ -24,13 +26,23 @@
 /// The HTTP service that callers see.
 #[derive(Clone)]
 pub(crate) struct CallerBorder {
-    node: Arc<Node>,
+    pub(crate) node: Arc<Node>,
 }
 
 /// A caller who has shown who it is.
-struct Caller {
-    bundle: Arc<Bundle>,
-    team: TeamId,
+pub(crate) struct Caller {
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) team: TeamId,
+}
+
+impl Caller {
+    /// The team with its weight, as it queues.
+    pub(crate) fn queue_team(&self) -> QueueTeam {
+        QueueTeam {
+            weight: self.bundle.team(&self.team).map_or(1, |team| team.weight),
+            id: self.team.clone(),
+        }
+    }
 }
 
 impl volo::Service<ServerContext, Request> for CallerBorder {
@@ -82,7 +94,9 @@
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/healthz") => Ok(Response::new("ok\n".into())),
             (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, "/metrics") => Ok(metrics_page()),
             (&Method::POST, "/v1/completions") => self.complete(req).await,
+            (_, path) if path.starts_with("/v1/services/") => self.plain(req).await,
             _ => Err(ProblemKind::NoSuchPath.into()),
         }
     }
@@ -101,7 +115,7 @@
         Ok(Response::new(text.into()))
     }
 
-    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+    pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
         let bundle = self.node.bundle.current();
         if bundle.version == BundleVersion::default() {
             return Err(ProblemKind::NotReady.into());
@@ -136,10 +150,10 @@
                     digest: Some(RequestDigest::of(&caller.team, &body)),
                     ..request
                 };
-                self.keyed(request, &point).await?
+                self.keyed(request, &point, caller.queue_team()).await?
             }
             None if point.next > TokenIndex(0) => return Err(ProblemKind::KeyAbsent.into()),
-            None => self.begin(Generation::new(request)),
+            None => self.begin(Generation::new(request), caller.queue_team())?,
         };
         if !order.stream {
             return whole_answer(&generation).await;
@@ -156,6 +170,7 @@
         &self,
         request: GenerationRequest,
         point: &ReturnPoint,
+        team: QueueTeam,
     ) -> Result<Arc<Generation>, Problem> {
         if let Some(running) = self.node.generations.find(&request.id) {
             if running.request.digest != request.digest {
@@ -170,19 +185,19 @@
             }
         }
         let generation = find_or_begin(&self.node, request, point).await?;
-        Ok(self.begin(generation))
+        self.begin(generation, team)
     }
 
     /// Runs a generation to its end, unless it has reached it already.
-    fn begin(&self, generation: Generation) -> Arc<Generation> {
+    fn begin(&self, generation: Generation, team: QueueTeam) -> Result<Arc<Generation>, Problem> {
         if generation.outcome().is_some() {
-            return Arc::new(generation);
+            return Ok(Arc::new(generation));
         }
         let (generation, new) = self.node.generations.add(generation);
         if new {
-            self.start(&generation);
+            self.admit(&generation, team)?;
         }
-        generation
+        Ok(generation)
     }
 
     fn accept(
@@ -222,7 +237,32 @@
         })
     }
 
-    fn start(&self, generation: &Arc<Generation>) {
+    /// Lets a generation wait for its first place, or refuses it at once. One that was taken over
+    /// from another VM was admitted there, and goes on.
+    fn admit(&self, generation: &Arc<Generation>, team: QueueTeam) -> Result<(), Problem> {
+        let request = &generation.request;
+        if generation.attempts() > Attempt::default() {
+            self.start(generation, None);
+            return Ok(());
+        }
+        let queued = Queued::new(request.id.clone());
+        match generation_driver::offer(&self.node, request, team) {
+            Ok(waiting) => self.start(generation, Some(waiting)),
+            Err(refusal) => {
+                let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+                let problem = Problem::not_run(&not_run);
+                generation.conclude(GenerationOutcome::Failed(problem.kind));
+                self.node.generations.remove(generation);
+                return Err(Problem {
+                    request_id: Some(not_run.into_request()),
+                    ..problem
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn start(&self, generation: &Arc<Generation>, waiting: Option<WaitingPlace>) {
         self.node.timeline.record(Event {
             request: Some(generation.request.id.clone()),
             bundle: Some(generation.request.bundle),
@@ -232,7 +272,7 @@
         let (node, generation) = (self.node.clone(), generation.clone());
         tokio::spawn(async move {
             tokio::join!(
-                generation_driver::drive(node.clone(), generation.clone()),
+                generation_driver::drive(node.clone(), generation.clone(), waiting),
                 end_if_abandoned(&node, &generation),
             );
             node.generations.remove(&generation);
@@ -244,7 +284,7 @@
         });
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
+    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
         let limited = http_body_util::Limited::new(body, self.node.settings.body_limit);
         http_body_util::BodyExt::collect(limited)
             .await
@@ -289,9 +329,9 @@
         Some(GenerationOutcome::Whole(finish)) => finish,
         Some(GenerationOutcome::Failed(kind)) => {
             return Err(Problem {
-                kind,
                 request_id: Some(generation.request.id.clone()),
                 next_index: Some(generation.next_index()),
+                ..kind.into()
             });
         }
         None => return Err(ProblemKind::Deadline.into()),
@@ -342,7 +382,7 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn new_request_id() -> RequestId {
+pub(crate) fn new_request_id() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
         .parse()
         .expect("hexadecimal digits are visible ASCII")
--- a/crates/catkinward/src/event_stream.rs
+++ b/crates/catkinward/src/event_stream.rs
@@ -119,9 +119,9 @@
             }
             GenerationOutcome::Failed(kind) => {
                 let problem = Problem {
-                    kind,
                     request_id: Some(self.generation.request.id.clone()),
                     next_index: Some(self.next),
+                    ..kind.into()
                 };
                 write_event(buf, Some("error"), None, &problem.body());
             }
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -1,12 +1,15 @@
 use super::*;
 use crate::{
+    admission_pool::{ChooseUpstream, Refusal},
     attempt_stream::AttemptStream,
     engine_client::{self, Reattach},
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
-    problem::ProblemKind,
+    generation_request::GenerationRequest,
+    place::Place,
+    problem::{Problem, ProblemKind},
     progress_keeper::ProgressKeeper,
-    upstream_handle::UpstreamHandle,
+    waiting_place::WaitingPlace,
 };
 
 /// Bound until an engine answers an order with the headers of its stream.
@@ -21,8 +24,28 @@
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
+/// Lets a generation wait for its first place.
+pub(crate) fn offer(
+    node: &Node,
+    request: &GenerationRequest,
+    team: QueueTeam,
+) -> Result<WaitingPlace, Refusal> {
+    let pool = node.admission.pool(&request.service);
+    pool.offer(&request.arrival(team), chooser(node, request))
+}
+
+fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
+    let upstreams = node.upstreams.clone();
+    let (service, model) = (request.service.clone(), request.model.clone());
+    Box::new(move |taken| upstreams.choose(&service, Some(&model), taken))
+}
+
 /// Runs a generation to its end, over as many attempts as it takes.
-pub(crate) async fn drive(node: Arc<Node>, generation: Arc<Generation>) {
+pub(crate) async fn drive(
+    node: Arc<Node>,
+    generation: Arc<Generation>,
+    waiting: Option<WaitingPlace>,
+) {
     let mut driver = Driver {
         node: node.clone(),
         generation: generation.clone(),
@@ -33,7 +56,7 @@
     let mut superseded = generation.superseded();
     let left = generation.request.deadline.since(node.timer.now());
     let outcome = tokio::select! {
-        outcome = driver.run() => outcome,
+        outcome = driver.run(waiting) => outcome,
         _ = cancelled.wait_for(|cancelled| *cancelled) => {
             GenerationOutcome::Failed(ProblemKind::Cancelled)
         }
@@ -78,7 +101,7 @@
 struct RunningAttempt {
     node: Arc<Node>,
     id: RequestId,
-    upstream: UpstreamHandle,
+    upstream: Place,
     stream: AttemptStream,
     ended: bool,
 }
@@ -96,17 +119,14 @@
         if self.ended {
             return;
         }
-        let connections = self.node.connections.clone();
+        let attempt = self.stream.attempt();
         let address = self.upstream.address();
-        let (id, attempt) = (self.id.clone(), self.stream.attempt());
-        tokio::spawn(async move {
-            engine_client::cancel(&connections, address, &id, attempt).await;
-        });
+        engine_client::cancel_later(&self.node.connections, address, &self.id, attempt);
     }
 }
 
 impl Driver {
-    async fn run(&mut self) -> GenerationOutcome {
+    async fn run(&mut self, waiting: Option<WaitingPlace>) -> GenerationOutcome {
         if let Some(attempt) = self.go_on_with_left_running().await {
             match self.follow(attempt).await {
                 Ok(finish) => return GenerationOutcome::Whole(finish),
@@ -115,11 +135,12 @@
                 }
             }
         }
+        let mut place = match self.first_place(waiting).await {
+            Ok(place) => place,
+            Err(kind) => return GenerationOutcome::Failed(kind),
+        };
         loop {
-            let Some(upstream) = self.wait_for_upstream().await else {
-                return GenerationOutcome::Failed(ProblemKind::Deadline);
-            };
-            let fault = match self.start(upstream).await {
+            let fault = match self.start(place).await {
                 Ok(attempt) => match self.follow(attempt).await {
                     Ok(finish) => return GenerationOutcome::Whole(finish),
                     Err(fault) => fault,
@@ -127,14 +148,34 @@
                 Err(fault) => fault,
             };
             tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
+            place = match self.wait_for_upstream().await {
+                Some(next) => next,
+                None => return GenerationOutcome::Failed(ProblemKind::Deadline),
+            };
         }
     }
 
+    /// The place that a new generation waits for in the queue, or that one which was taken over
+    /// takes by itself.
+    async fn first_place(&mut self, waiting: Option<WaitingPlace>) -> Result<Place, ProblemKind> {
+        let Some(waiting) = waiting else {
+            let place = self.wait_for_upstream().await;
+            return place.ok_or(ProblemKind::Deadline);
+        };
+        let queued = Queued::new(());
+        waiting.granted().await.map_err(|refusal| {
+            let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+            Problem::not_run(&not_run).kind
+        })
+    }
+
     /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
     /// computed twice.
     async fn go_on_with_left_running(&mut self) -> Option<RunningAttempt> {
         let (id, attempt) = self.generation.take_left_running()?;
-        let upstream = self.node.upstreams.hold(&id)?;
+        let request = &self.generation.request;
+        let pool = self.node.admission.pool(&request.service);
+        let upstream = pool.hold(request.lane(), self.node.upstreams.hold(&id)?);
         let (reserved, _) = self.generation.reserve();
         let reattach = Reattach {
             address: upstream.address(),
@@ -160,7 +201,7 @@
     }
 
     /// Waits until an upstream can take the generation; `None` once its deadline is over.
-    async fn wait_for_upstream(&mut self) -> Option<UpstreamHandle> {
+    async fn wait_for_upstream(&mut self) -> Option<Place> {
         loop {
             if self.node.timer.now() >= self.generation.request.deadline {
                 return None;
@@ -173,15 +214,22 @@
         }
     }
 
-    fn choose(&self) -> Option<UpstreamHandle> {
+    fn choose(&self) -> Option<Place> {
         let request = &self.generation.request;
-        self.node
-            .upstreams
-            .choose(&request.service, Some(&request.model), &self.avoid)
+        // A caller who has had part of the answer waits in the middle of it: an upstream without
+        // room will do.
+        let must = self.generation.next_index() > TokenIndex(0);
+        let pool = self.node.admission.pool(&request.service);
+        pool.take(request.lane(), must, |taken| {
+            let avoid = [&self.avoid, taken].concat();
+            self.node
+                .upstreams
+                .choose(&request.service, Some(&request.model), &avoid)
+        })
     }
 
     /// Starts an attempt and makes it the live one.
-    async fn start(&mut self, upstream: UpstreamHandle) -> Result<RunningAttempt, AttemptFault> {
+    async fn start(&mut self, upstream: Place) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         self.generation.adopt(reserved);
         self.open(upstream, &order).await
@@ -189,7 +237,7 @@
 
     async fn open(
         &mut self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         self.avoid.push(upstream.id().clone());
@@ -200,10 +248,12 @@
         };
         self.record(kind, attempt, upstream.id(), None);
         let address = upstream.address();
-        let stream =
-            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND)
-                .await
-                .inspect_err(|_| upstream.failed())?;
+        let started =
+            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND).await;
+        let stream = match started {
+            Ok(stream) => stream,
+            Err(fault) => self.find_started(&upstream, order, fault).await?,
+        };
         Ok(RunningAttempt {
             node: self.node.clone(),
             id: self.generation.request.id.clone(),
@@ -213,6 +263,44 @@
         })
     }
 
+    /// After an order that brought no stream: the engine may run it all the same, unseen. Under the
+    /// policy of least work the attempt is looked for and gone on with; else, and if it is not
+    /// found, it is cancelled. Without that it would run to its end for nobody.
+    async fn find_started(
+        &self,
+        upstream: &Place,
+        order: &engine::EngineGenerate,
+        fault: AttemptFault,
+    ) -> Result<AttemptStream, AttemptFault> {
+        upstream.failed();
+        let full = engine::EngineRefusalKind::Full;
+        if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
+            upstream.overloaded();
+        }
+        if !fault.may_have_started() {
+            return Err(fault);
+        }
+        let id = &self.generation.request.id;
+        let attempt = Attempt(order.attempt);
+        if self.generation.request.recovery == RecoveryPolicy::LeastWork {
+            let reattach = Reattach {
+                address: upstream.address(),
+                id,
+                attempt,
+                becomes: attempt,
+                from: self.generation.next_index(),
+                bound: PROBE_BOUND,
+            };
+            let found = engine_client::reattach(&self.node.connections, reattach).await;
+            if let Ok(stream) = found {
+                self.record(EventKind::ReAttached, attempt, upstream.id(), None);
+                return Ok(stream);
+            }
+        }
+        engine_client::cancel_later(&self.node.connections, upstream.address(), id, attempt);
+        Err(fault)
+    }
+
     /// Hands on tokens until the end, recovering what can be recovered.
     async fn follow(&mut self, mut attempt: RunningAttempt) -> Result<Finish, AttemptFault> {
         loop {
@@ -277,11 +365,13 @@
         match event {
             EngineEvent::Heartbeat => {}
             EngineEvent::Token(token) => {
+                attempt.upstream.begun();
                 self.generation.token(token)?;
             }
             EngineEvent::End(end) => {
                 if let Delivery::End(finish) = self.generation.end(&end)? {
                     attempt.ended = true;
+                    attempt.upstream.ended();
                     attempt.upstream.succeeded();
                     return Ok(Some(finish));
                 }
@@ -358,7 +448,7 @@
     async fn race(
         &mut self,
         mut old: RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
     ) -> Result<RunningAttempt, AttemptFault> {
         let (reserved, order) = self.generation.reserve();
         let second = match self.first_to_go_on(&old, other, &order).await? {
@@ -378,7 +468,7 @@
     async fn first_to_go_on(
         &self,
         old: &RunningAttempt,
-        other: UpstreamHandle,
+        other: Place,
         order: &engine::EngineGenerate,
     ) -> Result<Raced, AttemptFault> {
         let mut probe = std::pin::pin!(self.reattached(old));
@@ -397,7 +487,7 @@
 
     async fn second_attempt(
         &self,
-        upstream: UpstreamHandle,
+        upstream: Place,
         order: &engine::EngineGenerate,
     ) -> Result<RunningAttempt, AttemptFault> {
         let mut driver = Driver {
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -7,16 +7,21 @@
     crate::http_client::{Connections, HttpCall},
     arc_swap::ArcSwap,
     bytes::Bytes,
-    catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
+    catkin_border::{
+        bundle as border_bundle, caller, engine, operator, platform as platform_border,
+    },
     catkin_decisions::{
-        Attempt, AvailabilityZone, Bundle, BundleVersion, ClaimChange, ClaimFate, ClaimKind,
-        ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict,
-        Claimed, Delivery, Finish, FoundClaim, GroupAnswer, HeldClaim, HybridClock, IdempotencyKey,
-        Incarnation, Instant, KeyHash, Model, PathRule, PeerEntry, PeerTable, Pinned,
-        ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, ReceivedEnd, ReceivedToken,
-        RecordedAnswer, RecordedBody, RecoveryPolicy, Relay, RequestDigest, RequestId,
-        ReservedAttempt, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
-        TokenIndex, TokenLog, Upstream, UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
+        AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleDigest,
+        BundleVersion, CallKey, CapacityReport, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome,
+        ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed,
+        Delivery, Dispatched, EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge,
+        HeldClaim, HotKeys, HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane,
+        Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, ProgressLimits,
+        ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger,
+        ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason,
+        Relay, RequestDigest, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
+        ServiceKind, StallDetector, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
+        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -51,7 +56,10 @@
 pub use catkin_decisions::HybridTime;
 
 pub use crate::{
+    admission::Admission,
     bundle_in_force::BundleInForce,
+    bundle_store::{Applied, BundleStore, BundleStoreSettings},
+    bundle_watch::{BundleWatch, FetchBundle},
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
     daemon::run_daemon,
@@ -73,6 +81,7 @@
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
+    read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
@@ -83,10 +92,16 @@
 /// The outcome of anything here that can fail.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+mod admission;
+mod admission_pool;
 mod agreement;
 mod attempt_stream;
+mod bundle_canonical;
 mod bundle_format;
 mod bundle_in_force;
+mod bundle_rows;
+mod bundle_store;
+mod bundle_watch;
 mod caller_border;
 mod claim_committer;
 mod claim_row;
@@ -114,7 +129,10 @@
 mod lease_row;
 mod leases;
 mod logging;
+mod metrics_page;
 mod node;
+mod operator_border;
+mod operator_problem;
 mod orders;
 mod peer_fault;
 mod peer_handshake;
@@ -123,11 +141,22 @@
 mod peer_message;
 mod peer_socket;
 mod peers;
+mod place;
+mod plain_answer;
+mod plain_border;
+mod plain_call;
+mod plain_calls;
+mod plain_claim;
+mod plain_dispatch;
+mod plain_headers;
+mod plain_send;
 mod platform;
 mod platform_client;
 mod problem;
 mod process_clock;
 mod progress_keeper;
+mod read_bundle;
+mod read_leader;
 mod returning_caller;
 mod service_name;
 mod settings;
@@ -135,3 +164,4 @@
 mod timer;
 mod upstream_handle;
 mod upstreams;
+mod waiting_place;
--- a/crates/catkinward/src/returning_caller.rs
+++ b/crates/catkinward/src/returning_caller.rs
@@ -105,8 +105,8 @@
 
 fn lost(request: &GenerationRequest) -> Problem {
     Problem {
-        kind: ProblemKind::ProgressLost,
         request_id: Some(request.id.clone()),
         next_index: Some(TokenIndex(0)),
+        ..ProblemKind::ProgressLost.into()
     }
 }
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -6,8 +6,12 @@
 )]
 #[strum(serialize_all = "kebab-case")]
 pub enum ServiceName {
+    /// Queues and places of all services.
+    Admission,
     /// The bundle in force.
     Bundle,
+    /// Word of releases.
+    BundleWatch,
     /// Claims of idempotency keys.
     Claims,
     /// The state of a graceful shutdown.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -10,6 +10,10 @@
     pub vm: VmId,
     /// Availability zone of this VM.
     pub zone: AvailabilityZone,
+    /// Address on which operators are served, if at all.
+    pub operator_listen: Option<SocketAddr>,
+    /// SHA-256 of the key that operators show.
+    pub operator_key: Option<KeyHash>,
     /// A bundle to start with, for a system without a platform.
     pub bundle_file: Option<PathBuf>,
     /// Address of the platform; without it this VM keeps and agrees on nothing.
@@ -28,8 +32,10 @@
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
     pub caller_grace: Duration,
-    /// Longest request body, in bytes.
+    /// Longest request body, and longest answer of a plain service, in bytes.
     pub body_limit: usize,
+    /// VMs that share the capacity of the upstreams; this one takes its part of it.
+    pub entry_vms: u32,
     /// Events that the time line holds; older ones make room for newer.
     pub timeline_events: usize,
     /// Log levels, as in `info,catkinward=debug`.
@@ -42,6 +48,8 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
             vm: "vm-1".parse().expect("a valid name"),
             zone: "zone-1".parse().expect("a valid name"),
+            operator_listen: None,
+            operator_key: None,
             bundle_file: None,
             platform: None,
             orders: OrderRight::default(),
@@ -52,6 +60,7 @@
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
+            entry_vms: 1,
             timeline_events: 20_000,
             log: "info".to_owned(),
         }
@@ -81,6 +90,8 @@
   --listen ADDRESS          IP and port for callers [127.0.0.1:8080]
   --vm ID                   id of this VM [vm-1]
   --zone NAME               availability zone of this VM [zone-1]
+  --operator-listen ADDRESS IP and port for operators; needs --operator-key-sha256
+  --operator-key-sha256 HEX SHA-256 of the key that operators show
   --bundle-file FILE        bundle to start with, for a system without a platform
   --platform ADDRESS        IP and port of the platform; without it nothing is kept or agreed on
   --peer-listen ADDRESS     IP and port for other VMs; without it this VM stands alone
@@ -92,6 +103,7 @@
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
+  --entry-vms N             VMs that share the capacity of the upstreams [1]
   --timeline-events N       events that the time line holds [20000]
   --log FILTER              log levels [info]
   --check                   check the settings and end
@@ -141,8 +153,24 @@
         })
     }
 
+    /// Hash of the operators' key.
+    ///
+    /// # Errors
+    ///
+    /// If it is not set.
+    pub fn operator_key(&self) -> Result<KeyHash> {
+        let flag = "operator-key-sha256";
+        self.operator_key.ok_or_else(|| Error::SettingAbsent {
+            flag,
+            variable: variable_name(flag),
+        })
+    }
+
     /// Checks what no setting shows alone.
     fn check(&self) -> Result<()> {
+        if self.operator_listen.is_some() {
+            self.operator_key()?;
+        }
         if self.peer_listen.is_some() && self.peer_key == PeerKey::default() {
             return Err(Error::SettingAbsent {
                 flag: "peer-key",
@@ -157,6 +185,13 @@
             "listen" => self.listen = parse(flag, "an IP address and port", value)?,
             "vm" => self.vm = parse(flag, "1 to 200 visible ASCII characters", value)?,
             "zone" => self.zone = parse(flag, "1 to 200 visible ASCII characters", value)?,
+            "operator-listen" => {
+                self.operator_listen = Some(parse(flag, "an IP address and port", value)?);
+            }
+            "operator-key-sha256" => {
+                let digits = "64 lower-case hexadecimal digits";
+                self.operator_key = Some(parse(flag, digits, value)?);
+            }
             "bundle-file" => self.bundle_file = Some(value.into()),
             "peer-listen" => {
                 self.peer_listen = Some(parse(flag, "an IP address and port", value)?);
@@ -168,6 +203,7 @@
             "peers" => self.peers = parse_peers(flag, value)?,
             "drain-grace-ms" => self.drain_grace = parse_ms(flag, value)?,
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
+            "entry-vms" => self.entry_vms = parse(flag, "a number of VMs", value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
@@ -189,9 +225,12 @@
     "bundle-file",
     "caller-grace-ms",
     "drain-grace-ms",
+    "entry-vms",
     "listen",
     "log",
     "orders",
+    "operator-key-sha256",
+    "operator-listen",
     "platform",
     "peer-advertise",
     "peer-key",
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -56,6 +56,29 @@
             .map(|(_, state)| UpstreamHandle::new(state.clone()))
     }
 
+    /// What an operator is told of each.
+    pub(crate) fn statuses(&self) -> Vec<operator::UpstreamStatus> {
+        let now = self.timer.now();
+        let states = self.states.read();
+        states.iter().map(|state| state.status(now)).collect()
+    }
+
+    /// What the upstreams that this VM keeps in touch with report of their room, sorted by id.
+    #[must_use]
+    pub fn capacity_reports(&self) -> Vec<(UpstreamId, CapacityReport)> {
+        let states = self.states.read();
+        let reports = states.iter().filter_map(|state| {
+            let report = state.report.lock();
+            let (_, load) = report.as_ref()?;
+            let report = CapacityReport {
+                capacity: load.capacity,
+                waiting: load.waiting,
+            };
+            Some((state.entry.id.clone(), report))
+        });
+        reports.collect()
+    }
+
     /// Holds an upstream on which a request runs already, whether or not it may get new work.
     pub fn hold(&self, id: &UpstreamId) -> Option<UpstreamHandle> {
         let states = self.states.read();
@@ -119,6 +142,15 @@
         }
     }
 
+    fn status(&self, now: Instant) -> operator::UpstreamStatus {
+        operator::UpstreamStatus {
+            availability_zone: self.entry.zone.to_string(),
+            id: self.entry.id.to_string(),
+            in_flight: u64::try_from(self.own.load(Ordering::Relaxed)).unwrap_or(u64::MAX),
+            takes_new_work: self.load(now, None).is_some(),
+        }
+    }
+
     /// Load by which upstreams are compared; `None` if this one may not get new work.
     fn load(&self, now: Instant, model: Option<&Model>) -> Option<usize> {
         let report = self.report.lock();
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
+    crate::call_table::CallTable,
     crate::claim_change::Judged,
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
@@ -22,12 +23,23 @@
 mod newtype;
 
 pub use crate::{
+    admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePlace},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
+    bundle_author::BundleAuthor,
+    bundle_change::{BundleChange, Settled},
+    bundle_digest::BundleDigest,
+    bundle_draft::{BundleDraft, SignOff},
+    bundle_refusal::BundleRefusal,
+    bundle_release::{BundleRelease, CurrentBundle, ReleaseSource},
+    bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
+    bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
+    call_key::CallKey,
     candidate::Candidate,
+    change_token::ChangeToken,
     choice::{ChoiceInput, choose},
     claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
     claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
@@ -37,17 +49,22 @@
     claim_token::ClaimToken,
     claim_verdict::ClaimVerdict,
     claimed::{Claimed, HeldClaim},
+    concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
+    draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     eligible::Eligible,
+    engine_priority::EnginePriority,
     engine_report::EngineReport,
     engine_state::EngineState,
     error::Error,
     failed_call::FailedCall,
+    fair_queue::{FairQueue, QueueTeam},
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
+    hot_keys::HotKeys,
     hybrid_clock::{HybridClock, LARGEST_CLOCK_LEAD},
     hybrid_time::HybridTime,
     idempotency_key::IdempotencyKey,
@@ -55,12 +72,14 @@
     ineligible::Ineligible,
     instant::Instant,
     key_hash::KeyHash,
+    lane::Lane,
     lease::Lease,
     lease_row::{LeaseHolder, LeaseRecord, LeaseRow},
     lease_settings::LeaseSettings,
     lease_step::{LeaseAnswer, LeaseStep, LeaseWrite},
     leaving_source::LeavingSource,
     model::Model,
+    operator_name::OperatorName,
     order_permit::OrderPermit,
     order_planner::OrderPlanner,
     order_scope::{EngineGoal, OrderScope, order_scopes},
@@ -75,19 +94,23 @@
     progress_record::ProgressRecord,
     progress_store::{ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
+    read_merger::ReadMerger,
     received_end::ReceivedEnd,
     received_token::ReceivedToken,
     recovery_policy::RecoveryPolicy,
+    refusal_reason::RefusalReason,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
     request_digest::RequestDigest,
     request_id::RequestId,
+    request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
     reserved_attempt::ReservedAttempt,
     retry_budget::{RetryBudget, RetryBudgetConfig},
     retry_refusal::RetryRefusal,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
+    service_time::ServiceTime,
     serving_model::serving_model,
     stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
@@ -95,6 +118,7 @@
     team::Team,
     team_id::TeamId,
     term::Term,
+    ticket::Ticket,
     token::Token,
     token_index::TokenIndex,
     token_log::TokenLog,
@@ -102,6 +126,7 @@
     upstream_death::UpstreamDeath,
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_places::{CapacityReport, UpstreamPlaces},
     upstream_record::{AskedReport, UpstreamRecord},
     upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
@@ -109,12 +134,24 @@
     wall_time::WallTime,
 };
 
+mod admission_queue;
 mod attempt;
 mod availability_zone;
 mod bundle;
+mod bundle_author;
+mod bundle_change;
+mod bundle_digest;
+mod bundle_draft;
+mod bundle_refusal;
+mod bundle_release;
+mod bundle_row;
 mod bundle_version;
+mod bundle_view;
 mod call_budget;
+mod call_key;
+mod call_table;
 mod candidate;
+mod change_token;
 mod choice;
 mod claim_change;
 mod claim_queue;
@@ -122,18 +159,23 @@
 mod claim_token;
 mod claim_verdict;
 mod claimed;
+mod concurrency_limit;
 mod delivery;
+mod draft_id;
 mod drop_reason;
 mod dropped_counts;
 mod eligible;
+mod engine_priority;
 mod engine_report;
 mod engine_state;
 mod engine_view;
 mod error;
 mod failed_call;
+mod fair_queue;
 mod finish;
 mod hedge;
 mod hex;
+mod hot_keys;
 mod hybrid_clock;
 mod hybrid_time;
 mod idempotency_key;
@@ -141,12 +183,14 @@
 mod ineligible;
 mod instant;
 mod key_hash;
+mod lane;
 mod lease;
 mod lease_row;
 mod lease_settings;
 mod lease_step;
 mod leaving_source;
 mod model;
+mod operator_name;
 mod order_permit;
 mod order_planner;
 mod order_scope;
@@ -161,19 +205,23 @@
 mod progress_record;
 mod progress_store;
 mod progress_update;
+mod read_merger;
 mod received_end;
 mod received_token;
 mod recovery_policy;
+mod refusal_reason;
 mod relay;
 mod rendezvous;
 mod request_digest;
 mod request_id;
+mod request_state;
 mod reserved_attempt;
 mod retry_budget;
 mod retry_refusal;
 mod service;
 mod service_id;
 mod service_kind;
+mod service_time;
 mod serving_model;
 mod stall_detector;
 mod subset;
@@ -181,6 +229,7 @@
 mod team;
 mod team_id;
 mod term;
+mod ticket;
 mod token;
 mod token_index;
 mod token_log;
@@ -188,6 +237,7 @@
 mod upstream_death;
 mod upstream_evidence;
 mod upstream_id;
+mod upstream_places;
 mod upstream_record;
 mod upstream_report;
 mod utf8_joiner;
--- a/crates/standins/tests/orders.rs
+++ b/crates/standins/tests/orders.rs
@@ -1,14 +1,16 @@
 //! Leases and orders: VMs on a platform in memory, and engines over HTTP.
 
-use catkin_border::engine;
+use catkin_border::{bundle::RecoveryPolicy, engine};
 use catkin_decisions::{
-    AvailabilityZone, Bundle, BundleVersion, Incarnation, LeaseHolder, LeaseSettings, Model,
-    OrderSettings, RecoveryPolicy, Service, ServiceKind, Term, Upstream, VmId,
+    AvailabilityZone, BundleVersion, Incarnation, LeaseHolder, LeaseSettings, OrderSettings, Term,
+    VmId,
+};
+use catkin_standins::{
+    EngineServer, EngineSettings, ScriptedPlatform, TransactFate, WeightStore, demo_bundle,
 };
-use catkin_standins::{EngineServer, EngineSettings, ScriptedPlatform, TransactFate, WeightStore};
 use catkinward::{
     BundleInForce, EventKind, Leases, NoPermit, OrderRight, Orders, Platform, PlatformFault,
-    Timeline, TimelineQuery, Timer, http_client::Connections,
+    ReadBundle, Timeline, TimelineQuery, Timer, http_client::Connections, read_bundle,
 };
 use googletest::prelude::*;
 use std::{
@@ -119,38 +121,18 @@
     }
 }
 
-fn model(version: &str) -> Model {
-    Model {
-        name: "catkin".into(),
-        version: version.into(),
-        adapter: None,
+fn bundle(number: u64, engines: &[EngineServer], version: &str) -> ReadBundle {
+    let addresses = engines.iter().map(EngineServer::address);
+    let mut bundle = demo_bundle(&addresses.collect::<Vec<_>>(), RecoveryPolicy::LeastWait);
+    for service in &mut bundle.services {
+        let model = service.model.as_mut().expect("a generation service");
+        version.clone_into(&mut model.version);
     }
-}
-
-fn bundle(number: u64, engines: &[EngineServer], version: &str) -> Bundle {
-    let service = Service {
-        id: "ticket-model".parse().expect("a valid name"),
-        kind: ServiceKind::Generation {
-            model: model(version),
-            recovery: RecoveryPolicy::LeastWait,
-        },
-        teams: Vec::new(),
-        deadline: Duration::from_secs(60),
-    };
-    let upstream = |(i, engine): (usize, &EngineServer)| Upstream {
-        id: format!("engine-{i}").parse().expect("a valid id"),
-        address: engine.address(),
-        zone: format!("zone-{i}").parse().expect("a valid name"),
-        services: vec![service.id.clone()],
-        enforces_fencing: true,
-        checks_orderer: false,
-    };
-    Bundle {
-        version: BundleVersion(number),
-        teams: Vec::new(),
-        upstreams: engines.iter().enumerate().map(upstream).collect(),
-        services: vec![service.clone()],
+    for (i, upstream) in bundle.upstreams.iter_mut().enumerate() {
+        upstream.availability_zone = format!("zone-{i}");
     }
+    let json = serde_json::to_string(&bundle).expect("JSON");
+    read_bundle(BundleVersion(number), &json).expect("a valid bundle")
 }
 
 async fn engines(count: usize, settings: EngineSettings) -> Vec<EngineServer> {
