--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -21,6 +21,12 @@
 /// Bound until a second attempt makes its first token or says that it is waiting.
 const SECOND_BOUND: Duration = Duration::from_secs(1);
 
+/// Tokens after which the upstream's watch over suspects hears of progress.
+const PROGRESS_TOKENS: u32 = 8;
+
+/// How long a suspected request waits for an upstream that this VM watches.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
+
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
@@ -35,9 +41,14 @@
 }
 
 fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
-    let upstreams = node.upstreams.clone();
-    let (service, model) = (request.service.clone(), request.model.clone());
-    Box::new(move |taken| upstreams.choose(&service, Some(&model), taken))
+    let (upstreams, request) = (node.upstreams.clone(), request.clone());
+    Box::new(move |taken| {
+        let want = UpstreamWant {
+            avoid: taken,
+            ..request.want()
+        };
+        upstreams.choose(&want).ok()
+    })
 }
 
 /// Runs a generation to its end, over as many attempts as it takes.
@@ -149,8 +160,8 @@
             };
             tracing::warn!(id = %self.generation.request.id, %fault, "attempt lost");
             place = match self.wait_for_upstream().await {
-                Some(next) => next,
-                None => return GenerationOutcome::Failed(ProblemKind::Deadline),
+                Ok(next) => next,
+                Err(kind) => return GenerationOutcome::Failed(kind),
             };
         }
     }
@@ -159,8 +170,7 @@
     /// takes by itself.
     async fn first_place(&mut self, waiting: Option<WaitingPlace>) -> Result<Place, ProblemKind> {
         let Some(waiting) = waiting else {
-            let place = self.wait_for_upstream().await;
-            return place.ok_or(ProblemKind::Deadline);
+            return self.wait_for_upstream().await;
         };
         let queued = Queued::new(());
         waiting.granted().await.map_err(|refusal| {
@@ -200,31 +210,50 @@
         })
     }
 
-    /// Waits until an upstream can take the generation; `None` once its deadline is over.
-    async fn wait_for_upstream(&mut self) -> Option<Place> {
+    /// Waits until an upstream can take the generation.
+    ///
+    /// # Errors
+    ///
+    /// Once its deadline is over, or upstreams died under it.
+    async fn wait_for_upstream(&mut self) -> Result<Place, ProblemKind> {
+        let start = self.node.timer.now();
         loop {
-            if self.node.timer.now() >= self.generation.request.deadline {
-                return None;
+            let now = self.node.timer.now();
+            if now >= self.generation.request.deadline {
+                return Err(ProblemKind::Deadline);
+            }
+            if self.node.upstreams.refuses(self.generation.request.body) {
+                return Err(self.poisoned());
             }
-            if let Some(upstream) = self.choose() {
-                return Some(upstream);
+            if let Some(place) = self.choose(now.since(start) > SUSPECT_PATIENCE) {
+                return Ok(place);
             }
             self.avoid.clear();
             tokio::time::sleep(RETRY_PERIOD).await;
         }
     }
 
-    fn choose(&self) -> Option<Place> {
+    /// How a poisoned request ends: as not run only if no attempt was ever sent.
+    fn poisoned(&self) -> ProblemKind {
+        match self.generation.attempts() {
+            Attempt(0) => ProblemKind::PoisonedNotRun,
+            _ => ProblemKind::Poisoned,
+        }
+    }
+
+    fn choose(&self, urgent: bool) -> Option<Place> {
         let request = &self.generation.request;
         // A caller who has had part of the answer waits in the middle of it: an upstream without
         // room will do.
         let must = self.generation.next_index() > TokenIndex(0);
         let pool = self.node.admission.pool(&request.service);
         pool.take(request.lane(), must, |taken| {
-            let avoid = [&self.avoid, taken].concat();
-            self.node
-                .upstreams
-                .choose(&request.service, Some(&request.model), &avoid)
+            let want = UpstreamWant {
+                avoid: &[&self.avoid, taken].concat(),
+                urgent,
+                ..request.want()
+            };
+            self.node.upstreams.choose(&want).ok()
         })
     }
 
@@ -247,10 +276,9 @@
             _ => EventKind::NewAttempt,
         };
         self.record(kind, attempt, upstream.id(), None);
-        let address = upstream.address();
-        let started =
-            engine_client::start_attempt(&self.node.connections, address, order, START_BOUND).await;
-        let stream = match started {
+        let connections = &self.node.connections;
+        let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
+        let stream = match started.await {
             Ok(stream) => stream,
             Err(fault) => self.find_started(&upstream, order, fault).await?,
         };
@@ -272,11 +300,11 @@
         order: &engine::EngineGenerate,
         fault: AttemptFault,
     ) -> Result<AttemptStream, AttemptFault> {
-        upstream.failed();
         let full = engine::EngineRefusalKind::Full;
         if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
             upstream.overloaded();
         }
+        upstream.lost(&fault).await;
         if !fault.may_have_started() {
             return Err(fault);
         }
@@ -308,7 +336,7 @@
                 Ok(finish) => return Ok(finish),
                 Err(fault) => fault,
             };
-            attempt.upstream.failed();
+            attempt.upstream.lost(&fault).await;
             self.record(
                 EventKind::Suspected,
                 attempt.stream.attempt(),
@@ -366,6 +394,9 @@
             EngineEvent::Heartbeat => {}
             EngineEvent::Token(token) => {
                 attempt.upstream.begun();
+                if token.index.0 % PROGRESS_TOKENS == 0 {
+                    attempt.upstream.progressed();
+                }
                 self.generation.token(token)?;
             }
             EngineEvent::End(end) => {
@@ -413,7 +444,7 @@
     async fn recover(&mut self, attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
         match self.generation.request.recovery {
             RecoveryPolicy::LeastWork => self.probe(attempt).await,
-            RecoveryPolicy::LeastWait => match self.choose() {
+            RecoveryPolicy::LeastWait => match self.choose(false) {
                 Some(other) => self.race(attempt, other).await,
                 None => self.probe(attempt).await,
             },
@@ -426,6 +457,16 @@
     }
 
     async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
+        match self.reattach(attempt).await {
+            Ok(stream) => Ok(stream),
+            Err(fault) => {
+                attempt.upstream.lost(&fault).await;
+                Err(fault)
+            }
+        }
+    }
+
+    async fn reattach(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
         let reattach = Reattach {
             address: attempt.upstream.address(),
             id: &attempt.id,
@@ -497,7 +538,12 @@
             keeper: ProgressKeeper::new(self.node.clone(), self.generation.clone()),
         };
         let mut attempt = driver.open(upstream, order).await?;
-        attempt.stream.wait_for_progress(SECOND_BOUND).await?;
-        Ok(attempt)
+        match attempt.stream.wait_for_progress(SECOND_BOUND).await {
+            Ok(()) => Ok(attempt),
+            Err(fault) => {
+                attempt.upstream.lost(&fault).await;
+                Err(fault)
+            }
+        }
     }
 }
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -11,17 +11,19 @@
         bundle as border_bundle, caller, engine, operator, platform as platform_border,
     },
     catkin_decisions::{
-        AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleDigest,
-        BundleVersion, CallKey, CapacityReport, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome,
-        ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed,
-        Delivery, Dispatched, EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge,
-        HeldClaim, HotKeys, HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane,
-        Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, ProgressLimits,
-        ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger,
-        ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason,
-        Relay, RequestDigest, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
-        ServiceKind, StallDetector, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
-        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
+        AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
+        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, ChoiceInput, ClaimChange,
+        ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage,
+        ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible, EnginePriority,
+        FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys, HybridClock,
+        IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, Model, NotRun,
+        NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
+        PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
+        QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
+        RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
+        RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
+        TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
+        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -39,7 +41,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -62,6 +64,7 @@
     bundle_watch::{BundleWatch, FetchBundle},
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
+    ctl::run_ctl,
     daemon::run_daemon,
     drain::{Drain, InFlight},
     error::Error,
@@ -86,6 +89,8 @@
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
+    upstream_handle::UpstreamHandle,
+    upstream_want::{NoUpstream, UpstreamWant},
     upstreams::Upstreams,
 };
 
@@ -97,6 +102,7 @@
 mod agreement;
 mod attempt_stream;
 mod bundle_canonical;
+mod bundle_diff;
 mod bundle_format;
 mod bundle_in_force;
 mod bundle_rows;
@@ -108,6 +114,13 @@
 mod claim_settings;
 mod claim_sweep;
 mod claims;
+mod ctl;
+mod ctl_bundle;
+mod ctl_settings;
+mod ctl_status;
+mod ctl_time;
+mod ctl_timeline;
+mod ctl_vms;
 mod daemon;
 mod drain;
 mod engine_client;
@@ -126,6 +139,7 @@
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
+mod known;
 mod lease_row;
 mod leases;
 mod logging;
@@ -163,5 +177,7 @@
 mod timeline;
 mod timer;
 mod upstream_handle;
+mod upstream_state;
+mod upstream_want;
 mod upstreams;
 mod waiting_place;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -85,7 +85,7 @@
             }
             None => None,
         };
-        let upstreams = Upstreams::start(&timer, &connections, &bundle);
+        let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         start_metrics();
         let sharers = settings.entry_vms;
--- a/crates/decisions/src/upstream_report.rs
+++ b/crates/decisions/src/upstream_report.rs
@@ -7,6 +7,8 @@
     pub incarnation: Incarnation,
     /// Requests being run or queued there.
     pub load: u32,
+    /// Those of them that are queued there.
+    pub waiting: u32,
     /// Requests that it runs at once.
     pub capacity: u32,
     /// True once it wants no new work.
