New requests get a version that some engine holds during a rollout

Cause: a bundle with a new model version is in force within seconds, loading it takes minutes, and a request for a version that no engine holds cannot start.

Change: a new request gets the wanted version in proportion to the engines that hold it, otherwise the one that most of the others hold; it keeps that version.

In the integration test, three engines load one after another while callers are served without a gap; without the change it fails.

Conclusion: a rollout keeps serving throughout.

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -228,7 +228,7 @@
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
-            model: model.clone(),
+            model: self.node.upstreams.serving_model(&service.id, model),
             recovery: *recovery,
             prompt: order.prompt.as_str().into(),
             max_tokens: order.max_tokens.get(),
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -23,7 +23,7 @@
         RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
         RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
         TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
-        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
+        VmId, WallTime, choose, parse_hex, rendezvous_score, serving_model, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -125,6 +125,19 @@
         reports.collect()
     }
 
+    /// The model that a new request of a service gets while its wanted one is being rolled out.
+    #[must_use]
+    pub fn serving_model(&self, service: &ServiceId, wanted: &Model) -> Model {
+        let now = self.known.timer.now();
+        let subset = self.subset.read();
+        let engines = subset
+            .iter()
+            .filter(|state| state.entry.services.binary_search(service).is_ok())
+            .filter_map(|state| Some(state.record.lock().models(now)?.to_vec()))
+            .collect::<Vec<_>>();
+        serving_model(wanted, &engines, rand::random())
+    }
+
     /// The process of an upstream that was last heard of.
     #[must_use]
     pub fn incarnation(&self, id: &UpstreamId) -> Option<Incarnation> {
--- a/crates/decisions/src/model.rs
+++ b/crates/decisions/src/model.rs
@@ -10,3 +10,14 @@
     /// Adapter name.
     pub adapter: Option<Arc<str>>,
 }
+
+impl Model {
+    /// Whether a request for `wanted` can run on this loaded model; one that names no adapter runs
+    /// on any.
+    #[must_use]
+    pub fn satisfies(&self, wanted: &Self) -> bool {
+        self.name == wanted.name
+            && self.version == wanted.version
+            && (wanted.adapter.is_none() || self.adapter == wanted.adapter)
+    }
+}
--- a/crates/decisions/src/serving_model.rs
+++ b/crates/decisions/src/serving_model.rs
@@ -9,23 +9,27 @@
 /// and then all would go to the one engine that holds it. `random` spreads them; the same number
 /// gives the same model.
 #[must_use]
-pub fn serving_model(wanted: &Model, engines: &[&[Model]], random: u64) -> Model {
-    let (ready, rest): (Vec<&[Model]>, Vec<&[Model]>) = engines
-        .iter()
-        .copied()
-        .partition(|models| models.contains(wanted));
-    let mut others = rest
+pub fn serving_model(wanted: &Model, engines: &[Vec<Model>], random: u64) -> Model {
+    let holds = |models: &[Model], model: &Model| models.iter().any(|m| m.satisfies(model));
+    let (ready, rest): (Vec<_>, Vec<_>) = engines.iter().partition(|models| holds(models, wanted));
+    let mut versions = rest
         .iter()
         .flat_map(|models| models.iter())
-        .filter(|model| model.name == wanted.name && model.adapter == wanted.adapter)
+        .map(|loaded| Model {
+            version: loaded.version.clone(),
+            ..wanted.clone()
+        })
         .collect::<Vec<_>>();
-    others.sort();
-    let Some(other) = others.chunk_by(|a, b| a == b).max_by_key(|same| same.len()) else {
+    versions.sort();
+    versions.dedup();
+    let holders = |model: &Model| rest.iter().filter(|models| holds(models, model)).count();
+    let counted = versions.iter().map(|model| (holders(model), model));
+    let most = counted.filter(|(count, _)| *count > 0).max();
+    let Some((count, other)) = most else {
         return wanted.clone();
     };
-    let (ready, other, count) = (ready.len(), other[0], other.len());
-    let share = random % u64::try_from(ready + count).unwrap_or(u64::MAX);
-    if share < u64::try_from(ready).unwrap_or(u64::MAX) {
+    let of_all = u64::try_from(ready.len() + count).unwrap_or(u64::MAX);
+    if random % of_all < u64::try_from(ready.len()).unwrap_or(u64::MAX) {
         wanted.clone()
     } else {
         other.clone()
--- a/crates/decisions/src/upstream_record.rs
+++ b/crates/decisions/src/upstream_record.rs
@@ -101,6 +101,13 @@
         &self.report
     }
 
+    /// Models that a new request may get here; `None` if it may get no new work.
+    #[must_use]
+    pub fn models(&self, now: Instant) -> Option<&[Model]> {
+        self.evidence.eligible(now).ok()?;
+        self.report.serves.then_some(&*self.report.models)
+    }
+
     /// The upstream as a candidate for a request for `model`.
     ///
     /// # Errors
--- a/crates/decisions/src/upstream_report.rs
+++ b/crates/decisions/src/upstream_report.rs
@@ -23,12 +23,6 @@
     /// Whether it can run a request for `model`; a request of a plain service names none.
     #[must_use]
     pub fn suits(&self, model: Option<&Model>) -> bool {
-        self.serves && model.is_none_or(|model| self.models.iter().any(|m| is_loaded(m, model)))
+        self.serves && model.is_none_or(|model| self.models.iter().any(|m| m.satisfies(model)))
     }
 }
-
-fn is_loaded(loaded: &Model, model: &Model) -> bool {
-    loaded.name == model.name
-        && loaded.version == model.version
-        && (model.adapter.is_none() || loaded.adapter == model.adapter)
-}
--- a/crates/decisions/tests/orders.rs
+++ b/crates/decisions/tests/orders.rs
@@ -371,9 +371,8 @@
 /// some engine holds, and the first engine with the new one is not flooded.
 #[gtest]
 fn new_requests_move_over_with_the_engines() {
-    let (old, new) = ([model("1")], [model("2")]);
     let share = |ready: usize| {
-        let engines = (0..4).map(|i| if i < ready { &new[..] } else { &old[..] });
+        let engines = (0..4).map(|i| vec![model(if i < ready { "2" } else { "1" })]);
         let engines = engines.collect::<Vec<_>>();
         let picks = (0..400).filter(|n| serving_model(&model("2"), &engines, *n) == model("2"));
         picks.count()
--- /dev/null
+++ b/crates/load/tests/rollout.rs
@@ -0,0 +1,117 @@
+//! A model version is rolled out while callers are served.
+
+mod router_support;
+
+use catkin_border::{bundle::RecoveryPolicy, caller::CompletionRequest};
+use catkin_standins::{
+    Answer, CallerClient, DEMO_KEY, EngineServer, EngineSettings, PlatformServer, TokenChain,
+    WeightStore, demo_bundle,
+};
+use catkinward::Settings;
+use googletest::prelude::*;
+use router_support::{Router, free_address};
+use std::{num::NonZeroU32, time::Duration};
+
+const ENGINES: usize = 3;
+
+fn request(max_tokens: u32) -> CompletionRequest {
+    CompletionRequest {
+        max_tokens: NonZeroU32::new(max_tokens).expect("not zero"),
+        model: "ticket-model".into(),
+        prompt: "menu reprint".into(),
+        seed: Some(3),
+        stop: Vec::new(),
+        stream: true,
+        temperature: None,
+    }
+}
+
+async fn engines(weight_store: &WeightStore) -> Vec<EngineServer> {
+    let settings = EngineSettings {
+        step: Duration::from_millis(5),
+        load_time: Duration::from_millis(300),
+        weight_store: Some(weight_store.clone()),
+        ..EngineSettings::default()
+    };
+    let starts = (0..ENGINES).map(|_| EngineServer::start(free_address(), settings.clone()));
+    futures::future::try_join_all(starts)
+        .await
+        .expect("engines start")
+}
+
+fn bundle(engines: &[EngineServer], version: &str) -> String {
+    let addresses = engines.iter().map(EngineServer::address);
+    let addresses = addresses.collect::<Vec<_>>();
+    let mut bundle = demo_bundle(&addresses, RecoveryPolicy::LeastWait);
+    let model = bundle.services[0].model.as_mut().expect("a model");
+    version.clone_into(&mut model.version);
+    serde_json::to_string(&bundle).expect("JSON")
+}
+
+async fn generate(router: &Router, max_tokens: u32) -> Answer {
+    let caller = CallerClient::new(router.address, DEMO_KEY).expect("a client");
+    let mut answer = Answer::default();
+    caller
+        .stream(&request(max_tokens), None, &mut answer, |_| {})
+        .await
+        .expect("a whole answer");
+    answer
+}
+
+/// The version that computed a whole answer; `None` if it is of neither, or of both.
+fn version_of(answer: &Answer, max_tokens: usize) -> Option<&'static str> {
+    let is_of = |version: &&str| {
+        let chain = TokenChain::new("catkin", version, "menu reprint", 3);
+        answer.check(chain, max_tokens).is_ok()
+    };
+    ["1", "2"].into_iter().find(is_of)
+}
+
+fn holding(engines: &[EngineServer], version: &str) -> usize {
+    let holds = |engine: &&EngineServer| {
+        let models = engine.loaded_models();
+        models.iter().any(|model| model.version == version)
+    };
+    engines.iter().filter(holds).count()
+}
+
+/// A bundle that names a new model version comes into force. Engines load it one after another;
+/// callers meanwhile must be served by those that are ready, and a generation that began on the old
+/// version must end on it.
+#[gtest]
+#[tokio::test]
+async fn callers_are_served_throughout_a_rollout() {
+    let weight_store = WeightStore::default();
+    let engines = engines(&weight_store).await;
+    let faults = serde_json::from_str("{}").expect("all fields are optional");
+    let platform = PlatformServer::start(free_address(), faults).await;
+    let settings = Settings {
+        platform: Some(platform.expect("a platform").address()),
+        ..Settings::default()
+    };
+    let addresses = engines.iter().map(EngineServer::address);
+    let router = Router::start_with(settings, &addresses.collect::<Vec<_>>(), &[]).await;
+    let first = generate(&router, 5).await;
+
+    let (long, versions) = tokio::join!(generate(&router, 300), async {
+        router
+            .node
+            .put_bundle_in_force(2, &bundle(&engines, "2"))
+            .expect("a valid bundle");
+        let mut versions = Vec::new();
+        while holding(&engines, "2") < ENGINES {
+            versions.push(version_of(&generate(&router, 5).await, 5));
+        }
+        versions
+    });
+    // The router hears of the last engine's load with its next report.
+    let moved_over = async { while version_of(&generate(&router, 5).await, 5) != Some("2") {} };
+    let moved_over = tokio::time::timeout(Duration::from_secs(30), moved_over).await;
+
+    expect_that!(version_of(&first, 5), some(eq("1")));
+    expect_that!(version_of(&long, 300), some(eq("1")));
+    expect_that!(versions, each(some(anything())));
+    expect_that!(versions, contains(some(eq(&"1"))));
+    expect_that!(moved_over, ok(anything()));
+    expect_that!(weight_store.most_at_once(), eq(1));
+}
