--- a/crates/catkinward/src/gossip.rs
+++ b/crates/catkinward/src/gossip.rs
@@ -8,7 +8,7 @@
     pub bundle: Option<(BundleVersion, BundleDigest)>,
     /// Upstreams that are leaving, by incarnation.
     pub leaving: Vec<(UpstreamId, Incarnation)>,
-    /// Deaths of upstreams under requests.
+    /// Requests that upstreams died under.
     pub poison: Vec<PoisonMark>,
     /// Some VMs, each with the milliseconds since it was last heard from.
     pub vms: Vec<(PeerEntry, u32)>,
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -6,6 +6,7 @@
     metrics_page::start_metrics,
     news::start_news,
     operator_border::OperatorBorder,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -33,6 +34,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Queues and places of all services.
     pub admission: Arc<Admission>,
+    /// Slices of the teams' limits.
+    pub limits: Arc<TeamLimits>,
     /// Generations under way.
     pub generations: Arc<Generations>,
     /// The other VMs, if this one takes calls of peers.
@@ -92,6 +95,8 @@
         let sharers = settings.entry_vms;
         let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
         let admission = kernel.register(ServiceName::Admission, admission)?;
+        let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
+        let limits = kernel.register(ServiceName::TeamLimits, limits)?;
         let generations: Arc<Generations> =
             kernel.register(ServiceName::Generations, Arc::default())?;
         let peers = start_peers(&settings, |entry| PeerParts {
@@ -105,6 +110,7 @@
         })?;
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
+            gossip_upstreams(peers, &upstreams);
             start_news(
                 peers,
                 &bundle_watch,
@@ -127,6 +133,7 @@
             claims,
             upstreams,
             admission,
+            limits,
             generations,
             peers,
             drain,
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -30,6 +30,8 @@
     Leases,
     /// Orders to engines.
     Orders,
+    /// Slices of the teams' limits.
+    TeamLimits,
     /// Ticks for parts that do something now and then.
     Timer,
     /// Upstreams and what is known of them.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -79,6 +79,7 @@
     lease_settings::LeaseSettings,
     lease_step::{LeaseAnswer, LeaseStep, LeaseWrite},
     leaving_source::LeavingSource,
+    limit_kind::LimitKind,
     model::Model,
     operator_name::OperatorName,
     order_permit::OrderPermit,
@@ -114,11 +115,15 @@
     service_kind::ServiceKind,
     service_time::ServiceTime,
     serving_model::serving_model,
+    slice_grant::SliceGrant,
+    slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
+    slice_request::SliceRequest,
     stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
+    team_slice::TeamSlice,
     term::Term,
     ticket::Ticket,
     token::Token,
@@ -192,6 +197,7 @@
 mod lease_settings;
 mod lease_step;
 mod leaving_source;
+mod limit_kind;
 mod model;
 mod operator_name;
 mod order_permit;
@@ -227,11 +233,15 @@
 mod service_kind;
 mod service_time;
 mod serving_model;
+mod slice_grant;
+mod slice_home;
+mod slice_request;
 mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
 mod team_id;
+mod team_slice;
 mod term;
 mod ticket;
 mod token;
