--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -24,7 +24,8 @@
         RequestDigest, RequestId, ReservedAttempt, RetryBudget, ReturnPoint, SLICE_PERIOD, Service,
         ServiceId, ServiceKind, SliceGrant, SliceHome, SliceRequest, StallDetector, Team, TeamId,
         TeamSlice, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord,
-        UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
+        UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex, rendezvous_score,
+        serving_model, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -75,8 +76,10 @@
     gossip::{Gossip, GossipSources},
     kernel::Kernel,
     keyed::Keyed,
+    leases::{LeaseHandle, Leases, NoPermit},
     logging::start_logging,
     node::Node,
+    orders::{OrderRight, Orders},
     peer_fault::PeerFault,
     peer_key::PeerKey,
     peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
@@ -100,6 +103,7 @@
 
 mod admission;
 mod admission_pool;
+mod agreement;
 mod attempt_stream;
 mod bundle_canonical;
 mod bundle_diff;
@@ -125,6 +129,7 @@
 mod drain;
 mod engine_client;
 mod engine_event;
+mod engine_orders;
 mod error;
 mod event;
 mod event_stream;
@@ -140,12 +145,15 @@
 mod kernel;
 mod keyed;
 mod known;
+mod lease_row;
+mod leases;
 mod logging;
 mod metrics_page;
 mod news;
 mod node;
 mod operator_border;
 mod operator_problem;
+mod orders;
 mod peer_fault;
 mod peer_handshake;
 mod peer_key;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::{
+    agreement::{AgreementParts, start_agreement},
     caller_border::CallerBorder,
     http_server::Listener,
     metrics_page::start_metrics,
@@ -60,7 +61,7 @@
         let connections = kernel.register(ServiceName::Connections, connections)?;
         let platform = match settings.platform {
             Some(address) => {
-                let cfg = PlatformSettings::default();
+                let cfg = PlatformSettings::shared_by(settings.entry_vms);
                 let platform =
                     Platform::over_http(connections.clone(), timer.clone(), address, cfg);
                 Some(kernel.register(ServiceName::Platform, Arc::new(platform))?)
@@ -77,7 +78,16 @@
         let bundle_watch = BundleWatch::start(platform.clone(), &timer, &bundle);
         let bundle_watch = kernel.register(ServiceName::BundleWatch, bundle_watch)?;
         let claims = match &platform {
-            Some(platform) => Some(start_claims(&kernel, platform, &timer, &settings)?),
+            Some(platform) => {
+                let parts = AgreementParts {
+                    platform: platform.clone(),
+                    timer: timer.clone(),
+                    timeline: timeline.clone(),
+                    connections: connections.clone(),
+                    bundle: bundle.clone(),
+                };
+                Some(start_agreement(&kernel, &settings, parts)?)
+            }
             None => None,
         };
         let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
@@ -223,33 +233,6 @@
     ))
 }
 
-/// Longest wait at the end of the process for ends of claims that are not recorded yet. In an outage
-/// of the platform a VM that is to be replaced must not wait for it.
-const CLAIMS_FLUSH_BOUND: Duration = Duration::from_secs(10);
-
-fn start_claims(
-    kernel: &Kernel,
-    platform: &Arc<Platform>,
-    timer: &Arc<Timer>,
-    settings: &Settings,
-) -> Result<Arc<Claims>> {
-    let claims = Claims::start(
-        platform.clone(),
-        timer.clone(),
-        settings.vm.clone(),
-        Incarnation(rand::random::<u64>() >> 1),
-        ClaimSettings::default(),
-    );
-    let stopped = claims.clone();
-    kernel.on_stop(move || async move {
-        let flushed = tokio::time::timeout(CLAIMS_FLUSH_BOUND, stopped.flush()).await;
-        if flushed.is_err() {
-            tracing::warn!("ended with claims whose outcome is not recorded");
-        }
-    });
-    kernel.register(ServiceName::Claims, claims)
-}
-
 fn read_bundle_file(path: &std::path::Path) -> Result<ReadBundle> {
     let json = std::fs::read_to_string(path).map_err(|source| Error::File {
         path: path.to_owned(),
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -26,6 +26,10 @@
     Platform,
     /// The other VMs.
     Peers,
+    /// Leases that this VM competes for.
+    Leases,
+    /// Orders to engines.
+    Orders,
     /// Slices of the teams' limits.
     TeamLimits,
     /// Ticks for parts that do something now and then.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -26,13 +26,15 @@
     pub peer_key: PeerKey,
     /// VMs to begin with, besides those of the platform's list.
     pub peers: Vec<PeerEntry>,
+    /// Which upstreams this VM may give orders to.
+    pub orders: OrderRight,
     /// How long nothing must have been in flight before the process ends.
     pub drain_grace: Duration,
     /// How long a generation goes on without a caller who reads it.
     pub caller_grace: Duration,
     /// Longest request body, and longest answer of a plain service, in bytes.
     pub body_limit: usize,
-    /// VMs that share the capacity of the upstreams; this one takes its part of it.
+    /// VMs that share the capacity of the upstreams and of the platform; this one takes its part.
     pub entry_vms: u32,
     /// Events that the time line holds; older ones make room for newer.
     pub timeline_events: usize,
@@ -50,6 +52,7 @@
             operator_key: None,
             bundle_file: None,
             platform: None,
+            orders: OrderRight::default(),
             peer_listen: None,
             peer_advertise: None,
             peer_key: PeerKey::default(),
@@ -95,10 +98,12 @@
   --peer-advertise ADDRESS  where other VMs reach this one, if not at --peer-listen
   --peer-key TEXT           secret that all VMs share; better given as a variable
   --peers LIST              VMs to begin with, as VM=ADDRESS@ZONE, separated by commas
+  --orders WHICH            upstreams that this VM may order: all, checked (those that check who
+                            orders) or none [all]
   --drain-grace-ms N        how long nothing must be in flight before the end [2000]
   --caller-grace-ms N       how long a generation goes on without its caller [20000]
   --body-limit N            longest request body in bytes [4194304]
-  --entry-vms N             VMs that share the capacity of the upstreams [1]
+  --entry-vms N             VMs that share the upstreams' and the platform's capacity [1]
   --timeline-events N       events that the time line holds [20000]
   --log FILTER              log levels [info]
   --check                   check the settings and end
@@ -203,6 +208,7 @@
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
             }
+            "orders" => self.orders = parse(flag, "all, checked or none", value)?,
             "platform" => {
                 self.platform = Some(parse(flag, "an IP address and port", value)?);
             }
@@ -222,6 +228,7 @@
     "entry-vms",
     "listen",
     "log",
+    "orders",
     "operator-key-sha256",
     "operator-listen",
     "platform",
--- a/crates/catkinward/tests/settings.rs
+++ b/crates/catkinward/tests/settings.rs
@@ -112,6 +112,7 @@
         "--operator-key-sha256",
         "--timeline-events",
         "--platform",
+        "--orders",
         "--check",
         "--version",
     ] {
--- a/crates/decisions/src/lease.rs
+++ b/crates/decisions/src/lease.rs
@@ -9,121 +9,6 @@
 
 use super::*;
 
-/// Settings of a [`Lease`].
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LeaseSettings {
-    /// How long the lease lasts after each write. An order stops for as long after a holder's death,
-    /// and orders are worth minutes of loading.
-    pub duration: Duration,
-    /// How much longer another VM waits, for clocks that run at different speeds.
-    pub margin: Duration,
-    /// Age of the last write at which the holder writes again: a third of the duration, so that two
-    /// lost writes cost nothing.
-    pub renew_after: Duration,
-    /// How often a VM that doesn't hold the lease looks at it.
-    pub read_period: Duration,
-    /// Longest time that an order is under way.
-    pub order_timeout: Duration,
-}
-
-impl Default for LeaseSettings {
-    fn default() -> Self {
-        Self {
-            duration: Duration::from_secs(10),
-            margin: Duration::from_secs(2),
-            renew_after: Duration::from_secs(3),
-            read_period: Duration::from_secs(3),
-            order_timeout: Duration::from_secs(2),
-        }
-    }
-}
-
-/// Who holds a lease: a process, not only a VM, since a returned process knows nothing of its former
-/// self's orders.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LeaseHolder {
-    /// The VM.
-    pub vm: VmId,
-    /// The process on it.
-    pub incarnation: Incarnation,
-}
-
-/// What the lease's row holds.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LeaseRecord {
-    /// Last holder.
-    pub holder: LeaseHolder,
-    /// Its fencing number.
-    pub term: Term,
-    /// How long the lease lasts after each write; zero once it is given back.
-    pub duration: Duration,
-}
-
-/// The lease's row with its version; version 0 and no record if there is none.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct LeaseRow {
-    /// Its version.
-    pub version: u64,
-    /// Its record; `None` too if it cannot be read.
-    pub record: Option<LeaseRecord>,
-}
-
-/// What is to be done for a lease now.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LeaseStep {
-    /// Nothing for so long.
-    Wait(Duration),
-    /// Read the row.
-    Read,
-    /// Write the record if the row has the expected version.
-    Write(LeaseWrite),
-}
-
-/// A write of the lease's row.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LeaseWrite {
-    /// Version that the row must have.
-    pub expected: u64,
-    /// What is written.
-    pub record: LeaseRecord,
-}
-
-/// Answer to a write of the lease's row.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LeaseAnswer {
-    /// It is written.
-    Written,
-    /// It is not, since the row is this one.
-    Conflict(LeaseRow),
-    /// It is not.
-    NotRun,
-    /// It is, or it isn't.
-    Unknown,
-}
-
-/// Right to give one order, under a term, until it has to be answered.
-///
-/// Only a lease makes one. An order without it could come from a holder whose lease has lapsed.
-#[derive(Debug, PartialEq)]
-pub struct OrderPermit {
-    term: Term,
-    until: Instant,
-}
-
-impl OrderPermit {
-    /// Fencing number of the order.
-    #[must_use]
-    pub fn term(&self) -> Term {
-        self.term
-    }
-
-    /// Time by which the order has to be answered or given up.
-    #[must_use]
-    pub fn until(&self) -> Instant {
-        self.until
-    }
-}
-
 /// One process's view of a lease.
 #[derive(Clone, Debug)]
 pub struct Lease {
@@ -206,16 +91,18 @@
         if let Some(term) = self.held(now) {
             return self.step_of_holder(now, term);
         }
+        if !self.wanted {
+            return LeaseStep::Wait(self.cfg.read_period);
+        }
         let lapses = self.lapses(seen);
-        if self.wanted && lapses <= now {
+        if lapses <= now {
             return self.write(self.next_term(), self.cfg.duration);
         }
         let read = looked.after(self.cfg.read_period);
         if read <= now {
             return LeaseStep::Read;
         }
-        let next = if self.wanted { read.min(lapses) } else { read };
-        LeaseStep::Wait(next.since(now))
+        LeaseStep::Wait(read.min(lapses).since(now))
     }
 
     fn step_of_holder(&self, now: Instant, term: Term) -> LeaseStep {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -57,6 +57,8 @@
     dropped_counts::DroppedCounts,
     eligible::Eligible,
     engine_priority::EnginePriority,
+    engine_report::EngineReport,
+    engine_state::EngineState,
     error::Error,
     failed_call::FailedCall,
     fair_queue::{FairQueue, QueueTeam},
@@ -72,14 +74,18 @@
     instant::Instant,
     key_hash::KeyHash,
     lane::Lane,
-    lease::{
-        Lease, LeaseAnswer, LeaseHolder, LeaseRecord, LeaseRow, LeaseSettings, LeaseStep,
-        LeaseWrite, OrderPermit,
-    },
+    lease::Lease,
+    lease_row::{LeaseHolder, LeaseRecord, LeaseRow},
+    lease_settings::LeaseSettings,
+    lease_step::{LeaseAnswer, LeaseStep, LeaseWrite},
     leaving_source::LeavingSource,
     limit_kind::LimitKind,
     model::Model,
     operator_name::OperatorName,
+    order_permit::OrderPermit,
+    order_planner::OrderPlanner,
+    order_scope::{EngineGoal, OrderScope, order_scopes},
+    order_settings::OrderSettings,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -108,6 +114,7 @@
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
+    serving_model::serving_model,
     slice_grant::SliceGrant,
     slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
     slice_request::SliceRequest,
@@ -167,6 +174,9 @@
 mod dropped_counts;
 mod eligible;
 mod engine_priority;
+mod engine_report;
+mod engine_state;
+mod engine_view;
 mod error;
 mod failed_call;
 mod fair_queue;
@@ -183,10 +193,17 @@
 mod key_hash;
 mod lane;
 mod lease;
+mod lease_row;
+mod lease_settings;
+mod lease_step;
 mod leaving_source;
 mod limit_kind;
 mod model;
 mod operator_name;
+mod order_permit;
+mod order_planner;
+mod order_scope;
+mod order_settings;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
@@ -215,6 +232,7 @@
 mod service_id;
 mod service_kind;
 mod service_time;
+mod serving_model;
 mod slice_grant;
 mod slice_home;
 mod slice_request;
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -67,6 +67,25 @@
             .for_each(|s| s.cancel());
     }
 
+    /// Cancels all attempts on a model version that is no longer loaded.
+    pub(crate) fn cancel_model(&self, model: &str, version: &str) {
+        self.sequences
+            .lock()
+            .iter()
+            .filter(|s| s.order.model == model && s.order.version == version)
+            .for_each(|s| s.cancel());
+    }
+
+    /// Unfinished sequences on a model version.
+    pub(crate) fn streams(&self, model: &str, version: &str) -> usize {
+        self.sequences
+            .lock()
+            .iter()
+            .filter(|s| s.order.model == model && s.order.version == version)
+            .filter(|s| s.state.lock().finish.is_none())
+            .count()
+    }
+
     /// Attempts started, by request id and digest of the prompt.
     pub(crate) fn runs(&self) -> RunCounts {
         self.runs.lock().clone()
