--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::{
+    admission_pool::Refusal,
     event_stream::event_stream,
     generation::GenerationOutcome,
     generation_driver,
@@ -223,6 +224,7 @@
         Ok(GenerationRequest {
             id: new_request_id(),
             digest: None,
+            body: RequestDigest::of(&caller.team, &json_bytes(order)),
             team: caller.team.clone(),
             service: service.id.clone(),
             bundle: caller.bundle.version,
@@ -246,7 +248,15 @@
             return Ok(());
         }
         let queued = Queued::new(request.id.clone());
-        match generation_driver::offer(&self.node, request, team) {
+        let offered = if self.node.upstreams.refuses(request.body) {
+            Err(Refusal {
+                reason: RefusalReason::Poisoned,
+                retry_after: Duration::ZERO,
+            })
+        } else {
+            generation_driver::offer(&self.node, request, team)
+        };
+        match offered {
             Ok(waiting) => self.start(generation, Some(waiting)),
             Err(refusal) => {
                 let not_run = queued.refuse(refusal.reason, refusal.retry_after);
--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -3,21 +3,28 @@
     attempt_stream::AttemptStream,
     engine_event::AttemptFault,
     http_client::{HttpError, json_bytes},
+    upstream_handle::UpstreamHandle,
 };
 
 /// Longest body of a refusal that is read, in bytes.
 const REFUSAL_LIMIT: usize = 64 * 1024;
 
+/// Header in which an engine may send its load report with a reply.
+const LOAD_HEADER: &str = "catkin-load";
+
 /// Starts an attempt on an engine, over a connection of its own: a kept one may have gone silent,
 /// and the caller would wait for the whole bound where a new connection costs one round trip.
+///
+/// It takes a handle that has proof that its upstream may get new work.
 pub(crate) async fn start_attempt(
     connections: &Connections,
-    address: SocketAddr,
+    upstream: &UpstreamHandle,
     order: &engine::EngineGenerate,
     bound: Duration,
 ) -> Result<AttemptStream, AttemptFault> {
+    upstream.check_eligible()?;
     let call = HttpCall {
-        address,
+        address: upstream.address(),
         method: Method::POST,
         path: "/v1/generate".to_owned(),
         body: json_bytes(order),
@@ -25,7 +32,12 @@
         fresh: true,
         ..HttpCall::default()
     };
-    open_stream(connections, Attempt(order.attempt), call).await
+    let (stream, load) = open_stream(connections, Attempt(order.attempt), call).await?;
+    upstream.answered();
+    if let Some(load) = load {
+        upstream.reported(load);
+    }
+    Ok(stream)
 }
 
 /// A running attempt to go on with.
@@ -64,16 +76,12 @@
         fresh: true,
         ..HttpCall::default()
     };
-    open_stream(connections, becomes, call).await
+    let (stream, _) = open_stream(connections, becomes, call).await?;
+    Ok(stream)
 }
 
 /// Cancels all attempts of a request up to `attempt`; an engine that does not answer is left alone.
-pub(crate) async fn cancel(
-    connections: &Connections,
-    address: SocketAddr,
-    id: &RequestId,
-    attempt: Attempt,
-) {
+async fn cancel(connections: &Connections, address: SocketAddr, id: &RequestId, attempt: Attempt) {
     let call = HttpCall {
         address,
         method: Method::DELETE,
@@ -86,16 +94,31 @@
     }
 }
 
+/// Cancels in the background.
+pub(crate) fn cancel_later(
+    connections: &Arc<Connections>,
+    address: SocketAddr,
+    id: &RequestId,
+    attempt: Attempt,
+) {
+    let (connections, id) = (connections.clone(), id.clone());
+    tokio::spawn(async move { cancel(&connections, address, &id, attempt).await });
+}
+
 async fn open_stream(
     connections: &Connections,
     attempt: Attempt,
     call: HttpCall,
-) -> Result<AttemptStream, AttemptFault> {
+) -> Result<(AttemptStream, Option<engine::UpstreamLoad>), AttemptFault> {
     let HttpCall { address, bound, .. } = call;
     let response = connections.call(call).await?;
     let status = response.status();
     if status.is_success() {
-        return AttemptStream::new(attempt, response);
+        let load = response
+            .headers()
+            .get(LOAD_HEADER)
+            .and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
+        return Ok((AttemptStream::new(attempt, response)?, load));
     }
     let body = http_body_util::Limited::new(response.into_body(), REFUSAL_LIMIT);
     let body = tokio::time::timeout(bound, http_body_util::BodyExt::collect(body))
--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -71,6 +71,10 @@
     /// The call failed.
     #[display("{_0}")]
     Http(http_client::HttpError),
+    /// The upstream may get no new work; nothing was sent.
+    #[display("the upstream may get no new work")]
+    #[from(skip)]
+    NotEligible,
     /// The engine refused; nothing ran.
     #[display("the engine refused: {kind}")]
     #[from(skip)]
@@ -100,3 +104,14 @@
         name: Arc<str>,
     },
 }
+
+impl AttemptFault {
+    /// Whether the engine may run the attempt although its stream did not come.
+    pub(crate) fn may_have_started(&self) -> bool {
+        use http_client::HttpError;
+        matches!(
+            self,
+            Self::Broken | Self::Http(HttpError::Call { .. } | HttpError::Timeout { .. })
+        )
+    }
+}
--- a/crates/catkinward/src/generation_request.rs
+++ b/crates/catkinward/src/generation_request.rs
@@ -10,6 +10,8 @@
     pub id: RequestId,
     /// Digest by which a caller who comes back is recognised; `None` if it gave no key.
     pub digest: Option<RequestDigest>,
+    /// Digest of the team and its body, by which a request that kills upstreams is known.
+    pub body: RequestDigest,
     /// The team that asked.
     pub team: TeamId,
     /// The service asked for.
@@ -50,6 +52,16 @@
         }
     }
 
+    /// What it wants of an upstream.
+    pub(crate) fn want(&self) -> UpstreamWant<'_> {
+        UpstreamWant {
+            model: Some(&self.model),
+            digest: Some(self.body),
+            prefix: &self.prompt,
+            ..UpstreamWant::new(&self.service)
+        }
+    }
+
     /// What it keeps on whichever VM goes on with it.
     pub(crate) fn pinned(&self) -> Pinned {
         Pinned {
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -7,19 +7,23 @@
     crate::http_client::{Connections, HttpCall},
     arc_swap::ArcSwap,
     bytes::Bytes,
-    catkin_border::{bundle as border_bundle, caller, engine, platform as platform_border},
+    catkin_border::{
+        bundle as border_bundle, caller, engine, operator, platform as platform_border,
+    },
     catkin_decisions::{
-        AdmissionConfig, AdmissionQueue, Arrival, Attempt, AvailabilityZone, Bundle, BundleVersion,
-        CallKey, CapacityReport, CapacityShare, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome,
-        ClaimQueue, ClaimRecord, ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed,
-        Delivery, Dispatched, EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge,
-        HeldClaim, HotKeys, HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane,
-        Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, ProgressLimits,
-        ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger,
-        ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason,
-        Relay, RequestDigest, RequestId, ReservedAttempt, RetryBudget, Service, ServiceId,
-        ServiceKind, StallDetector, Team, TeamId, Term, Token, TokenIndex, TokenLog, Upstream,
-        UpstreamId, Utf8Joiner, VmId, WallTime, parse_hex,
+        AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
+        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, CapacityShare,
+        ChoiceInput, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord,
+        ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible,
+        EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys,
+        HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, Model,
+        NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
+        PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
+        QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
+        RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
+        RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
+        TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
+        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -37,7 +41,7 @@
         str::FromStr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -56,8 +60,11 @@
 pub use crate::{
     admission::Admission,
     bundle_in_force::BundleInForce,
+    bundle_store::{Applied, BundleStore, BundleStoreSettings},
+    bundle_watch::{BundleWatch, FetchBundle},
     claim_settings::ClaimSettings,
     claims::{AnswerToRecord, ClaimRequest, Claims},
+    ctl::run_ctl,
     daemon::run_daemon,
     drain::{Drain, InFlight},
     error::Error,
@@ -75,10 +82,13 @@
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
+    read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
+    upstream_handle::UpstreamHandle,
+    upstream_want::{NoUpstream, UpstreamWant},
     upstreams::Upstreams,
 };
 
@@ -88,14 +98,26 @@
 mod admission;
 mod admission_pool;
 mod attempt_stream;
+mod bundle_canonical;
+mod bundle_diff;
 mod bundle_format;
 mod bundle_in_force;
+mod bundle_rows;
+mod bundle_store;
+mod bundle_watch;
 mod caller_border;
 mod claim_committer;
 mod claim_row;
 mod claim_settings;
 mod claim_sweep;
 mod claims;
+mod ctl;
+mod ctl_bundle;
+mod ctl_settings;
+mod ctl_status;
+mod ctl_time;
+mod ctl_timeline;
+mod ctl_vms;
 mod daemon;
 mod drain;
 mod engine_client;
@@ -113,9 +135,12 @@
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
+mod known;
 mod logging;
 mod metrics_page;
 mod node;
+mod operator_border;
+mod operator_problem;
 mod peer_fault;
 mod peer_handshake;
 mod peer_key;
@@ -137,6 +162,7 @@
 mod problem;
 mod process_clock;
 mod progress_keeper;
+mod read_bundle;
 mod read_leader;
 mod returning_caller;
 mod service_name;
@@ -144,5 +170,7 @@
 mod timeline;
 mod timer;
 mod upstream_handle;
+mod upstream_state;
+mod upstream_want;
 mod upstreams;
 mod waiting_place;
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -10,6 +10,8 @@
     Admission,
     /// The bundle in force.
     Bundle,
+    /// Word of releases.
+    BundleWatch,
     /// Claims of idempotency keys.
     Claims,
     /// The state of a graceful shutdown.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,11 +27,20 @@
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     bundle::Bundle,
+    bundle_author::BundleAuthor,
+    bundle_change::{BundleChange, Settled},
+    bundle_digest::BundleDigest,
+    bundle_draft::{BundleDraft, SignOff},
+    bundle_refusal::BundleRefusal,
+    bundle_release::{BundleRelease, CurrentBundle, ReleaseSource},
+    bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
+    bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     candidate::Candidate,
     capacity_share::CapacityShare,
+    change_token::ChangeToken,
     choice::{ChoiceInput, choose},
     claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
     claim_queue::{ClaimFate, ClaimQueue, GroupAnswer},
@@ -43,6 +52,7 @@
     claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     delivery::Delivery,
+    draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
     eligible::Eligible,
@@ -68,6 +78,7 @@
     },
     leaving_source::LeavingSource,
     model::Model,
+    operator_name::OperatorName,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
@@ -121,12 +132,21 @@
 mod attempt;
 mod availability_zone;
 mod bundle;
+mod bundle_author;
+mod bundle_change;
+mod bundle_digest;
+mod bundle_draft;
+mod bundle_refusal;
+mod bundle_release;
+mod bundle_row;
 mod bundle_version;
+mod bundle_view;
 mod call_budget;
 mod call_key;
 mod call_table;
 mod candidate;
 mod capacity_share;
+mod change_token;
 mod choice;
 mod claim_change;
 mod claim_queue;
@@ -136,6 +156,7 @@
 mod claimed;
 mod concurrency_limit;
 mod delivery;
+mod draft_id;
 mod drop_reason;
 mod dropped_counts;
 mod eligible;
@@ -159,6 +180,7 @@
 mod lease;
 mod leaving_source;
 mod model;
+mod operator_name;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
--- a/crates/load/examples/plain_overload.rs
+++ b/crates/load/examples/plain_overload.rs
@@ -92,7 +92,7 @@
         }],
         teams: (0..TEAMS)
             .map(|team| bundle::TeamEntry {
-                key_sha256: KeyHash::of(&key(team)).to_string(),
+                key_sha256: KeyHash::of(key(team)).to_string(),
                 name: format!("team-{team}"),
                 requests_per_second: None,
                 tokens_per_second: None,
--- a/crates/load/src/fleet_bundle.rs
+++ b/crates/load/src/fleet_bundle.rs
@@ -74,7 +74,7 @@
 
 fn team(i: usize) -> bundle::TeamEntry {
     bundle::TeamEntry {
-        key_sha256: KeyHash::of(&team_key(i)).to_string(),
+        key_sha256: KeyHash::of(team_key(i)).to_string(),
         name: format!("team-{i}"),
         requests_per_second: None,
         tokens_per_second: None,
