A queued generation that turns out poisoned is refused, and a suspect is placed

Cause: a generation that waited in the queue while upstreams died under the same request elsewhere was given no upstream any more and stayed at the head of its team's queue until its deadline; a suspect waited there without patience.

Change: a queued generation looks once a second whether it is refused, and after a second in the queue counts as urgent for the choice of upstream.

The new test hangs without the change (seen once, ended by hand; the test has since a bound of 20 s) and passes with it.

Conclusion: a poisoned request holds up its team for a second at most.

--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -42,9 +42,13 @@
 
 fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
     let (upstreams, request) = (node.upstreams.clone(), request.clone());
+    let (timer, start) = (node.timer.clone(), node.timer.now());
     Box::new(move |taken| {
+        // A suspect that no watched upstream takes would hold up its team's queue behind it.
+        let urgent = timer.now().since(start) > SUSPECT_PATIENCE;
         let want = UpstreamWant {
             avoid: taken,
+            urgent,
             ..request.want()
         };
         upstreams.choose(&want).ok()
@@ -173,10 +177,21 @@
             return self.wait_for_upstream().await;
         };
         let queued = Queued::new(());
-        waiting.granted().await.map_err(|refusal| {
-            let not_run = queued.refuse(refusal.reason, refusal.retry_after);
-            Problem::not_run(&not_run).kind
-        })
+        tokio::select! {
+            granted = waiting.granted() => granted.map_err(|refusal| {
+                let not_run = queued.refuse(refusal.reason, refusal.retry_after);
+                Problem::not_run(&not_run).kind
+            }),
+            () = self.until_poisoned() => Err(self.poisoned()),
+        }
+    }
+
+    /// Waits until upstreams have died under this request elsewhere. It will get no upstream then,
+    /// and its team's other requests would wait behind it until its deadline.
+    async fn until_poisoned(&self) {
+        while !self.node.upstreams.refuses(self.generation.request.body) {
+            tokio::time::sleep(SUSPECT_PATIENCE).await;
+        }
     }
 
     /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
--- a/crates/load/tests/admission.rs
+++ b/crates/load/tests/admission.rs
@@ -3,6 +3,7 @@
 mod router_support;
 
 use catkin_border::caller::CompletionRequest;
+use catkin_decisions::{Incarnation, PoisonMark, RequestDigest, UpstreamDeath};
 use catkin_standins::{Answer, CallerClient, DEMO_KEY, EngineServer, EngineSettings, TokenChain};
 use googletest::prelude::*;
 use router_support::{Router, free_address};
@@ -117,3 +118,56 @@
     expect_that!(engine.work().1, eq(prefilled));
     long.abort();
 }
+
+/// The same request kills two engines of other VMs while it waits here. It must not stay at the head
+/// of its team's queue until its deadline, and it has not run.
+#[gtest]
+#[tokio::test]
+async fn queued_generation_that_turns_out_poisoned_is_refused() {
+    let engine = engine(1).await;
+    let router = Router::start(&[engine.address()], &[]).await;
+    let caller = CallerClient::new(router.address, DEMO_KEY).expect("a client");
+    let started = Arc::new(Notify::new());
+    let long = tokio::spawn({
+        let (caller, started) = (caller.clone(), started.clone());
+        async move {
+            let mut answer = Answer::default();
+            let on_token = |_: &Answer| started.notify_one();
+            caller
+                .stream(&request(100_000), None, &mut answer, on_token)
+                .await
+        }
+    });
+    started.notified().await;
+    let service = "ticket-model".parse().expect("a name");
+    let poison = request(500);
+    let queued = tokio::spawn({
+        let (caller, poison) = (caller.clone(), poison.clone());
+        async move { whole(&caller, &poison).await }
+    });
+    while router.node.admission.waiting(&service) < 1 {
+        tokio::task::yield_now().await;
+    }
+
+    router.node.upstreams.merge_poison(&two_deaths(&poison));
+
+    // Without the refusal it would wait for an hour.
+    let answer = tokio::time::timeout(Duration::from_secs(20), queued).await;
+    let answer = answer.expect("an answer").expect("no panic");
+    let problem = answer.problem.expect("a refusal");
+    expect_that!(problem.type_, eq("catkinward:poisoned_not_run"));
+    expect_that!(problem.outcome.to_string(), eq("not_run"));
+    expect_that!(router.node.admission.waiting(&service), eq(0));
+    long.abort();
+}
+
+fn two_deaths(request: &CompletionRequest) -> [PoisonMark; 2] {
+    let team = "counter".parse().expect("a name");
+    let body = serde_json::to_vec(request).expect("JSON");
+    ["engine-8", "engine-9"].map(|upstream| PoisonMark {
+        digest: RequestDigest::of(&team, &body),
+        death: UpstreamDeath::of(&upstream.parse().expect("an id"), Incarnation(1)),
+        cleared: false,
+        age_ms: 10,
+    })
+}
