--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -27,17 +27,53 @@
 /// How long a suspected request waits for an upstream that this VM watches.
 const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Time that the probe of a running attempt has before a second attempt starts. A live engine answers
+/// within a round trip of a few milliseconds, and the second attempt would only be cancelled again.
+const HEAD_START: Duration = Duration::from_millis(25);
+
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
 /// Lets a generation wait for its first place.
+///
+/// # Errors
+///
+/// At once, if upstreams died under the same request before, its team's limit is reached, or it
+/// could not start in time.
 pub(crate) fn offer(
     node: &Node,
     request: &GenerationRequest,
     team: QueueTeam,
 ) -> Result<WaitingPlace, Refusal> {
     let pool = node.admission.pool(&request.service);
-    pool.offer(&request.arrival(team), chooser(node, request))
+    if node.upstreams.refuses(request.body) {
+        pool.count_refusal(RefusalReason::Poisoned);
+        return Err(Refusal {
+            reason: RefusalReason::Poisoned,
+            retry_after: Duration::ZERO,
+        });
+    }
+    take_from_limits(node, request).map_err(|retry_after| {
+        pool.count_refusal(RefusalReason::TeamLimit);
+        Refusal {
+            reason: RefusalReason::TeamLimit,
+            retry_after,
+        }
+    })?;
+    let offered = pool.offer(&request.arrival(team), chooser(node, request));
+    offered.inspect_err(|_| {
+        let limits = &node.limits;
+        limits.give_back(&request.team, LimitKind::Requests, 1);
+        limits.give_back(&request.team, LimitKind::Tokens, request.max_tokens);
+    })
+}
+
+/// Takes a request and all tokens that it may generate from its team's limits.
+fn take_from_limits(node: &Node, request: &GenerationRequest) -> Result<(), Duration> {
+    let (limits, team) = (&node.limits, &request.team);
+    limits.take(team, LimitKind::Requests, 1)?;
+    let tokens = limits.take(team, LimitKind::Tokens, request.max_tokens);
+    tokens.inspect_err(|_| limits.give_back(team, LimitKind::Requests, 1))
 }
 
 fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
@@ -61,6 +97,7 @@
     generation: Arc<Generation>,
     waiting: Option<WaitingPlace>,
 ) {
+    let admitted_here = waiting.is_some();
     let mut driver = Driver {
         node: node.clone(),
         generation: generation.clone(),
@@ -88,6 +125,12 @@
         "generation ended"
     );
     record_end(&node, &generation, outcome);
+    if admitted_here && outcome != GenerationOutcome::Failed(ProblemKind::Superseded) {
+        let request = &generation.request;
+        let unused = request.max_tokens.saturating_sub(generation.next_index().0);
+        node.limits
+            .give_back(&request.team, LimitKind::Tokens, unused);
+    }
     generation.conclude(outcome);
 }
 
@@ -204,7 +247,7 @@
         let (reserved, _) = self.generation.reserve();
         let reattach = Reattach {
             address: upstream.address(),
-            id: &self.generation.request.id,
+            id: &self.generation.request.engine_id,
             attempt,
             becomes: reserved.attempt(),
             from: self.generation.next_index(),
@@ -218,7 +261,7 @@
         self.record(EventKind::ReAttached, reserved.attempt(), &id, None);
         self.generation.adopt(reserved).then(|| RunningAttempt {
             node: self.node.clone(),
-            id: self.generation.request.id.clone(),
+            id: self.generation.request.engine_id.clone(),
             upstream,
             stream,
             ended: false,
@@ -299,7 +342,7 @@
         };
         Ok(RunningAttempt {
             node: self.node.clone(),
-            id: self.generation.request.id.clone(),
+            id: self.generation.request.engine_id.clone(),
             upstream,
             stream,
             ended: false,
@@ -323,7 +366,7 @@
         if !fault.may_have_started() {
             return Err(fault);
         }
-        let id = &self.generation.request.id;
+        let id = &self.generation.request.engine_id;
         let attempt = Attempt(order.attempt);
         if self.generation.request.recovery == RecoveryPolicy::LeastWork {
             let reattach = Reattach {
@@ -529,6 +572,13 @@
     ) -> Result<Raced, AttemptFault> {
         let mut probe = std::pin::pin!(self.reattached(old));
         let mut second = std::pin::pin!(self.second_attempt(other, order));
+        tokio::select! {
+            probed = &mut probe => return match probed {
+                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
+                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
+            },
+            () = tokio::time::sleep(HEAD_START) => {}
+        }
         tokio::select! {
             probed = &mut probe => match probed {
                 Ok(stream) => Ok(Raced::Old(Box::new(stream))),
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -12,18 +12,19 @@
     },
     catkin_decisions::{
         AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
-        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, CapacityShare,
+        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, CapacityShare, ChainId,
         ChoiceInput, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord,
         ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible,
         EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys,
-        HybridClock, IdempotencyKey, Incarnation, Instant, KeyHash, Lane, LeavingSource, Model,
-        NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable, Pinned, PoisonMark, PoisonRun,
-        PoisonTracker, ProgressLimits, ProgressRecord, ProgressStore, ProgressUpdate, QueuePlace,
-        QueueTeam, Queued, ReadMerger, ReceivedEnd, ReceivedToken, RecordedAnswer, RecordedBody,
-        RecoveryPolicy, RefusalReason, Relay, RequestDigest, RequestId, ReservedAttempt,
-        RetryBudget, Service, ServiceId, ServiceKind, StallDetector, Team, TeamId, Term, Token,
-        TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord, UpstreamReport, Utf8Joiner,
-        VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
+        HybridClock, IdempotencyKey, Incarnation, Instant, KeptProgress, KeyHash, Lane,
+        LeavingSource, LimitKind, Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable,
+        PoisonMark, PoisonRun, PoisonTracker, ProgressHead, ProgressLimits, ProgressRecord,
+        ProgressStore, ProgressUpdate, QueuePlace, QueueTeam, Queued, ReadMerger, ReceivedEnd,
+        ReceivedToken, RecordedAnswer, RecordedBody, RecoveryPolicy, RefusalReason, Relay,
+        RequestDigest, RequestId, ReservedAttempt, RetryBudget, ReturnPoint, SLICE_PERIOD, Service,
+        ServiceId, ServiceKind, SliceGrant, SliceHome, SliceRequest, StallDetector, Team, TeamId,
+        TeamSlice, Term, Token, TokenIndex, TokenLog, Upstream, UpstreamId, UpstreamRecord,
+        UpstreamReport, Utf8Joiner, VmId, WallTime, choose, parse_hex, rendezvous_score, subset,
     },
     derive_more::{Display, Error as StdError, From},
     http::{HeaderMap, Method, StatusCode, header},
@@ -73,18 +74,20 @@
     generations::Generations,
     gossip::{Gossip, GossipSources},
     kernel::Kernel,
+    keyed::Keyed,
     logging::start_logging,
     node::Node,
     peer_fault::PeerFault,
     peer_key::PeerKey,
     peer_message::{PEER_PROTOCOL, PeerBody, PeerChallenge, PeerHello, PeerMessage, PeerWelcome},
-    peers::Peers,
+    peers::{PeerParts, Peers},
     platform::{Platform, PlatformCall, PlatformFault},
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     read_bundle::{ReadBundle, read_bundle, read_canonical},
     service_name::ServiceName,
     settings::{Command, HELP, Settings},
+    team_limits::{SliceAsk, TeamLimits},
     timeline::{Timeline, TimelineExtract, TimelineQuery, TimelineRecord},
     timer::Timer,
     upstream_handle::UpstreamHandle,
@@ -135,9 +138,11 @@
 /// The HTTP server and its connection limits.
 pub mod http_server;
 mod kernel;
+mod keyed;
 mod known;
 mod logging;
 mod metrics_page;
+mod news;
 mod node;
 mod operator_border;
 mod operator_problem;
@@ -167,8 +172,11 @@
 mod returning_caller;
 mod service_name;
 mod settings;
+mod slice_exchange;
+mod team_limits;
 mod timeline;
 mod timer;
+mod upstream_gossip;
 mod upstream_handle;
 mod upstream_state;
 mod upstream_want;
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::{
     caller_border::CallerBorder, http_server::Listener, metrics_page::start_metrics,
-    operator_border::OperatorBorder,
+    news::start_news, operator_border::OperatorBorder, slice_exchange::exchange_slices,
+    upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
 
@@ -29,6 +30,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Queues and places of all services.
     pub admission: Arc<Admission>,
+    /// Slices of the teams' limits.
+    pub limits: Arc<TeamLimits>,
     /// Generations under way.
     pub generations: Arc<Generations>,
     /// The other VMs, if this one takes calls of peers.
@@ -78,10 +81,31 @@
         start_metrics();
         let admission = Admission::start(&timer, &bundle, &upstreams, &settings);
         let admission = kernel.register(ServiceName::Admission, admission)?;
-        let generations = kernel.register(ServiceName::Generations, Arc::default())?;
-        let peers = start_peers(&settings, &timer, &timeline, &generations)?;
+        let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
+        let limits = kernel.register(ServiceName::TeamLimits, limits)?;
+        let generations: Arc<Generations> =
+            kernel.register(ServiceName::Generations, Arc::default())?;
+        let peers = start_peers(&settings, |entry| PeerParts {
+            entry,
+            key: settings.peer_key.clone(),
+            known: settings.peers.clone(),
+            timer: timer.clone(),
+            timeline: timeline.clone(),
+            generations: generations.clone(),
+            bundle: bundle.clone(),
+        })?;
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
+            gossip_upstreams(peers, &upstreams);
+            start_news(
+                peers,
+                &bundle_watch,
+                &upstreams,
+                platform.as_ref(),
+                &timer,
+                &bundle,
+            );
+            exchange_slices(peers, &limits, &timer);
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
@@ -96,6 +120,7 @@
             claims,
             upstreams,
             admission,
+            limits,
             generations,
             peers,
             drain,
@@ -165,9 +190,7 @@
 
 fn start_peers(
     settings: &Settings,
-    timer: &Arc<Timer>,
-    timeline: &Arc<Timeline>,
-    generations: &Arc<Generations>,
+    parts: impl FnOnce(PeerEntry) -> PeerParts,
 ) -> Result<Option<Arc<Peers>>> {
     let Some(address) = settings.peer_listen else {
         return Ok(None);
@@ -186,17 +209,7 @@
         address: settings.peer_advertise.unwrap_or(bound),
         zone: settings.zone.clone(),
     };
-    let known = settings.peers.clone();
-    let key = settings.peer_key.clone();
-    Ok(Some(Peers::start(
-        listener,
-        entry,
-        key,
-        known,
-        timer,
-        timeline,
-        generations,
-    )))
+    Ok(Some(Peers::start(listener, parts(entry))))
 }
 
 fn new_timeline(settings: &Settings) -> Arc<Timeline> {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -40,6 +40,7 @@
     call_key::CallKey,
     candidate::Candidate,
     capacity_share::CapacityShare,
+    chain_id::ChainId,
     change_token::ChangeToken,
     choice::{ChoiceInput, choose},
     claim_change::{ClaimChange, ClaimRowKey, FoundClaim},
@@ -77,17 +78,18 @@
         LeaseWrite, OrderPermit,
     },
     leaving_source::LeavingSource,
+    limit_kind::LimitKind,
     model::Model,
     operator_name::OperatorName,
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
-    pinned::Pinned,
     poison_hold::PoisonHold,
     poison_mark::PoisonMark,
     poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
+    progress_head::ProgressHead,
     progress_record::ProgressRecord,
-    progress_store::{ProgressLimits, ProgressStore},
+    progress_store::{KeptProgress, ProgressLimits, ProgressStore},
     progress_update::ProgressUpdate,
     read_merger::ReadMerger,
     received_end::ReceivedEnd,
@@ -102,15 +104,20 @@
     reserved_attempt::ReservedAttempt,
     retry_budget::{RetryBudget, RetryBudgetConfig},
     retry_refusal::RetryRefusal,
+    return_point::ReturnPoint,
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
+    slice_grant::SliceGrant,
+    slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
+    slice_request::SliceRequest,
     stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     team::Team,
     team_id::TeamId,
+    team_slice::TeamSlice,
     term::Term,
     ticket::Ticket,
     token::Token,
@@ -146,6 +153,7 @@
 mod call_table;
 mod candidate;
 mod capacity_share;
+mod chain_id;
 mod change_token;
 mod choice;
 mod claim_change;
@@ -179,15 +187,16 @@
 mod lane_queue;
 mod lease;
 mod leaving_source;
+mod limit_kind;
 mod model;
 mod operator_name;
 mod path_rule;
 mod peer_entry;
 mod peer_table;
-mod pinned;
 mod poison_hold;
 mod poison_mark;
 mod poison_tracker;
+mod progress_head;
 mod progress_record;
 mod progress_store;
 mod progress_update;
@@ -204,15 +213,20 @@
 mod reserved_attempt;
 mod retry_budget;
 mod retry_refusal;
+mod return_point;
 mod service;
 mod service_id;
 mod service_kind;
 mod service_time;
+mod slice_grant;
+mod slice_home;
+mod slice_request;
 mod stall_detector;
 mod subset;
 mod suspicion;
 mod team;
 mod team_id;
+mod team_slice;
 mod term;
 mod ticket;
 mod token;
