--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -12,9 +12,9 @@
     },
     catkin_decisions::{
         AdmissionConfig, AdmissionQueue, Arrival, AskedReport, Attempt, AvailabilityZone, Bundle,
-        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, ChainId, ChoiceInput,
-        ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord, ClaimRowKey,
-        ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible,
+        BundleDigest, BundleVersion, CallKey, Candidate, CapacityReport, CapacityShare, ChainId,
+        ChoiceInput, ClaimChange, ClaimFate, ClaimKind, ClaimOutcome, ClaimQueue, ClaimRecord,
+        ClaimRowKey, ClaimStage, ClaimToken, ClaimVerdict, Claimed, Delivery, Dispatched, Eligible,
         EnginePriority, FailedCall, Finish, FoundClaim, GroupAnswer, Hedge, HeldClaim, HotKeys,
         HybridClock, IdempotencyKey, Incarnation, Instant, KeptProgress, KeyHash, Lane,
         LeavingSource, LimitKind, Model, NotRun, NotRunEvidence, PathRule, PeerEntry, PeerTable,
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -93,8 +93,7 @@
         let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         start_metrics();
-        let sharers = settings.entry_vms;
-        let admission = Admission::start(&timer, &bundle, &upstreams, sharers);
+        let admission = Admission::start(&timer, &bundle, &upstreams, &settings);
         let admission = kernel.register(ServiceName::Admission, admission)?;
         let limits = Arc::new(TeamLimits::new(&timer, &bundle, &settings));
         let limits = kernel.register(ServiceName::TeamLimits, limits)?;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,8 +4,8 @@
 //! and tested by itself. The daemon feeds events in and obeys what comes out.
 
 pub(crate) use {
-    crate::call_table::CallTable,
     crate::claim_change::Judged,
+    crate::{call_table::CallTable, lane_queue::LaneQueue},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -39,6 +39,7 @@
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     candidate::Candidate,
+    capacity_share::CapacityShare,
     chain_id::ChainId,
     change_token::ChangeToken,
     choice::{ChoiceInput, choose},
@@ -61,7 +62,7 @@
     engine_state::EngineState,
     error::Error,
     failed_call::FailedCall,
-    fair_queue::{FairQueue, QueueTeam},
+    fair_queue::{FairQueue, PopTries, QueueTeam},
     finish::Finish,
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
@@ -158,6 +159,7 @@
 mod call_key;
 mod call_table;
 mod candidate;
+mod capacity_share;
 mod chain_id;
 mod change_token;
 mod choice;
@@ -192,6 +194,7 @@
 mod instant;
 mod key_hash;
 mod lane;
+mod lane_queue;
 mod lease;
 mod lease_row;
 mod lease_settings;
