--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -4,8 +4,9 @@
     caller_border::CallerBorder,
     http_server::Listener,
     metrics_page::start_metrics,
-    news::start_news,
+    news::{read_list, start_news},
     operator_border::OperatorBorder,
+    slice_exchange::exchange_slices,
     upstream_gossip::gossip_upstreams,
 };
 use volo_http::server::Server;
@@ -111,14 +112,12 @@
         if let Some(peers) = &peers {
             kernel.register(ServiceName::Peers, peers.clone())?;
             gossip_upstreams(peers, &upstreams);
-            start_news(
-                peers,
-                &bundle_watch,
-                &upstreams,
-                platform.as_ref(),
-                &timer,
-                &bundle,
-            );
+            start_news(peers, &bundle_watch, &upstreams, &bundle);
+            exchange_slices(peers, &limits, &timer);
+        }
+        if let Some(platform) = platform.clone() {
+            let upstreams = upstreams.clone();
+            tokio::spawn(read_list(platform, peers.clone(), upstreams, timer.clone()));
         }
         let drain = kernel.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
