A lease that a late write brought counts from its own send

A write whose answer was lost was forgotten as soon as a read showed that it had not taken effect. When it did later, and a second write was in doubt too, the lease was counted from the second one.

Change: the first write in doubt is remembered until the row's version changes. A direct test of the case, besides the property.

--- a/crates/decisions/src/lease.rs
+++ b/crates/decisions/src/lease.rs
@@ -21,8 +21,12 @@
     looked: Option<Instant>,
     /// Term held, and from when its duration counts.
     held: Option<(Term, Instant)>,
-    /// When the first write was sent whose answer is still out.
+    /// When the first write on this version of the row was sent whose answer was lost. It may take
+    /// effect for as long as the version stays: forgotten too early, a lease that it brings would be
+    /// counted from a later write, and a second VM would hold it before this one gives it up.
     doubt: Option<Instant>,
+    /// Whether the row has to be read to settle a lost answer.
+    unsettled: bool,
     /// Term that must be exceeded.
     floor: Term,
     /// Whether it is wanted.
@@ -41,6 +45,7 @@
             looked: None,
             held: None,
             doubt: None,
+            unsettled: false,
             floor: Term::default(),
             wanted: true,
         }
@@ -85,7 +90,7 @@
         let Some((seen, looked)) = self.seen.zip(self.looked) else {
             return LeaseStep::Read;
         };
-        if self.doubt.is_some() {
+        if self.unsettled {
             return LeaseStep::Read;
         }
         if let Some(term) = self.held(now) {
@@ -126,8 +131,9 @@
             self.seen = Some(now);
         }
         self.looked = Some(now);
-        let doubt = self.doubt.take();
+        self.unsettled = false;
         let changed = row.version != self.row.version;
+        let doubt = if changed { self.doubt.take() } else { None };
         self.row = row;
         let mine = self.row.record.as_ref().filter(|r| r.holder == self.me);
         self.held = match (mine, self.held, doubt) {
@@ -145,6 +151,7 @@
         match answer {
             LeaseAnswer::Written => {
                 self.doubt = None;
+                self.unsettled = false;
                 self.seen = Some(now);
                 self.looked = Some(now);
                 self.held = (!write.record.duration.is_zero()).then_some((write.record.term, sent));
@@ -155,7 +162,10 @@
             }
             LeaseAnswer::Conflict(row) => self.read(now, row),
             LeaseAnswer::NotRun => {}
-            LeaseAnswer::Unknown => self.doubt = self.doubt.or(Some(sent)),
+            LeaseAnswer::Unknown => {
+                self.doubt = self.doubt.or(Some(sent));
+                self.unsettled = true;
+            }
         }
     }
 
--- a/crates/decisions/tests/lease.rs
+++ b/crates/decisions/tests/lease.rs
@@ -99,6 +99,23 @@
     expect_that!(lease.held(at(13_000)), none());
 }
 
+/// The answers to two writes are lost. The first one was long under way and took effect after the
+/// read in between. Counted from the second one, the lease would outlast the wait of another VM that
+/// saw the row at once, and both would hold it.
+#[gtest]
+fn a_late_write_counts_from_when_it_was_sent() {
+    let mut lease = lease(1);
+    lease.read(at(0), LeaseRow::default());
+    take(&mut lease, 0, 1_000, LeaseAnswer::Unknown);
+    lease.read(at(1_000), LeaseRow::default());
+    take(&mut lease, 2_000, 3_000, LeaseAnswer::Unknown);
+
+    lease.read(at(3_000), row(1, 1, 1));
+
+    expect_that!(lease.held(at(9_999)), some(eq(Term(1))));
+    expect_that!(lease.held(at(10_000)), none());
+}
+
 /// A holder is paused for 7 s and comes back while its lease still runs by its own reckoning. Its
 /// orders must wait until it has looked at the row.
 #[gtest]
