Split the generation driver and the peers service; attempts are guarded from before their order

Change: recovery, admission of generations, running attempts, and links, copies, exchange and server of peers stand in files of their own. AttemptGuard cancels an attempt unless it ended or never began. What is rare in a stream's task is boxed. An engine counts as lost in an experiment only when its process has ended (a test on a busy machine took a late answer for a loss).

--- a/crates/catkinward/src/caller_border.rs
+++ b/crates/catkinward/src/caller_border.rs
@@ -240,7 +240,7 @@
             return Ok(());
         }
         let queued = Queued::new(request.id.clone());
-        let offered = generation_driver::offer(&self.node, request, team);
+        let offered = generation_admission::offer(&self.node, request, team);
         match offered {
             Ok(waiting) => self.start(generation, Some(waiting)),
             Err(refusal) => {
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -1,96 +1,25 @@
 use super::*;
 use crate::{
-    admission_pool::{ChooseUpstream, Refusal},
-    attempt_stream::AttemptStream,
-    engine_client::{self, Reattach},
+    engine_client,
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
-    generation_request::GenerationRequest,
+    generation_admission::SUSPECT_PATIENCE,
     place::Place,
     problem::{Problem, ProblemKind},
     progress_keeper::ProgressKeeper,
+    running_attempt::{AttemptGuard, RunningAttempt},
     waiting_place::WaitingPlace,
 };
 
 /// Bound until an engine answers an order with the headers of its stream.
 const START_BOUND: Duration = Duration::from_millis(500);
 
-/// Bound until a probe of a running attempt is answered.
-const PROBE_BOUND: Duration = Duration::from_millis(500);
-
-/// Bound until a second attempt makes its first token or says that it is waiting.
-const SECOND_BOUND: Duration = Duration::from_secs(1);
-
 /// Tokens after which the upstream's watch over suspects hears of progress.
 const PROGRESS_TOKENS: u32 = 8;
 
-/// How long a suspected request waits for an upstream that this VM watches.
-const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
-
-/// Time that the probe of a running attempt has before a second attempt starts. A live engine answers
-/// within a round trip of a few milliseconds, and the second attempt would only be cancelled again.
-const HEAD_START: Duration = Duration::from_millis(25);
-
 /// How often one that waits for any upstream looks again.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
-/// Lets a generation wait for its first place.
-///
-/// # Errors
-///
-/// At once, if upstreams died under the same request before, its team's limit is reached, or it
-/// could not start in time.
-pub(crate) fn offer(
-    node: &Node,
-    request: &GenerationRequest,
-    team: QueueTeam,
-) -> Result<WaitingPlace, Refusal> {
-    let pool = node.admission.pool(&request.service);
-    if node.upstreams.refuses(request.body) {
-        pool.count_refusal(RefusalReason::Poisoned);
-        return Err(Refusal {
-            reason: RefusalReason::Poisoned,
-            retry_after: Duration::ZERO,
-        });
-    }
-    take_from_limits(node, request).map_err(|retry_after| {
-        pool.count_refusal(RefusalReason::TeamLimit);
-        Refusal {
-            reason: RefusalReason::TeamLimit,
-            retry_after,
-        }
-    })?;
-    let offered = pool.offer(&request.arrival(team), chooser(node, request));
-    offered.inspect_err(|_| {
-        let limits = &node.limits;
-        limits.give_back(&request.team, LimitKind::Requests, 1);
-        limits.give_back(&request.team, LimitKind::Tokens, request.max_tokens);
-    })
-}
-
-/// Takes a request and all tokens that it may generate from its team's limits.
-fn take_from_limits(node: &Node, request: &GenerationRequest) -> Result<(), Duration> {
-    let (limits, team) = (&node.limits, &request.team);
-    limits.take(team, LimitKind::Requests, 1)?;
-    let tokens = limits.take(team, LimitKind::Tokens, request.max_tokens);
-    tokens.inspect_err(|_| limits.give_back(team, LimitKind::Requests, 1))
-}
-
-fn chooser(node: &Node, request: &GenerationRequest) -> ChooseUpstream {
-    let (upstreams, request) = (node.upstreams.clone(), request.clone());
-    let (timer, start) = (node.timer.clone(), node.timer.now());
-    Box::new(move |taken| {
-        // A suspect that no watched upstream takes would hold up its team's queue behind it.
-        let urgent = timer.now().since(start) > SUSPECT_PATIENCE;
-        let want = UpstreamWant {
-            avoid: taken,
-            urgent,
-            ..request.want()
-        };
-        upstreams.choose(&want).ok()
-    })
-}
-
 /// Runs a generation to its end, over as many attempts as it takes.
 pub(crate) async fn drive(
     node: Arc<Node>,
@@ -98,12 +27,7 @@
     waiting: Option<WaitingPlace>,
 ) {
     let admitted_here = waiting.is_some();
-    let mut driver = Driver {
-        node: node.clone(),
-        generation: generation.clone(),
-        avoid: Vec::new(),
-        keeper: ProgressKeeper::new(node.clone(), generation.clone()),
-    };
+    let mut driver = Driver::new(node.clone(), generation.clone());
     let mut cancelled = generation.cancelled();
     let mut superseded = generation.superseded();
     let left = generation.request.deadline.since(node.timer.now());
@@ -148,44 +72,27 @@
     });
 }
 
-struct Driver {
-    node: Arc<Node>,
-    generation: Arc<Generation>,
-    avoid: Vec<UpstreamId>,
+/// Brings a generation to its end; how it meets losses stands in `recovery`.
+pub(crate) struct Driver {
+    pub(crate) node: Arc<Node>,
+    pub(crate) generation: Arc<Generation>,
+    /// Upstreams that this generation has been on since one was last found wanting.
+    pub(crate) avoid: Vec<UpstreamId>,
     keeper: ProgressKeeper,
 }
 
-/// An attempt on its upstream. Dropping it cancels the attempt there.
-struct RunningAttempt {
-    node: Arc<Node>,
-    id: RequestId,
-    upstream: Place,
-    stream: AttemptStream,
-    ended: bool,
-}
-
-/// What went on first after a lost stream.
-enum Raced {
-    /// The old attempt, over a new connection.
-    Old(Box<AttemptStream>),
-    /// A second attempt on another upstream.
-    Second(Box<RunningAttempt>),
-}
-
-impl Drop for RunningAttempt {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
+impl Driver {
+    pub(crate) fn new(node: Arc<Node>, generation: Arc<Generation>) -> Self {
+        Self {
+            avoid: Vec::new(),
+            keeper: ProgressKeeper::new(node.clone(), generation.clone()),
+            node,
+            generation,
         }
-        let attempt = self.stream.attempt();
-        let address = self.upstream.address();
-        engine_client::cancel_later(&self.node.connections, address, &self.id, attempt);
     }
-}
 
-impl Driver {
     async fn run(&mut self, waiting: Option<WaitingPlace>) -> GenerationOutcome {
-        if let Some(attempt) = self.go_on_with_left_running().await {
+        if let Some(attempt) = Box::pin(self.go_on_with_left_running()).await {
             match self.follow(attempt).await {
                 Ok(finish) => return GenerationOutcome::Whole(finish),
                 Err(fault) => {
@@ -237,37 +144,6 @@
         }
     }
 
-    /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
-    /// computed twice.
-    async fn go_on_with_left_running(&mut self) -> Option<RunningAttempt> {
-        let (id, attempt) = self.generation.take_left_running()?;
-        let request = &self.generation.request;
-        let pool = self.node.admission.pool(&request.service);
-        let upstream = pool.hold(request.lane(), self.node.upstreams.hold(&id)?);
-        let (reserved, _) = self.generation.reserve();
-        let reattach = Reattach {
-            address: upstream.address(),
-            id: &self.generation.request.engine_id,
-            attempt,
-            becomes: reserved.attempt(),
-            from: self.generation.next_index(),
-            bound: PROBE_BOUND,
-        };
-        let stream = engine_client::reattach(&self.node.connections, reattach).await;
-        let stream = stream.inspect_err(|fault| {
-            tracing::info!(id = %self.generation.request.id, upstream = %id, %fault, "not re-attached");
-        });
-        let stream = stream.ok()?;
-        self.record(EventKind::ReAttached, reserved.attempt(), &id, None);
-        self.generation.adopt(reserved).then(|| RunningAttempt {
-            node: self.node.clone(),
-            id: self.generation.request.engine_id.clone(),
-            upstream,
-            stream,
-            ended: false,
-        })
-    }
-
     /// Waits until an upstream can take the generation.
     ///
     /// # Errors
@@ -299,7 +175,7 @@
         }
     }
 
-    fn choose(&self, urgent: bool) -> Option<Place> {
+    pub(crate) fn choose(&self, urgent: bool) -> Option<Place> {
         let request = &self.generation.request;
         // A caller who has had part of the answer waits in the middle of it: an upstream without
         // room will do.
@@ -322,7 +198,7 @@
         self.open(upstream, &order).await
     }
 
-    async fn open(
+    pub(crate) async fn open(
         &mut self,
         upstream: Place,
         order: &engine::EngineGenerate,
@@ -335,58 +211,25 @@
         };
         self.record(kind, attempt, upstream.id(), None);
         let connections = &self.node.connections;
+        let mut guard = AttemptGuard::new(connections, upstream.address(), order);
         let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
         let stream = match started.await {
             Ok(stream) => stream,
-            Err(fault) => self.find_started(&upstream, order, fault).await?,
+            Err(fault) => {
+                let found = Box::pin(self.find_started(&upstream, order, &fault)).await;
+                if !fault.may_have_started() {
+                    guard.release();
+                }
+                found.ok_or(fault)?
+            }
         };
         Ok(RunningAttempt {
-            node: self.node.clone(),
-            id: self.generation.request.engine_id.clone(),
             upstream,
             stream,
-            ended: false,
+            guard,
         })
     }
 
-    /// After an order that brought no stream: the engine may run it all the same, unseen. Under the
-    /// policy of least work the attempt is looked for and gone on with; else, and if it is not
-    /// found, it is cancelled. Without that it would run to its end for nobody.
-    async fn find_started(
-        &self,
-        upstream: &Place,
-        order: &engine::EngineGenerate,
-        fault: AttemptFault,
-    ) -> Result<AttemptStream, AttemptFault> {
-        let full = engine::EngineRefusalKind::Full;
-        if matches!(fault, AttemptFault::Refused { kind } if kind == full) {
-            upstream.overloaded();
-        }
-        upstream.lost(&fault).await;
-        if !fault.may_have_started() {
-            return Err(fault);
-        }
-        let id = &self.generation.request.engine_id;
-        let attempt = Attempt(order.attempt);
-        if self.generation.request.recovery == RecoveryPolicy::LeastWork {
-            let reattach = Reattach {
-                address: upstream.address(),
-                id,
-                attempt,
-                becomes: attempt,
-                from: self.generation.next_index(),
-                bound: PROBE_BOUND,
-            };
-            let found = engine_client::reattach(&self.node.connections, reattach).await;
-            if let Ok(stream) = found {
-                self.record(EventKind::ReAttached, attempt, upstream.id(), None);
-                return Ok(stream);
-            }
-        }
-        engine_client::cancel_later(&self.node.connections, upstream.address(), id, attempt);
-        Err(fault)
-    }
-
     /// Hands on tokens until the end, recovering what can be recovered.
     async fn follow(&mut self, mut attempt: RunningAttempt) -> Result<Finish, AttemptFault> {
         loop {
@@ -410,7 +253,8 @@
             if !matches!(fault, AttemptFault::Silent { .. } | AttemptFault::Broken) {
                 return Err(fault);
             }
-            attempt = self.recover(attempt).await?;
+            // Boxed, as what is rare must not take memory in each stream's task.
+            attempt = Box::pin(self.recover(attempt)).await?;
         }
     }
 
@@ -459,7 +303,7 @@
             }
             EngineEvent::End(end) => {
                 if let Delivery::End(finish) = self.generation.end(&end)? {
-                    attempt.ended = true;
+                    attempt.guard.release();
                     attempt.upstream.ended();
                     attempt.upstream.succeeded();
                     return Ok(Some(finish));
@@ -480,7 +324,7 @@
         self.record(kind, number, attempt.upstream.id(), Some(detail.into()));
     }
 
-    fn record(
+    pub(crate) fn record(
         &self,
         kind: EventKind,
         attempt: Attempt,
@@ -496,119 +340,4 @@
             ..Event::new(kind)
         });
     }
-
-    /// Goes on after a lost stream: with the same attempt if its engine still runs it, else with a
-    /// new attempt elsewhere. The service's policy says whether the second waits for the first.
-    async fn recover(&mut self, attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
-        match self.generation.request.recovery {
-            RecoveryPolicy::LeastWork => self.probe(attempt).await,
-            RecoveryPolicy::LeastWait => match self.choose(false) {
-                Some(other) => self.race(attempt, other).await,
-                None => self.probe(attempt).await,
-            },
-        }
-    }
-
-    async fn probe(&self, mut attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
-        attempt.stream = self.reattached(&attempt).await?;
-        Ok(attempt)
-    }
-
-    async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
-        match self.reattach(attempt).await {
-            Ok(stream) => Ok(stream),
-            Err(fault) => {
-                attempt.upstream.lost(&fault).await;
-                Err(fault)
-            }
-        }
-    }
-
-    async fn reattach(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
-        let reattach = Reattach {
-            address: attempt.upstream.address(),
-            id: &attempt.id,
-            attempt: attempt.stream.attempt(),
-            becomes: attempt.stream.attempt(),
-            from: self.generation.next_index(),
-            bound: PROBE_BOUND,
-        };
-        let mut stream = engine_client::reattach(&self.node.connections, reattach).await?;
-        stream.wait_for_progress(PROBE_BOUND).await?;
-        self.record(
-            EventKind::ReAttached,
-            stream.attempt(),
-            attempt.upstream.id(),
-            None,
-        );
-        Ok(stream)
-    }
-
-    async fn race(
-        &mut self,
-        mut old: RunningAttempt,
-        other: Place,
-    ) -> Result<RunningAttempt, AttemptFault> {
-        let (reserved, order) = self.generation.reserve();
-        let second = match self.first_to_go_on(&old, other, &order).await? {
-            Raced::Old(stream) => {
-                old.stream = *stream;
-                return Ok(old);
-            }
-            Raced::Second(second) => second,
-        };
-        self.avoid.push(second.upstream.id().clone());
-        if self.generation.adopt(reserved) {
-            return Ok(*second);
-        }
-        Err(AttemptFault::Broken)
-    }
-
-    async fn first_to_go_on(
-        &self,
-        old: &RunningAttempt,
-        other: Place,
-        order: &engine::EngineGenerate,
-    ) -> Result<Raced, AttemptFault> {
-        let mut probe = std::pin::pin!(self.reattached(old));
-        let mut second = std::pin::pin!(self.second_attempt(other, order));
-        tokio::select! {
-            probed = &mut probe => return match probed {
-                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
-                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
-            },
-            () = tokio::time::sleep(HEAD_START) => {}
-        }
-        tokio::select! {
-            probed = &mut probe => match probed {
-                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
-                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
-            },
-            started = &mut second => match started {
-                Ok(second) => Ok(Raced::Second(Box::new(second))),
-                Err(_) => Ok(Raced::Old(Box::new(probe.await?))),
-            },
-        }
-    }
-
-    async fn second_attempt(
-        &self,
-        upstream: Place,
-        order: &engine::EngineGenerate,
-    ) -> Result<RunningAttempt, AttemptFault> {
-        let mut driver = Driver {
-            node: self.node.clone(),
-            generation: self.generation.clone(),
-            avoid: Vec::new(),
-            keeper: ProgressKeeper::new(self.node.clone(), self.generation.clone()),
-        };
-        let mut attempt = driver.open(upstream, order).await?;
-        match attempt.stream.wait_for_progress(SECOND_BOUND).await {
-            Ok(()) => Ok(attempt),
-            Err(fault) => {
-                attempt.upstream.lost(&fault).await;
-                Err(fault)
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -0,0 +1,106 @@
+//! The exchange of news with neighbours.
+
+use super::*;
+use crate::peers::ANSWER_BOUND;
+
+/// How often this VM exchanges news with one of its neighbours.
+const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
+
+/// VMs named in one exchange.
+const VMS_TOLD: usize = 6;
+
+impl Peers {
+    /// Fetches the content of a bundle from one of the neighbours that has it in force.
+    pub(crate) async fn fetch_bundle(self: &Arc<Self>, digest: BundleDigest) -> Option<Bytes> {
+        let neighbours = self.table.lock().neighbours(self.timer.now());
+        for peer in neighbours {
+            let Ok(link) = self.link(&peer).await else {
+                continue;
+            };
+            let answer = link.ask(PeerBody::FetchBundle(digest), ANSWER_BOUND).await;
+            if let Ok(PeerBody::BundleContent(Some(content))) = answer {
+                return Some(Bytes::copy_from_slice(content.as_bytes()));
+            }
+        }
+        None
+    }
+
+    pub(crate) fn news(&self) -> Gossip {
+        let mut gossip = self.gossip.collect();
+        let skip = rand::random_range(0..1024);
+        let told = self.table.lock().told(self.timer.now(), skip, VMS_TOLD);
+        gossip.vms = told
+            .into_iter()
+            .map(|(entry, age)| (entry, u32::try_from(age.as_millis()).unwrap_or(u32::MAX)))
+            .collect();
+        gossip
+    }
+
+    pub(crate) fn hear(&self, gossip: &Gossip, sender: &VmId) {
+        let now = self.timer.now();
+        let mut table = self.table.lock();
+        for (entry, age) in &gossip.vms {
+            let at = now.before(Duration::from_millis((*age).into()));
+            table.heard_of(at, entry.clone());
+        }
+        table.answered(now, sender);
+        drop(table);
+        self.choose_holders();
+        self.gossip.spread(gossip, sender);
+    }
+
+    pub(crate) async fn exchange_with(self: &Arc<Self>, peer: &PeerEntry) -> Result<(), PeerFault> {
+        let link = self.link(peer).await?;
+        let news = PeerBody::Gossip(Box::new(self.news()));
+        match link.ask(news, ANSWER_BOUND).await {
+            Ok(PeerBody::Gossip(gossip)) => {
+                self.hear(&gossip, &peer.vm);
+                Ok(())
+            }
+            Ok(_) => Err(PeerFault::Form),
+            Err(fault) => {
+                // A connection that went silent is not noticed by TCP for minutes.
+                self.drop_link(&peer.vm, link.serial);
+                self.lost(&peer.vm);
+                Err(fault)
+            }
+        }
+    }
+
+    /// Exchanges news with all neighbours at once: a change should not wait for the next round.
+    pub fn exchange_now(self: &Arc<Self>) {
+        let now = self.timer.now();
+        let neighbours = self.table.lock().neighbours(now);
+        for peer in neighbours {
+            let peers = self.clone();
+            tokio::spawn(async move { peers.exchange_with(&peer).await });
+        }
+    }
+}
+
+/// Exchanges news with one neighbour after the other.
+pub(crate) async fn exchange_news(peers: Arc<Peers>, known: Vec<PeerEntry>) {
+    let mut ticks = peers.timer.subscribe(GOSSIP_PERIOD);
+    let mut round = rand::random_range(0..64_usize);
+    while let Some(now) = ticks.recv().await {
+        round += 1;
+        let neighbours = {
+            let mut table = peers.table.lock();
+            for peer in &known {
+                table.heard_of(now, peer.clone());
+            }
+            table.expire(now);
+            table.neighbours(now)
+        };
+        peers.store.lock().expire(now);
+        peers.choose_holders();
+        if let Some(peer) = neighbours.get(round % neighbours.len().max(1)) {
+            let (peers, peer) = (peers.clone(), peer.clone());
+            tokio::spawn(async move {
+                if let Err(fault) = peers.exchange_with(&peer).await {
+                    tracing::debug!(peer = %peer.vm, %fault, "no news");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/peer_server.rs
@@ -0,0 +1,103 @@
+//! Calls that other VMs make to this one.
+
+use super::*;
+use crate::peer_socket;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections taken from peers at once.
+const MOST_CONNECTIONS: usize = 256;
+
+/// How long a peer's connection may say nothing: longer than an idle one is kept by its opener.
+const SILENT_CALLER_BOUND: Duration = Duration::from_secs(30);
+
+impl Peers {
+    /// Answers what a peer asks or sends; `None` where no answer is due.
+    pub(crate) fn answer(&self, peer: &VmId, body: PeerBody) -> Option<PeerBody> {
+        match body {
+            PeerBody::Gossip(gossip) => {
+                self.hear(&gossip, peer);
+                Some(PeerBody::Gossip(Box::new(self.news())))
+            }
+            PeerBody::AskSlices(requests) => Some(self.slices(peer, &requests)),
+            PeerBody::Progress(updates) => self.keep(&updates),
+            PeerBody::Find(id, next, from) => {
+                let copy = self.copy(&id, &ReturnPoint { next, from });
+                Some(PeerBody::Found(copy.map(Box::new)))
+            }
+            PeerBody::FetchBundle(digest) => {
+                Some(PeerBody::BundleContent(self.bundle.body(digest)))
+            }
+            PeerBody::TakenOver(update) => {
+                self.take_over(&update);
+                None
+            }
+            PeerBody::Challenge(_)
+            | PeerBody::Hello(_)
+            | PeerBody::Welcome(_)
+            | PeerBody::Superseded(_)
+            | PeerBody::Slices(_)
+            | PeerBody::BundleContent(_)
+            | PeerBody::Found(_) => {
+                let name: &str = (&body).into();
+                tracing::warn!(%peer, message = name, "peer sent what was not due");
+                None
+            }
+        }
+    }
+
+    /// Slices for a peer, which may ask for itself only.
+    pub(crate) fn slices(&self, peer: &VmId, requests: &[SliceRequest]) -> PeerBody {
+        let own = requests.iter().filter(|request| request.vm == *peer);
+        let granter = self.granter.get();
+        PeerBody::Slices(own.filter_map(|request| granter?(request)).collect())
+    }
+}
+
+/// Takes calls for as long as the process lives.
+pub(crate) async fn accept_calls(peers: Arc<Peers>, listener: TcpListener) {
+    let places = Arc::new(tokio::sync::Semaphore::new(MOST_CONNECTIONS));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let peers = peers.clone();
+                tokio::spawn(async move {
+                    if let Err(fault) = serve_call(&peers, stream).await {
+                        tracing::info!(%address, %fault, "peer connection ended");
+                    }
+                    drop(place);
+                });
+            }
+            Err(fault) => {
+                tracing::warn!(%fault, "peer accept failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_call(peers: &Arc<Peers>, stream: TcpStream) -> Result<(), PeerFault> {
+    let open = async {
+        let clock = peers.timeline.clock();
+        let (mut tx, mut rx) = peer_socket::accept(stream, clock, &peers.sent).await?;
+        let entry = peers.identity.answer(&mut tx, &mut rx).await?;
+        Ok((entry, tx, rx))
+    };
+    let bound = Duration::from_secs(2);
+    let (entry, mut tx, mut rx) = tokio::time::timeout(bound, open)
+        .await
+        .unwrap_or(Err(PeerFault::Timeout))?;
+    peers.heard_of(entry.clone());
+    loop {
+        let message = match rx.receive_within(SILENT_CALLER_BOUND).await {
+            Ok(message) => message,
+            Err(PeerFault::Broken) => return Ok(()),
+            Err(fault) => return Err(fault),
+        };
+        if let Some(answer) = peers.answer(&entry.vm, message.body) {
+            tx.send(vec![(message.number, answer)]).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/recovery.rs
@@ -0,0 +1,205 @@
+//! How a generation meets the loss of a stream, of an answer to an order, or of the VM before.
+
+use super::*;
+use crate::{
+    attempt_stream::AttemptStream,
+    engine_client::{self, Reattach},
+    engine_event::AttemptFault,
+    generation_driver::Driver,
+    place::Place,
+    running_attempt::{AttemptGuard, RunningAttempt},
+};
+
+/// Bound until a probe of a running attempt is answered.
+const PROBE_BOUND: Duration = Duration::from_millis(500);
+
+/// Bound until a second attempt makes its first token or says that it is waiting.
+const SECOND_BOUND: Duration = Duration::from_secs(1);
+
+/// Time that the probe of a running attempt has before a second attempt starts. A live engine answers
+/// within a round trip of a few milliseconds, and the second attempt would only be cancelled again.
+const HEAD_START: Duration = Duration::from_millis(25);
+
+/// What went on first after a lost stream.
+enum Raced {
+    /// The old attempt, over a new connection.
+    Old(Box<AttemptStream>),
+    /// A second attempt on another upstream.
+    Second(Box<RunningAttempt>),
+}
+
+impl Driver {
+    /// Goes on with the attempt of the VM before, if its engine still runs it: nothing is then
+    /// computed twice.
+    pub(crate) async fn go_on_with_left_running(&mut self) -> Option<RunningAttempt> {
+        let (id, attempt) = self.generation.take_left_running()?;
+        let request = &self.generation.request;
+        let pool = self.node.admission.pool(&request.service);
+        let upstream = pool.hold(request.lane(), self.node.upstreams.hold(&id)?);
+        let (reserved, _) = self.generation.reserve();
+        let reattach = Reattach {
+            address: upstream.address(),
+            id: &self.generation.request.engine_id,
+            attempt,
+            becomes: reserved.attempt(),
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        let stream = engine_client::reattach(&self.node.connections, reattach).await;
+        let stream = stream.inspect_err(|fault| {
+            tracing::info!(id = %self.generation.request.id, upstream = %id, %fault, "not re-attached");
+        });
+        let stream = stream.ok()?;
+        self.record(EventKind::ReAttached, reserved.attempt(), &id, None);
+        let guard = AttemptGuard::running(
+            &self.node.connections,
+            upstream.address(),
+            self.generation.request.engine_id.clone(),
+            reserved.attempt(),
+        );
+        self.generation.adopt(reserved).then_some(RunningAttempt {
+            upstream,
+            stream,
+            guard,
+        })
+    }
+
+    /// After an order that brought no stream: the engine may run it all the same, unseen. Under the
+    /// policy of least work the attempt is looked for and gone on with.
+    pub(crate) async fn find_started(
+        &self,
+        upstream: &Place,
+        order: &engine::EngineGenerate,
+        fault: &AttemptFault,
+    ) -> Option<AttemptStream> {
+        let full = engine::EngineRefusalKind::Full;
+        if matches!(fault, AttemptFault::Refused { kind } if *kind == full) {
+            upstream.overloaded();
+        }
+        upstream.lost(fault).await;
+        let least_work = self.generation.request.recovery == RecoveryPolicy::LeastWork;
+        if !least_work || !fault.may_have_started() {
+            return None;
+        }
+        let attempt = Attempt(order.attempt);
+        let stream = self.reattach(upstream, attempt).await.ok()?;
+        self.record(EventKind::ReAttached, attempt, upstream.id(), None);
+        Some(stream)
+    }
+
+    /// Goes on after a lost stream: with the same attempt if its engine still runs it, else with a
+    /// new attempt elsewhere. The service's policy says whether the second waits for the first.
+    pub(crate) async fn recover(
+        &mut self,
+        attempt: RunningAttempt,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        match self.generation.request.recovery {
+            RecoveryPolicy::LeastWork => self.probe(attempt).await,
+            RecoveryPolicy::LeastWait => match self.choose(false) {
+                Some(other) => self.race(attempt, other).await,
+                None => self.probe(attempt).await,
+            },
+        }
+    }
+
+    async fn probe(&self, mut attempt: RunningAttempt) -> Result<RunningAttempt, AttemptFault> {
+        attempt.stream = self.reattached(&attempt).await?;
+        Ok(attempt)
+    }
+
+    async fn reattached(&self, attempt: &RunningAttempt) -> Result<AttemptStream, AttemptFault> {
+        let upstream = &attempt.upstream;
+        let number = attempt.stream.attempt();
+        let found = async {
+            let mut stream = self.reattach(upstream, number).await?;
+            stream.wait_for_progress(PROBE_BOUND).await?;
+            Ok(stream)
+        };
+        let found: Result<_, AttemptFault> = found.await;
+        match &found {
+            Ok(_) => self.record(EventKind::ReAttached, number, upstream.id(), None),
+            Err(fault) => upstream.lost(fault).await,
+        }
+        found
+    }
+
+    /// Asks an engine to go on with an attempt over a new connection.
+    async fn reattach(
+        &self,
+        upstream: &Place,
+        attempt: Attempt,
+    ) -> Result<AttemptStream, AttemptFault> {
+        let reattach = Reattach {
+            address: upstream.address(),
+            id: &self.generation.request.engine_id,
+            attempt,
+            becomes: attempt,
+            from: self.generation.next_index(),
+            bound: PROBE_BOUND,
+        };
+        engine_client::reattach(&self.node.connections, reattach).await
+    }
+
+    async fn race(
+        &mut self,
+        mut old: RunningAttempt,
+        other: Place,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        let (reserved, order) = self.generation.reserve();
+        let second = match self.first_to_go_on(&old, other, &order).await? {
+            Raced::Old(stream) => {
+                old.stream = *stream;
+                return Ok(old);
+            }
+            Raced::Second(second) => second,
+        };
+        self.avoid.push(second.upstream.id().clone());
+        if self.generation.adopt(reserved) {
+            return Ok(*second);
+        }
+        Err(AttemptFault::Broken)
+    }
+
+    async fn first_to_go_on(
+        &self,
+        old: &RunningAttempt,
+        other: Place,
+        order: &engine::EngineGenerate,
+    ) -> Result<Raced, AttemptFault> {
+        let mut probe = std::pin::pin!(self.reattached(old));
+        let mut second = std::pin::pin!(self.second_attempt(other, order));
+        tokio::select! {
+            probed = &mut probe => return match probed {
+                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
+                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
+            },
+            () = tokio::time::sleep(HEAD_START) => {}
+        }
+        tokio::select! {
+            probed = &mut probe => match probed {
+                Ok(stream) => Ok(Raced::Old(Box::new(stream))),
+                Err(_) => Ok(Raced::Second(Box::new(second.await?))),
+            },
+            started = &mut second => match started {
+                Ok(second) => Ok(Raced::Second(Box::new(second))),
+                Err(_) => Ok(Raced::Old(Box::new(probe.await?))),
+            },
+        }
+    }
+
+    async fn second_attempt(
+        &self,
+        upstream: Place,
+        order: &engine::EngineGenerate,
+    ) -> Result<RunningAttempt, AttemptFault> {
+        let mut driver = Driver::new(self.node.clone(), self.generation.clone());
+        let mut attempt = driver.open(upstream, order).await?;
+        match attempt.stream.wait_for_progress(SECOND_BOUND).await {
+            Ok(()) => Ok(attempt),
+            Err(fault) => {
+                attempt.upstream.lost(&fault).await;
+                Err(fault)
+            }
+        }
+    }
+}
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -107,6 +107,11 @@
         Ok(status.code())
     }
 
+    /// Whether it has ended by itself or was killed.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Its process id, while it runs.
     #[must_use]
     pub fn id(&self) -> Option<u32> {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -150,7 +150,8 @@
     let mut engines_lost = 0;
     for i in 0..fleet.engines.len() {
         let work = fleet.engine_load(i).await.zip(fleet.engine_runs(i).await);
-        engines_lost += usize::from(work.is_none());
+        // A busy machine may leave a live engine's answer late; only its end counts as a loss.
+        engines_lost += usize::from(fleet.engines[i].has_ended());
         engines.extend(work);
     }
     let mut drained = Vec::new();
