Count the wait of unanswered calls as an upstream's pace

Cause: an upstream that becomes slow answers nothing for as long as its answers take now, and got its full share meanwhile. Change: the mean wait of requests without an answer counts as the pace where it is the longer one.

--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -20,6 +20,8 @@
     /// None for a request that runs there already and is only held.
     eligible: Option<Eligible>,
     sent: Instant,
+    /// Whether its answer is still due.
+    awaits: AtomicBool,
     asked: AskedReport,
     run: Option<PoisonRun>,
 }
@@ -34,6 +36,8 @@
     ) -> Self {
         let mut handle = Self::held(known, state, eligible.incarnation());
         handle.eligible = Some(eligible);
+        handle.awaits.store(true, Ordering::Relaxed);
+        handle.state.record.lock().awaits(handle.sent);
         handle.run = run;
         handle
     }
@@ -53,6 +57,7 @@
             incarnation,
             eligible: None,
             sent: now,
+            awaits: AtomicBool::new(false),
             asked: record.ask(now),
             run: None,
         }
@@ -93,6 +98,13 @@
         let now = self.known.timer.now();
         let mut record = self.state.record.lock();
         record.answered(self.incarnation, self.sent, now);
+        self.awaits_no_more(&mut record);
+    }
+
+    fn awaits_no_more(&self, record: &mut UpstreamRecord) {
+        if self.awaits.swap(false, Ordering::Relaxed) {
+            record.awaits_no_more(self.sent);
+        }
     }
 
     /// Takes the load report that came with the reply.
@@ -186,7 +198,10 @@
 
 impl Drop for UpstreamHandle {
     fn drop(&mut self) {
-        self.state.record.lock().finished();
+        let mut record = self.state.record.lock();
+        record.finished();
+        self.awaits_no_more(&mut record);
+        drop(record);
         self.forget_run();
     }
 }
--- a/crates/decisions/src/upstream_record.rs
+++ b/crates/decisions/src/upstream_record.rs
@@ -18,6 +18,9 @@
 /// How long an observed latency counts.
 const PACE_BOUND: Duration = Duration::from_secs(10);
 
+/// Requests without an answer whose mean wait says little.
+const FEW_UNANSWERED: u32 = 3;
+
 /// Part of a new latency in the average.
 const PACE_PART: f64 = 0.2;
 
@@ -31,6 +34,8 @@
     own: u32,
     own_in_report: u32,
     pace: Option<(f64, Instant)>,
+    /// Requests that have no answer yet, and the sum of the seconds at which they were sent.
+    unanswered: (u32, f64),
 }
 
 /// A load report that was asked for and has not come yet.
@@ -73,6 +78,30 @@
         self.own = self.own.saturating_sub(1);
     }
 
+    /// Counts a request sent at `sent` whose answer is due.
+    pub fn awaits(&mut self, sent: Instant) {
+        self.unanswered.0 += 1;
+        self.unanswered.1 += sent.0.as_secs_f64();
+    }
+
+    /// Counts it no more: it was answered, or given up.
+    pub fn awaits_no_more(&mut self, sent: Instant) {
+        self.unanswered.0 = self.unanswered.0.saturating_sub(1);
+        self.unanswered.1 -= sent.0.as_secs_f64();
+    }
+
+    /// Seconds that an answer takes, as far as that is known. An upstream that becomes slow answers
+    /// nothing for as long as its answers take now, and would get its full share meanwhile; so the
+    /// mean wait of those that have no answer yet counts where it is the longer one.
+    fn pace(&self, now: Instant) -> Option<f64> {
+        let (pace, _) = self.pace.filter(|(_, at)| now.since(*at) <= PACE_BOUND)?;
+        let (count, sum) = self.unanswered;
+        if count < FEW_UNANSWERED {
+            return Some(pace);
+        }
+        Some(pace.max(now.0.as_secs_f64() - sum / f64::from(count)))
+    }
+
     /// Takes the latency of an answer.
     pub fn answered(&mut self, incarnation: Incarnation, sent: Instant, now: Instant) {
         self.evidence.replied(incarnation, sent);
@@ -124,10 +153,7 @@
             capacity: self.report.capacity.max(1),
             weight: self.suspicion.weight(now)
                 * climb(self.evidence.since(), SLOW_START, now).max(0.1),
-            pace: self
-                .pace
-                .filter(|(_, at)| now.since(*at) <= PACE_BOUND)
-                .map(|(pace, _)| pace),
+            pace: self.pace(now),
             own_zone: true,
             affinity: 0,
             eligible,
--- a/crates/decisions/tests/choice.rs
+++ b/crates/decisions/tests/choice.rs
@@ -259,6 +259,11 @@
     expect_that!(weight(2000), all![gt(0.2), lt(0.5)]);
 }
 
+fn weighed(records: &[UpstreamRecord], now: Instant) -> Vec<Candidate> {
+    let candidates = records.iter().map(|record| record.candidate(None, now));
+    candidates.map(|c| c.expect("eligible")).collect()
+}
+
 /// One upstream answers ten times slower than the others without being busy.
 #[gtest]
 fn a_slow_upstream_is_rarely_chosen() {
@@ -267,12 +272,28 @@
         let now = NOW.after(Duration::from_millis(latency));
         records[i].answered(Incarnation(1), NOW, now);
     }
-    let candidates = records
-        .iter()
-        .map(|record| record.candidate(None, NOW).expect("eligible"))
-        .collect::<Vec<_>>();
 
-    expect_that!(chosen(&candidates, false)[2], eq(0));
+    expect_that!(chosen(&weighed(&records, NOW), false)[2], eq(0));
+}
+
+/// An upstream becomes ten times slower. Until its first slow answer comes nothing shows it but that
+/// the requests sent there wait; were it given its full share meanwhile, all of those would be late.
+#[gtest]
+fn an_upstream_whose_requests_wait_is_rarely_chosen() {
+    let mut records = [record(2), record(2), record(2)];
+    let later = NOW.after(Duration::from_millis(150));
+    for record in &mut records {
+        record.answered(Incarnation(1), NOW, NOW.after(Duration::from_millis(20)));
+        (0..4).for_each(|_| record.awaits(later));
+    }
+    let before = chosen(&weighed(&records, later), false)[2];
+    (0..4).for_each(|_| records[2].awaits_no_more(later));
+    (0..4).for_each(|_| records[2].awaits(NOW));
+
+    let after = chosen(&weighed(&records, later), false)[2];
+
+    expect_that!(before, gt(250));
+    expect_that!(after, eq(0));
 }
 
 #[gtest]
