--- a/crates/catkinward/src/generation.rs
+++ b/crates/catkinward/src/generation.rs
@@ -173,6 +173,11 @@
         self.state.lock().relay.next()
     }
 
+    /// Events that its relay dropped.
+    pub(crate) fn dropped(&self) -> DroppedCounts {
+        self.state.lock().relay.dropped()
+    }
+
     /// Attempts made.
     #[must_use]
     pub fn attempts(&self) -> Attempt {
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -70,6 +70,17 @@
         detail: Some(detail.into()),
         ..Event::new(kind)
     });
+    metrics::counter!("catkin_generations_total", "end" => detail).increment(1);
+    let dropped = generation.dropped();
+    let reasons = [
+        (DropReason::AfterEnd, dropped.after_end),
+        (DropReason::OldAttempt, dropped.old_attempt),
+        (DropReason::Repeated, dropped.repeated),
+    ];
+    for (reason, count) in reasons.into_iter().filter(|(_, count)| *count > 0) {
+        let reason: &str = reason.into();
+        metrics::counter!("catkin_dropped_events_total", "reason" => reason).increment(count);
+    }
 }
 
 /// Brings a generation to its end; how it meets losses stands in `recovery`.
@@ -210,6 +221,7 @@
             _ => EventKind::NewAttempt,
         };
         self.record(kind, attempt, upstream.id(), None);
+        metrics::counter!("catkin_attempts_total").increment(1);
         let connections = &self.node.connections;
         let mut guard = AttemptGuard::new(connections, upstream.address(), order);
         let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
--- a/crates/catkinward/src/known.rs
+++ b/crates/catkinward/src/known.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Known {
     pub(crate) timer: Arc<Timer>,
     pub(crate) connections: Arc<Connections>,
+    timeline: Arc<Timeline>,
     pub(crate) poison: Mutex<PoisonTracker>,
     /// Rings when there is something new for peers.
     pub(crate) news: Notify,
@@ -25,10 +26,15 @@
 }
 
 impl Known {
-    pub(crate) fn new(timer: &Arc<Timer>, connections: &Arc<Connections>) -> Self {
+    pub(crate) fn new(
+        timer: &Arc<Timer>,
+        connections: &Arc<Connections>,
+        timeline: &Arc<Timeline>,
+    ) -> Self {
         Self {
             timer: timer.clone(),
             connections: connections.clone(),
+            timeline: timeline.clone(),
             poison: Mutex::default(),
             news: Notify::new(),
             untold: Mutex::default(),
@@ -78,6 +84,11 @@
         let evidence = &mut state.record.lock().evidence;
         if evidence.note_leaving(incarnation, source) {
             tracing::info!(upstream = %state.entry.id, %source, "upstream is leaving");
+            self.timeline.record(Event {
+                upstream: Some(state.entry.id.clone()),
+                detail: Some(source.to_string().into()),
+                ..Event::new(EventKind::UpstreamLeaving)
+            });
             let mut untold = self.untold.lock();
             untold.truncate(MOST_UNTOLD);
             untold.push((state.entry.id.clone(), incarnation, 0));
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -90,7 +90,7 @@
             }
             None => None,
         };
-        let upstreams = Upstreams::start(&timer, &connections, &bundle, &settings);
+        let upstreams = Upstreams::start(&timer, &connections, &timeline, &bundle, &settings);
         let upstreams = kernel.register(ServiceName::Upstreams, upstreams)?;
         start_metrics();
         let admission = Admission::start(&timer, &bundle, &upstreams, &settings);
--- a/crates/catkinward/src/returning_caller.rs
+++ b/crates/catkinward/src/returning_caller.rs
@@ -60,6 +60,7 @@
     if let (Some(peers), Some(update)) = (&node.peers, update) {
         peers.tell_taken_over(point, &update);
     }
+    metrics::counter!("catkin_take_overs_total").increment(1);
     node.timeline.record(Event {
         request: Some(record.id.clone()),
         attempt: Some(last),
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -25,11 +25,12 @@
     pub fn start(
         timer: &Arc<Timer>,
         connections: &Arc<Connections>,
+        timeline: &Arc<Timeline>,
         bundle: &Arc<BundleInForce>,
         settings: &Settings,
     ) -> Arc<Self> {
         let upstreams = Arc::new(Self {
-            known: Arc::new(Known::new(timer, connections)),
+            known: Arc::new(Known::new(timer, connections, timeline)),
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
             states: RwLock::default(),
