Show what peers cost a VM as metrics

Cause: Peers had three readings that nothing called (bytes sent, copies kept, connections), found at a read-through; an operator could not see them. Change: they are gauges and a counter on /metrics, brought up to date with each exchange.

--- a/crates/catkinward/src/peer_exchange.rs
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -93,6 +93,7 @@
             table.neighbours(now)
         };
         peers.store.lock().expire(now);
+        peers.show_cost();
         peers.choose_holders();
         if let Some(peer) = neighbours.get(round % neighbours.len().max(1)) {
             let (peers, peer) = (peers.clone(), peer.clone());
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -102,22 +102,15 @@
         self.holders.load_full()
     }
 
-    /// Bytes sent to peers since the start.
-    #[must_use]
-    pub fn bytes_sent(&self) -> u64 {
-        self.sent.load(Ordering::Relaxed)
-    }
-
-    /// Copies kept for other VMs, and their bytes.
-    #[must_use]
-    pub fn copies(&self) -> (usize, usize) {
-        self.store.lock().usage()
-    }
-
-    /// Connections that this VM has opened.
-    #[must_use]
-    pub fn connections(&self) -> usize {
-        self.links.lock().len()
+    /// Shows what peers cost this VM: bytes sent, copies kept and their bytes, open connections.
+    pub(crate) fn show_cost(&self) {
+        let (copies, size) = self.store.lock().usage();
+        let links = self.links.lock().len();
+        metrics::counter!("catkin_peer_sent_bytes_total")
+            .absolute(self.sent.load(Ordering::Relaxed));
+        gauge("catkin_peer_connections", links);
+        gauge("catkin_progress_copies", copies);
+        gauge("catkin_progress_copies_bytes", size);
     }
 
     /// Has `granter` answer peers that ask for slices of teams' limits.
@@ -134,3 +127,8 @@
         self.table.lock().heard_within(now, bound)
     }
 }
+
+fn gauge(name: &'static str, value: usize) {
+    let value = u32::try_from(value).unwrap_or(u32::MAX);
+    metrics::gauge!(name).set(value);
+}
