--- a/crates/decisions/src/error.rs
+++ b/crates/decisions/src/error.rs
@@ -48,6 +48,9 @@
         /// Why it is none.
         source: ParseIntError,
     },
+    /// An event of a stream that is too large.
+    #[display("an event of a stream is larger than {LARGEST_EVENT} bytes")]
+    EventTooLarge,
     /// A token log whose parts do not fit together.
     #[display("a token log's ids, ends and bytes do not fit together")]
     TokenLog,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -38,6 +38,7 @@
     bundle_view::{BundleView, PEERS_WORD_AFTER},
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
+    call_kind::CallKind,
     candidate::Candidate,
     capacity_share::CapacityShare,
     chain_id::ChainId,
@@ -52,6 +53,8 @@
     claim_verdict::ClaimVerdict,
     claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
+    config_version::ConfigVersion,
+    crash_tally::{Crash, CrashTally},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
@@ -61,6 +64,8 @@
     engine_report::EngineReport,
     engine_state::EngineState,
     error::Error,
+    event_relay::{EventFate, EventRelay, EventRun},
+    event_splitter::{EventSplitter, LARGEST_EVENT, WholeEvent},
     failed_call::FailedCall,
     fair_queue::{FairQueue, PopTries, QueueTeam},
     finish::Finish,
@@ -90,6 +95,7 @@
     path_rule::PathRule,
     peer_entry::PeerEntry,
     peer_table::PeerTable,
+    placement::{PlacementCandidate, PlacementFor, place, place_copy},
     poison_hold::PoisonHold,
     poison_mark::PoisonMark,
     poison_tracker::{MOST_DEATHS, PoisonRun, PoisonTracker, WATCHED_STEPS},
@@ -104,6 +110,7 @@
     refusal_reason::RefusalReason,
     relay::Relay,
     rendezvous::{rendezvous_rank, rendezvous_score},
+    repeat_budget::{RepeatBudget, RepeatBudgetConfig},
     request_digest::RequestDigest,
     request_id::RequestId,
     request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
@@ -111,6 +118,9 @@
     retry_budget::{RetryBudget, RetryBudgetConfig},
     retry_refusal::RetryRefusal,
     return_point::ReturnPoint,
+    route::{Route, RouteTarget},
+    route_table::RouteTable,
+    routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig},
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
@@ -132,14 +142,18 @@
     token_log::TokenLog,
     upstream::Upstream,
     upstream_death::UpstreamDeath,
+    upstream_directory::{LAPSE_GRACE, Presence, UpstreamDirectory, UpstreamEntry},
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_load::{LoadReading, UpstreamLoad},
     upstream_places::{CapacityReport, UpstreamPlaces},
+    upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
     upstream_record::{AskedReport, UpstreamRecord},
     upstream_report::UpstreamReport,
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
     wall_time::WallTime,
+    zone_alarm::ZoneAlarm,
 };
 
 mod admission_queue;
@@ -157,6 +171,7 @@
 mod bundle_view;
 mod call_budget;
 mod call_key;
+mod call_kind;
 mod call_table;
 mod candidate;
 mod capacity_share;
@@ -170,6 +185,8 @@
 mod claim_verdict;
 mod claimed;
 mod concurrency_limit;
+mod config_version;
+mod crash_tally;
 mod delivery;
 mod draft_id;
 mod drop_reason;
@@ -180,6 +197,8 @@
 mod engine_state;
 mod engine_view;
 mod error;
+mod event_relay;
+mod event_splitter;
 mod failed_call;
 mod fair_queue;
 mod finish;
@@ -210,6 +229,7 @@
 mod path_rule;
 mod peer_entry;
 mod peer_table;
+mod placement;
 mod poison_hold;
 mod poison_mark;
 mod poison_tracker;
@@ -224,6 +244,7 @@
 mod refusal_reason;
 mod relay;
 mod rendezvous;
+mod repeat_budget;
 mod request_digest;
 mod request_id;
 mod request_state;
@@ -231,6 +252,9 @@
 mod retry_budget;
 mod retry_refusal;
 mod return_point;
+mod route;
+mod route_table;
+mod routing_config;
 mod service;
 mod service_id;
 mod service_kind;
@@ -252,11 +276,15 @@
 mod token_log;
 mod upstream;
 mod upstream_death;
+mod upstream_directory;
 mod upstream_evidence;
 mod upstream_id;
+mod upstream_load;
 mod upstream_places;
+mod upstream_pulse;
 mod upstream_record;
 mod upstream_report;
 mod utf8_joiner;
 mod vm_id;
 mod wall_time;
+mod zone_alarm;
--- /dev/null
+++ b/crates/decisions/src/placement.rs
@@ -0,0 +1,177 @@
+//! Which upstream a call goes to, by the wait that it would meet there.
+//!
+//! Load pattern: long prompts are read one after the other and delay everything beside them, so the
+//! number of calls says little; a prompt of 8,000 tokens counts as a second. Several VMs decide on
+//! late reports and know only their own dispatches. If each took the upstream that looks best, all
+//! would take the same one. So the upstreams of an availability zone are divided among its VMs by
+//! rendezvous hashing: a VM leaves its own part only where another is clearly better.
+//!
+//! The own zone goes first: a call within it survives a cut between zones, and its bytes cost less.
+//! Suspects, and zones that lost several upstreams together, come last but are not ruled out: with
+//! nothing else left they are still better than a refusal.
+//!
+//! Costs are milliseconds of expected wait, so that they can be added.
+
+use super::*;
+
+/// What a call that already runs on an engine costs the next one: its decoding steps grow slightly
+/// longer, and its memory is taken.
+const STREAM_COST: f64 = 60.0;
+
+/// What one call in flight costs the next one on a plain service, whose calls take about this long.
+const CALL_COST: f64 = 30.0;
+
+/// Advantage of the own zone for streams: less than reading a typical prompt (1,000 ms), so that a
+/// zone with an idle upstream elsewhere is used before two prompts meet on one here.
+const OTHER_ZONE_STREAM: f64 = 500.0;
+
+/// Advantage of the own zone for plain calls: two more calls waiting there.
+const OTHER_ZONE_CALL: f64 = 60.0;
+
+/// Cost of an upstream in another VM's part of the zone: above a running stream or two, below a
+/// prompt still to be read.
+const OTHER_PART: f64 = 180.0;
+
+/// Cost of a suspect zone; above any load that is still served in time.
+const SUSPECT_ZONE: f64 = 20_000.0;
+
+/// Cost of a suspect upstream; above a suspect zone, since it has itself shown a fault.
+const SUSPECT: f64 = 40_000.0;
+
+/// Cost of an upstream that failed all its latest calls, for plain calls: a repeat costs a call's
+/// time elsewhere.
+const FAILING: f64 = 200.0;
+
+/// An upstream to choose from.
+#[derive(Clone, Debug)]
+pub struct PlacementCandidate<'a> {
+    /// Its entry.
+    pub entry: &'a Arc<UpstreamEntry>,
+    /// Its load.
+    pub load: &'a UpstreamLoad,
+    /// Whether it is a suspect.
+    pub suspect: bool,
+    /// Whether its zone is a suspect.
+    pub suspect_zone: bool,
+}
+
+/// For whom an upstream is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementFor<'a> {
+    /// This VM's zone.
+    pub zone: &'a AvailabilityZone,
+    /// This VM.
+    pub vm: &'a str,
+    /// Live VMs of this zone, this one among them.
+    pub zone_vms: &'a [Arc<str>],
+    /// Whether it is a stream with a prompt, else a plain call.
+    pub stream: bool,
+    /// Decides between equals, from 0 to 1.
+    pub random: f64,
+    /// The time.
+    pub now: Instant,
+}
+
+/// The best candidate, if there is one.
+#[must_use]
+pub fn place<'a>(
+    candidates: &[PlacementCandidate<'a>],
+    who: &PlacementFor,
+) -> Option<&'a Arc<UpstreamEntry>> {
+    let start = random_start(candidates.len(), who.random);
+    let (before, after) = candidates.split_at(start);
+    after
+        .iter()
+        .chain(before)
+        .map(|candidate| (cost(candidate, who), candidate.entry))
+        .min_by(|(a, _), (b, _)| a.total_cmp(b))
+        .map(|(_, entry)| entry)
+}
+
+/// Where the copy of a run's memory goes: to another zone than the run's, so that the loss of one
+/// zone does not take both; where few copies are, so that the resumes of a lost upstream spread.
+#[must_use]
+pub fn place_copy<'a>(
+    candidates: &[PlacementCandidate<'a>],
+    run: &UpstreamEntry,
+    who: &PlacementFor,
+) -> Option<&'a Arc<UpstreamEntry>> {
+    let fitting = candidates
+        .iter()
+        .filter(|c| c.entry.zone != run.zone && !c.suspect && !c.suspect_zone)
+        .collect::<Vec<_>>();
+    let start = random_start(fitting.len(), who.random);
+    let (before, after) = fitting.split_at(start);
+    after
+        .iter()
+        .chain(before)
+        .min_by_key(|c| {
+            let others = c.load.calls(who.now) - c.load.own();
+            (
+                2 * c.load.copies() + c.load.own() + others,
+                c.entry.zone != *who.zone,
+            )
+        })
+        .map(|c| c.entry)
+}
+
+fn random_start(len: usize, random: f64) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss
+    )]
+    let start = (random.clamp(0.0, 1.0) * len as f64) as usize;
+    start.min(len)
+}
+
+fn cost(candidate: &PlacementCandidate, who: &PlacementFor) -> f64 {
+    let other_zone = candidate.entry.zone != *who.zone;
+    let mut cost = if who.stream {
+        stream_cost(candidate, who, other_zone)
+    } else {
+        call_cost(candidate, who, other_zone)
+    };
+    if candidate.suspect_zone {
+        cost += SUSPECT_ZONE;
+    }
+    if candidate.suspect {
+        cost += SUSPECT;
+    }
+    cost
+}
+
+fn stream_cost(candidate: &PlacementCandidate, who: &PlacementFor, other_zone: bool) -> f64 {
+    let load = candidate.load;
+    let mut cost = load.reading_left(who.now).as_secs_f64() * 1000.0;
+    cost += STREAM_COST * f64::from(load.calls(who.now));
+    cost += 0.5 * STREAM_COST * f64::from(load.copies());
+    if other_zone {
+        cost += OTHER_ZONE_STREAM;
+    } else if !in_own_part(candidate.entry, who) {
+        cost += OTHER_PART;
+    }
+    cost
+}
+
+fn call_cost(candidate: &PlacementCandidate, who: &PlacementFor, other_zone: bool) -> f64 {
+    let load = candidate.load;
+    let beyond_slots = load.calls(who.now).saturating_sub(candidate.entry.slots);
+    let mut cost =
+        CALL_COST * f64::from(load.calls(who.now)) / f64::from(candidate.entry.slots.max(1));
+    cost += CALL_COST * f64::from(beyond_slots);
+    cost += FAILING * load.failures();
+    if other_zone {
+        cost += OTHER_ZONE_CALL;
+    }
+    cost
+}
+
+/// Whether an upstream is in this VM's part of the zone.
+fn in_own_part(entry: &UpstreamEntry, who: &PlacementFor) -> bool {
+    let owner = who
+        .zone_vms
+        .iter()
+        .max_by_key(|vm| rendezvous_score(entry.id.as_str(), vm));
+    owner.is_none_or(|owner| owner.as_ref() == who.vm)
+}
--- /dev/null
+++ b/crates/decisions/src/route_table.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+/// Routes by host and longest prefix of the path.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    /// Sorted by host, then by prefix.
+    routes: Vec<Arc<Route>>,
+}
+
+impl RouteTable {
+    /// A table of `routes`; of two with the same host and prefix the first is kept.
+    #[must_use]
+    pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
+        let mut routes = routes.into_iter().map(Arc::new).collect::<Vec<_>>();
+        routes.sort_by(|a, b| key(a).cmp(&key(b)));
+        routes.dedup_by(|a, b| key(a) == key(b));
+        Self { routes }
+    }
+
+    /// The route of a call, if there is one: of those of its host, the one with the longest prefix
+    /// that begins its path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        // Each prefix ends with a slash, so only the path's own beginnings up to a slash can match.
+        path.rmatch_indices('/').find_map(|(slash, _)| {
+            let prefix = &path[..=slash];
+            self.routes
+                .binary_search_by(|route| key(route).cmp(&(host, prefix)))
+                .ok()
+                .map(|index| &self.routes[index])
+        })
+    }
+
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.iter()
+    }
+}
+
+fn key(route: &Route) -> (&str, &str) {
+    (&route.host, &route.prefix)
+}
