--- a/crates/border/examples/generate.rs
+++ b/crates/border/examples/generate.rs
@@ -19,7 +19,15 @@
 ///
 /// If a schema cannot be read or is not one.
 pub fn files() -> Result<Vec<(PathBuf, String)>, Box<dyn Error>> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let border = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let platform = border.join("../../platform");
+    let mut files = files_of(border)?;
+    files.extend(files_of(&platform)?);
+    Ok(files)
+}
+
+/// The files of one crate, from its folder `schema`.
+fn files_of(root: &Path) -> Result<Vec<(PathBuf, String)>, Box<dyn Error>> {
     let mut schemas = fs::read_dir(root.join("schema"))?
         .map(|entry| entry.map(|entry| entry.path()))
         .collect::<Result<Vec<_>, _>>()?;
--- /dev/null
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+/// A call with all that was settled when it was accepted: it keeps to that configuration.
+#[derive(Clone, Debug)]
+pub(crate) struct AcceptedCall {
+    pub(crate) call: Arc<Call>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceId,
+    pub(crate) team: Option<TeamId>,
+    /// When its time is over: the caller's or the route's, whichever is first.
+    pub(crate) deadline: Instant,
+    pub(crate) digest: u64,
+}
+
+/// How long a connection for a call that may be repeated may have been idle: the upstreams close
+/// theirs after some seconds, and one that was closed meanwhile costs a repeat.
+const IDLE_FOR_REPEATABLE: Duration = Duration::from_secs(4);
+
+/// How long a connection for other calls may have been idle. An error on a connection that its
+/// upstream was about to close would leave it open whether the call has run.
+const IDLE_FOR_ONCE: Duration = Duration::from_millis(800);
+
+impl AcceptedCall {
+    pub(crate) fn longest_idle(&self) -> Duration {
+        if self.route.kind.may_repeat() {
+            IDLE_FOR_REPEATABLE
+        } else {
+            IDLE_FOR_ONCE
+        }
+    }
+
+    pub(crate) fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.since(now)
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/core.rs
@@ -0,0 +1,352 @@
+use super::{
+    accepted_call::AcceptedCall, liveness::watch_upstreams, state::GatewayState,
+    stream_call::call_stream, whole_call::call_whole, *,
+};
+
+/// How soon a caller may come back to a VM that knows no configuration or no upstream yet: about the
+/// time in which it learns them.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// When a caller may come back with a body under which upstreams died: the tally outlasts it, so it
+/// is only kept from asking at once.
+const CRASHING_RETRY: Duration = Duration::from_secs(10);
+
+/// Settings of a [`Gateway`].
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Budget of repeats.
+    pub repeats: RepeatBudgetConfig,
+}
+
+/// Serves opaque calls.
+pub struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) timer: Arc<Timer>,
+    pub(crate) transport: UpstreamTransport,
+    pub(crate) state: Mutex<GatewayState>,
+    pub(crate) log: CallLog,
+    /// The state of a graceful shutdown.
+    pub drain: Arc<Drain>,
+}
+
+impl Gateway {
+    /// Starts a gateway and its watch over upstreams.
+    #[must_use]
+    pub fn start(
+        settings: GatewaySettings,
+        timer: Arc<Timer>,
+        transport: UpstreamTransport,
+    ) -> Arc<Self> {
+        crate::metrics_page::start_metrics();
+        let gateway = Arc::new(Self {
+            state: Mutex::new(GatewayState::new(settings.vm.clone())),
+            settings,
+            timer,
+            transport,
+            log: CallLog::default(),
+            drain: Arc::default(),
+        });
+        tokio::spawn(watch_upstreams(Arc::downgrade(&gateway)));
+        gateway
+    }
+
+    /// Serves a call.
+    pub async fn handle(self: &Arc<Self>, call: Call) -> Reply {
+        let call = Arc::new(call);
+        let accepted = match self.accept(&call) {
+            Ok(accepted) => accepted,
+            Err(reply) => {
+                log_own_reply(&call, &reply);
+                return reply;
+            }
+        };
+        let (kind, service) = (accepted.route.kind, accepted.service.clone());
+        let reply = if kind.is_stream() {
+            call_stream(self, accepted).await
+        } else {
+            call_whole(self, accepted).await
+        };
+        count_reply(&service, &reply);
+        match &reply {
+            Reply::Whole { status, .. } => {
+                if self.log.admits(LineKind::Answered, self.timer.now()) {
+                    let ms = millis(self.timer.now().since(call.arrived));
+                    tracing::info!(request = %call.id, status = status.as_u16(), ms, "answered");
+                }
+            }
+            Reply::Events { .. } => {}
+            reply => log_own_reply(&call, reply),
+        }
+        reply
+    }
+
+    /// Takes a configuration if it is newer than the present one.
+    pub fn put_config(&self, config: Arc<RoutingConfig>) -> bool {
+        let version = config.version;
+        let advanced = self.state.lock().config.advance(config);
+        if advanced {
+            tracing::info!(%version, "configuration in force");
+            #[expect(clippy::cast_precision_loss)]
+            metrics::gauge!("catkin_config_version").set(version.0 as f64);
+        }
+        advanced
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<RoutingConfig>> {
+        self.state.lock().config.get().cloned()
+    }
+
+    /// Takes in all entries of upstreams at once.
+    pub fn put_upstreams(&self, entries: Vec<UpstreamEntry>) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        state.directory_read = true;
+        let changes = state.directory.snapshot(entries, now);
+        state.forget_gone(now);
+        drop(state);
+        for (id, presence) in changes {
+            self.log_presence(&id, presence);
+        }
+    }
+
+    /// Takes in one entry of an upstream.
+    pub fn upstream_heard(&self, entry: UpstreamEntry) {
+        let id = entry.id.clone();
+        let change = self.state.lock().directory.heard(entry);
+        if let Some(presence) = change {
+            self.log_presence(&id, presence);
+        }
+    }
+
+    /// Takes in that the entry of an upstream was removed.
+    pub fn upstream_removed(&self, id: &UpstreamId) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let change = state.directory.removed(id, now);
+        if change == Some(Presence::Gone) {
+            state.died(id, now);
+        }
+        drop(state);
+        if let Some(presence) = change {
+            self.log_presence(id, presence);
+        }
+    }
+
+    /// Takes in whether the platform answers.
+    pub fn platform_answers(&self, answers: bool) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        if answers {
+            state.directory.platform_answers(now);
+        } else {
+            state.directory.platform_lost();
+        }
+    }
+
+    /// Takes in which VMs are live: names of those of this zone, and the number of all.
+    pub fn put_vms(&self, zone_vms: Vec<Arc<str>>, all: u32) {
+        let mut state = self.state.lock();
+        if state.vms != all {
+            tracing::info!(vms = all, in_zone = zone_vms.len(), "live VMs");
+        }
+        state.zone_vms = zone_vms;
+        state.vms = all.max(1);
+    }
+
+    /// Takes in a peer's word that an upstream died under a body.
+    pub fn crash_heard(&self, mut crash: Crash) {
+        crash.at = self.timer.now();
+        self.state.lock().crashes.crashed(crash);
+    }
+
+    /// Whether new callers may come: everything needed is known, and no shutdown has begun.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.lock();
+        state.config.get().is_some() && state.directory_read && !self.drain.has_begun()
+    }
+
+    fn accept(&self, call: &Arc<Call>) -> Result<AcceptedCall, Reply> {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let Some(config) = state.config.get().cloned() else {
+            return Err(refused(call, RefusalReason::NoUpstream, NOT_READY_RETRY));
+        };
+        let route = config
+            .routes
+            .find(&call.host, &call.path)
+            .ok_or(Reply::NoRoute)?;
+        let holder = call.key.as_deref().and_then(|key| config.holder(key));
+        if config.keys.is_some() && !route.public && holder.is_none() {
+            return Err(Reply::UnknownKey);
+        }
+        let team = holder.map(|holder| holder.team.clone());
+        let draw = xxhash_rust::xxh3::xxh3_64(call.id.as_str().as_bytes());
+        let service = route.service_for(draw).ok_or(Reply::NoRoute)?.clone();
+        state.budget(&service).called(&self.settings.repeats, now);
+        let digest = call.digest(team.as_ref());
+        if state.crashes.refuses(digest, now) {
+            return Err(refused(call, RefusalReason::Poisoned, CRASHING_RETRY));
+        }
+        let patience = call
+            .patience
+            .map_or(route.timeout, |p| p.min(route.timeout));
+        if self.log.admits(LineKind::Accepted, now) {
+            tracing::info!(request = %call.id, route = &*route.name, %service,
+                kind = %route.kind, config = %config.version,
+                patience_ms = millis(patience), tokens = call.prompt.map(|p| p.tokens),
+                "accepted");
+        }
+        Ok(AcceptedCall {
+            call: call.clone(),
+            route: route.clone(),
+            service,
+            team,
+            deadline: call.arrived.after(patience),
+            digest,
+        })
+    }
+
+    /// Pays for sending a call of a service once more.
+    pub(crate) fn pay_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let cfg = RepeatBudgetConfig {
+            vms: state.vms,
+            ..self.settings.repeats
+        };
+        state.budget(service).pay(&cfg, now)
+    }
+
+    /// Chooses an upstream.
+    pub(crate) fn place(
+        &self,
+        accepted: &AcceptedCall,
+        avoid: &[UpstreamId],
+    ) -> Option<Arc<UpstreamEntry>> {
+        self.choose(accepted, avoid, |candidates, who| {
+            place(candidates, who).cloned()
+        })
+    }
+
+    /// Chooses where the copy of a run's memory goes, if the service has copies.
+    pub(crate) fn place_copy(
+        &self,
+        accepted: &AcceptedCall,
+        run: &UpstreamEntry,
+    ) -> Option<Arc<UpstreamEntry>> {
+        let copies = self
+            .config()
+            .is_some_and(|config| config.service(&accepted.service).is_some_and(|s| s.copies));
+        if !copies {
+            return None;
+        }
+        self.choose(accepted, &[], |candidates, who| {
+            place_copy(candidates, run, who).cloned()
+        })
+    }
+
+    fn choose<T>(
+        &self,
+        accepted: &AcceptedCall,
+        avoid: &[UpstreamId],
+        choose: impl FnOnce(&[PlacementCandidate], &PlacementFor) -> T,
+    ) -> T {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let zone_vms = state.zone_vms.clone();
+        let who = PlacementFor {
+            zone: &self.settings.zone,
+            vm: &self.settings.vm,
+            zone_vms: &zone_vms,
+            stream: accepted.route.kind.is_stream(),
+            random: rand::random(),
+            now,
+        };
+        state.choose(&accepted.service, avoid, now, |candidates| {
+            choose(candidates, &who)
+        })
+    }
+
+    /// Notes that something came from an upstream.
+    pub(crate) fn heard(&self, entry: &Arc<UpstreamEntry>, load: Option<LoadReading>) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let upstream = state.upstream(entry, now);
+        upstream.pulse.heard(now);
+        if let Some(load) = load {
+            upstream.load.reading(load, now);
+        }
+    }
+
+    /// Notes whether a call succeeded on an upstream.
+    pub(crate) fn outcome(&self, entry: &Arc<UpstreamEntry>, failed: bool) {
+        let now = self.timer.now();
+        self.state.lock().upstream(entry, now).load.outcome(failed);
+    }
+
+    /// Notes that another incarnation has the address of an upstream.
+    pub(crate) fn replaced(&self, entry: &UpstreamEntry) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        state.directory.gone(&entry.id);
+        state.died(&entry.id, now);
+        drop(state);
+        self.log_presence(&entry.id, Presence::Gone);
+    }
+
+    fn log_presence(&self, upstream: &UpstreamId, presence: Presence) {
+        if self.log.admits(LineKind::Belief, self.timer.now()) {
+            let presence: &str = presence.into();
+            tracing::info!(%upstream, presence, "upstream");
+        }
+    }
+}
+
+/// The answer to a call that was not sent.
+pub(crate) fn refused(call: &Call, reason: RefusalReason, retry_after: Duration) -> Reply {
+    let not_run = Queued::new(call.id.clone()).refuse(reason, retry_after);
+    Reply::NotRun { not_run }
+}
+
+/// Milliseconds, for the log.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn log_own_reply(call: &Call, reply: &Reply) {
+    let outcome = outcome(reply);
+    match reply {
+        Reply::NotRun { not_run } => tracing::warn!(request = %call.id, outcome,
+            reason = %not_run.reason(), retry_after_ms = millis(not_run.retry_after()),
+            "answered by this VM"),
+        _ => tracing::warn!(request = %call.id, outcome, host = &*call.host, path = &*call.path,
+            "answered by this VM"),
+    }
+}
+
+fn count_reply(service: &ServiceId, reply: &Reply) {
+    let labels = [
+        ("service", service.to_string()),
+        ("outcome", outcome(reply).to_owned()),
+    ];
+    metrics::counter!("catkin_calls_total", &labels).increment(1);
+}
+
+fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Whole { .. } => "whole",
+        Reply::Events { .. } => "events",
+        Reply::NotRun { .. } => "not_run",
+        Reply::Unknown => "unknown",
+        Reply::TimedOut => "timed_out",
+        Reply::NoRoute => "no_route",
+        Reply::UnknownKey => "unknown_key",
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -0,0 +1,140 @@
+use super::{core::millis, *};
+use std::sync::Weak;
+
+/// How often silence is looked for: short against the bound of silence, 20 wake-ups a second.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Looks for silent upstreams and asks them, until the gateway is gone.
+pub(crate) async fn watch_upstreams(gateway: Weak<Gateway>) {
+    let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(LOOK)) else {
+        return;
+    };
+    while let Some(now) = ticks.recv().await {
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
+        for entry in due_questions(&gateway, now) {
+            tokio::spawn(ask(gateway.clone(), entry));
+        }
+    }
+}
+
+fn due_questions(gateway: &Gateway, now: Instant) -> Vec<Arc<UpstreamEntry>> {
+    let mut state = gateway.state.lock();
+    let mut due = Vec::new();
+    for upstream in state.upstreams_mut() {
+        if upstream.pulse.ask(now) {
+            due.push(upstream.entry.clone());
+        }
+    }
+    // An upstream that is leaving or gone is still asked while calls run there, but not for itself.
+    due.retain(|entry| {
+        let usable = state.directory.get_usable(&entry.id, now).is_some();
+        let upstream = state.upstream(entry, now);
+        let wanted = usable || upstream.pulse.in_flight() > 0;
+        if !wanted {
+            upstream.pulse.answered();
+        }
+        wanted
+    });
+    due
+}
+
+/// Asks an upstream whether it lives, and gives up its calls if it does not answer.
+pub(crate) async fn ask(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) {
+    let question = LifeQuestion {
+        entry: entry.clone(),
+        engine: gateway
+            .config()
+            .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
+    };
+    let start = gateway.timer.now();
+    let answer = tokio::time::timeout(ANSWER_BOUND, (gateway.transport.ask)(question)).await;
+    let now = gateway.timer.now();
+    let fault = match answer {
+        Ok(Ok(load)) => {
+            gateway.heard(&entry, load);
+            None
+        }
+        Ok(Err(fault)) => Some(fault.into()),
+        Err(_) => Some("no_answer"),
+    };
+    let mut state = gateway.state.lock();
+    let upstream = state.upstream(&entry, now);
+    upstream.pulse.answered();
+    let in_flight = upstream.pulse.in_flight();
+    drop(state);
+    if gateway.log.admits(LineKind::Question, now) {
+        let fault: &str = fault.unwrap_or("none");
+        tracing::info!(upstream = %entry.id, fault, in_flight, ms = millis(now.since(start)),
+            "upstream asked");
+    }
+    if fault.is_some() {
+        gateway.give_up(&entry);
+    }
+}
+
+impl Gateway {
+    /// Notes that an upstream did not answer: its calls are given up, and it comes last from now on.
+    pub(crate) fn give_up(&self, entry: &Arc<UpstreamEntry>) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let upstream = state.upstream(entry, now);
+        let new = upstream.pulse.doubt(now);
+        upstream.given_up.send_modify(|count| *count += 1);
+        state.died(&entry.id, now);
+        let zone_alarm = new && state.zones.lost(&entry.zone, &entry.id, now);
+        drop(state);
+        self.log_suspect(entry, new, zone_alarm);
+    }
+
+    /// Notes that a stream from an upstream broke. It comes last until it is heard of again, and is
+    /// asked at once; its other calls go on meanwhile.
+    pub(crate) fn broke(self: &Arc<Self>, entry: &Arc<UpstreamEntry>) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let upstream = state.upstream(entry, now);
+        let new = upstream.pulse.doubt(now);
+        let ask_now = new && upstream.pulse.ask_now(now);
+        let zone_alarm = new && state.zones.lost(&entry.zone, &entry.id, now);
+        drop(state);
+        self.log_suspect(entry, new, zone_alarm);
+        if ask_now {
+            tokio::spawn(ask(self.clone(), entry.clone()));
+        }
+    }
+
+    fn log_suspect(&self, entry: &UpstreamEntry, new: bool, zone_alarm: bool) {
+        if new && self.log.admits(LineKind::Belief, self.timer.now()) {
+            tracing::warn!(upstream = %entry.id, zone = %entry.zone, "upstream is suspect");
+        }
+        if zone_alarm {
+            tracing::warn!(zone = %entry.zone, "several upstreams of an availability zone are lost");
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether a copy may be gone on from: its upstream takes calls and is no suspect.
+    pub(crate) fn may_use(&self, entry: &Arc<UpstreamEntry>) -> bool {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let usable = state.directory.get_usable(&entry.id, now).is_some();
+        usable && !state.upstream(entry, now).pulse.is_suspect()
+    }
+
+    /// Notes that an upstream's connection broke under a body.
+    pub(crate) fn crashed_under(&self, entry: &UpstreamEntry, digest: u64) {
+        let crash = Crash {
+            digest,
+            upstream: entry.id.clone(),
+            at: self.timer.now(),
+        };
+        self.state.lock().broke_under(crash);
+    }
+
+    /// Notes that a call was answered in whole.
+    pub(crate) fn delivered(&self, digest: u64) {
+        self.state.lock().crashes.delivered(digest);
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -0,0 +1,57 @@
+//! The way of opaque calls: from a caller to an upstream and back, whatever they hold.
+//!
+//! What stands on the wire is known only to the adapter that feeds a [`Gateway`] with calls and gives
+//! it an [`UpstreamTransport`].
+
+pub(crate) use {
+    super::{
+        Arc, AtomicU64, AvailabilityZone, Bytes, Debug, Display, Drain, Duration, HeaderMap,
+        Instant, Method, Mutex, NotRun, NotRunEvidence, Ordering, Queued, RefusalReason, RequestId,
+        ServiceId, SocketAddr, StatusCode, StdError, TeamId, Timer, UpstreamId, watch,
+    },
+    catkin_decisions::{
+        ANSWER_BOUND, Crash, CrashTally, EventFate, EventRelay, EventRun, EventSplitter,
+        LoadReading, NewestConfig, PlacementCandidate, PlacementFor, Presence, RepeatBudget,
+        RepeatBudgetConfig, Route, RoutingConfig, UpstreamDirectory, UpstreamEntry, UpstreamLoad,
+        UpstreamPulse, WholeEvent, ZoneAlarm, place, place_copy,
+    },
+    futures::{StreamExt, future::BoxFuture, stream::BoxStream},
+    std::fmt::{self, Formatter},
+};
+
+pub use self::{
+    call::{Call, Prompt},
+    call_log::{CallLog, LineKind},
+    core::{Gateway, GatewaySettings},
+    feed::{AskChanges, Feed, FeedFault, FeedPage, follow_config, follow_upstreams},
+    reply::{EventBody, Reply, StreamCut},
+    upstream_transport::{
+        AnswerBody, BodyFault, CopySource, LifeQuestion, SendFault, UpstreamAnswer, UpstreamCall,
+        UpstreamTransport,
+    },
+};
+
+/// Pause after a connection could not be accepted, mostly for want of descriptors: long enough for
+/// some to be closed, short against a caller's patience of a second.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often the limits on callers' connections are looked at; they are seconds.
+pub const LIMITS_LOOK: Duration = Duration::from_millis(250);
+
+/// How long idle connections to upstreams are kept: longer than any call may use one.
+pub const KEPT_IDLE: Duration = Duration::from_secs(5);
+
+mod accepted_call;
+mod call;
+mod call_log;
+mod core;
+mod feed;
+mod liveness;
+mod reply;
+mod run_guard;
+mod shutdown;
+mod state;
+mod stream_call;
+mod stream_run;
+mod upstream_transport;
+mod whole_call;
--- /dev/null
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+/// A run of a call on an upstream, counted there until it is dropped. The counts decide where other
+/// calls go; one that is never taken back would make an upstream look busy for good.
+pub(crate) struct RunGuard {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) entry: Arc<UpstreamEntry>,
+    /// Where the run's memory is copied to.
+    pub(crate) copy: Option<Arc<UpstreamEntry>>,
+    /// Changes when the upstream is given up.
+    pub(crate) given_up: watch::Receiver<u64>,
+}
+
+impl RunGuard {
+    /// Counts a run.
+    pub(crate) fn begin(
+        gateway: &Arc<Gateway>,
+        entry: Arc<UpstreamEntry>,
+        copy: Option<Arc<UpstreamEntry>>,
+        prompt_tokens: u32,
+    ) -> Self {
+        let now = gateway.timer.now();
+        let mut state = gateway.state.lock();
+        if let Some(copy) = &copy {
+            state.upstream(copy, now).load.copy_begins();
+        }
+        let upstream = state.upstream(&entry, now);
+        upstream.pulse.sent(now);
+        upstream.load.begin(prompt_tokens, now);
+        let given_up = upstream.given_up.subscribe();
+        drop(state);
+        Self {
+            gateway: gateway.clone(),
+            entry,
+            copy,
+            given_up,
+        }
+    }
+
+    /// Waits until the upstream is given up.
+    pub(crate) async fn lost(&mut self) {
+        if self.given_up.changed().await.is_err() {
+            // The sender is gone with the state of an upstream that no longer exists.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now = self.gateway.timer.now();
+        let mut state = self.gateway.state.lock();
+        let upstream = state.upstream(&self.entry, now);
+        upstream.pulse.ended();
+        upstream.load.end();
+        if let Some(copy) = &self.copy {
+            state.upstream(copy, now).load.copy_ends();
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/shutdown.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+/// Time after the signal in which callers still come: the platform takes a VM out after two questions
+/// for readiness, one a second, and a caller's connection may take some more to arrive.
+const LEAVES_ROTATION: Duration = Duration::from_millis(2600);
+
+/// Quiet time that ends the shutdown early: requests on their way when the last one ended have come
+/// by then (a millisecond away, and one second of a connection's patience at most is rare).
+const QUIET: Duration = Duration::from_millis(150);
+
+/// Part of the grace time after which the process ends whatever is in flight, so that it ends by
+/// itself and can say what it cut.
+const LAST_MOMENT: Duration = Duration::from_millis(150);
+
+impl Gateway {
+    /// Shuts down gracefully: not ready at once, callers are served until they are sent elsewhere,
+    /// then `close_idle` is called, and what is in flight runs to its end within `grace`.
+    pub async fn shut_down(&self, grace: Duration, close_idle: impl FnOnce()) {
+        tracing::info!(in_flight = self.drain.in_flight(), "shutdown begun");
+        self.drain.begin();
+        let end = tokio::time::Instant::now() + grace.saturating_sub(LAST_MOMENT);
+        tokio::time::sleep(LEAVES_ROTATION.min(grace)).await;
+        close_idle();
+        if tokio::time::timeout_at(end, self.drain.finished(QUIET))
+            .await
+            .is_err()
+        {
+            tracing::error!(in_flight = self.drain.in_flight(), "shutdown cut calls");
+        }
+        tracing::info!("shutdown ended");
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/state.rs
@@ -0,0 +1,162 @@
+use super::*;
+
+/// What the gateway knows, behind one lock.
+pub(crate) struct GatewayState {
+    pub(crate) config: NewestConfig,
+    pub(crate) directory: UpstreamDirectory,
+    /// Whether the directory has been read once.
+    pub(crate) directory_read: bool,
+    /// Sorted by id.
+    upstreams: Vec<UpstreamState>,
+    pub(crate) zones: ZoneAlarm,
+    /// Sorted by service.
+    budgets: Vec<(ServiceId, RepeatBudget)>,
+    pub(crate) crashes: CrashTally,
+    /// Calls whose connection broke lately, until it shows whether their upstream died.
+    broken: Vec<Crash>,
+    /// Live VMs of this zone, this one among them.
+    pub(crate) zone_vms: Vec<Arc<str>>,
+    /// Live VMs of all zones.
+    pub(crate) vms: u32,
+}
+
+/// What is known of one upstream.
+pub(crate) struct UpstreamState {
+    id: UpstreamId,
+    pub(crate) entry: Arc<UpstreamEntry>,
+    pub(crate) pulse: UpstreamPulse,
+    pub(crate) load: UpstreamLoad,
+    /// Counts how often its calls were given up.
+    pub(crate) given_up: watch::Sender<u64>,
+}
+
+/// How long after a broken connection the death of its upstream is laid to the call: until its
+/// next caller is refused a connection or its entry has lapsed.
+const DEATH_SHOWS: Duration = Duration::from_secs(5);
+
+/// Broken calls kept at most; the oldest go first.
+const MOST_BROKEN: usize = 1024;
+
+impl GatewayState {
+    /// The state of a VM that knows nothing but itself.
+    pub(crate) fn new(vm: Arc<str>) -> Self {
+        Self {
+            config: NewestConfig::default(),
+            directory: UpstreamDirectory::default(),
+            directory_read: false,
+            upstreams: Vec::new(),
+            zones: ZoneAlarm::default(),
+            budgets: Vec::new(),
+            crashes: CrashTally::default(),
+            broken: Vec::new(),
+            zone_vms: vec![vm],
+            vms: 1,
+        }
+    }
+
+    /// Notes that the connection of a call broke. Connections also break while their upstream lives,
+    /// so nothing is laid to the call before its death shows.
+    pub(crate) fn broke_under(&mut self, crash: Crash) {
+        if self.broken.len() == MOST_BROKEN {
+            self.broken.remove(0);
+        }
+        self.broken.push(crash);
+    }
+
+    /// Notes that an upstream died, under the calls whose connections broke shortly before.
+    pub(crate) fn died(&mut self, upstream: &UpstreamId, now: Instant) {
+        self.broken
+            .retain(|crash| now.since(crash.at) < DEATH_SHOWS);
+        let (under, rest) = std::mem::take(&mut self.broken)
+            .into_iter()
+            .partition(|crash| crash.upstream == *upstream);
+        self.broken = rest;
+        let under: Vec<Crash> = under;
+        for crash in under {
+            self.crashes.crashed(crash);
+        }
+    }
+
+    /// State of an upstream, new if it has none.
+    pub(crate) fn upstream(
+        &mut self,
+        entry: &Arc<UpstreamEntry>,
+        now: Instant,
+    ) -> &mut UpstreamState {
+        let index = match self.upstreams.binary_search_by(|u| u.id.cmp(&entry.id)) {
+            Ok(index) => index,
+            Err(index) => {
+                let upstream = UpstreamState {
+                    id: entry.id.clone(),
+                    entry: entry.clone(),
+                    pulse: UpstreamPulse::new(now),
+                    load: UpstreamLoad::default(),
+                    given_up: watch::Sender::new(0),
+                };
+                self.upstreams.insert(index, upstream);
+                index
+            }
+        };
+        &mut self.upstreams[index]
+    }
+
+    /// All upstreams that there is state of.
+    pub(crate) fn upstreams_mut(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
+        self.upstreams.iter_mut()
+    }
+
+    /// Forgets upstreams that are gone and have no call in flight.
+    pub(crate) fn forget_gone(&mut self, now: Instant) {
+        let directory = &self.directory;
+        self.upstreams
+            .retain(|u| u.pulse.in_flight() > 0 || directory.get_usable(&u.id, now).is_some());
+    }
+
+    pub(crate) fn budget(&mut self, service: &ServiceId) -> &mut RepeatBudget {
+        let index = match self.budgets.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                let budget = (service.clone(), RepeatBudget::default());
+                self.budgets.insert(index, budget);
+                index
+            }
+        };
+        &mut self.budgets[index].1
+    }
+
+    /// Chooses among the upstreams of a service, less those in `avoid`.
+    pub(crate) fn choose<T>(
+        &mut self,
+        service: &ServiceId,
+        avoid: &[UpstreamId],
+        now: Instant,
+        choose: impl FnOnce(&[PlacementCandidate]) -> T,
+    ) -> T {
+        let entries = self
+            .directory
+            .usable(service, now)
+            .filter(|entry| !avoid.contains(&entry.id))
+            .cloned()
+            .collect::<Vec<_>>();
+        for entry in &entries {
+            self.upstream(entry, now);
+        }
+        let candidates = entries
+            .iter()
+            .filter_map(|entry| {
+                let index = self
+                    .upstreams
+                    .binary_search_by(|u| u.id.cmp(&entry.id))
+                    .ok()?;
+                let state = &self.upstreams[index];
+                Some(PlacementCandidate {
+                    entry,
+                    load: &state.load,
+                    suspect: state.pulse.is_suspect(),
+                    suspect_zone: self.zones.is_suspect(&entry.zone, now),
+                })
+            })
+            .collect::<Vec<_>>();
+        choose(&candidates)
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -0,0 +1,416 @@
+//! A stream over one or more runs on upstreams.
+
+use super::{
+    accepted_call::AcceptedCall, core::millis, reply::StreamCut, run_guard::RunGuard,
+    stream_call::StreamStop, *,
+};
+
+/// How often a stream is sent at most, refusals counted in. Each costs a few milliseconds; a resume
+/// that finds no place is worth several.
+const MOST_SENDS: u32 = 12;
+
+/// Wait before upstreams are tried again after all refused.
+const REFUSED_WAIT: Duration = Duration::from_millis(60);
+
+/// A stream on its way to a caller.
+pub(crate) struct StreamRun {
+    gateway: Arc<Gateway>,
+    accepted: AcceptedCall,
+    relay: EventRelay,
+    active: Option<ActiveRun>,
+    /// Where a copy of the memory of the run before lies.
+    copy: Option<Arc<UpstreamEntry>>,
+    /// Upstreams that lost or refused it.
+    avoid: Vec<UpstreamId>,
+    sends: u32,
+    /// Runs that may have run, the present one included.
+    runs: u32,
+    /// Whether the caller has got an event.
+    delivered: bool,
+    head: Option<(StatusCode, HeaderMap)>,
+    /// When the run before was lost.
+    lost_at: Option<Instant>,
+}
+
+/// The run that the caller gets events from.
+struct ActiveRun {
+    number: EventRun,
+    guard: RunGuard,
+    body: AnswerBody,
+    splitter: EventSplitter,
+}
+
+/// What came from the active run.
+enum Received {
+    Bytes(Bytes),
+    End,
+    Broken(Loss),
+    TimedOut,
+}
+
+/// How a run was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Loss {
+    /// Its connection broke.
+    Broken,
+    /// Its upstream did not answer a question.
+    Silent,
+    /// It ended in the middle of an event.
+    Torn,
+    /// It left events out.
+    Gap,
+}
+
+impl StreamRun {
+    pub(crate) fn new(gateway: Arc<Gateway>, accepted: AcceptedCall) -> Self {
+        Self {
+            relay: EventRelay::new(accepted.call.last_event),
+            gateway,
+            accepted,
+            active: None,
+            copy: None,
+            avoid: Vec::new(),
+            sends: 0,
+            runs: 0,
+            delivered: false,
+            head: None,
+            lost_at: None,
+        }
+    }
+
+    /// Head of the first upstream's answer, once there is an event or the end.
+    pub(crate) fn take_head(&mut self) -> Option<(StatusCode, HeaderMap)> {
+        self.head.take()
+    }
+
+    /// The next whole events; `None` at the end of the whole stream.
+    pub(crate) async fn next_events(&mut self) -> Result<Option<Bytes>, StreamStop> {
+        loop {
+            if self.active.is_none() {
+                self.open().await?;
+            }
+            let events = self.take_events();
+            match events {
+                Ok(events) if !events.is_empty() => {
+                    self.note_delivery();
+                    return Ok(Some(events.into()));
+                }
+                Ok(_) => {}
+                Err(loss) => {
+                    self.lost(loss)?;
+                    continue;
+                }
+            }
+            match self.receive().await {
+                Received::Bytes(bytes) => self.push(&bytes)?,
+                Received::End if self.has_part() => self.lost(Loss::Torn)?,
+                Received::End => {
+                    self.finished();
+                    return Ok(None);
+                }
+                Received::Broken(loss) => self.lost(loss)?,
+                Received::TimedOut => return Err(StreamStop::TimedOut),
+            }
+        }
+    }
+
+    pub(crate) fn log_cut(&self, cut: StreamCut) {
+        metrics::counter!("catkin_streams_cut_total").increment(1);
+        tracing::warn!(request = %self.accepted.call.id, last_event = self.relay.last(),
+            sends = self.sends, runs = self.runs, %cut, "stream cut");
+    }
+
+    fn take_events(&mut self) -> Result<Vec<u8>, Loss> {
+        let mut buf = Vec::new();
+        let Some(active) = &mut self.active else {
+            return Ok(buf);
+        };
+        while let Some(WholeEvent { id, bytes }) = active.splitter.next_event() {
+            let fate = match id {
+                Some(id) => self.relay.decide(active.number, id),
+                // An event without a number cannot be told from one that was handed on before.
+                None if self.runs > 1 => EventFate::Drop,
+                None => EventFate::Deliver,
+            };
+            match fate {
+                EventFate::Deliver => buf.extend_from_slice(&bytes),
+                EventFate::Drop => {}
+                EventFate::Gap if buf.is_empty() => return Err(Loss::Gap),
+                EventFate::Gap => break,
+            }
+        }
+        Ok(buf)
+    }
+
+    async fn receive(&mut self) -> Received {
+        let now = self.gateway.timer.now();
+        let time_left = self.accepted.time_left(now);
+        let Some(active) = &mut self.active else {
+            return Received::Broken(Loss::Broken);
+        };
+        tokio::select! {
+            chunk = active.body.next() => match chunk {
+                Some(Ok(bytes)) => Received::Bytes(bytes),
+                Some(Err(BodyFault)) => Received::Broken(Loss::Broken),
+                None => Received::End,
+            },
+            () = active.guard.lost() => Received::Broken(Loss::Silent),
+            () = tokio::time::sleep(time_left) => Received::TimedOut,
+        }
+    }
+
+    fn push(&mut self, bytes: &[u8]) -> Result<(), StreamStop> {
+        let Some(active) = &mut self.active else {
+            return Ok(());
+        };
+        self.gateway.heard(&active.guard.entry, None);
+        if active.splitter.push(bytes).is_err() {
+            return self.lost(Loss::Torn);
+        }
+        Ok(())
+    }
+
+    fn has_part(&self) -> bool {
+        self.active
+            .as_ref()
+            .is_some_and(|active| active.splitter.has_part())
+    }
+
+    fn note_delivery(&mut self) {
+        let now = self.gateway.timer.now();
+        if let Some(lost_at) = self.lost_at.take() {
+            let pause = now.since(lost_at);
+            metrics::histogram!("catkin_resume_seconds").record(pause.as_secs_f64());
+            tracing::info!(request = %self.accepted.call.id, ms = millis(pause), "stream resumed");
+        }
+        if !self.delivered {
+            let wait = now.since(self.accepted.call.arrived);
+            metrics::histogram!("catkin_first_event_seconds").record(wait.as_secs_f64());
+            self.delivered = true;
+        }
+    }
+
+    fn finished(&mut self) {
+        self.active = None;
+        self.gateway.delivered(self.accepted.digest);
+        let now = self.gateway.timer.now();
+        if self.gateway.log.admits(LineKind::Answered, now) {
+            let ms = millis(now.since(self.accepted.call.arrived));
+            tracing::info!(request = %self.accepted.call.id, last_event = self.relay.last(),
+                sends = self.sends, ms, "stream whole");
+        }
+    }
+
+    /// Notes the loss of the active run. Its connection is closed before another run can begin, so
+    /// that its upstream does not go on with it.
+    fn lost(&mut self, loss: Loss) -> Result<(), StreamStop> {
+        let Some(active) = self.active.take() else {
+            return Ok(());
+        };
+        let entry = active.guard.entry.clone();
+        self.copy = active.guard.copy.clone();
+        drop(active);
+        self.run_lost(&entry, loss);
+        if self.accepted.route.kind.may_repeat() {
+            return Ok(());
+        }
+        Err(StreamStop::Cut(StreamCut::NotResumable))
+    }
+
+    fn run_lost(&mut self, entry: &Arc<UpstreamEntry>, loss: Loss) {
+        self.lost_at.get_or_insert(self.gateway.timer.now());
+        self.avoid.push(entry.id.clone());
+        let loss_name: &str = loss.into();
+        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
+            loss = loss_name, last_event = self.relay.last(),
+            copy = self.copy.as_ref().map(|c| tracing::field::display(c.id.clone())),
+            "run of a stream lost");
+        if loss == Loss::Broken {
+            self.gateway.broke(entry);
+            self.gateway.crashed_under(entry, self.accepted.digest);
+        }
+    }
+
+    /// Begins a run: from the copy of the one before if that can be, else where it fits best.
+    async fn open(&mut self) -> Result<(), StreamStop> {
+        loop {
+            let now = self.gateway.timer.now();
+            if self.accepted.time_left(now).is_zero() {
+                return Err(StreamStop::TimedOut);
+            }
+            if self.sends > 0 && !self.may_send_again() {
+                return Err(self.stop());
+            }
+            let from = self.copy.take().filter(|copy| self.gateway.may_use(copy));
+            let entry = match &from {
+                Some(copy) => copy.clone(),
+                None => match self.choose().await {
+                    Some(entry) => entry,
+                    None => return Err(self.stop()),
+                },
+            };
+            if self.send(entry, from.is_some()).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    fn may_send_again(&self) -> bool {
+        self.sends < MOST_SENDS
+            && self.runs < self.accepted.route.max_upstreams
+            && self.gateway.pay_repeat(&self.accepted.service)
+    }
+
+    fn stop(&self) -> StreamStop {
+        if self.runs == 0 {
+            StreamStop::NotRun
+        } else {
+            StreamStop::Cut(StreamCut::NoUpstream)
+        }
+    }
+
+    /// An upstream that has not failed this stream, or after a wait any.
+    async fn choose(&mut self) -> Option<Arc<UpstreamEntry>> {
+        let fresh = self.gateway.place(&self.accepted, &self.avoid);
+        if fresh.is_some() {
+            return fresh;
+        }
+        self.avoid.clear();
+        if self.sends > 0 {
+            tokio::time::sleep(REFUSED_WAIT).await;
+        }
+        self.gateway.place(&self.accepted, &[])
+    }
+
+    /// Sends it to an upstream; whether a run began.
+    async fn send(
+        &mut self,
+        entry: Arc<UpstreamEntry>,
+        from_copy: bool,
+    ) -> Result<bool, StreamStop> {
+        self.sends += 1;
+        let gateway = self.gateway.clone();
+        let copy = gateway.place_copy(&self.accepted, &entry);
+        let now = gateway.timer.now();
+        let time_left = self.accepted.time_left(now);
+        let call = UpstreamCall {
+            call: self.accepted.call.clone(),
+            entry: entry.clone(),
+            team: self.accepted.team.clone(),
+            time_left,
+            last_event: self.relay.last(),
+            copy_to: copy.as_ref().map(|copy| copy.address),
+            copy_from: from_copy.then_some(CopySource {
+                address: entry.address,
+            }),
+            longest_idle: self.accepted.longest_idle(),
+        };
+        self.log_sent(&entry, copy.as_deref(), from_copy, time_left);
+        let tokens = match self.accepted.call.prompt {
+            Some(prompt) if !from_copy => prompt.tokens,
+            _ => 0,
+        };
+        let mut guard = RunGuard::begin(&gateway, entry.clone(), copy.clone(), tokens);
+        let answer = tokio::select! {
+            answer = (gateway.transport.send)(call) => answer,
+            () = guard.lost() => {
+                self.runs += 1;
+                self.copy = copy;
+                drop(guard);
+                self.run_lost(&entry, Loss::Silent);
+                return self.unless_once();
+            }
+            () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
+        };
+        match answer {
+            Ok(answer) => self.begun(guard, answer),
+            Err(fault) => {
+                drop(guard);
+                self.send_failed(&entry, copy, fault)
+            }
+        }
+    }
+
+    fn begun(&mut self, guard: RunGuard, answer: UpstreamAnswer) -> Result<bool, StreamStop> {
+        let entry = guard.entry.clone();
+        self.gateway.heard(&entry, answer.load);
+        if answer.other_incarnation || answer.not_executed {
+            if answer.other_incarnation {
+                self.gateway.replaced(&entry);
+            }
+            self.refused(&entry, answer.status);
+            return Ok(false);
+        }
+        self.runs += 1;
+        if !answer.status.is_success() || !answer.signed {
+            drop(guard);
+            self.refused(&entry, answer.status);
+            return self.unless_once();
+        }
+        if !self.delivered {
+            // Nothing of a run before was handed on, so the caller gets the head of this one.
+            self.head = Some((answer.status, answer.headers));
+        }
+        self.active = Some(ActiveRun {
+            number: self.relay.begin_run(),
+            guard,
+            body: answer.body,
+            splitter: EventSplitter::default(),
+        });
+        Ok(true)
+    }
+
+    fn refused(&mut self, entry: &UpstreamEntry, status: StatusCode) {
+        self.avoid.push(entry.id.clone());
+        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
+            status = status.as_u16(), "refused by the upstream");
+    }
+
+    fn send_failed(
+        &mut self,
+        entry: &Arc<UpstreamEntry>,
+        copy: Option<Arc<UpstreamEntry>>,
+        fault: SendFault,
+    ) -> Result<bool, StreamStop> {
+        if fault == SendFault::NoConnection {
+            self.avoid.push(entry.id.clone());
+            let fault_name: &str = fault.into();
+            tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
+                fault = fault_name, "call failed");
+            self.gateway.broke(entry);
+            return Ok(false);
+        }
+        self.runs += 1;
+        self.copy = copy;
+        self.run_lost(entry, Loss::Broken);
+        self.unless_once()
+    }
+
+    /// Whether the stream may go on elsewhere after it may have run.
+    fn unless_once(&self) -> Result<bool, StreamStop> {
+        if self.accepted.route.kind.may_repeat() {
+            return Ok(false);
+        }
+        Err(StreamStop::Cut(StreamCut::NotResumable))
+    }
+
+    fn log_sent(
+        &self,
+        entry: &UpstreamEntry,
+        copy: Option<&UpstreamEntry>,
+        from_copy: bool,
+        time_left: Duration,
+    ) {
+        if self
+            .gateway
+            .log
+            .admits(LineKind::Sent, self.gateway.timer.now())
+        {
+            tracing::info!(request = %self.accepted.call.id, upstream = %entry.id,
+                zone = %entry.zone, send = self.sends, left_ms = millis(time_left),
+                last_event = self.relay.last(), from_copy,
+                copy = copy.map(|c| tracing::field::display(c.id.clone())), "sent");
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -0,0 +1,102 @@
+use super::*;
+
+/// How upstreams are reached. The adapter speaks the protocol; it repeats nothing and gives up
+/// nothing by itself.
+pub struct UpstreamTransport {
+    /// Sends a call. The future ends with the head of the answer; dropping it, or the body, closes
+    /// the connection, so that the upstream stops.
+    pub send: SendCall,
+    /// Asks an upstream over a connection of its own whether it lives and how busy it is.
+    pub ask: AskUpstream,
+}
+
+/// Sends a call to an upstream.
+pub type SendCall = Box<
+    dyn Fn(UpstreamCall) -> BoxFuture<'static, Result<UpstreamAnswer, SendFault>> + Send + Sync,
+>;
+
+/// Asks an upstream a question.
+pub type AskUpstream = Box<
+    dyn Fn(LifeQuestion) -> BoxFuture<'static, Result<Option<LoadReading>, SendFault>>
+        + Send
+        + Sync,
+>;
+
+/// A question to an upstream.
+#[derive(Clone, Debug)]
+pub struct LifeQuestion {
+    /// The upstream.
+    pub entry: Arc<UpstreamEntry>,
+    /// Whether it is an engine, which is asked for its load report. Elsewhere a connection that opens
+    /// is the answer: a health answer waits for a place like any call, and says little on a full one.
+    pub engine: bool,
+}
+
+/// A call on its way to an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamCall {
+    /// The caller's call.
+    pub call: Arc<Call>,
+    /// Where it goes.
+    pub entry: Arc<UpstreamEntry>,
+    /// Team of the caller.
+    pub team: Option<TeamId>,
+    /// Time that is left for it.
+    pub time_left: Duration,
+    /// Number of the last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Upstream to which the run's memory is to be copied as it grows.
+    pub copy_to: Option<SocketAddr>,
+    /// Copy of the run's memory to go on from.
+    pub copy_from: Option<CopySource>,
+    /// How long the connection may have been idle; zero for a fresh one.
+    pub longest_idle: Duration,
+}
+
+/// Where a copy of a run's memory lies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CopySource {
+    /// The upstream that keeps it.
+    pub address: SocketAddr,
+}
+
+/// The head of an upstream's answer, and its body to come.
+pub struct UpstreamAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Headers that go to the caller as they are.
+    pub headers: HeaderMap,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+    /// Whether the upstream says that it did not run the call.
+    pub not_executed: bool,
+    /// Whether another incarnation has the address now.
+    pub other_incarnation: bool,
+    /// The upstream's word on its load.
+    pub load: Option<LoadReading>,
+    /// Its body.
+    pub body: AnswerBody,
+}
+
+/// The body of an upstream's answer.
+pub type AnswerBody = BoxStream<'static, Result<Bytes, BodyFault>>;
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum SendFault {
+    /// No connection could be opened, so nothing was sent.
+    #[display("no connection to the upstream could be opened")]
+    NoConnection,
+    /// The connection broke after something may have been sent.
+    #[display("the connection to the upstream broke")]
+    Lost,
+    /// The upstream answered with something that belongs to another call, or to none.
+    #[display("the upstream answered another call")]
+    Crossed,
+}
+
+/// Why a body ended early.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError)]
+#[display("the connection to the upstream broke within the answer")]
+pub struct BodyFault;
--- /dev/null
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -0,0 +1,264 @@
+use super::{accepted_call::AcceptedCall, core::millis, run_guard::RunGuard, *};
+
+/// How often a call is sent at most, refusals counted in: two more than there are zones, so that one
+/// full upstream in each does not end it.
+const MOST_SENDS: u32 = 5;
+
+/// Largest answer that is taken in whole. Answers of plain services have some kilobytes.
+const LARGEST_ANSWER: usize = 8 << 20;
+
+/// When a caller may come back after all upstreams refused: a few calls' time, in which places become
+/// free, spread so that those refused together do not return together.
+const REFUSED_RETRY: Duration = Duration::from_millis(100);
+
+/// How a send ended.
+enum Sent {
+    /// With an answer for the caller.
+    Answered(Reply),
+    /// With an upstream's own failure, which the caller gets unless another upstream does better.
+    Failed(Reply),
+    /// It has not run.
+    NotRun(NotRunEvidence),
+    /// It may have run.
+    Lost,
+    /// Its time is over.
+    TimedOut,
+}
+
+/// Serves a call whose answer is taken in whole before the caller gets any of it, so that one that
+/// breaks off can still be replaced.
+pub(crate) async fn call_whole(gateway: &Arc<Gateway>, accepted: AcceptedCall) -> Reply {
+    WholeCall {
+        gateway: gateway.clone(),
+        accepted,
+        avoid: Vec::new(),
+        sends: 0,
+        runs: 0,
+    }
+    .serve()
+    .await
+}
+
+struct WholeCall {
+    gateway: Arc<Gateway>,
+    accepted: AcceptedCall,
+    /// Upstreams that refused or failed it.
+    avoid: Vec<UpstreamId>,
+    sends: u32,
+    runs: u32,
+}
+
+impl WholeCall {
+    async fn serve(mut self) -> Reply {
+        let queued = Queued::new(self.accepted.call.id.clone());
+        let Some(mut entry) = self.gateway.place(&self.accepted, &[]) else {
+            return refused(queued, RefusalReason::NoUpstream);
+        };
+        let mut dispatched = queued.dispatch();
+        let mut failure = None;
+        loop {
+            let sent = self.send(&entry).await;
+            self.avoid.push(entry.id.clone());
+            dispatched = match sent {
+                Sent::Answered(reply) => {
+                    self.gateway.delivered(self.accepted.digest);
+                    return reply;
+                }
+                Sent::TimedOut => return Reply::TimedOut,
+                Sent::NotRun(evidence) => match dispatched.not_run(evidence) {
+                    Ok(queued) => match self.next_upstream() {
+                        Some(next) => {
+                            entry = next;
+                            queued.dispatch()
+                        }
+                        None => return refused(queued, RefusalReason::UpstreamRefused),
+                    },
+                    Err(unknown) => match self.next_upstream() {
+                        Some(next) => {
+                            entry = next;
+                            unknown.dispatch_again()
+                        }
+                        None => return failure.unwrap_or(Reply::Unknown),
+                    },
+                },
+                Sent::Lost | Sent::Failed(_) => {
+                    self.runs += 1;
+                    if let Sent::Failed(reply) = sent {
+                        failure = Some(reply);
+                    }
+                    match self.next_for_repeat() {
+                        Some(next) => {
+                            entry = next;
+                            dispatched.unknown().dispatch_again()
+                        }
+                        None => return failure.unwrap_or(Reply::Unknown),
+                    }
+                }
+            };
+        }
+    }
+
+    /// Where a call goes that may have run: nowhere, unless it may be repeated.
+    fn next_for_repeat(&self) -> Option<Arc<UpstreamEntry>> {
+        let repeat = self.accepted.route.kind.may_repeat();
+        if !repeat || self.runs >= self.accepted.route.max_upstreams {
+            return None;
+        }
+        self.next_upstream()
+    }
+
+    fn next_upstream(&self) -> Option<Arc<UpstreamEntry>> {
+        let now = self.gateway.timer.now();
+        if self.sends >= MOST_SENDS || self.accepted.time_left(now).is_zero() {
+            return None;
+        }
+        let next = self.gateway.place(&self.accepted, &self.avoid)?;
+        self.gateway
+            .pay_repeat(&self.accepted.service)
+            .then_some(next)
+    }
+
+    async fn send(&mut self, entry: &Arc<UpstreamEntry>) -> Sent {
+        self.sends += 1;
+        let gateway = self.gateway.clone();
+        let mut guard = RunGuard::begin(&gateway, entry.clone(), None, 0);
+        let start = gateway.timer.now();
+        let time_left = self.accepted.time_left(start);
+        self.log_sent(entry, time_left);
+        let call = UpstreamCall {
+            call: self.accepted.call.clone(),
+            entry: entry.clone(),
+            team: self.accepted.team.clone(),
+            time_left,
+            last_event: None,
+            copy_to: None,
+            copy_from: None,
+            longest_idle: self.accepted.longest_idle(),
+        };
+        let repeat = self.accepted.route.kind.may_repeat();
+        let answer = async {
+            let answer = (gateway.transport.send)(call).await?;
+            gateway.heard(entry, answer.load);
+            collect(answer).await
+        };
+        let answer = tokio::select! {
+            answer = answer => answer,
+            // A call that runs once at most stays with its upstream: it may yet answer.
+            () = guard.lost(), if repeat => Err(SendFault::Lost),
+            () = tokio::time::sleep(time_left) => return Sent::TimedOut,
+        };
+        let sent = match answer {
+            Ok(answer) => self.judge(entry, answer),
+            Err(fault) => self.failed(entry, fault),
+        };
+        let failed = !matches!(sent, Sent::Answered(_));
+        gateway.outcome(entry, failed);
+        sent
+    }
+
+    fn judge(&self, entry: &UpstreamEntry, answer: CollectedAnswer) -> Sent {
+        let CollectedAnswer { head, body } = answer;
+        if head.other_incarnation {
+            self.gateway.replaced(entry);
+            return Sent::NotRun(NotRunEvidence::UpstreamRefused);
+        }
+        if head.not_executed {
+            return Sent::NotRun(NotRunEvidence::UpstreamRefused);
+        }
+        let status = head.status;
+        // These statuses promise the caller that nothing ran, which this upstream did not say; and a
+        // success without signature is none.
+        if promises_not_run(status) || (status.is_success() && !head.signed) {
+            return Sent::Lost;
+        }
+        let reply = Reply::Whole {
+            status,
+            headers: head.headers,
+            body,
+        };
+        if status.is_server_error() {
+            return Sent::Failed(reply);
+        }
+        Sent::Answered(reply)
+    }
+
+    fn failed(&self, entry: &Arc<UpstreamEntry>, fault: SendFault) -> Sent {
+        let fault_name: &str = fault.into();
+        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, fault = fault_name,
+            "call failed");
+        match fault {
+            SendFault::NoConnection => {
+                self.gateway.broke(entry);
+                Sent::NotRun(NotRunEvidence::NoConnection)
+            }
+            SendFault::Lost => {
+                self.gateway.crashed_under(entry, self.accepted.digest);
+                Sent::Lost
+            }
+            SendFault::Crossed => Sent::Lost,
+        }
+    }
+
+    fn log_sent(&self, entry: &UpstreamEntry, time_left: Duration) {
+        if self
+            .gateway
+            .log
+            .admits(LineKind::Sent, self.gateway.timer.now())
+        {
+            tracing::info!(request = %self.accepted.call.id, upstream = %entry.id,
+                zone = %entry.zone, send = self.sends, left_ms = millis(time_left), "sent");
+        }
+    }
+}
+
+fn refused(queued: Queued<RequestId>, reason: RefusalReason) -> Reply {
+    let spread = 1.0 + 2.0 * rand::random::<f64>();
+    let not_run = queued.refuse(reason, REFUSED_RETRY.mul_f64(spread));
+    Reply::NotRun { not_run }
+}
+
+/// Statuses that promise the caller that its call has not run and will not.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// An answer with its whole body.
+struct CollectedAnswer {
+    head: CollectedHead,
+    body: Bytes,
+}
+
+struct CollectedHead {
+    status: StatusCode,
+    headers: HeaderMap,
+    signed: bool,
+    not_executed: bool,
+    other_incarnation: bool,
+}
+
+async fn collect(answer: UpstreamAnswer) -> Result<CollectedAnswer, SendFault> {
+    let head = CollectedHead {
+        status: answer.status,
+        headers: answer.headers,
+        signed: answer.signed,
+        not_executed: answer.not_executed,
+        other_incarnation: answer.other_incarnation,
+    };
+    let mut chunks = answer.body;
+    let mut body = Vec::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|BodyFault| SendFault::Lost)?;
+        if body.len() + chunk.len() > LARGEST_ANSWER {
+            return Err(SendFault::Lost);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    let body = body.into();
+    Ok(CollectedAnswer { head, body })
+}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -77,7 +77,8 @@
     kernel::Kernel,
     keyed::Keyed,
     leases::{LeaseHandle, Leases, NoPermit},
-    logging::start_logging,
+    logging::{start_decision_log, start_logging},
+    metrics_page::metrics_text,
     node::Node,
     orders::{OrderRight, Orders},
     peer_fault::PeerFault,
@@ -133,6 +134,8 @@
 mod error;
 mod event;
 mod event_stream;
+/// The way of opaque calls from a caller to an upstream and back.
+pub mod gateway;
 mod generation;
 mod generation_admission;
 mod generation_driver;
--- a/crates/catkinward/src/metrics_page.rs
+++ b/crates/catkinward/src/metrics_page.rs
@@ -18,10 +18,15 @@
 }
 
 /// The metrics as Prometheus reads them.
-pub(crate) fn metrics_page() -> Response {
+pub fn metrics_text() -> String {
     let handle = start_metrics();
     handle.run_upkeep();
-    let mut response = Response::new(Body::from(handle.render()));
+    handle.render()
+}
+
+/// The metrics as an answer.
+pub(crate) fn metrics_page() -> Response {
+    let mut response = Response::new(Body::from(metrics_text()));
     response.headers_mut().insert(
         header::CONTENT_TYPE,
         header::HeaderValue::from_static("text/plain; version=0.0.4"),
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -120,7 +120,7 @@
     return_point::ReturnPoint,
     route::{Route, RouteTarget},
     route_table::RouteTable,
-    routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig},
+    routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
     service::Service,
     service_id::ServiceId,
     service_kind::ServiceKind,
--- a/crates/decisions/src/routing_config.rs
+++ b/crates/decisions/src/routing_config.rs
@@ -7,12 +7,25 @@
     pub version: ConfigVersion,
     /// Its routes.
     pub routes: RouteTable,
+    /// Its services, sorted by name.
+    pub services: Vec<ServiceSpec>,
     /// What callers may send.
     pub limits: CallerLimits,
     /// Keys of callers, sorted by key; `None` if no key is asked for.
     pub keys: Option<Vec<CallerKey>>,
 }
 
+/// What a configuration says of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: ServiceId,
+    /// Whether its upstreams are model engines, which report their load.
+    pub engine: bool,
+    /// Whether its upstreams keep copies of each other's memory.
+    pub copies: bool,
+}
+
 /// Bounds on what a caller may send, and on how long it may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallerLimits {
@@ -45,6 +58,13 @@
         keys
     }
 
+    /// What is said of a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceId) -> Option<&ServiceSpec> {
+        let index = self.services.binary_search_by(|s| s.name.cmp(name)).ok()?;
+        Some(&self.services[index])
+    }
+
     /// Holder of a key.
     #[must_use]
     pub fn holder(&self, key: &str) -> Option<&CallerKey> {
