Refuse streams that cannot end before the process does; ask a lost store in short questions

Change: after it has left rotation a VM takes only calls that surely end before it does; while the store is away questions do not wait there and have bounds of 0.4, 0.9 and 2 s by turns. Tests: gateway_shutdown, gateway_feeds, on a fixture with scripted upstreams.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -1,5 +1,5 @@
 use super::{
-    accepted_call::AcceptedCall, liveness::watch_upstreams, state::GatewayState,
+    accepted_call::AcceptedCall, liveness::watch_upstreams, shutdown::Leaving, state::GatewayState,
     stream_call::call_stream, whole_call::call_whole, *,
 };
 
@@ -11,6 +11,10 @@
 /// is only kept from asking at once.
 const CRASHING_RETRY: Duration = Duration::from_secs(10);
 
+/// When a caller may come back who came to a VM that is about to end: at once, since the retry goes
+/// to another one.
+const LEAVING_RETRY: Duration = Duration::from_millis(20);
+
 /// Settings of a [`Gateway`].
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -29,6 +33,7 @@
     pub(crate) transport: UpstreamTransport,
     pub(crate) state: Mutex<GatewayState>,
     pub(crate) log: CallLog,
+    pub(crate) leaving: Mutex<Option<Leaving>>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -48,6 +53,7 @@
             timer,
             transport,
             log: CallLog::default(),
+            leaving: Mutex::default(),
             drain: Arc::default(),
         });
         tokio::spawn(watch_upstreams(Arc::downgrade(&gateway)));
@@ -61,7 +67,7 @@
             Ok(accepted) => accepted,
             Err(reply) => {
                 log_own_reply(&call, &reply);
-                return reply;
+                return *reply;
             }
         };
         let (kind, service) = (accepted.route.kind, accepted.service.clone());
@@ -172,11 +178,11 @@
         state.config.get().is_some() && state.directory_read && !self.drain.has_begun()
     }
 
-    fn accept(&self, call: &Arc<Call>) -> Result<AcceptedCall, Reply> {
+    fn accept(&self, call: &Arc<Call>) -> Result<AcceptedCall, Box<Reply>> {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let Some(config) = state.config.get().cloned() else {
-            return Err(refused(call, RefusalReason::NoUpstream, NOT_READY_RETRY));
+            return Err(refused(call, RefusalReason::NoUpstream, NOT_READY_RETRY).into());
         };
         let route = config
             .routes
@@ -184,7 +190,7 @@
             .ok_or(Reply::NoRoute)?;
         let holder = call.key.as_deref().and_then(|key| config.holder(key));
         if config.keys.is_some() && !route.public && holder.is_none() {
-            return Err(Reply::UnknownKey);
+            return Err(Reply::UnknownKey.into());
         }
         let team = holder.map(|holder| holder.team.clone());
         let draw = xxhash_rust::xxh3::xxh3_64(call.id.as_str().as_bytes());
@@ -192,7 +198,10 @@
         state.budget(&service).called(&self.settings.repeats, now);
         let digest = call.digest(team.as_ref());
         if state.crashes.refuses(digest, now) {
-            return Err(refused(call, RefusalReason::Poisoned, CRASHING_RETRY));
+            return Err(refused(call, RefusalReason::Poisoned, CRASHING_RETRY).into());
+        }
+        if !self.takes(route.timeout) {
+            return Err(refused(call, RefusalReason::ShuttingDown, LEAVING_RETRY).into());
         }
         let patience = call
             .patience
@@ -322,12 +331,12 @@
 
 fn log_own_reply(call: &Call, reply: &Reply) {
     let outcome = outcome(reply);
-    match reply {
-        Reply::NotRun { not_run } => tracing::warn!(request = %call.id, outcome,
-            reason = %not_run.reason(), retry_after_ms = millis(not_run.retry_after()),
-            "answered by this VM"),
-        _ => tracing::warn!(request = %call.id, outcome, host = &*call.host, path = &*call.path,
-            "answered by this VM"),
+    if let Reply::NotRun { not_run } = reply {
+        tracing::warn!(request = %call.id, outcome, reason = %not_run.reason(),
+            retry_after_ms = millis(not_run.retry_after()), "answered by this VM");
+    } else {
+        tracing::warn!(request = %call.id, outcome, host = &*call.host, path = &*call.path,
+            "answered by this VM");
     }
 }
 
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -14,6 +14,15 @@
 /// question that waits would return at once; a leaving one must get nothing new after two seconds.
 const UPSTREAM_PACE: Duration = Duration::from_millis(1100);
 
+/// Bounds of the questions while the store is away, by turns. A short one notices its return soon: a
+/// question that was sent just before may hang on a connection that never comes back, and meanwhile
+/// an older configuration would stay in force here. The long ones are for a store that is slow.
+const RETURN_BOUNDS: [Duration; 3] = [
+    Duration::from_millis(400),
+    Duration::from_millis(900),
+    Duration::from_secs(2),
+];
+
 /// Wait after the store failed. Each VM asks some 3 times a second then.
 const FAULT_WAIT: Duration = Duration::from_millis(300);
 
@@ -95,24 +104,30 @@
 ) {
     let mut version = None;
     let mut answers = true;
+    let mut return_bounds = RETURN_BOUNDS.iter().cycle();
     loop {
+        let wait = if answers { wait } else { Duration::ZERO };
+        let bound = match return_bounds.next() {
+            Some(bound) if !answers => *bound,
+            _ => wait + STORE_BOUND,
+        };
         let asked = async {
             match version {
                 Some(version) => (feed.changes)(version, wait).await,
                 None => (feed.read)().await,
             }
         };
-        let answer = tokio::time::timeout(wait + STORE_BOUND, asked).await;
+        let answer = tokio::time::timeout(bound, asked).await;
         match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
-            Ok(page) => {
+            Ok(changes) => {
                 gateway.platform_answers(true);
                 if !answers {
                     tracing::info!(feed = feed.name, "platform answers again");
                 }
                 answers = true;
                 let whole = version.is_none();
-                version = Some(page.version);
-                take(gateway, page, whole);
+                version = Some(changes.version);
+                take(gateway, changes, whole);
                 tokio::time::sleep(pace).await;
             }
             Err(fault) => {
--- a/crates/catkinward/src/gateway/shutdown.rs
+++ b/crates/catkinward/src/gateway/shutdown.rs
@@ -12,12 +12,45 @@
 /// itself and can say what it cut.
 const LAST_MOMENT: Duration = Duration::from_millis(150);
 
+/// A shutdown that has begun.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leaving {
+    /// Until when callers still come that could not know of it.
+    served_until: Instant,
+    /// When the process ends at the latest.
+    ends: Instant,
+}
+
+impl Leaving {
+    /// Whether a call may still be taken that takes up to `needs`.
+    ///
+    /// Where most VMs of an availability zone shut down together, the platform sends callers to them
+    /// for as long as they answer. A stream taken near the end would be cut in the middle; its caller
+    /// is better off elsewhere at once, and so it is told that it has not run.
+    fn takes(&self, needs: Duration, now: Instant) -> bool {
+        now < self.served_until || now.after(needs) < self.ends
+    }
+}
+
 impl Gateway {
+    /// Whether a call that takes up to `needs` may be taken now.
+    pub(crate) fn takes(&self, needs: Duration) -> bool {
+        let now = self.timer.now();
+        self.leaving
+            .lock()
+            .is_none_or(|leaving| leaving.takes(needs, now))
+    }
+
     /// Shuts down gracefully: not ready at once, callers are served until they are sent elsewhere,
     /// then `close_idle` is called, and what is in flight runs to its end within `grace`.
     pub async fn shut_down(&self, grace: Duration, close_idle: impl FnOnce()) {
         tracing::info!(in_flight = self.drain.in_flight(), "shutdown begun");
         self.drain.begin();
+        let ends = self.timer.now().after(grace.saturating_sub(LAST_MOMENT));
+        *self.leaving.lock() = Some(Leaving {
+            served_until: self.timer.now().after(LEAVES_ROTATION),
+            ends,
+        });
         let end = tokio::time::Instant::now() + grace.saturating_sub(LAST_MOMENT);
         tokio::time::sleep(LEAVES_ROTATION.min(grace)).await;
         close_idle();
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -209,7 +209,7 @@
             return Ok(());
         };
         let entry = active.guard.entry.clone();
-        self.copy = active.guard.copy.clone();
+        self.copy.clone_from(&active.guard.copy);
         drop(active);
         self.run_lost(&entry, loss);
         if self.accepted.route.kind.may_repeat() {
--- a/crates/catkinward/src/logging.rs
+++ b/crates/catkinward/src/logging.rs
@@ -18,7 +18,6 @@
 /// Starts the decision log: JSON lines on standard output, written by a thread of their own, so that
 /// a reader who stops reading costs lines and never a call. What is returned writes the lines that
 /// still wait when it is dropped.
-#[must_use]
 pub fn start_decision_log() -> tracing_appender::non_blocking::WorkerGuard {
     let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES)
--- a/crates/catkinward/src/metrics_page.rs
+++ b/crates/catkinward/src/metrics_page.rs
@@ -18,6 +18,7 @@
 }
 
 /// The metrics as Prometheus reads them.
+#[must_use]
 pub fn metrics_text() -> String {
     let handle = start_metrics();
     handle.run_upkeep();
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -198,7 +198,8 @@
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
             RefusalReason::CallerLeft
             | RefusalReason::DeadlineTooNear
-            | RefusalReason::QueueFull => ProblemKind::Overloaded,
+            | RefusalReason::QueueFull
+            | RefusalReason::ShuttingDown => ProblemKind::Overloaded,
         };
         let retry_after = Some(not_run.retry_after()).filter(|after| !after.is_zero());
         Self {
--- /dev/null
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -0,0 +1,142 @@
+//! How a gateway follows what the platform keeps.
+
+mod gateway_support;
+
+use catkin_decisions::{ConfigVersion, RouteTable, RoutingConfig};
+use catkinward::gateway::{Feed, FeedFault, FeedPage, follow_config};
+use gateway_support::*;
+use googletest::prelude::*;
+use parking_lot::Mutex;
+use std::{sync::Arc, time::Duration};
+
+/// A store that can be away: questions sent meanwhile are never answered, also not after its return.
+#[derive(Clone)]
+struct FakeStore {
+    away: Arc<Mutex<bool>>,
+    config: Arc<Mutex<RoutingConfig>>,
+}
+
+impl FakeStore {
+    fn new(config: RoutingConfig) -> Self {
+        Self {
+            away: Arc::default(),
+            config: Arc::new(Mutex::new(config)),
+        }
+    }
+
+    fn set_version(&self, version: u64) {
+        self.config.lock().version = ConfigVersion(version);
+    }
+
+    fn page(&self) -> FeedPage<RoutingConfig> {
+        let config = self.config.lock().clone();
+        FeedPage {
+            version: config.version.0,
+            entries: vec![("config".into(), Some(config))],
+        }
+    }
+
+    async fn read(self) -> std::result::Result<FeedPage<RoutingConfig>, FeedFault> {
+        if *self.away.lock() {
+            std::future::pending::<()>().await;
+        }
+        Ok(self.page())
+    }
+
+    /// Waits for a change; hangs for good if the store goes away meanwhile.
+    async fn changes(
+        self,
+        after: u64,
+        wait: Duration,
+    ) -> std::result::Result<FeedPage<RoutingConfig>, FeedFault> {
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            if *self.away.lock() {
+                std::future::pending::<()>().await;
+            }
+            let page = self.page();
+            if page.version > after || tokio::time::Instant::now() >= end {
+                return Ok(page);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn feed(&self) -> Feed<RoutingConfig> {
+        let (reading, asking) = (self.clone(), self.clone());
+        Feed {
+            name: "config",
+            read: Box::new(move || Box::pin(reading.clone().read())),
+            changes: Box::new(move |after, wait| Box::pin(asking.clone().changes(after, wait))),
+        }
+    }
+}
+
+fn following() -> (Running, FakeStore) {
+    let running = GatewayFixture::new(|_| Script::Hang).start();
+    let config = running.gateway.config().unwrap();
+    let store = FakeStore::new(RoutingConfig {
+        routes: RouteTable::default(),
+        ..RoutingConfig::clone(&config)
+    });
+    store.set_version(2);
+    tokio::spawn(follow_config(running.gateway.clone(), store.feed()));
+    (running, store)
+}
+
+fn version(running: &Running) -> u64 {
+    running.gateway.config().unwrap().version.0
+}
+
+/// A change is made while nothing is wrong. It is in force here within a few milliseconds.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn change_is_in_force_at_once() {
+    let (running, store) = following();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    store.set_version(3);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    expect_that!(version(&running), eq(3));
+}
+
+/// The store is away for some seconds. A question that was sent meanwhile hangs on a connection that
+/// never comes back, and a route that was added right after the store's return stayed unknown here
+/// for 2.7 s: its callers were told that it does not exist.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn change_after_an_outage_is_in_force_soon() {
+    for away in (4_000..7_000).step_by(170).map(Duration::from_millis) {
+        let (running, store) = following();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        *store.away.lock() = true;
+        tokio::time::sleep(away).await;
+
+        *store.away.lock() = false;
+        store.set_version(3);
+        // The bound is two seconds from the store's word.
+        tokio::time::sleep(Duration::from_millis(2600)).await;
+
+        expect_that!(version(&running), eq(3), "after {away:?}");
+    }
+}
+
+/// A store that answers stale, or a peer, tells of an older configuration. A removed key would open
+/// the door again.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn older_configuration_is_dropped() {
+    let (running, store) = following();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let newer = running.gateway.config().unwrap();
+    store.set_version(1);
+
+    let taken = running.gateway.put_config(Arc::new(RoutingConfig {
+        version: ConfigVersion(1),
+        ..RoutingConfig::clone(&newer)
+    }));
+
+    expect_that!(taken, eq(false));
+    expect_that!(version(&running), eq(2));
+}
--- /dev/null
+++ b/crates/catkinward/tests/gateway_shutdown.rs
@@ -0,0 +1,72 @@
+//! A gateway that shuts down.
+
+mod gateway_support;
+
+use catkinward::gateway::Reply;
+use gateway_support::*;
+use googletest::prelude::*;
+use std::time::Duration;
+
+const GRACE: Duration = Duration::from_secs(8);
+
+fn streaming() -> Running {
+    GatewayFixture::new(|_| Script::Stream(events(1, 3), End::Whole))
+        .usual_upstreams()
+        .start()
+}
+
+/// Most VMs of an availability zone are told to end at the same time, and the platform goes on
+/// sending callers to them. A stream that is taken a second before the end of the grace time is cut
+/// in the middle; its caller had better be told at once to go elsewhere.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_that_cannot_end_in_time_is_refused() {
+    let running = streaming();
+    let gateway = running.gateway.clone();
+    let held = running.gateway.drain.enter();
+    tokio::spawn(async move { gateway.shut_down(GRACE, || ()).await });
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    let late = running.handle("/stream/1").await;
+
+    expect_that!(late, pat!(Reply::NotRun { .. }));
+    expect_that!(running.sent_to().is_empty(), eq(true));
+    drop(held);
+}
+
+/// The platform needs two missed questions to take a VM out, and callers come until then. They are
+/// served, since they could not know.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn callers_are_served_until_the_vm_is_out_of_rotation() {
+    let running = streaming();
+    let gateway = running.gateway.clone();
+    tokio::spawn(async move { gateway.shut_down(GRACE, || ()).await });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(running.gateway.is_ready(), eq(false));
+    expect_that!(stream, eq(&(text(1, 3), true)));
+}
+
+/// A quick call that comes late but ends well before the process does is served.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn quick_call_is_served_as_long_as_it_surely_ends_in_time() {
+    let running = GatewayFixture::new(|_| Script::Whole(http::StatusCode::OK, "yes"))
+        .usual_upstreams()
+        .start();
+    let gateway = running.gateway.clone();
+    let held = running.gateway.drain.enter();
+    tokio::spawn(async move { gateway.shut_down(GRACE, || ()).await });
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    let in_time = running.handle("/quick/1").await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let too_late = running.handle("/quick/1").await;
+
+    expect_that!(in_time, pat!(Reply::Whole { .. }));
+    expect_that!(too_late, pat!(Reply::NotRun { .. }));
+    drop(held);
+}
--- /dev/null
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -0,0 +1,402 @@
+//! A gateway before scripted upstreams, on a clock that the test moves.
+#![allow(dead_code, reason = "each test file uses its part of the fixture")]
+
+use bytes::Bytes;
+use catkin_decisions::{
+    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, RepeatBudgetConfig,
+    Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec, UpstreamEntry,
+};
+use catkinward::{
+    Timer,
+    gateway::{
+        AnswerBody, BodyFault, Call, Gateway, GatewaySettings, Prompt, Reply, SendFault,
+        UpstreamAnswer, UpstreamCall, UpstreamTransport,
+    },
+};
+use futures::{StreamExt, stream};
+use http::{HeaderMap, Method, StatusCode};
+use parking_lot::Mutex;
+use std::{sync::Arc, time::Duration};
+
+pub const HOST: &str = "shop.example";
+pub const ENGINES: &str = "engines";
+pub const PLAIN: &str = "plain";
+
+/// What a scripted upstream does with a call.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Answers in whole.
+    Whole(StatusCode, &'static str),
+    /// Answers without a signature.
+    Unsigned(StatusCode),
+    /// Says that it did not run it.
+    NotExecuted,
+    /// Another incarnation answers.
+    OtherIncarnation,
+    /// Takes no connection.
+    NoConnection,
+    /// Takes the call and breaks the connection.
+    Lost,
+    /// Never answers.
+    Hang,
+    /// Streams parts and ends as told.
+    Stream(Vec<Part>, End),
+}
+
+/// Part of a scripted stream.
+#[derive(Clone, Debug)]
+pub enum Part {
+    /// Bytes.
+    Bytes(String),
+    /// A pause.
+    Pause(Duration),
+}
+
+/// End of a scripted stream.
+#[derive(Clone, Copy, Debug)]
+pub enum End {
+    Whole,
+    Break,
+    Hang,
+}
+
+/// A call as an upstream saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub upstream: String,
+    pub last_event: Option<u64>,
+    pub copy_to: Option<String>,
+    pub from_copy: bool,
+    pub time_left: Duration,
+    pub longest_idle: Duration,
+    pub at: Instant,
+}
+
+type Scripted = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
+
+/// Builds a gateway.
+pub struct GatewayFixture {
+    zone: &'static str,
+    upstreams: Vec<UpstreamEntry>,
+    routes: Vec<Route>,
+    keys: Option<Vec<CallerKey>>,
+    repeats: RepeatBudgetConfig,
+    script: Scripted,
+    alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    version: u64,
+}
+
+/// A running gateway with what its upstreams saw.
+pub struct Running {
+    pub gateway: Arc<Gateway>,
+    pub timer: Arc<Timer>,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub questions: Arc<Mutex<Vec<String>>>,
+}
+
+impl GatewayFixture {
+    pub fn new(script: impl Fn(&UpstreamCall) -> Script + Send + Sync + 'static) -> Self {
+        Self {
+            zone: "a",
+            upstreams: Vec::new(),
+            routes: vec![
+                route("/quick/", CallKind::Idempotent, PLAIN),
+                route("/once/", CallKind::NonIdempotent, PLAIN),
+                route("/stream/", CallKind::ResumableStream, ENGINES),
+                route("/stream-once/", CallKind::Stream, ENGINES),
+            ],
+            keys: None,
+            repeats: RepeatBudgetConfig {
+                slack: 100.0,
+                ..RepeatBudgetConfig::default()
+            },
+            script: Box::new(script),
+            alive: Arc::new(|_| true),
+            version: 1,
+        }
+    }
+
+    pub fn upstream(mut self, id: &str, service: &str, zone: &str) -> Self {
+        self.upstreams.push(upstream(id, service, zone));
+        self
+    }
+
+    /// Three plain upstreams and six engines in three zones.
+    pub fn usual_upstreams(mut self) -> Self {
+        for zone in ["a", "b", "c"] {
+            self = self
+                .upstream(&format!("plain-{zone}"), PLAIN, zone)
+                .upstream(&format!("engine-{zone}1"), ENGINES, zone)
+                .upstream(&format!("engine-{zone}2"), ENGINES, zone);
+        }
+        self
+    }
+
+    pub fn routes(mut self, routes: Vec<Route>) -> Self {
+        self.routes = routes;
+        self
+    }
+
+    pub fn key(mut self, key: &str, team: &str) -> Self {
+        let key = CallerKey {
+            key: key.into(),
+            team: team.parse().unwrap(),
+            priority: None,
+        };
+        self.keys.get_or_insert_default().push(key);
+        self
+    }
+
+    pub fn repeats(mut self, repeats: RepeatBudgetConfig) -> Self {
+        self.repeats = repeats;
+        self
+    }
+
+    /// Which upstreams answer the question whether they live.
+    pub fn alive(mut self, alive: impl Fn(&str) -> bool + Send + Sync + 'static) -> Self {
+        self.alive = Arc::new(alive);
+        self
+    }
+
+    pub fn start(self) -> Running {
+        let timer = Timer::start();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let questions = Arc::new(Mutex::new(Vec::new()));
+        let transport = transport(self.script, self.alive, &timer, &seen, &questions);
+        let settings = GatewaySettings {
+            vm: "vm-1".into(),
+            zone: self.zone.parse().unwrap(),
+            repeats: self.repeats,
+        };
+        let gateway = Gateway::start(settings, timer.clone(), transport);
+        gateway.put_config(Arc::new(RoutingConfig {
+            version: ConfigVersion(self.version),
+            routes: RouteTable::new(self.routes),
+            services: vec![service(ENGINES, true), service(PLAIN, false)],
+            limits: limits(),
+            keys: self.keys.map(RoutingConfig::sorted_keys),
+        }));
+        gateway.put_upstreams(self.upstreams);
+        Running {
+            gateway,
+            timer,
+            seen,
+            questions,
+        }
+    }
+}
+
+impl Running {
+    pub fn call(&self, path: &str) -> Call {
+        Call {
+            id: "call-1".parse().unwrap(),
+            method: Method::POST,
+            host: HOST.into(),
+            path: path.into(),
+            target: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::from_static(b"body"),
+            key: None,
+            patience: Some(Duration::from_secs(10)),
+            last_event: None,
+            prompt: Some(Prompt {
+                tokens: 8000,
+                most_made: 800,
+            }),
+            arrived: self.timer.now(),
+        }
+    }
+
+    pub async fn handle(&self, path: &str) -> Reply {
+        self.gateway.handle(self.call(path)).await
+    }
+
+    /// Upstreams that were sent a call, in order.
+    pub fn sent_to(&self) -> Vec<String> {
+        self.seen
+            .lock()
+            .iter()
+            .map(|seen| seen.upstream.clone())
+            .collect()
+    }
+}
+
+/// A stream's text, and whether it ended in whole.
+pub async fn read_stream(reply: Reply) -> (String, bool) {
+    let Reply::Events { mut body, .. } = reply else {
+        panic!("no stream but {reply:?}");
+    };
+    let mut text = String::new();
+    while let Some(events) = body.0.next().await {
+        match events {
+            Ok(bytes) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
+            Err(_) => return (text, false),
+        }
+    }
+    (text, true)
+}
+
+/// Events numbered from `first` to `last`, as an upstream writes them.
+pub fn events(first: u64, last: u64) -> Vec<Part> {
+    (first..=last)
+        .flat_map(|id| {
+            [
+                Part::Bytes(event(id)),
+                Part::Pause(Duration::from_millis(30)),
+            ]
+        })
+        .collect()
+}
+
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: word {id}\n\n")
+}
+
+/// The text of events from `first` to `last`.
+pub fn text(first: u64, last: u64) -> String {
+    (first..=last).map(event).collect()
+}
+
+pub fn upstream(id: &str, service: &str, zone: &str) -> UpstreamEntry {
+    let port = id.bytes().fold(1000_u16, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u16::from(byte))
+    });
+    UpstreamEntry {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.parse().unwrap(),
+        slots: 6,
+        leaving: false,
+    }
+}
+
+pub fn route(prefix: &str, kind: CallKind, service: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(if kind.is_stream() { 25 } else { 1 }),
+        target_latency: Duration::from_millis(150),
+        target_pause: None,
+        priority: 1,
+        targets: vec![RouteTarget {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        max_upstreams: if kind.may_repeat() { 5 } else { 1 },
+        public: false,
+    }
+}
+
+fn service(name: &str, engine: bool) -> ServiceSpec {
+    ServiceSpec {
+        name: name.parse().unwrap(),
+        engine,
+        copies: engine,
+    }
+}
+
+fn limits() -> CallerLimits {
+    CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+fn transport(
+    script: Scripted,
+    alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    timer: &Arc<Timer>,
+    seen: &Arc<Mutex<Vec<Seen>>>,
+    questions: &Arc<Mutex<Vec<String>>>,
+) -> UpstreamTransport {
+    let (timer, seen, questions) = (timer.clone(), seen.clone(), questions.clone());
+    UpstreamTransport {
+        send: Box::new(move |call| {
+            seen.lock().push(Seen {
+                upstream: call.entry.id.to_string(),
+                last_event: call.last_event,
+                copy_to: call.copy_to.map(|address| address.to_string()),
+                from_copy: call.copy_from.is_some(),
+                time_left: call.time_left,
+                longest_idle: call.longest_idle,
+                at: timer.now(),
+            });
+            let script = script(&call);
+            Box::pin(play(script))
+        }),
+        ask: Box::new(move |question| {
+            let id = question.entry.id.to_string();
+            let alive = alive(&id);
+            questions.lock().push(id);
+            Box::pin(async move {
+                if alive {
+                    return Ok(Some(LoadReading::default()));
+                }
+                std::future::pending().await
+            })
+        }),
+    }
+}
+
+async fn play(script: Script) -> Result<UpstreamAnswer, SendFault> {
+    // An upstream takes a while.
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    match script {
+        Script::Whole(status, body) => {
+            let chunk = Ok(Bytes::from_static(body.as_bytes()));
+            Ok(answer(status, stream::iter([chunk]).boxed()))
+        }
+        Script::Unsigned(status) => Ok(UpstreamAnswer {
+            signed: false,
+            ..answer(status, stream::empty().boxed())
+        }),
+        Script::NotExecuted => Ok(UpstreamAnswer {
+            not_executed: true,
+            signed: false,
+            ..answer(StatusCode::SERVICE_UNAVAILABLE, stream::empty().boxed())
+        }),
+        Script::OtherIncarnation => Ok(UpstreamAnswer {
+            other_incarnation: true,
+            signed: false,
+            ..answer(StatusCode::MISDIRECTED_REQUEST, stream::empty().boxed())
+        }),
+        Script::NoConnection => Err(SendFault::NoConnection),
+        Script::Lost => Err(SendFault::Lost),
+        Script::Hang => std::future::pending().await,
+        Script::Stream(parts, end) => Ok(answer(StatusCode::OK, scripted_body(parts, end))),
+    }
+}
+
+fn answer(status: StatusCode, body: AnswerBody) -> UpstreamAnswer {
+    UpstreamAnswer {
+        status,
+        headers: HeaderMap::new(),
+        signed: true,
+        not_executed: false,
+        other_incarnation: false,
+        load: None,
+        body,
+    }
+}
+
+fn scripted_body(parts: Vec<Part>, end: End) -> AnswerBody {
+    let parts = stream::iter(parts).filter_map(|part| async move {
+        match part {
+            Part::Bytes(text) => Some(Ok(Bytes::from(text))),
+            Part::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                None
+            }
+        }
+    });
+    match end {
+        End::Whole => parts.boxed(),
+        End::Break => parts.chain(stream::iter([Err(BodyFault)])).boxed(),
+        End::Hang => parts.chain(stream::pending()).boxed(),
+    }
+}
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -30,6 +30,8 @@
     Poisoned,
     /// The queue holds as many requests as it may.
     QueueFull,
+    /// The VM shuts down before it could be served in whole.
+    ShuttingDown,
     /// The team's limit is reached.
     TeamLimit,
     /// The upstream refused it and says that nothing ran.
--- a/crates/decisions/src/repeat_budget.rs
+++ b/crates/decisions/src/repeat_budget.rs
@@ -8,7 +8,10 @@
 use super::*;
 
 /// Parts into which a window is cut: counts are exact to a twentieth of it, on the safe side.
-const BUCKETS: usize = 20;
+const BUCKETS: u32 = 20;
+
+/// The buckets of a window and the one that has just begun.
+const KEPT: usize = 21;
 
 /// Part of the allowance that is used. The rest covers calls of which other VMs count the repeats
 /// and a window that begins between two buckets.
@@ -41,7 +44,7 @@
 /// Counts of the calls and repeats of one service.
 #[derive(Clone, Debug, Default)]
 pub struct RepeatBudget {
-    buckets: [Bucket; BUCKETS + 1],
+    buckets: [Bucket; KEPT],
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -70,7 +73,7 @@
     }
 
     fn counts(&self, cfg: &RepeatBudgetConfig, now: Instant) -> (u32, u32) {
-        let first = number(cfg, now).saturating_sub(BUCKETS as u64);
+        let first = number(cfg, now).saturating_sub(u64::from(BUCKETS));
         self.buckets
             .iter()
             .filter(|bucket| bucket.number >= first)
@@ -92,7 +95,7 @@
 }
 
 fn number(cfg: &RepeatBudgetConfig, now: Instant) -> u64 {
-    let length = (cfg.window / BUCKETS as u32).max(Duration::from_millis(1));
+    let length = (cfg.window / BUCKETS).max(Duration::from_millis(1));
     // One is added so that no bucket in use has the number of an unused one.
     u64::try_from(now.0.as_nanos() / length.as_nanos()).unwrap_or(u64::MAX - 1) + 1
 }
