VMs tell each other their dispatches, so that prompts do not wait for each other

Streams of 8,000 tokens waited 4 to 5 s for a first event while other upstreams were idle. Change: notes between VMs as datagrams (own streams and prompt tokens to be read on each upstream, at once on a dispatch and every 400 ms; suspects, crashes under bodies, a few members); placement adds them up; the budget's slack is divided by the VMs heard of.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -5,7 +5,7 @@
 
 /// How soon a caller may come back to a VM that knows no configuration or no upstream yet: about the
 /// time in which it learns them.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+pub const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
 /// When a caller may come back with a body under which upstreams died: the tally outlasts it, so it
 /// is only kept from asking at once.
@@ -24,6 +24,8 @@
     pub zone: AvailabilityZone,
     /// Budget of repeats.
     pub repeats: RepeatBudgetConfig,
+    /// Addresses of a few VMs for notes, to begin with; perhaps old ones.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Serves opaque calls.
@@ -34,6 +36,8 @@
     pub(crate) state: Mutex<GatewayState>,
     pub(crate) log: CallLog,
     pub(crate) leaving: Mutex<Option<Leaving>>,
+    /// Wakes the sender of notes.
+    pub(crate) load_changed: Notify,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -48,12 +52,13 @@
     ) -> Arc<Self> {
         crate::metrics_page::start_metrics();
         let gateway = Arc::new(Self {
-            state: Mutex::new(GatewayState::new(settings.vm.clone())),
+            state: Mutex::new(GatewayState::new()),
             settings,
             timer,
             transport,
             log: CallLog::default(),
             leaving: Mutex::default(),
+            load_changed: Notify::new(),
             drain: Arc::default(),
         });
         tokio::spawn(watch_upstreams(Arc::downgrade(&gateway)));
@@ -155,22 +160,6 @@
         }
     }
 
-    /// Takes in which VMs are live: names of those of this zone, and the number of all.
-    pub fn put_vms(&self, zone_vms: Vec<Arc<str>>, all: u32) {
-        let mut state = self.state.lock();
-        if state.vms != all {
-            tracing::info!(vms = all, in_zone = zone_vms.len(), "live VMs");
-        }
-        state.zone_vms = zone_vms;
-        state.vms = all.max(1);
-    }
-
-    /// Takes in a peer's word that an upstream died under a body.
-    pub fn crash_heard(&self, mut crash: Crash) {
-        crash.at = self.timer.now();
-        self.state.lock().crashes.crashed(crash);
-    }
-
     /// Whether new callers may come: everything needed is known, and no shutdown has begun.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -227,7 +216,7 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let cfg = RepeatBudgetConfig {
-            vms: state.vms,
+            vms: u32::try_from(state.peers.live_count(now) + 1).unwrap_or(u32::MAX),
             ..self.settings.repeats
         };
         state.budget(service).pay(&cfg, now)
@@ -269,7 +258,9 @@
     ) -> T {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let zone_vms = state.zone_vms.clone();
+        let zone = &self.settings.zone;
+        let mut zone_vms = state.peers.live_in(zone, now).collect::<Vec<_>>();
+        zone_vms.push(self.settings.vm.clone());
         let who = PlacementFor {
             zone: &self.settings.zone,
             vm: &self.settings.vm,
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -6,14 +6,15 @@
 pub(crate) use {
     super::{
         Arc, AtomicU64, AvailabilityZone, Bytes, Debug, Display, Drain, Duration, HeaderMap,
-        Instant, Method, Mutex, NotRun, NotRunEvidence, Ordering, Queued, RefusalReason, RequestId,
-        ServiceId, SocketAddr, StatusCode, StdError, TeamId, Timer, UpstreamId, watch,
+        Instant, Method, Mutex, NotRun, NotRunEvidence, Notify, Ordering, Queued, RefusalReason,
+        RequestId, ServiceId, SocketAddr, StatusCode, StdError, TeamId, Timer, UpstreamId, watch,
     },
     catkin_decisions::{
         ANSWER_BOUND, Crash, CrashTally, EventFate, EventRelay, EventRun, EventSplitter,
-        LoadReading, NewestConfig, PlacementCandidate, PlacementFor, Presence, RepeatBudget,
-        RepeatBudgetConfig, Route, RoutingConfig, UpstreamDirectory, UpstreamEntry, UpstreamLoad,
-        UpstreamPulse, WholeEvent, ZoneAlarm, place, place_copy,
+        LoadReading, NOTE_PERIOD, NewestConfig, PeerLoad, PeerLoads, PeerNote, PlacementCandidate,
+        PlacementFor, Presence, RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig,
+        UpstreamDirectory, UpstreamEntry, UpstreamLoad, UpstreamPulse, WholeEvent, ZoneAlarm,
+        place, place_copy,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -22,8 +23,9 @@
 pub use self::{
     call::{Call, Prompt},
     call_log::{CallLog, LineKind},
-    core::{Gateway, GatewaySettings},
+    core::{Gateway, GatewaySettings, NOT_READY_RETRY},
     feed::{AskChanges, Feed, FeedFault, FeedPage, follow_config, follow_upstreams},
+    peer_notes::exchange_notes,
     reply::{EventBody, Reply, StreamCut},
     upstream_transport::{
         AnswerBody, BodyFault, CopySource, LifeQuestion, SendFault, UpstreamAnswer, UpstreamCall,
@@ -47,6 +49,7 @@
 mod core;
 mod feed;
 mod liveness;
+mod peer_notes;
 mod reply;
 mod run_guard;
 mod shutdown;
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -29,6 +29,9 @@
         upstream.load.begin(prompt_tokens, now);
         let given_up = upstream.given_up.subscribe();
         drop(state);
+        if prompt_tokens > 0 {
+            gateway.load_changed.notify_one();
+        }
         Self {
             gateway: gateway.clone(),
             entry,
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -14,10 +14,7 @@
     pub(crate) crashes: CrashTally,
     /// Calls whose connection broke lately, until it shows whether their upstream died.
     broken: Vec<Crash>,
-    /// Live VMs of this zone, this one among them.
-    pub(crate) zone_vms: Vec<Arc<str>>,
-    /// Live VMs of all zones.
-    pub(crate) vms: u32,
+    pub(crate) peers: PeerLoads,
 }
 
 /// What is known of one upstream.
@@ -38,8 +35,8 @@
 const MOST_BROKEN: usize = 1024;
 
 impl GatewayState {
-    /// The state of a VM that knows nothing but itself.
-    pub(crate) fn new(vm: Arc<str>) -> Self {
+    /// The state of a VM that knows nothing yet.
+    pub(crate) fn new() -> Self {
         Self {
             config: NewestConfig::default(),
             directory: UpstreamDirectory::default(),
@@ -49,8 +46,7 @@
             budgets: Vec::new(),
             crashes: CrashTally::default(),
             broken: Vec::new(),
-            zone_vms: vec![vm],
-            vms: 1,
+            peers: PeerLoads::default(),
         }
     }
 
@@ -141,6 +137,7 @@
         for entry in &entries {
             self.upstream(entry, now);
         }
+        let peers = self.peers.any_live(now);
         let candidates = entries
             .iter()
             .filter_map(|entry| {
@@ -154,6 +151,8 @@
                     load: &state.load,
                     suspect: state.pulse.is_suspect(),
                     suspect_zone: self.zones.is_suspect(&entry.zone, now),
+                    peer_calls: peers.then(|| self.peers.calls(&entry.id, now)),
+                    peer_reading: self.peers.reading_left(&entry.id, now),
                 })
             })
             .collect::<Vec<_>>();
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -167,6 +167,7 @@
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
             repeats: self.repeats,
+            seeds: Vec::new(),
         };
         let gateway = Gateway::start(settings, timer.clone(), transport);
         gateway.put_config(Arc::new(RoutingConfig {
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -51,6 +51,12 @@
         true
     }
 
+    /// The latest crashes, to be told to other VMs.
+    #[must_use]
+    pub fn latest(&self, most: usize) -> Vec<Crash> {
+        self.crashes.iter().rev().take(most).cloned().collect()
+    }
+
     /// Notes that a call was answered in whole.
     pub fn delivered(&mut self, digest: u64) {
         self.crashes.retain(|crash| crash.digest != digest);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -94,6 +94,7 @@
     order_settings::OrderSettings,
     path_rule::PathRule,
     peer_entry::PeerEntry,
+    peer_loads::{NOTE_PERIOD, PEER_LIVES, PeerLoad, PeerLoads, PeerNote},
     peer_table::PeerTable,
     placement::{PlacementCandidate, PlacementFor, place, place_copy},
     poison_hold::PoisonHold,
@@ -228,6 +229,7 @@
 mod order_settings;
 mod path_rule;
 mod peer_entry;
+mod peer_loads;
 mod peer_table;
 mod placement;
 mod poison_hold;
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -53,6 +53,19 @@
     pub suspect: bool,
     /// Whether its zone is a suspect.
     pub suspect_zone: bool,
+    /// Streams of other VMs there, if they tell; else the upstream's late word counts.
+    pub peer_calls: Option<u32>,
+    /// Time until the prompts of other VMs there are read.
+    pub peer_reading: Duration,
+}
+
+impl PlacementCandidate<'_> {
+    fn streams(&self, now: Instant) -> u32 {
+        match self.peer_calls {
+            Some(peers) => self.load.own() + peers,
+            None => self.load.calls(now),
+        }
+    }
 }
 
 /// For whom an upstream is chosen.
@@ -143,8 +156,9 @@
 
 fn stream_cost(candidate: &PlacementCandidate, who: &PlacementFor, other_zone: bool) -> f64 {
     let load = candidate.load;
-    let mut cost = load.reading_left(who.now).as_secs_f64() * 1000.0;
-    cost += STREAM_COST * f64::from(load.calls(who.now));
+    let reading = load.reading_left(who.now) + candidate.peer_reading;
+    let mut cost = reading.as_secs_f64() * 1000.0;
+    cost += STREAM_COST * f64::from(candidate.streams(who.now));
     cost += 0.5 * STREAM_COST * f64::from(load.copies());
     if other_zone {
         cost += OTHER_ZONE_STREAM;
--- a/crates/decisions/src/upstream_load.rs
+++ b/crates/decisions/src/upstream_load.rs
@@ -86,6 +86,12 @@
         self.own
     }
 
+    /// Own calls there and copies of the memory of others, as other VMs are told.
+    #[must_use]
+    pub fn streams(&self) -> u32 {
+        self.own + self.copies
+    }
+
     /// Own copies there.
     #[must_use]
     pub fn copies(&self) -> u32 {
