Make a new copy of a run's memory when its holder is lost

Change: CopyKeeper looks at the holder every 200 ms; if it is lost, the engine is told to copy the run's memory to another one while it goes on, renewed every 2.5 s. What peers cannot reach is not used. Tests: gateway_streams (12 tests of streams that lose their upstreams).

--- /dev/null
+++ b/crates/catkinward/src/gateway/copy_keeper.rs
@@ -0,0 +1,110 @@
+//! Keeps a copy of a run's memory somewhere, whatever becomes of its holders.
+//!
+//! A run's memory is copied as it grows to a holder that is named at its start. When that one dies the
+//! run goes on without a copy, and if its own upstream dies some seconds later, all that was read and
+//! made must be read again: a pause of one to four seconds in place of 20 ms. So a new copy is made
+//! as soon as the holder is lost, and renewed, since such a copy neither grows nor lasts.
+
+use super::{accepted_call::AcceptedCall, kept_copy::KeptCopy, *};
+
+/// How often the holder is looked at.
+const COPY_LOOK: Duration = Duration::from_millis(200);
+
+/// Age at which a copy that does not grow is renewed: engines keep one for four seconds, and what is
+/// missing in it (some hundred tokens) is read again in some ten milliseconds.
+const RENEWED_AFTER: Duration = Duration::from_millis(2500);
+
+/// Wait after a copy could not be made.
+const FAULT_WAIT: Duration = Duration::from_millis(400);
+
+/// The copies of one run.
+pub(crate) struct CopyKeeper {
+    gateway: Arc<Gateway>,
+    /// Grows with the run.
+    growing: Option<KeptCopy>,
+    /// Was made later, with its time.
+    made: Option<(KeptCopy, Instant)>,
+    making: Option<Making>,
+    not_before: Instant,
+    /// When to look again. Kept, since waits are cut short by every event of the stream.
+    look_at: tokio::time::Instant,
+}
+
+struct Making {
+    holder: Arc<UpstreamEntry>,
+    answer: BoxFuture<'static, Result<CopySource, CopyFault>>,
+}
+
+impl CopyKeeper {
+    pub(crate) fn new(gateway: &Arc<Gateway>, growing: Option<KeptCopy>) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            growing,
+            made: None,
+            making: None,
+            not_before: Instant::default(),
+            look_at: tokio::time::Instant::now() + COPY_LOOK,
+        }
+    }
+
+    /// The best copy that there is.
+    pub(crate) fn into_best(self) -> Option<KeptCopy> {
+        let growing = self.growing.filter(KeptCopy::is_usable);
+        growing.or_else(|| self.made.map(|(copy, _)| copy).filter(KeptCopy::is_usable))
+    }
+
+    /// Waits until there is something to look at: the end of an order to copy, or some time.
+    pub(crate) async fn wait(&mut self) {
+        let Some(making) = &mut self.making else {
+            tokio::time::sleep_until(self.look_at).await;
+            self.look_at = tokio::time::Instant::now() + COPY_LOOK;
+            return;
+        };
+        let answer = (&mut making.answer).await;
+        let holder = making.holder.clone();
+        self.making = None;
+        let now = self.gateway.timer.now();
+        match answer {
+            Ok(source) => {
+                tracing::info!(handle = &*source.handle, holder = %holder.id, "memory copied");
+                self.made = Some((KeptCopy::new(&self.gateway, holder, source), now));
+            }
+            Err(fault) => {
+                let fault_name: &str = fault.into();
+                tracing::warn!(holder = %holder.id, fault = fault_name, "memory not copied");
+                self.not_before = now.after(FAULT_WAIT);
+            }
+        }
+    }
+
+    /// Orders a copy if there is none that will do.
+    pub(crate) fn look(&mut self, accepted: &AcceptedCall, run: &Arc<UpstreamEntry>) {
+        let now = self.gateway.timer.now();
+        let grows = self.growing.as_ref().is_some_and(KeptCopy::is_usable);
+        if grows || self.making.is_some() || now < self.not_before {
+            return;
+        }
+        let holder = match &self.made {
+            Some((copy, at)) if copy.is_usable() => {
+                if now.since(*at) < RENEWED_AFTER {
+                    return;
+                }
+                // To the same holder only what is new is copied.
+                Some(copy.holder.clone())
+            }
+            _ => self.gateway.place_copy(accepted, run),
+        };
+        let Some(holder) = holder else {
+            return;
+        };
+        let order = CopyOrder {
+            source: run.clone(),
+            call: accepted.call.id.clone(),
+            holder: holder.clone(),
+        };
+        self.making = Some(Making {
+            holder,
+            answer: (self.gateway.transport.copy)(order),
+        });
+    }
+}
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -239,10 +239,7 @@
         accepted: &AcceptedCall,
         run: &UpstreamEntry,
     ) -> Option<Arc<UpstreamEntry>> {
-        let copies = self
-            .config()
-            .is_some_and(|config| config.service(&accepted.service).is_some_and(|s| s.copies));
-        if !copies {
+        if !self.has_copies(&accepted.service) {
             return None;
         }
         self.choose(accepted, &[], |candidates, who| {
@@ -250,6 +247,12 @@
         })
     }
 
+    /// Whether the upstreams of a service keep copies of each other's memory.
+    pub(crate) fn has_copies(&self, service: &ServiceId) -> bool {
+        self.config()
+            .is_some_and(|config| config.service(service).is_some_and(|spec| spec.copies))
+    }
+
     fn choose<T>(
         &self,
         accepted: &AcceptedCall,
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -120,7 +120,9 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let usable = state.directory.get_usable(&entry.id, now).is_some();
-        usable && !state.upstream(entry, now).pulse.is_suspect()
+        let suspect =
+            state.upstream(entry, now).pulse.is_suspect() || state.peers.is_suspect(&entry.id, now);
+        usable && !suspect
     }
 
     /// Notes that an upstream's connection broke under a body.
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -28,8 +28,8 @@
     peer_notes::exchange_notes,
     reply::{EventBody, Reply, StreamCut},
     upstream_transport::{
-        AnswerBody, BodyFault, CopySource, LifeQuestion, SendFault, UpstreamAnswer, UpstreamCall,
-        UpstreamTransport,
+        AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, LifeQuestion, SendFault,
+        UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
 
@@ -46,8 +46,10 @@
 mod accepted_call;
 mod call;
 mod call_log;
+mod copy_keeper;
 mod core;
 mod feed;
+mod kept_copy;
 mod liveness;
 mod peer_notes;
 mod reply;
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -5,8 +5,6 @@
 pub(crate) struct RunGuard {
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) entry: Arc<UpstreamEntry>,
-    /// Where the run's memory is copied to.
-    pub(crate) copy: Option<Arc<UpstreamEntry>>,
     /// Changes when the upstream is given up.
     pub(crate) given_up: watch::Receiver<u64>,
 }
@@ -16,14 +14,10 @@
     pub(crate) fn begin(
         gateway: &Arc<Gateway>,
         entry: Arc<UpstreamEntry>,
-        copy: Option<Arc<UpstreamEntry>>,
         prompt_tokens: u32,
     ) -> Self {
         let now = gateway.timer.now();
         let mut state = gateway.state.lock();
-        if let Some(copy) = &copy {
-            state.upstream(copy, now).load.copy_begins();
-        }
         let upstream = state.upstream(&entry, now);
         upstream.pulse.sent(now);
         upstream.load.begin(prompt_tokens, now);
@@ -35,7 +29,6 @@
         Self {
             gateway: gateway.clone(),
             entry,
-            copy,
             given_up,
         }
     }
@@ -56,8 +49,5 @@
         let upstream = state.upstream(&self.entry, now);
         upstream.pulse.ended();
         upstream.load.end();
-        if let Some(copy) = &self.copy {
-            state.upstream(copy, now).load.copy_ends();
-        }
     }
 }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -149,7 +149,7 @@
                 Some(PlacementCandidate {
                     entry,
                     load: &state.load,
-                    suspect: state.pulse.is_suspect(),
+                    suspect: state.pulse.is_suspect() || self.peers.is_suspect(&entry.id, now),
                     suspect_zone: self.zones.is_suspect(&entry.zone, now),
                     peer_calls: peers.then(|| self.peers.calls(&entry.id, now)),
                     peer_reading: self.peers.reading_left(&entry.id, now),
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -1,8 +1,8 @@
 //! A stream over one or more runs on upstreams.
 
 use super::{
-    accepted_call::AcceptedCall, core::millis, reply::StreamCut, run_guard::RunGuard,
-    stream_call::StreamStop, *,
+    accepted_call::AcceptedCall, copy_keeper::CopyKeeper, core::millis, kept_copy::KeptCopy,
+    reply::StreamCut, run_guard::RunGuard, stream_call::StreamStop, *,
 };
 
 /// How often a stream is sent at most, refusals counted in. Each costs a few milliseconds; a resume
@@ -18,8 +18,8 @@
     accepted: AcceptedCall,
     relay: EventRelay,
     active: Option<ActiveRun>,
-    /// Where a copy of the memory of the run before lies.
-    copy: Option<Arc<UpstreamEntry>>,
+    /// A copy of the memory of the run before.
+    copy: Option<KeptCopy>,
     /// Upstreams that lost or refused it.
     avoid: Vec<UpstreamId>,
     sends: u32,
@@ -36,6 +36,7 @@
 struct ActiveRun {
     number: EventRun,
     guard: RunGuard,
+    copies: CopyKeeper,
     body: AnswerBody,
     splitter: EventSplitter,
 }
@@ -46,6 +47,8 @@
     End,
     Broken(Loss),
     TimedOut,
+    /// Nothing, but the copies of the run may need a look.
+    Look,
 }
 
 /// How a run was lost.
@@ -111,6 +114,7 @@
                 }
                 Received::Broken(loss) => self.lost(loss)?,
                 Received::TimedOut => return Err(StreamStop::TimedOut),
+                Received::Look => self.look_at_copies(),
             }
         }
     }
@@ -156,6 +160,7 @@
                 None => Received::End,
             },
             () = active.guard.lost() => Received::Broken(Loss::Silent),
+            () = active.copies.wait() => Received::Look,
             () = tokio::time::sleep(time_left) => Received::TimedOut,
         }
     }
@@ -171,6 +176,14 @@
         Ok(())
     }
 
+    /// Has a new copy made if there is none. Before the first event an engine may not run the call.
+    fn look_at_copies(&mut self) {
+        let has_copies = self.gateway.has_copies(&self.accepted.service);
+        if let (Some(active), true) = (&mut self.active, self.delivered && has_copies) {
+            active.copies.look(&self.accepted, &active.guard.entry);
+        }
+    }
+
     fn has_part(&self) -> bool {
         self.active
             .as_ref()
@@ -208,9 +221,16 @@
         let Some(active) = self.active.take() else {
             return Ok(());
         };
-        let entry = active.guard.entry.clone();
-        self.copy.clone_from(&active.guard.copy);
-        drop(active);
+        let ActiveRun {
+            guard,
+            copies,
+            body,
+            ..
+        } = active;
+        drop(body);
+        let entry = guard.entry.clone();
+        drop(guard);
+        self.copy = copies.into_best();
         self.run_lost(&entry, loss);
         if self.accepted.route.kind.may_repeat() {
             return Ok(());
@@ -224,7 +244,7 @@
         let loss_name: &str = loss.into();
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
             loss = loss_name, last_event = self.relay.last(),
-            copy = self.copy.as_ref().map(|c| tracing::field::display(c.id.clone())),
+            copy = self.copy.as_ref().map(|c| tracing::field::display(c.holder.id.clone())),
             "run of a stream lost");
         if loss == Loss::Broken {
             self.gateway.broke(entry);
@@ -242,15 +262,15 @@
             if self.sends > 0 && !self.may_send_again() {
                 return Err(self.stop());
             }
-            let from = self.copy.take().filter(|copy| self.gateway.may_use(copy));
+            let from = self.copy.take().filter(KeptCopy::is_usable);
             let entry = match &from {
-                Some(copy) => copy.clone(),
+                Some(copy) => copy.holder.clone(),
                 None => match self.choose().await {
                     Some(entry) => entry,
                     None => return Err(self.stop()),
                 },
             };
-            if self.send(entry, from.is_some()).await? {
+            if self.send(entry, from).await? {
                 return Ok(());
             }
         }
@@ -287,10 +307,11 @@
     async fn send(
         &mut self,
         entry: Arc<UpstreamEntry>,
-        from_copy: bool,
+        from: Option<KeptCopy>,
     ) -> Result<bool, StreamStop> {
         self.sends += 1;
         let gateway = self.gateway.clone();
+        let from_copy = from.is_some();
         let copy = gateway.place_copy(&self.accepted, &entry);
         let now = gateway.timer.now();
         let time_left = self.accepted.time_left(now);
@@ -301,9 +322,7 @@
             time_left,
             last_event: self.relay.last(),
             copy_to: copy.as_ref().map(|copy| copy.address),
-            copy_from: from_copy.then_some(CopySource {
-                address: entry.address,
-            }),
+            copy_from: from.as_ref().map(|copy| copy.source.clone()),
             longest_idle: self.accepted.longest_idle(),
         };
         self.log_sent(&entry, copy.as_deref(), from_copy, time_left);
@@ -311,7 +330,8 @@
             Some(prompt) if !from_copy => prompt.tokens,
             _ => 0,
         };
-        let mut guard = RunGuard::begin(&gateway, entry.clone(), copy.clone(), tokens);
+        let copy = copy.map(|holder| KeptCopy::growing(&gateway, holder, &self.accepted.call.id));
+        let mut guard = RunGuard::begin(&gateway, entry.clone(), tokens);
         let answer = tokio::select! {
             answer = (gateway.transport.send)(call) => answer,
             () = guard.lost() => {
@@ -324,7 +344,7 @@
             () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
         match answer {
-            Ok(answer) => self.begun(guard, answer),
+            Ok(answer) => self.begun(guard, copy, answer),
             Err(fault) => {
                 drop(guard);
                 self.send_failed(&entry, copy, fault)
@@ -332,7 +352,12 @@
         }
     }
 
-    fn begun(&mut self, guard: RunGuard, answer: UpstreamAnswer) -> Result<bool, StreamStop> {
+    fn begun(
+        &mut self,
+        guard: RunGuard,
+        copy: Option<KeptCopy>,
+        answer: UpstreamAnswer,
+    ) -> Result<bool, StreamStop> {
         let entry = guard.entry.clone();
         self.gateway.heard(&entry, answer.load);
         if answer.other_incarnation || answer.not_executed {
@@ -355,6 +380,7 @@
         self.active = Some(ActiveRun {
             number: self.relay.begin_run(),
             guard,
+            copies: CopyKeeper::new(&self.gateway, copy),
             body: answer.body,
             splitter: EventSplitter::default(),
         });
@@ -370,7 +396,7 @@
     fn send_failed(
         &mut self,
         entry: &Arc<UpstreamEntry>,
-        copy: Option<Arc<UpstreamEntry>>,
+        copy: Option<KeptCopy>,
         fault: SendFault,
     ) -> Result<bool, StreamStop> {
         if fault == SendFault::NoConnection {
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -6,6 +6,8 @@
     /// Sends a call. The future ends with the head of the answer; dropping it, or the body, closes
     /// the connection, so that the upstream stops.
     pub send: SendCall,
+    /// Has an engine copy the memory of a run to another one while it goes on.
+    pub copy: CopyMemory,
     /// Asks an upstream over a connection of its own whether it lives and how busy it is.
     pub ask: AskUpstream,
 }
@@ -22,6 +24,39 @@
         + Sync,
 >;
 
+/// Has an engine copy the memory of a run.
+pub type CopyMemory =
+    Box<dyn Fn(CopyOrder) -> BoxFuture<'static, Result<CopySource, CopyFault>> + Send + Sync>;
+
+/// Which memory is to be copied, and where to.
+#[derive(Clone, Debug)]
+pub struct CopyOrder {
+    /// The engine that runs the call.
+    pub source: Arc<UpstreamEntry>,
+    /// The call.
+    pub call: RequestId,
+    /// The engine that is to keep the copy.
+    pub holder: Arc<UpstreamEntry>,
+}
+
+/// Why memory was not copied.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum CopyFault {
+    /// The engine does not run the call, or not yet.
+    #[display("the engine does not run the call")]
+    NoRun,
+    /// The engine copies it already.
+    #[display("the engine copies it already")]
+    Busy,
+    /// The other engine has no room, or cannot be reached.
+    #[display("the other engine has no room or cannot be reached")]
+    NoRoom,
+    /// No answer came.
+    #[display("no answer came")]
+    NoAnswer,
+}
+
 /// A question to an upstream.
 #[derive(Clone, Debug)]
 pub struct LifeQuestion {
@@ -53,11 +88,13 @@
     pub longest_idle: Duration,
 }
 
-/// Where a copy of a run's memory lies.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Names a copy of a run's memory.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CopySource {
-    /// The upstream that keeps it.
+    /// The upstream that gave it its name.
     pub address: SocketAddr,
+    /// Its name there.
+    pub handle: Arc<str>,
 }
 
 /// The head of an upstream's answer, and its body to come.
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -121,7 +121,7 @@
     async fn send(&mut self, entry: &Arc<UpstreamEntry>) -> Sent {
         self.sends += 1;
         let gateway = self.gateway.clone();
-        let mut guard = RunGuard::begin(&gateway, entry.clone(), None, 0);
+        let mut guard = RunGuard::begin(&gateway, entry.clone(), 0);
         let start = gateway.timer.now();
         let time_left = self.accepted.time_left(start);
         self.log_sent(entry, time_left);
--- /dev/null
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -0,0 +1,282 @@
+//! Streams that lose their upstreams.
+
+mod gateway_support;
+
+use catkinward::gateway::{Reply, UpstreamCall};
+use gateway_support::*;
+use googletest::prelude::*;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// Upstreams that break the first run after 20 events and go on after the last event otherwise.
+fn break_first() -> impl Fn(&UpstreamCall) -> Script + Send + Sync {
+    let calls = AtomicUsize::new(0);
+    move |call| {
+        let first = call.last_event.map_or(1, |last| last + 1);
+        if calls.fetch_add(1, Ordering::Relaxed) == 0 {
+            Script::Stream(events(first, 20), End::Break)
+        } else {
+            Script::Stream(events(first, 40), End::Whole)
+        }
+    }
+}
+
+/// An engine dies in the middle of a stream. The stream goes on from the copy of its memory in another
+/// availability zone, and the caller sees every event once.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn broken_stream_goes_on_from_its_copy() {
+    let running = GatewayFixture::new(break_first()).usual_upstreams().start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    let seen = running.seen.lock();
+    expect_that!(seen.len(), eq(2));
+    expect_that!(seen[1].from_copy, some(eq("call-1")));
+    expect_that!(seen[1].last_event, some(eq(20)));
+    expect_that!(seen[0].upstream, starts_with("engine-a"));
+    expect_that!(seen[1].upstream, not(starts_with("engine-a")));
+}
+
+/// An engine's VM loses power in the middle of a stream: nothing comes any more, and nothing says so.
+/// The engine is asked once and does not answer; the caller waits less than half a second.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_stream_goes_on_within_half_a_second() {
+    let dark = Arc::new(AtomicBool::new(false));
+    let (died, asked) = (dark.clone(), dark.clone());
+    let running = GatewayFixture::new(move |call| {
+        let first = call.last_event.map_or(1, |last| last + 1);
+        if died.swap(true, Ordering::Relaxed) {
+            Script::Stream(events(first, 40), End::Whole)
+        } else {
+            Script::Stream(events(1, 20), End::Hang)
+        }
+    })
+    .alive(move |id| !(asked.load(Ordering::Relaxed) && id.starts_with("engine-a")))
+    .usual_upstreams()
+    .start();
+    let start = running.timer.now();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    // 40 events take 1.2 s.
+    let pause = running
+        .timer
+        .now()
+        .since(start)
+        .saturating_sub(Duration::from_millis(1210));
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(pause, le(Duration::from_millis(500)));
+}
+
+/// The engine that keeps the copy of a stream's memory dies, and some seconds later the stream's own.
+/// Without a new copy the whole prompt is read again, and the caller waits for seconds.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn copy_whose_holder_is_lost_is_made_anew() {
+    let running = GatewayFixture::new(|call| {
+        let first = call.last_event.map_or(1, |last| last + 1);
+        if call.last_event.is_none() {
+            Script::Stream(events(1, 100), End::Break)
+        } else {
+            Script::Stream(events(first, 120), End::Whole)
+        }
+    })
+    .usual_upstreams()
+    .start();
+    let reply = running.handle("/stream/1").await;
+    let reading = tokio::spawn(read_stream(reply));
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let holder = running.seen.lock()[0].copy_to.clone().unwrap();
+    let lost = ["b", "c"]
+        .iter()
+        .flat_map(|zone| [1, 2].map(|n| format!("engine-{zone}{n}")))
+        .find(|id| upstream(id, ENGINES, "b").address.to_string() == holder)
+        .unwrap();
+    running.gateway.upstream_removed(&lost.parse().unwrap());
+
+    let stream = reading.await.unwrap();
+
+    expect_that!(stream, eq(&(text(1, 120), true)));
+    let seen = running.seen.lock();
+    let copies = running.copies.lock();
+    expect_that!(copies.first(), some(not(eq(&lost))));
+    expect_that!(seen.len(), eq(2));
+    expect_that!(seen[1].from_copy, some(eq("copy-1")));
+    expect_that!(copies.contains(&seen[1].upstream), eq(true));
+}
+
+/// The holder of a copy has no copy: it came too late, or there was no room. The prompt is read again
+/// elsewhere, and nothing is lost.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_without_a_copy_is_read_anew() {
+    let running = GatewayFixture::new(|call| match (call.last_event, &call.copy_from) {
+        (None, _) => Script::Stream(events(1, 20), End::Break),
+        (Some(_), Some(_)) => Script::NotExecuted,
+        (Some(last), None) => Script::Stream(events(last + 1, 40), End::Whole),
+    })
+    .usual_upstreams()
+    .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(running.sent_to().len(), eq(3));
+}
+
+/// An engine dies while it writes an event. The caller must not see the half of it: the next engine
+/// begins with the whole event.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn torn_event_is_not_handed_on() {
+    let running = GatewayFixture::new(|call| {
+        if let Some(last) = call.last_event {
+            return Script::Stream(events(last + 1, 40), End::Whole);
+        }
+        let mut parts = events(1, 20);
+        parts.push(Part::Bytes("id: 21\nda".to_owned()));
+        Script::Stream(parts, End::Break)
+    })
+    .usual_upstreams()
+    .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+}
+
+/// A stream ends in the middle of an event as if it were whole. It is not: the rest comes from
+/// another engine.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_that_ends_within_an_event_is_not_whole() {
+    let running = GatewayFixture::new(|call| {
+        if let Some(last) = call.last_event {
+            return Script::Stream(events(last + 1, 40), End::Whole);
+        }
+        let mut parts = events(1, 20);
+        parts.push(Part::Bytes("id: 21\nda".to_owned()));
+        Script::Stream(parts, End::Whole)
+    })
+    .usual_upstreams()
+    .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+}
+
+/// The next engine sends events again that the caller has, or leaves some out. The caller gets each
+/// once and none is missing.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn repeated_and_missing_events_do_not_reach_the_caller() {
+    let runs = AtomicUsize::new(0);
+    let running = GatewayFixture::new(move |call| {
+        match (runs.fetch_add(1, Ordering::Relaxed), call.last_event) {
+            (0, _) => Script::Stream(events(1, 20), End::Break),
+            (1, _) => Script::Stream([events(15, 22), events(24, 30)].concat(), End::Whole),
+            (_, Some(last)) => Script::Stream(events(last + 1, 40), End::Whole),
+            (_, None) => Script::Lost,
+        }
+    })
+    .usual_upstreams()
+    .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+}
+
+/// A stream that may not be resumed loses its engine. It ends cut, and no second engine runs it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_that_runs_once_is_cut_and_never_sent_again() {
+    let running = GatewayFixture::new(break_first()).usual_upstreams().start();
+
+    let stream = read_stream(running.handle("/stream-once/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 20), false)));
+    expect_that!(running.sent_to().len(), eq(1));
+}
+
+/// A caller comes back with its last event id after its VM died. The stream goes on from there.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_comes_back_with_its_last_event() {
+    let running = GatewayFixture::new(|call| {
+        Script::Stream(events(call.last_event.unwrap() + 1, 30), End::Whole)
+    })
+    .usual_upstreams()
+    .start();
+    let mut call = running.call("/stream/1");
+    call.last_event = Some(12);
+
+    let stream = read_stream(running.gateway.handle(call).await).await;
+
+    expect_that!(stream, eq(&(text(13, 30), true)));
+    expect_that!(running.seen.lock()[0].last_event, some(eq(12)));
+}
+
+/// The caller leaves in the middle of a stream. The run is given up at once, so that its engine stops.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn run_ends_when_its_caller_leaves() {
+    let running = GatewayFixture::new(|_| Script::Stream(events(1, 40), End::Hang))
+        .usual_upstreams()
+        .alive(|_| true)
+        .start();
+    let reply = running.handle("/stream/1").await;
+
+    drop(reply);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    // An upstream is asked only while a call is in flight there.
+    expect_that!(running.questions.lock().len(), eq(0));
+    expect_that!(running.gateway.drain.in_flight(), eq(0));
+}
+
+/// No engine takes the stream. Its caller is told at once that it has not run, and when to come back.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_that_nobody_takes_is_refused_as_not_run() {
+    let running = GatewayFixture::new(|_| Script::NotExecuted)
+        .usual_upstreams()
+        .start();
+    let start = running.timer.now();
+
+    let reply = running.handle("/stream/1").await;
+
+    let waited = running.timer.now().since(start);
+    let Reply::NotRun { not_run } = reply else {
+        panic!("{reply:?}");
+    };
+    expect_that!(not_run.retry_after(), gt(Duration::ZERO));
+    expect_that!(waited, le(Duration::from_millis(500)));
+}
+
+/// Time runs out in the middle of a stream. It ends then, cut, and nothing waits longer.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_ends_when_its_time_is_over() {
+    let running = GatewayFixture::new(|_| Script::Stream(events(1, 5), End::Hang))
+        .usual_upstreams()
+        .start();
+    let mut call = running.call("/stream/1");
+    call.patience = Some(Duration::from_secs(3));
+    let start = running.timer.now();
+
+    let stream = read_stream(running.gateway.handle(call).await).await;
+
+    expect_that!(stream, eq(&(text(1, 5), false)));
+    let took = running.timer.now().since(start);
+    expect_that!(took, le(Duration::from_millis(3100)));
+}
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -9,8 +9,8 @@
 use catkinward::{
     Timer,
     gateway::{
-        AnswerBody, BodyFault, Call, Gateway, GatewaySettings, Prompt, Reply, SendFault,
-        UpstreamAnswer, UpstreamCall, UpstreamTransport,
+        AnswerBody, BodyFault, Call, CopySource, Gateway, GatewaySettings, Prompt, Reply,
+        SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
 use futures::{StreamExt, stream};
@@ -66,7 +66,7 @@
     pub upstream: String,
     pub last_event: Option<u64>,
     pub copy_to: Option<String>,
-    pub from_copy: bool,
+    pub from_copy: Option<String>,
     pub time_left: Duration,
     pub longest_idle: Duration,
     pub at: Instant,
@@ -92,6 +92,8 @@
     pub timer: Arc<Timer>,
     pub seen: Arc<Mutex<Vec<Seen>>>,
     pub questions: Arc<Mutex<Vec<String>>>,
+    /// Holders of copies that were ordered.
+    pub copies: Arc<Mutex<Vec<String>>>,
 }
 
 impl GatewayFixture {
@@ -162,7 +164,8 @@
         let timer = Timer::start();
         let seen = Arc::new(Mutex::new(Vec::new()));
         let questions = Arc::new(Mutex::new(Vec::new()));
-        let transport = transport(self.script, self.alive, &timer, &seen, &questions);
+        let copies = Arc::new(Mutex::new(Vec::new()));
+        let transport = transport(self.script, self.alive, &timer, &seen, &questions, &copies);
         let settings = GatewaySettings {
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
@@ -183,6 +186,7 @@
             timer,
             seen,
             questions,
+            copies,
         }
     }
 }
@@ -314,7 +318,9 @@
     timer: &Arc<Timer>,
     seen: &Arc<Mutex<Vec<Seen>>>,
     questions: &Arc<Mutex<Vec<String>>>,
+    copies: &Arc<Mutex<Vec<String>>>,
 ) -> UpstreamTransport {
+    let copies = copies.clone();
     let (timer, seen, questions) = (timer.clone(), seen.clone(), questions.clone());
     UpstreamTransport {
         send: Box::new(move |call| {
@@ -322,7 +328,7 @@
                 upstream: call.entry.id.to_string(),
                 last_event: call.last_event,
                 copy_to: call.copy_to.map(|address| address.to_string()),
-                from_copy: call.copy_from.is_some(),
+                from_copy: call.copy_from.as_ref().map(|copy| copy.handle.to_string()),
                 time_left: call.time_left,
                 longest_idle: call.longest_idle,
                 at: timer.now(),
@@ -330,6 +336,15 @@
             let script = script(&call);
             Box::pin(play(script))
         }),
+        copy: Box::new(move |order| {
+            copies.lock().push(order.holder.id.to_string());
+            Box::pin(async move {
+                Ok(CopySource {
+                    address: order.source.address,
+                    handle: "copy-1".into(),
+                })
+            })
+        }),
         ask: Box::new(move |question| {
             let id = question.entry.id.to_string();
             let alive = alive(&id);
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -159,8 +159,8 @@
 fn mean_longest_wait(vms: usize, told: bool, least_load: bool) -> f64 {
     let seeds = 5_u32;
     let sum = (0..seeds)
-        .map(|seed| longest_wait(vms, told, least_load, seed))
-        .sum::<usize>();
+        .map(|seed| longest_wait(vms, told, least_load, seed.into()))
+        .sum::<u32>();
     f64::from(sum) / f64::from(seeds)
 }
 
