--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -12,6 +12,16 @@
 /// Wait before upstreams are tried again after all refused.
 const REFUSED_WAIT: Duration = Duration::from_millis(60);
 
+/// Silence of a stream that has begun, after which it goes on elsewhere although its upstream answers
+/// questions: its connection has gone silent for good, or it was put aside for a more urgent one.
+/// Events come every 30 to 200 ms; with the resume a caller waits less than 0.7 s.
+const STALL: Duration = Duration::from_millis(450);
+
+/// Silence before the first event after which the prompt is read elsewhere. Reading and waiting for
+/// other prompts takes one to four seconds, and to begin anew costs as much, so this is only for
+/// connections that have gone silent for good.
+const STALL_BEFORE_FIRST: Duration = Duration::from_secs(6);
+
 /// A stream on its way to a caller.
 pub(crate) struct StreamRun {
     gateway: Arc<Gateway>,
@@ -40,6 +50,8 @@
     body: AnswerBody,
     splitter: EventSplitter,
     gave_events: bool,
+    /// When something came last.
+    progress: tokio::time::Instant,
 }
 
 /// What came from the active run.
@@ -64,6 +76,8 @@
     Torn,
     /// It left events out.
     Gap,
+    /// Its upstream lives, but nothing comes.
+    Stalled,
 }
 
 impl StreamRun {
@@ -154,17 +168,30 @@
     async fn receive(&mut self) -> Received {
         let now = self.gateway.timer.now();
         let time_left = self.accepted.time_left(now);
+        let repeat = self.accepted.route.kind.may_repeat();
         let Some(active) = &mut self.active else {
             return Received::Broken(Loss::Broken);
         };
+        let stall = if active.gave_events {
+            STALL
+        } else {
+            STALL_BEFORE_FIRST
+        };
+        let stalls_at = active.progress + stall;
         tokio::select! {
             chunk = active.body.next() => match chunk {
-                Some(Ok(bytes)) => Received::Bytes(bytes),
+                Some(Ok(bytes)) => {
+                    active.progress = tokio::time::Instant::now();
+                    Received::Bytes(bytes)
+                }
                 Some(Err(BodyFault)) => Received::Broken(Loss::Broken),
                 None => Received::End,
             },
             () = active.guard.lost() => Received::Broken(Loss::Silent),
             () = active.copies.wait() => Received::Look,
+            () = tokio::time::sleep_until(stalls_at), if repeat => {
+                Received::Broken(Loss::Stalled)
+            }
             () = tokio::time::sleep(time_left) => Received::TimedOut,
         }
     }
@@ -343,8 +370,16 @@
         };
         let copy = copy.map(|holder| KeptCopy::growing(&gateway, holder, &self.accepted.call.id));
         let mut guard = RunGuard::begin(&gateway, entry.clone(), tokens);
+        let repeat = self.accepted.route.kind.may_repeat();
         let answer = tokio::select! {
             answer = (gateway.transport.send)(call) => answer,
+            // An answer may have no head before its first event.
+            () = tokio::time::sleep(STALL_BEFORE_FIRST), if repeat => {
+                self.ran_on.push(entry.id.clone());
+                drop((guard, copy));
+                self.run_lost(&entry, Loss::Stalled);
+                return Ok(false);
+            }
             () = guard.lost() => {
                 self.ran_on.push(entry.id.clone());
                 drop((guard, copy));
@@ -394,6 +429,7 @@
             body: answer.body,
             splitter: EventSplitter::default(),
             gave_events: false,
+            progress: tokio::time::Instant::now(),
         });
         Ok(true)
     }
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -133,6 +133,9 @@
     /// The upstream answered with something that belongs to another call, or to none.
     #[display("the upstream answered another call")]
     Crossed,
+    /// No answer came in the time that could be waited for it.
+    #[display("no answer came in time")]
+    Stalled,
 }
 
 /// Why a body ended early.
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -11,6 +11,11 @@
 /// free, spread so that those refused together do not return together.
 const REFUSED_RETRY: Duration = Duration::from_millis(100);
 
+/// Time after which an idempotent call without an answer is sent elsewhere, as a part of the time that
+/// it has: its connection may have gone silent for good although its upstream lives. Calls take a
+/// twentieth of that time; the rest is left for the second send.
+const STALL_PART: f64 = 0.5;
+
 /// How a send ended.
 enum Sent {
     /// With an answer for the caller.
@@ -145,6 +150,9 @@
             answer = answer => answer,
             // A call that runs once at most stays with its upstream: it may yet answer.
             () = guard.lost(), if repeat => Err(SendFault::Lost),
+            () = tokio::time::sleep(time_left.mul_f64(STALL_PART)), if repeat => {
+                Err(SendFault::Stalled)
+            }
             () = tokio::time::sleep(time_left) => return Sent::TimedOut,
         };
         let sent = match answer {
@@ -195,7 +203,7 @@
                 self.gateway.crashed_under(entry, self.accepted.digest);
                 Sent::Lost
             }
-            SendFault::Crossed => Sent::Lost,
+            SendFault::Crossed | SendFault::Stalled => Sent::Lost,
         }
     }
 
--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -76,6 +76,30 @@
     expect_that!(pause, le(Duration::from_millis(500)));
 }
 
+/// A connection goes silent for good in the middle of a stream, while its engine lives and answers
+/// questions over new ones. The stream goes on elsewhere; the caller waits less than 0.7 s.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_on_a_silent_connection_goes_on_elsewhere() {
+    let running = GatewayFixture::new(|call| match call.last_event {
+        Some(last) => Script::Stream(events(last + 1, 40), End::Whole),
+        None => Script::Stream(events(1, 20), End::Hang),
+    })
+    .usual_upstreams()
+    .start();
+    let start = running.timer.now();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    let pause = running
+        .timer
+        .now()
+        .since(start)
+        .saturating_sub(Duration::from_millis(1210));
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(pause, le(Duration::from_millis(600)));
+}
+
 /// The engine that keeps the copy of a stream's memory dies, and some seconds later the stream's own.
 /// Without a new copy the whole prompt is read again, and the caller waits for seconds.
 #[gtest]
--- /dev/null
+++ b/crates/decisions/tests/routes.rs
@@ -0,0 +1,117 @@
+//! Which route takes a call, and which configuration is in force.
+
+use catkin_decisions::{
+    CallKind, CallerKey, CallerLimits, ConfigVersion, NewestConfig, Route, RouteTable, RouteTarget,
+    RoutingConfig,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::{sync::Arc, time::Duration};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        target_pause: None,
+        priority: 1,
+        targets: vec![
+            RouteTarget {
+                service: "old".parse().unwrap(),
+                weight: 90,
+            },
+            RouteTarget {
+                service: "new".parse().unwrap(),
+                weight: 10,
+            },
+        ],
+        max_upstreams: 1,
+        public: false,
+    }
+}
+
+fn config(version: u64) -> Arc<RoutingConfig> {
+    let key = |key: &str, team: &str| CallerKey {
+        key: key.into(),
+        team: team.parse().unwrap(),
+        priority: None,
+    };
+    Arc::new(RoutingConfig {
+        version: ConfigVersion(version),
+        routes: RouteTable::default(),
+        services: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+        keys: Some(RoutingConfig::sorted_keys(vec![
+            key("k2", "t2"),
+            key("k1", "t1"),
+        ])),
+    })
+}
+
+proptest! {
+    /// Hundreds of routes, some within others. The table finds what a look at all of them finds.
+    #[test]
+    fn longest_prefix_of_the_host_wins(
+        prefixes in prop::collection::vec("(/[ab]{0,2}){0,3}/", 1..30),
+        path in "(/[ab]{0,2}){0,4}/?[ab]{0,2}",
+    ) {
+        let routes = prefixes.iter().map(|prefix| route("h", prefix)).collect::<Vec<_>>();
+        let table = RouteTable::new(routes);
+
+        let found = table.find("h", &path).map(|route| route.prefix.to_string());
+
+        let expected = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(prefix.as_str()))
+            .max_by_key(|prefix| prefix.len())
+            .cloned();
+        prop_assert_eq!(found, expected);
+        prop_assert!(table.find("other", &path).is_none());
+    }
+}
+
+/// A tenth of the calls is to go to the new service. The same call always goes to the same one.
+#[gtest]
+fn targets_get_calls_by_their_weight() {
+    let route = route("h", "/");
+
+    let new = (0..1000)
+        .filter(|draw| route.service_for(*draw).unwrap().as_str() == "new")
+        .count();
+
+    expect_that!(new, eq(100));
+    expect_that!(route.service_for(7), eq(route.service_for(7)));
+}
+
+/// A store that answers stale tells of an older configuration after a newer one. A key that was taken
+/// away would open the door again.
+#[gtest]
+fn configuration_never_goes_back() {
+    let mut newest = NewestConfig::default();
+
+    let taken = [5, 3, 5, 9].map(|version| newest.advance(config(version)));
+
+    expect_that!(taken, eq([true, false, false, true]));
+    expect_that!(newest.get().unwrap().version, eq(ConfigVersion(9)));
+}
+
+/// Each key is its team's, and no other text is a key.
+#[gtest]
+fn key_belongs_to_its_team() {
+    let config = config(1);
+
+    let holder = |key: &str| config.holder(key).map(|holder| holder.team.to_string());
+
+    expect_that!(holder("k1"), some(eq("t1")));
+    expect_that!(holder("k2"), some(eq("t2")));
+    expect_that!(holder("k"), none());
+    expect_that!(holder(""), none());
+}
