A VM that the store turns away reads from a peer what that has read

Change: each VM shows on its address for peers what it read last of the store's tables; one whose question fails asks a live peer, which answers only if it was itself heard within 2.2 s. Test: vm_that_the_store_turns_away_hears_from_a_peer.

--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -23,6 +23,9 @@
     Duration::from_secs(2),
 ];
 
+/// Bound of an answer from another VM, which has it in memory: a way there and back takes 2 ms.
+const PEER_BOUND: Duration = Duration::from_millis(250);
+
 /// Wait after the store failed. Each VM asks some 3 times a second then.
 const FAULT_WAIT: Duration = Duration::from_millis(300);
 
@@ -34,8 +37,14 @@
     pub read: Box<dyn Fn() -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>,
     /// Asks for what changed after a version; waits at the store for that long at most.
     pub changes: AskChanges<T>,
+    /// Reads all of it as another VM has it, if that hears from the platform itself.
+    pub read_from_peer: ReadFromPeer<T>,
 }
 
+/// Reads a feed from another VM, named by the address that its notes come from.
+pub type ReadFromPeer<T> =
+    Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>;
+
 /// Asks for changes after a version.
 pub type AskChanges<T> =
     Box<dyn Fn(u64, Duration) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>;
@@ -94,6 +103,25 @@
     follow(&gateway, &feed, Duration::ZERO, UPSTREAM_PACE, take).await;
 }
 
+/// What another VM has of a feed. The platform may turn some VMs away and serve the others: these
+/// would go on with what they knew, send calls to upstreams that are leaving, and refuse routes and
+/// keys that were added.
+async fn ask_a_peer<T>(gateway: &Gateway, feed: &Feed<T>) -> Option<FeedPage<T>> {
+    let peer = gateway.a_peer()?;
+    let answer = tokio::time::timeout(PEER_BOUND, (feed.read_from_peer)(peer)).await;
+    match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
+        Ok(page) => {
+            tracing::info!(feed = feed.name, %peer, version = page.version, "read from a peer");
+            Some(page)
+        }
+        Err(fault) => {
+            let fault_name: &str = fault.into();
+            tracing::info!(feed = feed.name, %peer, fault = fault_name, "not read from a peer");
+            None
+        }
+    }
+}
+
 /// Reads a feed in whole, then its changes for good.
 async fn follow<T>(
     gateway: &Arc<Gateway>,
@@ -141,6 +169,10 @@
                 }
                 answers = false;
                 gateway.platform_answers(false);
+                if let Some(page) = ask_a_peer(gateway, feed).await {
+                    version = Some(page.version);
+                    take(gateway, page, true);
+                }
                 tokio::time::sleep(FAULT_WAIT).await;
             }
         }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -24,7 +24,7 @@
     call::{Call, Prompt},
     call_log::{CallLog, LineKind},
     core::{Gateway, GatewaySettings, NOT_READY_RETRY},
-    feed::{AskChanges, Feed, FeedFault, FeedPage, follow_config, follow_upstreams},
+    feed::{AskChanges, Feed, FeedFault, FeedPage, ReadFromPeer, follow_config, follow_upstreams},
     peer_notes::exchange_notes,
     reply::{EventBody, Reply, StreamCut},
     upstream_transport::{
@@ -33,6 +33,10 @@
     },
 };
 
+/// Age up to which what one VM has read of the platform is of use to another: changes are read within
+/// two seconds, so an older one is itself turned away.
+pub const MIRROR_AGE: Duration = Duration::from_millis(2200);
+
 /// Pause after a connection could not be accepted, mostly for want of descriptors: long enough for
 /// some to be closed, short against a caller's patience of a second.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -103,13 +103,21 @@
         }
     }
 
+    /// Any live VM, another one each time.
+    pub(crate) fn a_peer(&self) -> Option<SocketAddr> {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        state.peers.some_addresses(1, rand::random(), now).pop()
+    }
+
     fn told(&self) -> Vec<SocketAddr> {
         let now = self.timer.now();
         let mut state = self.state.lock();
         state.peers.told(&self.settings.zone, now)
     }
 
-    fn take_note(&self, note: PeerNote, address: SocketAddr) {
+    /// Takes in a note of another VM, with the address that it came from.
+    pub fn take_note(&self, note: PeerNote, address: SocketAddr) {
         if note.vm == self.settings.vm {
             return;
         }
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -62,12 +62,16 @@
         }
     }
 
-    fn feed(&self) -> Feed<RoutingConfig> {
+    fn feed(&self, peer: Option<Self>) -> Feed<RoutingConfig> {
         let (reading, asking) = (self.clone(), self.clone());
         Feed {
             name: "config",
             read: Box::new(move || Box::pin(reading.clone().read())),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().changes(after, wait))),
+            read_from_peer: Box::new(move |_| {
+                let peer = peer.clone();
+                Box::pin(async move { peer.map(|p| p.page()).ok_or(FeedFault::NoAnswer) })
+            }),
         }
     }
 }
@@ -80,7 +84,7 @@
         ..RoutingConfig::clone(&config)
     });
     store.set_version(2);
-    tokio::spawn(follow_config(running.gateway.clone(), store.feed()));
+    tokio::spawn(follow_config(running.gateway.clone(), store.feed(None)));
     (running, store)
 }
 
@@ -122,6 +126,32 @@
     }
 }
 
+/// The store turns this VM away and serves the others. A change is in force here all the same, by the
+/// word of one of them.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_the_store_turns_away_hears_from_a_peer() {
+    let running = GatewayFixture::new(|_| Script::Hang).start();
+    let config = running.gateway.config().unwrap();
+    let store = FakeStore::new(RoutingConfig::clone(&config));
+    *store.away.lock() = true;
+    let peer = FakeStore::new(RoutingConfig::clone(&config));
+    running.hear_of_peer();
+    tokio::spawn(follow_config(
+        running.gateway.clone(),
+        store.feed(Some(peer.clone())),
+    ));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    running.hear_of_peer();
+
+    peer.set_version(7);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    running.hear_of_peer();
+    tokio::time::sleep(Duration::from_millis(1400)).await;
+
+    expect_that!(version(&running), eq(7));
+}
+
 /// A store that answers stale, or a peer, tells of an older configuration. A removed key would open
 /// the door again.
 #[gtest]
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, RepeatBudgetConfig,
-    Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec, UpstreamEntry,
+    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, PeerNote,
+    RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec, UpstreamEntry,
 };
 use catkinward::{
     Timer,
@@ -228,6 +228,21 @@
         self.gateway.handle(self.call(path)).await
     }
 
+    /// Has the gateway hear a note of another VM.
+    pub fn hear_of_peer(&self) {
+        let note = PeerNote {
+            vm: "vm-2".into(),
+            zone: "b".parse().unwrap(),
+            incarnation: 1,
+            number: u64::try_from(self.timer.now().0.as_millis()).unwrap() + 1,
+            loads: Vec::new(),
+            suspects: Vec::new(),
+            crashes: Vec::new(),
+            members: Vec::new(),
+        };
+        self.gateway.take_note(note, ([127, 0, 0, 2], 9).into());
+    }
+
     /// Upstreams that were sent a call, in order.
     pub fn sent_to(&self) -> Vec<String> {
         self.seen
