catkinctl explain: what became of a request, from logs of several processes

Cause: on-call engineers had the lines and no way through them. Change: explain merges the lines of a request, of its upstreams and of its processes by time, and names the cause or says that the lines do not tell. Tests: explain (5).

--- a/crates/catkinward/src/ctl.rs
+++ b/crates/catkinward/src/ctl.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::{
     ctl_bundle::CtlBundle,
+    ctl_explain,
     ctl_settings::{CTL_HELP, CtlCommand, CtlSettings},
     ctl_status, ctl_timeline,
     ctl_vms::CtlVms,
@@ -30,6 +31,7 @@
         CtlCommand::Help => Ok(CTL_HELP.to_owned()),
         CtlCommand::Version => Ok(format!("catkinctl {}\n", env!("CARGO_PKG_VERSION"))),
         CtlCommand::Check(file) => CtlBundle::check(&file),
+        CtlCommand::Explain(files) => ctl_explain::run(settings.query.request.as_ref(), &files),
         CtlCommand::Status => ctl_status::run(settings, &vms(settings)?).await,
         CtlCommand::Timeline => ctl_timeline::run(settings, &vms(settings)?).await,
         step => {
--- a/crates/catkinward/src/ctl_settings.rs
+++ b/crates/catkinward/src/ctl_settings.rs
@@ -14,6 +14,7 @@
   bundle diff A B             what B changes in A; each is a version, a draft or a file
   bundle status               the release in force and the drafts over it
   bundle history              the latest releases
+  explain FILE...             what became of the request of --request, from logs of processes
   status                      bundle, readiness and requests in flight of each VM
   timeline                    events of all VMs in causal order; see the flags below
 
@@ -37,6 +38,7 @@
 pub(crate) enum CtlCommand {
     Check(PathBuf),
     Diff(BundleReference, BundleReference),
+    Explain(Vec<PathBuf>),
     Help,
     History,
     Propose(PathBuf),
@@ -183,6 +185,10 @@
     let first = words.next().ok_or(Error::CtlCommandAbsent)?;
     let name = match (first.as_str(), words.next()) {
         ("bundle", Some(second)) => format!("bundle {second}"),
+        ("explain", Some(file)) => {
+            let files = std::iter::once(file).chain(words).map(PathBuf::from);
+            return Ok(CtlCommand::Explain(files.collect()));
+        }
         (_, Some(extra)) => return Err(Error::CtlArgumentExtra { argument: extra }),
         (_, None) => first,
     };
@@ -194,6 +200,7 @@
         words.next().ok_or(absent)
     };
     let command = match name.as_str() {
+        "explain" => CtlCommand::Explain(vec![next("FILE")?.into()]),
         "bundle check" => CtlCommand::Check(next("FILE")?.into()),
         "bundle propose" => CtlCommand::Propose(next("FILE")?.into()),
         "bundle sign-off" => CtlCommand::SignOff(next("DRAFT")?.parse()?),
--- a/crates/catkinward/src/error.rs
+++ b/crates/catkinward/src/error.rs
@@ -113,6 +113,10 @@
     #[display("the operators' key must have visible ASCII characters only")]
     #[from(skip)]
     CtlKeyForm,
+    /// `catkinctl explain` was not told which request.
+    #[display("`explain` needs the request's id, as in `--request ID`")]
+    #[from(skip)]
+    CtlRequestAbsent,
     /// The platform does not tell which VMs there are.
     #[display("the platform's list of VMs cannot be had: {fault}; name VMs with `--vm ADDRESS`")]
     #[from(skip)]
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -121,6 +121,7 @@
 mod claims;
 mod ctl;
 mod ctl_bundle;
+mod ctl_explain;
 mod ctl_settings;
 mod ctl_status;
 mod ctl_time;
--- /dev/null
+++ b/crates/catkinward/tests/explain.rs
@@ -0,0 +1,114 @@
+//! `catkinctl explain`: what became of a request, from logs.
+
+use googletest::prelude::*;
+use std::process::{Command, Output};
+
+fn line(second: u32, fields: &str) -> String {
+    format!(
+        "{{\"timestamp\":\"2026-01-01T10:00:{second:02}.000000Z\",\"level\":\"INFO\",{fields}}}\n"
+    )
+}
+
+fn explain(args: &[&str], logs: &[(&str, String)]) -> Output {
+    let folder = tempfile::tempdir().unwrap();
+    let files = logs.iter().map(|(name, text)| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    });
+    let files = files.collect::<Vec<_>>();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_catkinctl"));
+    command
+        .arg("explain")
+        .args(args)
+        .args(files)
+        .output()
+        .unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn accepted(second: u32) -> String {
+    line(second, r#""message":"accepted","request":"r1","route":"a""#)
+}
+
+/// A user complains of a stream that stopped. The lines of two VMs are merged, and the cause is named.
+#[gtest]
+fn cut_stream_is_explained() {
+    let lost = r#""message":"run of a stream lost","request":"r1","upstream":"u1","loss":"silent""#;
+    let cut = r#""message":"stream cut","request":"r1","cut":"no upstream could go on""#;
+    let suspect = r#""message":"upstream is suspect","upstream":"u1""#;
+    let other = r#""message":"accepted","request":"r2""#;
+    let one = accepted(1) + &line(3, lost) + &line(4, cut) + &line(2, other);
+    let two = line(3, suspect);
+
+    let output = explain(
+        &["--request", "r1"],
+        &[("vm-1.log", one), ("vm-2.log", two)],
+    );
+
+    let text = text(&output);
+    expect_that!(text, contains_substring("vm-2  upstream is suspect"));
+    expect_that!(text, not(contains_substring("r2")));
+    expect_that!(
+        text,
+        contains_substring(
+            "cause: cut: no upstream could go on; the last of 1 lost runs was on u1 (silent)"
+        )
+    );
+}
+
+/// A process died under a request: its lines just end, and the process starts anew.
+#[gtest]
+fn death_of_the_process_is_explained() {
+    let log = accepted(1) + &line(4, r#""message":"start","vm":"vm-1""#);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    expect_that!(text(&output), contains_substring("cause: its process died"));
+}
+
+/// A call was refused. The reason is the VM's.
+#[gtest]
+fn refused_call_is_explained() {
+    let refused = r#""message":"answered by this VM","request":"r1","outcome":"not_run","reason":"upstream_refused""#;
+    let log = accepted(1) + &line(1, refused);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    let text = text(&output);
+    expect_that!(
+        text,
+        contains_substring("cause: answered by the VM itself: not_run, upstream_refused")
+    );
+}
+
+/// Lines were left out, or the caller left. That is said, and nothing is made up.
+#[gtest]
+fn what_the_lines_do_not_tell_is_said() {
+    let log = accepted(1) + "no json\n";
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    let text = text(&output);
+    expect_that!(text, contains_substring("cause: the lines do not tell"));
+    expect_that!(text, contains_substring("1 lines are no JSON"));
+}
+
+/// The request's id, a file, or its text are missing. Each is said with an exact sentence.
+#[gtest]
+fn missing_input_is_said() {
+    let no_id = explain(&[], &[("vm-1.log", accepted(1))]);
+    let no_file = explain(&["--request", "r1"], &[]);
+    let unknown = explain(&["--request", "r9"], &[("vm-1.log", accepted(1))]);
+
+    let error = |output: &Output| String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(
+        error(&no_id),
+        eq("error: `explain` needs the request's id, as in `--request ID`\n")
+    );
+    expect_that!(error(&no_file), contains_substring("`explain` needs FILE"));
+    expect_that!(text(&unknown), eq("no line names the request r9\n"));
+}
