--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -135,6 +135,7 @@
                 last.text("outcome")
             )
         }
+        "caller left" => format!("its caller left before the answer was whole{loss}"),
         "stream cut" => format!("cut: {}{loss}", last.text("cut")),
         "answered" => format!(
             "answered by the upstream with status {}",
@@ -162,7 +163,7 @@
     match process.map(LogLine::message) {
         Some("shutdown cut calls") => "cut by the end of its process' grace time".to_owned(),
         Some("start") => "its process died and was started anew".to_owned(),
-        _ => "the lines do not tell: its caller left, or lines are missing".to_owned(),
+        _ => "the lines do not tell: lines are missing".to_owned(),
     }
 }
 
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -101,11 +101,16 @@
             }
         };
         let (kind, service) = (accepted.route.kind, accepted.service.clone());
+        let mut caller = CallerWatch {
+            call: call.clone(),
+            stays: false,
+        };
         let reply = if kind.is_stream() {
             call_stream(self, accepted).await
         } else {
             call_whole(self, accepted).await
         };
+        caller.stays = true;
         count_reply(&service, &reply);
         match &reply {
             Reply::Whole { status, .. } => {
@@ -350,6 +355,27 @@
     }
 }
 
+/// Says that a caller has left, if it is dropped before there is an answer: the door drops a call with
+/// its connection, and its lines would just end.
+struct CallerWatch {
+    call: Arc<Call>,
+    stays: bool,
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if !self.stays {
+            log_caller_left(&self.call, None);
+        }
+    }
+}
+
+/// Logs that a caller left before its answer was whole.
+pub(crate) fn log_caller_left(call: &Call, last_event: Option<u64>) {
+    metrics::counter!("catkin_callers_left_total").increment(1);
+    tracing::info!(request = %call.id, last_event, "caller left");
+}
+
 /// The answer to a call that was not sent.
 pub(crate) fn refused(call: &Call, reason: RefusalReason, retry_after: Duration) -> Reply {
     let not_run = Queued::new(call.id.clone()).refuse(reason, retry_after);
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -1,8 +1,14 @@
 //! A stream over one or more runs on upstreams.
 
 use super::{
-    accepted_call::AcceptedCall, copy_keeper::CopyKeeper, core::millis, kept_copy::KeptCopy,
-    reply::StreamCut, run_guard::RunGuard, stream_call::StreamStop, *,
+    accepted_call::AcceptedCall,
+    copy_keeper::CopyKeeper,
+    core::{log_caller_left, millis},
+    kept_copy::KeptCopy,
+    reply::StreamCut,
+    run_guard::RunGuard,
+    stream_call::StreamStop,
+    *,
 };
 
 /// How often a stream is sent at most, refusals counted in. Each costs a few milliseconds; a resume
@@ -40,6 +46,17 @@
     head: Option<(StatusCode, HeaderMap)>,
     /// When the run before was lost.
     lost_at: Option<Instant>,
+    /// Whether the stream is whole or cut.
+    ended: bool,
+}
+
+impl Drop for StreamRun {
+    fn drop(&mut self) {
+        // Before the first event whoever waits for it says so.
+        if self.delivered && !self.ended {
+            log_caller_left(&self.accepted.call, self.relay.last());
+        }
+    }
 }
 
 /// The run that the caller gets events from.
@@ -94,6 +111,7 @@
             delivered: false,
             head: None,
             lost_at: None,
+            ended: false,
         }
     }
 
@@ -137,7 +155,8 @@
         }
     }
 
-    pub(crate) fn log_cut(&self, cut: StreamCut) {
+    pub(crate) fn log_cut(&mut self, cut: StreamCut) {
+        self.ended = true;
         metrics::counter!("catkin_streams_cut_total").increment(1);
         tracing::warn!(request = %self.accepted.call.id, last_event = self.relay.last(),
             sends = self.sends, runs = self.ran_on.len(), %cut, "stream cut");
@@ -239,6 +258,7 @@
     }
 
     fn finished(&mut self) {
+        self.ended = true;
         self.active = None;
         self.gateway.delivered(self.accepted.digest);
         let now = self.gateway.timer.now();
