--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -159,7 +159,7 @@
     let mut after = all
         .iter()
         .filter(|line| line.file == last.file && line.micros >= last.micros);
-    let process = after.find(|line| line.is_of_process());
+    let process = after.find(|line| matches!(line.message(), "start" | "shutdown cut calls"));
     match process.map(LogLine::message) {
         Some("shutdown cut calls") => "cut by the end of its process' grace time".to_owned(),
         Some("start") => "its process died and was started anew".to_owned(),
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -63,7 +63,8 @@
 /// A process died under a request: its lines just end, and the process starts anew.
 #[gtest]
 fn death_of_the_process_is_explained() {
-    let log = accepted(1) + &line(4, r#""message":"start","vm":"vm-1""#);
+    let lost = line(2, r#""message":"platform lost","feed":"config""#);
+    let log = accepted(1) + &lost + &line(4, r#""message":"start","vm":"vm-1""#);
 
     let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
 
