Free copies that nobody will use

Change: such a copy is freed when it is dropped, unless a run goes on from it or it was renewed. Test: copy_that_nobody_uses_is_freed.

--- a/crates/catkinward/src/gateway/copy_keeper.rs
+++ b/crates/catkinward/src/gateway/copy_keeper.rs
@@ -67,7 +67,13 @@
         match answer {
             Ok(source) => {
                 tracing::info!(handle = &*source.handle, holder = %holder.id, "memory copied");
-                self.made = Some((KeptCopy::new(&self.gateway, holder, source), now));
+                if let Some((before, _)) = &mut self.made
+                    && before.source == source
+                {
+                    before.keep();
+                }
+                let copy = KeptCopy::ordered(&self.gateway, holder, source);
+                self.made = Some((copy, now));
             }
             Err(fault) => {
                 let fault_name: &str = fault.into();
--- a/crates/catkinward/src/gateway/kept_copy.rs
+++ b/crates/catkinward/src/gateway/kept_copy.rs
@@ -7,6 +7,8 @@
     pub(crate) holder: Arc<UpstreamEntry>,
     /// Its name.
     pub(crate) source: CopySource,
+    /// Whether it has to be freed when nobody will use it.
+    to_free: bool,
 }
 
 impl KeptCopy {
@@ -20,14 +22,24 @@
             address: holder.address,
             handle: call.as_str().into(),
         };
-        Self::new(gateway, holder, source)
+        Self::count(gateway, holder, source, false)
     }
 
-    /// A copy with a name of its own.
-    pub(crate) fn new(
+    /// A copy that was ordered. Its holder keeps room for it for seconds after the run has ended, so it
+    /// is freed when it is dropped.
+    pub(crate) fn ordered(
         gateway: &Arc<Gateway>,
         holder: Arc<UpstreamEntry>,
         source: CopySource,
+    ) -> Self {
+        Self::count(gateway, holder, source, true)
+    }
+
+    fn count(
+        gateway: &Arc<Gateway>,
+        holder: Arc<UpstreamEntry>,
+        source: CopySource,
+        to_free: bool,
     ) -> Self {
         let now = gateway.timer.now();
         gateway
@@ -40,9 +52,15 @@
             gateway: gateway.clone(),
             holder,
             source,
+            to_free,
         }
     }
 
+    /// Notes that a run goes on from it, or that another order has renewed it.
+    pub(crate) fn keep(&mut self) {
+        self.to_free = false;
+    }
+
     /// Whether it can be gone on from, as far as is known.
     pub(crate) fn is_usable(&self) -> bool {
         self.gateway.may_use(&self.holder)
@@ -54,5 +72,9 @@
         let now = self.gateway.timer.now();
         let mut state = self.gateway.state.lock();
         state.upstream(&self.holder, now).load.copy_ends();
+        drop(state);
+        if self.to_free {
+            tokio::spawn((self.gateway.transport.free)(self.source.clone()));
+        }
     }
 }
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -318,7 +318,10 @@
             if self.sends > 0 && !self.may_send_again() {
                 return Err(self.stop());
             }
-            let from = self.copy.take().filter(KeptCopy::is_usable);
+            let mut from = self.copy.take().filter(KeptCopy::is_usable);
+            if let Some(copy) = &mut from {
+                copy.keep();
+            }
             let entry = match &from {
                 Some(copy) => copy.holder.clone(),
                 None => match self.choose().await {
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -8,6 +8,8 @@
     pub send: SendCall,
     /// Has an engine copy the memory of a run to another one while it goes on.
     pub copy: CopyMemory,
+    /// Has an engine free a copy that nobody will use.
+    pub free: FreeCopy,
     /// Asks an upstream over a connection of its own whether it lives and how busy it is.
     pub ask: AskUpstream,
 }
@@ -28,6 +30,9 @@
 pub type CopyMemory =
     Box<dyn Fn(CopyOrder) -> BoxFuture<'static, Result<CopySource, CopyFault>> + Send + Sync>;
 
+/// Has an engine free a copy. Nothing depends on its success: an engine frees it by itself later.
+pub type FreeCopy = Box<dyn Fn(CopySource) -> BoxFuture<'static, ()> + Send + Sync>;
+
 /// Which memory is to be copied, and where to.
 #[derive(Clone, Debug)]
 pub struct CopyOrder {
--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -135,6 +135,36 @@
     expect_that!(seen.len(), eq(2));
     expect_that!(seen[1].from_copy, some(eq("copy-1")));
     expect_that!(copies.contains(&seen[1].upstream), eq(true));
+    expect_that!(running.freed.lock().is_empty(), eq(true));
+}
+
+/// A copy was made anew for a stream that then ends well. Its holder would keep room for it for seconds;
+/// it is told that nobody will use it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn copy_that_nobody_uses_is_freed() {
+    let running = GatewayFixture::new(|_| Script::Stream(events(1, 100), End::Whole))
+        .usual_upstreams()
+        .start();
+    let reply = running.handle("/stream/1").await;
+    let reading = tokio::spawn(read_stream(reply));
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    for zone in ["b", "c"] {
+        for n in [1, 2] {
+            let lost = format!("engine-{zone}{n}");
+            if running.seen.lock()[0].copy_to
+                == Some(upstream(&lost, ENGINES, zone).address.to_string())
+            {
+                running.gateway.upstream_removed(&lost.parse().unwrap());
+            }
+        }
+    }
+
+    let stream = reading.await.unwrap();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+
+    expect_that!(stream, eq(&(text(1, 100), true)));
+    expect_that!(*running.freed.lock(), eq(&["copy-1"]));
 }
 
 /// The holder of a copy has no copy: it came too late, or there was no room. The prompt is read again
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -94,6 +94,8 @@
     pub questions: Arc<Mutex<Vec<String>>>,
     /// Holders of copies that were ordered.
     pub copies: Arc<Mutex<Vec<String>>>,
+    /// Copies that were freed.
+    pub freed: Arc<Mutex<Vec<String>>>,
 }
 
 impl GatewayFixture {
@@ -185,7 +187,16 @@
         let seen = Arc::new(Mutex::new(Vec::new()));
         let questions = Arc::new(Mutex::new(Vec::new()));
         let copies = Arc::new(Mutex::new(Vec::new()));
-        let transport = transport(self.script, self.alive, &timer, &seen, &questions, &copies);
+        let freed = Arc::new(Mutex::new(Vec::new()));
+        let transport = transport(
+            self.script,
+            self.alive,
+            &timer,
+            &seen,
+            &questions,
+            &copies,
+            &freed,
+        );
         let settings = GatewaySettings {
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
@@ -199,6 +210,7 @@
             seen,
             questions,
             copies,
+            freed,
         }
     }
 }
@@ -346,8 +358,9 @@
     seen: &Arc<Mutex<Vec<Seen>>>,
     questions: &Arc<Mutex<Vec<String>>>,
     copies: &Arc<Mutex<Vec<String>>>,
+    freed: &Arc<Mutex<Vec<String>>>,
 ) -> UpstreamTransport {
-    let copies = copies.clone();
+    let (copies, freed) = (copies.clone(), freed.clone());
     let (timer, seen, questions) = (timer.clone(), seen.clone(), questions.clone());
     UpstreamTransport {
         send: Box::new(move |call| {
@@ -372,6 +385,10 @@
                 })
             })
         }),
+        free: Box::new(move |copy| {
+            freed.lock().push(copy.handle.to_string());
+            Box::pin(async {})
+        }),
         ask: Box::new(move |question| {
             let id = question.entry.id.to_string();
             let alive = alive(&id);
