Wait on for a silent upstream where a call has no other way

Change: the call is left to the silent upstream unless another try is to be had. Test: slow_answer_is_waited_for_where_there_is_no_other_upstream.

--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -1,4 +1,5 @@
 use super::{accepted_call::AcceptedCall, core::millis, run_guard::RunGuard, *};
+use std::pin::pin;
 
 /// How often a call is sent at most, refusals counted in: two more than there are zones, so that one
 /// full upstream in each does not end it.
@@ -24,6 +25,8 @@
     Failed(Reply),
     /// It has not run.
     NotRun(NotRunEvidence),
+    /// Without an answer for so long that it is sent to another upstream.
+    Moved(Arc<UpstreamEntry>),
     /// It may have run.
     Lost,
     /// Its time is over.
@@ -63,8 +66,11 @@
         let mut failure = None;
         loop {
             let sent = self.send(&entry).await;
-            self.avoid.push(entry.id.clone());
             dispatched = match sent {
+                Sent::Moved(next) => {
+                    entry = next;
+                    dispatched.unknown().dispatch_again()
+                }
                 Sent::Answered(reply) => {
                     self.gateway.delivered(self.accepted.digest);
                     return reply;
@@ -125,6 +131,7 @@
 
     async fn send(&mut self, entry: &Arc<UpstreamEntry>) -> Sent {
         self.sends += 1;
+        self.avoid.push(entry.id.clone());
         let gateway = self.gateway.clone();
         let mut guard = RunGuard::begin(&gateway, entry.clone(), 0);
         let start = gateway.timer.now();
@@ -146,14 +153,28 @@
             gateway.heard(entry, answer.load);
             collect(answer).await
         };
-        let answer = tokio::select! {
-            answer = answer => answer,
-            // A call that runs once at most stays with its upstream: it may yet answer.
-            () = guard.lost(), if repeat => Err(SendFault::Lost),
-            () = tokio::time::sleep(time_left.mul_f64(STALL_PART)), if repeat => {
-                Err(SendFault::Stalled)
+        let mut answer = pin!(answer);
+        let deadline = tokio::time::Instant::now() + time_left;
+        let mut stalls_at = Some(deadline - time_left.mul_f64(1.0 - STALL_PART));
+        let answer = loop {
+            let stall = tokio::time::sleep_until(stalls_at.unwrap_or(deadline));
+            tokio::select! {
+                answer = &mut answer => break answer,
+                // A call that runs once at most stays with its upstream: it may yet answer.
+                () = guard.lost(), if repeat => break Err(SendFault::Lost),
+                () = stall, if repeat && stalls_at.is_some() => {
+                    // Without another try left it is better to wait on.
+                    self.runs += 1;
+                    if let Some(next) = self.next_for_repeat() {
+                        self.log_fault(entry, SendFault::Stalled);
+                        gateway.outcome(entry, true);
+                        return Sent::Moved(next);
+                    }
+                    self.runs -= 1;
+                    stalls_at = None;
+                }
+                () = tokio::time::sleep_until(deadline) => return Sent::TimedOut,
             }
-            () = tokio::time::sleep(time_left) => return Sent::TimedOut,
         };
         let sent = match answer {
             Ok(answer) => self.judge(entry, answer),
@@ -191,9 +212,7 @@
     }
 
     fn failed(&self, entry: &Arc<UpstreamEntry>, fault: SendFault) -> Sent {
-        let fault_name: &str = fault.into();
-        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, fault = fault_name,
-            "call failed");
+        self.log_fault(entry, fault);
         match fault {
             SendFault::NoConnection => {
                 self.gateway.broke(entry);
@@ -207,6 +226,12 @@
         }
     }
 
+    fn log_fault(&self, entry: &UpstreamEntry, fault: SendFault) {
+        let fault: &str = fault.into();
+        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, fault,
+            "call failed");
+    }
+
     fn log_sent(&self, entry: &UpstreamEntry, time_left: Duration) {
         if self
             .gateway
--- a/crates/catkinward/tests/gateway_calls.rs
+++ b/crates/catkinward/tests/gateway_calls.rs
@@ -183,6 +183,27 @@
     expect_that!(running.sent_to().len(), eq(2));
 }
 
+/// The only upstream is slow, and there is none to go to. The call is not given up for that: its answer
+/// comes late, but it comes.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn slow_answer_is_waited_for_where_there_is_no_other_upstream() {
+    let running = GatewayFixture::new(|_| {
+        let late = Part::Pause(Duration::from_millis(800));
+        Script::Stream(vec![late, Part::Bytes("late".to_owned())], End::Whole)
+    })
+    .upstream("plain-a", PLAIN, "a")
+    .start();
+
+    let reply = running.handle("/quick/1").await;
+
+    let Reply::Whole { body, .. } = reply else {
+        panic!("{reply:?}");
+    };
+    expect_that!(body.as_ref(), eq(b"late"));
+    expect_that!(running.sent_to().len(), eq(1));
+}
+
 /// A call that may run only once goes over a connection that is surely open: an error on one that its
 /// upstream was just closing would leave it open whether the call has run.
 #[gtest]
