--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -41,6 +41,10 @@
 /// some to be closed, short against a caller's patience of a second.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often the settings file is looked at for a change that nobody told of: a small file, read twice in
+/// the time in which a configuration must be in force.
+pub const SETTINGS_LOOK: Duration = Duration::from_secs(1);
+
 /// How often the limits on callers' connections are looked at; they are seconds.
 pub const LIMITS_LOOK: Duration = Duration::from_millis(250);
 
