A VM that reaches no upstream of a service is not ready

Change: readiness is false while all upstreams of a service are suspects; they are asked on, so the way back costs no call, and the platform sends callers to other zones meanwhile. Test: vm_that_reaches_no_upstream_of_a_service_is_not_ready.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -194,10 +194,18 @@
         }
     }
 
-    /// Whether new callers may come: everything needed is known, and no shutdown has begun.
+    /// Whether new callers may come: everything needed is known, no shutdown has begun, and no service
+    /// is out of reach. In an availability zone that is cut off and has no upstream of a service left,
+    /// callers of that service would wait for nothing; the platform sends them to another zone instead.
+    /// Suspects are asked all the while, so the way back needs no call.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.state.lock().is_complete() && !self.drain.has_begun()
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let known = state.is_complete();
+        let in_reach = !state.cannot_reach_a_service(now);
+        drop(state);
+        known && in_reach && !self.drain.has_begun()
     }
 
     fn accept(&self, call: &Arc<Call>) -> Result<AcceptedCall, Box<Reply>> {
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -55,6 +55,24 @@
         self.config.get().is_some() && self.directory_read
     }
 
+    /// Whether some service has upstreams and none of them answers this VM.
+    pub(crate) fn cannot_reach_a_service(&mut self, now: Instant) -> bool {
+        let Some(config) = self.config.get().cloned() else {
+            return false;
+        };
+        config.services.iter().any(|service| {
+            let entries = self
+                .directory
+                .usable(&service.name, now)
+                .cloned()
+                .collect::<Vec<_>>();
+            let all_suspect = entries
+                .iter()
+                .all(|e| self.upstream(e, now).pulse.is_suspect());
+            !entries.is_empty() && all_suspect
+        })
+    }
+
     /// Notes that the connection of a call broke. Connections also break while their upstream lives,
     /// so nothing is laid to the call before its death shows.
     pub(crate) fn broke_under(&mut self, crash: Crash) {
--- a/crates/catkinward/tests/gateway_start.rs
+++ b/crates/catkinward/tests/gateway_start.rs
@@ -4,7 +4,13 @@
 
 use gateway_support::*;
 use googletest::prelude::*;
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 /// All processes were killed, and callers come as soon as they take connections again, before the
 /// configuration is read. Told to come back they would be lost, having no try left; they wait.
@@ -43,3 +49,29 @@
     expect_that!(running.gateway.is_ready(), eq(false));
     expect_that!(waited, le(Duration::from_millis(700)));
 }
+
+/// An availability zone is cut off, and the only upstream of a service within it is gone. Callers of that
+/// service would wait for nothing: the VM is not ready until an upstream answers it again.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_reaches_no_upstream_of_a_service_is_not_ready() {
+    let cut = Arc::new(AtomicBool::new(false));
+    let is_cut = cut.clone();
+    let running = GatewayFixture::new(|_| Script::Hang)
+        .usual_upstreams()
+        .alive(move |id| !(is_cut.load(Ordering::Relaxed) && id.starts_with("plain")))
+        .start();
+    let before = running.gateway.is_ready();
+    cut.store(true, Ordering::Relaxed);
+    for _ in 0..3 {
+        // Each call finds one more upstream out of reach.
+        running.handle("/once/1").await;
+    }
+    let while_cut = running.gateway.is_ready();
+    cut.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let after = running.gateway.is_ready();
+
+    expect_that!((before, while_cut, after), eq((true, false, true)));
+}
