--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -1,4 +1,4 @@
-use super::{core::millis, *};
+use super::{reply_log::millis, *};
 use std::sync::Weak;
 
 /// How often silence is looked for: short against the bound of silence, 20 wake-ups a second.
--- /dev/null
+++ b/crates/catkinward/src/gateway/reply_log.rs
@@ -0,0 +1,60 @@
+//! What the log and the metrics say of how calls end.
+
+use super::*;
+
+/// Says that a caller has left, if it is dropped before there is an answer: the door drops a call with
+/// its connection, and its lines would just end.
+pub(crate) struct CallerWatch {
+    pub(crate) call: Arc<Call>,
+    pub(crate) stays: bool,
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if !self.stays {
+            log_caller_left(&self.call, None);
+        }
+    }
+}
+
+/// Logs that a caller left before its answer was whole.
+pub(crate) fn log_caller_left(call: &Call, last_event: Option<u64>) {
+    metrics::counter!("catkin_callers_left_total").increment(1);
+    tracing::info!(request = %call.id, last_event, "caller left");
+}
+
+/// Milliseconds, for the log.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn log_own_reply(call: &Call, reply: &Reply) {
+    let outcome = outcome(reply);
+    if let Reply::NotRun { not_run } = reply {
+        tracing::warn!(request = %call.id, outcome, reason = %not_run.reason(),
+            retry_after_ms = millis(not_run.retry_after()), "answered by this VM");
+    } else {
+        tracing::warn!(request = %call.id, outcome, host = &*call.host, path = &*call.path,
+            "answered by this VM");
+    }
+}
+
+pub(crate) fn count_reply(service: &ServiceId, reply: &Reply) {
+    let labels = [
+        ("service", service.to_string()),
+        ("outcome", outcome(reply).to_owned()),
+    ];
+    metrics::counter!("catkin_calls_total", &labels).increment(1);
+}
+
+fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Whole { .. } => "whole",
+        Reply::Events { .. } => "events",
+        Reply::NotRun { .. } => "not_run",
+        Reply::Unknown => "unknown",
+        Reply::TimedOut => "timed_out",
+        Reply::NoRoute => "no_route",
+        Reply::UnknownKey => "unknown_key",
+    }
+}
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -3,21 +3,14 @@
 use super::{
     accepted_call::AcceptedCall,
     copy_keeper::CopyKeeper,
-    core::{log_caller_left, millis},
     kept_copy::KeptCopy,
     reply::StreamCut,
+    reply_log::{log_caller_left, millis},
     run_guard::RunGuard,
     stream_call::StreamStop,
     *,
 };
 
-/// How often a stream is sent at most, refusals counted in. Each costs a few milliseconds; a resume
-/// that finds no place is worth several.
-const MOST_SENDS: u32 = 12;
-
-/// Wait before upstreams are tried again after all refused.
-const REFUSED_WAIT: Duration = Duration::from_millis(60);
-
 /// Silence of a stream that has begun, after which it goes on elsewhere although its upstream answers
 /// questions: its connection has gone silent for good, or it was put aside for a more urgent one.
 /// Events come every 30 to 200 ms; with the resume a caller waits less than 0.7 s.
@@ -26,28 +19,28 @@
 /// Silence before the first event after which the prompt is read elsewhere. Reading and waiting for
 /// other prompts takes one to four seconds, and to begin anew costs as much, so this is only for
 /// connections that have gone silent for good.
-const STALL_BEFORE_FIRST: Duration = Duration::from_secs(6);
+pub(super) const STALL_BEFORE_FIRST: Duration = Duration::from_secs(6);
 
 /// A stream on its way to a caller.
 pub(crate) struct StreamRun {
-    gateway: Arc<Gateway>,
-    accepted: AcceptedCall,
-    relay: EventRelay,
-    active: Option<ActiveRun>,
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) accepted: AcceptedCall,
+    pub(super) relay: EventRelay,
+    pub(super) active: Option<ActiveRun>,
     /// A copy of the memory of the run before.
-    copy: Option<KeptCopy>,
+    pub(super) copy: Option<KeptCopy>,
     /// Upstreams that lost or refused it.
-    avoid: Vec<UpstreamId>,
-    sends: u32,
+    pub(super) avoid: Vec<UpstreamId>,
+    pub(super) sends: u32,
     /// Upstreams that may have run it, the present one included.
-    ran_on: Vec<UpstreamId>,
+    pub(super) ran_on: Vec<UpstreamId>,
     /// Whether the caller has got an event.
-    delivered: bool,
-    head: Option<(StatusCode, HeaderMap)>,
+    pub(super) delivered: bool,
+    pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// When the run before was lost.
-    lost_at: Option<Instant>,
+    pub(super) lost_at: Option<Instant>,
     /// Whether the stream is whole or cut.
-    ended: bool,
+    pub(super) ended: bool,
 }
 
 impl Drop for StreamRun {
@@ -60,15 +53,15 @@
 }
 
 /// The run that the caller gets events from.
-struct ActiveRun {
-    number: EventRun,
-    guard: RunGuard,
-    copies: CopyKeeper,
-    body: AnswerBody,
-    splitter: EventSplitter,
-    gave_events: bool,
+pub(super) struct ActiveRun {
+    pub(super) number: EventRun,
+    pub(super) guard: RunGuard,
+    pub(super) copies: CopyKeeper,
+    pub(super) body: AnswerBody,
+    pub(super) splitter: EventSplitter,
+    pub(super) gave_events: bool,
     /// When something came last.
-    progress: tokio::time::Instant,
+    pub(super) progress: tokio::time::Instant,
 }
 
 /// What came from the active run.
@@ -84,7 +77,7 @@
 /// How a run was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum Loss {
+pub(super) enum Loss {
     /// Its connection broke.
     Broken,
     /// Its upstream did not answer a question.
@@ -294,7 +287,7 @@
         Err(StreamStop::Cut(StreamCut::NotResumable))
     }
 
-    fn run_lost(&mut self, entry: &Arc<UpstreamEntry>, loss: Loss) {
+    pub(super) fn run_lost(&mut self, entry: &Arc<UpstreamEntry>, loss: Loss) {
         self.lost_at.get_or_insert(self.gateway.timer.now());
         self.avoid.push(entry.id.clone());
         let loss_name: &str = loss.into();
@@ -307,204 +300,4 @@
             self.gateway.crashed_under(entry, self.accepted.digest);
         }
     }
-
-    /// Begins a run: from the copy of the one before if that can be, else where it fits best.
-    async fn open(&mut self) -> Result<(), StreamStop> {
-        loop {
-            let now = self.gateway.timer.now();
-            if self.accepted.time_left(now).is_zero() {
-                return Err(StreamStop::TimedOut);
-            }
-            if self.sends > 0 && !self.may_send_again() {
-                return Err(self.stop());
-            }
-            let mut from = self.copy.take().filter(KeptCopy::is_usable);
-            if let Some(copy) = &mut from {
-                copy.keep();
-            }
-            let entry = match &from {
-                Some(copy) => copy.holder.clone(),
-                None => match self.choose().await {
-                    Some(entry) => entry,
-                    None => return Err(self.stop()),
-                },
-            };
-            if self.send(entry, from).await? {
-                return Ok(());
-            }
-        }
-    }
-
-    fn may_send_again(&self) -> bool {
-        // Upstreams that died or were cut off do not count: their loss is no fault of the call.
-        let alive = self.gateway.count_usable(&self.ran_on);
-        self.sends < MOST_SENDS
-            && alive < self.accepted.route.max_upstreams
-            && self.gateway.pay_repeat(&self.accepted.service)
-    }
-
-    fn stop(&self) -> StreamStop {
-        if self.ran_on.is_empty() {
-            StreamStop::NotRun
-        } else {
-            StreamStop::Cut(StreamCut::NoUpstream)
-        }
-    }
-
-    /// An upstream that has not failed this stream, or after a wait any.
-    async fn choose(&mut self) -> Option<Arc<UpstreamEntry>> {
-        let fresh = self.gateway.place(&self.accepted, &self.avoid);
-        if fresh.is_some() {
-            return fresh;
-        }
-        self.avoid.clear();
-        if self.sends > 0 {
-            tokio::time::sleep(REFUSED_WAIT).await;
-        }
-        self.gateway.place(&self.accepted, &[])
-    }
-
-    /// Sends it to an upstream; whether a run began.
-    async fn send(
-        &mut self,
-        entry: Arc<UpstreamEntry>,
-        from: Option<KeptCopy>,
-    ) -> Result<bool, StreamStop> {
-        self.sends += 1;
-        let gateway = self.gateway.clone();
-        let from_copy = from.is_some();
-        let copy = gateway.place_copy(&self.accepted, &entry);
-        let now = gateway.timer.now();
-        let time_left = self.accepted.time_left(now);
-        let call = UpstreamCall {
-            call: self.accepted.call.clone(),
-            entry: entry.clone(),
-            team: self.accepted.team.clone(),
-            time_left,
-            last_event: self.relay.last(),
-            copy_to: copy.as_ref().map(|copy| copy.address),
-            copy_from: from.as_ref().map(|copy| copy.source.clone()),
-            longest_idle: self.accepted.longest_idle(),
-        };
-        self.log_sent(&entry, copy.as_deref(), from_copy, time_left);
-        let tokens = match self.accepted.call.prompt {
-            Some(prompt) if !from_copy => prompt.tokens,
-            _ => 0,
-        };
-        let copy = copy.map(|holder| KeptCopy::growing(&gateway, holder, &self.accepted.call.id));
-        let mut guard = RunGuard::begin(&gateway, entry.clone(), tokens);
-        let repeat = self.accepted.route.kind.may_repeat();
-        let answer = tokio::select! {
-            answer = (gateway.transport.send)(call) => answer,
-            // An answer may have no head before its first event.
-            () = tokio::time::sleep(STALL_BEFORE_FIRST), if repeat => {
-                self.ran_on.push(entry.id.clone());
-                drop((guard, copy));
-                self.run_lost(&entry, Loss::Stalled);
-                return Ok(false);
-            }
-            () = guard.lost() => {
-                self.ran_on.push(entry.id.clone());
-                drop((guard, copy));
-                self.run_lost(&entry, Loss::Silent);
-                return self.unless_once();
-            }
-            () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
-        };
-        match answer {
-            Ok(answer) => self.begun(guard, copy, answer),
-            Err(fault) => {
-                drop((guard, copy));
-                self.send_failed(&entry, fault)
-            }
-        }
-    }
-
-    fn begun(
-        &mut self,
-        guard: RunGuard,
-        copy: Option<KeptCopy>,
-        answer: UpstreamAnswer,
-    ) -> Result<bool, StreamStop> {
-        let entry = guard.entry.clone();
-        self.gateway.heard(&entry, answer.load);
-        if answer.other_incarnation || answer.not_executed {
-            if answer.other_incarnation {
-                self.gateway.replaced(&entry, answer.incarnation);
-            }
-            self.refused(&entry, answer.status);
-            return Ok(false);
-        }
-        self.ran_on.push(entry.id.clone());
-        if !answer.status.is_success() || !answer.signed {
-            drop(guard);
-            self.refused(&entry, answer.status);
-            return self.unless_once();
-        }
-        if !self.delivered {
-            // Nothing of a run before was handed on, so the caller gets the head of this one.
-            self.head = Some((answer.status, answer.headers));
-        }
-        self.active = Some(ActiveRun {
-            number: self.relay.begin_run(),
-            guard,
-            copies: CopyKeeper::new(&self.gateway, copy),
-            body: answer.body,
-            splitter: EventSplitter::default(),
-            gave_events: false,
-            progress: tokio::time::Instant::now(),
-        });
-        Ok(true)
-    }
-
-    fn refused(&mut self, entry: &UpstreamEntry, status: StatusCode) {
-        self.avoid.push(entry.id.clone());
-        tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
-            status = status.as_u16(), "refused by the upstream");
-    }
-
-    fn send_failed(
-        &mut self,
-        entry: &Arc<UpstreamEntry>,
-        fault: SendFault,
-    ) -> Result<bool, StreamStop> {
-        if fault == SendFault::NoConnection {
-            self.avoid.push(entry.id.clone());
-            let fault_name: &str = fault.into();
-            tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
-                fault = fault_name, "call failed");
-            self.gateway.broke(entry);
-            return Ok(false);
-        }
-        self.ran_on.push(entry.id.clone());
-        self.run_lost(entry, Loss::Broken);
-        self.unless_once()
-    }
-
-    /// Whether the stream may go on elsewhere after it may have run.
-    fn unless_once(&self) -> Result<bool, StreamStop> {
-        if self.accepted.route.kind.may_repeat() {
-            return Ok(false);
-        }
-        Err(StreamStop::Cut(StreamCut::NotResumable))
-    }
-
-    fn log_sent(
-        &self,
-        entry: &UpstreamEntry,
-        copy: Option<&UpstreamEntry>,
-        from_copy: bool,
-        time_left: Duration,
-    ) {
-        if self
-            .gateway
-            .log
-            .admits(LineKind::Sent, self.gateway.timer.now())
-        {
-            tracing::info!(request = %self.accepted.call.id, upstream = %entry.id,
-                zone = %entry.zone, send = self.sends, left_ms = millis(time_left),
-                last_event = self.relay.last(), from_copy,
-                copy = copy.map(|c| tracing::field::display(c.id.clone())), "sent");
-        }
-    }
 }
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -1,4 +1,4 @@
-use super::{accepted_call::AcceptedCall, core::millis, run_guard::RunGuard, *};
+use super::{accepted_call::AcceptedCall, reply_log::millis, run_guard::RunGuard, *};
 use std::pin::pin;
 
 /// How often a call is sent at most, refusals counted in: two more than there are zones, so that one
