--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -73,7 +73,33 @@
         .since(start)
         .saturating_sub(Duration::from_millis(1210));
     expect_that!(stream, eq(&(text(1, 40), true)));
-    expect_that!(pause, le(Duration::from_millis(500)));
+    // 200 ms of silence, up to 50 ms until it is looked at, 180 ms for an answer.
+    expect_that!(pause, le(Duration::from_millis(440)));
+}
+
+/// An engine's VM loses power while it reads a prompt, when silence is usual. The engine is asked and does
+/// not answer, and the prompt is read elsewhere at once.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn prompt_on_a_dead_engine_is_read_elsewhere_at_once() {
+    let sends = Arc::new(AtomicUsize::new(0));
+    let count = sends.clone();
+    let running = GatewayFixture::new(move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == 0 {
+            return Script::Hang;
+        }
+        Script::Stream(events(1, 40), End::Whole)
+    })
+    .alive(move |id| sends.load(Ordering::Relaxed) != 1 || !id.starts_with("engine-a"))
+    .usual_upstreams()
+    .start();
+    let start = running.timer.now();
+
+    let reply = running.handle("/stream/1").await;
+
+    let first_event = running.timer.now().since(start);
+    expect_that!(first_event, le(Duration::from_millis(500)));
+    expect_that!(read_stream(reply).await, eq(&(text(1, 40), true)));
 }
 
 /// A connection goes silent for good in the middle of a stream, while its engine lives and answers
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -329,7 +329,8 @@
             service: service.parse().unwrap(),
             weight: 1,
         }],
-        max_upstreams: if kind.may_repeat() { 5 } else { 1 },
+        // More than one everywhere: what may be repeated follows from the kind alone.
+        max_upstreams: 5,
         public: false,
     }
 }
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -258,6 +258,32 @@
     expect_that!(elsewhere.id.as_str(), eq("b0"));
 }
 
+/// Another VM has just sent a long prompt to the one upstream, and none to the other. Its word counts like
+/// the own dispatches.
+#[gtest]
+fn prompts_of_other_vms_count() {
+    let entries = entries(&["a"], 2);
+    let load = UpstreamLoad::default();
+    let vms = ["vm-1".into()];
+    let own_zone = zone("a");
+    let who = PlacementFor {
+        zone: &own_zone,
+        vm: "vm-1",
+        zone_vms: &vms,
+        stream: true,
+        random: 0.0,
+        now: at(1000),
+    };
+    let told_of = PlacementCandidate {
+        peer_reading: PROMPT_READING,
+        ..candidate(&entries[0], &load)
+    };
+
+    let chosen = place(&[told_of, candidate(&entries[1], &load)], &who).unwrap();
+
+    expect_that!(chosen.id.as_str(), eq("a1"));
+}
+
 /// An upstream has shown a fault. Calls go anywhere else first, but with nothing else left it is
 /// better than a refusal.
 #[gtest]
