--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -143,17 +143,6 @@
         }
     }
 
-    /// Notes a peer's word that an upstream is leaving.
-    pub fn leaving(&mut self, id: &UpstreamId) -> Option<Presence> {
-        let index = self.position(id).ok()?;
-        let known = &mut self.known[index];
-        let new = matches!(known.presence, Presence::Present | Presence::Lapsed(_));
-        if new {
-            known.presence = Presence::Leaving;
-        }
-        new.then_some(Presence::Leaving)
-    }
-
     /// Notes that the platform does not answer.
     pub fn platform_lost(&mut self) {
         self.outage = Outage::Now;
@@ -187,14 +176,6 @@
         known.is_usable(now).then_some(&known.entry)
     }
 
-    /// Ids of upstreams that are leaving.
-    pub fn leaving_ids(&self) -> impl Iterator<Item = &UpstreamId> {
-        self.known
-            .iter()
-            .filter(|known| known.presence == Presence::Leaving)
-            .map(|known| &known.entry.id)
-    }
-
     fn replace_at_address(&mut self, entry: &UpstreamEntry) {
         for known in &mut self.known {
             if known.entry.address == entry.address && known.entry.id != entry.id && !entry.leaving
