A request that kills engines before they answer costs two of them, not four

Cause: a death under a run without an answer was not held against its request the first two times, since the engine might have been dead when the order came.

Change: a death under an unanswered run makes the request a suspect. A suspect's order goes out only after its engine has just answered a question (one round trip, suspects only), so the next death counts, answered or not. A request that meets dead engines only is still served; a test says so, and one holds the bound of two (before: four).

The logs of an experiment's processes can be kept (CATKIN_LOAD_LOGS); they are read in any case, as a process whose output is closed has no log.

--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -75,6 +75,10 @@
     #[display("the upstream may get no new work")]
     #[from(skip)]
     NotEligible,
+    /// The upstream did not prove alive before a suspect request was sent to it; nothing was sent.
+    #[display("the upstream did not answer before the order was sent")]
+    #[from(skip)]
+    Unproven,
     /// The engine refused; nothing ran.
     #[display("the engine refused: {kind}")]
     #[from(skip)]
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -146,6 +146,12 @@
         match fault {
             AttemptFault::Refused { kind } => self.refused(*kind),
             AttemptFault::NotEligible => {}
+            AttemptFault::Unproven => {
+                self.failed();
+                // Nothing was sent, so the request was not there when the upstream died.
+                self.forget_run();
+                self.find_out().await;
+            }
             AttemptFault::Http(fault) if fault.never_connected() => {
                 self.failed();
                 // No connection was made, so the request was not there when the upstream died.
@@ -170,21 +176,60 @@
         }
     }
 
-    async fn find_out(&self) {
-        let _probing = self.state.probing.lock().await;
-        let current = self.state.record.lock().evidence.incarnation();
-        if current != Some(self.incarnation) {
-            return;
+    /// Asks the upstream whether it lives, if its request is a suspect; called right before the order
+    /// is sent.
+    ///
+    /// A request that kills its upstream may do so before any answer is read, and then looks like one
+    /// that was sent to an upstream that was dead already. Only this proof tells them apart.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer, or another process of it does.
+    pub(crate) async fn prove_alive(&self) -> Result<(), AttemptFault> {
+        let Some(run) = self.run else {
+            return Ok(());
+        };
+        if !self.known.poison.lock().needs_proof(run) {
+            return Ok(());
         }
         let asked = self.state.record.lock().ask(self.known.timer.now());
-        let call = HttpCall {
+        let load = self
+            .known
+            .connections
+            .call_json(self.load_call())
+            .await
+            .map_err(|fault| {
+                tracing::info!(upstream = %self.id(), %fault, "no proof that the upstream lives");
+                AttemptFault::Unproven
+            })?;
+        let report = read_report(load);
+        let same = report.incarnation == self.incarnation;
+        self.known.reported(&self.state, asked, report);
+        if !same {
+            return Err(AttemptFault::Unproven);
+        }
+        self.known.poison.lock().proven(run);
+        Ok(())
+    }
+
+    fn load_call(&self) -> HttpCall {
+        HttpCall {
             address: self.address(),
             path: "/v1/load".to_owned(),
             bound: DEATH_PROBE_BOUND,
             fresh: true,
             ..HttpCall::default()
-        };
-        match self.known.connections.call_json(call).await {
+        }
+    }
+
+    async fn find_out(&self) {
+        let _probing = self.state.probing.lock().await;
+        let current = self.state.record.lock().evidence.incarnation();
+        if current != Some(self.incarnation) {
+            return;
+        }
+        let asked = self.state.record.lock().ask(self.known.timer.now());
+        match self.known.connections.call_json(self.load_call()).await {
             Ok(load) => self.known.reported(&self.state, asked, read_report(load)),
             Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
                 self.known.died(&self.state, self.incarnation);
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -18,7 +18,11 @@
 //! An innocent request that meets two unrelated deaths within its watched steps is refused too,
 //! until its marks expire.
 //!
-//! A death counts once the upstream has begun to answer the request; before that, the third one does.
+//! A run counts as a cause of its upstream's death if the upstream had begun to answer it, or had proved
+//! alive right before the order was sent ([`PoisonTracker::proven`]). Without either, the upstream may
+//! have been dead when the order came, as at the loss of a rack, so such a death only makes the request
+//! a suspect. Suspects are sent to upstreams that have just proved alive, so a request that kills before
+//! it is answered is refused after its second upstream too.
 //!
 //! Grounds for the figures: the expiry outlasts a caller's resending, and is far below the 100
 //! minutes between two VM failures of an ordinary day at the target size. They are not tuned by a
@@ -32,9 +36,6 @@
 /// Deaths under a digest, cleared ones counted in, after which it is refused.
 pub const MOST_DEATHS: usize = 3;
 
-/// Deaths under runs without an answer that are not held against their request.
-const MOST_UNANSWERED: u32 = 2;
-
 /// Upstreams that one unmarked digest runs on at once.
 const MOST_UPSTREAMS: usize = 2;
 
@@ -66,8 +67,6 @@
     /// Sorted by digest and id.
     runs: Vec<Run>,
     last: u64,
-    /// Deaths under runs without an answer, by digest.
-    unanswered: Vec<(RequestDigest, u32)>,
 }
 
 #[derive(Clone, Debug)]
@@ -85,8 +84,8 @@
     upstream: UpstreamId,
     incarnation: Incarnation,
     watched: bool,
-    /// Whether the upstream has begun to answer it.
-    arrived: bool,
+    /// Whether the upstream has begun to answer it, or proved alive right before it was sent.
+    was_there: bool,
     steps: u32,
 }
 
@@ -159,7 +158,7 @@
             upstream,
             incarnation,
             watched: self.is_marked(digest, now),
-            arrived: false,
+            was_there: false,
             steps: 0,
         };
         self.runs.insert(self.range(digest).end, run);
@@ -194,10 +193,25 @@
     /// Notes that the upstream of a run has begun to answer: the run is there.
     pub fn arrived(&mut self, run: PoisonRun) {
         if let Some(run) = self.run_mut(run) {
-            run.arrived = true;
+            run.was_there = true;
         }
     }
 
+    /// Whether the upstream of a run has to prove alive before the order is sent: the request is a
+    /// suspect.
+    #[must_use]
+    pub fn needs_proof(&self, run: PoisonRun) -> bool {
+        self.runs
+            .binary_search_by_key(&run, |run| run.key)
+            .is_ok_and(|i| self.runs[i].watched)
+    }
+
+    /// Notes that the upstream of a run has just proved alive, and that the order goes out now. If it
+    /// dies from here on, the run is taken for the cause, answered or not.
+    pub fn proven(&mut self, run: PoisonRun) {
+        self.arrived(run);
+    }
+
     /// Notes the death of a process of an upstream and marks all digests in flight on it.
     pub fn died(&mut self, upstream: &UpstreamId, incarnation: Incarnation, now: Instant) {
         self.expire(now);
@@ -207,7 +221,7 @@
             .partition(|run| run.upstream == *upstream && run.incarnation == incarnation);
         self.runs = running;
         for run in dead {
-            if !run.arrived && !self.died_unanswered(run.key.digest) {
+            if !run.was_there && self.is_marked(run.key.digest, now) {
                 continue;
             }
             self.mark(Mark {
@@ -266,30 +280,6 @@
         changed
     }
 
-    /// Counts a death under a run that had no answer yet; true once there have been so many that it
-    /// is held against the request.
-    ///
-    /// Engines answer before they compute, so a run without an answer was most likely sent to an
-    /// upstream that had just died. Were that held against it at once, a request that meets two
-    /// dying upstreams in a row, as at the loss of a rack, would be taken for the one that kills.
-    fn died_unanswered(&mut self, digest: RequestDigest) -> bool {
-        match self
-            .unanswered
-            .binary_search_by_key(&digest, |(digest, _)| *digest)
-        {
-            Ok(i) => {
-                self.unanswered[i].1 += 1;
-                self.unanswered[i].1 > MOST_UNANSWERED
-            }
-            Err(i) => {
-                self.unanswered.truncate(MOST_MARKS);
-                self.unanswered
-                    .insert(i.min(self.unanswered.len()), (digest, 1));
-                false
-            }
-        }
-    }
-
     /// Deaths under a digest: those not cleared, and all.
     fn deaths(&self, digest: RequestDigest, now: Instant) -> (usize, usize) {
         let start = self.marks.partition_point(|mark| mark.digest < digest);
--- a/crates/decisions/tests/poison.rs
+++ b/crates/decisions/tests/poison.rs
@@ -81,22 +81,54 @@
     expect_that!(verdict, ok(eq(())));
 }
 
-/// A request crashes each engine before it answers. It must still be refused before all are gone.
+/// A request crashes each engine before its answer is read, as happens when the process is gone within
+/// the few milliseconds that the answer's head takes. Callers lose no more engines to it than to one
+/// that is answered first.
 #[gtest]
-fn a_request_that_kills_before_the_answer_is_refused_in_the_end() {
+fn a_request_that_kills_before_the_answer_costs_two_engines() {
     let mut tracker = PoisonTracker::default();
     let killed = (0..10).take_while(|n| {
         let may = tracker
             .may_start(culprit(), &engine(*n), true, at(0))
             .is_ok();
         if may {
-            tracker.started(culprit(), engine(*n), FIRST, at(0));
+            let run = tracker.started(culprit(), engine(*n), FIRST, at(0));
+            if tracker.needs_proof(run) {
+                tracker.proven(run);
+            }
             die(&mut tracker, *n);
         }
         may
     });
 
-    expect_that!(killed.count(), eq(4));
+    expect_that!(killed.count(), eq(2));
+}
+
+/// A rack loses its power: a request is sent to one of its engines after the other, and none of them
+/// has even begun to answer. The caller is served by the next engine that lives.
+#[gtest]
+fn a_request_that_meets_dead_engines_only_is_not_refused() {
+    let mut tracker = PoisonTracker::default();
+    for n in 0..5 {
+        tracker.started(innocent(), engine(n), FIRST, at(0));
+        die(&mut tracker, n);
+    }
+
+    let verdict = tracker.may_start(innocent(), &engine(9), true, at(0));
+
+    expect_that!(verdict, ok(eq(())));
+}
+
+/// Whether an engine lives is asked for suspects only: for all others it would cost a round trip.
+#[gtest]
+fn only_suspects_need_proof_that_their_engine_lives() {
+    let mut tracker = after_one_death();
+
+    let suspect = tracker.started(innocent(), engine(1), FIRST, at(0));
+    let fresh = tracker.started(digest(7), engine(2), FIRST, at(0));
+
+    expect_that!(tracker.needs_proof(suspect), eq(true));
+    expect_that!(tracker.needs_proof(fresh), eq(false));
 }
 
 /// Two requests were on a dead engine. On the same engine again, a second death could not tell
--- a/crates/load/src/injector.rs
+++ b/crates/load/src/injector.rs
@@ -67,7 +67,8 @@
                 self.outcome.drained.push(router);
                 fleet.signal_router(router, Signal::TERM)?;
             }
-            Fault::Poison => self.poison().await?,
+            Fault::Poison => self.poison(POISON).await?,
+            Fault::UnansweredPoison => self.poison(UNANSWERED_POISON).await?,
         }
         Ok(())
     }
@@ -79,12 +80,12 @@
     }
 
     /// Sends a request that crashes its engine, and sends it again as its caller would.
-    async fn poison(&mut self) -> Result<(), LoadError> {
+    async fn poison(&mut self, prompt: &str) -> Result<(), LoadError> {
         let clients = self.fleet.clients(0)?;
         let call = GenerationCall {
             due: Duration::ZERO,
             team: 0,
-            prompt: format!("{POISON} {:x}", self.random.random::<u64>()),
+            prompt: format!("{prompt} {:x}", self.random.random::<u64>()),
             seed: 1,
             tokens: 50,
             key: format!("poison-{:x}", self.random.random::<u64>()),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,8 +6,8 @@
         caller, engine,
     },
     catkin_standins::{
-        Answer, CallerClient, POISON, PlainFault, ProxyFault, RunCounts, TokenChain, prompt_tokens,
-        request_digest,
+        Answer, CallerClient, POISON, PlainFault, ProxyFault, RunCounts, TokenChain,
+        UNANSWERED_POISON, prompt_tokens, request_digest,
     },
     derive_more::{Display, Error, From},
     futures::future::{join_all, try_join_all},
@@ -18,8 +18,10 @@
     std::{
         ffi::OsString,
         io,
+        io::Write as _,
         net::SocketAddr,
         path::Path,
+        path::PathBuf,
         process::{ExitCode, Stdio},
         sync::{
             Arc,
@@ -28,8 +30,8 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncBufReadExt, BufReader},
-        process::{Child, Command},
+        io::{AsyncBufReadExt, BufReader, Lines},
+        process::{Child, ChildStdout, Command},
         time::Instant,
     },
     volo_http::response::Response,
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -41,9 +41,12 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
-        let (address, others) = listening_addresses(&mut child)
+        let stdout = child.stdout.take().ok_or(Error::NotListening { role })?;
+        let mut lines = BufReader::new(stdout).lines();
+        let (address, others) = listening_addresses(&mut lines)
             .await
             .ok_or(Error::NotListening { role })?;
+        tokio::spawn(keep_log(lines, format!("{role}-{}.log", address.port())));
         Ok(Self {
             role,
             child,
@@ -120,8 +123,9 @@
 }
 
 /// Reads lines of a name and an address until the one that says `listening`.
-async fn listening_addresses(child: &mut Child) -> Option<(SocketAddr, Vec<(String, SocketAddr)>)> {
-    let mut lines = BufReader::new(child.stdout.take()?).lines();
+async fn listening_addresses(
+    lines: &mut Lines<BufReader<ChildStdout>>,
+) -> Option<(SocketAddr, Vec<(String, SocketAddr)>)> {
     let mut others = Vec::new();
     loop {
         let line = lines.next_line().await.ok()??;
@@ -134,6 +138,30 @@
     }
 }
 
+/// Reads what a process writes until its end, and keeps it in the folder that [`LOG_VARIABLE`] names.
+/// Were it not read, the process would find its output closed and its log would end.
+async fn keep_log(mut lines: Lines<BufReader<ChildStdout>>, name: String) {
+    let folder = std::env::var_os(LOG_VARIABLE).map(PathBuf::from);
+    let mut file = folder.and_then(|folder| match std::fs::File::create(folder.join(&name)) {
+        Ok(file) => Some(file),
+        Err(error) => {
+            eprintln!("no log is kept in `{name}`: {error}");
+            None
+        }
+    });
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(open) = &mut file
+            && let Err(error) = writeln!(open, "{line}")
+        {
+            eprintln!("the log in `{name}` ends early: {error}");
+            file = None;
+        }
+    }
+}
+
+/// Variable that names the folder for the logs of an experiment's processes; without it none is kept.
+const LOG_VARIABLE: &str = "CATKIN_LOAD_LOGS";
+
 /// Runs this process as `role`.
 #[must_use]
 pub fn run_process(role: Role, args: Vec<OsString>) -> ExitCode {
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -45,6 +45,8 @@
     DrainRouter,
     /// A request arrives that crashes each engine which runs it; its caller sends it again.
     Poison,
+    /// The same, but engines crash before they answer.
+    UnansweredPoison,
 }
 
 impl Scenario {
--- a/crates/load/src/scenarios.rs
+++ b/crates/load/src/scenarios.rs
@@ -102,4 +102,10 @@
         faults: &[(0.3, Fault::Poison)],
         ..Scenario::BASE
     },
+    Scenario {
+        name: "poison-unanswered",
+        about: "the same, but each engine crashes before it answers",
+        faults: &[(0.3, Fault::UnansweredPoison)],
+        ..Scenario::BASE
+    },
 ];
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -105,6 +105,16 @@
     expect_that!(report.violations, is_empty());
 }
 
+/// A request crashes each engine before that answers, so that it looks like one that was sent to an
+/// engine which was dead already. It took four engines with it before it was refused.
+#[gtest]
+#[tokio::test]
+async fn poison_request_without_an_answer_costs_two_engines_at_most() {
+    let report = short_run("poison-unanswered", 2).await;
+
+    expect_that!(report.violations, is_empty());
+}
+
 /// A router and two engines are lost within milliseconds, as at the loss of a rack, while
 /// connections to others go silent. A request that met both dying engines was taken for the one that
 /// kills them, and its caller was refused.
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -4,6 +4,9 @@
 /// A prompt that begins so crashes the engine that runs it.
 pub const POISON: &str = "poison:";
 
+/// A prompt that begins so crashes the engine that it is sent to, before that answers.
+pub const UNANSWERED_POISON: &str = "poison-unanswered:";
+
 /// The continuous batch of a stand-in engine.
 pub(crate) struct EngineBatch {
     settings: EngineSettings,
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -136,6 +136,10 @@
         if !self.inner.models.is_loaded(&order.model, &order.version) {
             return refusal(engine::EngineRefusalKind::ModelNotLoaded);
         }
+        if order.prompt.starts_with(UNANSWERED_POISON) {
+            self.kill();
+            return std::future::pending().await;
+        }
         let from = u32::try_from(order.prefix.len()).unwrap_or(u32::MAX);
         match self.inner.batch.add(Sequence::new(order)) {
             Some(sequence) => self.stream(sequence, from),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -38,7 +38,7 @@
     caller_client::{CallFault, CallerClient},
     daemon::{StandinError, run_standin},
     demo_bundle::{DEMO_KEY, demo_bundle},
-    engine_batch::POISON,
+    engine_batch::{POISON, UNANSWERED_POISON},
     engine_fault::EngineFault,
     engine_server::EngineServer,
     engine_settings::EngineSettings,
