Callers that come back go to the engine that still holds their prompt

Cause: when VMs are lost, their callers come back to VMs that know nothing of them.

Change: for a caller that comes back (last event, or less time than a first try has) all engines in reach are asked once which parts of prompts they hold (CachedPrompts); what is held counts as reading saved in placing. A prompt that cannot be read in the time that is left is refused at once as not run.

--- a/crates/catkinward/src/gateway/accepted_call.rs
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -20,6 +20,10 @@
 /// upstream was about to close would leave it open whether the call has run.
 const IDLE_FOR_ONCE: Duration = Duration::from_millis(800);
 
+/// Part of the route's timeout that a caller has at least at its first try. Callers wait as long as the
+/// route allows; what one that comes back has lost is more than a second of some 25.
+const FIRST_TRY_PART: f64 = 0.97;
+
 impl AcceptedCall {
     pub(crate) fn longest_idle(&self) -> Duration {
         if self.route.kind.may_repeat() {
@@ -29,6 +33,13 @@
         }
     }
 
+    /// Whether the caller has tried before: it has events already, or less time left than a first try
+    /// has.
+    pub(crate) fn comes_back(&self) -> bool {
+        let patience = self.deadline.since(self.call.arrived);
+        self.call.last_event.is_some() || patience < self.route.timeout.mul_f64(FIRST_TRY_PART)
+    }
+
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.since(now)
     }
--- a/crates/catkinward/src/gateway/call.rs
+++ b/crates/catkinward/src/gateway/call.rs
@@ -30,12 +30,14 @@
 }
 
 /// What is known of a prompt.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Prompt {
     /// Tokens to be read.
     pub tokens: u32,
     /// Tokens to be made at most.
     pub most_made: u32,
+    /// Its parts in order, if they are known; the last one is its own.
+    pub parts: Arc<[PromptPart]>,
 }
 
 impl Call {
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -54,6 +54,8 @@
     pub(crate) leaving: Mutex<Option<Leaving>>,
     /// Whether a configuration and upstreams are known.
     known: watch::Sender<bool>,
+    /// Held while engines are asked which prompts they hold.
+    pub(crate) searching: tokio::sync::Mutex<()>,
     /// Wakes the sender of notes.
     pub(crate) load_changed: Notify,
     /// The state of a graceful shutdown.
@@ -77,6 +79,7 @@
             log: CallLog::default(),
             leaving: Mutex::default(),
             known: watch::Sender::new(false),
+            searching: tokio::sync::Mutex::default(),
             load_changed: Notify::new(),
             drain: Arc::default(),
         });
@@ -242,7 +245,7 @@
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
-                patience_ms = millis(patience), tokens = call.prompt.map(|p| p.tokens),
+                patience_ms = millis(patience), tokens = call.prompt.as_ref().map(|p| p.tokens),
                 "accepted");
         }
         Ok(AcceptedCall {
@@ -272,13 +275,14 @@
         paid
     }
 
-    /// Chooses an upstream.
+    /// Chooses an upstream; `cached` says how many tokens of the prompt some hold, sorted by upstream.
     pub(crate) fn place(
         &self,
         accepted: &AcceptedCall,
         avoid: &[UpstreamId],
+        cached: &[(UpstreamId, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
-        self.choose(accepted, avoid, |candidates, who| {
+        self.choose(accepted, avoid, cached, |candidates, who| {
             place(candidates, who).cloned()
         })
     }
@@ -292,7 +296,7 @@
         if !self.has_copies(&accepted.service) {
             return None;
         }
-        self.choose(accepted, &[], |candidates, who| {
+        self.choose(accepted, &[], &[], |candidates, who| {
             place_copy(candidates, run, who).cloned()
         })
     }
@@ -307,6 +311,7 @@
         &self,
         accepted: &AcceptedCall,
         avoid: &[UpstreamId],
+        cached: &[(UpstreamId, u32)],
         choose: impl FnOnce(&[PlacementCandidate], &PlacementFor) -> T,
     ) -> T {
         let now = self.timer.now();
@@ -322,7 +327,7 @@
             random: rand::random(),
             now,
         };
-        state.choose(&accepted.service, avoid, now, |candidates| {
+        state.choose(&accepted.service, avoid, cached, now, |candidates| {
             choose(candidates, &who)
         })
     }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -10,11 +10,11 @@
         RequestId, ServiceId, SocketAddr, StatusCode, StdError, TeamId, Timer, UpstreamId, watch,
     },
     catkin_decisions::{
-        ANSWER_BOUND, Crash, CrashTally, EventFate, EventRelay, EventRun, EventSplitter,
-        LoadReading, NOTE_PERIOD, NewestConfig, PeerLoad, PeerLoads, PeerNote, PlacementCandidate,
-        PlacementFor, Presence, RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig,
-        UpstreamDirectory, UpstreamEntry, UpstreamLoad, UpstreamPulse, WholeEvent, ZoneAlarm,
-        place, place_copy,
+        ANSWER_BOUND, CachedPrompts, Crash, CrashTally, EventFate, EventRelay, EventRun,
+        EventSplitter, LoadReading, MOST_ASKED, NOTE_PERIOD, NewestConfig, PeerLoad, PeerLoads,
+        PeerNote, PlacementCandidate, PlacementFor, Presence, PromptPart, RepeatBudget,
+        RepeatBudgetConfig, Route, RoutingConfig, UpstreamDirectory, UpstreamEntry, UpstreamLoad,
+        UpstreamPulse, WholeEvent, ZoneAlarm, place, place_copy, reading_time,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -60,6 +60,7 @@
 mod kept_copy;
 mod liveness;
 mod peer_notes;
+mod prompt_search;
 mod reply;
 mod reply_log;
 mod run_guard;
--- /dev/null
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -0,0 +1,72 @@
+//! Asks engines which of them still hold the prompt of a caller that comes back.
+
+use super::{accepted_call::AcceptedCall, *};
+
+/// Wait for the engines' words. An answer takes 2 to 5 ms; a caller who comes back has lost far more.
+const SEARCH_BOUND: Duration = Duration::from_millis(60);
+
+impl Gateway {
+    /// Tokens of a call's prompt that engines hold, sorted by engine. Only for callers that come back:
+    /// the prompt of any other one has not been read yet.
+    pub(crate) async fn search_prompt(&self, accepted: &AcceptedCall) -> Vec<(UpstreamId, u32)> {
+        let Some(prompt) = &accepted.call.prompt else {
+            return Vec::new();
+        };
+        if !accepted.comes_back() || prompt.parts.is_empty() {
+            return Vec::new();
+        }
+        // Those who come back together wait for the same words.
+        let searching = self.searching.lock().await;
+        let due = self.due_words(&accepted.service);
+        let asked = due.len();
+        let words =
+            futures::future::join_all(due.into_iter().map(|engine| self.ask_cached(engine)));
+        let answered = words.await.into_iter().filter(|answered| *answered).count();
+        drop(searching);
+        let now = self.timer.now();
+        let holders = self.state.lock().cached.holders(&prompt.parts, now);
+        let best = holders.iter().map(|(_, tokens)| *tokens).max().unwrap_or(0);
+        tracing::info!(request = %accepted.call.id, asked, answered, holders = holders.len(),
+            tokens = best, "engines asked for a prompt");
+        holders
+    }
+
+    fn due_words(&self, service: &ServiceId) -> Vec<Arc<UpstreamEntry>> {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let is_engine = state
+            .config
+            .get()
+            .and_then(|config| config.service(service).map(|spec| spec.engine));
+        if is_engine != Some(true) {
+            return Vec::new();
+        }
+        let mut engines = state
+            .directory
+            .usable(service, now)
+            .cloned()
+            .collect::<Vec<_>>();
+        engines.retain(|engine| !state.upstream(engine, now).pulse.is_suspect());
+        engines.sort_by_key(|engine| engine.zone != self.settings.zone);
+        engines.truncate(MOST_ASKED);
+        engines.retain(|engine| state.cached.is_due(&engine.id, now));
+        engines
+    }
+
+    async fn ask_cached(&self, engine: Arc<UpstreamEntry>) -> bool {
+        let asked = (self.transport.cached)(engine.clone());
+        let now = self.timer.now();
+        match tokio::time::timeout(SEARCH_BOUND, asked).await {
+            Ok(Ok(parts)) => {
+                self.state.lock().cached.told(&engine.id, parts, now);
+                true
+            }
+            Ok(Err(fault)) => {
+                let fault: &str = fault.into();
+                tracing::debug!(upstream = %engine.id, fault, "no word on cached prompts");
+                false
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -15,6 +15,7 @@
     /// Calls whose connection broke lately, until it shows whether their upstream died.
     broken: Vec<Crash>,
     pub(crate) peers: PeerLoads,
+    pub(crate) cached: CachedPrompts,
 }
 
 /// What is known of one upstream.
@@ -47,6 +48,7 @@
             crashes: CrashTally::default(),
             broken: Vec::new(),
             peers: PeerLoads::default(),
+            cached: CachedPrompts::default(),
         }
     }
 
@@ -148,6 +150,7 @@
         &mut self,
         service: &ServiceId,
         avoid: &[UpstreamId],
+        cached: &[(UpstreamId, u32)],
         now: Instant,
         choose: impl FnOnce(&[PlacementCandidate]) -> T,
     ) -> T {
@@ -174,6 +177,7 @@
                     load: &state.load,
                     suspect: state.pulse.is_suspect() || self.peers.is_suspect(&entry.id, now),
                     suspect_zone: self.zones.is_suspect(&entry.zone, now),
+                    cached: cached_tokens(cached, &entry.id),
                     peer_calls: peers.then(|| self.peers.calls(&entry.id, now)),
                     peer_reading: self.peers.reading_left(&entry.id, now),
                 })
@@ -182,3 +186,11 @@
         choose(&candidates)
     }
 }
+
+/// Tokens of a prompt that an upstream holds.
+pub(crate) fn cached_tokens(cached: &[(UpstreamId, u32)], id: &UpstreamId) -> u32 {
+    match cached.binary_search_by(|(holder, _)| holder.cmp(id)) {
+        Ok(index) => cached[index].1,
+        Err(_) => 0,
+    }
+}
--- a/crates/catkinward/src/gateway/stream_call.rs
+++ b/crates/catkinward/src/gateway/stream_call.rs
@@ -13,10 +13,10 @@
     let mut run = StreamRun::new(gateway.clone(), accepted);
     let first = match run.next_events().await {
         Ok(first) => first,
-        Err(StreamStop::NotRun) => {
+        Err(StreamStop::NotRun(reason)) => {
             let spread = 1.0 + rand::random::<f64>();
             let retry_after = REFUSED_RETRY.mul_f64(spread);
-            return refused(&call, RefusalReason::UpstreamRefused, retry_after);
+            return refused(&call, reason, retry_after);
         }
         Err(StreamStop::TimedOut) => return Reply::TimedOut,
         Err(StreamStop::Cut(_)) => return Reply::Unknown,
@@ -47,7 +47,7 @@
 /// Why a stream does not go on.
 pub(crate) enum StreamStop {
     /// No upstream ran it.
-    NotRun,
+    NotRun(RefusalReason),
     /// Its time is over.
     TimedOut,
     /// It was cut.
@@ -57,7 +57,7 @@
 impl StreamStop {
     fn cut(self) -> StreamCut {
         match self {
-            Self::NotRun => StreamCut::NoUpstream,
+            Self::NotRun(_) => StreamCut::NoUpstream,
             Self::TimedOut => StreamCut::TimedOut,
             Self::Cut(cut) => cut,
         }
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -29,6 +29,8 @@
     pub(super) active: Option<ActiveRun>,
     /// A copy of the memory of the run before.
     pub(super) copy: Option<KeptCopy>,
+    /// Tokens of its prompt that engines hold, sorted by engine.
+    pub(super) cached: Vec<(UpstreamId, u32)>,
     /// Upstreams that lost or refused it.
     pub(super) avoid: Vec<UpstreamId>,
     pub(super) sends: u32,
@@ -98,6 +100,7 @@
             accepted,
             active: None,
             copy: None,
+            cached: Vec::new(),
             avoid: Vec::new(),
             sends: 0,
             ran_on: Vec::new(),
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -6,6 +6,7 @@
     reply::StreamCut,
     reply_log::millis,
     run_guard::RunGuard,
+    state::cached_tokens,
     stream_call::StreamStop,
     stream_run::{ActiveRun, Loss, STALL_BEFORE_FIRST, StreamRun},
     *,
@@ -36,6 +37,7 @@
             let entry = match &from {
                 Some(copy) => copy.holder.clone(),
                 None => match self.choose().await {
+                    Some(entry) if self.is_too_late(&entry) => return Err(self.too_late()),
                     Some(entry) => entry,
                     None => return Err(self.stop()),
                 },
@@ -54,9 +56,29 @@
             && self.gateway.pay_repeat(&self.accepted.service)
     }
 
+    /// Tokens that an engine has to read before the next event.
+    fn tokens_to_read(&self, entry: &UpstreamEntry) -> u32 {
+        let prompt = self.accepted.call.prompt.as_ref().map_or(0, |p| p.tokens);
+        prompt.saturating_sub(cached_tokens(&self.cached, &entry.id))
+    }
+
+    /// Whether the prompt cannot be read in the time that is left, even with nothing else to do. Sent all
+    /// the same, it would take an engine's time from others, and its caller would leave with nothing.
+    fn is_too_late(&self, entry: &UpstreamEntry) -> bool {
+        let now = self.gateway.timer.now();
+        self.accepted.time_left(now) < reading_time(self.tokens_to_read(entry))
+    }
+
+    fn too_late(&self) -> StreamStop {
+        match self.stop() {
+            StreamStop::NotRun(_) => StreamStop::NotRun(RefusalReason::DeadlineTooNear),
+            stop => stop,
+        }
+    }
+
     fn stop(&self) -> StreamStop {
         if self.ran_on.is_empty() {
-            StreamStop::NotRun
+            StreamStop::NotRun(RefusalReason::UpstreamRefused)
         } else {
             StreamStop::Cut(StreamCut::NoUpstream)
         }
@@ -64,7 +86,12 @@
 
     /// An upstream that has not failed this stream, or after a wait any.
     async fn choose(&mut self) -> Option<Arc<UpstreamEntry>> {
-        let fresh = self.gateway.place(&self.accepted, &self.avoid);
+        if self.sends == 0 {
+            self.cached = self.gateway.search_prompt(&self.accepted).await;
+        }
+        let fresh = self
+            .gateway
+            .place(&self.accepted, &self.avoid, &self.cached);
         if fresh.is_some() {
             return fresh;
         }
@@ -72,7 +99,7 @@
         if self.sends > 0 {
             tokio::time::sleep(REFUSED_WAIT).await;
         }
-        self.gateway.place(&self.accepted, &[])
+        self.gateway.place(&self.accepted, &[], &self.cached)
     }
 
     /// Sends it to an upstream; whether a run began.
@@ -98,9 +125,10 @@
             longest_idle: self.accepted.longest_idle(),
         };
         self.log_sent(&entry, copy.as_deref(), from_copy, time_left);
-        let tokens = match self.accepted.call.prompt {
-            Some(prompt) if !from_copy => prompt.tokens,
-            _ => 0,
+        let tokens = if from_copy {
+            0
+        } else {
+            self.tokens_to_read(&entry)
         };
         let copy = copy.map(|holder| KeptCopy::growing(&gateway, holder, &self.accepted.call.id));
         let mut guard = RunGuard::begin(&gateway, entry.clone(), tokens);
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -10,6 +10,8 @@
     pub copy: CopyMemory,
     /// Has an engine free a copy that nobody will use.
     pub free: FreeCopy,
+    /// Asks an engine which parts of prompts it holds, the latest word on a part last.
+    pub cached: AskCached,
     /// Asks an upstream over a connection of its own whether it lives and how busy it is.
     pub ask: AskUpstream,
 }
@@ -19,6 +21,13 @@
     dyn Fn(UpstreamCall) -> BoxFuture<'static, Result<UpstreamAnswer, SendFault>> + Send + Sync,
 >;
 
+/// Asks an engine which parts of prompts it holds.
+pub type AskCached = Box<
+    dyn Fn(Arc<UpstreamEntry>) -> BoxFuture<'static, Result<Vec<PromptPart>, SendFault>>
+        + Send
+        + Sync,
+>;
+
 /// Asks an upstream a question.
 pub type AskUpstream = Box<
     dyn Fn(LifeQuestion) -> BoxFuture<'static, Result<Option<LoadReading>, SendFault>>
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -59,7 +59,7 @@
 impl WholeCall {
     async fn serve(mut self) -> Reply {
         let queued = Queued::new(self.accepted.call.id.clone());
-        let Some(mut entry) = self.gateway.place(&self.accepted, &[]) else {
+        let Some(mut entry) = self.gateway.place(&self.accepted, &[], &[]) else {
             return refused(queued, RefusalReason::NoUpstream);
         };
         let mut dispatched = queued.dispatch();
@@ -123,7 +123,7 @@
         if self.sends >= MOST_SENDS || self.accepted.time_left(now).is_zero() {
             return None;
         }
-        let next = self.gateway.place(&self.accepted, &self.avoid)?;
+        let next = self.gateway.place(&self.accepted, &self.avoid, &[])?;
         self.gateway
             .pay_repeat(&self.accepted.service)
             .then_some(next)
--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -306,6 +306,67 @@
     expect_that!(running.seen.lock()[0].last_event, some(eq(12)));
 }
 
+/// All VMs are killed and start anew, and the callers of their streams come back. The engine that read
+/// a caller's prompt still holds it, in whatever zone it is: the stream goes on there, and the prompt is
+/// not read a second time.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_that_comes_back_goes_to_the_engine_that_holds_its_prompt() {
+    for holder in ["engine-a2", "engine-b1", "engine-c2"] {
+        let running = GatewayFixture::new(|call| {
+            Script::Stream(events(call.last_event.unwrap() + 1, 30), End::Whole)
+        })
+        .usual_upstreams()
+        .holder(holder)
+        .start();
+        let mut call = running.call("/stream/1");
+        call.last_event = Some(12);
+
+        let stream = read_stream(running.gateway.handle(call).await).await;
+
+        expect_that!(stream, eq(&(text(13, 30), true)));
+        expect_that!(running.sent_to(), elements_are![eq(holder)]);
+    }
+}
+
+/// A caller comes back with less time than its prompt takes to be read. It is told at once that nothing
+/// has run; before, an engine read the prompt for nobody, and the caller left at its deadline.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_that_cannot_be_served_in_time_is_refused_at_once() {
+    let running = GatewayFixture::new(|_| Script::Stream(events(1, 30), End::Whole))
+        .usual_upstreams()
+        .start();
+    let mut call = running.call("/stream/1");
+    call.patience = Some(Duration::from_millis(900));
+    let start = running.timer.now();
+
+    let reply = running.gateway.handle(call).await;
+
+    assert!(matches!(reply, Reply::NotRun { .. }), "{reply:?}");
+    expect_that!(
+        running.timer.now().since(start),
+        le(Duration::from_millis(70))
+    );
+    expect_that!(running.sent_to(), is_empty());
+}
+
+/// A caller comes back with less time than its prompt takes to be read, but an engine holds the prompt.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_with_little_time_is_served_where_its_prompt_is_held() {
+    let running = GatewayFixture::new(|_| Script::Stream(events(1, 20), End::Whole))
+        .usual_upstreams()
+        .holder("engine-b1")
+        .start();
+    let mut call = running.call("/stream/1");
+    call.patience = Some(Duration::from_millis(900));
+
+    let stream = read_stream(running.gateway.handle(call).await).await;
+
+    expect_that!(stream, eq(&(text(1, 20), true)));
+}
+
 /// The caller leaves in the middle of a stream. The run is given up at once, so that its engine stops.
 #[gtest]
 #[tokio::test(start_paused = true)]
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, PeerNote,
+    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, PeerNote, PromptPart,
     RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec, UpstreamEntry,
 };
 use catkinward::{
@@ -83,6 +83,8 @@
     repeats: RepeatBudgetConfig,
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    /// Engine that holds the whole prompt.
+    holder: Option<&'static str>,
     version: u64,
 }
 
@@ -116,6 +118,7 @@
             },
             script: Box::new(script),
             alive: Arc::new(|_| true),
+            holder: None,
             version: 1,
         }
     }
@@ -162,6 +165,12 @@
         self
     }
 
+    /// The engine that still holds the prompt of the caller.
+    pub fn holder(mut self, id: &'static str) -> Self {
+        self.holder = Some(id);
+        self
+    }
+
     /// The configuration that the gateway begins with.
     pub fn config(&self) -> RoutingConfig {
         RoutingConfig {
@@ -191,6 +200,7 @@
         let transport = transport(
             self.script,
             self.alive,
+            self.holder,
             &timer,
             &seen,
             &questions,
@@ -231,6 +241,7 @@
             prompt: Some(Prompt {
                 tokens: 8000,
                 most_made: 800,
+                parts: prompt_parts(),
             }),
             arrived: self.timer.now(),
         }
@@ -265,6 +276,16 @@
     }
 }
 
+/// Parts of the prompt of a caller.
+pub fn prompt_parts() -> Arc<[PromptPart]> {
+    [("shared", 200), ("own", 7800)]
+        .map(|(id, tokens)| PromptPart {
+            id: id.into(),
+            tokens,
+        })
+        .into()
+}
+
 /// A stream's text, and whether it ended in whole.
 pub async fn read_stream(reply: Reply) -> (String, bool) {
     let Reply::Events { mut body, .. } = reply else {
@@ -355,6 +376,7 @@
 fn transport(
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    holder: Option<&'static str>,
     timer: &Arc<Timer>,
     seen: &Arc<Mutex<Vec<Seen>>>,
     questions: &Arc<Mutex<Vec<String>>>,
@@ -390,6 +412,13 @@
             freed.lock().push(copy.handle.to_string());
             Box::pin(async {})
         }),
+        cached: Box::new(move |engine| {
+            let holds = holder == Some(engine.id.as_str());
+            Box::pin(async move {
+                let parts = prompt_parts();
+                Ok(if holds { parts.to_vec() } else { Vec::new() })
+            })
+        }),
         ask: Box::new(move |question| {
             let id = question.entry.id.to_string();
             let alive = alive(&id);
--- /dev/null
+++ b/crates/decisions/src/cached_prompts.rs
@@ -0,0 +1,107 @@
+//! Which engines still hold the parts of a prompt that was read before.
+//!
+//! Load pattern: VMs lose their power or are killed, all at once at worst, and the callers of all their
+//! streams come back to VMs that know nothing of them. Each prompt has been read by some engine, which
+//! keeps it for a while. Placed by load alone, nearly all are read again elsewhere: a second of an engine's
+//! time for each, and for callers with little time left all of it. So engines are asked what they hold.
+//!
+//! What they say is a hint: a part may be gone by the time a call arrives, and is then read again.
+
+use super::*;
+
+/// How long an engine's word counts. Callers of a lost VM come back within some hundred milliseconds of
+/// each other, so each engine is asked once for all of them.
+pub const CACHE_WORD_AGE: Duration = Duration::from_secs(2);
+
+/// Engines asked at most: all of a deployment of today, and those of the own zone at the target size.
+pub const MOST_ASKED: usize = 48;
+
+/// Parts kept of an engine's word, the newest: as many prompts as its memory holds, many times over.
+const MOST_PARTS: usize = 256;
+
+/// A part of a prompt; requests that begin alike share their first parts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Its name.
+    pub id: Arc<str>,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What engines have said of the parts that they hold.
+#[derive(Clone, Debug, Default)]
+pub struct CachedPrompts {
+    /// Sorted by engine.
+    engines: Vec<EngineCache>,
+}
+
+#[derive(Clone, Debug)]
+struct EngineCache {
+    engine: UpstreamId,
+    told: Instant,
+    /// Tokens held of each part, sorted by its name.
+    parts: Vec<PromptPart>,
+}
+
+impl CachedPrompts {
+    /// Whether an engine should be asked.
+    #[must_use]
+    pub fn is_due(&self, engine: &UpstreamId, now: Instant) -> bool {
+        self.get(engine, now).is_none()
+    }
+
+    /// Takes in an engine's word: parts with the tokens that it holds of each, the latest word on a part
+    /// last.
+    pub fn told(&mut self, engine: &UpstreamId, word: Vec<PromptPart>, now: Instant) {
+        self.engines
+            .retain(|known| known.engine != *engine && now.since(known.told) < CACHE_WORD_AGE);
+        let mut parts: Vec<PromptPart> = Vec::new();
+        for part in word.into_iter().rev().take(MOST_PARTS) {
+            if let Err(index) = parts.binary_search_by(|known| known.id.cmp(&part.id)) {
+                parts.insert(index, part);
+            }
+        }
+        let place = self.engines.partition_point(|known| known.engine < *engine);
+        let cache = EngineCache {
+            engine: engine.clone(),
+            told: now,
+            parts,
+        };
+        self.engines.insert(place, cache);
+    }
+
+    /// Tokens of a prompt that each engine holds, for those that hold any, sorted by engine. A part
+    /// counts only as far as all parts before it are held in whole.
+    #[must_use]
+    pub fn holders(&self, prompt: &[PromptPart], now: Instant) -> Vec<(UpstreamId, u32)> {
+        self.engines
+            .iter()
+            .filter(|engine| now.since(engine.told) < CACHE_WORD_AGE)
+            .map(|engine| (engine.engine.clone(), engine.held(prompt)))
+            .filter(|(_, tokens)| *tokens > 0)
+            .collect()
+    }
+
+    fn get(&self, engine: &UpstreamId, now: Instant) -> Option<&EngineCache> {
+        let index = self
+            .engines
+            .binary_search_by(|known| known.engine.cmp(engine));
+        let known = &self.engines[index.ok()?];
+        (now.since(known.told) < CACHE_WORD_AGE).then_some(known)
+    }
+}
+
+impl EngineCache {
+    fn held(&self, prompt: &[PromptPart]) -> u32 {
+        let mut held = 0;
+        for part in prompt {
+            let index = self.parts.binary_search_by(|known| known.id.cmp(&part.id));
+            let tokens = index.map_or(0, |index| self.parts[index].tokens.min(part.tokens));
+            held += tokens;
+            if tokens < part.tokens {
+                break;
+            }
+        }
+        held
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -36,6 +36,7 @@
     bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
     bundle_view::{BundleView, PEERS_WORD_AFTER},
+    cached_prompts::{CACHE_WORD_AGE, CachedPrompts, MOST_ASKED, PromptPart},
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     call_kind::CallKind,
@@ -146,7 +147,7 @@
     upstream_directory::{LAPSE_GRACE, Presence, UpstreamDirectory, UpstreamEntry},
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
-    upstream_load::{LoadReading, UpstreamLoad},
+    upstream_load::{LoadReading, UpstreamLoad, reading_time},
     upstream_places::{CapacityReport, UpstreamPlaces},
     upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
     upstream_record::{AskedReport, UpstreamRecord},
@@ -170,6 +171,7 @@
 mod bundle_row;
 mod bundle_version;
 mod bundle_view;
+mod cached_prompts;
 mod call_budget;
 mod call_key;
 mod call_kind;
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -64,6 +64,8 @@
     pub suspect_zone: bool,
     /// Streams of other VMs there, if they tell; else the upstream's late word counts.
     pub peer_calls: Option<u32>,
+    /// Tokens of the prompt that it holds already.
+    pub cached: u32,
     /// Time until the prompts of other VMs there are read.
     pub peer_reading: Duration,
 }
@@ -167,6 +169,7 @@
     let mut cost = reading.as_secs_f64() * 1000.0;
     cost += STREAM_COST * f64::from(candidate.streams(who.now));
     cost += 0.5 * STREAM_COST * f64::from(load.copies());
+    cost -= reading_time(candidate.cached).as_secs_f64() * 1000.0;
     if other_zone {
         cost += OTHER_ZONE_STREAM;
     } else if !in_own_part(candidate.entry, who) {
--- a/crates/decisions/src/upstream_load.rs
+++ b/crates/decisions/src/upstream_load.rs
@@ -4,6 +4,12 @@
 /// engines served today.
 pub const TOKENS_PER_MS: f64 = 8.0;
 
+/// How long an engine takes to read so many tokens with nothing else to do.
+#[must_use]
+pub fn reading_time(prompt_tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(prompt_tokens) / TOKENS_PER_MS / 1000.0)
+}
+
 /// How long a reading of an upstream's load counts. Calls of other VMs last about as long.
 const READING_AGE: Duration = Duration::from_millis(1500);
 
@@ -39,8 +45,7 @@
     /// Notes a call that begins there, with the prompt tokens that are to be read for it.
     pub fn begin(&mut self, prompt_tokens: u32, now: Instant) {
         self.own += 1;
-        let reading = Duration::from_secs_f64(f64::from(prompt_tokens) / TOKENS_PER_MS / 1000.0);
-        self.read_until = self.read_until.max(now).after(reading);
+        self.read_until = self.read_until.max(now).after(reading_time(prompt_tokens));
     }
 
     /// Notes the end of a call there.
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -45,6 +45,7 @@
         suspect: false,
         suspect_zone: false,
         peer_calls: None,
+        cached: 0,
         peer_reading: Duration::ZERO,
     }
 }
