--- /dev/null
+++ b/crates/catkinward/src/gateway/beliefs.rs
@@ -0,0 +1,50 @@
+//! Gauges of what this VM believes.
+
+use super::*;
+use std::sync::Weak;
+
+/// How often the gauges are set: often enough for a page that is read every few seconds.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Sets the gauges until the gateway is gone.
+pub(crate) async fn show_beliefs(gateway: Weak<Gateway>) {
+    let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(PERIOD)) else {
+        return;
+    };
+    while let Some(now) = ticks.recv().await {
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
+        gateway.show(now);
+    }
+}
+
+impl Gateway {
+    fn show(&self, now: Instant) {
+        let reads = self.reads_for_zone();
+        let mut state = self.state.lock();
+        let usable = state.directory.usable_count(now);
+        let suspects = state
+            .upstreams_mut()
+            .filter(|upstream| upstream.pulse.is_suspect())
+            .count();
+        let peers = state.peers.live_count(now);
+        let age = state
+            .news
+            .age(now)
+            .or(state.table_read.map(|at| now.since(at)));
+        drop(state);
+        gauge("catkin_upstreams_usable", usable);
+        gauge("catkin_upstreams_suspect", suspects);
+        gauge("catkin_peers", peers);
+        gauge("catkin_reads_for_zone", usize::from(reads));
+        if let Some(age) = age {
+            metrics::gauge!("catkin_table_age_seconds").set(age.as_secs_f64());
+        }
+    }
+}
+
+fn gauge(name: &'static str, count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    metrics::gauge!(name).set(count as f64);
+}
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -2,6 +2,7 @@
 
 use super::{
     accepted_call::AcceptedCall,
+    beliefs::show_beliefs,
     liveness::{adopt, watch_upstreams},
     reply_log::{CallerWatch, count_reply, log_own_reply, millis},
     shutdown::Leaving,
@@ -47,8 +48,11 @@
     pub(crate) state: Mutex<GatewayState>,
     pub(crate) log: CallLog,
     pub(crate) leaving: Mutex<Option<Leaving>>,
-    /// Whether a configuration and upstreams are known.
+    /// Whether a configuration and upstreams are known, and not from before a time in which this process
+    /// did not run.
     known: watch::Sender<bool>,
+    /// Counts how often this process woke.
+    pub(crate) wakes: watch::Sender<u64>,
     /// Held while engines are asked which prompts they hold.
     pub(crate) searching: tokio::sync::Mutex<()>,
     /// Loans of repeats that are awaited.
@@ -84,6 +88,7 @@
             log: CallLog::default(),
             leaving: Mutex::default(),
             known: watch::Sender::new(false),
+            wakes: watch::Sender::new(0),
             searching: tokio::sync::Mutex::default(),
             loans: Mutex::default(),
             loan_came: Notify::new(),
@@ -94,6 +99,7 @@
             drain: Arc::default(),
         });
         tokio::spawn(watch_upstreams(Arc::downgrade(&gateway)));
+        tokio::spawn(show_beliefs(Arc::downgrade(&gateway)));
         gateway
     }
 
@@ -106,6 +112,25 @@
         let _ = tokio::time::timeout(LONGEST_START, known.wait_for(|known| *known)).await;
     }
 
+    /// Notes that this process did not run for so long. Calls wait until what is known was read again, and
+    /// those who read it do so at once: a removed key would open the door meanwhile, and an upstream
+    /// that has left would get calls.
+    pub fn woke(&self, gap: Duration) {
+        tracing::warn!(gap_ms = millis(gap), "this process did not run for a while");
+        metrics::counter!("catkin_wakes_total").increment(1);
+        self.state.lock().woke();
+        self.known.send_replace(false);
+        self.wakes.send_modify(|count| *count += 1);
+        self.news_came.notify_waiters();
+    }
+
+    /// Notes that a feed was read, whether or not there was anything new.
+    pub(crate) fn feed_read(&self, note: fn(&mut GatewayState)) {
+        let mut state = self.state.lock();
+        note(&mut state);
+        self.known.send_replace(state.is_current());
+    }
+
     /// Serves a call.
     pub async fn handle(self: &Arc<Self>, call: Call) -> Reply {
         let call = Arc::new(call);
@@ -130,6 +155,9 @@
         count_reply(&service, &reply);
         match &reply {
             Reply::Whole { status, .. } => {
+                let took = self.timer.now().since(call.arrived);
+                metrics::histogram!("catkin_call_seconds", "service" => service.to_string())
+                    .record(took.as_secs_f64());
                 if self.log.admits(LineKind::Answered, self.timer.now()) {
                     let ms = millis(self.timer.now().since(call.arrived));
                     tracing::info!(request = %call.id, status = status.as_u16(), ms, "answered");
@@ -146,7 +174,7 @@
         let version = config.version;
         let mut state = self.state.lock();
         let advanced = state.config.advance(config);
-        self.known.send_replace(state.is_complete());
+        self.known.send_replace(state.is_current());
         drop(state);
         if advanced {
             tracing::info!(%version, "configuration in force");
@@ -167,7 +195,7 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         state.directory_read = true;
-        self.known.send_replace(state.is_complete());
+        self.known.send_replace(state.is_current());
         let changes = state.directory.snapshot(entries, now);
         state.forget_gone(now);
         drop(state);
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -107,6 +107,7 @@
             Some(page) => page,
             None => follower.next(Duration::ZERO).await,
         };
+        gateway.feed_read(|state| state.old_config = false);
         for config in page.entries.into_iter().filter_map(|(_, config)| config) {
             gateway.put_config(Arc::new(config));
         }
@@ -120,7 +121,8 @@
         let (page, whole) = follower.next(Duration::ZERO).await;
         gateway.platform_answers(follower.answers);
         gateway.table_read(page.entries, whole, page.version);
-        tokio::time::sleep(UPSTREAM_PACE).await;
+        gateway.feed_read(|state| state.old_directory = false);
+        follower.pause(UPSTREAM_PACE).await;
         if follower.answers && gateway.relies_on_zone() {
             gateway.rely_on_zone().await;
             // What others told counts as read.
@@ -159,6 +161,7 @@
     faults: usize,
     /// Called when the store does not answer.
     lost: fn(&Gateway),
+    wakes: watch::Receiver<u64>,
 }
 
 impl<'a, T> Follower<'a, T> {
@@ -170,20 +173,20 @@
             answers: true,
             faults: 0,
             lost,
+            wakes: gateway.wakes.subscribe(),
         }
     }
 
     /// The next page, and whether it is the whole feed. Waits at the store for that long at most, or
     /// for its return.
     async fn next(&mut self, wait: Duration) -> (FeedPage<T>, bool) {
+        let mut wait = wait;
         loop {
-            let (wait, bound) = if self.answers {
-                (wait, wait + STORE_BOUND)
+            let bound = if self.answers {
+                wait + STORE_BOUND
             } else {
-                (
-                    Duration::ZERO,
-                    RETURN_BOUNDS[self.faults % RETURN_BOUNDS.len()],
-                )
+                wait = Duration::ZERO;
+                RETURN_BOUNDS[self.faults % RETURN_BOUNDS.len()]
             };
             let whole = self.version.is_none();
             let asked = async {
@@ -192,9 +195,24 @@
                     None => (self.feed.read)().await,
                 }
             };
-            let answer = tokio::time::timeout(bound, asked).await;
+            let asked_at = self.gateway.timer.now();
+            let woke = self.wakes.changed();
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(bound, asked) => answer,
+                // The connection may have been lost meanwhile, and its question waits at the store.
+                Ok(()) = woke => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            };
             let fault = match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
                 Ok(page) => {
+                    // A question that waited says nothing of the store's speed.
+                    if wait.is_zero() {
+                        let took = self.gateway.timer.now().since(asked_at);
+                        metrics::histogram!("catkin_store_call_seconds", "feed" => self.feed.name)
+                            .record(took.as_secs_f64());
+                    }
                     if !self.answers {
                         tracing::info!(feed = self.feed.name, "platform answers again");
                     }
@@ -210,6 +228,12 @@
         }
     }
 
+    /// Waits, unless this process wakes meanwhile.
+    async fn pause(&mut self, length: Duration) {
+        // Whichever comes first, the feed is asked then.
+        let _ = tokio::time::timeout(length, self.wakes.changed()).await;
+    }
+
     /// Notes a fault; returns what another VM has instead, if that is to be had.
     async fn failed(&mut self, fault: FeedFault) -> Option<FeedPage<T>> {
         let fault_name: &str = fault.into();
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -9,16 +9,27 @@
     let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(LOOK)) else {
         return;
     };
+    let mut clocks = WakeDetector::default();
     while let Some(now) = ticks.recv().await {
         let Some(gateway) = gateway.upgrade() else {
             return;
         };
+        if let Some(gap) = clocks.look(now, since_boot()) {
+            gateway.woke(gap);
+        }
         for entry in due_questions(&gateway, now) {
             tokio::spawn(ask(gateway.clone(), entry));
         }
     }
 }
 
+/// Time since the boot, suspensions counted in.
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 fn due_questions(gateway: &Gateway, now: Instant) -> Vec<Arc<UpstreamEntry>> {
     let mut state = gateway.state.lock();
     let mut due = Vec::new();
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -16,8 +16,8 @@
         MOST_ASKED, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig, NewsState, PeerDatagram,
         PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor, Presence, PromptPart,
         RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig, UpstreamChange, UpstreamDirectory,
-        UpstreamEntry, UpstreamLoad, UpstreamPulse, UpstreamTable, WholeEvent, ZoneAlarm, ZoneNews,
-        place, place_copy, rank_of_vm, reading_time, reads_for_zone,
+        UpstreamEntry, UpstreamLoad, UpstreamPulse, UpstreamTable, WakeDetector, WholeEvent,
+        ZoneAlarm, ZoneNews, place, place_copy, rank_of_vm, reading_time, reads_for_zone,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -55,6 +55,7 @@
 pub const KEPT_IDLE: Duration = Duration::from_secs(5);
 
 mod accepted_call;
+mod beliefs;
 mod call;
 mod call_log;
 mod copy_keeper;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -19,6 +19,9 @@
     /// The platform's table of upstreams, as read here or told by another VM of the zone.
     pub(crate) table: UpstreamTable,
     pub(crate) news: HeardNews,
+    /// Whether the configuration, or the directory, was not read since this process last woke.
+    pub(crate) old_config: bool,
+    pub(crate) old_directory: bool,
     /// When the table was last read here.
     pub(crate) table_read: Option<Instant>,
 }
@@ -57,6 +60,8 @@
             table: UpstreamTable::default(),
             news: HeardNews::default(),
             table_read: None,
+            old_config: false,
+            old_directory: false,
         }
     }
 
@@ -65,6 +70,19 @@
         self.config.get().is_some() && self.directory_read
     }
 
+    /// Whether what is known was also read since this process last woke.
+    pub(crate) fn is_current(&self) -> bool {
+        self.is_complete() && !self.old_config && !self.old_directory
+    }
+
+    /// Notes that this process did not run for a while: what it knows is as old as that.
+    pub(crate) fn woke(&mut self) {
+        self.old_config = true;
+        self.old_directory = true;
+        self.news = HeardNews::default();
+        self.peers.forget_loads();
+    }
+
     /// Whether some service has upstreams and none of them answers this VM.
     pub(crate) fn cannot_reach_a_service(&mut self, now: Instant) -> bool {
         let Some(config) = self.config.get().cloned() else {
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -170,3 +170,29 @@
     expect_that!(taken, eq(false));
     expect_that!(version(&running), eq(2));
 }
+
+/// A VM was suspended for seconds. Its connections are lost, a route was added meanwhile, and its clock says
+/// that hardly any time has passed. Its callers wait for the few milliseconds in which it reads anew, and are
+/// not told that the route does not exist.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_was_suspended_reads_before_it_serves() {
+    let (running, store) = following();
+    running.gateway.put_upstreams(Vec::new());
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    *store.away.lock() = true;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    *store.away.lock() = false;
+    store.set_version(3);
+    // Nothing tells of the lost connection.
+    let before = version(&running);
+
+    running.gateway.woke(Duration::from_secs(4));
+    let start = running.timer.now();
+    running.gateway.known().await;
+
+    let waited = running.timer.now().since(start);
+    expect_that!(before, eq(2));
+    expect_that!(waited, le(Duration::from_millis(650)));
+    expect_that!(version(&running), eq(3));
+}
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LoadReading, PeerNote, PromptPart,
-    RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec, UpstreamEntry,
+    CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
+    PromptPart, RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec,
+    UpstreamEntry,
 };
 use catkinward::{
     Timer,
@@ -253,9 +254,27 @@
 
     /// Has the gateway hear a note of another VM.
     pub fn hear_of_peer(&self) {
-        let note = PeerNote {
-            vm: "vm-2".into(),
-            zone: "b".parse().unwrap(),
+        self.hear(self.peer_note("vm-2", "b"));
+    }
+
+    /// Has the gateway hear of a crash from the VM of that number.
+    pub fn hear_of_crash(&self, vm: usize, crash: Crash) {
+        let note = self.peer_note(&format!("vm-{}", vm + 1), "b");
+        self.hear(PeerNote {
+            crashes: vec![crash],
+            ..note
+        });
+    }
+
+    pub fn hear(&self, note: PeerNote) {
+        self.gateway.take_note(note, ([127, 0, 0, 2], 9).into());
+    }
+
+    /// A note without anything in it, newer than those before.
+    pub fn peer_note(&self, vm: &str, zone: &str) -> PeerNote {
+        PeerNote {
+            vm: vm.into(),
+            zone: zone.parse().unwrap(),
             incarnation: 1,
             number: u64::try_from(self.timer.now().0.as_millis()).unwrap() + 1,
             loads: Vec::new(),
@@ -263,8 +282,7 @@
             crashes: Vec::new(),
             members: Vec::new(),
             wants_members: false,
-        };
-        self.gateway.take_note(note, ([127, 0, 0, 2], 9).into());
+        }
     }
 
     /// Upstreams that were sent a call, in order.
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -3,8 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    ConfigVersion, NEWS_AGE, PeerNote, RoutingConfig, UpstreamChange, UpstreamEntry, UpstreamTable,
-    ZoneNews, reads_for_zone,
+    ConfigVersion, NEWS_AGE, RoutingConfig, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneNews,
+    reads_for_zone,
 };
 use catkinward::gateway::{Feed, FeedPage, follow_config, follow_upstreams};
 use gateway_support::*;
@@ -102,19 +102,7 @@
 }
 
 fn hear_of_reader(running: &Running) {
-    let number = u64::try_from(running.timer.now().0.as_millis()).unwrap() + 1;
-    let note = PeerNote {
-        vm: reader(),
-        zone: "a".parse().unwrap(),
-        incarnation: 1,
-        number,
-        loads: Vec::new(),
-        suspects: Vec::new(),
-        crashes: Vec::new(),
-        members: Vec::new(),
-        wants_members: false,
-    };
-    running.gateway.take_note(note, ([127, 0, 0, 2], 9).into());
+    running.hear(running.peer_note(&reader(), "a"));
 }
 
 /// A VM beside one that reads the table and has told of it for some seconds.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -158,6 +158,7 @@
     upstream_table::{UpstreamChange, UpstreamTable},
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
+    wake_detector::WakeDetector,
     wall_time::WallTime,
     zone_alarm::ZoneAlarm,
     zone_news::{
@@ -301,6 +302,7 @@
 mod upstream_table;
 mod utf8_joiner;
 mod vm_id;
+mod wake_detector;
 mod wall_time;
 mod zone_alarm;
 mod zone_news;
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -264,6 +264,13 @@
         members
     }
 
+    /// Forgets what others said of their loads; it is older than it seems.
+    pub fn forget_loads(&mut self) {
+        for peer in &mut self.peers {
+            peer.note = None;
+        }
+    }
+
     /// Whether any other VM gets no answer from an upstream.
     #[must_use]
     pub fn is_suspect(&self, upstream: &UpstreamId, now: Instant) -> bool {
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -175,6 +175,13 @@
             .map(|known| &known.entry)
     }
 
+    /// Number of upstreams that take new calls.
+    #[must_use]
+    pub fn usable_count(&self, now: Instant) -> usize {
+        let usable = self.known.iter().filter(|known| known.is_usable(now));
+        usable.count()
+    }
+
     /// Entry of an upstream that takes new calls.
     #[must_use]
     pub fn get_usable(&self, id: &UpstreamId, now: Instant) -> Option<&Arc<UpstreamEntry>> {
--- a/crates/decisions/src/zone_news.rs
+++ b/crates/decisions/src/zone_news.rs
@@ -78,6 +78,12 @@
         self.behind = None;
     }
 
+    /// Time since the store was heard by the one who heard it last, if anybody told.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.store_heard.map(|heard| now.since(heard))
+    }
+
     /// Whether the own table can be relied on without reading it.
     #[must_use]
     pub fn state(&self, now: Instant) -> NewsState {
