--- a/crates/catkinward/src/gateway/accepted_call.rs
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -7,6 +7,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) team: Option<TeamId>,
+    /// Its rank among calls: the team's, else the route's; 0 is the highest.
+    pub(crate) priority: u8,
     /// When its time is over: the caller's or the route's, whichever is first.
     pub(crate) deadline: Instant,
     pub(crate) digest: u64,
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -291,6 +291,7 @@
             route: route.clone(),
             service,
             team,
+            priority: holder.and_then(|h| h.priority).unwrap_or(route.priority),
             deadline: call.arrived.after(patience),
             digest,
         })
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -118,6 +118,7 @@
             call: self.accepted.call.clone(),
             entry: entry.clone(),
             team: self.accepted.team.clone(),
+            priority: self.accepted.priority,
             time_left,
             last_event: self.relay.last(),
             copy_to: copy.as_ref().map(|copy| copy.address),
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -90,6 +90,8 @@
     pub entry: Arc<UpstreamEntry>,
     /// Team of the caller.
     pub team: Option<TeamId>,
+    /// Its rank among calls, by which engines take and put aside runs; 0 is the highest.
+    pub priority: u8,
     /// Time that is left for it.
     pub time_left: Duration,
     /// Number of the last event that the caller has.
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -142,6 +142,7 @@
             call: self.accepted.call.clone(),
             entry: entry.clone(),
             team: self.accepted.team.clone(),
+            priority: self.accepted.priority,
             time_left,
             last_event: None,
             copy_to: None,
