--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -36,7 +36,7 @@
         let mut child = Command::new(program)
             .args(["process", &role.to_string()])
             .args(args)
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -165,8 +165,19 @@
 /// Runs this process as `role`.
 #[must_use]
 pub fn run_process(role: Role, args: Vec<OsString>) -> ExitCode {
+    std::thread::spawn(end_with_parent);
     match role {
         Role::Router => catkinward::run_daemon(args),
         Role::Standin => catkin_standins::run_standin(args),
     }
 }
+
+/// Ends this process once its input does: the experiment that started it holds the other end. One that is
+/// killed would leave its processes behind, which hold their ports and the output of the test.
+fn end_with_parent() {
+    let mut input = std::io::stdin().lock();
+    if let Err(error) = std::io::copy(&mut input, &mut std::io::sink()) {
+        eprintln!("the input cannot be read: {error}");
+    }
+    std::process::exit(1);
+}
--- /dev/null
+++ b/crates/load/tests/process.rs
@@ -0,0 +1,35 @@
+//! Processes of an experiment.
+
+use googletest::prelude::*;
+use std::{
+    io::{BufRead, BufReader},
+    process::{Command, Stdio},
+    time::{Duration, Instant},
+};
+
+/// An experiment is killed, as by the time limit of a test run. Its processes end with it; before, they held
+/// the output of the test open, and whoever waited for that waited for good.
+#[gtest]
+fn processes_end_with_their_experiment() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_catkin-load"))
+        .args(["process", "standin", "engine"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let mut output = BufReader::new(child.stdout.take().unwrap());
+    output.read_line(&mut line).unwrap();
+
+    drop(child.stdin.take());
+    let end = Instant::now() + Duration::from_secs(20);
+    let mut ended = None;
+    while ended.is_none() && Instant::now() < end {
+        ended = child.try_wait().unwrap();
+        std::thread::sleep(Duration::from_millis(10));
+    }
+
+    let _ = child.kill();
+    expect_that!(line, starts_with("listening"));
+    expect_that!(ended, some(anything()));
+}
