What a peer had in the store's place is not told on as new

Found on reading: a VM that reads for its zone and is turned away by the store took the table from a peer elsewhere, up to 2.2 s old, and told its zone so with no age; the others would have relied on it for 1.6 s more, beyond the two seconds of a leaving upstream. The test that shows it sends the words to a socket. Fixture of scripted upstreams in a file of its own; logs of an experiment's processes go into files by standard error.

--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -34,20 +34,25 @@
         }
     }
 
-    /// Takes in rows of the table that were read here, and tells the zone what is new in them.
-    pub(crate) fn table_read(&self, rows: Vec<UpstreamChange>, whole: bool, version: u64) {
+    /// Takes in rows of the table that were read here, and tells the zone what is new in them. What another
+    /// VM had in the store's place may be two seconds old; told on as if it were new, it would be relied on
+    /// for as long again, so it is not.
+    pub(crate) fn table_read(&self, page: FeedPage<UpstreamEntry>, whole: bool, from_store: bool) {
+        let rows = page.entries;
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let changes = state.table.read(&rows, whole, version);
-        state.news.read_here();
-        state.table_read = Some(now);
+        let changes = state.table.read(&rows, whole, page.version);
+        if from_store {
+            state.news.read_here();
+            state.table_read = Some(now);
+        }
         drop(state);
         if whole {
             self.put_upstreams(rows.into_iter().filter_map(|(_, entry)| entry).collect());
         } else {
             self.take_changes(changes.clone());
         }
-        if !changes.is_empty() {
+        if from_store && !changes.is_empty() {
             self.tell_zone(&changes);
         }
     }
--- /dev/null
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -0,0 +1,175 @@
+//! Scripted upstreams.
+
+use super::*;
+
+/// What a scripted upstream does with a call.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Answers in whole.
+    Whole(StatusCode, &'static str),
+    /// Answers without a signature.
+    Unsigned(StatusCode),
+    /// Says that it did not run it.
+    NotExecuted,
+    /// Another incarnation answers.
+    OtherIncarnation(Option<&'static str>),
+    /// Takes no connection.
+    NoConnection,
+    /// Takes the call and breaks the connection.
+    Lost,
+    /// Never answers.
+    Hang,
+    /// Streams parts and ends as told.
+    Stream(Vec<Part>, End),
+}
+
+/// Part of a scripted stream.
+#[derive(Clone, Debug)]
+pub enum Part {
+    /// Bytes.
+    Bytes(String),
+    /// A pause.
+    Pause(Duration),
+}
+
+/// End of a scripted stream.
+#[derive(Clone, Copy, Debug)]
+pub enum End {
+    Whole,
+    Break,
+    Hang,
+}
+
+/// A call as an upstream saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub upstream: String,
+    pub last_event: Option<u64>,
+    pub copy_to: Option<String>,
+    pub from_copy: Option<String>,
+    pub time_left: Duration,
+    pub longest_idle: Duration,
+    pub at: Instant,
+}
+
+pub(super) type Scripted = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
+
+pub(super) fn transport(
+    script: Scripted,
+    alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    holder: Option<&'static str>,
+    timer: &Arc<Timer>,
+    seen: &Arc<Mutex<Vec<Seen>>>,
+    questions: &Arc<Mutex<Vec<String>>>,
+    copies: &Arc<Mutex<Vec<String>>>,
+    freed: &Arc<Mutex<Vec<String>>>,
+) -> UpstreamTransport {
+    let (copies, freed) = (copies.clone(), freed.clone());
+    let (timer, seen, questions) = (timer.clone(), seen.clone(), questions.clone());
+    UpstreamTransport {
+        send: Box::new(move |call| {
+            seen.lock().push(Seen {
+                upstream: call.entry.id.to_string(),
+                last_event: call.last_event,
+                copy_to: call.copy_to.map(|address| address.to_string()),
+                from_copy: call.copy_from.as_ref().map(|copy| copy.handle.to_string()),
+                time_left: call.time_left,
+                longest_idle: call.longest_idle,
+                at: timer.now(),
+            });
+            let script = script(&call);
+            Box::pin(play(script))
+        }),
+        copy: Box::new(move |order| {
+            copies.lock().push(order.holder.id.to_string());
+            Box::pin(async move {
+                Ok(CopySource {
+                    address: order.source.address,
+                    handle: "copy-1".into(),
+                })
+            })
+        }),
+        free: Box::new(move |copy| {
+            freed.lock().push(copy.handle.to_string());
+            Box::pin(async {})
+        }),
+        cached: Box::new(move |engine| {
+            let holds = holder == Some(engine.id.as_str());
+            Box::pin(async move {
+                let parts = prompt_parts();
+                Ok(if holds { parts.to_vec() } else { Vec::new() })
+            })
+        }),
+        ask: Box::new(move |question| {
+            let id = question.entry.id.to_string();
+            let alive = alive(&id);
+            questions.lock().push(id);
+            Box::pin(async move {
+                if alive {
+                    return Ok(Some(LoadReading::default()));
+                }
+                std::future::pending().await
+            })
+        }),
+    }
+}
+
+async fn play(script: Script) -> Result<UpstreamAnswer, SendFault> {
+    // An upstream takes a while.
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    match script {
+        Script::Whole(status, body) => {
+            let chunk = Ok(Bytes::from_static(body.as_bytes()));
+            Ok(answer(status, stream::iter([chunk]).boxed()))
+        }
+        Script::Unsigned(status) => Ok(UpstreamAnswer {
+            signed: false,
+            ..answer(status, stream::empty().boxed())
+        }),
+        Script::NotExecuted => Ok(UpstreamAnswer {
+            not_executed: true,
+            signed: false,
+            ..answer(StatusCode::SERVICE_UNAVAILABLE, stream::empty().boxed())
+        }),
+        Script::OtherIncarnation(by) => Ok(UpstreamAnswer {
+            other_incarnation: true,
+            incarnation: by.map(|by| by.parse().unwrap()),
+            signed: false,
+            ..answer(StatusCode::MISDIRECTED_REQUEST, stream::empty().boxed())
+        }),
+        Script::NoConnection => Err(SendFault::NoConnection),
+        Script::Lost => Err(SendFault::Lost),
+        Script::Hang => std::future::pending().await,
+        Script::Stream(parts, end) => Ok(answer(StatusCode::OK, scripted_body(parts, end))),
+    }
+}
+
+fn answer(status: StatusCode, body: AnswerBody) -> UpstreamAnswer {
+    UpstreamAnswer {
+        status,
+        headers: HeaderMap::new(),
+        signed: true,
+        not_executed: false,
+        other_incarnation: false,
+        incarnation: None,
+        load: None,
+        body,
+    }
+}
+
+fn scripted_body(parts: Vec<Part>, end: End) -> AnswerBody {
+    let parts = stream::iter(parts).filter_map(|part| async move {
+        match part {
+            Part::Bytes(text) => Some(Ok(Bytes::from(text))),
+            Part::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                None
+            }
+        }
+    });
+    match end {
+        End::Whole => parts.boxed(),
+        End::Break => parts.chain(stream::iter([Err(BodyFault)])).boxed(),
+        End::Hang => parts.chain(stream::pending()).boxed(),
+    }
+}
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -3,14 +3,17 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    ConfigVersion, NEWS_AGE, RoutingConfig, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneNews,
-    reads_for_zone,
+    ConfigVersion, NEWS_AGE, PeerDatagram, RoutingConfig, UpstreamChange, UpstreamEntry,
+    UpstreamTable, ZoneNews, reads_for_zone,
+};
+use catkinward::gateway::{
+    Feed, FeedFault, FeedPage, exchange_notes, follow_config, follow_upstreams,
 };
-use catkinward::gateway::{Feed, FeedPage, follow_config, follow_upstreams};
 use gateway_support::*;
 use googletest::prelude::*;
 use parking_lot::Mutex;
 use std::{sync::Arc, time::Duration};
+use tokio::net::UdpSocket;
 
 /// A VM's period of telling.
 const PERIOD: Duration = Duration::from_millis(400);
@@ -51,6 +54,20 @@
         }
     }
 
+    /// A feed from another VM, since the store does not answer.
+    fn feed_of_a_peer(&self) -> Feed<UpstreamEntry> {
+        let peer = self.clone();
+        Feed {
+            name: "upstreams",
+            read: Box::new(|| Box::pin(async { Err(FeedFault::Refused) })),
+            changes: Box::new(|_, _| Box::pin(async { Err(FeedFault::Refused) })),
+            read_from_peer: Box::new(move |_| {
+                let page = peer.page();
+                Box::pin(async move { Ok(page) })
+            }),
+        }
+    }
+
     fn feed(&self) -> Feed<UpstreamEntry> {
         let (reading, asking) = (self.clone(), self.clone());
         Feed {
@@ -238,3 +255,42 @@
         eq(ConfigVersion(11))
     );
 }
+
+/// Versions of the table that a VM tells its zone within a second.
+async fn told_to_the_zone(feed: impl FnOnce(&FakeTable) -> Feed<UpstreamEntry>) -> Vec<u64> {
+    let running = GatewayFixture::new(|_| Script::Hang).start();
+    let other = (2..)
+        .map(|n| Arc::<str>::from(format!("vm-{n}")))
+        .find(|other| reads_for_zone("vm-1", &["vm-1".into(), other.clone()]))
+        .unwrap();
+    let table = FakeTable::new(&entries());
+    let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    running
+        .gateway
+        .take_note(running.peer_note(&other, "a"), peer.local_addr().unwrap());
+    tokio::spawn(exchange_notes(running.gateway.clone(), own));
+    tokio::spawn(follow_upstreams(running.gateway.clone(), feed(&table)));
+    let mut versions = Vec::new();
+    let mut buf = [0; 2000];
+    let end = tokio::time::Instant::now() + Duration::from_secs(1);
+    while let Ok(Ok(len)) = tokio::time::timeout_at(end, peer.recv(&mut buf)).await {
+        if let Ok(PeerDatagram::News(news)) = ciborium::from_reader(&buf[..len]) {
+            versions.push(news.version);
+        }
+    }
+    versions
+}
+
+/// The store turns away the VM that reads for its zone, which then has the table from a peer elsewhere, up to two
+/// seconds old. Told on as new, it would be relied on for as long again, and upstreams that have left
+/// would get calls.
+#[gtest]
+#[tokio::test]
+async fn what_a_peer_had_is_not_told_on() {
+    let from_store = told_to_the_zone(FakeTable::feed).await;
+    let from_peer = told_to_the_zone(FakeTable::feed_of_a_peer).await;
+
+    expect_that!(from_store, not(is_empty()));
+    expect_that!(from_peer, is_empty());
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -163,7 +163,7 @@
                 format!("--entry-vms={}", settings.size.routers),
                 "--peer-key=secret-of-the-fleet".to_owned(),
                 format!("--peers={peers}"),
-                "--log=error".to_owned(),
+                format!("--log={}", crate::process::log_filter()),
                 format!("--bundle-file={}", file.display()),
             ];
             flags.extend(settings.router_flags.iter().cloned());
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,10 +18,8 @@
     std::{
         ffi::OsString,
         io,
-        io::Write as _,
         net::SocketAddr,
         path::Path,
-        path::PathBuf,
         process::{ExitCode, Stdio},
         sync::{
             Arc,
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -38,6 +38,7 @@
             .args(args)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
+            .stderr(log_output(role)?)
             .kill_on_drop(true)
             .spawn()
             .map_err(|source| Error::Process { role, source })?;
@@ -46,7 +47,7 @@
         let (address, others) = listening_addresses(&mut lines)
             .await
             .ok_or(Error::NotListening { role })?;
-        tokio::spawn(keep_log(lines, format!("{role}-{}.log", address.port())));
+        tokio::spawn(read_on(lines));
         Ok(Self {
             role,
             child,
@@ -138,24 +139,29 @@
     }
 }
 
-/// Reads what a process writes until its end, and keeps it in the folder that [`LOG_VARIABLE`] names.
-/// Were it not read, the process would find its output closed and its log would end.
-async fn keep_log(mut lines: Lines<BufReader<ChildStdout>>, name: String) {
-    let folder = std::env::var_os(LOG_VARIABLE).map(PathBuf::from);
-    let mut file = folder.and_then(|folder| match std::fs::File::create(folder.join(&name)) {
-        Ok(file) => Some(file),
-        Err(error) => {
-            eprintln!("no log is kept in `{name}`: {error}");
-            None
-        }
-    });
-    while let Ok(Some(line)) = lines.next_line().await {
-        if let Some(open) = &mut file
-            && let Err(error) = writeln!(open, "{line}")
-        {
-            eprintln!("the log in `{name}` ends early: {error}");
-            file = None;
-        }
+/// Reads what a process writes until its end. Were it not read, the process would find its output closed.
+async fn read_on(mut lines: Lines<BufReader<ChildStdout>>) {
+    while let Ok(Some(_)) = lines.next_line().await {}
+}
+
+/// Where the log of a process goes: into a file of the folder that [`LOG_VARIABLE`] names, or where that of
+/// the experiment goes.
+fn log_output(role: Role) -> Result<Stdio, Error> {
+    static PROCESSES: AtomicUsize = AtomicUsize::new(0);
+    let Some(folder) = std::env::var_os(LOG_VARIABLE) else {
+        return Ok(Stdio::inherit());
+    };
+    let number = PROCESSES.fetch_add(1, Ordering::Relaxed);
+    let file = Path::new(&folder).join(format!("{role}-{number}.log"));
+    let file = std::fs::File::create(file).map_err(|source| Error::Process { role, source })?;
+    Ok(Stdio::from(file))
+}
+
+/// What routers log: all, where their logs are kept, and else what ends a run.
+pub(crate) fn log_filter() -> &'static str {
+    match std::env::var_os(LOG_VARIABLE) {
+        Some(_) => "info",
+        None => "error",
     }
 }
 
