--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -25,7 +25,7 @@
 
 mod upstreams;
 
-pub use self::upstreams::{End, Part, Script, Seen};
+pub use self::upstreams::{End, Observed, Part, Script, Seen};
 use self::upstreams::{Scripted, transport};
 
 pub const HOST: &str = "shop.example";
@@ -50,12 +50,7 @@
 pub struct Running {
     pub gateway: Arc<Gateway>,
     pub timer: Arc<Timer>,
-    pub seen: Arc<Mutex<Vec<Seen>>>,
-    pub questions: Arc<Mutex<Vec<String>>>,
-    /// Holders of copies that were ordered.
-    pub copies: Arc<Mutex<Vec<String>>>,
-    /// Copies that were freed.
-    pub freed: Arc<Mutex<Vec<String>>>,
+    observed: Observed,
 }
 
 impl GatewayFixture {
@@ -151,20 +146,8 @@
     /// A gateway that knows nothing yet.
     pub fn unstarted(self) -> Running {
         let timer = Timer::start();
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let questions = Arc::new(Mutex::new(Vec::new()));
-        let copies = Arc::new(Mutex::new(Vec::new()));
-        let freed = Arc::new(Mutex::new(Vec::new()));
-        let transport = transport(
-            self.script,
-            self.alive,
-            self.holder,
-            &timer,
-            &seen,
-            &questions,
-            &copies,
-            &freed,
-        );
+        let observed = Observed::default();
+        let transport = transport(self.script, self.alive, self.holder, &timer, &observed);
         let settings = GatewaySettings {
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
@@ -175,14 +158,19 @@
         Running {
             gateway,
             timer,
-            seen,
-            questions,
-            copies,
-            freed,
+            observed,
         }
     }
 }
 
+impl std::ops::Deref for Running {
+    type Target = Observed;
+
+    fn deref(&self) -> &Observed {
+        &self.observed
+    }
+}
+
 impl Running {
     pub fn call(&self, path: &str) -> Call {
         Call {
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -54,18 +54,31 @@
 
 pub(super) type Scripted = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
+/// What upstreams were asked to do.
+#[derive(Clone, Default)]
+pub struct Observed {
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub questions: Arc<Mutex<Vec<String>>>,
+    /// Holders of copies that were ordered.
+    pub copies: Arc<Mutex<Vec<String>>>,
+    /// Copies that were freed.
+    pub freed: Arc<Mutex<Vec<String>>>,
+}
+
 pub(super) fn transport(
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     holder: Option<&'static str>,
     timer: &Arc<Timer>,
-    seen: &Arc<Mutex<Vec<Seen>>>,
-    questions: &Arc<Mutex<Vec<String>>>,
-    copies: &Arc<Mutex<Vec<String>>>,
-    freed: &Arc<Mutex<Vec<String>>>,
+    observed: &Observed,
 ) -> UpstreamTransport {
-    let (copies, freed) = (copies.clone(), freed.clone());
-    let (timer, seen, questions) = (timer.clone(), seen.clone(), questions.clone());
+    let Observed {
+        seen,
+        questions,
+        copies,
+        freed,
+    } = observed.clone();
+    let timer = timer.clone();
     UpstreamTransport {
         send: Box::new(move |call| {
             seen.lock().push(Seen {
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -105,7 +105,7 @@
 
 /// Name of a VM that reads for its zone when `vm-1` is there as well.
 fn reader() -> Arc<str> {
-    let names = (2..).map(|n| Arc::<str>::from(format!("vm-{n}")));
+    let names = (2..100).map(|n| Arc::<str>::from(format!("vm-{n}")));
     names
         .into_iter()
         .find(|name| reads_for_zone(name, &["vm-1".into(), name.clone()]))
@@ -259,7 +259,7 @@
 /// Versions of the table that a VM tells its zone within a second.
 async fn told_to_the_zone(feed: impl FnOnce(&FakeTable) -> Feed<UpstreamEntry>) -> Vec<u64> {
     let running = GatewayFixture::new(|_| Script::Hang).start();
-    let other = (2..)
+    let other = (2..100)
         .map(|n| Arc::<str>::from(format!("vm-{n}")))
         .find(|other| reads_for_zone("vm-1", &["vm-1".into(), other.clone()]))
         .unwrap();
--- a/crates/load/tests/process.rs
+++ b/crates/load/tests/process.rs
@@ -18,18 +18,19 @@
         .spawn()
         .unwrap();
     let mut line = String::new();
-    let mut output = BufReader::new(child.stdout.take().unwrap());
-    output.read_line(&mut line).unwrap();
+    let mut output = child.stdout.take().map(BufReader::new).expect("an output");
+    let read = output.read_line(&mut line);
 
     drop(child.stdin.take());
     let end = Instant::now() + Duration::from_secs(20);
     let mut ended = None;
     while ended.is_none() && Instant::now() < end {
-        ended = child.try_wait().unwrap();
+        ended = child.try_wait().ok().flatten();
         std::thread::sleep(Duration::from_millis(10));
     }
 
-    let _ = child.kill();
+    let _ = (child.kill(), child.wait());
+    expect_that!(read, ok(anything()));
     expect_that!(line, starts_with("listening"));
     expect_that!(ended, some(anything()));
 }
