--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -29,7 +29,7 @@
     },
     tokio::{
         io::{AsyncBufReadExt, BufReader, Lines},
-        process::{Child, ChildStdout, Command},
+        process::{Child, ChildStdin, ChildStdout, Command},
         time::Instant,
     },
     volo_http::response::Response,
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -18,6 +18,9 @@
 pub struct Process {
     role: Role,
     child: Child,
+    /// Held so that it ends with this one. Kept apart from `child`, which would close it when it is waited
+    /// for, and the process would end in the middle of its shutdown.
+    _input: Option<ChildStdin>,
     address: SocketAddr,
     others: Vec<(String, SocketAddr)>,
 }
@@ -50,6 +53,7 @@
         tokio::spawn(read_on(lines));
         Ok(Self {
             role,
+            _input: child.stdin.take(),
             child,
             address,
             others,
