--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -50,7 +50,9 @@
         if whole {
             self.put_upstreams(rows.into_iter().filter_map(|(_, entry)| entry).collect());
         } else {
-            self.take_changes(changes.clone());
+            // All rows, not only what is new in them: an upstream that was taken for gone is back with its next
+            // word.
+            self.take_changes(rows);
         }
         if from_store && !changes.is_empty() {
             self.tell_zone(&changes);
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -73,7 +73,11 @@
 impl UpstreamDirectory {
     /// Takes in an entry; returns its presence if that is new.
     pub fn heard(&mut self, entry: UpstreamEntry) -> Option<Presence> {
-        self.replace_at_address(&entry);
+        self.replace_at_address(&entry, &[]);
+        self.take(entry)
+    }
+
+    fn take(&mut self, entry: UpstreamEntry) -> Option<Presence> {
         let index = match self.position(&entry.id) {
             Ok(index) => index,
             Err(index) => {
@@ -127,6 +131,9 @@
             .map(|known| known.entry.id.clone())
             .filter(|id| entries.iter().all(|entry| entry.id != *id))
             .collect::<Vec<_>>();
+        // Of two entries at one address the order does not tell which is the newer: the older one is removed
+        // soon. Taken for replaced, the newer one would get no call as long as it lives.
+        let listed = entries.iter().map(|e| e.id.clone()).collect::<Vec<_>>();
         let mut changes = Vec::new();
         for id in missing {
             if let Some(presence) = self.removed(&id, now) {
@@ -135,7 +142,8 @@
         }
         for entry in entries {
             let id = entry.id.clone();
-            if let Some(presence) = self.heard(entry) {
+            self.replace_at_address(&entry, &listed);
+            if let Some(presence) = self.take(entry) {
                 changes.push((id, presence));
             }
         }
@@ -189,9 +197,12 @@
         known.is_usable(now).then_some(&known.entry)
     }
 
-    fn replace_at_address(&mut self, entry: &UpstreamEntry) {
+    fn replace_at_address(&mut self, entry: &UpstreamEntry, except: &[UpstreamId]) {
         for known in &mut self.known {
-            if known.entry.address == entry.address && known.entry.id != entry.id && !entry.leaving
+            if known.entry.address == entry.address
+                && known.entry.id != entry.id
+                && !entry.leaving
+                && !except.contains(&known.entry.id)
             {
                 known.presence = Presence::Gone;
             }
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -94,3 +94,19 @@
     expect_that!(changes, eq(&vec![("u1".parse().unwrap(), Presence::Gone)]));
     expect_that!(usable(&directory, at(9000)), eq(&["u2"]));
 }
+
+/// An upstream has crashed and started anew at its address, and the entries of both lives are listed until
+/// the older one lapses. Whatever their order, the new life gets calls; taken for replaced by the older one, it
+/// would get none as long as it lived.
+#[gtest]
+fn both_entries_of_one_address_in_one_list_are_present() {
+    for order in [["new", "old"], ["old", "new"]] {
+        let mut directory = UpstreamDirectory::default();
+        let listed = order.map(|id| entry(id, 1, false));
+
+        directory.snapshot(listed.to_vec(), at(1000));
+        directory.removed(&"old".parse().unwrap(), at(2000));
+
+        expect_that!(usable(&directory, at(2001)), eq(&["new"]), "{order:?}");
+    }
+}
