A table is shown to others in whole or not at all

The peer had its table from another peer, or by the word of its zone, and had only heard changes from the store itself: kept alone, these were shown as the whole table. Of the operators' table the same gap could have hidden a configuration until the next one.

Change: changes that do not go on from what is kept make it incomplete (KeptTable), and the upstreams are shown from what the gateway knows, its zone's word counted in. A peer's page that is older than what is known is left aside.

--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -120,7 +120,9 @@
     loop {
         let (page, whole) = follower.next(Duration::ZERO).await;
         gateway.platform_answers(follower.answers);
-        gateway.table_read(page, whole, follower.answers);
+        if follower.answers || gateway.is_behind(&page) {
+            gateway.table_read(page, whole, follower.answers);
+        }
         gateway.feed_read(|state| state.old_directory = false);
         follower.pause(UPSTREAM_PACE).await;
         if follower.answers && gateway.relies_on_zone() {
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -59,6 +59,29 @@
         }
     }
 
+    /// The table for a VM that the platform turns away, if the platform was heard within `age`, here or by the
+    /// VM whose word is relied on.
+    #[must_use]
+    pub fn table_page(&self, age: Duration) -> Option<FeedPage<UpstreamEntry>> {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let read_here = state.table_read.map(|at| now.since(at));
+        let told = match state.news.state(now) {
+            NewsState::Fresh(_) => state.news.age(now),
+            NewsState::Behind(_) | NewsState::Silent => None,
+        };
+        let fresh = [read_here, told].into_iter().flatten().any(|a| a <= age);
+        fresh.then(|| FeedPage {
+            version: state.table.version(),
+            entries: state.table.entries(),
+        })
+    }
+
+    /// Whether a page of a peer holds anything that is not known here already.
+    pub(crate) fn is_behind(&self, page: &FeedPage<UpstreamEntry>) -> bool {
+        self.table_version() < page.version
+    }
+
     /// Tells the zone what was read here, if this VM reads for it.
     pub(crate) fn tell_zone(&self, changes: &[UpstreamChange]) {
         if !self.reads_for_zone() {
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -294,3 +294,33 @@
     expect_that!(from_store, not(is_empty()));
     expect_that!(from_peer, is_empty());
 }
+
+/// What a VM shows to others that the store turns away: all it knows of the table, also what it knows by its
+/// zone's word, while that is new; and nothing that is itself from a peer.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn table_is_shown_in_whole_or_not_at_all() {
+    let age = Duration::from_millis(2200);
+    let (relying, table) = relying().await;
+    table.set_leaving(0);
+    let change = table.rows.lock()[0].clone();
+    relying.gateway.take_news(&table.news(&[change.clone()]));
+    let shown = relying.gateway.table_page(age);
+    let turned_away = GatewayFixture::new(|_| Script::Hang).start();
+    hear_of_reader(&turned_away);
+    tokio::spawn(follow_upstreams(
+        turned_away.gateway.clone(),
+        table.feed_of_a_peer(),
+    ));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    let from_a_peer = turned_away.gateway.table_page(age);
+    tokio::time::sleep(age).await;
+    let old = relying.gateway.table_page(Duration::ZERO);
+
+    let entries = shown.map(|page| page.entries).unwrap_or_default();
+    expect_that!(entries.len(), eq(2));
+    expect_that!(entries.contains(&change), eq(true));
+    expect_that!(from_a_peer.is_none(), eq(true));
+    expect_that!(old.is_none(), eq(true));
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -79,6 +79,7 @@
     incarnation::Incarnation,
     ineligible::Ineligible,
     instant::Instant,
+    kept_table::KeptTable,
     key_hash::KeyHash,
     lane::Lane,
     lease::Lease,
@@ -222,6 +223,7 @@
 mod incarnation;
 mod ineligible;
 mod instant;
+mod kept_table;
 mod key_hash;
 mod lane;
 mod lane_queue;
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -22,6 +22,7 @@
 struct Row {
     key: Arc<str>,
     hash: u64,
+    entry: UpstreamEntry,
 }
 
 /// A change of the table: an entry, or that it was removed.
@@ -34,6 +35,13 @@
         self.version
     }
 
+    /// All entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<UpstreamChange> {
+        let entry = |row: &Row| (row.key.clone(), Some(row.entry.clone()));
+        self.rows.iter().map(entry).collect()
+    }
+
     /// Digest of what it says, whatever the order in which it was read.
     #[must_use]
     pub fn digest(&self) -> u64 {
@@ -88,25 +96,27 @@
     /// Sets or removes a row; whether that is a change.
     fn put(&mut self, key: &Arc<str>, entry: Option<&UpstreamEntry>) -> bool {
         let place = self.rows.binary_search_by(|row| row.key.cmp(key));
-        let hash = entry.map(|entry| hash(key, entry));
+        let row = entry.map(|entry| Row {
+            key: key.clone(),
+            hash: hash(key, entry),
+            entry: entry.clone(),
+        });
         let before = place.ok().map(|index| self.rows[index].hash);
-        if before == hash {
+        let after = row.as_ref().map(|row| row.hash);
+        if before == after {
             return false;
         }
         // Sums in any order are the same.
         self.digest = self
             .digest
             .wrapping_sub(before.unwrap_or(0))
-            .wrapping_add(hash.unwrap_or(0));
-        match (place, hash) {
-            (Ok(index), Some(hash)) => self.rows[index].hash = hash,
+            .wrapping_add(after.unwrap_or(0));
+        match (place, row) {
+            (Ok(index), Some(row)) => self.rows[index] = row,
             (Ok(index), None) => {
                 self.rows.remove(index);
             }
-            (Err(index), Some(hash)) => {
-                let key = key.clone();
-                self.rows.insert(index, Row { key, hash });
-            }
+            (Err(index), Some(row)) => self.rows.insert(index, row),
             (Err(_), None) => {}
         }
         true
