--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -304,7 +304,9 @@
     let (relying, table) = relying().await;
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
-    relying.gateway.take_news(&table.news(&[change.clone()]));
+    relying
+        .gateway
+        .take_news(&table.news(std::slice::from_ref(&change)));
     let shown = relying.gateway.table_page(age);
     let turned_away = GatewayFixture::new(|_| Script::Hang).start();
     hear_of_reader(&turned_away);
--- a/crates/decisions/src/kept_table.rs
+++ b/crates/decisions/src/kept_table.rs
@@ -14,6 +14,15 @@
     version: Option<u64>,
 }
 
+/// A table as it was at one version.
+#[derive(Clone, Copy, Debug)]
+pub struct WholeTable<'a, R> {
+    /// Its rows, sorted by key.
+    pub rows: &'a [(Arc<str>, R)],
+    /// The version.
+    pub version: u64,
+}
+
 impl<R> Default for KeptTable<R> {
     fn default() -> Self {
         Self {
@@ -47,10 +56,13 @@
         self.version = Some(version);
     }
 
-    /// The whole table and its version, if it is known here.
+    /// The whole table, if it is known here.
     #[must_use]
-    pub fn whole(&self) -> Option<(&[(Arc<str>, R)], u64)> {
-        self.version.map(|version| (self.rows.as_slice(), version))
+    pub fn whole(&self) -> Option<WholeTable<'_, R>> {
+        self.version.map(|version| WholeTable {
+            rows: &self.rows,
+            version,
+        })
     }
 
     fn put_all(&mut self, rows: impl IntoIterator<Item = (Arc<str>, Option<R>)>) {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -79,7 +79,7 @@
     incarnation::Incarnation,
     ineligible::Ineligible,
     instant::Instant,
-    kept_table::KeptTable,
+    kept_table::{KeptTable, WholeTable},
     key_hash::KeyHash,
     lane::Lane,
     lease::Lease,
--- a/crates/decisions/tests/kept_table.rs
+++ b/crates/decisions/tests/kept_table.rs
@@ -14,8 +14,8 @@
 
 /// The table's keys, if it is known in whole.
 fn keys(table: &KeptTable<u32>) -> Option<Vec<&str>> {
-    let (rows, _) = table.whole()?;
-    Some(rows.iter().map(|(key, _)| key.as_ref()).collect())
+    let whole = table.whole()?;
+    Some(whole.rows.iter().map(|(key, _)| key.as_ref()).collect())
 }
 
 #[gtest]
@@ -26,7 +26,7 @@
     table.changed(10, [row("c", 1), removed("a"), row("b", 2)], 13);
 
     expect_that!(keys(&table), some(elements_are![eq(&"b"), eq(&"c")]));
-    expect_that!(table.whole().map(|(_, version)| version), some(eq(13)));
+    expect_that!(table.whole().map(|whole| whole.version), some(eq(13)));
 }
 
 /// A VM has the table from a peer and hears of changes itself. Another VM that asks it took these changes for
