An upstream is its id and the start of its process; rows of another writer name none

Cause: all beliefs were kept by id. A foreign row without places counted as one with a place, threw out the upstream whose address it showed, and was logged at each read; one that became unreadable meant another thing as a change than in a whole table.

Change: UpstreamIncarnation (id, start) is the key of directory, pulse, load, copies, cached prompts, crashes, suspects, notes and idle connections. An incarnation that is superseded gives up its calls at the first word of the next: entry, load report, or a peer's note. Of two entries at one address the later one counts until the upstream itself says who it is.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -205,18 +205,19 @@
         let changes = state.directory.snapshot(entries, now);
         state.forget_gone(now);
         drop(state);
-        for (id, presence) in changes {
-            self.log_presence(&id, presence);
-        }
+        self.presence_changed(&changes);
     }
 
     /// Takes in one entry of an upstream.
     pub fn upstream_heard(&self, entry: UpstreamEntry) {
-        let id = entry.id.clone();
-        let change = self.state.lock().directory.heard(entry);
-        if let Some(presence) = change {
-            self.log_presence(&id, presence);
-        }
+        let changes = self.state.lock().directory.heard(entry);
+        self.presence_changed(&changes);
+    }
+
+    /// Takes in when the process of an upstream started, as it or another VM says.
+    pub(crate) fn upstream_started(&self, id: &UpstreamId, born: Born) {
+        let changes = self.state.lock().directory.started(id, born);
+        self.presence_changed(&changes);
     }
 
     /// Takes in that the entry of an upstream was removed.
@@ -224,12 +225,21 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let change = state.directory.removed(id, now);
-        if change == Some(Presence::Gone) {
+        if let Some((id, Presence::Gone)) = &change {
             state.died(id, now);
         }
         drop(state);
-        if let Some(presence) = change {
-            self.log_presence(id, presence);
+        self.presence_changed(change.as_slice());
+    }
+
+    /// Logs what has changed for upstreams, and gives up the calls on those that have started again. Nothing
+    /// says so on a connection that was lost without a reset; its calls would wait until they count as stalled.
+    fn presence_changed(&self, changes: &[PresenceChange]) {
+        for (id, presence) in changes {
+            self.log_presence(id, *presence);
+            if *presence == Presence::Superseded {
+                self.process_ended(id);
+            }
         }
     }
 
@@ -307,8 +317,8 @@
     pub(crate) fn place(
         &self,
         accepted: &AcceptedCall,
-        avoid: &[UpstreamId],
-        cached: &[(UpstreamId, u32)],
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
         self.choose(accepted, avoid, cached, |candidates, who| {
             place(candidates, who).cloned()
@@ -338,8 +348,8 @@
     fn choose<T>(
         &self,
         accepted: &AcceptedCall,
-        avoid: &[UpstreamId],
-        cached: &[(UpstreamId, u32)],
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
         choose: impl FnOnce(&[PlacementCandidate], &PlacementFor) -> T,
     ) -> T {
         let now = self.timer.now();
@@ -369,6 +379,9 @@
         if let Some(load) = load {
             upstream.load.reading(load, now);
         }
+        let changes = state.directory.answered(&entry.id);
+        drop(state);
+        self.presence_changed(&changes);
     }
 
     /// Notes whether a call succeeded on an upstream.
@@ -380,18 +393,18 @@
     /// Notes that another incarnation has the address of an upstream. If it says which, it is asked who
     /// it is: a VM that is cut off from the platform learns of upstreams that start anew only so.
     pub(crate) fn replaced(self: &Arc<Self>, entry: &Arc<UpstreamEntry>, by: Option<UpstreamId>) {
-        let now = self.timer.now();
         let mut state = self.state.lock();
-        state.directory.gone(&entry.id);
-        state.died(&entry.id, now);
+        let changes = state.directory.denied(&entry.id, by.as_ref());
+        let unknown = by.filter(|by| !state.directory.knows(by));
         drop(state);
-        self.log_presence(&entry.id, Presence::Gone);
-        if let Some(by) = by {
+        self.presence_changed(&changes);
+        self.process_ended(&entry.id);
+        if let Some(by) = unknown {
             tokio::spawn(adopt(self.clone(), entry.clone(), by));
         }
     }
 
-    fn log_presence(&self, upstream: &UpstreamId, presence: Presence) {
+    fn log_presence(&self, upstream: &UpstreamIncarnation, presence: Presence) {
         if self.log.admits(LineKind::Belief, self.timer.now()) {
             let presence: &str = presence.into();
             tracing::info!(%upstream, presence, "upstream");
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -63,8 +63,11 @@
     let answer = tokio::time::timeout(ANSWER_BOUND, (gateway.transport.ask)(question)).await;
     let now = gateway.timer.now();
     let fault = match answer {
-        Ok(Ok(load)) => {
-            gateway.heard(&entry, load);
+        // A later process answers: what waits here for the earlier one is lost, and its load is not that of
+        // this one.
+        Ok(Ok(answer)) if entry.id.is_before(answer.born) => Some("started_again"),
+        Ok(Ok(answer)) => {
+            gateway.heard(&entry, answer.load);
             None
         }
         Ok(Err(fault)) => Some(fault.into()),
@@ -80,6 +83,12 @@
         tracing::info!(upstream = %entry.id, fault, in_flight, ms = millis(now.since(start)),
             "upstream asked");
     }
+    if let Ok(Ok(LifeAnswer {
+        born: Some(born), ..
+    })) = answer
+    {
+        gateway.upstream_started(&entry.id.id, born);
+    }
     if fault.is_some() {
         gateway.give_up(&entry);
     }
@@ -104,9 +113,14 @@
         engine: true,
     };
     let answer = tokio::time::timeout(ANSWER_BOUND, (gateway.transport.ask)(question)).await;
-    if let Ok(Ok(Some(_))) = answer {
+    if let Ok(Ok(LifeAnswer {
+        load: Some(_),
+        born,
+    })) = answer
+    {
         gateway.upstream_heard(UpstreamEntry {
-            id,
+            id: UpstreamIncarnation { id, born },
+            leaving: false,
             ..UpstreamEntry::clone(&before)
         });
     }
@@ -126,6 +140,18 @@
         self.log_suspect(entry, new, zone_alarm);
     }
 
+    /// Notes that the process of an upstream is no more, as another one at its address or its own next one
+    /// shows.
+    pub(crate) fn process_ended(&self, id: &UpstreamIncarnation) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        state.died(id, now);
+        if let Some(upstream) = state.known_upstream(id) {
+            upstream.pulse.doubt(now);
+            upstream.given_up.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Notes that a stream from an upstream broke. It comes last until it is heard of again, and is
     /// asked at once; its other calls go on meanwhile.
     pub(crate) fn broke(self: &Arc<Self>, entry: &Arc<UpstreamEntry>) {
@@ -164,7 +190,7 @@
     }
 
     /// How many of these upstreams take calls and are no suspects.
-    pub(crate) fn count_usable(&self, ids: &[UpstreamId]) -> u32 {
+    pub(crate) fn count_usable(&self, ids: &[UpstreamIncarnation]) -> u32 {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let usable = ids
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -12,13 +12,14 @@
         UpstreamId, watch,
     },
     catkin_decisions::{
-        ANSWER_BOUND, CHANGES_TOLD, CachedPrompts, ConfigVersion, Crash, CrashTally, EventFate,
-        EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan, LoanAsk, LoanDesk,
-        MOST_ASKED, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig, NewsState, PeerDatagram,
-        PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor, Presence, PromptPart,
-        RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig, UpstreamChange, UpstreamDirectory,
-        UpstreamEntry, UpstreamLoad, UpstreamPulse, UpstreamTable, WakeDetector, WholeEvent,
-        ZoneAlarm, ZoneNews, place, place_copy, rank_of_vm, reading_time, reads_for_zone,
+        ANSWER_BOUND, Born, CHANGES_TOLD, CachedPrompts, ConfigVersion, Crash, CrashTally,
+        EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan, LoanAsk,
+        LoanDesk, MOST_ASKED, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig, NewsState,
+        PeerDatagram, PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor, Presence,
+        PresenceChange, PromptPart, RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig,
+        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation, UpstreamLoad,
+        UpstreamPulse, UpstreamTable, WakeDetector, WholeEvent, ZoneAlarm, ZoneNews, place,
+        place_copy, rank_of_vm, reading_time, reads_for_zone,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -32,8 +33,8 @@
     peer_notes::exchange_notes,
     reply::{EventBody, Reply, StreamCut},
     upstream_transport::{
-        AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, LifeQuestion, SendFault,
-        UpstreamAnswer, UpstreamCall, UpstreamTransport,
+        AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, LifeAnswer, LifeQuestion,
+        SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
 
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -201,6 +201,7 @@
         }
         let now = self.timer.now();
         let (vm, crashes) = (note.vm.clone(), note.crashes.clone());
+        let started = started_upstreams(&note);
         let mut state = self.state.lock();
         let wanted = state.peers.wanted_members(&note, rand::random(), now);
         if !wanted.is_empty() {
@@ -215,8 +216,20 @@
         }
         let live = state.peers.live_count(now);
         drop(state);
+        for (id, born) in started {
+            self.upstream_started(&id, born);
+        }
         if live > before {
             tracing::info!(%vm, %address, live, "peer found");
         }
     }
 }
+
+/// The upstreams that a note names, with their starts.
+fn started_upstreams(note: &PeerNote) -> Vec<(UpstreamId, Born)> {
+    let loads = note.loads.iter().map(|load| &load.upstream);
+    loads
+        .chain(&note.suspects)
+        .filter_map(|upstream| Some((upstream.id.clone(), upstream.born?)))
+        .collect()
+}
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -8,7 +8,10 @@
 impl Gateway {
     /// Tokens of a call's prompt that engines hold, sorted by engine. Only for callers that come back:
     /// the prompt of any other one has not been read yet.
-    pub(crate) async fn search_prompt(&self, accepted: &AcceptedCall) -> Vec<(UpstreamId, u32)> {
+    pub(crate) async fn search_prompt(
+        &self,
+        accepted: &AcceptedCall,
+    ) -> Vec<(UpstreamIncarnation, u32)> {
         let Some(prompt) = &accepted.call.prompt else {
             return Vec::new();
         };
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -28,7 +28,7 @@
 
 /// What is known of one upstream.
 pub(crate) struct UpstreamState {
-    id: UpstreamId,
+    id: UpstreamIncarnation,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) pulse: UpstreamPulse,
     pub(crate) load: UpstreamLoad,
@@ -111,7 +111,7 @@
     }
 
     /// Notes that an upstream died, under the calls whose connections broke shortly before.
-    pub(crate) fn died(&mut self, upstream: &UpstreamId, now: Instant) {
+    pub(crate) fn died(&mut self, upstream: &UpstreamIncarnation, now: Instant) {
         self.broken
             .retain(|crash| now.since(crash.at) < DEATH_SHOWS);
         let (under, rest) = std::mem::take(&mut self.broken)
@@ -147,6 +147,15 @@
         &mut self.upstreams[index]
     }
 
+    /// State of an upstream, if it has any.
+    pub(crate) fn known_upstream(
+        &mut self,
+        id: &UpstreamIncarnation,
+    ) -> Option<&mut UpstreamState> {
+        let index = self.upstreams.binary_search_by(|u| u.id.cmp(id)).ok()?;
+        Some(&mut self.upstreams[index])
+    }
+
     /// All upstreams that there is state of.
     pub(crate) fn upstreams_mut(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
         self.upstreams.iter_mut()
@@ -182,8 +191,8 @@
     pub(crate) fn choose<T>(
         &mut self,
         service: &ServiceId,
-        avoid: &[UpstreamId],
-        cached: &[(UpstreamId, u32)],
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
         who: &PlacementFor,
         choose: impl FnOnce(&[PlacementCandidate]) -> T,
     ) -> T {
@@ -222,7 +231,10 @@
 }
 
 /// Tokens of a prompt that an upstream holds.
-pub(crate) fn cached_tokens(cached: &[(UpstreamId, u32)], id: &UpstreamId) -> u32 {
+pub(crate) fn cached_tokens(
+    cached: &[(UpstreamIncarnation, u32)],
+    id: &UpstreamIncarnation,
+) -> u32 {
     match cached.binary_search_by(|(holder, _)| holder.cmp(id)) {
         Ok(index) => cached[index].1,
         Err(_) => 0,
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -30,14 +30,14 @@
     /// A copy of the memory of the run before.
     pub(super) copy: Option<KeptCopy>,
     /// Tokens of its prompt that engines hold, sorted by engine.
-    pub(super) cached: Vec<(UpstreamId, u32)>,
+    pub(super) cached: Vec<(UpstreamIncarnation, u32)>,
     /// Upstreams that lost or refused it.
-    pub(super) avoid: Vec<UpstreamId>,
+    pub(super) avoid: Vec<UpstreamIncarnation>,
     pub(super) sends: u32,
     /// Whether the next send is paid for: the one before did not arrive.
     pub(super) send_paid: bool,
     /// Upstreams that may have run it, the present one included.
-    pub(super) ran_on: Vec<UpstreamId>,
+    pub(super) ran_on: Vec<UpstreamIncarnation>,
     /// Whether the caller has got an event.
     pub(super) delivered: bool,
     pub(super) head: Option<(StatusCode, HeaderMap)>,
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -29,11 +29,8 @@
 >;
 
 /// Asks an upstream a question.
-pub type AskUpstream = Box<
-    dyn Fn(LifeQuestion) -> BoxFuture<'static, Result<Option<LoadReading>, SendFault>>
-        + Send
-        + Sync,
->;
+pub type AskUpstream =
+    Box<dyn Fn(LifeQuestion) -> BoxFuture<'static, Result<LifeAnswer, SendFault>> + Send + Sync>;
 
 /// Has an engine copy the memory of a run.
 pub type CopyMemory =
@@ -81,6 +78,15 @@
     pub engine: bool,
 }
 
+/// An upstream's answer to a question.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LifeAnswer {
+    /// How busy it is, if it says so.
+    pub load: Option<LoadReading>,
+    /// When the process that answers started, if it says so.
+    pub born: Option<Born>,
+}
+
 /// A call on its way to an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamCall {
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -54,7 +54,7 @@
     gateway: Arc<Gateway>,
     accepted: AcceptedCall,
     /// Upstreams that refused or failed it.
-    avoid: Vec<UpstreamId>,
+    avoid: Vec<UpstreamIncarnation>,
     sends: u32,
     /// Whether the next send is paid for: the one before did not arrive.
     send_paid: bool,
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -198,7 +198,8 @@
             match (entry, key.parse::<UpstreamId>()) {
                 (Some(entry), _) => self.upstream_heard(entry),
                 (None, Ok(id)) => self.upstream_removed(&id),
-                (None, Err(error)) => tracing::warn!(%key, %error, "removed entry left out"),
+                // It never named an upstream, so there is none to remove.
+                (None, Err(error)) => tracing::debug!(%key, %error, "removed entry left out"),
             }
         }
     }
--- a/crates/catkinward/tests/gateway_replaced.rs
+++ b/crates/catkinward/tests/gateway_replaced.rs
@@ -2,10 +2,17 @@
 
 mod gateway_support;
 
+use catkin_decisions::Born;
 use catkinward::gateway::Reply;
 use gateway_support::*;
 use googletest::prelude::*;
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 /// All engines crashed and started anew while this VM is cut off from the platform, so it knows only
 /// ids that are gone. Each engine that refuses says who it is now; the next call goes there. Without
@@ -47,3 +54,64 @@
     expect_that!(second, pat!(Reply::NotRun { .. }));
     expect_that!(running.sent_to(), eq(&["plain-a1"]));
 }
+/// An engine crashed while it read a prompt, and started again under its id before it was asked whether it lives.
+/// Its connection says nothing. It answers questions, so the caller would wait six seconds; but what answers
+/// started later than what the call went to.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn prompt_on_an_engine_that_started_again_is_read_elsewhere() {
+    let sends = Arc::new(AtomicUsize::new(0));
+    let (count, started) = (sends.clone(), sends.clone());
+    let running = GatewayFixture::new(move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == 0 {
+            return Script::Hang;
+        }
+        Script::Stream(events(1, 40), End::Whole)
+    })
+    .born(move |_| {
+        Some(Born(
+            1000 + 500 * u64::from(started.load(Ordering::Relaxed) > 0),
+        ))
+    })
+    .born_upstream("engine-a1", ENGINES, "a", Born(1000))
+    .born_upstream("engine-b1", ENGINES, "b", Born(1500))
+    .start();
+    let start = running.timer.now();
+
+    let reply = running.handle("/stream/1").await;
+
+    let first_event = running.timer.now().since(start);
+    expect_that!(first_event, le(Duration::from_millis(500)));
+    expect_that!(read_stream(reply).await, eq(&(text(1, 40), true)));
+    expect_that!(running.sent_to()[0], eq("engine-a1@1000"));
+}
+
+/// An engine started again under its id while streams ran on it, and its new entry is the first to say so. Their
+/// connections are silent; they go on elsewhere at once.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn entry_of_a_later_process_ends_the_streams_of_the_earlier() {
+    let running = GatewayFixture::new(|call| match call.last_event {
+        Some(last) => Script::Stream(events(last + 1, 40), End::Whole),
+        None => Script::Stream(events(1, 5), End::Hang),
+    })
+    .born_upstream("engine-a1", ENGINES, "a", Born(1000))
+    .born_upstream("engine-b1", ENGINES, "b", Born(1000))
+    .start();
+    let reading = tokio::spawn(read_stream(running.handle("/stream/1").await));
+    tokio::time::sleep(Duration::from_millis(170)).await;
+    let start = running.timer.now();
+
+    running
+        .gateway
+        .upstream_heard(born_upstream("engine-a1", ENGINES, "a", Born(2000)));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+
+    expect_that!(running.seen.lock().len(), eq(2));
+    let stream = reading.await.unwrap();
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(
+        running.timer.now().since(start),
+        le(Duration::from_millis(1300))
+    );
+}
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -7,15 +7,15 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
+    Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
     PromptPart, RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig, ServiceSpec,
     UpstreamEntry,
 };
 use catkinward::{
     Timer,
     gateway::{
-        AnswerBody, BodyFault, Call, CopySource, Gateway, GatewaySettings, Prompt, Reply,
-        SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
+        AnswerBody, BodyFault, Call, CopySource, Gateway, GatewaySettings, LifeAnswer, Prompt,
+        Reply, SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
 use futures::{StreamExt, stream};
@@ -41,6 +41,7 @@
     repeats: RepeatBudgetConfig,
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    born: Arc<dyn Fn(&str) -> Option<Born> + Send + Sync>,
     /// Engine that holds the whole prompt.
     holder: Option<&'static str>,
     version: u64,
@@ -71,6 +72,7 @@
             },
             script: Box::new(script),
             alive: Arc::new(|_| true),
+            born: Arc::new(|_| None),
             holder: None,
             version: 1,
         }
@@ -81,6 +83,11 @@
         self
     }
 
+    pub fn born_upstream(mut self, id: &str, service: &str, zone: &str, born: Born) -> Self {
+        self.upstreams.push(born_upstream(id, service, zone, born));
+        self
+    }
+
     /// Three plain upstreams and six engines in three zones.
     pub fn usual_upstreams(mut self) -> Self {
         for zone in ["a", "b", "c"] {
@@ -118,6 +125,12 @@
         self
     }
 
+    /// When the processes of upstreams started, as they answer.
+    pub fn born(mut self, born: impl Fn(&str) -> Option<Born> + Send + Sync + 'static) -> Self {
+        self.born = Arc::new(born);
+        self
+    }
+
     /// The engine that still holds the prompt of the caller.
     pub fn holder(mut self, id: &'static str) -> Self {
         self.holder = Some(id);
@@ -147,7 +160,14 @@
     pub fn unstarted(self) -> Running {
         let timer = Timer::start();
         let observed = Observed::default();
-        let transport = transport(self.script, self.alive, self.holder, &timer, &observed);
+        let transport = transport(
+            self.script,
+            self.alive,
+            self.born,
+            self.holder,
+            &timer,
+            &observed,
+        );
         let settings = GatewaySettings {
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
@@ -286,6 +306,13 @@
     (first..=last).map(event).collect()
 }
 
+/// Entry of an upstream that says when it started.
+pub fn born_upstream(id: &str, service: &str, zone: &str, born: Born) -> UpstreamEntry {
+    let mut entry = upstream(id, service, zone);
+    entry.id.born = Some(born);
+    entry
+}
+
 pub fn upstream(id: &str, service: &str, zone: &str) -> UpstreamEntry {
     let port = id.bytes().fold(1000_u16, |sum, byte| {
         sum.wrapping_mul(31).wrapping_add(u16::from(byte))
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -68,6 +68,7 @@
 pub(super) fn transport(
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    born: Arc<dyn Fn(&str) -> Option<Born> + Send + Sync>,
     holder: Option<&'static str>,
     timer: &Arc<Timer>,
     observed: &Observed,
@@ -116,10 +117,14 @@
         ask: Box::new(move |question| {
             let id = question.entry.id.to_string();
             let alive = alive(&id);
+            let born = born(&id);
             questions.lock().push(id);
             Box::pin(async move {
                 if alive {
-                    return Ok(Some(LoadReading::default()));
+                    return Ok(LifeAnswer {
+                        load: Some(LoadReading::default()),
+                        born,
+                    });
                 }
                 std::future::pending().await
             })
--- /dev/null
+++ b/crates/decisions/src/born.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+number_newtype!(
+    /// When the process of an upstream started, in Unix milliseconds by its own clock.
+    Born,
+    "start of an upstream"
+);
--- a/crates/decisions/src/cached_prompts.rs
+++ b/crates/decisions/src/cached_prompts.rs
@@ -37,7 +37,7 @@
 
 #[derive(Clone, Debug)]
 struct EngineCache {
-    engine: UpstreamId,
+    engine: UpstreamIncarnation,
     told: Instant,
     /// Tokens held of each part, sorted by its name.
     parts: Vec<PromptPart>,
@@ -46,13 +46,13 @@
 impl CachedPrompts {
     /// Whether an engine should be asked.
     #[must_use]
-    pub fn is_due(&self, engine: &UpstreamId, now: Instant) -> bool {
+    pub fn is_due(&self, engine: &UpstreamIncarnation, now: Instant) -> bool {
         self.get(engine, now).is_none()
     }
 
     /// Takes in an engine's word: parts with the tokens that it holds of each, the latest word on a part
     /// last.
-    pub fn told(&mut self, engine: &UpstreamId, word: Vec<PromptPart>, now: Instant) {
+    pub fn told(&mut self, engine: &UpstreamIncarnation, word: Vec<PromptPart>, now: Instant) {
         self.engines
             .retain(|known| known.engine != *engine && now.since(known.told) < CACHE_WORD_AGE);
         let mut parts: Vec<PromptPart> = Vec::new();
@@ -73,7 +73,7 @@
     /// Tokens of a prompt that each engine holds, for those that hold any, sorted by engine. A part
     /// counts only as far as all parts before it are held in whole.
     #[must_use]
-    pub fn holders(&self, prompt: &[PromptPart], now: Instant) -> Vec<(UpstreamId, u32)> {
+    pub fn holders(&self, prompt: &[PromptPart], now: Instant) -> Vec<(UpstreamIncarnation, u32)> {
         self.engines
             .iter()
             .filter(|engine| now.since(engine.told) < CACHE_WORD_AGE)
@@ -82,7 +82,7 @@
             .collect()
     }
 
-    fn get(&self, engine: &UpstreamId, now: Instant) -> Option<&EngineCache> {
+    fn get(&self, engine: &UpstreamIncarnation, now: Instant) -> Option<&EngineCache> {
         let index = self
             .engines
             .binary_search_by(|known| known.engine.cmp(engine));
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -28,7 +28,7 @@
     /// Digest of the call: path, team and body.
     pub digest: u64,
     /// The upstream that died.
-    pub upstream: UpstreamId,
+    pub upstream: UpstreamIncarnation,
     /// When this process heard of it.
     #[serde(skip)]
     pub at: Instant,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,6 +26,7 @@
     admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePlace},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
+    born::Born,
     bundle::Bundle,
     bundle_author::BundleAuthor,
     bundle_change::{BundleChange, Settled},
@@ -148,9 +149,10 @@
     token_log::TokenLog,
     upstream::Upstream,
     upstream_death::UpstreamDeath,
-    upstream_directory::{LAPSE_GRACE, Presence, UpstreamDirectory, UpstreamEntry},
+    upstream_directory::{LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry},
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
     upstream_id::UpstreamId,
+    upstream_incarnation::UpstreamIncarnation,
     upstream_load::{LoadReading, UpstreamLoad, reading_time},
     upstream_places::{CapacityReport, UpstreamPlaces},
     upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
@@ -170,6 +172,7 @@
 mod admission_queue;
 mod attempt;
 mod availability_zone;
+mod born;
 mod bundle;
 mod bundle_author;
 mod bundle_change;
@@ -296,6 +299,7 @@
 mod upstream_directory;
 mod upstream_evidence;
 mod upstream_id;
+mod upstream_incarnation;
 mod upstream_load;
 mod upstream_places;
 mod upstream_pulse;
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -121,14 +121,14 @@
 
     /// Streams of other VMs on an upstream.
     #[must_use]
-    pub fn calls(&self, upstream: &UpstreamId, now: Instant) -> u32 {
+    pub fn calls(&self, upstream: &UpstreamIncarnation, now: Instant) -> u32 {
         self.loads(upstream, now).map(|(load, _)| load.calls).sum()
     }
 
     /// Time until the prompts of other VMs on an upstream are read. Prompts are read one after the
     /// other, so the times add up.
     #[must_use]
-    pub fn reading_left(&self, upstream: &UpstreamId, now: Instant) -> Duration {
+    pub fn reading_left(&self, upstream: &UpstreamIncarnation, now: Instant) -> Duration {
         self.loads(upstream, now)
             .map(|(load, age)| {
                 Duration::from_millis(u64::from(load.reading_ms)).saturating_sub(age)
@@ -274,7 +274,7 @@
 
     /// Whether any other VM gets no answer from an upstream.
     #[must_use]
-    pub fn is_suspect(&self, upstream: &UpstreamId, now: Instant) -> bool {
+    pub fn is_suspect(&self, upstream: &UpstreamIncarnation, now: Instant) -> bool {
         self.notes(now)
             .any(|heard| heard.note.suspects.contains(upstream))
     }
@@ -314,7 +314,7 @@
 
     fn loads(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamIncarnation,
         now: Instant,
     ) -> impl Iterator<Item = (&PeerLoad, Duration)> {
         self.notes(now).flat_map(move |heard| {
--- a/crates/decisions/src/peer_note.rs
+++ b/crates/decisions/src/peer_note.rs
@@ -20,7 +20,7 @@
     pub loads: Vec<PeerLoad>,
     /// Upstreams that do not answer it.
     #[serde(rename = "s")]
-    pub suspects: Vec<UpstreamId>,
+    pub suspects: Vec<UpstreamIncarnation>,
     /// Calls under which upstreams died.
     #[serde(rename = "c")]
     pub crashes: Vec<Crash>,
@@ -37,7 +37,7 @@
 pub struct PeerLoad {
     /// The upstream.
     #[serde(rename = "u")]
-    pub upstream: UpstreamId,
+    pub upstream: UpstreamIncarnation,
     /// The VM's streams there, and copies of the memory of others.
     #[serde(rename = "c")]
     pub calls: u32,
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -243,7 +243,7 @@
 
 /// Rank of a VM among those of its zone for an upstream: that of rank 0 has it in its part.
 #[must_use]
-pub fn rank_of_vm(upstream: &UpstreamId, vm: &str, zone_vms: &[Arc<str>]) -> usize {
+pub fn rank_of_vm(upstream: &UpstreamIncarnation, vm: &str, zone_vms: &[Arc<str>]) -> usize {
     let own = rendezvous_score(upstream.as_str(), vm);
     zone_vms
         .iter()
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -4,7 +4,17 @@
 //! is removed means that the upstream is gone, with one exception: entries lapse while the platform
 //! itself is away, although their upstreams live, and come back within [`LAPSE_GRACE`] of its return.
 //! Without that exception an outage of the platform would end with no upstream at all, seen as
-//! refusals of everything. A new incarnation at a known address replaces the older one there.
+//! refusals of everything.
+//!
+//! An upstream that starts again under its id is a new incarnation: the earlier one is superseded for good,
+//! and an entry of the earlier one that is read late is left out. By the same rule an upstream whose clock
+//! stepped back between two starts, by more than the first of them lasted, gets no call until its entry is removed
+//! or it starts once more; to believe it would let a late entry bring back what has left.
+//!
+//! Two entries may show one address. Mostly the upstream at it crashed and started anew under another id, so the
+//! entry that is heard last replaces the other. But it may also be a foreign one, so that is not for good:
+//! an answer of the replaced upstream brings it back, and an upstream that answers for another id at
+//! its address is denied until its entry changes.
 
 use super::*;
 
@@ -12,12 +22,16 @@
 /// platform promises about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// How long an upstream that is gone is remembered: longer than any entry is read late. Its id may come back
+/// afterwards, also where nobody says when a process started.
+const REMEMBERED: Duration = Duration::from_secs(30);
+
 /// An upstream's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
-    /// Its incarnation: each start has an id of its own.
+    /// Its incarnation.
     #[serde(rename = "i")]
-    pub id: UpstreamId,
+    pub id: UpstreamIncarnation,
     /// Service that it belongs to.
     #[serde(rename = "s")]
     pub service: ServiceId,
@@ -43,13 +57,22 @@
     Present,
     /// Its entry lapsed around an outage of the platform; it counts as present until then.
     Lapsed(Instant),
+    /// Another entry shows its address.
+    Replaced,
+    /// Another upstream answers at its address.
+    Denied,
     /// It is leaving and takes no new calls.
     Leaving,
     /// It is gone.
     Gone,
+    /// It has started again under its id, so this incarnation is gone for good.
+    Superseded,
 }
 
-/// The upstreams known, sorted by id.
+/// What has changed for an upstream.
+pub type PresenceChange = (UpstreamIncarnation, Presence);
+
+/// The upstreams known, sorted by incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamDirectory {
     known: Vec<Known>,
@@ -60,6 +83,8 @@
 struct Known {
     entry: Arc<UpstreamEntry>,
     presence: Presence,
+    /// Since when it was found to be gone.
+    gone_since: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -71,39 +96,68 @@
 }
 
 impl UpstreamDirectory {
-    /// Takes in an entry; returns its presence if that is new.
-    pub fn heard(&mut self, entry: UpstreamEntry) -> Option<Presence> {
-        self.replace_at_address(&entry, &[]);
-        self.take(entry)
+    /// Takes in an entry; returns what has changed by it.
+    pub fn heard(&mut self, entry: UpstreamEntry) -> Vec<PresenceChange> {
+        self.take(entry, &[])
     }
 
-    fn take(&mut self, entry: UpstreamEntry) -> Option<Presence> {
-        let index = match self.position(&entry.id) {
-            Ok(index) => index,
+    fn take(&mut self, mut entry: UpstreamEntry, listed: &[UpstreamId]) -> Vec<PresenceChange> {
+        let mut changes = Vec::new();
+        if let Some(newest) = self.newest(&entry.id.id) {
+            if entry.id.is_before(newest.born) {
+                return changes;
+            }
+            if entry.id.born.is_none() {
+                entry.id = newest;
+            }
+        }
+        self.supersede(&entry.id, &mut changes);
+        let id = entry.id.clone();
+        let presence = match self.position(&id) {
+            Ok(index) => self.known[index].renew(entry),
             Err(index) => {
                 let presence = presence_of(&entry);
-                let entry = Arc::new(entry);
-                self.known.insert(index, Known { entry, presence });
-                return Some(presence);
+                let known = Known {
+                    entry: Arc::new(entry),
+                    presence,
+                    gone_since: None,
+                };
+                self.known.insert(index, known);
+                Some(presence)
             }
         };
-        let known = &mut self.known[index];
-        let before = known.presence;
-        known.presence = match before {
-            // Sticky: an entry read late may still say ready.
-            Presence::Leaving => Presence::Leaving,
-            Presence::Gone if known.entry.leaving => Presence::Gone,
-            _ => presence_of(&entry),
+        changes.extend(presence.map(|presence| (id.clone(), presence)));
+        self.replace_at_address(&id, listed, &mut changes);
+        changes
+    }
+
+    /// Notes that an upstream has started at `born`, from its own word or that of another VM. Its entry is
+    /// the one before until it is read anew.
+    pub fn started(&mut self, id: &UpstreamId, born: Born) -> Vec<PresenceChange> {
+        let Some(newest) = self.newest(id) else {
+            return Vec::new();
         };
-        if *known.entry != entry {
-            known.entry = Arc::new(entry);
+        let Ok(index) = self.position(&newest) else {
+            return Vec::new();
+        };
+        if !newest.is_before(Some(born)) {
+            return Vec::new();
         }
-        (known.presence != before).then_some(known.presence)
+        let entry = UpstreamEntry {
+            id: UpstreamIncarnation {
+                id: id.clone(),
+                born: Some(born),
+            },
+            leaving: false,
+            ..UpstreamEntry::clone(&self.known[index].entry)
+        };
+        self.take(entry, &[])
     }
 
     /// Notes that an entry was removed; returns the upstream's presence if that is new.
-    pub fn removed(&mut self, id: &UpstreamId, now: Instant) -> Option<Presence> {
-        let index = self.position(id).ok()?;
+    pub fn removed(&mut self, id: &UpstreamId, now: Instant) -> Option<PresenceChange> {
+        let newest = self.newest(id)?;
+        let index = self.position(&newest).ok()?;
         let grace = match self.outage {
             Outage::Now => Some(now.after(LAPSE_GRACE)),
             Outage::Until(until) if now < until => Some(until),
@@ -116,45 +170,70 @@
             (Presence::Lapsed(until), _) if now < until => before,
             _ => Presence::Gone,
         };
-        (known.presence != before).then_some(known.presence)
+        (known.presence != before).then_some((newest, known.presence))
     }
 
     /// Takes in all entries at once: those not among them were removed.
-    pub fn snapshot(
-        &mut self,
-        entries: Vec<UpstreamEntry>,
-        now: Instant,
-    ) -> Vec<(UpstreamId, Presence)> {
-        let missing = self
+    pub fn snapshot(&mut self, entries: Vec<UpstreamEntry>, now: Instant) -> Vec<PresenceChange> {
+        let mut missing = self
             .known
             .iter()
-            .map(|known| known.entry.id.clone())
-            .filter(|id| entries.iter().all(|entry| entry.id != *id))
+            .map(|known| known.entry.id.id.clone())
+            .filter(|id| entries.iter().all(|entry| entry.id.id != *id))
             .collect::<Vec<_>>();
+        missing.dedup();
         // Of two entries at one address the order does not tell which is the newer: the older one is removed
         // soon. Taken for replaced, the newer one would get no call as long as it lives.
-        let listed = entries.iter().map(|e| e.id.clone()).collect::<Vec<_>>();
+        let listed = entries
+            .iter()
+            .map(|entry| entry.id.id.clone())
+            .collect::<Vec<_>>();
         let mut changes = Vec::new();
         for id in missing {
-            if let Some(presence) = self.removed(&id, now) {
-                changes.push((id, presence));
-            }
+            changes.extend(self.removed(&id, now));
         }
         for entry in entries {
-            let id = entry.id.clone();
-            self.replace_at_address(&entry, &listed);
-            if let Some(presence) = self.take(entry) {
-                changes.push((id, presence));
-            }
+            changes.extend(self.take(entry, &listed));
         }
         changes
     }
 
-    /// Notes that an upstream is gone, from its own address: another incarnation answers there.
-    pub fn gone(&mut self, id: &UpstreamId) {
+    /// Notes that an upstream answered by itself: no other one has its address.
+    pub fn answered(&mut self, id: &UpstreamIncarnation) -> Vec<PresenceChange> {
+        let mut changes = Vec::new();
+        if let Ok(index) = self.position(id)
+            && self.known[index].presence == Presence::Replaced
+        {
+            self.known[index].presence = Presence::Present;
+            changes.push((id.clone(), Presence::Present));
+            self.replace_at_address(id, &[], &mut changes);
+        }
+        changes
+    }
+
+    /// Notes that `by` answered at the address of an upstream in its place, if it says who it is.
+    pub fn denied(
+        &mut self,
+        id: &UpstreamIncarnation,
+        by: Option<&UpstreamId>,
+    ) -> Vec<PresenceChange> {
+        let mut changes = Vec::new();
         if let Ok(index) = self.position(id) {
-            self.known[index].presence = Presence::Gone;
+            let known = &mut self.known[index];
+            if known.is_new_after(Presence::Denied) {
+                changes.push((id.clone(), Presence::Denied));
+            }
+        }
+        if let Some(by) = by.and_then(|by| self.newest(by)) {
+            changes.extend(self.answered(&by));
         }
+        changes
+    }
+
+    /// Whether an upstream of that id is known.
+    #[must_use]
+    pub fn knows(&self, id: &UpstreamId) -> bool {
+        self.newest(id).is_some()
     }
 
     /// Notes that the platform does not answer.
@@ -169,6 +248,7 @@
             Outage::Until(until) if now >= until => self.outage = Outage::None,
             _ => {}
         }
+        self.known.retain_mut(|known| !known.is_forgotten(now));
     }
 
     /// Upstreams of a service that take new calls, sorted by id.
@@ -192,24 +272,57 @@
 
     /// Entry of an upstream that takes new calls.
     #[must_use]
-    pub fn get_usable(&self, id: &UpstreamId, now: Instant) -> Option<&Arc<UpstreamEntry>> {
+    pub fn get_usable(
+        &self,
+        id: &UpstreamIncarnation,
+        now: Instant,
+    ) -> Option<&Arc<UpstreamEntry>> {
         let known = &self.known[self.position(id).ok()?];
         known.is_usable(now).then_some(&known.entry)
     }
 
-    fn replace_at_address(&mut self, entry: &UpstreamEntry, except: &[UpstreamId]) {
+    /// The latest incarnation of an upstream.
+    fn newest(&self, id: &UpstreamId) -> Option<UpstreamIncarnation> {
+        let end = self.known.partition_point(|known| known.entry.id.id <= *id);
+        let last = &self.known[end.checked_sub(1)?].entry.id;
+        (last.id == *id).then(|| last.clone())
+    }
+
+    /// Notes that the earlier incarnations of an upstream are gone.
+    fn supersede(&mut self, id: &UpstreamIncarnation, changes: &mut Vec<PresenceChange>) {
+        for known in &mut self.known {
+            let earlier = known.entry.id.id == id.id && known.entry.id < *id;
+            if earlier && known.is_new_after(Presence::Superseded) {
+                changes.push((known.entry.id.clone(), Presence::Superseded));
+            }
+        }
+    }
+
+    fn replace_at_address(
+        &mut self,
+        id: &UpstreamIncarnation,
+        except: &[UpstreamId],
+        changes: &mut Vec<PresenceChange>,
+    ) {
+        let Ok(index) = self.position(id) else {
+            return;
+        };
+        if self.known[index].presence != Presence::Present {
+            return;
+        }
+        let address = self.known[index].entry.address;
         for known in &mut self.known {
-            if known.entry.address == entry.address
-                && known.entry.id != entry.id
-                && !entry.leaving
-                && !except.contains(&known.entry.id)
-            {
-                known.presence = Presence::Gone;
+            let other = known.entry.address == address && known.entry.id.id != id.id;
+            let listed = except.contains(&known.entry.id.id);
+            let present = matches!(known.presence, Presence::Present | Presence::Lapsed(_));
+            if other && !listed && present {
+                known.presence = Presence::Replaced;
+                changes.push((known.entry.id.clone(), Presence::Replaced));
             }
         }
     }
 
-    fn position(&self, id: &UpstreamId) -> Result<usize, usize> {
+    fn position(&self, id: &UpstreamIncarnation) -> Result<usize, usize> {
         self.known.binary_search_by(|known| known.entry.id.cmp(id))
     }
 }
@@ -219,9 +332,43 @@
         match self.presence {
             Presence::Present => true,
             Presence::Lapsed(until) => now < until,
-            Presence::Leaving | Presence::Gone => false,
+            _ => false,
         }
     }
+
+    /// Takes in its entry once more; returns its presence if that is new.
+    fn renew(&mut self, entry: UpstreamEntry) -> Option<Presence> {
+        let before = self.presence;
+        let moved = self.entry.address != entry.address;
+        self.presence = match before {
+            // Sticky: an entry read late may still say ready.
+            Presence::Leaving => Presence::Leaving,
+            Presence::Gone if self.entry.leaving => Presence::Gone,
+            Presence::Superseded => Presence::Superseded,
+            Presence::Denied if !moved => Presence::Denied,
+            _ => presence_of(&entry),
+        };
+        if *self.entry != entry {
+            self.entry = Arc::new(entry);
+        }
+        (self.presence != before).then_some(self.presence)
+    }
+
+    /// Whether it has been gone for so long that nothing of it is needed any more.
+    fn is_forgotten(&mut self, now: Instant) -> bool {
+        if !matches!(self.presence, Presence::Gone | Presence::Superseded) {
+            self.gone_since = None;
+            return false;
+        }
+        let since = *self.gone_since.get_or_insert(now);
+        now.since(since) >= REMEMBERED
+    }
+
+    /// Sets its presence; whether that is a change.
+    fn is_new_after(&mut self, presence: Presence) -> bool {
+        let before = std::mem::replace(&mut self.presence, presence);
+        before != presence
+    }
 }
 
 fn presence_of(entry: &UpstreamEntry) -> Presence {
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -125,8 +125,8 @@
 
 fn hash(key: &str, entry: &UpstreamEntry) -> u64 {
     let text = format!(
-        "{key} {} {} {} {} {}",
-        entry.service, entry.address, entry.zone, entry.slots, entry.leaving
+        "{key} {} {} {} {} {} {}",
+        entry.id, entry.service, entry.address, entry.zone, entry.slots, entry.leaving
     );
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
--- a/crates/decisions/src/zone_alarm.rs
+++ b/crates/decisions/src/zone_alarm.rs
@@ -20,14 +20,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct ZoneAlarm {
     /// Latest losses, one for each upstream.
-    losses: Vec<(AvailabilityZone, UpstreamId, Instant)>,
+    losses: Vec<(AvailabilityZone, UpstreamIncarnation, Instant)>,
     /// Zones that come last, with the end of that.
     avoided: Vec<(AvailabilityZone, Instant)>,
 }
 
 impl ZoneAlarm {
     /// Notes the loss of an upstream; tells whether its zone became suspect by it.
-    pub fn lost(&mut self, zone: &AvailabilityZone, upstream: &UpstreamId, now: Instant) -> bool {
+    pub fn lost(
+        &mut self,
+        zone: &AvailabilityZone,
+        upstream: &UpstreamIncarnation,
+        now: Instant,
+    ) -> bool {
         self.losses
             .retain(|(_, id, at)| now.since(*at) < TOGETHER && id != upstream);
         self.losses.push((zone.clone(), upstream.clone(), now));
--- a/crates/decisions/tests/cached_prompts.rs
+++ b/crates/decisions/tests/cached_prompts.rs
@@ -1,6 +1,6 @@
 //! Which engines hold a prompt that was read before.
 
-use catkin_decisions::{CACHE_WORD_AGE, CachedPrompts, Instant, PromptPart, UpstreamId};
+use catkin_decisions::{CACHE_WORD_AGE, CachedPrompts, Instant, PromptPart, UpstreamIncarnation};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
     }
 }
 
-fn engine(n: u32) -> UpstreamId {
+fn engine(n: u32) -> UpstreamIncarnation {
     format!("engine-{n}").parse().unwrap()
 }
 
--- a/crates/decisions/tests/upstream_life.rs
+++ b/crates/decisions/tests/upstream_life.rs
@@ -1,7 +1,8 @@
 //! When upstreams are asked whether they live, and what their losses are taken for.
 
 use catkin_decisions::{
-    AvailabilityZone, Crash, CrashTally, Instant, SILENCE, UpstreamId, UpstreamPulse, ZoneAlarm,
+    AvailabilityZone, Crash, CrashTally, Instant, SILENCE, UpstreamIncarnation, UpstreamPulse,
+    ZoneAlarm,
 };
 use googletest::prelude::*;
 use std::time::Duration;
@@ -10,7 +11,7 @@
     Instant(Duration::from_millis(ms))
 }
 
-fn id(name: &str) -> UpstreamId {
+fn id(name: &str) -> UpstreamIncarnation {
     name.parse().unwrap()
 }
 
