--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -124,7 +124,7 @@
             ..UpstreamEntry::clone(&before)
         };
         gateway.upstream_heard(entry.clone());
-        gateway.tell_restart(UpstreamRestart {
+        gateway.tell_restart(&UpstreamRestart {
             before: before.id.clone(),
             entry,
         });
@@ -147,7 +147,7 @@
 
     /// Tells those who share an upstream that it has started anew. While the platform is away nothing else does,
     /// and each VM would have a call turned away by each upstream first, and pay for it.
-    fn tell_restart(&self, restart: UpstreamRestart) {
+    fn tell_restart(&self, restart: &UpstreamRestart) {
         let now = self.timer.now();
         let zone = &self.settings.zone;
         let told = self.state.lock().peers.told_of(&restart.entry, zone, now);
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -26,7 +26,7 @@
 mod upstreams;
 
 pub use self::upstreams::{End, Observed, Part, Script, Seen};
-use self::upstreams::{Scripted, transport};
+use self::upstreams::{Scripted, Starts, transport};
 
 pub const HOST: &str = "shop.example";
 pub const ENGINES: &str = "engines";
@@ -41,7 +41,7 @@
     repeats: RepeatBudgetConfig,
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
-    born: Arc<dyn Fn(&str) -> Option<Born> + Send + Sync>,
+    born: Starts,
     /// Engine that holds the whole prompt.
     holder: Option<&'static str>,
     version: u64,
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -52,6 +52,9 @@
     pub at: Instant,
 }
 
+/// When the process of each upstream started, as it answers.
+pub(super) type Starts = Arc<dyn Fn(&str) -> Option<Born> + Send + Sync>;
+
 pub(super) type Scripted = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
 /// What upstreams were asked to do.
@@ -68,7 +71,7 @@
 pub(super) fn transport(
     script: Scripted,
     alive: Arc<dyn Fn(&str) -> bool + Send + Sync>,
-    born: Arc<dyn Fn(&str) -> Option<Born> + Send + Sync>,
+    born: Starts,
     holder: Option<&'static str>,
     timer: &Arc<Timer>,
     observed: &Observed,
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,6 +6,10 @@
 use super::*;
 
 /// The mechanisms of deciding, and the costs of placing in milliseconds of expected wait.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "one switch for each mechanism"
+)]
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
     /// A run's memory is copied to another upstream as it grows.
