What has left is not brought back by two late entries

Cause: a late entry that says ready did not bring back an upstream that had left, but was kept in the place of the one that says leaving; the next late one then did. Found by switching off the forgetting of what is gone, which no test noticed. Change: that an incarnation has said it is leaving is kept with its entry. Two tests fail first: late entries before and after the removal. A loan that comes late without a later question has a test of its own.

--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -337,13 +337,13 @@
     }
 
     /// Takes in its entry once more; returns its presence if that is new.
-    fn renew(&mut self, entry: UpstreamEntry) -> Option<Presence> {
+    fn renew(&mut self, mut entry: UpstreamEntry) -> Option<Presence> {
         let before = self.presence;
         let moved = self.entry.address != entry.address;
+        // An entry read late may still say ready. Kept so, the next one like it would bring back what has left.
+        entry.leaving |= self.entry.leaving;
         self.presence = match before {
-            // Sticky: an entry read late may still say ready.
-            Presence::Leaving => Presence::Leaving,
-            Presence::Gone if self.entry.leaving => Presence::Gone,
+            Presence::Gone if entry.leaving => Presence::Gone,
             Presence::Superseded => Presence::Superseded,
             Presence::Denied if !moved => Presence::Denied,
             _ => presence_of(&entry),
--- a/crates/decisions/tests/repeat_budget.rs
+++ b/crates/decisions/tests/repeat_budget.rs
@@ -270,6 +270,15 @@
         expect_that!(desk.receive(&late, vm(1), at(5001)), eq(0));
     }
 
+    /// The same, and nothing was asked since.
+    #[gtest]
+    fn a_loan_that_comes_after_half_a_second_does_not_count() {
+        let mut desk = LoanDesk::default();
+        let late = asked(&mut desk, &[1], at(0)).unwrap();
+
+        expect_that!(desk.receive(&late, vm(1), at(501)), eq(0));
+    }
+
     #[gtest]
     fn questions_do_not_follow_each_other_at_once() {
         let mut desk = LoanDesk::default();
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -213,6 +213,20 @@
     expect_that!(usable(&directory, at(0)), eq(&["u1"]));
 }
 
+/// A leaving upstream's older entry is read once more before its entry is removed, and again afterwards. It has
+/// left all the same.
+#[gtest]
+fn late_entries_do_not_bring_back_what_has_left() {
+    let mut directory = UpstreamDirectory::default();
+    directory.heard(entry("u1", 1, true));
+    directory.heard(entry("u1", 1, false));
+    directory.removed(&"u1".parse().unwrap(), at(0));
+
+    directory.heard(entry("u1", 1, false));
+
+    expect_that!(usable(&directory, at(1)), is_empty());
+}
+
 /// Upstreams without a known start come back under an id that drained. Half a minute later no entry of before
 /// is read any more.
 #[gtest]
@@ -222,6 +236,7 @@
     directory.removed(&"u1".parse().unwrap(), at(0));
     directory.platform_answers(at(1000));
     directory.heard(entry("u1", 1, false));
+    directory.heard(entry("u1", 1, false));
     let soon = usable(&directory, at(2000)).len();
     directory.platform_answers(at(31_000));
 
