The test of a stream that waits for a repeat needs the wait

The second stream began after the budget's window had gone on, so that the test held without the wait. Both run side by side now; with the wait switched off the second is cut.

--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -481,8 +481,8 @@
     .usual_upstreams()
     .start();
 
-    let first = read_stream(running.handle("/stream/1").await).await;
-    let second = read_stream(running.handle("/stream/2").await).await;
+    let (first, second) = tokio::join!(running.handle("/stream/1"), running.handle("/stream/2"));
+    let (first, second) = tokio::join!(read_stream(first), read_stream(second));
 
     expect_that!(first, eq(&(text(1, 40), true)));
     expect_that!(second, eq(&(text(1, 40), true)));
