A death that a refused request explains is not laid to those beside it

What callers saw: a caller with part of its answer was refused, "upstreams died under this request", though another request had killed both upstreams.

Cause: each death marked all requests there, also after one of them had been refused for it; a second engine killed by the same culprit at another router then made two.

Mend: deaths under a request that was to be refused earlier, by the times of the deaths, do not count for others. Worked out from the marks at each question, so it holds in whatever order VMs hear of them.

--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -18,6 +18,10 @@
 //! An innocent request that meets two unrelated deaths within its watched steps is refused too,
 //! until its marks expire.
 //!
+//! A death that a refused request explains is not laid to the others that ran there, on this VM or
+//! another: whoever was refused first, by the times of the deaths, is the cause. Without this a request
+//! that runs beside the culprit twice is refused with it, and its caller loses an answer for nothing.
+//!
 //! A run counts as a cause of its upstream's death if the upstream had begun to answer it, or had proved
 //! alive right before the order was sent ([`PoisonTracker::proven`]). Without either, the upstream may
 //! have been dead when the order came, as at the loss of a rack, so such a death only makes the request
@@ -73,6 +77,7 @@
 struct Mark {
     digest: RequestDigest,
     death: UpstreamDeath,
+    /// When the death was first noticed, as far as is known here; the same for all marks of a death.
     at: Instant,
     told: u32,
     cleared: bool,
@@ -268,7 +273,7 @@
     /// Marks of one digest.
     #[must_use]
     pub fn marks_of(&self, digest: RequestDigest, now: Instant) -> Vec<PoisonMark> {
-        let marks = self.marks.iter().filter(|mark| mark.digest == digest);
+        let marks = self.fresh(digest, now);
         marks.map(|mark| mark.tell(now)).collect()
     }
 
@@ -316,20 +321,53 @@
         new
     }
 
-    /// Deaths under a digest: those not cleared, and all.
+    /// Deaths under a digest that no other digest explains: those not cleared, and all.
     fn deaths(&self, digest: RequestDigest, now: Instant) -> (usize, usize) {
-        let start = self.marks.partition_point(|mark| mark.digest < digest);
-        self.marks[start..]
-            .iter()
-            .take_while(|mark| mark.digest == digest)
-            .filter(|mark| now.since(mark.at) <= EXPIRY)
+        let convicted = self.convicted_at(digest, now);
+        self.fresh(digest, now)
+            .filter(|mark| !self.is_explained(mark, convicted, now))
             .fold((0, 0), |(open, all), mark| {
                 (open + usize::from(!mark.cleared), all + 1)
             })
     }
 
+    /// Whether another digest that was to be refused earlier than this one was on the same upstream.
+    fn is_explained(&self, mark: &Mark, convicted: Option<Instant>, now: Instant) -> bool {
+        self.marks
+            .iter()
+            .filter(|other| other.death == mark.death && other.digest != mark.digest)
+            .filter_map(|other| self.convicted_at(other.digest, now))
+            .any(|other| convicted.is_none_or(|own| other < own))
+    }
+
+    /// When so many upstreams had died under a digest that it is refused, whoever ran beside it.
+    fn convicted_at(&self, digest: RequestDigest, now: Instant) -> Option<Instant> {
+        let nth = |n: usize, marks: &mut dyn Iterator<Item = &Mark>| {
+            let mut times = marks.map(|mark| mark.at).collect::<Vec<_>>();
+            times.sort_unstable();
+            times.get(n).copied()
+        };
+        let open = nth(1, &mut self.fresh(digest, now).filter(|mark| !mark.cleared));
+        let all = nth(MOST_DEATHS - 1, &mut self.fresh(digest, now));
+        open.into_iter().chain(all).min()
+    }
+
+    /// Marks of a digest that still count.
+    fn fresh(&self, digest: RequestDigest, now: Instant) -> impl Iterator<Item = &Mark> {
+        let start = self.marks.partition_point(|mark| mark.digest < digest);
+        self.marks[start..]
+            .iter()
+            .take_while(move |mark| mark.digest == digest)
+            .filter(move |mark| now.since(mark.at) <= EXPIRY)
+    }
+
     /// Takes in a mark; returns whether it was new.
-    fn mark(&mut self, mark: Mark) -> bool {
+    fn mark(&mut self, mut mark: Mark) -> bool {
+        let of_death = self.marks.iter_mut().filter(|m| m.death == mark.death);
+        for other in of_death {
+            mark.at = mark.at.min(other.at);
+            other.at = mark.at;
+        }
         let place = self
             .marks
             .binary_search_by(|known| (known.digest, known.death).cmp(&(mark.digest, mark.death)));
