A stream under which engines die as it begins ends after the third

What callers saw: a request that crashes the engines that run it took up to twelve of them in one try, with the streams beside it.

Cause: dead upstreams do not count against a stream, and the tally of crashes was asked only when a call is accepted.

--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -51,8 +51,8 @@
     due
 }
 
-/// Asks an upstream whether it lives, and gives up its calls if it does not answer.
-pub(crate) async fn ask(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) {
+/// Asks an upstream whether it lives, and gives up its calls if it does not answer; whether it does.
+pub(crate) async fn ask(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) -> bool {
     let question = LifeQuestion {
         entry: entry.clone(),
         engine: gateway
@@ -92,6 +92,7 @@
     if fault.is_some() {
         gateway.give_up(&entry);
     }
+    fault.is_none()
 }
 
 /// Takes an incarnation that answered at the address of another one for an upstream of the same
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -14,9 +14,9 @@
     catkin_decisions::{
         ANSWER_BOUND, Born, CHANGES_TOLD, CachedPrompts, ConfigVersion, Crash, CrashTally,
         EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan, LoanAsk,
-        LoanDesk, MOST_ASKED, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig, NewsState,
-        PeerDatagram, PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor, Policy,
-        Presence, PresenceChange, PromptPart, RepeatBudget, RepeatBudgetConfig, Route,
+        LoanDesk, MOST_ASKED, MOST_CRASHES, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig,
+        NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor,
+        Policy, Presence, PresenceChange, PromptPart, RepeatBudget, RepeatBudgetConfig, Route,
         RoutingConfig, UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation,
         UpstreamLoad, UpstreamPulse, UpstreamRestart, UpstreamTable, WakeDetector, WholeEvent,
         ZoneAlarm, ZoneNews, place, place_copy, rank_of_vm, reading_time, reads_for_zone,
--- a/crates/catkinward/src/gateway/reply.rs
+++ b/crates/catkinward/src/gateway/reply.rs
@@ -48,6 +48,9 @@
     /// Its time was over.
     #[display("the time of the stream is over")]
     TimedOut,
+    /// Upstreams died as they began to run it.
+    #[display("upstreams died as they began to run the stream")]
+    Poisoned,
     /// It may not go on elsewhere.
     #[display("the stream was cut and may not go on elsewhere")]
     NotResumable,
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -38,6 +38,8 @@
     pub(super) send_paid: bool,
     /// Upstreams that may have run it, the present one included.
     pub(super) ran_on: Vec<UpstreamIncarnation>,
+    /// Upstreams whose connections broke before they made an event, since one last did.
+    pub(super) broke_beginning: Vec<Arc<UpstreamEntry>>,
     /// Whether the caller has got an event.
     pub(super) delivered: bool,
     pub(super) head: Option<(StatusCode, HeaderMap)>,
@@ -107,6 +109,7 @@
             sends: 0,
             send_paid: false,
             ran_on: Vec::new(),
+            broke_beginning: Vec::new(),
             delivered: false,
             head: None,
             lost_at: None,
@@ -288,6 +291,11 @@
         self.copy = copies
             .into_best(loss == Loss::Silent)
             .filter(|_| gave_events);
+        if gave_events {
+            self.broke_beginning.clear();
+        } else if loss == Loss::Broken {
+            self.broke_beginning.push(entry.clone());
+        }
         self.run_lost(&entry, loss);
         if self.accepted.route.kind.may_repeat() {
             return Ok(());
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -3,6 +3,7 @@
 use super::{
     copy_keeper::CopyKeeper,
     kept_copy::KeptCopy,
+    liveness::ask,
     repeats::{CALL_PATIENCE, STREAM_PATIENCE},
     reply::StreamCut,
     reply_log::millis,
@@ -28,6 +29,9 @@
             if self.accepted.time_left(now).is_zero() {
                 return Err(StreamStop::TimedOut);
             }
+            if self.kills_upstreams().await {
+                return Err(StreamStop::Cut(StreamCut::Poisoned));
+            }
             if self.sends > 0 && !self.may_send_again().await {
                 return Err(self.stop());
             }
@@ -50,6 +54,25 @@
         }
     }
 
+    /// Whether so many upstreams have died as they began to run this stream that it is the cause.
+    ///
+    /// Dead upstreams do not count against a stream otherwise, so it would go on from one to the next and
+    /// end all that runs there; one sees `run of a stream lost` with `loss=broken` twelve times under one
+    /// request. Connections also break while their upstreams live, so these are asked first: it costs a
+    /// round trip, and only those whose third run ends before its first event.
+    async fn kills_upstreams(&mut self) -> bool {
+        if self.broke_beginning.len() < MOST_CRASHES {
+            return false;
+        }
+        let asked = self.broke_beginning.iter();
+        let asked = asked.map(|entry| ask(self.gateway.clone(), entry.clone()));
+        let live = futures::future::join_all(asked).await;
+        let mut live = live.into_iter();
+        self.broke_beginning
+            .retain(|_| !live.next().unwrap_or(true));
+        self.broke_beginning.len() >= MOST_CRASHES
+    }
+
     async fn may_send_again(&mut self) -> bool {
         // Upstreams that died or were cut off do not count: their loss is no fault of the call.
         let alive = self.gateway.count_usable(&self.ran_on);
@@ -234,6 +257,7 @@
             return Ok(false);
         }
         self.ran_on.push(entry.id.clone());
+        self.broke_beginning.push(entry.clone());
         self.run_lost(entry, Loss::Broken);
         self.unless_once()
     }
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 /// Upstreams that may die under one body. Two may be chance: whole availability zones crash together.
-const MOST_CRASHES: usize = 3;
+pub const MOST_CRASHES: usize = 3;
 
 /// How long a crash counts: far longer than callers go on asking.
 const EXPIRY: Duration = Duration::from_secs(600);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -56,7 +56,7 @@
     claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     config_version::ConfigVersion,
-    crash_tally::{Crash, CrashTally},
+    crash_tally::{Crash, CrashTally, MOST_CRASHES},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
