A crash under a call is told to other VMs at once

What callers saw: a request that had crashed its upstreams at one VM crashed more at the next, up to 400 ms after the first had refused it.

Cause: crashes were told with the next note, and the last of a call has no dispatch after it that would send one early, while its caller comes back within milliseconds.

Mend: a death under calls sends a note at once, and both VMs log it. The test hears of the crash within 200 ms; it waits in vain without the change.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -69,6 +69,8 @@
     pub(crate) outbox: Outbox,
     /// Upstreams to which prompts were sent, for the sender of notes.
     pub(crate) dispatches: Dispatches,
+    /// Tells the sender of notes that upstreams died under calls.
+    pub(crate) crashes_seen: Notify,
     /// Tells that news of the zone came.
     pub(crate) news_came: Notify,
     /// Newest configuration that another VM of the zone has in force.
@@ -101,6 +103,7 @@
             loan_came: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
+            crashes_seen: Notify::new(),
             news_came: Notify::new(),
             zone_config: watch::Sender::new(None),
             drain: Arc::default(),
@@ -227,10 +230,14 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let change = state.directory.removed(id, now);
-        if let Some((id, Presence::Gone)) = &change {
-            state.died(id, now);
-        }
+        let gone = change
+            .as_ref()
+            .filter(|(_, presence)| *presence == Presence::Gone);
+        let crashes = gone.map_or(0, |(id, _)| state.died(id, now));
         drop(state);
+        if let Some((id, _)) = gone {
+            self.tell_crashes(id, crashes);
+        }
         self.presence_changed(change.as_slice());
     }
 
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -140,12 +140,22 @@
         let upstream = state.upstream(entry, now);
         let new = upstream.pulse.doubt(now);
         upstream.given_up.send_modify(|count| *count += 1);
-        state.died(&entry.id, now);
+        let crashes = state.died(&entry.id, now);
         let zone_alarm = new && state.zones.lost(&entry.zone, &entry.id, now);
         drop(state);
+        self.tell_crashes(&entry.id, crashes);
         self.log_suspect(entry, new, zone_alarm);
     }
 
+    /// Has other VMs told at once that an upstream died under calls: their callers come back within
+    /// milliseconds, to any VM.
+    pub(crate) fn tell_crashes(&self, upstream: &UpstreamIncarnation, calls: usize) {
+        if calls > 0 {
+            tracing::warn!(%upstream, calls, "upstream died under calls");
+            self.crashes_seen.notify_one();
+        }
+    }
+
     /// Tells those who share an upstream that it has started anew. While the platform is away nothing else does,
     /// and each VM would have a call turned away by each upstream first, and pay for it.
     fn tell_restart(&self, restart: &UpstreamRestart) {
@@ -178,11 +188,13 @@
     pub(crate) fn process_ended(&self, id: &UpstreamIncarnation) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        state.died(id, now);
+        let crashes = state.died(id, now);
         if let Some(upstream) = state.known_upstream(id) {
             upstream.pulse.doubt(now);
             upstream.given_up.send_modify(|count| *count += 1);
         }
+        drop(state);
+        self.tell_crashes(id, crashes);
     }
 
     /// Notes that a stream from an upstream broke. It comes last until it is heard of again, and is
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -41,6 +41,10 @@
                 let told = gateway.told_of(&gateway.dispatches.take());
                 tell(&socket, gateway.note(incarnation, number, false), told).await;
             }
+            () = gateway.crashes_seen.notified() => {
+                tokio::time::sleep(GATHER).await;
+                tell(&socket, gateway.note(incarnation, number, false), gateway.told()).await;
+            }
         }
     }
 }
@@ -212,14 +216,24 @@
         if !state.peers.take(note, address, now) {
             return;
         }
-        for crash in crashes {
-            state.crashes.crashed(Crash { at: now, ..crash });
-        }
+        let news = crashes
+            .into_iter()
+            .filter(|crash| {
+                let at = now;
+                state.crashes.crashed(Crash {
+                    at,
+                    ..crash.clone()
+                })
+            })
+            .count();
         let live = state.peers.live_count(now);
         drop(state);
         for (id, born) in started {
             self.upstream_started(&id, born);
         }
+        if news > 0 {
+            tracing::info!(%vm, news, "a peer tells of calls under which upstreams died");
+        }
         if live > before {
             tracing::info!(%vm, %address, live, "peer found");
         }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -110,8 +110,9 @@
         self.broken.push(crash);
     }
 
-    /// Notes that an upstream died, under the calls whose connections broke shortly before.
-    pub(crate) fn died(&mut self, upstream: &UpstreamIncarnation, now: Instant) {
+    /// Notes that an upstream died, under the calls whose connections broke shortly before; returns how many
+    /// that is news of.
+    pub(crate) fn died(&mut self, upstream: &UpstreamIncarnation, now: Instant) -> usize {
         self.broken
             .retain(|crash| now.since(crash.at) < DEATH_SHOWS);
         let (under, rest) = std::mem::take(&mut self.broken)
@@ -119,9 +120,10 @@
             .partition(|crash| crash.upstream == *upstream);
         self.broken = rest;
         let under: Vec<Crash> = under;
-        for crash in under {
-            self.crashes.crashed(crash);
-        }
+        let news = under
+            .into_iter()
+            .filter(|crash| self.crashes.crashed(crash.clone()));
+        news.count()
     }
 
     /// State of an upstream, new if it has none.
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -326,3 +326,40 @@
     expect_that!(from_a_peer.is_none(), eq(true));
     expect_that!(old.is_none(), eq(true));
 }
+
+/// A call has crashed an upstream, and its caller comes back within milliseconds, to any VM. Another VM that
+/// hears of it with the next round of notes only, 400 ms later, would run it once more.
+#[gtest]
+#[tokio::test]
+async fn a_crash_is_told_at_once() {
+    let running = GatewayFixture::new(|_| Script::Lost)
+        .upstream("plain-a", PLAIN, "a")
+        .start();
+    let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    running
+        .gateway
+        .take_note(running.peer_note("vm-2", "a"), peer.local_addr().unwrap());
+    tokio::spawn(exchange_notes(running.gateway.clone(), own));
+    let mut buf = [0; 2000];
+    let first = peer.recv(&mut buf).await;
+    running.handle("/once/1").await;
+
+    running
+        .gateway
+        .upstream_removed(&"plain-a".parse().unwrap());
+
+    let told = async {
+        loop {
+            let len = peer.recv(&mut buf).await.expect("a datagram");
+            if let Ok(PeerDatagram::Note(note)) = ciborium::from_reader(&buf[..len]) {
+                if !note.crashes.is_empty() {
+                    return note.crashes.len();
+                }
+            }
+        }
+    };
+    let told = tokio::time::timeout(PERIOD / 2, told).await;
+    expect_that!(first, ok(anything()));
+    expect_that!(told, ok(eq(&1)));
+}
