Every crash under a call is told, not only the latest twelve

What callers saw: after a zone's engines had crashed together, a request that crashes them was refused at one VM and ran at the others.

Cause: a note holds twelve crashes, and it was the latest twelve each time: of forty that came together twenty-eight were never told. They were also told for good, ten minutes and more after the last of them.

Mend: those told least often go first, for 20 s. The test has forty crashes and four notes; twelve were heard before, all now.

--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -11,7 +11,7 @@
 /// a millisecond is little against the hundreds that reading a prompt takes.
 const GATHER: Duration = Duration::from_millis(1);
 
-/// Upstreams that a note names as suspects, and crashes that it tells; the latest.
+/// Upstreams that a note names as suspects, and crashes that it tells.
 const MOST_TOLD: usize = 12;
 
 /// Loads in a note that would be too large with all: some 25 bytes each, beside 700 bytes of suspects and
@@ -147,7 +147,7 @@
             number,
             loads,
             suspects,
-            crashes: state.crashes.latest(MOST_TOLD),
+            crashes: state.crashes.to_tell(MOST_TOLD, now),
             members: if with_members {
                 state
                     .peers
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -13,13 +13,25 @@
 /// How long a crash counts: far longer than callers go on asking.
 const EXPIRY: Duration = Duration::from_secs(600);
 
+/// How long a crash is told: longer than VMs are cut off or paused for, as a rule. Told for good, crashes
+/// of hours ago would fill every note.
+const TOLD_FOR: Duration = Duration::from_secs(20);
+
 /// Crashes kept at most; the oldest go first.
 const MOST_KEPT: usize = 4096;
 
 /// Deaths of upstreams by the digest of the body that ran there.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTally {
-    crashes: Vec<Crash>,
+    /// In the order in which they were heard of.
+    crashes: Vec<KnownCrash>,
+}
+
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    crash: Crash,
+    /// How often other VMs were told.
+    told: u32,
 }
 
 /// The death of an upstream under a body.
@@ -37,38 +49,54 @@
 impl CrashTally {
     /// Notes a death; tells whether it is news.
     pub fn crashed(&mut self, crash: Crash) -> bool {
-        let known = self
-            .crashes
-            .iter()
-            .any(|c| c.digest == crash.digest && c.upstream == crash.upstream);
-        if known {
+        let now = crash.at;
+        self.crashes
+            .retain(|known| now.since(known.crash.at) < EXPIRY);
+        let known = self.crashes.iter().find(|known| {
+            known.crash.digest == crash.digest && known.crash.upstream == crash.upstream
+        });
+        if known.is_some() {
             return false;
         }
         if self.crashes.len() == MOST_KEPT {
             self.crashes.remove(0);
         }
-        self.crashes.push(crash);
+        self.crashes.push(KnownCrash { crash, told: 0 });
         true
     }
 
-    /// The latest crashes, to be told to other VMs.
-    #[must_use]
-    pub fn latest(&self, most: usize) -> Vec<Crash> {
-        self.crashes.iter().rev().take(most).cloned().collect()
+    /// Crashes to be told to other VMs: those told least often, of these the latest.
+    ///
+    /// Were it always the latest, those of a zone whose engines crash together under more calls than a
+    /// note holds would never be told, and each VM would lose upstreams to a body that is known to kill.
+    pub fn to_tell(&mut self, most: usize, now: Instant) -> Vec<Crash> {
+        let fresh = |known: &&mut KnownCrash| now.since(known.crash.at) < TOLD_FOR;
+        let mut fresh = self
+            .crashes
+            .iter_mut()
+            .rev()
+            .filter(fresh)
+            .collect::<Vec<_>>();
+        fresh.sort_by_key(|known| known.told);
+        fresh.truncate(most);
+        fresh
+            .into_iter()
+            .map(|known| {
+                known.told += 1;
+                known.crash.clone()
+            })
+            .collect()
     }
 
     /// Notes that a call was answered in whole.
     pub fn delivered(&mut self, digest: u64) {
-        self.crashes.retain(|crash| crash.digest != digest);
+        self.crashes.retain(|known| known.crash.digest != digest);
     }
 
     /// Upstreams that have died under a body.
     #[must_use]
     pub fn crashes(&self, digest: u64, now: Instant) -> usize {
-        self.crashes
-            .iter()
-            .filter(|crash| crash.digest == digest && now.since(crash.at) < EXPIRY)
-            .count()
+        self.counted(digest, now).count()
     }
 
     /// Whether a body is refused.
@@ -76,4 +104,12 @@
     pub fn refuses(&self, digest: u64, now: Instant) -> bool {
         self.crashes(digest, now) >= MOST_CRASHES
     }
+
+    fn counted(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .iter()
+            .map(|known| &known.crash)
+            .filter(move |crash| crash.digest == digest)
+            .filter(move |crash| now.since(crash.at) < EXPIRY)
+    }
 }
--- /dev/null
+++ b/crates/decisions/tests/crash_tally.rs
@@ -0,0 +1,66 @@
+//! Calls that crash each upstream that runs them.
+
+use catkin_decisions::{Crash, CrashTally, Instant, UpstreamIncarnation};
+use googletest::prelude::*;
+use std::time::Duration;
+
+const CULPRIT: u64 = 1;
+
+fn at(seconds: u64) -> Instant {
+    Instant(Duration::from_secs(seconds))
+}
+
+fn upstream(n: u64) -> UpstreamIncarnation {
+    format!("engine-{n}").parse().expect("a valid name")
+}
+
+fn crash(digest: u64, n: u64, seconds: u64) -> Crash {
+    Crash {
+        digest,
+        upstream: upstream(n),
+        at: at(seconds),
+    }
+}
+
+fn tally(crashes: impl IntoIterator<Item = Crash>) -> CrashTally {
+    let mut tally = CrashTally::default();
+    for crash in crashes {
+        tally.crashed(crash);
+    }
+    tally
+}
+
+/// Tells another VM what this one knows, as it is told.
+fn tell(from: &mut CrashTally, to: &mut CrashTally, seconds: u64) {
+    for crash in from.to_tell(12, at(seconds)) {
+        to.crashed(Crash {
+            at: at(seconds),
+            ..crash
+        });
+    }
+}
+
+#[gtest]
+fn the_third_crash_refuses_a_body() {
+    let refused = [2, 3].map(|n| {
+        let tally = tally((0..n).map(|n| crash(CULPRIT, n, 0)));
+        tally.refuses(CULPRIT, at(1))
+    });
+
+    expect_that!(refused, eq([false, true]));
+}
+
+/// A zone's engines crash together under forty calls. Notes hold twelve crashes, and were always the latest
+/// twelve: a body that kills, noted before the others, was never told, and cost each VM three engines.
+#[gtest]
+fn every_crash_is_told_however_many_there_are() {
+    let mut here = tally((0..40).map(|n| crash(n, n % 5, 0)));
+    let mut there = CrashTally::default();
+
+    for _ in 0..4 {
+        tell(&mut here, &mut there, 1);
+    }
+
+    let heard = (0..40).filter(|n| there.crashes(*n, at(1)) == 1);
+    expect_that!(heard.count(), eq(40));
+}
