A body that was answered in whole is not blamed again by another VM's note

What callers saw: a call under which upstreams had died by chance and which was then answered well was refused when its caller asked once more.

Cause: its crashes were forgotten where it was answered, so the next note of a VM that had heard of them was news; and the others never heard that it was answered.

Mend: crashes are kept as cleared and told so; a cleared one stays cleared. Later crashes count. Two tests red before.

--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -254,6 +254,7 @@
             digest,
             upstream: entry.id.clone(),
             at: self.timer.now(),
+            cleared: false,
         };
         self.state.lock().broke_under(crash);
     }
--- a/crates/catkinward/tests/gateway_calls.rs
+++ b/crates/catkinward/tests/gateway_calls.rs
@@ -306,6 +306,7 @@
                 digest: call.digest(None),
                 upstream: format!("plain-{n}").parse().unwrap(),
                 at: running.timer.now(),
+                cleared: false,
             };
             running.hear_of_crash(n, crash);
         }
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -44,6 +44,9 @@
     /// When this process heard of it.
     #[serde(skip)]
     pub at: Instant,
+    /// Whether the body was delivered well since.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cleared: bool,
 }
 
 impl CrashTally {
@@ -52,11 +55,16 @@
         let now = crash.at;
         self.crashes
             .retain(|known| now.since(known.crash.at) < EXPIRY);
-        let known = self.crashes.iter().find(|known| {
+        let known = self.crashes.iter_mut().find(|known| {
             known.crash.digest == crash.digest && known.crash.upstream == crash.upstream
         });
-        if known.is_some() {
-            return false;
+        if let Some(known) = known {
+            let news = crash.cleared && !known.crash.cleared;
+            if news {
+                known.crash.cleared = true;
+                known.told = 0;
+            }
+            return news;
         }
         if self.crashes.len() == MOST_KEPT {
             self.crashes.remove(0);
@@ -88,9 +96,15 @@
             .collect()
     }
 
-    /// Notes that a call was answered in whole.
+    /// Notes that a call was answered in whole. The crashes are kept, or what other VMs heard of them
+    /// would be taken for news.
     pub fn delivered(&mut self, digest: u64) {
-        self.crashes.retain(|known| known.crash.digest != digest);
+        for known in &mut self.crashes {
+            if known.crash.digest == digest && !known.crash.cleared {
+                known.crash.cleared = true;
+                known.told = 0;
+            }
+        }
     }
 
     /// Upstreams that have died under a body.
@@ -109,7 +123,7 @@
         self.crashes
             .iter()
             .map(|known| &known.crash)
-            .filter(move |crash| crash.digest == digest)
+            .filter(move |crash| crash.digest == digest && !crash.cleared)
             .filter(move |crash| now.since(crash.at) < EXPIRY)
     }
 }
--- a/crates/decisions/tests/crash_tally.rs
+++ b/crates/decisions/tests/crash_tally.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 const CULPRIT: u64 = 1;
+const INNOCENT: u64 = 2;
 
 fn at(seconds: u64) -> Instant {
     Instant(Duration::from_secs(seconds))
@@ -19,6 +20,7 @@
         digest,
         upstream: upstream(n),
         at: at(seconds),
+        cleared: false,
     }
 }
 
@@ -64,3 +66,45 @@
     let heard = (0..40).filter(|n| there.crashes(*n, at(1)) == 1);
     expect_that!(heard.count(), eq(40));
 }
+
+/// Engines crash under a call by chance, and it is answered in whole in the end. Another VM had heard of the
+/// crashes and told of them again, so that the same call was refused when its caller asked once more.
+#[gtest]
+fn a_body_that_was_answered_is_not_blamed_again_by_what_others_heard() {
+    let mut here = tally((0..3).map(|n| crash(INNOCENT, n, 0)));
+    let mut there = CrashTally::default();
+    tell(&mut here, &mut there, 0);
+    here.delivered(INNOCENT);
+
+    tell(&mut there, &mut here, 1);
+
+    expect_that!(here.refuses(INNOCENT, at(1)), eq(false));
+}
+
+/// The same seen from the other VM: it hears that the call was answered, and serves it as well.
+#[gtest]
+fn others_hear_that_a_body_was_answered() {
+    let mut here = tally((0..3).map(|n| crash(INNOCENT, n, 0)));
+    let mut there = CrashTally::default();
+    tell(&mut here, &mut there, 0);
+    let before = there.refuses(INNOCENT, at(1));
+
+    here.delivered(INNOCENT);
+    tell(&mut here, &mut there, 1);
+
+    expect_that!(before, eq(true));
+    expect_that!(there.refuses(INNOCENT, at(1)), eq(false));
+}
+
+/// A crash that comes after a good answer counts like any other.
+#[gtest]
+fn crashes_after_an_answer_count() {
+    let mut tally = tally((0..2).map(|n| crash(CULPRIT, n, 0)));
+    tally.delivered(CULPRIT);
+
+    for n in 2..5 {
+        tally.crashed(crash(CULPRIT, n, 1));
+    }
+
+    expect_that!(tally.refuses(CULPRIT, at(2)), eq(true));
+}
--- a/crates/decisions/tests/upstream_life.rs
+++ b/crates/decisions/tests/upstream_life.rs
@@ -93,6 +93,7 @@
         digest: 7,
         upstream: id(upstream),
         at: at(0),
+        cleared: false,
     };
 
     tally.crashed(crash("u1"));
@@ -117,6 +118,7 @@
             digest: 7,
             upstream: id(upstream),
             at: at(0),
+            cleared: false,
         });
     }
 
