Crashes that a refused body explains are not laid to those beside it

What callers saw: the fault of the own path's tracker, in the gateway's tally: a call that ran beside one that crashes its upstreams is refused after two more crashes.

Cause and mend are the same: whoever was to be refused first, by the times of the deaths, explains them. The test was red before.

--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a call's body crashes its upstream, the caller sends it again to any VM, and so it
 //! takes down one upstream after the other, with all that runs beside it. Each VM counts the
 //! upstreams that died under a body, tells the others, and refuses the body from the third on. A
-//! body that was delivered well is innocent, whatever died under it before.
+//! body that was delivered well is innocent, whatever died under it before. Deaths that a refused
+//! body explains are not laid to those that ran beside it.
 
 use super::*;
 
@@ -41,7 +42,7 @@
     pub digest: u64,
     /// The upstream that died.
     pub upstream: UpstreamIncarnation,
-    /// When this process heard of it.
+    /// When this process first heard of the death; the same for all bodies that ran there.
     #[serde(skip)]
     pub at: Instant,
     /// Whether the body was delivered well since.
@@ -51,10 +52,16 @@
 
 impl CrashTally {
     /// Notes a death; tells whether it is news.
-    pub fn crashed(&mut self, crash: Crash) -> bool {
+    pub fn crashed(&mut self, mut crash: Crash) -> bool {
         let now = crash.at;
         self.crashes
             .retain(|known| now.since(known.crash.at) < EXPIRY);
+        for known in &mut self.crashes {
+            if known.crash.upstream == crash.upstream {
+                crash.at = crash.at.min(known.crash.at);
+                known.crash.at = crash.at;
+            }
+        }
         let known = self.crashes.iter_mut().find(|known| {
             known.crash.digest == crash.digest && known.crash.upstream == crash.upstream
         });
@@ -107,10 +114,13 @@
         }
     }
 
-    /// Upstreams that have died under a body.
+    /// Upstreams that have died under a body, but for those that a body refused earlier explains.
     #[must_use]
     pub fn crashes(&self, digest: u64, now: Instant) -> usize {
-        self.counted(digest, now).count()
+        let refused = self.refused_at(digest, now);
+        self.counted(digest, now)
+            .filter(|crash| !self.is_explained(crash, refused, now))
+            .count()
     }
 
     /// Whether a body is refused.
@@ -119,6 +129,22 @@
         self.crashes(digest, now) >= MOST_CRASHES
     }
 
+    /// Whether a body that was to be refused earlier than this one ran on the same upstream.
+    fn is_explained(&self, crash: &Crash, refused: Option<Instant>, now: Instant) -> bool {
+        self.crashes
+            .iter()
+            .map(|known| &known.crash)
+            .filter(|other| other.upstream == crash.upstream && other.digest != crash.digest)
+            .filter_map(|other| self.refused_at(other.digest, now))
+            .any(|other| refused.is_none_or(|own| other < own))
+    }
+
+    /// When so many upstreams had died under a body that it is refused, whoever ran beside it.
+    fn refused_at(&self, digest: u64, now: Instant) -> Option<Instant> {
+        let times = self.counted(digest, now).map(|crash| crash.at);
+        nth_smallest(times, MOST_CRASHES)
+    }
+
     fn counted(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
         self.crashes
             .iter()
@@ -127,3 +153,10 @@
             .filter(move |crash| now.since(crash.at) < EXPIRY)
     }
 }
+
+/// The `n`th of some times in order, from 1; `None` if there are fewer.
+pub(crate) fn nth_smallest(times: impl Iterator<Item = Instant>, n: usize) -> Option<Instant> {
+    let mut times = times.collect::<Vec<_>>();
+    times.sort_unstable();
+    times.get(n.checked_sub(1)?).copied()
+}
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -33,10 +33,14 @@
 //! measurement; `tests/poison.rs` holds the bound of two.
 
 use super::*;
+use crate::crash_tally::nth_smallest;
 
 /// Calls of [`PoisonTracker::progressed`] until a watched run is cleared.
 pub const WATCHED_STEPS: u32 = 2;
 
+/// Deaths under a digest, none of them cleared, after which it is refused.
+const MOST_OPEN_DEATHS: usize = 2;
+
 /// Deaths under a digest, cleared ones counted in, after which it is refused.
 pub const MOST_DEATHS: usize = 3;
 
@@ -99,7 +103,7 @@
     #[must_use]
     pub fn refuses(&self, digest: RequestDigest, now: Instant) -> bool {
         let (open, all) = self.deaths(digest, now);
-        open >= 2 || all >= MOST_DEATHS
+        open >= MOST_OPEN_DEATHS || all >= MOST_DEATHS
     }
 
     /// Whether a digest is a suspect, to be watched on its next run.
@@ -342,13 +346,9 @@
 
     /// When so many upstreams had died under a digest that it is refused, whoever ran beside it.
     fn convicted_at(&self, digest: RequestDigest, now: Instant) -> Option<Instant> {
-        let nth = |n: usize, marks: &mut dyn Iterator<Item = &Mark>| {
-            let mut times = marks.map(|mark| mark.at).collect::<Vec<_>>();
-            times.sort_unstable();
-            times.get(n).copied()
-        };
-        let open = nth(1, &mut self.fresh(digest, now).filter(|mark| !mark.cleared));
-        let all = nth(MOST_DEATHS - 1, &mut self.fresh(digest, now));
+        let open = self.fresh(digest, now).filter(|mark| !mark.cleared);
+        let open = nth_smallest(open.map(|mark| mark.at), MOST_OPEN_DEATHS);
+        let all = nth_smallest(self.fresh(digest, now).map(|mark| mark.at), MOST_DEATHS);
         open.into_iter().chain(all).min()
     }
 
--- a/crates/decisions/tests/crash_tally.rs
+++ b/crates/decisions/tests/crash_tally.rs
@@ -108,3 +108,27 @@
 
     expect_that!(tally.refuses(CULPRIT, at(2)), eq(true));
 }
+
+/// A stream ran beside the one that kills when its third engine died, and lost two more engines by chance
+/// since. It did not kill the first; were that laid to it, its caller would be refused for ten minutes.
+#[gtest]
+fn crashes_that_a_refused_body_explains_are_not_laid_to_those_beside_it() {
+    let culprit = (0..3).map(|n| crash(CULPRIT, n, n));
+    let beside = [(2, 2), (3, 4), (4, 5)].map(|(n, seconds)| crash(INNOCENT, n, seconds));
+
+    let tally = tally(culprit.chain(beside));
+
+    expect_that!(tally.refuses(CULPRIT, at(6)), eq(true));
+    expect_that!(tally.refuses(INNOCENT, at(6)), eq(false));
+}
+
+/// Nothing tells two bodies apart under which the same engines died.
+#[gtest]
+fn of_two_bodies_with_the_same_crashes_both_are_refused() {
+    let both = [CULPRIT, INNOCENT].map(|digest| (0..3).map(move |n| crash(digest, n, n)));
+
+    let tally = tally(both.into_iter().flatten());
+
+    let refused = [CULPRIT, INNOCENT].map(|digest| tally.refuses(digest, at(4)));
+    expect_that!(refused, eq([true, true]));
+}
