A 5xx answer of an upstream to a plain call is logged

The log did not say why a call was sent a second time after an upstream had answered it with 500, so it could not be told whether a call or its upstream failed.

--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -216,6 +216,8 @@
             body,
         };
         if status.is_server_error() {
+            tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
+                status = status.as_u16(), "upstream answered with a failure");
             return Sent::Failed(reply);
         }
         Sent::Answered(reply)
