--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -352,10 +352,10 @@
     let told = async {
         loop {
             let len = peer.recv(&mut buf).await.expect("a datagram");
-            if let Ok(PeerDatagram::Note(note)) = ciborium::from_reader(&buf[..len]) {
-                if !note.crashes.is_empty() {
-                    return note.crashes.len();
-                }
+            if let Ok(PeerDatagram::Note(note)) = ciborium::from_reader(&buf[..len])
+                && !note.crashes.is_empty()
+            {
+                return note.crashes.len();
             }
         }
     };
