--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -218,13 +218,8 @@
         }
         let news = crashes
             .into_iter()
-            .filter(|crash| {
-                let at = now;
-                state.crashes.crashed(Crash {
-                    at,
-                    ..crash.clone()
-                })
-            })
+            .map(|crash| Crash { at: now, ..crash })
+            .filter(|crash| state.crashes.crashed(crash.clone()))
             .count();
         let live = state.peers.live_count(now);
         drop(state);
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -142,7 +142,7 @@
     /// When so many upstreams had died under a body that it is refused, whoever ran beside it.
     fn refused_at(&self, digest: u64, now: Instant) -> Option<Instant> {
         let times = self.counted(digest, now).map(|crash| crash.at);
-        nth_smallest(times, MOST_CRASHES)
+        Instant::nth_smallest(times, MOST_CRASHES)
     }
 
     fn counted(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
@@ -153,10 +153,3 @@
             .filter(move |crash| now.since(crash.at) < EXPIRY)
     }
 }
-
-/// The `n`th of some times in order, from 1; `None` if there are fewer.
-pub(crate) fn nth_smallest(times: impl Iterator<Item = Instant>, n: usize) -> Option<Instant> {
-    let mut times = times.collect::<Vec<_>>();
-    times.sort_unstable();
-    times.get(n.checked_sub(1)?).copied()
-}
--- a/crates/decisions/src/instant.rs
+++ b/crates/decisions/src/instant.rs
@@ -5,6 +5,13 @@
 pub struct Instant(pub Duration);
 
 impl Instant {
+    /// The `n`th of some times in order, from 1; `None` if there are fewer.
+    pub(crate) fn nth_smallest(times: impl Iterator<Item = Self>, n: usize) -> Option<Self> {
+        let mut times = times.collect::<Vec<_>>();
+        times.sort_unstable();
+        times.get(n.checked_sub(1)?).copied()
+    }
+
     /// Time from `earlier` to this; zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -33,7 +33,6 @@
 //! measurement; `tests/poison.rs` holds the bound of two.
 
 use super::*;
-use crate::crash_tally::nth_smallest;
 
 /// Calls of [`PoisonTracker::progressed`] until a watched run is cleared.
 pub const WATCHED_STEPS: u32 = 2;
@@ -347,8 +346,8 @@
     /// When so many upstreams had died under a digest that it is refused, whoever ran beside it.
     fn convicted_at(&self, digest: RequestDigest, now: Instant) -> Option<Instant> {
         let open = self.fresh(digest, now).filter(|mark| !mark.cleared);
-        let open = nth_smallest(open.map(|mark| mark.at), MOST_OPEN_DEATHS);
-        let all = nth_smallest(self.fresh(digest, now).map(|mark| mark.at), MOST_DEATHS);
+        let open = Instant::nth_smallest(open.map(|mark| mark.at), MOST_OPEN_DEATHS);
+        let all = Instant::nth_smallest(self.fresh(digest, now).map(|mark| mark.at), MOST_DEATHS);
         open.into_iter().chain(all).min()
     }
 
