Words of crashes cost a VM less: found by digest, logged once a body is refused

Crashes are sorted by digest and upstream, the times of a death are evened out only for a new crash, and the line is written when a body is refused from then on.

--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -216,19 +216,14 @@
         if !state.peers.take(note, address, now) {
             return;
         }
-        let news = crashes
-            .into_iter()
-            .map(|crash| Crash { at: now, ..crash })
-            .filter(|crash| state.crashes.crashed(crash.clone()))
-            .count();
+        for crash in crashes {
+            state.heard_of_crash(Crash { at: now, ..crash });
+        }
         let live = state.peers.live_count(now);
         drop(state);
         for (id, born) in started {
             self.upstream_started(&id, born);
         }
-        if news > 0 {
-            tracing::info!(%vm, news, "a peer tells of calls under which upstreams died");
-        }
         if live > before {
             tracing::info!(%vm, %address, live, "peer found");
         }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -122,10 +122,21 @@
         let under: Vec<Crash> = under;
         let news = under
             .into_iter()
-            .filter(|crash| self.crashes.crashed(crash.clone()));
+            .filter(|crash| self.heard_of_crash(crash.clone()));
         news.count()
     }
 
+    /// Takes in a death of an upstream under a call, seen here or by another VM; tells whether it is news.
+    pub(crate) fn heard_of_crash(&mut self, crash: Crash) -> bool {
+        let (digest, now) = (crash.digest, crash.at);
+        let news = self.crashes.crashed(crash);
+        if news && self.crashes.refuses(digest, now) {
+            let crashes = self.crashes.crashes(digest, now);
+            tracing::warn!(body = %format_args!("{digest:016x}"), crashes, "body is refused from now on");
+        }
+        news
+    }
+
     /// State of an upstream, new if it has none.
     pub(crate) fn upstream(
         &mut self,
--- a/crates/decisions/src/crash_tally.rs
+++ b/crates/decisions/src/crash_tally.rs
@@ -24,7 +24,7 @@
 /// Deaths of upstreams by the digest of the body that ran there.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTally {
-    /// In the order in which they were heard of.
+    /// Sorted by digest and upstream.
     crashes: Vec<KnownCrash>,
 }
 
@@ -52,32 +52,35 @@
 
 impl CrashTally {
     /// Notes a death; tells whether it is news.
-    pub fn crashed(&mut self, mut crash: Crash) -> bool {
+    pub fn crashed(&mut self, crash: Crash) -> bool {
+        let key = (crash.digest, &crash.upstream);
+        match self.crashes.binary_search_by(|known| known.key().cmp(&key)) {
+            Ok(i) if crash.cleared => self.crashes[i].clear(),
+            Ok(_) => false,
+            Err(_) => {
+                self.insert(crash);
+                true
+            }
+        }
+    }
+
+    fn insert(&mut self, mut crash: Crash) {
         let now = crash.at;
         self.crashes
             .retain(|known| now.since(known.crash.at) < EXPIRY);
+        if self.crashes.len() == MOST_KEPT {
+            let oldest = self.crashes.iter().map(|known| known.crash.at).min();
+            self.crashes.retain(|known| Some(known.crash.at) != oldest);
+        }
         for known in &mut self.crashes {
             if known.crash.upstream == crash.upstream {
                 crash.at = crash.at.min(known.crash.at);
                 known.crash.at = crash.at;
             }
         }
-        let known = self.crashes.iter_mut().find(|known| {
-            known.crash.digest == crash.digest && known.crash.upstream == crash.upstream
-        });
-        if let Some(known) = known {
-            let news = crash.cleared && !known.crash.cleared;
-            if news {
-                known.crash.cleared = true;
-                known.told = 0;
-            }
-            return news;
-        }
-        if self.crashes.len() == MOST_KEPT {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(KnownCrash { crash, told: 0 });
-        true
+        let key = (crash.digest, &crash.upstream);
+        let i = self.crashes.partition_point(|known| known.key() < key);
+        self.crashes.insert(i, KnownCrash { crash, told: 0 });
     }
 
     /// Crashes to be told to other VMs: those told least often, of these the latest.
@@ -86,13 +89,8 @@
     /// note holds would never be told, and each VM would lose upstreams to a body that is known to kill.
     pub fn to_tell(&mut self, most: usize, now: Instant) -> Vec<Crash> {
         let fresh = |known: &&mut KnownCrash| now.since(known.crash.at) < TOLD_FOR;
-        let mut fresh = self
-            .crashes
-            .iter_mut()
-            .rev()
-            .filter(fresh)
-            .collect::<Vec<_>>();
-        fresh.sort_by_key(|known| known.told);
+        let mut fresh = self.crashes.iter_mut().filter(fresh).collect::<Vec<_>>();
+        fresh.sort_by_key(|known| (known.told, std::cmp::Reverse(known.crash.at)));
         fresh.truncate(most);
         fresh
             .into_iter()
@@ -106,11 +104,9 @@
     /// Notes that a call was answered in whole. The crashes are kept, or what other VMs heard of them
     /// would be taken for news.
     pub fn delivered(&mut self, digest: u64) {
-        for known in &mut self.crashes {
-            if known.crash.digest == digest && !known.crash.cleared {
-                known.crash.cleared = true;
-                known.told = 0;
-            }
+        let range = self.range(digest);
+        for known in &mut self.crashes[range] {
+            known.clear();
         }
     }
 
@@ -146,10 +142,36 @@
     }
 
     fn counted(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
-        self.crashes
+        self.crashes[self.range(digest)]
             .iter()
             .map(|known| &known.crash)
-            .filter(move |crash| crash.digest == digest && !crash.cleared)
-            .filter(move |crash| now.since(crash.at) < EXPIRY)
+            .filter(move |crash| !crash.cleared && now.since(crash.at) < EXPIRY)
+    }
+
+    /// Places of a body's crashes.
+    fn range(&self, digest: u64) -> std::ops::Range<usize> {
+        let start = self
+            .crashes
+            .partition_point(|known| known.crash.digest < digest);
+        let end = self
+            .crashes
+            .partition_point(|known| known.crash.digest <= digest);
+        start..end
+    }
+}
+
+impl KnownCrash {
+    fn key(&self) -> (u64, &UpstreamIncarnation) {
+        (self.crash.digest, &self.crash.upstream)
+    }
+
+    /// Notes that the body was delivered well; tells whether that is news.
+    fn clear(&mut self) -> bool {
+        let news = !self.crash.cleared;
+        if news {
+            self.crash.cleared = true;
+            self.told = 0;
+        }
+        news
     }
 }
