--- /dev/null
+++ b/crates/decisions/tests/poison_support/mod.rs
@@ -0,0 +1,56 @@
+//! Requests and engines of the tests of deaths under requests.
+
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
+use catkin_decisions::{Incarnation, Instant, PoisonRun, PoisonTracker, RequestDigest, UpstreamId};
+use std::time::Duration;
+
+pub const FIRST: Incarnation = Incarnation(1);
+
+pub fn digest(n: u64) -> RequestDigest {
+    format!("{n:032x}").parse().expect("32 hexadecimal digits")
+}
+
+pub fn culprit() -> RequestDigest {
+    digest(0)
+}
+
+pub fn innocent() -> RequestDigest {
+    digest(1)
+}
+
+pub fn at(seconds: u64) -> Instant {
+    Instant(Duration::from_secs(seconds))
+}
+
+pub fn engine(n: usize) -> UpstreamId {
+    format!("engine-{n}").parse().expect("a valid name")
+}
+
+pub fn start(tracker: &mut PoisonTracker, digest: RequestDigest, n: usize) -> PoisonRun {
+    start_at(tracker, digest, n, at(0))
+}
+
+pub fn start_at(
+    tracker: &mut PoisonTracker,
+    digest: RequestDigest,
+    n: usize,
+    now: Instant,
+) -> PoisonRun {
+    let engine = engine(n);
+    tracker
+        .may_start(digest, &engine, true, now)
+        .expect("it may start");
+    let run = tracker.started(digest, engine, FIRST, now);
+    tracker.arrived(run);
+    run
+}
+
+pub fn die(tracker: &mut PoisonTracker, n: usize) {
+    die_at(tracker, n, at(0));
+}
+
+pub fn die_at(tracker: &mut PoisonTracker, n: usize, now: Instant) {
+    tracker.died(&engine(n), FIRST, now);
+}
