A red test: a cut-off VM is ready again once the last upstream's entry has lapsed

Cause: a service without any entry counts as in reach, so VMs that were rightly not ready are ready again when the entry of the last upstream lapses beyond the cut.

--- a/crates/catkinward/tests/gateway_start.rs
+++ b/crates/catkinward/tests/gateway_start.rs
@@ -75,3 +75,28 @@
 
     expect_that!((before, while_cut, after), eq((true, false, true)));
 }
+
+/// A cut-off availability zone has one upstream of a service left, beyond the cut, where the store cannot be
+/// reached either: three seconds later its entry lapses. The VM, which had not been ready since the upstream
+/// did not answer, is ready again, with no upstream of that service at all. Callers come back to it from the
+/// zone that would serve them, and are refused for as long as the cut lasts: 414 times in five seconds of a
+/// recorded day, `not_run`, `no_upstream`, from 37.2 s on, when the log of six VMs says `presence=gone` of it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_is_not_ready_once_the_last_upstream_of_a_service_has_lapsed() {
+    let running = GatewayFixture::new(|_| Script::Hang)
+        .upstream("plain-b", PLAIN, "b")
+        .upstream("engine-a", ENGINES, "a")
+        .alive(|id| !id.starts_with("plain"))
+        .start();
+    running.handle("/once/1").await;
+    let suspect = running.gateway.is_ready();
+
+    running
+        .gateway
+        .upstream_removed(&"plain-b".parse().unwrap());
+
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let lapsed = running.gateway.is_ready();
+    expect_that!((suspect, lapsed), eq((false, false)));
+}
