--- a/crates/catkinward/tests/peers.rs
+++ b/crates/catkinward/tests/peers.rs
@@ -1,9 +1,9 @@
 //! The connections between VMs.
 
-use catkin_decisions::{PeerEntry, TokenIndex};
+use catkin_decisions::{PeerEntry, PoisonMark, TokenIndex, UpstreamDeath};
 use catkinward::{
-    BundleInForce, Generations, PEER_PROTOCOL, PeerBody, PeerChallenge, PeerFault, PeerHello,
-    PeerKey, PeerMessage, PeerParts, Peers, ProcessClock, Timeline, Timer,
+    BundleInForce, Generations, Gossip, Node, PEER_PROTOCOL, PeerBody, PeerChallenge, PeerFault,
+    PeerHello, PeerKey, PeerMessage, PeerParts, Peers, ProcessClock, Settings, Timeline, Timer,
 };
 use futures::{SinkExt, StreamExt};
 use googletest::prelude::*;
@@ -171,6 +171,52 @@
     expect_that!(known, contains(eq(third.own())));
 }
 
+/// A VM is about to refuse a request under which two upstreams died, and asks the others first. One of them has
+/// refused another request for the same deaths, and said so to everybody long ago; it says so again. Without
+/// that the request that only ran beside it is refused as well.
+#[gtest]
+#[tokio::test]
+async fn a_vm_that_asks_about_deaths_is_told_who_caused_them() {
+    let mark = |digest: u64, death: u64| PoisonMark {
+        digest: format!("{digest:032x}").parse().expect("a digest"),
+        death: UpstreamDeath(death),
+        cleared: false,
+        age_ms: 0,
+    };
+    let (culprit, beside) = ([mark(1, 1), mark(1, 2)], [mark(2, 2), mark(2, 3)]);
+    let node = Node::start(Settings {
+        vm: "vm-1".parse().expect("a name"),
+        peer_listen: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
+        peer_key: PeerKey::new("secret"),
+        ..Settings::default()
+    });
+    let node = node.expect("a node starts");
+    let teller = "vm-3".parse().expect("a name");
+    node.upstreams.merge_poison(&culprit, &teller);
+    while !node.upstreams.poison_deltas().is_empty() {}
+    let peers = node.peers.as_ref().expect("it has peers");
+    let mut socket = call(peers.own().address).await;
+    let challenge = challenge(&mut socket).await;
+    hello(&mut socket, "secret", &challenge.nonce, "vm-2").await;
+    receive(&mut socket).await;
+
+    let news = Gossip {
+        poison: beside.to_vec(),
+        ..Gossip::default()
+    };
+    send(&mut socket, PeerBody::Gossip(Box::new(news))).await;
+
+    let Some(PeerBody::Gossip(told)) = receive(&mut socket).await.map(|message| message.body)
+    else {
+        panic!("no news");
+    };
+    let named = culprit.map(|mark| {
+        let same = |told: &PoisonMark| (told.digest, told.death) == (mark.digest, mark.death);
+        told.poison.iter().any(same)
+    });
+    expect_that!(named, eq([true, true]));
+}
+
 proptest! {
     /// Whatever comes over the network is a message or a typed error, never a panic.
     #[test]
