A whole read of the table of upstreams costs n log n, not the cube

Cause: for each entry of a whole table, all known upstreams were walked for its address, and for each of these all listed ids were looked through before it was known whether the address is the same. The search for entries that are missing, and that of UpstreamTable, were squares besides.

Change: an index of upstreams by address; entries sorted before they are taken in; ids looked up by binary search; earlier incarnations of an id found beside it.

Two tests of an address that passes from one upstream to another guard the index.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub(crate) use {
     crate::claim_change::Judged,
-    crate::{call_table::CallTable, lane_queue::LaneQueue},
+    crate::{
+        address_index::AddressIndex, call_table::CallTable, comparisons::Comparisons,
+        lane_queue::LaneQueue,
+    },
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::{
@@ -173,6 +176,7 @@
     },
 };
 
+mod address_index;
 mod admission_queue;
 mod attempt;
 mod availability_zone;
@@ -203,6 +207,7 @@
 mod claim_token;
 mod claim_verdict;
 mod claimed;
+mod comparisons;
 mod concurrency_limit;
 mod config_version;
 mod crash_tally;
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -76,7 +76,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamDirectory {
     known: Vec<Known>,
+    addresses: AddressIndex,
     outage: Outage,
+    comparisons: Comparisons,
 }
 
 #[derive(Clone, Debug)]
@@ -98,23 +100,42 @@
 impl UpstreamDirectory {
     /// Takes in an entry; returns what has changed by it.
     pub fn heard(&mut self, entry: UpstreamEntry) -> Vec<PresenceChange> {
-        self.take(entry, &[])
+        let mut changes = Vec::new();
+        let Some(id) = self.take(entry, &mut changes) else {
+            return changes;
+        };
+        if let Ok(index) = self.position(&id) {
+            let address = self.known[index].entry.address;
+            self.addresses.insert(address, id.clone());
+        }
+        self.replace_at_address(&id, &[], &mut changes);
+        changes
     }
 
-    fn take(&mut self, mut entry: UpstreamEntry, listed: &[UpstreamId]) -> Vec<PresenceChange> {
-        let mut changes = Vec::new();
+    /// Takes in an entry, but for its address; returns its incarnation unless an earlier one was read late.
+    fn take(
+        &mut self,
+        mut entry: UpstreamEntry,
+        changes: &mut Vec<PresenceChange>,
+    ) -> Option<UpstreamIncarnation> {
         if let Some(newest) = self.newest(&entry.id.id) {
             if entry.id.is_before(newest.born) {
-                return changes;
+                return None;
             }
             if entry.id.born.is_none() {
                 entry.id = newest;
             }
         }
-        self.supersede(&entry.id, &mut changes);
+        self.supersede(&entry.id, changes);
         let id = entry.id.clone();
         let presence = match self.position(&id) {
-            Ok(index) => self.known[index].renew(entry),
+            Ok(index) => {
+                let known = &mut self.known[index];
+                if known.entry.address != entry.address {
+                    self.addresses.remove(known.entry.address, &id);
+                }
+                known.renew(entry)
+            }
             Err(index) => {
                 let presence = presence_of(&entry);
                 let known = Known {
@@ -127,8 +148,7 @@
             }
         };
         changes.extend(presence.map(|presence| (id.clone(), presence)));
-        self.replace_at_address(&id, listed, &mut changes);
-        changes
+        Some(id)
     }
 
     /// Notes that an upstream has started at `born`, from its own word or that of another VM. Its entry is
@@ -151,7 +171,7 @@
             leaving: false,
             ..UpstreamEntry::clone(&self.known[index].entry)
         };
-        self.take(entry, &[])
+        self.heard(entry)
     }
 
     /// Notes that an entry was removed; returns the upstream's presence if that is new.
@@ -174,30 +194,56 @@
     }
 
     /// Takes in all entries at once: those not among them were removed.
-    pub fn snapshot(&mut self, entries: Vec<UpstreamEntry>, now: Instant) -> Vec<PresenceChange> {
-        let mut missing = self
-            .known
-            .iter()
-            .map(|known| known.entry.id.id.clone())
-            .filter(|id| entries.iter().all(|entry| entry.id.id != *id))
-            .collect::<Vec<_>>();
-        missing.dedup();
+    ///
+    /// Sorted before they are taken in, so that each is found by a search and new ones go to the end of a table
+    /// that was empty.
+    pub fn snapshot(
+        &mut self,
+        mut entries: Vec<UpstreamEntry>,
+        now: Instant,
+    ) -> Vec<PresenceChange> {
+        let comparisons = &self.comparisons;
+        entries.sort_by(|a, b| comparisons.note(a.id.cmp(&b.id)));
         // Of two entries at one address the order does not tell which is the newer: the older one is removed
         // soon. Taken for replaced, the newer one would get no call as long as it lives.
         let listed = entries
             .iter()
             .map(|entry| entry.id.id.clone())
             .collect::<Vec<_>>();
+        let mut missing = self
+            .known
+            .iter()
+            .map(|known| known.entry.id.id.clone())
+            .filter(|id| !self.is_among(&listed, id))
+            .collect::<Vec<_>>();
+        missing.dedup();
         let mut changes = Vec::new();
         for id in missing {
             changes.extend(self.removed(&id, now));
         }
-        for entry in entries {
-            changes.extend(self.take(entry, &listed));
+        let taken = entries
+            .into_iter()
+            .filter_map(|entry| self.take(entry, &mut changes))
+            .collect::<Vec<_>>();
+        self.index_addresses();
+        for id in taken {
+            self.replace_at_address(&id, &listed, &mut changes);
         }
         changes
     }
 
+    fn index_addresses(&mut self) {
+        let shown = |known: &Known| (known.entry.address, known.entry.id.clone());
+        self.addresses.set(self.known.iter().map(shown));
+    }
+
+    /// Whether an id is in a sorted list.
+    fn is_among(&self, listed: &[UpstreamId], id: &UpstreamId) -> bool {
+        listed
+            .binary_search_by(|other| self.comparisons.note(other.cmp(id)))
+            .is_ok()
+    }
+
     /// Notes that an upstream answered by itself: no other one has its address.
     pub fn answered(&mut self, id: &UpstreamIncarnation) -> Vec<PresenceChange> {
         let mut changes = Vec::new();
@@ -248,7 +294,11 @@
             Outage::Until(until) if now >= until => self.outage = Outage::None,
             _ => {}
         }
+        let before = self.known.len();
         self.known.retain_mut(|known| !known.is_forgotten(now));
+        if self.known.len() < before {
+            self.index_addresses();
+        }
     }
 
     /// Upstreams of a service that take new calls, sorted by id.
@@ -281,18 +331,29 @@
         known.is_usable(now).then_some(&known.entry)
     }
 
+    /// Comparisons made so far: the work that reading entries costs, whatever the machine.
+    #[must_use]
+    pub fn comparisons(&self) -> u64 {
+        self.comparisons.count() + self.addresses.comparisons()
+    }
+
     /// The latest incarnation of an upstream.
     fn newest(&self, id: &UpstreamId) -> Option<UpstreamIncarnation> {
-        let end = self.known.partition_point(|known| known.entry.id.id <= *id);
+        let end = self
+            .known
+            .partition_point(|known| self.comparisons.note(known.entry.id.id <= *id));
         let last = &self.known[end.checked_sub(1)?].entry.id;
         (last.id == *id).then(|| last.clone())
     }
 
     /// Notes that the earlier incarnations of an upstream are gone.
     fn supersede(&mut self, id: &UpstreamIncarnation, changes: &mut Vec<PresenceChange>) {
-        for known in &mut self.known {
-            let earlier = known.entry.id.id == id.id && known.entry.id < *id;
-            if earlier && known.is_new_after(Presence::Superseded) {
+        let end = self.position(id).unwrap_or_else(|index| index);
+        for known in self.known[..end].iter_mut().rev() {
+            if self.comparisons.note(known.entry.id.id != id.id) {
+                break;
+            }
+            if known.is_new_after(Presence::Superseded) {
                 changes.push((known.entry.id.clone(), Presence::Superseded));
             }
         }
@@ -311,19 +372,27 @@
             return;
         }
         let address = self.known[index].entry.address;
-        for known in &mut self.known {
-            let other = known.entry.address == address && known.entry.id.id != id.id;
-            let listed = except.contains(&known.entry.id.id);
-            let present = matches!(known.presence, Presence::Present | Presence::Lapsed(_));
-            if other && !listed && present {
+        let replaced = self
+            .addresses
+            .at(address)
+            .filter(|other| other.id != id.id && !self.is_among(except, &other.id))
+            .cloned()
+            .collect::<Vec<_>>();
+        for other in replaced {
+            let Ok(index) = self.position(&other) else {
+                continue;
+            };
+            let known = &mut self.known[index];
+            if matches!(known.presence, Presence::Present | Presence::Lapsed(_)) {
                 known.presence = Presence::Replaced;
-                changes.push((known.entry.id.clone(), Presence::Replaced));
+                changes.push((other, Presence::Replaced));
             }
         }
     }
 
     fn position(&self, id: &UpstreamIncarnation) -> Result<usize, usize> {
-        self.known.binary_search_by(|known| known.entry.id.cmp(id))
+        self.known
+            .binary_search_by(|known| self.comparisons.note(known.entry.id.cmp(id)))
     }
 }
 
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -58,7 +58,9 @@
     ) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
         if whole {
-            let gone = |row: &&Row| rows.iter().all(|(key, _)| *key != row.key);
+            let mut keys = rows.iter().map(|(key, _)| key).collect::<Vec<_>>();
+            keys.sort_unstable();
+            let gone = |row: &&Row| keys.binary_search(&&row.key).is_err();
             let gone = self.rows.iter().filter(gone);
             changes.extend(gone.map(|row| (row.key.clone(), None)));
         }
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -310,3 +310,32 @@
         prop_assert_eq!(usable, !expected.1);
     }
 }
+
+/// An upstream moves to another address, and a new one takes its old address. Found there by what was known of it
+/// before, it would be taken for replaced and get no call.
+#[gtest]
+fn upstream_that_moved_is_not_replaced_at_its_old_address() {
+    let mut directory = UpstreamDirectory::default();
+    directory.snapshot(vec![entry("u1", 1, false)], at(0));
+    directory.heard(entry("u1", 2, false));
+
+    directory.heard(entry("u2", 1, false));
+    let apart = usable(&directory, at(0));
+    directory.heard(entry("u3", 2, false));
+
+    expect_that!(apart, eq(&["u1", "u2"]));
+    expect_that!(usable(&directory, at(0)), eq(&["u2", "u3"]));
+}
+
+/// The platform returns and one table lists an upstream at the address of another one whose entry has lapsed. That
+/// one crashed while the platform was away; its grace would have calls sent to an address that turns them away.
+#[gtest]
+fn listed_upstream_replaces_a_lapsed_one_at_its_address() {
+    let mut directory = UpstreamDirectory::default();
+    directory.snapshot(vec![entry("u1", 1, false), entry("u2", 2, false)], at(0));
+    directory.platform_lost();
+
+    directory.snapshot(vec![entry("u3", 1, false)], at(5000));
+
+    expect_that!(usable(&directory, at(5001)), eq(&["u2", "u3"]));
+}
