A call leaves an upstream to which no connection opens after 200 ms

Cause: opening a connection had no bound of its own. Nothing answers from beyond a cut, from a VM without power or from a full accept queue, and a call that may run once waits where it was sent until its time is over.

Change: a connection has 200 ms to open; until it is open nothing was sent, so the call goes elsewhere whatever its kind.

--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -11,6 +11,7 @@
     state::cached_tokens,
     stream_call::StreamStop,
     stream_run::{ActiveRun, Loss, STALL_BEFORE_FIRST, StreamRun},
+    upstream_transport::CONNECT_BOUND,
     *,
 };
 
@@ -162,6 +163,7 @@
             copy_to: copy.as_ref().map(|copy| copy.address),
             copy_from: from.as_ref().map(|copy| copy.source.clone()),
             longest_idle: self.accepted.longest_idle(),
+            connect_bound: CONNECT_BOUND,
         };
         self.log_sent(&entry, copy.as_deref(), from_copy, time_left);
         let tokens = if from_copy {
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -87,6 +87,15 @@
     pub born: Option<Born>,
 }
 
+/// How long a connection to an upstream may take to open: many times what it takes within a region, and short
+/// against a caller's patience.
+///
+/// Nothing answers from beyond a cut, from a VM without power or from a full accept queue. A call that is to run
+/// once waited there until its time was over, and its caller was told that it may have run and could not come
+/// back: `timed_out` under a request that no upstream ever saw. Until the connection is open nothing was sent, so
+/// whatever the call is, it may go elsewhere.
+pub(crate) const CONNECT_BOUND: Duration = Duration::from_millis(200);
+
 /// A call on its way to an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamCall {
@@ -108,6 +117,8 @@
     pub copy_from: Option<CopySource>,
     /// How long the connection may have been idle; zero for a fresh one.
     pub longest_idle: Duration,
+    /// How long a fresh connection may take to open; [`SendFault::NoConnection`] afterwards.
+    pub connect_bound: Duration,
 }
 
 /// Names a copy of a run's memory.
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -1,5 +1,6 @@
 use super::{
-    accepted_call::AcceptedCall, repeats::CALL_PATIENCE, reply_log::millis, run_guard::RunGuard, *,
+    accepted_call::AcceptedCall, repeats::CALL_PATIENCE, reply_log::millis, run_guard::RunGuard,
+    upstream_transport::CONNECT_BOUND, *,
 };
 use std::pin::pin;
 
@@ -156,6 +157,7 @@
             copy_to: None,
             copy_from: None,
             longest_idle: self.accepted.longest_idle(),
+            connect_bound: CONNECT_BOUND,
         };
         let repeat = self.accepted.route.kind.may_repeat();
         let answer = async {
