A service that has just lost its last upstream is out of reach; notes are summed up once a choice

Change: a service that had upstreams within 10 s and has none is out of reach, and the VM not ready; bounded, or a service taken out of operation would leave all VMs without callers.

Besides, found by reading for work that grows with VMs times upstreams: a placement asked the notes of all VMs three times for each upstream. PeerView sums them up once, in order, and is searched: by count of looks at a note some 3 x 195 x 148 = 86,000 a placement before, some 195 and 148 binary searches now.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -75,6 +75,8 @@
     pub(crate) news_came: Notify,
     /// Newest configuration that another VM of the zone has in force.
     pub(crate) zone_config: watch::Sender<Option<ConfigVersion>>,
+    /// How it stood to new callers when that was last asked.
+    pub(crate) readiness: Mutex<Readiness>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -106,6 +108,7 @@
             crashes_seen: Notify::new(),
             news_came: Notify::new(),
             zone_config: watch::Sender::new(None),
+            readiness: Mutex::new(Readiness::NothingKnown),
             drain: Arc::default(),
             timer,
         });
@@ -263,20 +266,6 @@
         }
     }
 
-    /// Whether new callers may come: everything needed is known, no shutdown has begun, and no service
-    /// is out of reach. In an availability zone that is cut off and has no upstream of a service left,
-    /// callers of that service would wait for nothing; the platform sends them to another zone instead.
-    /// Suspects are asked all the while, so the way back needs no call.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        let now = self.timer.now();
-        let mut state = self.state.lock();
-        let known = state.is_complete();
-        let in_reach = !state.cannot_reach_a_service(now);
-        drop(state);
-        known && in_reach && !self.drain.has_begun()
-    }
-
     fn accept(&self, call: &Arc<Call>) -> Result<AcceptedCall, Box<Reply>> {
         let now = self.timer.now();
         let mut state = self.state.lock();
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -4,7 +4,12 @@
 //! it an [`UpstreamTransport`].
 
 pub(crate) use {
-    self::{dispatches::Dispatches, outbox::Outbox, state::GatewayState},
+    self::{
+        dispatches::Dispatches,
+        outbox::Outbox,
+        readiness::{Readiness, ServicesSeen},
+        state::GatewayState,
+    },
     super::{
         Arc, AtomicU32, AtomicU64, AvailabilityZone, Bytes, Debug, Display, Drain, Duration,
         HeaderMap, Instant, Method, Mutex, NotRun, NotRunEvidence, Notify, Ordering, Queued,
@@ -15,11 +20,12 @@
         ANSWER_BOUND, Born, CHANGES_TOLD, CachedPrompts, ConfigVersion, Crash, CrashTally,
         EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan, LoanAsk,
         LoanDesk, MOST_ASKED, MOST_CRASHES, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig,
-        NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PlacementCandidate, PlacementFor,
-        Policy, Presence, PresenceChange, PromptPart, RepeatBudget, RepeatBudgetConfig, Route,
-        RoutingConfig, UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation,
-        UpstreamLoad, UpstreamPulse, UpstreamRestart, UpstreamTable, WakeDetector, WholeEvent,
-        ZoneAlarm, ZoneNews, place, place_copy, rank_of_vm, reading_time, reads_for_zone,
+        NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PeerView, PlacementCandidate,
+        PlacementFor, Policy, Presence, PresenceChange, PromptPart, RepeatBudget,
+        RepeatBudgetConfig, Route, RoutingConfig, UpstreamChange, UpstreamDirectory, UpstreamEntry,
+        UpstreamIncarnation, UpstreamLoad, UpstreamPulse, UpstreamRestart, UpstreamTable,
+        WakeDetector, WholeEvent, ZoneAlarm, ZoneNews, place, place_copy, rank_of_vm, reading_time,
+        reads_for_zone,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -69,6 +75,7 @@
 mod outbox;
 mod peer_notes;
 mod prompt_search;
+mod readiness;
 mod repeats;
 mod reply;
 mod reply_log;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -9,6 +9,7 @@
     /// Sorted by id.
     upstreams: Vec<UpstreamState>,
     pub(crate) zones: ZoneAlarm,
+    pub(crate) services_seen: ServicesSeen,
     /// Sorted by service.
     budgets: Vec<(ServiceId, RepeatBudget)>,
     pub(crate) crashes: CrashTally,
@@ -52,6 +53,7 @@
             directory_read: false,
             upstreams: Vec::new(),
             zones: ZoneAlarm::default(),
+            services_seen: ServicesSeen::default(),
             budgets: Vec::new(),
             crashes: CrashTally::default(),
             broken: Vec::new(),
@@ -83,24 +85,6 @@
         self.peers.forget_loads();
     }
 
-    /// Whether some service has upstreams and none of them answers this VM.
-    pub(crate) fn cannot_reach_a_service(&mut self, now: Instant) -> bool {
-        let Some(config) = self.config.get().cloned() else {
-            return false;
-        };
-        config.services.iter().any(|service| {
-            let entries = self
-                .directory
-                .usable(&service.name, now)
-                .cloned()
-                .collect::<Vec<_>>();
-            let all_suspect = entries
-                .iter()
-                .all(|e| self.upstream(e, now).pulse.is_suspect());
-            !entries.is_empty() && all_suspect
-        })
-    }
-
     /// Notes that the connection of a call broke. Connections also break while their upstream lives,
     /// so nothing is laid to the call before its death shows.
     pub(crate) fn broke_under(&mut self, crash: Crash) {
@@ -193,13 +177,6 @@
         &mut self.budgets[index].1
     }
 
-    /// Whether all who have calls on an upstream tell the VM that chooses.
-    fn is_told_of(&self, entry: &UpstreamEntry, who: &PlacementFor) -> bool {
-        let in_zone = entry.zone == *who.zone;
-        let rank = in_zone.then(|| rank_of_vm(&entry.id, who.vm, who.zone_vms));
-        self.peers.is_told_of(rank, who.now)
-    }
-
     /// Chooses among the upstreams of a service, less those in `avoid`.
     pub(crate) fn choose<T>(
         &mut self,
@@ -219,6 +196,7 @@
         for entry in &entries {
             self.upstream(entry, now);
         }
+        let peers = self.peers.view(now);
         let candidates = entries
             .iter()
             .filter_map(|entry| {
@@ -231,17 +209,17 @@
                     entry,
                     load: &state.load,
                     suspect: state.pulse.is_suspect()
-                        || (who.policy.peer_suspects && self.peers.is_suspect(&entry.id, now)),
+                        || (who.policy.peer_suspects && peers.is_suspect(&entry.id)),
                     suspect_zone: who.policy.zone_alarm && self.zones.is_suspect(&entry.zone, now),
                     cached: cached_tokens(cached, &entry.id),
                     peer_calls: if who.policy.peer_loads {
-                        self.peers.calls(&entry.id, now)
+                        peers.calls(&entry.id)
                     } else {
                         0
                     },
-                    all_tell: self.is_told_of(entry, who),
+                    all_tell: is_told_of(&peers, entry, who),
                     peer_reading: if who.policy.peer_loads {
-                        self.peers.reading_left(&entry.id, now)
+                        peers.reading_left(&entry.id)
                     } else {
                         Duration::ZERO
                     },
@@ -252,6 +230,13 @@
     }
 }
 
+/// Whether all who have calls on an upstream tell the VM that chooses.
+fn is_told_of(peers: &PeerView, entry: &UpstreamEntry, who: &PlacementFor) -> bool {
+    let in_zone = entry.zone == *who.zone;
+    let rank = in_zone.then(|| rank_of_vm(&entry.id, who.vm, who.zone_vms));
+    peers.is_told_of(rank)
+}
+
 /// Tokens of a prompt that an upstream holds.
 pub(crate) fn cached_tokens(
     cached: &[(UpstreamIncarnation, u32)],
--- a/crates/catkinward/tests/gateway_start.rs
+++ b/crates/catkinward/tests/gateway_start.rs
@@ -100,3 +100,24 @@
     let lapsed = running.gateway.is_ready();
     expect_that!((suspect, lapsed), eq((false, false)));
 }
+
+/// A service is taken out of operation, and its last upstream leaves. VMs that waited for it to come back would take
+/// no callers of the other services either, for good.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_is_ready_again_when_a_service_stays_without_upstreams() {
+    let running = GatewayFixture::new(|_| Script::Hang)
+        .upstream("plain-b", PLAIN, "b")
+        .upstream("engine-a", ENGINES, "a")
+        .start();
+    let before = running.gateway.is_ready();
+    running
+        .gateway
+        .upstream_removed(&"plain-b".parse().unwrap());
+    let at_once = running.gateway.is_ready();
+
+    tokio::time::sleep(Duration::from_secs(11)).await;
+
+    let later = running.gateway.is_ready();
+    expect_that!((before, at_once, later), eq((true, false, true)));
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -105,6 +105,7 @@
     peer_loads::{NOTE_PERIOD, PEER_LIVES, PeerLoads, SHARERS},
     peer_note::{MemberWord, PeerLoad, PeerNote},
     peer_table::PeerTable,
+    peer_view::PeerView,
     placement::{
         NOT_SHARED, OTHER_PART, OTHER_ZONE_STREAM, PlacementCandidate, PlacementFor, STREAM_COST,
         place, place_copy, rank_of_vm,
@@ -258,6 +259,7 @@
 mod peer_loads;
 mod peer_note;
 mod peer_table;
+mod peer_view;
 mod placement;
 mod poison_hold;
 mod poison_mark;
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -119,21 +119,14 @@
         }
     }
 
-    /// Streams of other VMs on an upstream.
+    /// What the other VMs say of upstreams now.
     #[must_use]
-    pub fn calls(&self, upstream: &UpstreamIncarnation, now: Instant) -> u32 {
-        self.loads(upstream, now).map(|(load, _)| load.calls).sum()
-    }
-
-    /// Time until the prompts of other VMs on an upstream are read. Prompts are read one after the
-    /// other, so the times add up.
-    #[must_use]
-    pub fn reading_left(&self, upstream: &UpstreamIncarnation, now: Instant) -> Duration {
-        self.loads(upstream, now)
-            .map(|(load, age)| {
-                Duration::from_millis(u64::from(load.reading_ms)).saturating_sub(age)
-            })
-            .sum()
+    pub fn view(&self, now: Instant) -> PeerView<'_> {
+        let notes = self
+            .notes(now)
+            .map(|heard| (&heard.note, now.since(heard.at)));
+        let has_peers = self.live(now).next().is_some();
+        PeerView::new(notes, has_peers, self.tells_all(now))
     }
 
     /// Number of VMs besides this one that were heard of within `memory`.
@@ -200,14 +193,6 @@
         told
     }
 
-    /// Whether all who have calls on an upstream of this VM's own zone, for which it has `rank` there, tell
-    /// it; `None` for an upstream of another zone.
-    #[must_use]
-    pub fn is_told_of(&self, rank: Option<usize>, now: Instant) -> bool {
-        let shares = rank.is_some_and(|rank| rank < SHARERS);
-        self.live(now).next().is_some() && (self.tells_all(now) || shares)
-    }
-
     fn sharers(
         &self,
         upstream: &UpstreamEntry,
@@ -312,22 +297,6 @@
         self.count_within(PASSED_ON_LIVES, now) <= MOST_TOLD
     }
 
-    fn loads(
-        &self,
-        upstream: &UpstreamIncarnation,
-        now: Instant,
-    ) -> impl Iterator<Item = (&PeerLoad, Duration)> {
-        self.notes(now).flat_map(move |heard| {
-            let age = now.since(heard.at);
-            heard
-                .note
-                .loads
-                .iter()
-                .filter(move |load| load.upstream == *upstream)
-                .map(move |load| (load, age))
-        })
-    }
-
     /// Notes that are new enough for what they say of loads.
     fn notes(&self, now: Instant) -> impl Iterator<Item = &Heard> {
         self.peers
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -68,13 +68,14 @@
         random: f64,
         now: Instant,
     ) -> usize {
+        let peers = self.peers.view(now);
         let candidates = entries
             .iter()
             .zip(&self.loads)
             .map(|(entry, load)| PlacementCandidate {
-                peer_calls: self.peers.calls(&entry.id, now),
+                peer_calls: peers.calls(&entry.id),
                 all_tell: true,
-                peer_reading: self.peers.reading_left(&entry.id, now),
+                peer_reading: peers.reading_left(&entry.id),
                 ..candidate(entry, load)
             })
             .collect::<Vec<_>>();
