An upstream that has left is not brought back by a late word

The reader had lagged and told what it had missed, that the upstream was there and that it had gone; the VMs knew both already. Changes bore no version, so the older row was taken for news. Once in, nothing takes it out but luck: its entry is gone, no later change names it, and whoever reads on reads changes after a version up to which the removal was read already. In the same way a page of changes whose question had waited undid what others had told meanwhile, and set the version back.

Change: each row bears the version at which it was written. What was written up to the version up to which the table is known is not taken again; an older row never takes the place of a newer one nor of a removal, which is remembered until the table is known beyond it. Peers show the versions too.

--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -63,8 +63,8 @@
 pub struct FeedPage<T> {
     /// Version up to which they hold.
     pub version: u64,
-    /// Keys with their entries; `None` where one was removed.
-    pub entries: Vec<(Arc<str>, Option<T>)>,
+    /// Rows that were written or removed.
+    pub rows: Vec<TableRow<T>>,
 }
 
 /// Why the platform's word could not be had.
@@ -108,7 +108,7 @@
             None => follower.next(Duration::ZERO).await,
         };
         gateway.feed_read(|state| state.old_config = false);
-        for config in page.entries.into_iter().filter_map(|(_, config)| config) {
+        for config in page.rows.into_iter().filter_map(|row| row.entry) {
             gateway.put_config(Arc::new(config));
         }
     }
@@ -121,7 +121,7 @@
         let (page, whole) = follower.next(Duration::ZERO).await;
         gateway.platform_answers(follower.answers);
         if follower.answers || gateway.is_behind(&page) {
-            gateway.table_read(page, whole, follower.answers);
+            gateway.table_read(&page, whole, follower.answers);
         }
         gateway.feed_read(|state| state.old_directory = false);
         follower.pause(UPSTREAM_PACE).await;
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -37,25 +37,24 @@
     /// Takes in rows of the table that were read here, and tells the zone what is new in them. What another
     /// VM had in the store's place may be two seconds old; told on as if it were new, it would be relied on
     /// for as long again, so it is not.
-    pub(crate) fn table_read(&self, page: FeedPage<UpstreamEntry>, whole: bool, from_store: bool) {
-        let rows = page.entries;
+    pub(crate) fn table_read(&self, page: &FeedPage<UpstreamEntry>, whole: bool, from_store: bool) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let changes = state.table.read(&rows, whole, page.version);
+        let read = state.table.read(&page.rows, whole, page.version);
+        let entries = whole.then(|| state.table.entries());
         if from_store {
             state.news.read_here();
             state.table_read = Some(now);
         }
         drop(state);
-        if whole {
-            self.put_upstreams(rows.into_iter().filter_map(|(_, entry)| entry).collect());
+        if let Some(entries) = entries {
+            self.put_upstreams(entries.into_iter().filter_map(|row| row.entry).collect());
         } else {
-            // All rows, not only what is new in them: an upstream that was taken for gone is back with its next
-            // word.
-            self.take_changes(rows);
+            // Also those with nothing new in them: an upstream that was taken for gone is back with its next word.
+            self.take_changes(read.current);
         }
-        if from_store && !changes.is_empty() {
-            self.tell_zone(&changes);
+        if from_store && !read.news.is_empty() {
+            self.tell_zone(&read.news);
         }
     }
 
@@ -73,7 +72,7 @@
         let fresh = [read_here, told].into_iter().flatten().any(|a| a <= age);
         fresh.then(|| FeedPage {
             version: state.table.version(),
-            entries: state.table.entries(),
+            rows: state.table.entries(),
         })
     }
 
@@ -194,7 +193,7 @@
     }
 
     fn take_changes(&self, changes: Vec<UpstreamChange>) {
-        for (key, entry) in changes {
+        for TableRow { key, entry, .. } in changes {
             match (entry, key.parse::<UpstreamId>()) {
                 (Some(entry), _) => self.upstream_heard(entry),
                 (None, Ok(id)) => self.upstream_removed(&id),
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -32,7 +32,7 @@
         let config = self.config.lock().clone();
         FeedPage {
             version: config.version.0,
-            entries: vec![("config".into(), Some(config))],
+            rows: vec![row("config", config)],
         }
     }
 
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -9,7 +9,7 @@
 use catkin_decisions::{
     Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
     Policy, PromptPart, RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig,
-    ServiceSpec, UpstreamEntry,
+    ServiceSpec, TableRow, UpstreamEntry,
 };
 use catkinward::{
     Timer,
@@ -32,6 +32,15 @@
 pub const ENGINES: &str = "engines";
 pub const PLAIN: &str = "plain";
 
+/// A row of a table, written at version 10.
+pub fn row<T>(key: &str, entry: T) -> TableRow<T> {
+    TableRow {
+        key: key.into(),
+        written: 10,
+        entry: Some(entry),
+    }
+}
+
 /// Builds a gateway.
 pub struct GatewayFixture {
     zone: &'static str,
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -30,7 +30,7 @@
     fn new(entries: &[UpstreamEntry]) -> Self {
         let rows = entries
             .iter()
-            .map(|entry| (entry.id.as_str().into(), Some(entry.clone())));
+            .map(|entry| row(entry.id.as_str(), entry.clone()));
         Self {
             rows: Arc::new(Mutex::new(rows.collect())),
             version: Arc::new(Mutex::new(10)),
@@ -39,10 +39,13 @@
     }
 
     fn set_leaving(&self, index: usize) {
-        if let Some(entry) = &mut self.rows.lock()[index].1 {
+        let mut version = self.version.lock();
+        *version += 1;
+        let row = &mut self.rows.lock()[index];
+        row.written = *version;
+        if let Some(entry) = &mut row.entry {
             entry.leaving = true;
         }
-        *self.version.lock() += 1;
     }
 
     /// All rows each time, as upstreams write their entries all the time.
@@ -50,7 +53,7 @@
         *self.calls.lock() += 1;
         FeedPage {
             version: *self.version.lock(),
-            entries: self.rows.lock().clone(),
+            rows: self.rows.lock().clone(),
         }
     }
 
@@ -208,12 +211,12 @@
     let old = running.gateway.config().unwrap();
     let page = |version| FeedPage {
         version,
-        entries: vec![(
-            "config".into(),
-            Some(RoutingConfig {
+        rows: vec![row(
+            "config",
+            RoutingConfig {
                 version: ConfigVersion(version),
                 ..RoutingConfig::clone(&old)
-            }),
+            },
         )],
     };
     let (first, newer) = (page(10), page(11));
@@ -320,7 +323,7 @@
     tokio::time::sleep(age).await;
     let old = relying.gateway.table_page(Duration::ZERO);
 
-    let entries = shown.map(|page| page.entries).unwrap_or_default();
+    let entries = shown.map(|page| page.rows).unwrap_or_default();
     expect_that!(entries.len(), eq(2));
     expect_that!(entries.contains(&change), eq(true));
     expect_that!(from_a_peer.is_none(), eq(true));
--- a/crates/decisions/examples/whole_read.rs
+++ b/crates/decisions/examples/whole_read.rs
@@ -2,7 +2,7 @@
 //! `cargo run --release -p catkin-decisions --example whole_read`.
 
 use catkin_decisions::{
-    Instant, UpstreamDirectory, UpstreamEntry, UpstreamTable, rendezvous_score,
+    Instant, TableRow, UpstreamDirectory, UpstreamEntry, UpstreamTable, rendezvous_score,
 };
 use std::{
     net::SocketAddr,
@@ -25,7 +25,11 @@
         });
         let rows = entries
             .iter()
-            .map(|entry| (entry.id.as_str().into(), Some(entry.clone())))
+            .map(|entry| TableRow {
+                key: entry.id.as_str().into(),
+                written: 1,
+                entry: Some(entry.clone()),
+            })
             .collect::<Vec<_>>();
         let mut table = UpstreamTable::default();
         table.read(&rows, true, 1);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -147,6 +147,7 @@
     stall_detector::StallDetector,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
+    table_row::TableRow,
     team::Team,
     team_id::TeamId,
     team_slice::TeamSlice,
@@ -166,7 +167,7 @@
     upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
     upstream_record::{AskedReport, UpstreamRecord},
     upstream_report::UpstreamReport,
-    upstream_table::{UpstreamChange, UpstreamTable},
+    upstream_table::{TableRead, UpstreamChange, UpstreamTable},
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
     wake_detector::WakeDetector,
@@ -298,6 +299,7 @@
 mod stall_detector;
 mod subset;
 mod suspicion;
+mod table_row;
 mod team;
 mod team_id;
 mod team_slice;
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -6,13 +6,18 @@
 //! and most calls of the platform's store would be theirs. So in each zone one or two VMs read the
 //! table and tell the others what has changed in it, and the digest of the whole: a VM that missed
 //! something finds out with the next word, and reads the table itself.
+//!
+//! Words come late and out of order: datagrams overtake each other, and a VM that was cut off or did not run for a
+//! while tells what it reads then, which others may know better. So each row bears the version at which it was
+//! written, and an older row never takes the place of a newer one, nor that of one that was removed since. Without
+//! that a lagging reader brought an upstream back that had left, and no later read of changes took it out again.
 
 use super::*;
 
 /// The rows of the table.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
-    /// Sorted by key.
+    /// Sorted by key. Removed ones are kept until the table is known up to their removal.
     rows: Vec<Row>,
     version: u64,
     digest: u64,
@@ -20,13 +25,23 @@
 
 #[derive(Clone, Debug)]
 struct Row {
-    key: Arc<str>,
+    /// Of what it says; 0 if it was removed.
     hash: u64,
-    entry: UpstreamEntry,
+    row: UpstreamChange,
 }
 
 /// A change of the table: an entry, or that it was removed.
-pub type UpstreamChange = (Arc<str>, Option<UpstreamEntry>);
+pub type UpstreamChange = TableRow<UpstreamEntry>;
+
+/// What a read of the table gave.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TableRead {
+    /// Rows that are not older than what was known, among them those that were written anew with nothing new in
+    /// them: a sign of life.
+    pub current: Vec<UpstreamChange>,
+    /// Those of them that say something new.
+    pub news: Vec<UpstreamChange>,
+}
 
 impl UpstreamTable {
     /// Version of the store up to which it holds.
@@ -38,8 +53,8 @@
     /// All entries.
     #[must_use]
     pub fn entries(&self) -> Vec<UpstreamChange> {
-        let entry = |row: &Row| (row.key.clone(), Some(row.entry.clone()));
-        self.rows.iter().map(entry).collect()
+        let present = self.rows.iter().filter(|row| row.row.entry.is_some());
+        present.map(|row| row.row.clone()).collect()
     }
 
     /// Digest of what it says, whatever the order in which it was read.
@@ -48,26 +63,23 @@
         self.digest
     }
 
-    /// Takes in all rows, or those that were written after the version before; returns those that say
-    /// something new.
-    pub fn read(
-        &mut self,
-        rows: &[UpstreamChange],
-        whole: bool,
-        version: u64,
-    ) -> Vec<UpstreamChange> {
-        let mut changes = Vec::new();
+    /// Takes in all rows, or those that were written after a version up to which the table was known.
+    pub fn read(&mut self, rows: &[UpstreamChange], whole: bool, version: u64) -> TableRead {
+        let mut read = TableRead::default();
+        if version < self.version {
+            // Its question was answered before what others have told since.
+            return read;
+        }
+        let mut rows = rows.to_vec();
         if whole {
-            let mut keys = rows.iter().map(|(key, _)| key).collect::<Vec<_>>();
-            keys.sort_unstable();
-            let gone = |row: &&Row| keys.binary_search(&&row.key).is_err();
-            let gone = self.rows.iter().filter(gone);
-            changes.extend(gone.map(|row| (row.key.clone(), None)));
+            let gone = self.missing_in(&rows, version);
+            self.take_all(gone, &mut read);
+        } else {
+            rows.retain(|row| row.written > self.version || self.holds(row));
         }
-        changes.extend(rows.iter().cloned());
-        changes.retain(|(key, entry)| self.put(key, entry.as_ref()));
-        self.version = version;
-        changes
+        self.take_all(rows, &mut read);
+        self.known_up_to(version);
+        read
     }
 
     /// Takes in another VM's word: changes, and the digest and version with them. Returns the changes
@@ -78,15 +90,15 @@
         version: u64,
         digest: u64,
     ) -> Vec<UpstreamChange> {
-        if version <= self.version {
-            return Vec::new();
-        }
         let mut changes = changes.to_vec();
-        changes.retain(|(key, entry)| self.put(key, entry.as_ref()));
-        if self.digest == digest {
-            self.version = version;
+        // What was written up to the own version is known here, also if it was removed and forgotten since.
+        changes.retain(|change| change.written > self.version);
+        let mut told = TableRead::default();
+        self.take_all(changes, &mut told);
+        if version > self.version && self.digest == digest {
+            self.known_up_to(version);
         }
-        changes
+        told.news
     }
 
     /// Whether the word of another VM, which has read up to `version`, shows that something is missing.
@@ -95,37 +107,91 @@
         version > self.version && digest != self.digest
     }
 
-    /// Sets or removes a row; whether that is a change.
-    fn put(&mut self, key: &Arc<str>, entry: Option<&UpstreamEntry>) -> bool {
-        let place = self.rows.binary_search_by(|row| row.key.cmp(key));
-        let row = entry.map(|entry| Row {
-            key: key.clone(),
-            hash: hash(key, entry),
-            entry: entry.clone(),
-        });
-        let before = place.ok().map(|index| self.rows[index].hash);
-        let after = row.as_ref().map(|row| row.hash);
-        if before == after {
-            return false;
-        }
-        // Sums in any order are the same.
-        self.digest = self
-            .digest
-            .wrapping_sub(before.unwrap_or(0))
-            .wrapping_add(after.unwrap_or(0));
-        match (place, row) {
-            (Ok(index), Some(row)) => self.rows[index] = row,
-            (Ok(index), None) => {
-                self.rows.remove(index);
+    /// Whether a row is known just as it was written then. One that is not, and is older than the table, was
+    /// overwritten or removed since.
+    fn holds(&self, change: &UpstreamChange) -> bool {
+        let place = self.position(&change.key);
+        place.is_ok_and(|index| self.rows[index].row.written == change.written)
+    }
+
+    fn position(&self, key: &str) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| row.row.key.as_ref().cmp(key))
+    }
+
+    /// Removals of the rows that a whole table as of `version` does not hold.
+    fn missing_in(&self, rows: &[UpstreamChange], version: u64) -> Vec<UpstreamChange> {
+        let mut keys = rows.iter().map(|row| &row.key).collect::<Vec<_>>();
+        keys.sort_unstable();
+        let missing = |row: &&Row| keys.binary_search(&&row.row.key).is_err();
+        let present = self.rows.iter().filter(|row| row.row.entry.is_some());
+        present
+            .filter(missing)
+            .map(|row| UpstreamChange {
+                key: row.row.key.clone(),
+                written: version,
+                entry: None,
+            })
+            .collect()
+    }
+
+    fn take_all(&mut self, changes: Vec<UpstreamChange>, read: &mut TableRead) {
+        for change in changes {
+            match self.put(&change) {
+                Put::Older => {}
+                Put::Same => read.current.push(change),
+                Put::News => {
+                    read.current.push(change.clone());
+                    read.news.push(change);
+                }
             }
-            (Err(index), Some(row)) => self.rows.insert(index, row),
-            (Err(_), None) => {}
         }
-        true
     }
+
+    fn known_up_to(&mut self, version: u64) {
+        self.version = self.version.max(version);
+        let known = self.version;
+        self.rows
+            .retain(|row| row.row.entry.is_some() || row.row.written > known);
+    }
+
+    /// Sets a row.
+    fn put(&mut self, change: &UpstreamChange) -> Put {
+        let place = self.position(&change.key);
+        let before = place.ok().map_or(0, |index| self.rows[index].hash);
+        if place.is_ok_and(|index| self.rows[index].row.written > change.written) {
+            return Put::Older;
+        }
+        let hash = hash(change);
+        let row = Row {
+            hash,
+            row: change.clone(),
+        };
+        match place {
+            Ok(index) => self.rows[index] = row,
+            Err(index) => self.rows.insert(index, row),
+        }
+        // Sums in any order are the same.
+        self.digest = self.digest.wrapping_sub(before).wrapping_add(hash);
+        if before == hash { Put::Same } else { Put::News }
+    }
+}
+
+/// What became of a row that was to be set.
+enum Put {
+    /// A newer one is known.
+    Older,
+    /// It says what was known.
+    Same,
+    /// It says something new.
+    News,
 }
 
-fn hash(key: &str, entry: &UpstreamEntry) -> u64 {
+fn hash(change: &UpstreamChange) -> u64 {
+    let Some(entry) = &change.entry else {
+        return 0;
+    };
+    let key = &change.key;
     let text = format!(
         "{key} {} {} {} {} {} {}",
         entry.id, entry.service, entry.address, entry.zone, entry.slots, entry.leaving
--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_news.rs
@@ -22,11 +22,27 @@
         slots: 32,
         leaving,
     };
-    (id.as_str().into(), Some(entry))
+    UpstreamChange {
+        key: id.as_str().into(),
+        written: 10,
+        entry: Some(entry),
+    }
 }
 
 fn removed(n: u8) -> UpstreamChange {
-    (format!("engine-{n}").as_str().into(), None)
+    UpstreamChange {
+        entry: None,
+        ..entry(n, false)
+    }
+}
+
+/// The same rows, written at a version.
+fn written(version: u64, rows: &[UpstreamChange]) -> Vec<UpstreamChange> {
+    let row = |row: &UpstreamChange| UpstreamChange {
+        written: version,
+        ..row.clone()
+    };
+    rows.iter().map(row).collect()
 }
 
 /// A VM that has read engines 1 to 3 at version 10.
@@ -39,7 +55,7 @@
 /// What a VM tells that has read `changes` up to `version` after the same beginning.
 fn news(changes: &[UpstreamChange], version: u64) -> ZoneNews {
     let mut table = table();
-    let changes = table.read(changes, false, version);
+    let changes = table.read(&written(version, changes), false, version).news;
     ZoneNews {
         vm: "vm-1".into(),
         config: Some(ConfigVersion(1)),
@@ -66,9 +82,12 @@
 fn rows_that_say_nothing_new_are_not_told() {
     let mut table = table();
 
-    let changes = table.read(&[entry(1, false), entry(2, true)], false, 11);
+    let rows = written(11, &[entry(1, false), entry(2, true)]);
+
+    let read = table.read(&rows, false, 11);
 
-    expect_that!(changes, eq(&vec![entry(2, true)]));
+    expect_that!(read.news, eq(&written(11, &[entry(2, true)])));
+    expect_that!(read.current, eq(&rows));
 }
 
 #[gtest]
@@ -156,7 +175,154 @@
     }
 }
 
+/// A VM that reads for its zone has lagged, and tells of an upstream in two datagrams, that it is there and that it
+/// has gone; the second one arrives first. The other VM knew already that it has gone. Brought back by the late
+/// datagram it stayed for good, since no later change names it, and got calls more than four seconds after it
+/// had left.
+#[gtest]
+fn an_upstream_that_has_gone_is_not_brought_back_by_late_words() {
+    let mut table = table();
+    table.read(&written(12, &[removed(2)]), false, 12);
+    let before = table.digest();
+    let (present, gone) = (written(11, &[entry(2, true)]), written(12, &[removed(2)]));
+
+    for late in [&gone, &present] {
+        table.told(late, 13, before);
+    }
+    table.read(&written(14, &[entry(1, false)]), false, 14);
+
+    expect_that!(table.digest(), eq(before));
+}
+
+/// The same between two VMs that both know less: the removal is remembered until the table is known beyond it.
+#[gtest]
+fn a_removal_that_was_told_outlasts_an_older_row() {
+    let mut table = table();
+    let (present, gone) = (written(11, &[entry(4, false)]), written(12, &[removed(4)]));
+
+    for late in [&gone, &present] {
+        table.told(late, 13, 0);
+    }
+    table.read(&[], false, 13);
+
+    expect_that!(table.entries().len(), eq(3));
+}
+
+/// What another VM told is newer than the page that is read meanwhile, as its question waited longer at the store.
+#[gtest]
+fn a_page_that_is_older_than_what_was_told_undoes_nothing() {
+    for whole in [false, true] {
+        let mut table = table();
+        let newer = news(&[entry(2, true), removed(3)], 12);
+        table.told(&newer.changes, newer.version, newer.digest);
+
+        let page = written(11, &[entry(1, false), entry(2, false), entry(3, false)]);
+        let read = table.read(&page, whole, 11);
+
+        expect_that!(table.digest(), eq(newer.digest), "whole: {whole}");
+        expect_that!(table.version(), eq(12));
+        expect_that!(read.news, is_empty());
+    }
+}
+
+/// What one VM does next with what the store holds.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The store's row of an upstream is written: there, leaving, or removed.
+    Write(u8, u8),
+    /// A VM reads what changed, or all, as the store was some writes ago.
+    Read(usize, bool, usize),
+    /// A VM hears another one's latest changes, in pieces, some of them lost, the others in this order.
+    Hear(usize, usize, Vec<u8>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1..6_u8, 0..3_u8).prop_map(|(n, what)| Step::Write(n, what)),
+        2 => (0..3_usize, any::<bool>(), 0..4_usize)
+            .prop_map(|(vm, whole, ago)| Step::Read(vm, whole, ago)),
+        3 => (0..3_usize, 0..3_usize, prop::collection::vec(0..8_u8, 0..8))
+            .prop_map(|(vm, from, order)| Step::Hear(vm, from, order)),
+    ]
+}
+
+/// The store: each write, in order; the version is the number of writes.
+#[derive(Default)]
+struct Store(Vec<UpstreamChange>);
+
+impl Store {
+    /// The newest row of each key as of a version, written after another one.
+    fn rows(&self, after: usize, version: usize) -> Vec<UpstreamChange> {
+        let writes = &self.0[..version];
+        let newest = |(i, row): &(usize, &UpstreamChange)| {
+            writes[i + 1..].iter().all(|later| later.key != row.key)
+        };
+        let rows = writes.iter().enumerate().skip(after).filter(newest);
+        rows.map(|(_, row)| row.clone()).collect()
+    }
+
+    fn whole(&self, version: usize) -> Vec<UpstreamChange> {
+        let rows = self.rows(0, version).into_iter();
+        rows.filter(|row| row.entry.is_some()).collect()
+    }
+}
+
 proptest! {
+    /// Three VMs read the store by themselves, late or not, and hear each other's changes in any order, in part or
+    /// twice. Whoever has read up to the newest version knows just what the store holds.
+    #[test]
+    fn whoever_has_read_up_to_now_knows_what_the_store_holds(
+        steps in prop::collection::vec(step(), 1..80),
+    ) {
+        let mut store = Store::default();
+        let mut vms = [0, 1, 2].map(|_| (UpstreamTable::default(), Vec::new()));
+        for step in steps {
+            match step {
+                Step::Write(n, what) => {
+                    let row = match what {
+                        0 => removed(n),
+                        1 => entry(n, false),
+                        _ => entry(n, true),
+                    };
+                    let version = store.0.len() as u64 + 1;
+                    store.0.extend(written(version, &[row]));
+                }
+                Step::Read(vm, whole, ago) => {
+                    let version = store.0.len().saturating_sub(ago);
+                    let (table, told) = &mut vms[vm];
+                    let known = usize::try_from(table.version()).unwrap();
+                    let rows = if whole {
+                        store.whole(version)
+                    } else if version < known {
+                        continue;
+                    } else {
+                        store.rows(known, version)
+                    };
+                    *told = table.read(&rows, whole, version as u64).news;
+                }
+                Step::Hear(vm, from, order) => {
+                    let (table, told) = vms[from].clone();
+                    for piece in order {
+                        let piece = told.iter().skip(usize::from(piece)).take(1);
+                        let piece = piece.cloned().collect::<Vec<_>>();
+                        vms[vm].0.told(&piece, table.version(), table.digest());
+                    }
+                }
+            }
+        }
+        let version = store.0.len();
+        for (table, _) in &mut vms {
+            let known = usize::try_from(table.version()).unwrap();
+            table.read(&store.rows(known, version), false, version as u64);
+            let mut rows = store.whole(version);
+            rows.sort_by(|a, b| a.key.cmp(&b.key));
+            let entries = |rows: Vec<UpstreamChange>| {
+                rows.into_iter().filter_map(|row| row.entry).collect::<Vec<_>>()
+            };
+            prop_assert_eq!(entries(table.entries()), entries(rows));
+        }
+    }
+
     /// Whatever changes are read in whatever pieces, a VM that was told all of them has the same digest.
     #[test]
     fn the_digest_is_that_of_the_content(
@@ -169,8 +335,8 @@
                 1 => entry(n, false),
                 _ => entry(n, true),
             };
-            let changes = reader.read(&[change], false, version);
-            told.told(&changes, version, reader.digest());
+            let read = reader.read(&written(version, &[change]), false, version);
+            told.told(&read.news, version, reader.digest());
             prop_assert!(!told.is_behind(version, reader.digest()));
         }
         prop_assert_eq!(told.digest(), reader.digest());
