How often a plain call is sent follows the number of zones

Cause: five sends, two more than there are zones on the deployments of three zones. The large one has five: with one full upstream in each of the first five sends a free sixth was never tried, and the caller was refused.

Change: two beyond the number of zones that have upstreams of the service. Its test, six zones of which the last has a free place, is red with the bound before.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -74,7 +74,9 @@
     /// Tells that news of the zone came.
     pub(crate) news_came: Notify,
     /// Newest configuration that another VM of the zone has in force.
-    pub(crate) zone_config: watch::Sender<Option<ConfigVersion>>,
+    pub(crate) zone_config: watch::Sender<Option<ToldConfig>>,
+    /// Counts how often a feed noticed that the store answers again.
+    pub(crate) store_returns: watch::Sender<u64>,
     /// How it stood to new callers when that was last asked.
     pub(crate) readiness: Mutex<Readiness>,
     /// The state of a graceful shutdown.
@@ -108,6 +110,7 @@
             crashes_seen: Notify::new(),
             news_came: Notify::new(),
             zone_config: watch::Sender::new(None),
+            store_returns: watch::Sender::new(0),
             readiness: Mutex::new(Readiness::NothingKnown),
             drain: Arc::default(),
             timer,
@@ -323,6 +326,17 @@
         })
     }
 
+    /// Number of availability zones with upstreams of a service.
+    pub(crate) fn zones_with(&self, service: &ServiceId) -> u32 {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let usable = state.directory.usable(service, now);
+        let mut zones = usable.map(|entry| &entry.zone).collect::<Vec<_>>();
+        zones.sort_unstable();
+        zones.dedup();
+        u32::try_from(zones.len()).unwrap_or(u32::MAX)
+    }
+
     /// Chooses where the copy of a run's memory goes, if the service has copies.
     pub(crate) fn place_copy(
         &self,
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -4,9 +4,9 @@
 };
 use std::pin::pin;
 
-/// How often a call is sent at most, refusals counted in: two more than there are zones, so that one
-/// full upstream in each does not end it.
-const MOST_SENDS: u32 = 5;
+/// How often a call is sent at most beyond once to each zone that has upstreams of its service, refusals counted in:
+/// one full upstream in each zone does not end it.
+const SENDS_BEYOND_ZONES: u32 = 2;
 
 /// Largest answer that is taken in whole. Answers of plain services have some kilobytes.
 const LARGEST_ANSWER: usize = 8 << 20;
@@ -39,11 +39,13 @@
 /// Serves a call whose answer is taken in whole before the caller gets any of it, so that one that
 /// breaks off can still be replaced.
 pub(crate) async fn call_whole(gateway: &Arc<Gateway>, accepted: AcceptedCall) -> Reply {
+    let most_sends = gateway.zones_with(&accepted.service) + SENDS_BEYOND_ZONES;
     WholeCall {
         gateway: gateway.clone(),
         accepted,
         avoid: Vec::new(),
         sends: 0,
+        most_sends,
         send_paid: false,
         runs: 0,
     }
@@ -57,6 +59,7 @@
     /// Upstreams that refused or failed it.
     avoid: Vec<UpstreamIncarnation>,
     sends: u32,
+    most_sends: u32,
     /// Whether the next send is paid for: the one before did not arrive.
     send_paid: bool,
     runs: u32,
@@ -126,7 +129,7 @@
 
     async fn next_upstream(&self) -> Option<Arc<UpstreamEntry>> {
         let now = self.gateway.timer.now();
-        if self.sends >= MOST_SENDS || self.accepted.time_left(now).is_zero() {
+        if self.sends >= self.most_sends || self.accepted.time_left(now).is_zero() {
             return None;
         }
         let next = self.gateway.place(&self.accepted, &self.avoid, &[])?;
--- a/crates/catkinward/tests/gateway_calls.rs
+++ b/crates/catkinward/tests/gateway_calls.rs
@@ -265,3 +265,26 @@
     expect_that!(wrong_key, pat!(Reply::UnknownKey));
     expect_that!(running.sent_to().is_empty(), eq(true));
 }
+
+/// The service has an upstream in each of six availability zones, and those of five are full. The sixth serves the
+/// call. With a bound made for three zones its caller was refused while a place was free.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_finds_the_free_upstream_of_the_last_zone() {
+    let mut fixture = GatewayFixture::new(|call| {
+        if call.entry.id.as_str() == "plain-f" {
+            Script::Whole(StatusCode::OK, "yes")
+        } else {
+            Script::NotExecuted
+        }
+    });
+    for zone in ["a", "b", "c", "d", "e", "f"] {
+        fixture = fixture.upstream(&format!("plain-{zone}"), PLAIN, zone);
+    }
+    let running = fixture.start();
+
+    for _ in 0..12 {
+        let reply = running.handle("/once/1").await;
+        expect_that!(reply, matches_pattern!(Reply::Whole { .. }));
+    }
+}
