In a large zone a few VMs ask the store, and back off while it is away

Change: - A zone of more than eight VMs has a reader, a standby that reads once the reader's words are 1.3 s old, and two deputies that tell what they read while nobody else tells (ZoneRole). Before, two read all the time. - The configuration goes the same way: words bear the version in force and the age of the last answer of the store; a newer one is read from the VM that tells of it, or else from the store; words older than 2.4 s are not relied on, nor any heard before this process has read anew after a suspension. - While the store is away all but those who read for a zone double their wait up to 2.4 s, spread, and end it when the zone tells again or the other feed is answered. A VM that is turned away relies on its zone meanwhile. - A page that a peer gave is taken in at once, not after the wait. Who tells the zone is a member from then on. Calls are counted by cause (catkin_store_calls_total).

--- a/crates/catkinward/src/gateway/beliefs.rs
+++ b/crates/catkinward/src/gateway/beliefs.rs
@@ -21,7 +21,7 @@
 
 impl Gateway {
     fn show(&self, now: Instant) {
-        let reads = self.reads_for_zone();
+        let reads = self.zone_role().reads();
         let mut state = self.state.lock();
         let usable = state.directory.usable_count(now);
         let suspects = state
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -6,19 +6,11 @@
 /// store that is slow answers within a second. A connection that has gone silent is noticed so.
 const STORE_BOUND: Duration = Duration::from_millis(900);
 
-/// How long a question for changes of the configuration waits at the store. Its sum with
-/// [`STORE_BOUND`] stays below three seconds, so that a silent connection is noticed in that time.
-const CONFIG_WAIT: Duration = Duration::from_millis(1900);
-
-/// The same while another VM of the zone tells what configuration is in force there: if a newer one is,
-/// or nobody tells any more, the question is asked anew over another connection. So the many VMs of a
-/// large deployment ask a fifth as often.
+/// How long a question for changes of the configuration waits at the store while another VM of a small zone tells
+/// what configuration is in force there: if a newer one is, or nobody tells any more, the question is asked anew
+/// over another connection.
 const SHARED_CONFIG_WAIT: Duration = Duration::from_secs(8);
 
-/// How long the zone may be ahead with its configuration before the question is asked anew: far longer
-/// than an answer that is on its way takes.
-pub(crate) const ZONE_AHEAD: Duration = Duration::from_millis(150);
-
 /// Pace of questions for changes of upstreams. They write their entries about every second, so a
 /// question that waits would return at once; a leaving one must get nothing new after two seconds.
 const UPSTREAM_PACE: Duration = Duration::from_millis(1100);
@@ -35,9 +27,6 @@
 /// Bound of an answer from another VM, which has it in memory: a way there and back takes 2 ms.
 const PEER_BOUND: Duration = Duration::from_millis(250);
 
-/// Wait after the store failed. Each VM asks some 3 times a second then.
-const FAULT_WAIT: Duration = Duration::from_millis(300);
-
 /// A part of what the platform keeps.
 pub struct Feed<T> {
     /// Its name, for the log.
@@ -84,48 +73,88 @@
 
 /// Keeps the configuration in force up to date.
 pub async fn follow_config(gateway: Arc<Gateway>, feed: Feed<RoutingConfig>) {
-    let mut follower = Follower::new(&gateway, &feed, |_| {});
+    let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone_config, |_| {});
     loop {
-        let shared = gateway.relies_on_zone();
-        let wait = if shared {
-            SHARED_CONFIG_WAIT
+        let told = if follower.version.is_some() {
+            gateway.newer_config_in_zone().await
         } else {
-            CONFIG_WAIT
+            None
         };
-        let page = tokio::select! {
-            page = follower.next(wait) => Some(page),
-            ahead = gateway.zone_goes_ahead(), if shared => {
-                if !ahead {
+        let read = match told {
+            Some(told) => {
+                tracing::info!(config = %told.version, peer = %told.by, "a peer tells of a newer configuration");
+                let page = ask_peer(&feed, told.by).await;
+                take_config(&gateway, page.as_ref());
+                if gateway.config().is_some_and(|c| c.version >= told.version) {
                     continue;
                 }
-                None
+                Some(follower.ask_store(Duration::ZERO).await)
             }
+            None => ask_for_config(&gateway, &mut follower).await,
         };
-        // Asked anew, it is not given up again: from a slow store the answer takes longer than the zone's
-        // word, and would never come.
-        let (page, _) = match page {
-            Some(page) => page,
-            None => follower.next(Duration::ZERO).await,
+        let Some(Read::Page { page, .. }) = read else {
+            continue;
         };
+        if follower.answers {
+            gateway.config_read();
+        }
         gateway.feed_read(|state| state.old_config = false);
-        for config in page.rows.into_iter().filter_map(|row| row.entry) {
-            gateway.put_config(Arc::new(config));
+        if take_config(&gateway, Some(&page)) && follower.answers {
+            gateway.tell_zone(&[]);
         }
     }
 }
 
+/// Asks the store for a newer configuration; `None` if it should be asked anew in another way.
+async fn ask_for_config(
+    gateway: &Gateway,
+    follower: &mut Follower<'_, RoutingConfig>,
+) -> Option<Read<RoutingConfig>> {
+    // Others rely on the age of what those in front read.
+    let in_front = gateway.zone_role() != ZoneRole::Member && gateway.is_in_large_zone();
+    let shared = gateway.relies_on_zone() && !in_front;
+    let wait = if shared {
+        SHARED_CONFIG_WAIT
+    } else {
+        CONFIG_WAIT
+    };
+    let ahead = tokio::select! {
+        read = follower.next(wait) => return Some(read),
+        ahead = gateway.zone_goes_ahead(), if shared => ahead,
+    };
+    // Asked anew, it is not given up again: from a slow store the answer takes longer than the zone's
+    // word, and would never come.
+    if ahead {
+        Some(follower.next(Duration::ZERO).await)
+    } else {
+        None
+    }
+}
+
+/// Puts the configuration of a page in force; whether it is newer.
+fn take_config(gateway: &Gateway, page: Option<&FeedPage<RoutingConfig>>) -> bool {
+    let rows = page.into_iter().flat_map(|page| &page.rows);
+    let configs = rows.filter_map(|row| row.entry.as_ref());
+    configs
+        .map(|config| gateway.put_config(Arc::new(config.clone())))
+        .fold(false, |any, newer| any | newer)
+}
+
 /// Keeps the directory of upstreams up to date.
 pub async fn follow_upstreams(gateway: Arc<Gateway>, feed: Feed<UpstreamEntry>) {
-    let mut follower = Follower::new(&gateway, &feed, |gateway| gateway.platform_answers(false));
+    let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone, |gateway| {
+        gateway.platform_answers(false);
+    });
     loop {
-        let (page, whole) = follower.next(Duration::ZERO).await;
-        gateway.platform_answers(follower.answers);
-        if follower.answers || gateway.is_behind(&page) {
-            gateway.table_read(&page, whole, follower.answers);
+        if let Read::Page { page, whole } = follower.next(Duration::ZERO).await {
+            gateway.platform_answers(follower.answers);
+            if follower.answers || gateway.is_behind(&page) {
+                gateway.table_read(&page, whole, follower.answers);
+            }
+            gateway.feed_read(|state| state.old_directory = false);
+            follower.pause(UPSTREAM_PACE).await;
         }
-        gateway.feed_read(|state| state.old_directory = false);
-        follower.pause(UPSTREAM_PACE).await;
-        if follower.answers && gateway.relies_on_zone() {
+        if gateway.relies_on_zone() {
             gateway.rely_on_zone().await;
             // What others told counts as read.
             follower.version = Some(gateway.table_version());
@@ -137,7 +166,10 @@
 /// would go on with what they knew, send calls to upstreams that are leaving, and refuse routes and
 /// keys that were added.
 async fn ask_a_peer<T>(gateway: &Gateway, feed: &Feed<T>) -> Option<FeedPage<T>> {
-    let peer = gateway.a_peer()?;
+    ask_peer(feed, gateway.a_peer()?).await
+}
+
+async fn ask_peer<T>(feed: &Feed<T>, peer: SocketAddr) -> Option<FeedPage<T>> {
     let answer = tokio::time::timeout(PEER_BOUND, (feed.read_from_peer)(peer)).await;
     match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
         Ok(page) => {
@@ -152,6 +184,31 @@
     }
 }
 
+/// What came of a read.
+enum Read<T> {
+    /// Rows.
+    Page {
+        /// The rows.
+        page: FeedPage<T>,
+        /// Whether they are the whole feed.
+        whole: bool,
+    },
+    /// The store does not answer here, and others of the zone tell what it says.
+    Zone,
+}
+
+/// Why the store is asked, for the count of its calls.
+#[derive(Clone, Copy, Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum StoreCallCause {
+    /// Nothing is known yet, or the history that was asked for is gone.
+    WholeRead,
+    /// It may have changed.
+    Watch,
+    /// The store did not answer before.
+    StoreAway,
+}
+
 /// Reads a feed in whole, then its changes.
 struct Follower<'a, T> {
     gateway: &'a Arc<Gateway>,
@@ -161,29 +218,65 @@
     /// Whether the store answers.
     answers: bool,
     faults: usize,
+    /// Faults since the store last answered.
+    faults_in_a_row: u32,
+    /// Whether the store failed just now, and is to be left alone for a while.
+    waits: bool,
+    /// Whether others of the zone tell what this feed would read.
+    relies: fn(&Gateway) -> bool,
     /// Called when the store does not answer.
     lost: fn(&Gateway),
     wakes: watch::Receiver<u64>,
+    /// Counts the returns of the store that any feed noticed.
+    returns: watch::Receiver<u64>,
 }
 
 impl<'a, T> Follower<'a, T> {
-    fn new(gateway: &'a Arc<Gateway>, feed: &'a Feed<T>, lost: fn(&Gateway)) -> Self {
+    fn new(
+        gateway: &'a Arc<Gateway>,
+        feed: &'a Feed<T>,
+        relies: fn(&Gateway) -> bool,
+        lost: fn(&Gateway),
+    ) -> Self {
         Self {
             gateway,
             feed,
             version: None,
             answers: true,
             faults: 0,
+            faults_in_a_row: 0,
+            waits: false,
+            relies,
             lost,
             wakes: gateway.wakes.subscribe(),
+            returns: gateway.store_returns.subscribe(),
         }
     }
 
-    /// The next page, and whether it is the whole feed. Waits at the store for that long at most, or
-    /// for its return.
-    async fn next(&mut self, wait: Duration) -> (FeedPage<T>, bool) {
+    /// The next page. Waits at the store for that long at most, or for its return; ends early if the store does
+    /// not answer here and others of the zone tell what it says.
+    async fn next(&mut self, wait: Duration) -> Read<T> {
+        let relies = self.relies;
+        self.ask(wait, relies).await
+    }
+
+    /// The next page, whatever the zone tells: for what it told of and did not give.
+    async fn ask_store(&mut self, wait: Duration) -> Read<T> {
+        self.ask(wait, |_| false).await
+    }
+
+    async fn ask(&mut self, wait: Duration, relies: fn(&Gateway) -> bool) -> Read<T> {
         let mut wait = wait;
         loop {
+            if !self.answers {
+                if std::mem::take(&mut self.waits) {
+                    self.wait_for_return(relies).await;
+                }
+                if self.version.is_some() && relies(self.gateway) {
+                    return Read::Zone;
+                }
+            }
+            self.count_call();
             let bound = if self.answers {
                 wait + STORE_BOUND
             } else {
@@ -217,19 +310,34 @@
                     }
                     if !self.answers {
                         tracing::info!(feed = self.feed.name, "platform answers again");
+                        self.gateway.store_returns.send_modify(|count| *count += 1);
                     }
                     self.answers = true;
+                    self.faults_in_a_row = 0;
                     self.version = Some(page.version);
-                    return (page, whole);
+                    return Read::Page { page, whole };
                 }
                 Err(fault) => fault,
             };
             if let Some(page) = self.failed(fault).await {
-                return (page, true);
+                return Read::Page { page, whole: true };
             }
         }
     }
 
+    fn count_call(&self) {
+        let cause = if !self.answers {
+            StoreCallCause::StoreAway
+        } else if self.version.is_none() {
+            StoreCallCause::WholeRead
+        } else {
+            StoreCallCause::Watch
+        };
+        let cause: &str = cause.into();
+        metrics::counter!("catkin_store_calls_total", "feed" => self.feed.name, "cause" => cause)
+            .increment(1);
+    }
+
     /// Waits, unless this process wakes meanwhile.
     async fn pause(&mut self, length: Duration) {
         // Whichever comes first, the feed is asked then.
@@ -248,12 +356,33 @@
         }
         self.answers = false;
         self.faults += 1;
+        self.faults_in_a_row += 1;
         (self.lost)(self.gateway);
+        self.waits = true;
         let page = ask_a_peer(self.gateway, self.feed).await;
-        tokio::time::sleep(FAULT_WAIT).await;
         if let Some(page) = &page {
             self.version = Some(page.version);
         }
         page
     }
+
+    /// Waits before the store is asked again, unless somebody notices its return meanwhile.
+    ///
+    /// Asked by each VM three times a second, the store gets more calls while it is away than in all the time that
+    /// it serves, and all of them at once at its return.
+    async fn wait_for_return(&mut self, relies: fn(&Gateway) -> bool) {
+        self.returns.mark_unchanged();
+        let wait = store_backoff(
+            self.gateway.zone_role(),
+            self.gateway.zone_vms().len(),
+            self.faults_in_a_row,
+            rand::random(),
+        );
+        // Whichever comes first, the store is asked then, or the zone relied on.
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = self.gateway.zone_tells(relies) => {}
+            _ = self.returns.changed() => {}
+        }
+    }
 }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -9,6 +9,7 @@
         outbox::Outbox,
         readiness::{Readiness, ServicesSeen},
         state::GatewayState,
+        zone_config::ToldConfig,
     },
     super::{
         Arc, AtomicU32, AtomicU64, AvailabilityZone, Bytes, Debug, Display, Drain, Duration,
@@ -17,15 +18,16 @@
         UpstreamId, watch,
     },
     catkin_decisions::{
-        ANSWER_BOUND, Born, CHANGES_TOLD, CachedPrompts, ConfigVersion, Crash, CrashTally,
-        EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan, LoanAsk,
-        LoanDesk, MOST_ASKED, MOST_CRASHES, MOST_LENDERS, MemberWord, NOTE_PERIOD, NewestConfig,
-        NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PeerView, PlacementCandidate,
-        PlacementFor, Policy, Presence, PresenceChange, PromptPart, RepeatBudget,
-        RepeatBudgetConfig, Route, RoutingConfig, TableRow, UpstreamChange, UpstreamDirectory,
-        UpstreamEntry, UpstreamIncarnation, UpstreamLoad, UpstreamPulse, UpstreamRestart,
-        UpstreamTable, WakeDetector, WholeEvent, ZoneAlarm, ZoneNews, place, place_copy,
-        rank_of_vm, reading_time, reads_for_zone,
+        ANSWER_BOUND, Born, CHANGES_TOLD, CONFIG_WAIT, CachedPrompts, ConfigVersion, Crash,
+        CrashTally, EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan,
+        LoanAsk, LoanDesk, MOST_ASKED, MOST_CRASHES, MOST_LENDERS, MemberWord, NEWS_AGE,
+        NOTE_PERIOD, NewestConfig, NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote,
+        PeerView, PlacementCandidate, PlacementFor, Policy, Presence, PresenceChange, PromptPart,
+        RepeatBudget, RepeatBudgetConfig, Route, RoutingConfig, STANDBY_AGE, TableRow,
+        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation, UpstreamLoad,
+        UpstreamPulse, UpstreamRestart, UpstreamTable, WakeDetector, WholeEvent, ZoneAlarm,
+        ZoneNews, ZoneRole, is_large_zone, place, place_copy, rank_of_vm, reading_time,
+        store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -87,4 +89,5 @@
 mod stream_send;
 mod upstream_transport;
 mod whole_call;
+mod zone_config;
 mod zone_table;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -23,8 +23,10 @@
     /// Whether the configuration, or the directory, was not read since this process last woke.
     pub(crate) old_config: bool,
     pub(crate) old_directory: bool,
-    /// When the table was last read here.
+    /// When the table was last read here, from the store.
     pub(crate) table_read: Option<Instant>,
+    /// When the store last answered the question for the configuration.
+    pub(crate) config_read: Option<Instant>,
 }
 
 /// What is known of one upstream.
@@ -62,6 +64,7 @@
             table: UpstreamTable::default(),
             news: HeardNews::default(),
             table_read: None,
+            config_read: None,
             old_config: false,
             old_directory: false,
         }
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -1,30 +1,29 @@
 //! How the VMs of a zone share what is read of the platform's table of upstreams.
 
-use super::{feed::ZONE_AHEAD, *};
-
-/// Time in which the table has been read here after something of it was missed.
-const TABLE_READ: Duration = Duration::from_millis(300);
+use super::*;
 
 impl Gateway {
-    /// Whether this VM reads the table for its zone.
-    pub(crate) fn reads_for_zone(&self) -> bool {
-        let now = self.timer.now();
-        let mut zone_vms = self.zone_peers(now);
-        zone_vms.push(self.settings.vm.clone());
-        reads_for_zone(&self.settings.vm, &zone_vms)
+    /// What this VM does for its zone.
+    pub(crate) fn zone_role(&self) -> ZoneRole {
+        ZoneRole::of(&self.settings.vm, &self.zone_vms())
     }
 
     /// Whether the table need not be read here now: another VM of the zone reads it and tells.
     pub(crate) fn relies_on_zone(&self) -> bool {
-        !self.reads_for_zone() && matches!(self.news_state(), NewsState::Fresh(_))
+        let role = self.zone_role();
+        role != ZoneRole::Reader && matches!(self.news_state(role), NewsState::Fresh(_))
     }
 
     /// Waits for as long as others tell what they read, and nothing of it is missing here.
     pub(crate) async fn rely_on_zone(&self) {
-        while !self.reads_for_zone() {
+        loop {
             let mut came = std::pin::pin!(self.news_came.notified());
             came.as_mut().enable();
-            let until = match self.news_state() {
+            let role = self.zone_role();
+            if role == ZoneRole::Reader {
+                return;
+            }
+            let until = match self.news_state(role) {
                 NewsState::Fresh(until) | NewsState::Behind(until) => until,
                 NewsState::Silent => return,
             };
@@ -34,6 +33,18 @@
         }
     }
 
+    /// Waits until the zone tells what `relies` asks for.
+    pub(crate) async fn zone_tells(&self, relies: fn(&Self) -> bool) {
+        loop {
+            let mut came = std::pin::pin!(self.news_came.notified());
+            came.as_mut().enable();
+            if relies(self) {
+                return;
+            }
+            came.await;
+        }
+    }
+
     /// Takes in rows of the table that were read here, and tells the zone what is new in them. What another
     /// VM had in the store's place may be two seconds old; told on as if it were new, it would be relied on
     /// for as long again, so it is not.
@@ -53,7 +64,7 @@
             // Also those with nothing new in them: an upstream that was taken for gone is back with its next word.
             self.take_changes(read.current);
         }
-        if from_store && !read.news.is_empty() {
+        if from_store {
             self.tell_zone(&read.news);
         }
     }
@@ -65,7 +76,7 @@
         let now = self.timer.now();
         let state = self.state.lock();
         let read_here = state.table_read.map(|at| now.since(at));
-        let told = match state.news.state(now) {
+        let told = match state.news.state(NEWS_AGE, now) {
             NewsState::Fresh(_) => state.news.age(now),
             NewsState::Behind(_) | NewsState::Silent => None,
         };
@@ -81,22 +92,25 @@
         self.table_version() < page.version
     }
 
-    /// Tells the zone what was read here, if this VM reads for it.
+    /// Tells the zone what was read here, if that is this VM's part and not old.
     pub(crate) fn tell_zone(&self, changes: &[UpstreamChange]) {
-        if !self.reads_for_zone() {
+        if self.zone_role() == ZoneRole::Member {
             return;
         }
         let now = self.timer.now();
         let state = self.state.lock();
-        let Some(read) = state.table_read else {
+        let read = state.table_read.filter(|at| now.since(*at) < NEWS_AGE);
+        let Some(read) = read else {
             return;
         };
+        let age_ms = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let news = ZoneNews {
             vm: self.settings.vm.clone(),
             config: state.config.get().map(|config| config.version),
+            config_age_ms: state.config_read.map(age_ms),
             version: state.table.version(),
             digest: state.table.digest(),
-            age_ms: u32::try_from(now.since(read).as_millis()).unwrap_or(u32::MAX),
+            age_ms: age_ms(read),
             changes: Vec::new(),
         };
         let told = state.peers.addresses_in(&self.settings.zone, now);
@@ -117,15 +131,24 @@
         }
     }
 
-    /// Takes in another VM's word on the table.
-    pub fn take_news(&self, news: &ZoneNews) {
+    /// Takes in another VM's word on the table, with the address that it came from.
+    pub fn take_news(&self, news: &ZoneNews, address: SocketAddr) {
         let now = self.timer.now();
         let mut state = self.state.lock();
+        // Who tells is a member that may not be known yet. Taken for alone, this VM would read for the zone too.
+        let teller = MemberWord {
+            vm: news.vm.clone(),
+            zone: None,
+            address,
+            age_ms: 0,
+        };
+        let zone = &self.settings.zone;
+        state.peers.take_members(&[teller], zone, now);
         let changes = state.table.told(&news.changes, news.version, news.digest);
         let table = std::mem::take(&mut state.table);
         state.news.take(news, &table, now);
         state.table = table;
-        if matches!(state.news.state(now), NewsState::Fresh(_)) {
+        if matches!(state.news.state(NEWS_AGE, now), NewsState::Fresh(_)) {
             state.directory.platform_answers(now);
         }
         drop(state);
@@ -139,8 +162,7 @@
             );
         }
         self.take_changes(changes);
-        self.zone_config
-            .send_modify(|newest| *newest = (*newest).max(news.config));
+        self.config_told(news.config, address);
         self.news_came.notify_waiters();
     }
 
@@ -149,47 +171,36 @@
         self.state.lock().table.version()
     }
 
-    /// Waits until another VM of the zone has had a newer configuration in force for longer than it takes
-    /// to come here, and is true then; or until nobody tells of theirs any more.
-    pub(crate) async fn zone_goes_ahead(&self) -> bool {
-        let mut newest = self.zone_config.subscribe();
-        let mut missed = false;
-        loop {
-            let until = match self.news_state() {
-                NewsState::Fresh(until) | NewsState::Behind(until) => {
-                    missed = false;
-                    until
-                }
-                NewsState::Silent if missed => return false,
-                // A change of the table may have been missed, which is being read meanwhile.
-                NewsState::Silent => {
-                    missed = true;
-                    self.timer.now().after(TABLE_READ)
-                }
-            };
-            let own = self.config().map(|config| config.version);
-            let theirs = *newest.borrow_and_update();
-            if own < theirs {
-                tokio::time::sleep(ZONE_AHEAD).await;
-                if self.config().map(|config| config.version) < theirs {
-                    tracing::warn!(config = ?theirs, "the zone has a newer configuration");
-                    return true;
-                }
-            }
-            let wait = until.since(self.timer.now());
-            // Whichever comes first, both are looked at again.
-            let _ = tokio::time::timeout(wait, newest.changed()).await;
+    pub(crate) fn news_state(&self, role: ZoneRole) -> NewsState {
+        let age = if role == ZoneRole::Standby {
+            STANDBY_AGE
+        } else {
+            NEWS_AGE
+        };
+        let now = self.timer.now();
+        let state = self.state.lock();
+        if state.old_directory {
+            // Datagrams from before this process was suspended still come, and seem new.
+            return NewsState::Silent;
         }
+        state.news.state(age, now)
     }
 
-    fn news_state(&self) -> NewsState {
-        let now = self.timer.now();
-        self.state.lock().news.state(now)
+    /// Whether none but a few VMs of this zone ask the store all the time.
+    pub(crate) fn is_in_large_zone(&self) -> bool {
+        is_large_zone(self.zone_vms().len())
     }
 
-    fn zone_peers(&self, now: Instant) -> Vec<Arc<str>> {
+    /// Live VMs of this zone, this one among them.
+    pub(crate) fn zone_vms(&self) -> Vec<Arc<str>> {
+        let now = self.timer.now();
         let state = self.state.lock();
-        state.peers.live_in(&self.settings.zone, now).collect()
+        let mut vms = state
+            .peers
+            .live_in(&self.settings.zone, now)
+            .collect::<Vec<_>>();
+        vms.push(self.settings.vm.clone());
+        vms
     }
 
     fn take_changes(&self, changes: Vec<UpstreamChange>) {
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -9,7 +9,7 @@
 use catkin_decisions::{
     Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
     Policy, PromptPart, RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig,
-    ServiceSpec, TableRow, UpstreamEntry,
+    ServiceSpec, TableRow, UpstreamEntry, ZoneNews,
 };
 use catkinward::{
     Timer,
@@ -32,6 +32,9 @@
 pub const ENGINES: &str = "engines";
 pub const PLAIN: &str = "plain";
 
+/// Where the notes of the VM come from that tells its zone.
+pub const TELLER: &str = "10.0.0.9:7201";
+
 /// A row of a table, written at version 10.
 pub fn row<T>(key: &str, entry: T) -> TableRow<T> {
     TableRow {
@@ -202,6 +205,11 @@
 }
 
 impl Running {
+    /// Takes in another VM's word on the table, from [`TELLER`].
+    pub fn hear_news(&self, news: &ZoneNews) {
+        self.gateway.take_news(news, TELLER.parse().unwrap());
+    }
+
     pub fn call(&self, path: &str) -> Call {
         Call {
             id: "call-1".parse().unwrap(),
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -4,7 +4,7 @@
 
 use catkin_decisions::{
     ConfigVersion, NEWS_AGE, PeerDatagram, RoutingConfig, UpstreamChange, UpstreamEntry,
-    UpstreamTable, ZoneNews, reads_for_zone,
+    UpstreamTable, ZoneNews, ZoneRole,
 };
 use catkinward::gateway::{
     Feed, FeedFault, FeedPage, exchange_notes, follow_config, follow_upstreams,
@@ -94,6 +94,7 @@
         ZoneNews {
             vm: reader(),
             config: Some(ConfigVersion(1)),
+            config_age_ms: Some(0),
             version: table.version(),
             digest: table.digest(),
             age_ms: 0,
@@ -111,7 +112,7 @@
     let names = (2..100).map(|n| Arc::<str>::from(format!("vm-{n}")));
     names
         .into_iter()
-        .find(|name| reads_for_zone(name, &["vm-1".into(), name.clone()]))
+        .find(|name| ZoneRole::of(name, &["vm-1".into(), name.clone()]).reads())
         .unwrap()
 }
 
@@ -132,7 +133,7 @@
     tokio::spawn(follow_upstreams(running.gateway.clone(), table.feed()));
     for _ in 0..10 {
         hear_of_reader(&running);
-        running.gateway.take_news(&table.news(&[]));
+        running.hear_news(&table.news(&[]));
         tokio::time::sleep(PERIOD).await;
     }
     table.take_calls();
@@ -147,7 +148,7 @@
 
     for _ in 0..20 {
         hear_of_reader(&running);
-        running.gateway.take_news(&table.news(&[]));
+        running.hear_news(&table.news(&[]));
         tokio::time::sleep(PERIOD).await;
     }
 
@@ -162,7 +163,7 @@
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
 
-    running.gateway.take_news(&table.news(&[change]));
+    running.hear_news(&table.news(&[change]));
     for _ in 0..8 {
         read_stream(running.handle("/stream/1").await).await;
     }
@@ -177,7 +178,7 @@
 #[tokio::test(start_paused = true)]
 async fn vm_reads_by_itself_when_nobody_tells_any_more() {
     let (running, table) = relying().await;
-    running.gateway.take_news(&table.news(&[]));
+    running.hear_news(&table.news(&[]));
 
     table.set_leaving(0);
     tokio::time::sleep(NEWS_AGE + Duration::from_millis(20)).await;
@@ -196,7 +197,7 @@
     let (running, table) = relying().await;
     table.set_leaving(0);
 
-    running.gateway.take_news(&table.news(&[]));
+    running.hear_news(&table.news(&[]));
     tokio::time::sleep(Duration::from_millis(100)).await;
 
     expect_that!(table.take_calls(), ge(1));
@@ -246,7 +247,7 @@
 
     for _ in 0..3 {
         hear_of_reader(&running);
-        running.gateway.take_news(&ZoneNews {
+        running.hear_news(&ZoneNews {
             config: Some(ConfigVersion(11)),
             ..table.news(&[])
         });
@@ -264,7 +265,7 @@
     let running = GatewayFixture::new(|_| Script::Hang).start();
     let other = (2..100)
         .map(|n| Arc::<str>::from(format!("vm-{n}")))
-        .find(|other| reads_for_zone("vm-1", &["vm-1".into(), other.clone()]))
+        .find(|other| ZoneRole::of("vm-1", &["vm-1".into(), other.clone()]).reads())
         .unwrap();
     let table = FakeTable::new(&entries());
     let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
@@ -307,9 +308,7 @@
     let (relying, table) = relying().await;
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
-    relying
-        .gateway
-        .take_news(&table.news(std::slice::from_ref(&change)));
+    relying.hear_news(&table.news(std::slice::from_ref(&change)));
     let shown = relying.gateway.table_page(age);
     let turned_away = GatewayFixture::new(|_| Script::Hang).start();
     hear_of_reader(&turned_away);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -145,6 +145,7 @@
     slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
     slice_request::SliceRequest,
     stall_detector::StallDetector,
+    store_backoff::store_backoff,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     table_row::TableRow,
@@ -174,8 +175,10 @@
     wall_time::WallTime,
     zone_alarm::ZoneAlarm,
     zone_news::{
-        CHANGES_TOLD, HeardNews, NEWS_AGE, NewsState, REST_WAIT, ZoneNews, reads_for_zone,
+        CHANGES_TOLD, CONFIG_NEWS_AGE, CONFIG_WAIT, HeardNews, NEWS_AGE, NewsState, REST_WAIT,
+        STANDBY_AGE, ZoneNews,
     },
+    zone_role::{ZoneRole, is_large_zone},
 };
 
 mod address_index;
@@ -297,6 +300,7 @@
 mod slice_home;
 mod slice_request;
 mod stall_detector;
+mod store_backoff;
 mod subset;
 mod suspicion;
 mod table_row;
@@ -326,3 +330,4 @@
 mod wall_time;
 mod zone_alarm;
 mod zone_news;
+mod zone_role;
--- a/crates/decisions/src/zone_news.rs
+++ b/crates/decisions/src/zone_news.rs
@@ -2,15 +2,24 @@
 
 use super::*;
 
-/// VMs of a zone that read the table of upstreams, by the number of VMs in it: one may be lost, and then
-/// the others read by themselves until its successor is known.
-const ONE_READER_UP_TO: usize = 8;
-
 /// Age up to which another VM's reading of the store counts: it reads every 1.1 s and tells every 0.4 s.
 /// A VM that relies on it and finds it older reads by itself at once, which leaves 0.4 s of the two
 /// seconds in which a leaving upstream must be known.
 pub const NEWS_AGE: Duration = Duration::from_millis(1600);
 
+/// Age of the reader's word at which the VM that stands by reads: later than the reader's word comes as a rule, and
+/// sooner than the others do without it.
+pub const STANDBY_AGE: Duration = Duration::from_millis(1300);
+
+/// Age up to which another VM's reading of the configuration counts. Its question waits at the store for up to
+/// [`CONFIG_WAIT`]; the rest is for a store that is slow. Beyond that a VM asks by itself, which leaves half a
+/// second of the three in which a configuration must be in force.
+pub const CONFIG_NEWS_AGE: Duration = Duration::from_millis(2400);
+
+/// How long a question for changes of the configuration waits at the store. Its sum with the bound of an answer
+/// stays below three seconds, so that a silent connection is noticed in that time.
+pub const CONFIG_WAIT: Duration = Duration::from_millis(1900);
+
 /// Wait for the rest of news that came in part, or overtook a part, before the table is read instead.
 pub const REST_WAIT: Duration = Duration::from_millis(60);
 
@@ -26,6 +35,9 @@
     /// Version of the configuration in force there, if there is one yet.
     #[serde(rename = "c")]
     pub config: Option<ConfigVersion>,
+    /// Milliseconds since the store was asked there for the configuration and answered; none if it never was.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub config_age_ms: Option<u32>,
     /// Version of the store up to which it has read the table of upstreams.
     #[serde(rename = "n")]
     pub version: u64,
@@ -45,6 +57,8 @@
 pub struct HeardNews {
     /// When the store was heard by the one who heard it last.
     store_heard: Option<Instant>,
+    /// When the store was asked for the configuration by the one who did so last.
+    config_heard: Option<Instant>,
     /// Since when the own table is known to miss something.
     behind: Option<Instant>,
 }
@@ -63,9 +77,9 @@
 impl HeardNews {
     /// Takes in a word, after the changes in it were taken into `table`.
     pub fn take(&mut self, news: &ZoneNews, table: &UpstreamTable, now: Instant) {
-        let age = Duration::from_millis(news.age_ms.into());
-        let heard = Instant(now.0.saturating_sub(age));
-        self.store_heard = self.store_heard.max(Some(heard));
+        let ago = |ms: u32| now.before(Duration::from_millis(ms.into()));
+        self.store_heard = self.store_heard.max(Some(ago(news.age_ms)));
+        self.config_heard = self.config_heard.max(news.config_age_ms.map(ago));
         if table.is_behind(news.version, news.digest) {
             self.behind.get_or_insert(now);
         } else {
@@ -84,10 +98,16 @@
         self.store_heard.map(|heard| now.since(heard))
     }
 
-    /// Whether the own table can be relied on without reading it.
+    /// Until when the configuration is known by the word of others; none if nobody told of theirs.
     #[must_use]
-    pub fn state(&self, now: Instant) -> NewsState {
-        let until = self.store_heard.map(|heard| heard.after(NEWS_AGE));
+    pub fn config_until(&self) -> Option<Instant> {
+        self.config_heard.map(|heard| heard.after(CONFIG_NEWS_AGE))
+    }
+
+    /// Whether the own table can be relied on without reading it, for words up to an age.
+    #[must_use]
+    pub fn state(&self, age: Duration, now: Instant) -> NewsState {
+        let until = self.store_heard.map(|heard| heard.after(age));
         match (until, self.behind) {
             (Some(until), None) if now < until => NewsState::Fresh(until),
             (Some(until), Some(since)) if now < until && now.since(since) < REST_WAIT => {
@@ -97,19 +117,3 @@
         }
     }
 }
-
-/// Whether a VM is one of those that read the table for its zone. `zone_vms` are the live ones, itself
-/// among them.
-#[must_use]
-pub fn reads_for_zone(vm: &str, zone_vms: &[Arc<str>]) -> bool {
-    let readers = if zone_vms.len() <= ONE_READER_UP_TO {
-        1
-    } else {
-        2
-    };
-    let ranked = rendezvous_rank("reader", zone_vms.to_vec(), Arc::clone);
-    ranked
-        .iter()
-        .take(readers)
-        .any(|reader| reader.as_ref() == vm)
-}
--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_news.rs
@@ -2,7 +2,7 @@
 
 use catkin_decisions::{
     ConfigVersion, HeardNews, Instant, NEWS_AGE, NewsState, REST_WAIT, UpstreamChange,
-    UpstreamEntry, UpstreamTable, ZoneNews, reads_for_zone,
+    UpstreamEntry, UpstreamTable, ZoneNews, ZoneRole,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -59,6 +59,7 @@
     ZoneNews {
         vm: "vm-1".into(),
         config: Some(ConfigVersion(1)),
+        config_age_ms: Some(0),
         version,
         digest: table.digest(),
         age_ms: 0,
@@ -73,7 +74,7 @@
         table.told(&news.changes, news.version, news.digest);
         heard.take(news, &table, at(*ms));
     }
-    (table, heard.state(now))
+    (table, heard.state(NEWS_AGE, now))
 }
 
 /// Entries are written anew all the time with nothing new in them. Told on, they would fill the links of
@@ -169,7 +170,10 @@
             .map(|n| Arc::from(format!("vm-{n}")))
             .collect::<Vec<Arc<str>>>();
 
-        let reading = vms.iter().filter(|vm| reads_for_zone(vm, &vms)).count();
+        let reading = vms
+            .iter()
+            .filter(|vm| ZoneRole::of(vm, &vms).reads())
+            .count();
 
         expect_that!(reading, eq(readers), "of {size}");
     }
