--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -18,19 +18,15 @@
 /// What a stream that already runs on an engine costs the next prompt there. Reading a prompt of 8,000
 /// tokens makes each of the 40 steps beside it some 25 ms longer, so the running stream takes a second
 /// more, and is that much longer exposed to the next loss. Above the cost of another VM's part of the
-/// zone, so that an idle engine there is used first. Means of what callers got over 3 seeds of 5 days
-/// with trouble on two deployments: 0.660 and 0.415 at 60 ms, 0.683 and 0.445 at 300, 0.681 and 0.437
-/// at 700.
+/// zone, so that an idle engine there is used first.
 pub const STREAM_COST: f64 = 300.0;
 
 /// What one call in flight costs the next one on a plain service, whose calls take about this long.
 const CALL_COST: f64 = 30.0;
 
 /// Advantage of the own zone for streams: less than one running stream costs, so that an idle engine elsewhere
-/// is used before a prompt is read beside a stream here. Zones crash in turn and callers are uneven over them; at
-/// 500 ms the streams of a zone met on the engines that were left in it. With 90 VMs before 280 engines, pairs of
-/// runs side by side: 0.508 at 500 ms and 0.635 at 100 in what callers got less prices, 0.259 and 0.325, 0.457 and
-/// 0.465. With few VMs no difference (three deployments, 15 plays each).
+/// is used before a prompt is read beside a stream here. Zones crash in turn and callers are uneven over them; with a
+/// larger advantage the streams of a zone meet on the engines that are left in it.
 pub const OTHER_ZONE_STREAM: f64 = 100.0;
 
 /// Advantage of the own zone for plain calls: two more calls waiting there.
@@ -46,8 +42,7 @@
 
 /// Cost of an upstream of another zone that is not in this VM's part of it: the VMs of a zone that lost
 /// its upstreams spread over those of the others, and do not hear of each other in time. Below the cost
-/// of any load. Prompts on the fullest upstream, means with 8 and 64 VMs that do not tell each other
-/// (`tests/placement.rs`): 3.1 and 4.1 without, 2.6 and 3.2 with it.
+/// of any load.
 const OTHER_PART_ELSEWHERE: f64 = 50.0;
 
 /// Cost of a suspect zone; above any load that is still served in time.
@@ -199,8 +194,7 @@
 
 /// Mean cost of the streams on engines of which this VM knows all. Where many VMs share the engines, it
 /// knows little of the others; taken for idle, these would get its prompts on top of those of VMs that know
-/// them. Of 370 prompts of calm seconds 72 met another one on their engine so, with 88 VMs before 120
-/// engines. Prompts that wait on the known ones are left out: after the loss of a zone they are those of this
+/// them. Prompts that wait on the known ones are left out: after the loss of a zone they are those of this
 /// VM itself, on the few engines left to it, and the others are better.
 fn usual_load(candidates: &[PlacementCandidate], who: &PlacementFor) -> f64 {
     let known = candidates.iter().filter(|c| c.all_tell && !c.suspect);
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -56,7 +56,7 @@
 const MOST_TOLD: usize = 12;
 
 /// How often a mark is told. Each telling goes to one peer, who tells it as often in turn; by the
-/// theory of rumours about one VM in 3,000 (e to the -8) then misses it. Not measured.
+/// theory of rumours about one VM in 3,000 (e to the -8) then misses it.
 const TELLINGS: u32 = 8;
 
 /// Names a run of a request on an upstream.
--- a/crates/decisions/src/repeat_budget.rs
+++ b/crates/decisions/src/repeat_budget.rs
@@ -21,10 +21,6 @@
 /// Part of the allowance that is used; the rest covers calls whose callers are counted a moment earlier
 /// than they arrive here. What the buckets do not tell exactly is counted on the safe side besides: calls
 /// over a window less one bucket, repeats over a window and one bucket.
-///
-/// With 90 VMs before 280 engines of which a third crashed every three seconds, all VMs together could
-/// use 702 of the 826 repeats that they were allowed at 0.85 and one bucket of a twentieth, and cut 180 of
-/// 1,187 streams for want of one.
 const USED_PART: f64 = 0.97;
 
 /// Settings of a [`RepeatBudget`].
--- a/crates/decisions/src/service_time.rs
+++ b/crates/decisions/src/service_time.rs
@@ -6,9 +6,8 @@
 //!
 //! By Little's law `places / mean service time` requests start each second while all places are
 //! taken; that holds from the first answer on, and also when places are few and slow because other
-//! nodes use the same upstreams. Grounds for the weight of a sixteenth: it evens out service times
-//! that differ by their own size and follows an upstream that turns slow within some dozens of
-//! answers; measured in `docs/LOAD.md`.
+//! nodes use the same upstreams. The weight of a sixteenth evens out service times that differ by
+//! their own size and follows an upstream that turns slow within some dozens of answers.
 
 use super::*;
 
--- a/crates/decisions/src/upstream_places.rs
+++ b/crates/decisions/src/upstream_places.rs
@@ -10,11 +10,7 @@
 //! upstream that is filled beyond what it runs at once. So its call may be sent beyond the limit by a
 //! quarter, and while there are such calls the others are held to what the upstream runs at once.
 //!
-//! Grounds for the figures: the reserve has to hold the quick calls that run at once. The measured
-//! mix in `docs/LOAD.md` (rows `mixed lengths`) has a twelfth of the places in quick use on average,
-//! and a fifth leaves room for their bursts: quick p99 is there what it is without generations. The
-//! p99 of the worst other team beside a hot one is 72 ms (63 ms without it); with one limit for all
-//! teams it was 90 ms, and with the quarter alone 85 ms.
+//! The reserve has to hold the quick calls that run at once, and to leave room for their bursts.
 
 use super::*;
 
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -11,19 +11,40 @@
   bench relay [FLAGS]                       what one router costs that relays streams
   help                                      print this text
 
-Flags:
+`catkin-load COMMAND --help` lists the flags of a command.
+";
+
+/// Text of `catkin-load run --help`.
+const RUN_HELP: &str = "\
+Usage: catkin-load run SCENARIO [FLAGS]
+
   --seed N         seed of all that is drawn [1]
   --size SIZE      small, cobalt or thistlegate [small]
   --seconds N      time for which calls arrive [the scenario's own]
   --router-flags F flags of the routers, separated by commas
-  --rounds N       runs of each side of a comparison [3]
-  --streams N      open streams of a benchmark [500]
-  --routers N      routers of a benchmark that know each other [1]
+  --routers N      routers before which operators race [1]
   --json           print nothing but the report, as one line of JSON
 ";
 
-/// Name under which [`control_cost`] is run; it has no load and no faults.
-const CONTROL_COST: &str = "control-cost";
+/// Text of `catkin-load compare --help`.
+const COMPARE_HELP: &str = "\
+Usage: catkin-load compare A B SCENARIO [FLAGS]
+
+  --rounds N       runs of each side [3]
+  --seed N         seed of the first round [1]
+  --size SIZE      small, cobalt or thistlegate [small]
+  --seconds N      time for which calls arrive [the scenario's own]
+  --json           print nothing but the comparison, as one line of JSON
+";
+
+/// Text of `catkin-load bench --help`.
+const BENCH_HELP: &str = "\
+Usage: catkin-load bench relay [FLAGS]
+
+  --streams N      open streams [500]
+  --routers N      routers that know each other [1]
+  --seconds N      time that is measured
+";
 
 /// Name under which [`racing_operators`] is run; it has no load.
 const RACING_OPERATORS: &str = "racing-operators";
@@ -59,13 +80,12 @@
             for scenario in QUICK_SCENARIOS {
                 println!("{:28} {}", scenario.name, scenario.about);
             }
-            println!("{CONTROL_COST:28} slopes of what control costs a node");
             println!("{RACING_OPERATORS:28} two operators roll out at once, answers are lost");
             Ok(ExitCode::SUCCESS)
         }
-        Some("run") => run(&Flags::read(args)?),
-        Some("bench") => bench(&Flags::read(args)?),
-        Some("compare") => compare(&Flags::read(args)?),
+        Some("run") => with_flags(args, RUN_HELP, run),
+        Some("bench") => with_flags(args, BENCH_HELP, bench),
+        Some("compare") => with_flags(args, COMPARE_HELP, compare),
         Some("help" | "--help") => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
@@ -74,6 +94,20 @@
     }
 }
 
+/// Runs a command with its flags, or prints its help if they ask for it.
+fn with_flags(
+    args: impl Iterator<Item = OsString>,
+    help: &str,
+    run: fn(&Flags) -> Result<ExitCode, LoadError>,
+) -> Result<ExitCode, LoadError> {
+    let flags = Flags::read(args)?;
+    if flags.help {
+        print!("{help}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    run(&flags)
+}
+
 /// Flags and operands behind a command.
 struct Flags {
     operands: Vec<String>,
@@ -81,6 +115,7 @@
     relay: RelaySettings,
     rounds: usize,
     json: bool,
+    help: bool,
 }
 
 impl Flags {
@@ -91,6 +126,7 @@
             relay: RelaySettings::default(),
             rounds: 3,
             json: false,
+            help: false,
         };
         let mut parser = lexopt::Parser::from_args(args);
         while let Some(arg) = parser.next()? {
@@ -100,6 +136,7 @@
                     flags.operands.push(operand.to_string_lossy().into_owned());
                 }
                 lexopt::Arg::Long("json") => flags.json = true,
+                lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => flags.help = true,
                 lexopt::Arg::Long("seed") => settings.seed = value("seed", &mut parser)?,
                 lexopt::Arg::Long("size") => settings.size = value("size", &mut parser)?,
                 lexopt::Arg::Long("rounds") => flags.rounds = value("rounds", &mut parser)?,
@@ -142,11 +179,6 @@
 
 #[tokio::main]
 async fn run(flags: &Flags) -> Result<ExitCode, LoadError> {
-    if flags.operand(0)? == CONTROL_COST {
-        let program = std::env::current_exe()?;
-        println!("{}", to_json(&control_cost(&program).await?));
-        return Ok(ExitCode::SUCCESS);
-    }
     if flags.operand(0)? == RACING_OPERATORS {
         return race(flags).await;
     }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -31,8 +31,6 @@
     pub linked: bool,
     /// Whether routers reach each other through it.
     pub peers_linked: bool,
-    /// How often the bundle names each engine, under other ids.
-    pub engine_copies: usize,
     /// Further flags of the routers.
     pub router_flags: Vec<String>,
     /// Further flags of the engines.
@@ -51,7 +49,6 @@
             recovery: RecoveryPolicy::LeastWait,
             linked: false,
             peers_linked: false,
-            engine_copies: 1,
             router_flags: Vec::new(),
             engine_flags: Vec::new(),
             plain_flags: Vec::new(),
@@ -91,7 +88,6 @@
             fleet.proxy = Some(standin(program, "proxy", Vec::new()).await?);
         }
         let engines = fleet.engine_addresses(settings.linked).await?;
-        let engines = engines.repeat(settings.engine_copies);
         let plains: Vec<_> = fleet.plains.iter().map(Process::address).collect();
         let bundle = fleet_bundle(size, settings.recovery, &engines, &plains);
         fleet.start_routers(program, settings, &bundle).await?;
@@ -125,18 +121,6 @@
         Ok(proxy.address())
     }
 
-    /// Bytes that went through the proxy to and from engines, and between routers.
-    ///
-    /// # Errors
-    ///
-    /// If there is no proxy, or it does not answer.
-    pub async fn passed(&self) -> Result<(u64, u64), LoadError> {
-        let path = "/stats".to_owned();
-        let passed: Vec<u64> = self.control(self.proxy()?, Method::GET, path).await?;
-        let (engines, peers) = passed.split_at(self.engines.len().min(passed.len()));
-        Ok((engines.iter().sum(), peers.iter().sum()))
-    }
-
     /// Flags of a router for its peers. Behind the proxy its address must be known before it
     /// starts, so a free one is taken and given back.
     async fn peer_flags(&mut self, linked: bool) -> Result<Vec<String>, LoadError> {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -38,7 +38,6 @@
 pub use crate::{
     command::run_command,
     comparison::{Comparison, Spread},
-    control_cost::{ControlPoint, ControlReport, ControlSlope, control_cost},
     error::Error as LoadError,
     fleet::{Fleet, FleetSettings},
     percentiles::Percentiles,
@@ -59,7 +58,6 @@
 mod balancer;
 mod command;
 mod comparison;
-mod control_cost;
 mod error;
 mod fleet;
 mod fleet_bundle;
