Tests of what went unnoticed when its guard was taken out

Of 19 guards of this work broken by hand three left all tests green: the memory of a removal beyond a page that is older, and the two by which a VM that was suspended does not rely on words from before (the table, the configuration; each covered the other). Each has a test now.

--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -203,6 +203,22 @@
     expect_that!(table.take_calls(), ge(1));
 }
 
+/// A VM was suspended, and the words that waited in its socket seem new. An upstream has left meanwhile, and got calls
+/// for as long as they were relied on.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_was_suspended_reads_the_table_whatever_it_hears() {
+    let (running, table) = relying().await;
+    let old = table.news(&[]);
+    table.set_leaving(0);
+
+    running.gateway.woke(Duration::from_secs(4));
+    running.hear_news(&old);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    expect_that!(table.take_calls(), ge(1));
+}
+
 /// The connection on which this VM waits for a new configuration has gone silent. Another VM of the zone
 /// has it in force, so it is asked for over another connection; before, up to 2.8 s passed.
 #[gtest]
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -3,9 +3,9 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    CONFIG_NEWS_AGE, ConfigVersion, RoutingConfig, UpstreamTable, ZoneNews, ZoneRole,
+    CONFIG_NEWS_AGE, ConfigVersion, RoutingConfig, UpstreamEntry, UpstreamTable, ZoneNews, ZoneRole,
 };
-use catkinward::gateway::{Feed, FeedFault, FeedPage, follow_config};
+use catkinward::gateway::{Feed, FeedFault, FeedPage, follow_config, follow_upstreams};
 use gateway_support::*;
 use googletest::prelude::*;
 use parking_lot::Mutex;
@@ -269,6 +269,39 @@
     expect_that!(member.version(), eq(ConfigVersion(3)));
 }
 
+/// The same, once the table of upstreams has been read anew: as long as the configuration has not, calls wait.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_that_was_suspended_serves_again_once_the_store_was_asked() {
+    let member = Member::relying().await;
+    let table = Feed {
+        name: "upstreams",
+        read: Box::new(|| Box::pin(async { Ok(empty_table()) })),
+        changes: Box::new(|_, _| Box::pin(async { Ok(empty_table()) })),
+        read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
+    };
+    tokio::spawn(follow_upstreams(member.running.gateway.clone(), table));
+    tokio::time::sleep(PERIOD).await;
+    member.hear(Duration::ZERO);
+
+    member.running.gateway.woke(Duration::from_secs(4));
+    let start = Instant::now();
+    for _ in 0..8 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        member.hear(Duration::ZERO);
+    }
+    member.running.gateway.known().await;
+
+    expect_that!(start.elapsed(), le(Duration::from_millis(100)));
+}
+
+fn empty_table() -> FeedPage<UpstreamEntry> {
+    FeedPage {
+        version: 10,
+        rows: Vec::new(),
+    }
+}
+
 /// Words are lost, the peer or the store does not answer for a while, the reader's words age, this VM is suspended: in
 /// any order. As long as the store or a peer answers, a change is in force within its bound, and an older
 /// configuration never comes after a newer one.
--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_news.rs
@@ -212,6 +212,19 @@
     expect_that!(table.entries().len(), eq(3));
 }
 
+/// The same, while this VM reads a page from before the removal.
+#[gtest]
+fn a_removal_is_remembered_until_the_table_is_known_beyond_it() {
+    let mut table = table();
+    let (present, gone) = (written(13, &[entry(2, true)]), written(14, &[removed(2)]));
+    table.told(&gone, 15, 0);
+
+    table.read(&[], false, 11);
+    table.told(&present, 15, 0);
+
+    expect_that!(table.entries().len(), eq(2));
+}
+
 /// What another VM told is newer than the page that is read meanwhile, as its question waited longer at the store.
 #[gtest]
 fn a_page_that_is_older_than_what_was_told_undoes_nothing() {
