--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_news.rs
@@ -225,6 +225,24 @@
     expect_that!(table.entries().len(), eq(2));
 }
 
+/// The store lists each change, and a question that began before another VM's word is answered with some that are
+/// known already. Taken for news, an upstream that has left would be there again for a moment, and told so to the zone.
+#[gtest]
+fn rows_of_a_page_that_are_known_better_are_no_news() {
+    let mut table = table();
+    table.read(&written(12, &[removed(2)]), false, 12);
+    let page = [
+        written(11, &[entry(2, true)]),
+        written(12, &[removed(2)]),
+        written(13, &[entry(3, true)]),
+    ];
+
+    let read = table.read(&page.concat(), false, 13);
+
+    expect_that!(read.news, eq(&written(13, &[entry(3, true)])));
+    expect_that!(table.entries().len(), eq(2));
+}
+
 /// What another VM told is newer than the page that is read meanwhile, as its question waited longer at the store.
 #[gtest]
 fn a_page_that_is_older_than_what_was_told_undoes_nothing() {
