--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -248,6 +248,34 @@
     expect_that!(member.source.take_store_calls(), eq(1));
 }
 
+/// The store turns this VM and all who would tell it away for a while, and a large configuration is put in force
+/// meanwhile. Had the waits for the store's return grown, it would come so late that callers of its routes are refused.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn large_configuration_comes_soon_after_the_store_is_back() {
+    for away in (8_000..10_000).step_by(200).map(Duration::from_millis) {
+        let member = Member::relying().await;
+        *member.source.peer_answers.lock() = false;
+        *member.source.store_answers.lock() = false;
+        *member.source.transfer.lock() = Duration::from_millis(1500);
+        member.source.set_version(3);
+        let start = Instant::now();
+        while start.elapsed() < away {
+            member.hear_notes();
+            tokio::time::sleep(PERIOD).await;
+        }
+
+        *member.source.store_answers.lock() = true;
+        let back = Instant::now();
+        while member.version() < ConfigVersion(3) && back.elapsed() < 3 * BOUND {
+            member.hear_notes();
+            tokio::time::sleep(PERIOD / 4).await;
+        }
+
+        expect_that!(back.elapsed(), le(Duration::from_secs(4)), "after {away:?}");
+    }
+}
+
 /// The reader's connection to the store has gone silent: it goes on telling, with an age that grows, and knows nothing
 /// of the change. Believed, it would keep a removed key in force in its whole zone.
 #[gtest]
