--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -227,7 +227,8 @@
 
     /// Takes in when the process of an upstream started, as it or another VM says.
     pub(crate) fn upstream_started(&self, id: &UpstreamId, born: Born) {
-        let changes = self.state.lock().directory.started(id, born);
+        let now = self.timer.now();
+        let changes = self.state.lock().directory.started(id, born, now);
         self.presence_changed(&changes);
     }
 
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -124,11 +124,14 @@
             leaving: false,
             ..UpstreamEntry::clone(&before)
         };
-        gateway.upstream_heard(entry.clone());
-        gateway.tell_restart(&UpstreamRestart {
+        let restart = UpstreamRestart {
             before: before.id.clone(),
             entry,
-        });
+            version: gateway.table_version(),
+        };
+        if gateway.take_in(&restart, RestartEvidence::OwnProbe) {
+            gateway.report_restart(&restart);
+        }
     }
 }
 
@@ -156,31 +159,46 @@
         }
     }
 
-    /// Tells those who share an upstream that it has started anew. While the platform is away nothing else does,
-    /// and each VM would have a call turned away by each upstream first, and pay for it.
-    fn tell_restart(&self, restart: &UpstreamRestart) {
+    /// Reports a restart to the VMs that share the upstream: while the platform is away they learn of it in no other
+    /// way than by a call that is turned away.
+    fn report_restart(&self, restart: &UpstreamRestart) {
         let now = self.timer.now();
         let zone = &self.settings.zone;
-        let told = self.state.lock().peers.told_of(&restart.entry, zone, now);
-        for address in told {
+        let peers = self.state.lock().peers.told_of(&restart.entry, zone, now);
+        for address in peers {
             self.outbox
                 .send(address, PeerDatagram::Restart(restart.clone()));
         }
     }
 
-    /// Takes in another VM's word on an upstream that has started anew.
+    /// Takes in another VM's report of a restart, unless it is stale.
     pub fn take_restart(&self, restart: &UpstreamRestart) {
-        let by = &restart.entry.id.id;
-        let mut state = self.state.lock();
-        if state.directory.knows(by) {
-            return;
-        }
-        let mut changes = state.directory.denied(&restart.before, Some(by));
-        changes.extend(state.directory.heard(restart.entry.clone()));
-        drop(state);
-        tracing::info!(before = %restart.before, upstream = %by, "a peer tells of a restart");
+        let table = TableView {
+            version: self.table_version(),
+            current: self.table_is_current(),
+        };
+        self.take_in(restart, RestartEvidence::PeerReport(table));
+    }
+
+    /// Takes in an upstream that has started at the address of another one; whether it is believed.
+    fn take_in(&self, restart: &UpstreamRestart, evidence: RestartEvidence) -> bool {
+        let upstream = &restart.entry.id.id;
+        let outcome = self.state.lock().directory.restarted(restart, evidence);
+        let changes = match outcome {
+            Ok(changes) => changes,
+            Err(StaleRestart::Known) => return false,
+            Err(stale) => {
+                let reason: &str = stale.into();
+                tracing::info!(before = %restart.before, %upstream, version = restart.version, reason,
+                    "restart report ignored");
+                return false;
+            }
+        };
+        tracing::info!(before = %restart.before, %upstream, version = restart.version, ?evidence,
+            "upstream restarted");
         self.presence_changed(&changes);
         self.process_ended(&restart.before);
+        true
     }
 
     /// Notes that the process of an upstream is no more, as another one at its address or its own next one
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -166,6 +166,17 @@
         self.news_came.notify_waiters();
     }
 
+    /// Whether the table is kept up to date here, from the store or by another VM of the zone.
+    pub(crate) fn table_is_current(&self) -> bool {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let read = state
+            .table_read
+            .is_some_and(|at| now.since(at) < NEWS_AGE && !state.old_directory);
+        drop(state);
+        read || matches!(self.news_state(ZoneRole::Member), NewsState::Fresh(_))
+    }
+
     /// Version of the store up to which the table is known here.
     pub(crate) fn table_version(&self) -> u64 {
         self.state.lock().table.version()
--- a/crates/catkinward/tests/gateway_replaced.rs
+++ b/crates/catkinward/tests/gateway_replaced.rs
@@ -140,6 +140,7 @@
     let restart = UpstreamRestart {
         before: before.id,
         entry,
+        version: 0,
     };
     running.gateway.take_restart(&restart);
     let stream = read_stream(running.handle("/stream/1").await).await;
@@ -166,6 +167,7 @@
             id: "engine-a9".parse().unwrap(),
             ..before
         },
+        version: 0,
     };
     running
         .gateway
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -100,7 +100,7 @@
     order_scope::{EngineGoal, OrderScope, order_scopes},
     order_settings::OrderSettings,
     path_rule::PathRule,
-    peer_datagram::{Loan, LoanAsk, PeerDatagram, UpstreamRestart},
+    peer_datagram::{Loan, LoanAsk, PeerDatagram},
     peer_entry::PeerEntry,
     peer_loads::{NOTE_PERIOD, PEER_LIVES, PeerLoads, SHARERS},
     peer_note::{MemberWord, PeerLoad, PeerNote},
@@ -168,6 +168,7 @@
     upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
     upstream_record::{AskedReport, UpstreamRecord},
     upstream_report::UpstreamReport,
+    upstream_restart::{RestartEvidence, StaleRestart, TableView, UpstreamRestart},
     upstream_table::{TableRead, UpstreamChange, UpstreamTable},
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
@@ -323,6 +324,7 @@
 mod upstream_pulse;
 mod upstream_record;
 mod upstream_report;
+mod upstream_restart;
 mod upstream_table;
 mod utf8_joiner;
 mod vm_id;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -23,17 +23,6 @@
     Restart(UpstreamRestart),
 }
 
-/// What a VM found out from an upstream itself, before any entry of the platform says so.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct UpstreamRestart {
-    /// Who had the address before.
-    #[serde(rename = "b")]
-    pub before: UpstreamIncarnation,
-    /// Who has it now.
-    #[serde(rename = "e")]
-    pub entry: UpstreamEntry,
-}
-
 /// Asks another VM for a part of its repeats of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoanAsk {
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -11,6 +11,10 @@
 //! stepped back between two starts, by more than the first of them lasted, gets no call until its entry is removed
 //! or it starts once more; to believe it would let a late entry bring back what has left.
 //!
+//! Restart reports of other VMs carry no row, so an upstream that is known by a report alone is dropped unless
+//! its row is read within [`LAPSE_GRACE`] of the platform's return. Stale restart reports of removed upstreams are
+//! ignored, also where the upstream was never known here.
+//!
 //! Two entries may show one address. Mostly the upstream at it crashed and started anew under another id, so the
 //! entry that is heard last replaces the other. But it may also be a foreign one, so that is not for good:
 //! an answer of the replaced upstream brings it back, and an upstream that answers for another id at
@@ -57,6 +61,9 @@
     Present,
     /// Its entry lapsed around an outage of the platform; it counts as present until then.
     Lapsed(Instant),
+    /// It is known by a restart report and no row of it was read yet. It takes calls, once the platform answers
+    /// until then only.
+    Reported(Option<Instant>),
     /// Another entry shows its address.
     Replaced,
     /// Another upstream answers at its address.
@@ -76,6 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamDirectory {
     known: Vec<Known>,
+    /// Upstreams that were removed before they were known here, sorted, and when.
+    tombstones: Vec<(UpstreamId, Instant)>,
     addresses: AddressIndex,
     outage: Outage,
     comparisons: Comparisons,
@@ -85,6 +94,8 @@
 struct Known {
     entry: Arc<UpstreamEntry>,
     presence: Presence,
+    /// Whether its row was read.
+    has_row: bool,
     /// Since when it was found to be gone.
     gone_since: Option<Instant>,
 }
@@ -100,6 +111,9 @@
 impl UpstreamDirectory {
     /// Takes in an entry; returns what has changed by it.
     pub fn heard(&mut self, entry: UpstreamEntry) -> Vec<PresenceChange> {
+        if let Ok(index) = self.tombstone(&entry.id.id) {
+            self.tombstones.remove(index);
+        }
         let mut changes = Vec::new();
         let Some(id) = self.take(entry, &mut changes) else {
             return changes;
@@ -141,6 +155,7 @@
                 let known = Known {
                     entry: Arc::new(entry),
                     presence,
+                    has_row: true,
                     gone_since: None,
                 };
                 self.known.insert(index, known);
@@ -151,16 +166,16 @@
         Some(id)
     }
 
-    /// Notes that an upstream has started at `born`, from its own word or that of another VM. Its entry is
-    /// the one before until it is read anew.
-    pub fn started(&mut self, id: &UpstreamId, born: Born) -> Vec<PresenceChange> {
+    /// Notes that an upstream has started at `born`, by its own report or that of another VM. Its entry is
+    /// the one before until it is read anew. A report of an upstream that was removed is stale.
+    pub fn started(&mut self, id: &UpstreamId, born: Born, now: Instant) -> Vec<PresenceChange> {
         let Some(newest) = self.newest(id) else {
             return Vec::new();
         };
         let Ok(index) = self.position(&newest) else {
             return Vec::new();
         };
-        if !newest.is_before(Some(born)) {
+        if !newest.is_before(Some(born)) || self.known[index].is_removed(now) {
             return Vec::new();
         }
         let entry = UpstreamEntry {
@@ -171,12 +186,64 @@
             leaving: false,
             ..UpstreamEntry::clone(&self.known[index].entry)
         };
-        self.heard(entry)
+        self.reported(entry)
+    }
+
+    /// Takes in an upstream that was found at the address of `before`, by itself or by the report of another VM;
+    /// its row was not read yet.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not taken in.
+    pub fn restarted(
+        &mut self,
+        restart: &UpstreamRestart,
+        evidence: RestartEvidence,
+    ) -> Result<Vec<PresenceChange>, StaleRestart> {
+        let id = &restart.entry.id.id;
+        if self.knows(id) {
+            return Err(StaleRestart::Known);
+        }
+        if self.tombstone(id).is_ok() {
+            return Err(StaleRestart::Removed);
+        }
+        if let RestartEvidence::PeerReport(table) = evidence {
+            if table.current {
+                return Err(StaleRestart::TableIsCurrent);
+            }
+            if restart.version < table.version {
+                return Err(StaleRestart::TableIsNewer);
+            }
+        }
+        let mut changes = self.denied(&restart.before, Some(id));
+        changes.extend(self.reported(restart.entry.clone()));
+        Ok(changes)
+    }
+
+    /// Takes in an upstream without a row of its own.
+    fn reported(&mut self, entry: UpstreamEntry) -> Vec<PresenceChange> {
+        let id = entry.id.clone();
+        let mut changes = self.heard(entry);
+        if let Ok(index) = self.position(&id) {
+            let known = &mut self.known[index];
+            known.has_row = false;
+            known.presence = known.present();
+        }
+        for (_, presence) in changes.iter_mut().filter(|(changed, _)| *changed == id) {
+            *presence = Presence::Reported(None);
+        }
+        changes
     }
 
     /// Notes that an entry was removed; returns the upstream's presence if that is new.
     pub fn removed(&mut self, id: &UpstreamId, now: Instant) -> Option<PresenceChange> {
-        let newest = self.newest(id)?;
+        let Some(newest) = self.newest(id) else {
+            match self.tombstone(id) {
+                Ok(index) => self.tombstones[index].1 = now,
+                Err(index) => self.tombstones.insert(index, (id.clone(), now)),
+            }
+            return None;
+        };
         let index = self.position(&newest).ok()?;
         let grace = match self.outage {
             Outage::Now => Some(now.after(LAPSE_GRACE)),
@@ -186,7 +253,7 @@
         let known = &mut self.known[index];
         let before = known.presence;
         known.presence = match (before, grace) {
-            (Presence::Present, Some(until)) => Presence::Lapsed(until),
+            (Presence::Present | Presence::Reported(_), Some(until)) => Presence::Lapsed(until),
             (Presence::Lapsed(until), _) if now < until => before,
             _ => Presence::Gone,
         };
@@ -250,8 +317,9 @@
         if let Ok(index) = self.position(id)
             && self.known[index].presence == Presence::Replaced
         {
-            self.known[index].presence = Presence::Present;
-            changes.push((id.clone(), Presence::Present));
+            let presence = self.known[index].present();
+            self.known[index].presence = presence;
+            changes.push((id.clone(), presence));
             self.replace_at_address(id, &[], &mut changes);
         }
         changes
@@ -294,6 +362,13 @@
             Outage::Until(until) if now >= until => self.outage = Outage::None,
             _ => {}
         }
+        for known in &mut self.known {
+            if known.presence == Presence::Reported(None) {
+                known.presence = Presence::Reported(Some(now.after(LAPSE_GRACE)));
+            }
+        }
+        self.tombstones
+            .retain(|(_, removed)| now.since(*removed) < REMEMBERED);
         let before = self.known.len();
         self.known.retain_mut(|known| !known.is_forgotten(now));
         if self.known.len() < before {
@@ -368,7 +443,10 @@
         let Ok(index) = self.position(id) else {
             return;
         };
-        if self.known[index].presence != Presence::Present {
+        if !matches!(
+            self.known[index].presence,
+            Presence::Present | Presence::Reported(_)
+        ) {
             return;
         }
         let address = self.known[index].entry.address;
@@ -383,13 +461,21 @@
                 continue;
             };
             let known = &mut self.known[index];
-            if matches!(known.presence, Presence::Present | Presence::Lapsed(_)) {
+            if matches!(
+                known.presence,
+                Presence::Present | Presence::Lapsed(_) | Presence::Reported(_)
+            ) {
                 known.presence = Presence::Replaced;
                 changes.push((other, Presence::Replaced));
             }
         }
     }
 
+    fn tombstone(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.tombstones
+            .binary_search_by(|(removed, _)| removed.cmp(id))
+    }
+
     fn position(&self, id: &UpstreamIncarnation) -> Result<usize, usize> {
         self.known
             .binary_search_by(|known| self.comparisons.note(known.entry.id.cmp(id)))
@@ -397,10 +483,28 @@
 }
 
 impl Known {
+    /// Its presence while it takes calls.
+    fn present(&self) -> Presence {
+        if self.has_row {
+            Presence::Present
+        } else {
+            Presence::Reported(None)
+        }
+    }
+
     fn is_usable(&self, now: Instant) -> bool {
         match self.presence {
-            Presence::Present => true,
-            Presence::Lapsed(until) => now < until,
+            Presence::Present | Presence::Reported(None) => true,
+            Presence::Lapsed(until) | Presence::Reported(Some(until)) => now < until,
+            _ => false,
+        }
+    }
+
+    /// Whether its row was removed, or has lapsed for so long that it counts as removed.
+    fn is_removed(&self, now: Instant) -> bool {
+        match self.presence {
+            Presence::Gone => true,
+            Presence::Lapsed(until) | Presence::Reported(Some(until)) => now >= until,
             _ => false,
         }
     }
@@ -408,6 +512,7 @@
     /// Takes in its entry once more; returns its presence if that is new.
     fn renew(&mut self, mut entry: UpstreamEntry) -> Option<Presence> {
         let before = self.presence;
+        self.has_row = true;
         let moved = self.entry.address != entry.address;
         // An entry read late may still say ready. Kept so, the next one like it would bring back what has left.
         entry.leaving |= self.entry.leaving;
@@ -425,7 +530,7 @@
 
     /// Whether it has been gone for so long that nothing of it is needed any more.
     fn is_forgotten(&mut self, now: Instant) -> bool {
-        if !matches!(self.presence, Presence::Gone | Presence::Superseded) {
+        if !self.is_removed(now) && self.presence != Presence::Superseded {
             self.gone_since = None;
             return false;
         }
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -174,9 +174,9 @@
     let mut directory = UpstreamDirectory::default();
     directory.heard(born("u1", 1, 1000, false));
 
-    let changes = directory.started(&"u1".parse().unwrap(), Born(5000));
-    let again = directory.started(&"u1".parse().unwrap(), Born(5000));
-    let earlier = directory.started(&"u1".parse().unwrap(), Born(1000));
+    let changes = directory.started(&"u1".parse().unwrap(), Born(5000), at(0));
+    let again = directory.started(&"u1".parse().unwrap(), Born(5000), at(0));
+    let earlier = directory.started(&"u1".parse().unwrap(), Born(1000), at(0));
 
     let superseded = (incarnation("u1", 1000), Presence::Superseded);
     expect_that!(changes, contains(eq(&superseded)));
@@ -294,7 +294,7 @@
                     expected = hear(n, says_leaving);
                 }
                 Word::Report(n) => {
-                    directory.started(&"u1".parse().unwrap(), Born(n));
+                    directory.started(&"u1".parse().unwrap(), Born(n), at(0));
                     if expected.0.is_some() {
                         expected = hear(n, false);
                     }
