--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -40,6 +40,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Which mechanisms decide.
     pub policy: Policy,
+    /// Where this VM takes datagrams of other VMs.
+    pub address: SocketAddr,
+    /// Bounds of rollouts, if there are any.
+    pub rollouts: Option<RolloutSettings>,
 }
 
 /// Serves opaque calls.
@@ -77,6 +81,16 @@
     pub(crate) zone_config: watch::Sender<Option<ToldConfig>>,
     /// Counts how often a feed noticed that the store answers again.
     pub(crate) store_returns: watch::Sender<u64>,
+    /// This life of this VM's process.
+    pub(crate) life: VmLife,
+    /// Rollouts that this VM owns, sorted by service.
+    pub(crate) owned_rollouts: Mutex<Vec<(ServiceId, OwnedRollout)>>,
+    /// Rollouts whose order was withdrawn, until their end is in the store.
+    pub(crate) withdrawn_rollouts: Mutex<Vec<Rollout>>,
+    /// Tells that there is something to do for a rollout.
+    pub(crate) rollouts_changed: Notify,
+    /// Counts the changes of rollouts.
+    pub(crate) rollout_phases: watch::Sender<u64>,
     /// How it stood to new callers when that was last asked.
     pub(crate) readiness: Mutex<Readiness>,
     /// The state of a graceful shutdown.
@@ -93,7 +107,15 @@
     ) -> Arc<Self> {
         crate::metrics_page::start_metrics();
         let gateway = Arc::new(Self {
-            state: Mutex::new(GatewayState::new(settings.vm.clone())),
+            state: Mutex::new(GatewayState::new(settings.vm.clone(), settings.rollouts)),
+            life: VmLife {
+                vm: settings.vm.clone(),
+                incarnation: rand::random(),
+            },
+            owned_rollouts: Mutex::default(),
+            withdrawn_rollouts: Mutex::default(),
+            rollouts_changed: Notify::new(),
+            rollout_phases: watch::Sender::new(0),
             settings,
             transport,
             log: CallLog::default(),
@@ -211,6 +233,10 @@
     pub fn put_upstreams(&self, entries: Vec<UpstreamEntry>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
+        let at_start = !state.directory_read;
+        for entry in &entries {
+            state.rollouts.version_seen(entry, at_start, now);
+        }
         state.directory_read = true;
         self.known.send_replace(state.is_current());
         let changes = state.directory.snapshot(entries, now);
@@ -221,7 +247,11 @@
 
     /// Takes in one entry of an upstream.
     pub fn upstream_heard(&self, entry: UpstreamEntry) {
-        let changes = self.state.lock().directory.heard(entry);
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        state.rollouts.version_seen(&entry, false, now);
+        let changes = state.directory.heard(entry);
+        drop(state);
         self.presence_changed(&changes);
     }
 
@@ -322,7 +352,7 @@
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
-        self.choose(accepted, avoid, cached, |candidates, who| {
+        self.choose(accepted, avoid, cached, Among::Open, |candidates, who| {
             place(candidates, who).cloned()
         })
     }
@@ -347,7 +377,11 @@
         if !self.settings.policy.copies || !self.has_copies(&accepted.service) {
             return None;
         }
-        self.choose(accepted, &[], &[], |candidates, who| {
+        if !self.is_open(run) {
+            // Another version does not go on from its memory.
+            return None;
+        }
+        self.choose(accepted, &[], &[], Among::Open, |candidates, who| {
             place_copy(candidates, run, who).cloned()
         })
     }
@@ -358,11 +392,12 @@
             .is_some_and(|config| config.service(service).is_some_and(|spec| spec.copies))
     }
 
-    fn choose<T>(
+    pub(crate) fn choose<T>(
         &self,
         accepted: &AcceptedCall,
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
+        among: Among,
         choose: impl FnOnce(&[PlacementCandidate], &PlacementFor) -> T,
     ) -> T {
         let now = self.timer.now();
@@ -379,9 +414,25 @@
             now,
             policy: &self.settings.policy,
         };
-        state.choose(&accepted.service, avoid, cached, &who, |candidates| {
-            choose(candidates, &who)
-        })
+        state.choose(
+            &accepted.service,
+            avoid,
+            cached,
+            among,
+            &who,
+            |candidates| choose(candidates, &who),
+        )
+    }
+
+    /// Whether an upstream may get any request of its service, whatever rollouts there are.
+    pub(crate) fn is_open(&self, entry: &UpstreamEntry) -> bool {
+        let now = self.timer.now();
+        self.state.lock().rollouts.admission(entry, now) == Admission::Open
+    }
+
+    /// Where this VM takes datagrams of others.
+    pub(crate) fn own_address(&self) -> SocketAddr {
+        self.settings.address
     }
 
     /// Notes that something came from an upstream.
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/liveness.rs
@@ -249,7 +249,8 @@
         let usable = state.directory.get_usable(&entry.id, now).is_some();
         let suspect =
             state.upstream(entry, now).pulse.is_suspect() || state.peers.is_suspect(&entry.id, now);
-        usable && !suspect
+        let open = state.rollouts.admission(entry, now) == Admission::Open;
+        usable && !suspect && open
     }
 
     /// How many of these upstreams take calls and are no suspects.
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -8,7 +8,8 @@
         dispatches::Dispatches,
         outbox::Outbox,
         readiness::{Readiness, ServicesSeen},
-        state::GatewayState,
+        rollouts::OwnedRollout,
+        state::{Among, GatewayState},
         zone_config::ToldConfig,
     },
     super::{
@@ -18,16 +19,20 @@
         UpstreamId, watch,
     },
     catkin_decisions::{
-        ANSWER_BOUND, Born, CHANGES_TOLD, CONFIG_WAIT, CachedPrompts, ConfigVersion, Crash,
-        CrashTally, EventFate, EventRelay, EventRun, EventSplitter, HeardNews, LoadReading, Loan,
-        LoanAsk, LoanDesk, MOST_ASKED, MOST_CRASHES, MOST_LENDERS, MemberWord, NEWS_AGE,
-        NOTE_PERIOD, NewestConfig, NewsState, PeerDatagram, PeerLoad, PeerLoads, PeerNote,
-        PeerView, PlacementCandidate, PlacementFor, Policy, Presence, PresenceChange, PromptPart,
-        RepeatBudget, RepeatBudgetConfig, RestartEvidence, Route, RoutingConfig, STANDBY_AGE,
-        StaleRestart, TableRow, TableView, UpstreamChange, UpstreamDirectory, UpstreamEntry,
-        UpstreamIncarnation, UpstreamLoad, UpstreamPulse, UpstreamRestart, UpstreamTable,
-        WakeDetector, WholeEvent, ZoneAlarm, ZoneNews, ZoneRole, is_large_zone, place, place_copy,
-        rank_of_vm, reading_time, store_backoff,
+        ANSWER_BOUND, Admission, AnswerOutcome, Born, CHANGES_TOLD, COMPLETING, CONFIG_WAIT,
+        CachedPrompts, ConfigVersion, Crash, CrashTally, EventFate, EventRelay, EventRun,
+        EventSplitter, HeardNews, LoadReading, Loan, LoanAsk, LoanDesk, MOST_ASKED, MOST_CRASHES,
+        MOST_LENDERS, MemberWord, NEWS_AGE, NOTE_PERIOD, NewestConfig, NewsState, OWNER_LOST,
+        OwnerStep, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PeerView, PlacementCandidate,
+        PlacementFor, Policy, Presence, PresenceChange, PromptPart, RepeatBudget,
+        RepeatBudgetConfig, RestartEvidence, RollbackReason, Rollout, RolloutFault, RolloutGrant,
+        RolloutNotice, RolloutOrder, RolloutOwner, RolloutPhase, RolloutProgress, RolloutRecord,
+        RolloutReport, RolloutSettings, RolloutVerdict, Rollouts, Route, RoutingConfig,
+        STANDBY_AGE, StaleRestart, StoredRecord, TableRow, TableView, UpstreamChange,
+        UpstreamDirectory, UpstreamEntry, UpstreamIncarnation, UpstreamLoad, UpstreamPulse,
+        UpstreamRestart, UpstreamTable, VersionSlots, VmLife, WakeDetector, WholeEvent, ZoneAlarm,
+        ZoneNews, ZoneRole, is_large_zone, place, place_copy, rank_among, rank_of_vm, reading_time,
+        store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -40,6 +45,8 @@
     feed::{AskChanges, Feed, FeedFault, FeedPage, ReadFromPeer, follow_config, follow_upstreams},
     peer_notes::exchange_notes,
     reply::{EventBody, Reply, StreamCut},
+    rollout_store::{ReadRecord, RolloutStore, RolloutWrite, RolloutWritten, WriteRecord},
+    rollout_task::follow_rollouts,
     upstream_transport::{
         AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, LifeAnswer, LifeQuestion,
         SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
@@ -81,6 +88,9 @@
 mod repeats;
 mod reply;
 mod reply_log;
+mod rollout_store;
+mod rollout_task;
+mod rollouts;
 mod run_guard;
 mod shutdown;
 mod state;
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -25,7 +25,7 @@
         tokio::spawn(empty_outbox(datagrams, socket.clone()));
     }
     tokio::spawn(take_notes(gateway.clone(), socket.clone()));
-    let incarnation = rand::random();
+    let incarnation = gateway.life.incarnation;
     let mut ticks = gateway.timer.subscribe(NOTE_PERIOD);
     for number in 1.. {
         tokio::select! {
@@ -114,6 +114,9 @@
             Ok(PeerDatagram::LoanAsk(ask)) => gateway.lend(ask, address),
             Ok(PeerDatagram::Loan(loan)) => gateway.borrow(&loan, address),
             Ok(PeerDatagram::Restart(restart)) => gateway.take_restart(&restart),
+            Ok(PeerDatagram::Rollout(notice)) => _ = gateway.take_rollout(&notice),
+            Ok(PeerDatagram::RolloutReport(report)) => gateway.take_report(&report, address),
+            Ok(PeerDatagram::RolloutGrant(grant)) => gateway.take_grant(&grant, Some(address)),
             Err(error) => tracing::warn!(%address, %error, "note cannot be read"),
         }
     }
@@ -156,6 +159,7 @@
                 Vec::new()
             },
             wants_members: with_members && state.peers.wants_members(&self.settings.zone, now),
+            rollouts: state.rollouts.notices(now),
         }
     }
 
@@ -207,6 +211,7 @@
         let now = self.timer.now();
         let (vm, crashes) = (note.vm.clone(), note.crashes.clone());
         let started = started_upstreams(&note);
+        let rollouts = note.rollouts.clone();
         let mut state = self.state.lock();
         let wanted = state.peers.wanted_members(&note, rand::random(), now);
         if !wanted.is_empty() {
@@ -224,6 +229,9 @@
         for (id, born) in started {
             self.upstream_started(&id, born);
         }
+        for notice in &rollouts {
+            self.take_rollout(notice);
+        }
         if live > before {
             tracing::info!(%vm, %address, live, "peer found");
         }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -27,6 +27,16 @@
     pub(crate) table_read: Option<Instant>,
     /// When the store last answered the question for the configuration.
     pub(crate) config_read: Option<Instant>,
+    pub(crate) rollouts: Rollouts,
+}
+
+/// Which upstreams of a service are chosen from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Among<'a> {
+    /// Those that may get any request; if there are none, those that stop with the end of a rollout.
+    Open,
+    /// These.
+    Only(&'a [UpstreamIncarnation]),
 }
 
 /// What is known of one upstream.
@@ -48,7 +58,7 @@
 
 impl GatewayState {
     /// The state of a VM that knows nothing yet.
-    pub(crate) fn new(vm: Arc<str>) -> Self {
+    pub(crate) fn new(vm: Arc<str>, rollouts: Option<RolloutSettings>) -> Self {
         Self {
             config: NewestConfig::default(),
             directory: UpstreamDirectory::default(),
@@ -65,6 +75,7 @@
             news: HeardNews::default(),
             table_read: None,
             config_read: None,
+            rollouts: Rollouts::new(rollouts),
             old_config: false,
             old_directory: false,
         }
@@ -180,22 +191,40 @@
         &mut self.budgets[index].1
     }
 
+    /// Upstreams of a service to choose from.
+    fn eligible(&self, service: &ServiceId, among: Among, now: Instant) -> Vec<Arc<UpstreamEntry>> {
+        let usable = self.directory.usable(service, now).cloned();
+        let only = match among {
+            Among::Only(only) => {
+                return usable.filter(|entry| only.contains(&entry.id)).collect();
+            }
+            Among::Open if self.rollouts.is_idle(service, now) => return usable.collect(),
+            Among::Open => [Admission::Open, Admission::Retired],
+        };
+        let (usable, admission) = (usable.collect::<Vec<_>>(), |entry: &Arc<UpstreamEntry>| {
+            self.rollouts.admission(entry, now)
+        });
+        let open = only.map(|wanted| {
+            let entries = usable.iter().filter(|entry| admission(entry) == wanted);
+            entries.cloned().collect::<Vec<_>>()
+        });
+        let [open, retired] = open;
+        if open.is_empty() { retired } else { open }
+    }
+
     /// Chooses among the upstreams of a service, less those in `avoid`.
     pub(crate) fn choose<T>(
         &mut self,
         service: &ServiceId,
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
+        among: Among,
         who: &PlacementFor,
         choose: impl FnOnce(&[PlacementCandidate]) -> T,
     ) -> T {
         let now = who.now;
-        let entries = self
-            .directory
-            .usable(service, now)
-            .filter(|entry| !avoid.contains(&entry.id))
-            .cloned()
-            .collect::<Vec<_>>();
+        let mut entries = self.eligible(service, among, now);
+        entries.retain(|entry| !avoid.contains(&entry.id));
         for entry in &entries {
             self.upstream(entry, now);
         }
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -45,6 +45,8 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// When the run before was lost.
     pub(super) lost_at: Option<Instant>,
+    /// When the run was sent, until its first event; none if its first event does not tell how fast its upstream is.
+    pub(super) judged_since: Option<Instant>,
     /// Whether the stream is whole or cut.
     pub(super) ended: bool,
 }
@@ -113,6 +115,7 @@
             delivered: false,
             head: None,
             lost_at: None,
+            judged_since: None,
             ended: false,
         }
     }
@@ -244,6 +247,11 @@
 
     fn note_delivery(&mut self) {
         let now = self.gateway.timer.now();
+        if let (Some(sent), Some(active)) = (self.judged_since.take(), &self.active) {
+            let outcome = AnswerOutcome::Success(now.since(sent));
+            let entry = &active.guard.entry;
+            self.gateway.rollout_answer(&self.accepted, entry, outcome);
+        }
         if let Some(lost_at) = self.lost_at.take() {
             let pause = now.since(lost_at);
             metrics::histogram!("catkin_resume_seconds").record(pause.as_secs_f64());
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -128,6 +128,13 @@
         if self.sends == 0 && self.gateway.settings.policy.prompt_search {
             self.cached = self.gateway.search_prompt(&self.accepted).await;
         }
+        if self.sends == 0 {
+            self.gateway.wait_for_rollout(&self.accepted.service).await;
+            let trial = self.gateway.place_trial(&self.accepted);
+            if trial.is_some() {
+                return trial;
+            }
+        }
         let fresh = self
             .gateway
             .place(&self.accepted, &self.avoid, &self.cached);
@@ -153,6 +160,8 @@
         let copy = gateway.place_copy(&self.accepted, &entry);
         let now = gateway.timer.now();
         let time_left = self.accepted.time_left(now);
+        // What goes on from a copy, or in the middle, is answered sooner than what begins.
+        self.judged_since = (!from_copy && self.relay.last().is_none()).then_some(now);
         let call = UpstreamCall {
             call: self.accepted.call.clone(),
             entry: entry.clone(),
@@ -217,6 +226,10 @@
         }
         self.ran_on.push(entry.id.clone());
         if !answer.status.is_success() || !answer.signed {
+            if answer.status.is_server_error() && self.judged_since.take().is_some() {
+                let failure = AnswerOutcome::Failure;
+                self.gateway.rollout_answer(&self.accepted, &entry, failure);
+            }
             drop(guard);
             self.refused(&entry, answer.status);
             return self.unless_once();
--- a/crates/catkinward/src/gateway/whole_call.rs
+++ b/crates/catkinward/src/gateway/whole_call.rs
@@ -68,7 +68,10 @@
 impl WholeCall {
     async fn serve(mut self) -> Reply {
         let queued = Queued::new(self.accepted.call.id.clone());
-        let Some(mut entry) = self.gateway.place(&self.accepted, &[], &[]) else {
+        self.gateway.wait_for_rollout(&self.accepted.service).await;
+        let trial = self.gateway.place_trial(&self.accepted);
+        let first = trial.or_else(|| self.gateway.place(&self.accepted, &[], &[]));
+        let Some(mut entry) = first else {
             return refused(queued, RefusalReason::NoUpstream);
         };
         let mut dispatched = queued.dispatch();
@@ -192,7 +195,11 @@
             }
         };
         let sent = match answer {
-            Ok(answer) => self.judge(entry, answer),
+            Ok(answer) => {
+                let sent = self.judge(entry, answer);
+                self.note_answer(entry, &sent, start);
+                sent
+            }
             Err(fault) => self.failed(entry, fault),
         };
         let failed = !matches!(sent, Sent::Answered(_));
@@ -200,6 +207,15 @@
         sent
     }
 
+    fn note_answer(&self, entry: &UpstreamEntry, sent: &Sent, start: Instant) {
+        let outcome = match sent {
+            Sent::Answered(_) => AnswerOutcome::Success(self.gateway.timer.now().since(start)),
+            Sent::Failed(_) => AnswerOutcome::Failure,
+            _ => return,
+        };
+        self.gateway.rollout_answer(&self.accepted, entry, outcome);
+    }
+
     fn judge(&self, entry: &Arc<UpstreamEntry>, answer: CollectedAnswer) -> Sent {
         let CollectedAnswer { head, body } = answer;
         if head.other_incarnation {
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use catkin_decisions::{
     Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
-    Policy, PromptPart, RepeatBudgetConfig, Route, RouteTable, RouteTarget, RoutingConfig,
-    ServiceSpec, TableRow, UpstreamEntry, ZoneNews,
+    Policy, PromptPart, RepeatBudgetConfig, RolloutSettings, Route, RouteTable, RouteTarget,
+    RoutingConfig, ServiceSpec, TableRow, UpstreamEntry, ZoneNews,
 };
 use catkinward::{
     Timer,
@@ -56,6 +56,7 @@
     born: Starts,
     /// Engine that holds the whole prompt.
     holder: Option<&'static str>,
+    rollouts: Option<RolloutSettings>,
     version: u64,
 }
 
@@ -86,6 +87,7 @@
             alive: Arc::new(|_| true),
             born: Arc::new(|_| None),
             holder: None,
+            rollouts: None,
             version: 1,
         }
     }
@@ -182,6 +184,8 @@
         );
         let settings = GatewaySettings {
             policy: Policy::default(),
+            address: ([127, 0, 0, 1], 7001).into(),
+            rollouts: self.rollouts,
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
             repeats: self.repeats,
@@ -265,6 +269,7 @@
             crashes: Vec::new(),
             members: Vec::new(),
             wants_members: false,
+            rollouts: Vec::new(),
         }
     }
 
@@ -342,6 +347,7 @@
         zone: zone.parse().unwrap(),
         slots: 6,
         leaving: false,
+        version: None,
     }
 }
 
--- a/crates/decisions/examples/whole_read.rs
+++ b/crates/decisions/examples/whole_read.rs
@@ -48,6 +48,7 @@
         zone: "a".parse().expect("a valid name"),
         slots: 12,
         leaving: false,
+        version: None,
     }
 }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -71,6 +71,7 @@
     error::Error,
     event_relay::{EventFate, EventRelay, EventRun},
     event_splitter::{EventSplitter, LARGEST_EVENT, WholeEvent},
+    exposure::{Exposed, ExposureGrants, ExposureLedger, ExposureLimit, GRANT_LIFETIME, VmLife},
     failed_call::FailedCall,
     fair_queue::{FairQueue, PopTries, QueueTeam},
     finish::Finish,
@@ -124,7 +125,7 @@
     recovery_policy::RecoveryPolicy,
     refusal_reason::RefusalReason,
     relay::Relay,
-    rendezvous::{rendezvous_rank, rendezvous_score},
+    rendezvous::{rank_among, rendezvous_rank, rendezvous_score},
     repeat_budget::{RepeatBudget, RepeatBudgetConfig},
     request_digest::RequestDigest,
     request_id::RequestId,
@@ -133,6 +134,18 @@
     retry_budget::{RetryBudget, RetryBudgetConfig},
     retry_refusal::RetryRefusal,
     return_point::ReturnPoint,
+    rollout::{OWNER_LOST, Rollout},
+    rollout_datagram::{RolloutGrant, RolloutReport},
+    rollout_evidence::{AnswerCounts, AnswerOutcome, RouteEvidence, latency_bucket},
+    rollout_judge::{ROUTE_TRIES, RolloutJudge, RolloutVerdict},
+    rollout_notice::{RolloutNotice, RolloutProgress},
+    rollout_order::{RolloutFault, RolloutOrder},
+    rollout_owner::{
+        COMPLETE_AHEAD, COMPLETING, OwnerStep, RollbackReason, RolloutOwner, VersionSlots,
+    },
+    rollout_phase::RolloutPhase,
+    rollout_record::{RolloutRecord, StoredRecord},
+    rollouts::{Admission, ORDER_WAIT, RolloutSettings, Rollouts},
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
@@ -144,6 +157,7 @@
     slice_grant::SliceGrant,
     slice_home::{SLICE_LEASE, SLICE_PERIOD, SliceHome},
     slice_request::SliceRequest,
+    software_version::SoftwareVersion,
     stall_detector::StallDetector,
     store_backoff::store_backoff,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
@@ -229,6 +243,7 @@
 mod error;
 mod event_relay;
 mod event_splitter;
+mod exposure;
 mod failed_call;
 mod fair_queue;
 mod finish;
@@ -289,6 +304,16 @@
 mod retry_budget;
 mod retry_refusal;
 mod return_point;
+mod rollout;
+mod rollout_datagram;
+mod rollout_evidence;
+mod rollout_judge;
+mod rollout_notice;
+mod rollout_order;
+mod rollout_owner;
+mod rollout_phase;
+mod rollout_record;
+mod rollouts;
 mod route;
 mod route_table;
 mod routing_config;
@@ -300,6 +325,7 @@
 mod slice_grant;
 mod slice_home;
 mod slice_request;
+mod software_version;
 mod stall_detector;
 mod store_backoff;
 mod subset;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -21,6 +21,15 @@
     /// Tells that an upstream has started anew at the address of another one.
     #[serde(rename = "r")]
     Restart(UpstreamRestart),
+    /// A rollout, as soon as there is something new.
+    #[serde(rename = "o")]
+    Rollout(RolloutNotice),
+    /// Counts for the owner of a rollout.
+    #[serde(rename = "p")]
+    RolloutReport(RolloutReport),
+    /// The owner's answer.
+    #[serde(rename = "g")]
+    RolloutGrant(RolloutGrant),
 }
 
 /// Asks another VM for a part of its repeats of a service.
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -146,6 +146,18 @@
             .map(|peer| peer.vm.clone())
     }
 
+    /// Names of the live VMs besides this one.
+    #[must_use]
+    pub fn live_names(&self, now: Instant) -> Vec<Arc<str>> {
+        self.live(now).map(|peer| peer.vm.clone()).collect()
+    }
+
+    /// Addresses of the live VMs besides this one.
+    #[must_use]
+    pub fn live_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        self.live(now).map(|peer| peer.address).collect()
+    }
+
     /// Number of live VMs besides this one.
     #[must_use]
     pub fn live_count(&self, now: Instant) -> usize {
--- a/crates/decisions/src/peer_note.rs
+++ b/crates/decisions/src/peer_note.rs
@@ -30,6 +30,9 @@
     /// Whether it knows few VMs of its zone, and would like to be told of more.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub wants_members: bool,
+    /// Rollouts that it knows.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutNotice>,
 }
 
 /// A VM's load on one upstream.
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -247,10 +247,5 @@
 /// Rank of a VM among those of its zone for an upstream: that of rank 0 has it in its part.
 #[must_use]
 pub fn rank_of_vm(upstream: &UpstreamIncarnation, vm: &str, zone_vms: &[Arc<str>]) -> usize {
-    let own = rendezvous_score(upstream.as_str(), vm);
-    zone_vms
-        .iter()
-        .filter(|other| other.as_ref() != vm)
-        .filter(|other| rendezvous_score(upstream.as_str(), other) > own)
-        .count()
+    rank_among(upstream.as_str(), vm, zone_vms)
 }
--- a/crates/decisions/src/rendezvous.rs
+++ b/crates/decisions/src/rendezvous.rs
@@ -1,3 +1,4 @@
+use super::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Score of a candidate for a key; the largest scores win (rendezvous hashing).
@@ -9,6 +10,16 @@
     xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
+/// Rank of a candidate among others by their scores for a key: 0 is the best.
+#[must_use]
+pub fn rank_among(key: &str, own: &str, all: &[Arc<str>]) -> usize {
+    let score = rendezvous_score(key, own);
+    let others = all.iter().filter(|other| other.as_ref() != own);
+    others
+        .filter(|other| rendezvous_score(key, other) > score)
+        .count()
+}
+
 /// Candidates in the order of their scores for a key, the best first.
 pub fn rendezvous_rank<T, N: AsRef<str>>(
     key: &str,
--- /dev/null
+++ b/crates/decisions/src/rollout_evidence.rs
@@ -0,0 +1,132 @@
+//! What VMs have seen of the answers of an old and a new version, small enough for a datagram.
+
+use super::*;
+
+/// Answers of one version on one route.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AnswerCounts {
+    /// Failures of the upstream's own.
+    #[serde(rename = "f")]
+    pub failures: u32,
+    /// Successes by latency bucket, sorted; see [`latency_bucket`].
+    #[serde(rename = "s")]
+    pub successes: Vec<(u8, u32)>,
+}
+
+/// Answers of both versions on one route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouteEvidence {
+    /// Name of the route.
+    #[serde(rename = "r")]
+    pub route: Arc<str>,
+    /// Of the versions in use.
+    #[serde(rename = "b")]
+    pub old: AnswerCounts,
+    /// Of the version under trial.
+    #[serde(rename = "a")]
+    pub new: AnswerCounts,
+}
+
+/// How an upstream answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerOutcome {
+    /// With a success after this time; of a stream, its first event.
+    Success(Duration),
+    /// With a failure of its own.
+    Failure,
+}
+
+/// Buckets to an octave of latency.
+const PER_OCTAVE: f64 = 2.0;
+
+/// The latency bucket of a time: half octaves of milliseconds.
+#[must_use]
+pub fn latency_bucket(latency: Duration) -> u8 {
+    let ms = (latency.as_secs_f64() * 1000.0).max(1.0);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let bucket = (ms.log2() * PER_OCTAVE) as u8;
+    bucket
+}
+
+impl AnswerCounts {
+    /// Counts an answer.
+    pub fn count(&mut self, outcome: AnswerOutcome) {
+        match outcome {
+            AnswerOutcome::Failure => self.failures += 1,
+            AnswerOutcome::Success(latency) => self.add(latency_bucket(latency), 1),
+        }
+    }
+
+    /// All answers.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.failures + self.successes.iter().map(|(_, count)| count).sum::<u32>()
+    }
+
+    /// Answers that failed or lie above a latency bucket.
+    #[must_use]
+    pub fn bad(&self, slowest: u8) -> u32 {
+        let slow = self.successes.iter().filter(|(b, _)| *b > slowest);
+        self.failures + slow.map(|(_, count)| count).sum::<u32>()
+    }
+
+    /// Bucket of the median latency of the successes.
+    #[must_use]
+    pub fn median(&self) -> Option<u8> {
+        let all = self.successes.iter().map(|(_, count)| count).sum::<u32>();
+        let mut seen = 0;
+        let middle = self.successes.iter().find(|(_, count)| {
+            seen += count;
+            2 * seen >= all
+        });
+        middle.map(|(bucket, _)| *bucket)
+    }
+
+    /// What was counted here beyond `before`; counts only grow.
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Self {
+        let count_before = |bucket: u8| match before.position(bucket) {
+            Ok(index) => before.successes[index].1,
+            Err(_) => 0,
+        };
+        let successes = self.successes.iter();
+        Self {
+            failures: self.failures.saturating_sub(before.failures),
+            successes: successes
+                .map(|(b, count)| (*b, count.saturating_sub(count_before(*b))))
+                .filter(|(_, count)| *count > 0)
+                .collect(),
+        }
+    }
+
+    /// Adds what was counted elsewhere.
+    pub fn merge(&mut self, other: &Self) {
+        self.failures += other.failures;
+        for (bucket, count) in &other.successes {
+            self.add(*bucket, *count);
+        }
+    }
+
+    fn add(&mut self, bucket: u8, count: u32) {
+        match self.position(bucket) {
+            Ok(index) => self.successes[index].1 += count,
+            Err(index) => self.successes.insert(index, (bucket, count)),
+        }
+    }
+
+    fn position(&self, bucket: u8) -> Result<usize, usize> {
+        self.successes.binary_search_by(|(b, _)| b.cmp(&bucket))
+    }
+}
+
+impl RouteEvidence {
+    /// A route of which nothing was seen yet.
+    #[must_use]
+    pub fn new(route: Arc<str>) -> Self {
+        Self {
+            route,
+            old: AnswerCounts::default(),
+            new: AnswerCounts::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/rollout_judge.rs
@@ -0,0 +1,193 @@
+//! Judges a version under trial by its answers, beside those of the versions in use at the same time.
+//!
+//! An answer is bad if it is a failure of the upstream's own, or comes several times later than the median of the
+//! old versions on its route. Some answers of the old versions are bad too; only a part that is larger by
+//! [`EXCESS`] tells against the new one. A cumulative sum over the answers finds a version that turns bad late as
+//! fast as one that is bad at once. Broken connections are not counted: engines of either version crash.
+
+use super::*;
+
+/// Part of bad answers beyond that of the old versions, from which on a version is bad.
+const EXCESS: f64 = 0.2;
+
+/// Half octaves above the median from which on an answer is slow: 2.8 to 4 times as late.
+const SLOW_BUCKETS: u8 = 3;
+
+/// Answers of the old versions on a route from which on those of the new one are judged.
+const BASELINE: u32 = 20;
+
+/// Answers of the new version on each route before it can be good.
+pub const ROUTE_TRIES: u32 = 20;
+
+/// Sum of log-likelihood ratios at which a version is bad.
+const ALARM: f64 = 7.0;
+
+/// Sum up to which a version can be good.
+const ACCEPTED: f64 = 3.5;
+
+/// Least part of bad answers that is assumed of the old versions.
+const LEAST_BAD: f64 = 0.02;
+
+/// What is thought of a version under trial.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RolloutVerdict {
+    /// There is too little evidence.
+    Undecided,
+    /// It answers as the old versions do, on every route.
+    Good,
+    /// It answers worse on a route; `None` if only over all routes.
+    Bad {
+        /// The route.
+        route: Option<Arc<str>>,
+        /// Its answers there.
+        answers: u32,
+        /// The bad ones among them.
+        bad: u32,
+    },
+}
+
+/// The evidence of all VMs.
+#[derive(Clone, Debug, Default)]
+pub struct RolloutJudge {
+    /// Latest report of each VM on each route, sorted.
+    reports: Vec<((VmLife, Arc<str>), RouteEvidence)>,
+    /// Sorted by route.
+    routes: Vec<JudgedRoute>,
+    all: Suspected,
+}
+
+#[derive(Clone, Debug)]
+struct JudgedRoute {
+    sum: RouteEvidence,
+    /// The answers of the new version that were judged.
+    judged: AnswerCounts,
+    suspected: Suspected,
+}
+
+/// Cumulative sum of the evidence against a version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspected {
+    sum: f64,
+    answers: u32,
+    bad: u32,
+}
+
+impl RolloutJudge {
+    /// Takes in a VM's counts of a route.
+    pub fn take(&mut self, vm: &VmLife, evidence: &RouteEvidence) {
+        let key = (vm.clone(), evidence.route.clone());
+        let place = self.reports.binary_search_by(|(other, _)| other.cmp(&key));
+        let index = place.unwrap_or_else(|index| {
+            let nothing = RouteEvidence::new(evidence.route.clone());
+            self.reports.insert(index, (key, nothing));
+            index
+        });
+        let before = &self.reports[index].1;
+        let (old, new) = (
+            evidence.old.since(&before.old),
+            evidence.new.since(&before.new),
+        );
+        self.reports[index].1.old.merge(&old);
+        self.reports[index].1.new.merge(&new);
+        let index = self.route(&evidence.route);
+        let route = &mut self.routes[index];
+        route.sum.old.merge(&old);
+        route.sum.new.merge(&new);
+        route.judge(&mut self.all);
+    }
+
+    /// The verdict on what was taken in so far.
+    #[must_use]
+    pub fn verdict(&self) -> RolloutVerdict {
+        for route in &self.routes {
+            if route.suspected.sum >= ALARM {
+                return route.suspected.bad_on(Some(route.sum.route.clone()));
+            }
+        }
+        if self.all.sum >= ALARM {
+            return self.all.bad_on(None);
+        }
+        let sums = self.routes.iter().map(|route| &route.suspected);
+        let clear = sums.chain([&self.all]).all(|s| s.sum <= ACCEPTED);
+        if clear && self.all.answers >= ROUTE_TRIES && self.wanted().is_empty() {
+            return RolloutVerdict::Good;
+        }
+        RolloutVerdict::Undecided
+    }
+
+    /// Routes on which the new version was tried too little.
+    #[must_use]
+    pub fn wanted(&self) -> Vec<Arc<str>> {
+        let short = self.routes.iter().filter(|route| route.is_short());
+        short.map(|route| route.sum.route.clone()).collect()
+    }
+
+    /// Answers of the new version, and the bad ones among them.
+    #[must_use]
+    pub fn answers(&self) -> (u32, u32) {
+        (self.all.answers, self.all.bad)
+    }
+
+    fn route(&mut self, name: &Arc<str>) -> usize {
+        let place = self.routes.binary_search_by(|r| r.sum.route.cmp(name));
+        place.unwrap_or_else(|index| {
+            let route = JudgedRoute {
+                sum: RouteEvidence::new(name.clone()),
+                judged: AnswerCounts::default(),
+                suspected: Suspected::default(),
+            };
+            self.routes.insert(index, route);
+            index
+        })
+    }
+}
+
+impl JudgedRoute {
+    /// Judges the answers that were not judged yet, once the old versions have given enough.
+    fn judge(&mut self, all: &mut Suspected) {
+        let old = &self.sum.old;
+        let (Some(median), true) = (old.median(), old.total() >= BASELINE) else {
+            return;
+        };
+        let slowest = median + SLOW_BUCKETS;
+        let answers = self.sum.new.since(&self.judged);
+        self.judged = self.sum.new.clone();
+        let (total, bad) = (answers.total(), answers.bad(slowest));
+        let usual = usual_bad(old.bad(slowest), old.total());
+        self.suspected.add(total, bad, usual);
+        all.add(total, bad, usual);
+    }
+
+    fn is_short(&self) -> bool {
+        self.sum.old.total() >= BASELINE && self.suspected.answers < ROUTE_TRIES
+    }
+}
+
+impl Suspected {
+    /// Adds answers; the good ones first, so that those that came between bad ones do not hide them.
+    fn add(&mut self, total: u32, bad: u32, usual: f64) {
+        let expected = (usual + EXCESS).min(0.95);
+        let good = total.saturating_sub(bad);
+        let for_good = ((1.0 - expected) / (1.0 - usual)).ln();
+        self.sum = (self.sum + f64::from(good) * for_good).max(0.0);
+        self.sum += f64::from(bad) * (expected / usual).ln();
+        self.answers += total;
+        self.bad += bad;
+    }
+
+    fn bad_on(&self, route: Option<Arc<str>>) -> RolloutVerdict {
+        RolloutVerdict::Bad {
+            route,
+            answers: self.answers,
+            bad: self.bad,
+        }
+    }
+}
+
+/// Part of bad answers that the old versions have at most, as far as so many answers tell.
+fn usual_bad(bad: u32, total: u32) -> f64 {
+    let (bad, total) = (f64::from(bad) + 0.5, f64::from(total) + 1.0);
+    let part = bad / total;
+    let error = (part * (1.0 - part) / total).sqrt();
+    (part + error).clamp(LEAST_BAD, 0.7)
+}
--- /dev/null
+++ b/crates/decisions/src/rollouts.rs
@@ -0,0 +1,253 @@
+//! Which versions of a service's upstreams one VM may send requests to.
+//!
+//! A version under trial gets requests by grants of the rollout's owner alone, one that was rolled back none
+//! until a new order names it. A version that nobody ordered is one of the service's own, as after a release; but the
+//! order may still be on its way, so it is held back for [`ORDER_WAIT`].
+
+use super::*;
+
+/// How long a version that appears is held back, in which the order that brings it becomes known.
+pub const ORDER_WAIT: Duration = Duration::from_secs(2);
+
+/// One upstream of so many of a new version is tried, so that each gets its usual load.
+const FOCUS: usize = 10;
+
+/// Settings of rollouts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutSettings {
+    /// Bound on the requests that a version under trial gets.
+    pub limit: ExposureLimit,
+}
+
+/// What an upstream may get.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// Any request.
+    Open,
+    /// Requests with leave to be exposed.
+    Trial,
+    /// Requests that no other upstream takes: it stops with the end of a rollout.
+    Retired,
+    /// None.
+    Barred,
+}
+
+/// The rollouts that one VM knows, and the versions that it has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Rollouts {
+    settings: Option<RolloutSettings>,
+    /// Sorted by service.
+    known: Vec<Rollout>,
+    /// Sorted by service and version, with the time since when a version may get requests.
+    versions: Vec<(ServiceId, SoftwareVersion, Instant)>,
+    /// Versions that were rolled back, sorted, with the order that brought them.
+    rolled_back: Vec<(ServiceId, SoftwareVersion, u64)>,
+    /// Orders that were withdrawn or replaced, by service, with the version of the store.
+    withdrawn: Vec<(ServiceId, u64)>,
+}
+
+impl Rollouts {
+    /// No rollouts yet; without settings there are none.
+    #[must_use]
+    pub fn new(settings: Option<RolloutSettings>) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Settings of rollouts, if there are any.
+    #[must_use]
+    pub fn settings(&self) -> Option<RolloutSettings> {
+        self.settings
+    }
+
+    /// Notes the version of an upstream. `at_start` says that the upstreams are read for the first time: all of
+    /// their versions are in use then, but for those that an order names.
+    pub fn version_seen(&mut self, entry: &UpstreamEntry, at_start: bool, now: Instant) {
+        let (Some(_), Some(version)) = (self.settings, &entry.version) else {
+            return;
+        };
+        let key = (&entry.service, version);
+        if let Err(index) = self.versions.binary_search_by(|(s, v, _)| (s, v).cmp(&key)) {
+            let first = !self.versions.iter().any(|(s, _, _)| *s == entry.service);
+            let from = if at_start || first {
+                now
+            } else {
+                now.after(ORDER_WAIT)
+            };
+            let seen = (entry.service.clone(), version.clone(), from);
+            self.versions.insert(index, seen);
+        }
+    }
+
+    /// Takes in what is known of a rollout, from the operator's table or from another VM; whether that is news.
+    pub fn take(&mut self, notice: &RolloutNotice, now: Instant) -> bool {
+        if self.settings.is_none() {
+            return false;
+        }
+        let (service, written) = (&notice.order.service, notice.order.written);
+        if self.is_withdrawn(service, written) {
+            return false;
+        }
+        let place = self.position(service);
+        let index = match place {
+            Ok(index) if self.known[index].order.written > written => return false,
+            Ok(index) if self.known[index].order.written == written => {
+                let news = self.known[index].take(notice, now);
+                self.note_end(index);
+                return news;
+            }
+            Ok(index) => {
+                // The order before is replaced; a version that it alone brought gets nothing any more.
+                let before = self.known.remove(index);
+                if before.progress.phase != RolloutPhase::Completed {
+                    self.bar(&before.order);
+                }
+                index
+            }
+            Err(index) => index,
+        };
+        let mut rollout = Rollout::new(notice.order.clone(), notice.left(), now);
+        rollout.take(notice, now);
+        self.known.insert(index, rollout);
+        self.note_end(index);
+        true
+    }
+
+    /// Notes that an order was withdrawn at a version of the store; the rollout that it ends, if it ran.
+    pub fn withdraw(&mut self, service: &ServiceId, at: u64) -> Option<Rollout> {
+        match self.withdrawn.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(index) => self.withdrawn[index].1 = self.withdrawn[index].1.max(at),
+            Err(index) => self.withdrawn.insert(index, (service.clone(), at)),
+        }
+        let index = self.position(service).ok()?;
+        if self.known[index].order.written > at {
+            return None;
+        }
+        let rollout = self.known.remove(index);
+        if rollout.progress.phase.is_final() {
+            return None;
+        }
+        self.bar(&rollout.order);
+        Some(rollout)
+    }
+
+    /// The rollout of a service.
+    pub fn get_mut(&mut self, service: &ServiceId) -> Option<&mut Rollout> {
+        let index = self.position(service).ok()?;
+        Some(&mut self.known[index])
+    }
+
+    /// All rollouts.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Rollout> {
+        self.known.iter_mut()
+    }
+
+    /// What other VMs are told.
+    #[must_use]
+    pub fn notices(&self, now: Instant) -> Vec<RolloutNotice> {
+        self.known.iter().map(|r| r.notice(now)).collect()
+    }
+
+    /// Whether all upstreams of a service may get any request.
+    #[must_use]
+    pub fn is_idle(&self, service: &ServiceId, now: Instant) -> bool {
+        self.position(service).is_err()
+            && !self.rolled_back.iter().any(|(s, _, _)| s == service)
+            && !self
+                .versions
+                .iter()
+                .any(|(s, _, from)| s == service && now < *from)
+    }
+
+    /// What an upstream may get.
+    #[must_use]
+    pub fn admission(&self, entry: &UpstreamEntry, now: Instant) -> Admission {
+        let (Some(_), Some(version)) = (self.settings, &entry.version) else {
+            return Admission::Open;
+        };
+        let rollout = self.position(&entry.service).ok();
+        if let Some(Rollout {
+            order, progress, ..
+        }) = rollout.map(|index| &self.known[index])
+        {
+            let is_new = order.to == *version;
+            match progress.phase {
+                RolloutPhase::Completed if is_new => return Admission::Open,
+                RolloutPhase::Completed => return Admission::Retired,
+                RolloutPhase::RolledBack if is_new => return Admission::Barred,
+                _ if is_new => return Admission::Trial,
+                _ => {}
+            }
+        }
+        if self.is_rolled_back(&entry.service, version) || self.is_held(entry, version, now) {
+            return Admission::Barred;
+        }
+        Admission::Open
+    }
+
+    /// The few upstreams of a new version that are tried, of all those that take calls: the same on all VMs.
+    #[must_use]
+    pub fn focus<'a>(
+        order: &RolloutOrder,
+        mut upstreams: Vec<&'a Arc<UpstreamEntry>>,
+    ) -> Vec<&'a Arc<UpstreamEntry>> {
+        let count = upstreams.len().div_ceil(FOCUS);
+        let key = format!("{} {}", order.service, order.written);
+        upstreams = rendezvous_rank(&key, upstreams, |entry| entry.id.as_str().to_owned());
+        upstreams.truncate(count);
+        upstreams
+    }
+
+    fn is_held(&self, entry: &UpstreamEntry, version: &SoftwareVersion, now: Instant) -> bool {
+        let key = (&entry.service, version);
+        let place = self.versions.binary_search_by(|(s, v, _)| (s, v).cmp(&key));
+        place.is_ok_and(|index| now < self.versions[index].2)
+    }
+
+    fn is_rolled_back(&self, service: &ServiceId, version: &SoftwareVersion) -> bool {
+        let key = (service, version);
+        let place = self
+            .rolled_back
+            .binary_search_by(|(s, v, _)| (s, v).cmp(&key));
+        place.is_ok()
+    }
+
+    fn is_withdrawn(&self, service: &ServiceId, written: u64) -> bool {
+        let place = self.withdrawn.binary_search_by(|(s, _)| s.cmp(service));
+        place.is_ok_and(|index| self.withdrawn[index].1 > written)
+    }
+
+    /// Keeps in mind how a rollout has ended: a version that was rolled back does not return without a new order,
+    /// and one that has taken over is in use.
+    fn note_end(&mut self, index: usize) {
+        let Rollout {
+            order, progress, ..
+        } = &self.known[index];
+        let (order, phase) = (order.clone(), progress.phase);
+        match phase {
+            RolloutPhase::RolledBack => self.bar(&order),
+            RolloutPhase::Completed => self
+                .rolled_back
+                .retain(|(s, v, _)| (s, v) != (&order.service, &order.to)),
+            RolloutPhase::Running | RolloutPhase::Completing => {}
+        }
+    }
+
+    fn bar(&mut self, order: &RolloutOrder) {
+        let key = (&order.service, &order.to);
+        let place = self
+            .rolled_back
+            .binary_search_by(|(s, v, _)| (s, v).cmp(&key));
+        if let Err(index) = place {
+            let barred = (order.service.clone(), order.to.clone(), order.written);
+            self.rolled_back.insert(index, barred);
+        }
+    }
+
+    fn position(&self, service: &ServiceId) -> Result<usize, usize> {
+        self.known
+            .binary_search_by(|rollout| rollout.order.service.cmp(service))
+    }
+}
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -51,6 +51,9 @@
     /// Whether it has said that it is leaving.
     #[serde(rename = "l")]
     pub leaving: bool,
+    /// Version of its software, where that matters.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// What became of an upstream.
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -192,8 +192,9 @@
         return 0;
     };
     let key = &change.key;
+    let version = entry.version.as_ref().map_or("", SoftwareVersion::as_str);
     let text = format!(
-        "{key} {} {} {} {} {} {}",
+        "{key} {} {} {} {} {} {} {version}",
         entry.id, entry.service, entry.address, entry.zone, entry.slots, entry.leaving
     );
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
--- /dev/null
+++ b/crates/decisions/tests/exposure.rs
@@ -0,0 +1,223 @@
+//! Exposures of a version under trial, summed over all VMs.
+
+use catkin_decisions::{
+    ExposureGrants, ExposureLedger, ExposureLimit, GRANT_LIFETIME, Instant, VmLife,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::time::Duration;
+
+const LIMIT: ExposureLimit = ExposureLimit {
+    share: 0.1,
+    slack: 30,
+};
+
+fn at(ms: u64) -> Instant {
+    Instant(Duration::from_millis(ms))
+}
+
+fn life(vm: usize, incarnation: u64) -> VmLife {
+    VmLife {
+        vm: format!("vm-{vm}").into(),
+        incarnation,
+    }
+}
+
+/// A VM that has not heard of the owner for a while spends nothing: the version may have been rolled back.
+#[gtest]
+fn grant_lapses() {
+    let mut grants = ExposureGrants::default();
+    grants.renew(1, 2, at(0));
+
+    let soon = grants.expose(at(0).after(GRANT_LIFETIME / 2));
+    let later = grants.expose(at(0).after(GRANT_LIFETIME));
+
+    expect_that!(soon, some(anything()));
+    expect_that!(later, none());
+}
+
+/// The answer of an owner that was replaced arrives late.
+#[gtest]
+fn grant_of_an_earlier_owner_is_ignored() {
+    let mut grants = ExposureGrants::default();
+    grants.renew(2, 0, at(0));
+
+    grants.renew(1, 5, at(0));
+
+    expect_that!(grants.expose(at(0)), none());
+}
+
+#[gtest]
+fn no_requests_and_no_slack_give_no_exposures() {
+    let mut ledger = ExposureLedger::new(ExposureLimit { slack: 0, ..LIMIT });
+
+    let granted = ledger.report(&life(1, 1), 9, 0);
+
+    expect_that!(granted, eq(0));
+}
+
+/// Exposures come in bursts, so that a version that is bad under load is loaded.
+#[gtest]
+fn exposures_are_gathered_before_they_are_granted() {
+    let mut ledger = ExposureLedger::new(ExposureLimit { slack: 0, ..LIMIT });
+
+    let before = ledger.report(&life(1, 1), 230, 0);
+    let then = ledger.report(&life(1, 1), 240, 0);
+    let after = ledger.report(&life(2, 1), 0, 0);
+
+    expect_that!((before, then, after), eq((0, 2, 2)));
+}
+
+/// A VM of the simulated fleet.
+struct Vm {
+    life: VmLife,
+    grants: ExposureGrants,
+    term: u64,
+    alive: bool,
+    /// Requests a step, in hundredths.
+    rate: u32,
+}
+
+/// VMs, owners one after the other, and messages on their way.
+struct Fleet {
+    rng: Xoshiro256PlusPlus,
+    vms: Vec<Vm>,
+    /// The ledger of each term; earlier owners may still answer.
+    ledgers: Vec<ExposureLedger>,
+    reports: Vec<(VmLife, u64, u64, u64)>,
+    answers: Vec<(VmLife, u64, u64)>,
+    requests: u64,
+    exposures: u64,
+    now: Instant,
+}
+
+impl Fleet {
+    fn new(vms: usize, seed: u64) -> Self {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let vm = |n| Vm {
+            life: life(n, 0),
+            grants: ExposureGrants::default(),
+            term: 1,
+            alive: true,
+            rate: rng.random_range(1..400),
+        };
+        Self {
+            vms: (0..vms).map(vm).collect(),
+            rng,
+            ledgers: vec![ExposureLedger::new(LIMIT)],
+            reports: Vec::new(),
+            answers: Vec::new(),
+            requests: 0,
+            exposures: 0,
+            now: at(0),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(Duration::from_millis(100));
+        if self.rng.random_bool(0.01) {
+            self.ledgers
+                .push(ExposureLedger::new(ExposureLimit { slack: 0, ..LIMIT }));
+        }
+        let newest = self.ledgers.len() as u64;
+        for vm in &mut self.vms {
+            if self.rng.random_bool(0.003) {
+                vm.alive = !vm.alive;
+                vm.life.incarnation += 1;
+                vm.grants = ExposureGrants::default();
+                vm.term = newest;
+                vm.grants.attach(newest);
+            }
+            if !vm.alive {
+                continue;
+            }
+            if self.rng.random_bool(0.1) && vm.term < newest {
+                vm.term = self.rng.random_range(vm.term..=newest);
+                vm.grants.attach(vm.term);
+            }
+            let requests = vm.rate / 100 + u32::from(self.rng.random_range(0..100) < vm.rate % 100);
+            for _ in 0..requests {
+                self.requests += 1;
+                vm.grants.count_request();
+                self.exposures += u64::from(vm.grants.expose(self.now).is_some());
+            }
+            let (requests, spent) = (vm.grants.requests(), vm.grants.spent());
+            self.reports
+                .push((vm.life.clone(), vm.term, requests, spent));
+        }
+        self.carry();
+    }
+
+    /// Messages arrive late, twice, out of order or never.
+    fn carry(&mut self) {
+        for report in std::mem::take(&mut self.reports) {
+            match self.rng.random_range(0..10) {
+                0 => continue,
+                1 => self.reports.push(report.clone()),
+                2 => {
+                    self.reports.push(report);
+                    continue;
+                }
+                _ => {}
+            }
+            let (life, term, requests, spent) = report;
+            let ledger = &mut self.ledgers[usize::try_from(term).unwrap() - 1];
+            let granted = ledger.report(&life, requests, spent);
+            self.answers.push((life, term, granted));
+        }
+        for answer in std::mem::take(&mut self.answers) {
+            match self.rng.random_range(0..10) {
+                0 => continue,
+                1 => self.answers.push(answer.clone()),
+                2 => {
+                    self.answers.push(answer);
+                    continue;
+                }
+                _ => {}
+            }
+            let (life, term, granted) = answer;
+            if let Some(vm) = self.vms.iter_mut().find(|vm| vm.life == life) {
+                vm.grants.renew(term, granted, self.now);
+                vm.term = vm.term.max(term);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// With VMs that join, die and restart, owners that are replaced, and messages that are lost, late or doubled.
+    #[test]
+    fn sum_of_exposures_stays_below_the_limit(
+        vms in prop::sample::select(vec![8_usize, 60, 195, 400]),
+        seed in any::<u64>(),
+    ) {
+        let mut fleet = Fleet::new(vms, seed);
+        for _ in 0..120 {
+            fleet.step();
+            let allowed = fleet.requests / 10 + LIMIT.slack;
+            prop_assert!(
+                fleet.exposures <= allowed,
+                "{} of {} requests", fleet.exposures, fleet.requests
+            );
+        }
+    }
+}
+
+/// The grants are of use: without faults nearly all that is allowed is spent.
+#[gtest]
+fn most_exposures_are_spent() {
+    for vms in [8, 60, 195] {
+        let mut fleet = Fleet::new(vms, 7);
+        for _ in 0..120 {
+            fleet.step();
+        }
+
+        let allowed = fleet.requests / 10;
+
+        expect_that!(fleet.exposures * 2, gt(allowed), "{vms} VMs");
+    }
+}
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -38,6 +38,7 @@
         zone: zone.parse().unwrap(),
         slots: 32,
         leaving: false,
+        version: None,
     }
 }
 
@@ -56,6 +57,7 @@
         crashes: Vec::new(),
         members,
         wants_members: false,
+        rollouts: Vec::new(),
     }
 }
 
@@ -95,6 +97,7 @@
                 let members = self.vms[n].members(&zone, self.rng.random(), now);
                 let note = PeerNote {
                     wants_members: self.vms[n].wants_members(&zone, now),
+                    rollouts: Vec::new(),
                     ..note(n, self.zones, self.period, members)
                 };
                 let mut told = self.vms[n].told(&zone, random, now);
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -24,6 +24,7 @@
         zone: zone(zone_name),
         slots: 32,
         leaving: false,
+        version: None,
     })
 }
 
@@ -114,6 +115,7 @@
             crashes: Vec::new(),
             members: Vec::new(),
             wants_members: false,
+            rollouts: Vec::new(),
         }
     }
 }
--- a/crates/decisions/tests/restart_reports.rs
+++ b/crates/decisions/tests/restart_reports.rs
@@ -28,6 +28,7 @@
         zone: "a".parse().unwrap(),
         slots: 32,
         leaving: false,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/crates/decisions/tests/rollout_judge.rs
@@ -0,0 +1,189 @@
+//! How often a version under trial is judged rightly, by simulation over many seeds.
+
+use catkin_decisions::{
+    AnswerCounts, AnswerOutcome, RolloutJudge, RolloutVerdict, RouteEvidence, VmLife,
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::time::Duration;
+
+/// Trials of each kind.
+const SEEDS: u64 = 400;
+
+/// Answers of the new version in a trial, on each of two routes.
+const TRIED: usize = 45;
+
+/// Answers of the old version meanwhile.
+const OLD: usize = 600;
+
+/// How a version answers on a route.
+#[derive(Clone, Copy)]
+struct Behaviour {
+    /// Part of failures.
+    failures: f64,
+    /// Part of slow answers, and how many times as late they come.
+    slow: (f64, f64),
+    /// The answer from which on it behaves so; before, as the usual one.
+    from: usize,
+}
+
+/// Some answers fail on any version, as on the routes that this plays.
+const USUAL: Behaviour = Behaviour {
+    failures: 0.07,
+    slow: (0.01, 5.0),
+    from: 0,
+};
+
+fn answer(b: Behaviour, n: usize, rng: &mut Xoshiro256PlusPlus) -> AnswerOutcome {
+    let b = if n < b.from { USUAL } else { b };
+    if rng.random_bool(b.failures) {
+        return AnswerOutcome::Failure;
+    }
+    let spread = 0.6 + 0.8 * rng.random::<f64>();
+    let times = if rng.random_bool(b.slow.0) {
+        b.slow.1
+    } else {
+        1.0
+    };
+    AnswerOutcome::Success(Duration::from_millis(20).mul_f64(spread * times))
+}
+
+/// Has a version tried on two routes by some VMs; the verdict, and the bad answers until it was bad.
+fn trial(routes: [Behaviour; 2], seed: u64) -> (RolloutVerdict, u32) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut judge = RolloutJudge::default();
+    let names = ["/once/", "/quick/"];
+    let mut vms = Vec::new();
+    for vm in 0..8 {
+        let life = VmLife {
+            vm: format!("vm-{vm}").into(),
+            incarnation: 1,
+        };
+        vms.push((life, names.map(|name| RouteEvidence::new(name.into()))));
+    }
+    for n in 0..TRIED {
+        for (route, behaviour) in routes.iter().enumerate() {
+            for _ in 0..OLD / TRIED {
+                let vm = rng.random_range(0..8_usize);
+                let outcome = answer(USUAL, 0, &mut rng);
+                vms[vm].1[route].old.count(outcome);
+            }
+            let vm = rng.random_range(0..8_usize);
+            let outcome = answer(*behaviour, n, &mut rng);
+            vms[vm].1[route].new.count(outcome);
+        }
+        for (life, evidence) in &vms {
+            for route in evidence {
+                judge.take(life, route);
+            }
+        }
+        if let RolloutVerdict::Bad { .. } = judge.verdict() {
+            break;
+        }
+    }
+    (judge.verdict(), judge.answers().1)
+}
+
+/// Parts of the trials that end good, undecided and bad.
+fn rates(routes: [Behaviour; 2]) -> (f64, f64, f64) {
+    let verdicts = (0..SEEDS).map(|seed| trial(routes, seed).0);
+    let (mut good, mut undecided, mut bad) = (0.0, 0.0, 0.0);
+    for verdict in verdicts {
+        *match verdict {
+            RolloutVerdict::Good => &mut good,
+            RolloutVerdict::Undecided => &mut undecided,
+            RolloutVerdict::Bad { .. } => &mut bad,
+        } += 1.0 / f64::from(u32::try_from(SEEDS).unwrap());
+    }
+    (good, undecided, bad)
+}
+
+fn print(kind: &str, (good, undecided, bad): (f64, f64, f64)) {
+    println!("{kind}: good {good:.3}, undecided {undecided:.3}, bad {bad:.3}");
+}
+
+#[gtest]
+fn good_version_is_seldom_rolled_back() {
+    let rates = rates([USUAL, USUAL]);
+
+    print("good", rates);
+    expect_that!(rates.2, le(0.02));
+    expect_that!(rates.0, ge(0.9));
+}
+
+/// Each kind of badness, on both routes or on one, at once or late.
+#[gtest]
+fn bad_version_is_seldom_taken_for_good() {
+    let bad = |failures, slow, from| Behaviour {
+        failures,
+        slow,
+        from,
+    };
+    let cases = [
+        ("fails at once", [bad(0.4, (0.01, 5.0), 0); 2]),
+        ("fails all", [bad(1.0, (0.0, 1.0), 0); 2]),
+        ("fails late", [bad(0.5, (0.01, 5.0), 25); 2]),
+        ("fails on one route", [USUAL, bad(0.45, (0.01, 5.0), 0)]),
+        ("slow at once", [bad(0.07, (0.5, 5.0), 0); 2]),
+        ("slow late", [bad(0.07, (0.6, 6.0), 25); 2]),
+        ("slow on one route", [bad(0.07, (0.6, 5.0), 0), USUAL]),
+    ];
+    for (kind, routes) in cases {
+        let rates = rates(routes);
+
+        print(kind, rates);
+        expect_that!(rates.0, le(0.01), "{kind}");
+        expect_that!(rates.2, ge(0.9), "{kind}");
+    }
+}
+
+/// The time in which a rollback reaches all VMs counts from the fiftieth bad answer; ten may be on their way.
+#[gtest]
+fn bad_version_is_found_by_its_fortieth_bad_answer() {
+    for failures in [0.3, 0.5, 1.0] {
+        let routes = [Behaviour { failures, ..USUAL }; 2];
+        let most = (0..SEEDS).map(|seed| trial(routes, seed).1).max();
+
+        expect_that!(most, some(le(40)), "{failures}");
+    }
+}
+
+/// Counts are cumulative: a report that comes twice, or late, adds nothing.
+#[gtest]
+fn repeated_and_late_reports_add_nothing() {
+    let mut judge = RolloutJudge::default();
+    let life = VmLife {
+        vm: "vm-1".into(),
+        incarnation: 1,
+    };
+    let mut evidence = RouteEvidence::new("/quick/".into());
+    for _ in 0..30 {
+        evidence
+            .old
+            .count(AnswerOutcome::Success(Duration::from_millis(10)));
+    }
+    evidence.new.count(AnswerOutcome::Failure);
+    let early = evidence.clone();
+    evidence.new.count(AnswerOutcome::Failure);
+
+    for report in [&evidence, &early, &evidence] {
+        judge.take(&life, report);
+    }
+
+    expect_that!(judge.answers(), eq((2, 2)));
+}
+
+#[gtest]
+fn counts_know_their_median_and_their_slow_answers() {
+    let mut counts = AnswerCounts::default();
+    for ms in [10, 10, 10, 10, 100] {
+        counts.count(AnswerOutcome::Success(Duration::from_millis(ms)));
+    }
+    counts.count(AnswerOutcome::Failure);
+
+    let median = counts.median().unwrap();
+
+    expect_that!(counts.total(), eq(6));
+    expect_that!(counts.bad(median + 3), eq(2));
+}
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -15,6 +15,7 @@
         zone: "a".parse().unwrap(),
         slots: 4,
         leaving,
+        version: None,
     }
 }
 
--- a/crates/decisions/tests/whole_read.rs
+++ b/crates/decisions/tests/whole_read.rs
@@ -20,6 +20,7 @@
         zone: "a".parse().unwrap(),
         slots: 12,
         leaving: false,
+        version: None,
     };
     (0..count).map(entry).collect()
 }
--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_news.rs
@@ -21,6 +21,7 @@
         zone: "a".parse().unwrap(),
         slots: 32,
         leaving,
+        version: None,
     };
     UpstreamChange {
         key: id.as_str().into(),
