--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -42,6 +42,8 @@
     pub policy: Policy,
     /// Where this VM takes datagrams of other VMs.
     pub address: SocketAddr,
+    /// Bandwidth of its link, if that is known.
+    pub link: Option<LinkRate>,
     /// Bounds of rollouts, if there are any.
     pub rollouts: Option<RolloutSettings>,
 }
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -2,9 +2,6 @@
 
 use super::{accepted_call::AcceptedCall, *};
 
-/// Wait for the engines' words. An answer takes 2 to 5 ms; a caller who comes back has lost far more.
-const SEARCH_BOUND: Duration = Duration::from_millis(60);
-
 impl Gateway {
     /// Tokens of a call's prompt that engines hold, sorted by engine. Only for callers that come back:
     /// the prompt of any other one has not been read yet.
@@ -51,7 +48,7 @@
             .collect::<Vec<_>>();
         engines.retain(|engine| !state.upstream(engine, now).pulse.is_suspect());
         engines.sort_by_key(|engine| engine.zone != self.settings.zone);
-        engines.truncate(MOST_ASKED);
+        engines.truncate(state.cached.most_asked(self.settings.link));
         engines.retain(|engine| state.cached.is_due(&engine.id, now));
         engines
     }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -28,6 +28,7 @@
     /// When the store last answered the question for the configuration.
     pub(crate) config_read: Option<Instant>,
     pub(crate) rollouts: Rollouts,
+    pub(crate) pace: StreamPace,
 }
 
 /// Which upstreams of a service are chosen from.
@@ -76,6 +77,7 @@
             table_read: None,
             config_read: None,
             rollouts: Rollouts::new(rollouts),
+            pace: StreamPace::default(),
             old_config: false,
             old_directory: false,
         }
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -42,6 +42,8 @@
     pub(super) broke_beginning: Vec<Arc<UpstreamEntry>>,
     /// Whether the caller has got an event.
     pub(super) delivered: bool,
+    /// When the caller got its first event.
+    pub(super) first_event_at: Option<Instant>,
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// When the run before was lost.
     pub(super) lost_at: Option<Instant>,
@@ -113,6 +115,7 @@
             ran_on: Vec::new(),
             broke_beginning: Vec::new(),
             delivered: false,
+            first_event_at: None,
             head: None,
             lost_at: None,
             judged_since: None,
@@ -261,6 +264,7 @@
             let wait = now.since(self.accepted.call.arrived);
             metrics::histogram!("catkin_first_event_seconds").record(wait.as_secs_f64());
             self.delivered = true;
+            self.first_event_at = Some(now);
             if self.gateway.log.admits(LineKind::Answered, now) {
                 tracing::info!(request = %self.accepted.call.id, ms = millis(wait), "first event");
             }
@@ -270,6 +274,7 @@
     fn finished(&mut self) {
         self.ended = true;
         self.active = None;
+        self.note_pace();
         self.gateway.delivered(self.accepted.digest);
         let now = self.gateway.timer.now();
         if self.gateway.log.admits(LineKind::Answered, now) {
@@ -279,6 +284,20 @@
         }
     }
 
+    /// Notes how long a stream took that was made here as a whole.
+    fn note_pace(&self) {
+        let (Some(first), Some(last), None) = (
+            self.first_event_at,
+            self.relay.last(),
+            self.accepted.call.last_event,
+        ) else {
+            return;
+        };
+        let now = self.gateway.timer.now();
+        let mut state = self.gateway.state.lock();
+        state.pace.whole(last, now.since(first));
+    }
+
     /// Notes the loss of the active run. Its connection is closed before another run can begin, so
     /// that its upstream does not go on with it.
     fn lost(&mut self, loss: Loss) -> Result<(), StreamStop> {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -100,12 +100,22 @@
         prompt.saturating_sub(cached_tokens(&self.cached, &entry.id))
     }
 
-    /// Whether the prompt cannot be read in the time that is left, even with nothing else to do. Sent all
-    /// the same, it would take an engine's time from others, and its caller would leave with nothing.
+    /// Whether the stream cannot be whole in the time that is left, even with nothing else to do. Sent all the same, it
+    /// would take an engine's time from others, and its caller would leave with nothing. One that has begun goes on
+    /// for as long as its prompt can be read.
     fn is_too_late(&self, entry: &UpstreamEntry) -> bool {
+        let policy = &self.gateway.settings.policy;
+        if !policy.refuse_late {
+            return false;
+        }
         let now = self.gateway.timer.now();
-        self.gateway.settings.policy.refuse_late
-            && self.accepted.time_left(now) < reading_time(self.tokens_to_read(entry))
+        let mut needed = reading_time(self.tokens_to_read(entry));
+        if policy.refuse_unfinished && self.sends == 0 {
+            let had = self.accepted.call.last_event.unwrap_or(0);
+            let rest = self.gateway.state.lock().pace.least_rest(had);
+            needed += rest.unwrap_or_default();
+        }
+        self.accepted.time_left(now) < needed
     }
 
     fn too_late(&self) -> StreamStop {
--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -407,6 +407,35 @@
     expect_that!(stream, eq(&(text(1, 20), true)));
 }
 
+/// A caller comes back with less time than streams take from prompt to end, and has nothing of its own yet.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_whose_stream_cannot_be_whole_in_time_is_refused_at_once() {
+    let running = GatewayFixture::new(|call| {
+        let first = call.last_event.map_or(1, |last| last + 1);
+        Script::Stream(events(first, 30), End::Whole)
+    })
+    .usual_upstreams()
+    .start();
+    for _ in 0..8 {
+        read_stream(running.handle("/stream/1").await).await;
+    }
+    let sent = running.sent_to().len();
+    let mut call = running.call("/stream/1");
+    call.patience = Some(Duration::from_millis(1600));
+    let mut begun = running.call("/stream/1");
+    begun.patience = Some(Duration::from_millis(1600));
+    begun.last_event = Some(25);
+
+    let refused = running.gateway.handle(call).await;
+    let sent_for_it = running.sent_to().len() - sent;
+    let served = read_stream(running.gateway.handle(begun).await).await;
+
+    expect_that!(refused, pat!(Reply::NotRun { .. }));
+    expect_that!(sent_for_it, eq(0));
+    expect_that!(served, eq(&(text(26, 30), true)));
+}
+
 /// The caller leaves in the middle of a stream. The run is given up at once, so that its engine stops.
 #[gtest]
 #[tokio::test(start_paused = true)]
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -185,6 +185,7 @@
         let settings = GatewaySettings {
             policy: Policy::default(),
             address: ([127, 0, 0, 1], 7001).into(),
+            link: None,
             rollouts: self.rollouts,
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
--- a/crates/decisions/src/cached_prompts.rs
+++ b/crates/decisions/src/cached_prompts.rs
@@ -14,7 +14,22 @@
 pub const CACHE_WORD_AGE: Duration = Duration::from_secs(2);
 
 /// Engines asked at most: all of a deployment of today, and those of the own zone at the target size.
-pub const MOST_ASKED: usize = 48;
+const MOST_ASKED: usize = 48;
+
+/// Wait for the engines' answers. One takes 2 to 5 ms; a caller who comes back has lost far more.
+pub const SEARCH_BOUND: Duration = Duration::from_millis(60);
+
+/// Part of the VM's link that the answers may fill in that time; the rest is for streams.
+const LINK_PART: f64 = 0.5;
+
+/// Bytes of an answer for each part that it names.
+const PART_BYTES: f64 = 48.0;
+
+/// Parts of an answer before any was seen.
+const USUAL_PARTS: f64 = 128.0;
+
+/// Weight of the latest answer in the mean size.
+const SIZE_WEIGHT: f64 = 0.1;
 
 /// Parts kept of an engine's word, the newest: as many prompts as its memory holds, many times over.
 const MOST_PARTS: usize = 256;
@@ -29,10 +44,21 @@
 }
 
 /// What engines have said of the parts that they hold.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CachedPrompts {
     /// Sorted by engine.
     engines: Vec<EngineCache>,
+    /// Mean number of parts that an answer names.
+    mean_parts: f64,
+}
+
+impl Default for CachedPrompts {
+    fn default() -> Self {
+        Self {
+            engines: Vec::new(),
+            mean_parts: USUAL_PARTS,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -44,6 +70,22 @@
 }
 
 impl CachedPrompts {
+    /// How many engines are asked at once, so that their answers do not hold up the streams on the VM's link.
+    #[must_use]
+    pub fn most_asked(&self, link: Option<LinkRate>) -> usize {
+        let Some(link) = link else {
+            return MOST_ASKED;
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss
+        )]
+        let most = (link.bytes_in(SEARCH_BOUND) as f64 * LINK_PART
+            / (self.mean_parts.max(1.0) * PART_BYTES)) as usize;
+        most.min(MOST_ASKED)
+    }
+
     /// Whether an engine should be asked.
     #[must_use]
     pub fn is_due(&self, engine: &UpstreamIncarnation, now: Instant) -> bool {
@@ -55,6 +97,9 @@
     pub fn told(&mut self, engine: &UpstreamIncarnation, word: Vec<PromptPart>, now: Instant) {
         self.engines
             .retain(|known| known.engine != *engine && now.since(known.told) < CACHE_WORD_AGE);
+        #[expect(clippy::cast_precision_loss)]
+        let size = word.len() as f64;
+        self.mean_parts += SIZE_WEIGHT * (size - self.mean_parts);
         let mut parts: Vec<PromptPart> = Vec::new();
         for part in word.into_iter().rev().take(MOST_PARTS) {
             if let Err(index) = parts.binary_search_by(|known| known.id.cmp(&part.id)) {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -40,7 +40,7 @@
     bundle_row::{BundleKey, BundleRow, Stored},
     bundle_version::BundleVersion,
     bundle_view::{BundleView, PEERS_WORD_AFTER},
-    cached_prompts::{CACHE_WORD_AGE, CachedPrompts, MOST_ASKED, PromptPart},
+    cached_prompts::{CACHE_WORD_AGE, CachedPrompts, PromptPart, SEARCH_BOUND},
     call_budget::{CallBudget, CallBudgetSettings},
     call_key::CallKey,
     call_kind::CallKind,
@@ -93,6 +93,7 @@
     lease_step::{LeaseAnswer, LeaseStep, LeaseWrite},
     leaving_source::LeavingSource,
     limit_kind::LimitKind,
+    link_rate::LinkRate,
     loan_desk::{LoanDesk, MOST_LENDERS},
     model::Model,
     operator_name::OperatorName,
@@ -160,6 +161,7 @@
     software_version::SoftwareVersion,
     stall_detector::StallDetector,
     store_backoff::store_backoff,
+    stream_pace::StreamPace,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspicion::Suspicion,
     table_row::TableRow,
@@ -266,6 +268,7 @@
 mod lease_step;
 mod leaving_source;
 mod limit_kind;
+mod link_rate;
 mod loan_desk;
 mod model;
 mod operator_name;
@@ -328,6 +331,7 @@
 mod software_version;
 mod stall_detector;
 mod store_backoff;
+mod stream_pace;
 mod subset;
 mod suspicion;
 mod table_row;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -34,6 +34,8 @@
     pub prompt_search: bool,
     /// Streams whose prompt cannot be read in time any more are refused at once.
     pub refuse_late: bool,
+    /// So are those that cannot be whole in time.
+    pub refuse_unfinished: bool,
     /// VMs lend each other repeats.
     pub loans: bool,
     /// Streams wait for a repeat where none is left.
@@ -62,6 +64,7 @@
             zone_alarm: true,
             prompt_search: true,
             refuse_late: true,
+            refuse_unfinished: true,
             loans: true,
             repeat_wait: true,
             stream_cost: STREAM_COST,
@@ -104,6 +107,7 @@
             "peer_suspects" => &mut self.peer_suspects,
             "zone_alarm" => &mut self.zone_alarm,
             "prompt_search" => &mut self.prompt_search,
+            "refuse_unfinished" => &mut self.refuse_unfinished,
             "refuse_late" => &mut self.refuse_late,
             "loans" => &mut self.loans,
             "repeat_wait" => &mut self.repeat_wait,
--- a/crates/decisions/tests/cached_prompts.rs
+++ b/crates/decisions/tests/cached_prompts.rs
@@ -1,6 +1,8 @@
 //! Which engines hold a prompt that was read before.
 
-use catkin_decisions::{CACHE_WORD_AGE, CachedPrompts, Instant, PromptPart, UpstreamIncarnation};
+use catkin_decisions::{
+    CACHE_WORD_AGE, CachedPrompts, Instant, LinkRate, PromptPart, UpstreamIncarnation,
+};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -73,3 +75,21 @@
     expect_that!(cached.is_due(&engine(1), later), eq(true));
     expect_that!(cached.holders(&[part("own", 8000)], later), is_empty());
 }
+
+/// Callers of lost VMs come back to a VM with a small link, and the answers of all engines hold up its streams.
+#[gtest]
+fn engines_asked_fit_the_link() {
+    let mut cached = CachedPrompts::default();
+    let mbps = |mbps: u64| Some(LinkRate(mbps * 1_000_000));
+
+    let usual = [10, 20, 200, 1000].map(|rate| cached.most_asked(mbps(rate)));
+    for n in 0..100 {
+        let long = (0..1280).map(|n| part(&format!("part-{n}"), 10)).collect();
+        cached.told(&engine(n), long, at(0));
+    }
+    let long = [10, 200].map(|rate| cached.most_asked(mbps(rate)));
+
+    expect_that!(usual, eq([6, 12, 48, 48]));
+    expect_that!(long, eq([0, 12]));
+    expect_that!(cached.most_asked(None), eq(48));
+}
