--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -112,7 +112,7 @@
         )
     });
     match last.message() {
-        "answered by this VM" => {
+        "request rejected locally" => {
             let reason = last.text("reason");
             let reason = if reason.is_empty() {
                 String::new()
@@ -184,8 +184,8 @@
                 | "shutdown begun"
                 | "shutdown cut calls"
                 | "configuration in force"
-                | "platform lost"
-                | "platform answers again"
+                | "store unreachable"
+                | "store reachable"
         )
     }
 
--- a/crates/catkinward/src/gateway/beliefs.rs
+++ b/crates/catkinward/src/gateway/beliefs.rs
@@ -26,7 +26,7 @@
         let usable = state.directory.usable_count(now);
         let suspects = state
             .upstreams_mut()
-            .filter(|upstream| upstream.pulse.is_suspect())
+            .filter(|upstream| upstream.health.is_suspect())
             .count();
         let peers = state.peers.live_count(now);
         let age = state
--- a/crates/catkinward/src/gateway/call_log.rs
+++ b/crates/catkinward/src/gateway/call_log.rs
@@ -22,8 +22,8 @@
     Answered,
     /// What is believed of an upstream changed.
     Belief,
-    /// What an upstream said when it was asked.
-    Question,
+    /// The outcome of a health check.
+    Probe,
 }
 
 /// Budgets of lines.
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -3,7 +3,7 @@
 use super::{
     accepted_call::AcceptedCall,
     beliefs::show_beliefs,
-    liveness::{adopt, watch_upstreams},
+    health_check::{adopt, watch_upstreams},
     reply_log::{CallerWatch, count_reply, log_own_reply, millis},
     shutdown::Leaving,
     stream_call::call_stream,
@@ -442,7 +442,7 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
-        upstream.pulse.heard(now);
+        upstream.health.heard(now);
         if let Some(load) = load {
             upstream.load.reading(load, now);
         }
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -91,7 +91,7 @@
                 }
                 // A large configuration takes a second over the link of a small VM, and the teller's link is shared by
                 // all who ask it. Bound like a question that does not wait, it would never come: one sees `not read
-                // from a peer`, `platform lost` and callers of new routes refused for many seconds.
+                // from a peer`, `store unreachable` and callers of new routes refused for many seconds.
                 Some(follower.ask_store(CONFIG_WAIT).await)
             }
             None => ask_for_config(&gateway, &mut follower).await,
@@ -316,7 +316,7 @@
                             .record(took.as_secs_f64());
                     }
                     if !self.answers {
-                        tracing::info!(feed = self.feed.name, "platform answers again");
+                        tracing::info!(feed = self.feed.name, "store reachable");
                         self.gateway.store_returns.send_modify(|count| *count += 1);
                     }
                     self.answers = true;
@@ -355,7 +355,11 @@
     async fn failed(&mut self, fault: FeedFault) -> Option<FeedPage<T>> {
         let fault_name: &str = fault.into();
         if self.answers {
-            tracing::warn!(feed = self.feed.name, fault = fault_name, "platform lost");
+            tracing::warn!(
+                feed = self.feed.name,
+                fault = fault_name,
+                "store unreachable"
+            );
         }
         if fault == FeedFault::HistoryGone {
             self.version = None;
--- a/crates/catkinward/src/gateway/liveness.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -2,11 +2,11 @@
 use std::sync::Weak;
 
 /// How often silence is looked for: short against the bound of silence, 20 wake-ups a second.
-const LOOK: Duration = Duration::from_millis(50);
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Looks for silent upstreams and asks them, until the gateway is gone.
+/// Probes silent upstreams until the gateway is gone.
 pub(crate) async fn watch_upstreams(gateway: Weak<Gateway>) {
-    let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(LOOK)) else {
+    let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(CHECK_PERIOD)) else {
         return;
     };
     let mut clocks = WakeDetector::default();
@@ -17,8 +17,8 @@
         if let Some(gap) = clocks.look(now, since_boot()) {
             gateway.woke(gap);
         }
-        for entry in due_questions(&gateway, now) {
-            tokio::spawn(ask(gateway.clone(), entry));
+        for entry in due_probes(&gateway, now) {
+            tokio::spawn(probe(gateway.clone(), entry));
         }
     }
 }
@@ -30,37 +30,37 @@
     Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
 }
 
-fn due_questions(gateway: &Gateway, now: Instant) -> Vec<Arc<UpstreamEntry>> {
+fn due_probes(gateway: &Gateway, now: Instant) -> Vec<Arc<UpstreamEntry>> {
     let mut state = gateway.state.lock();
     let mut due = Vec::new();
     for upstream in state.upstreams_mut() {
-        if upstream.pulse.ask(now) {
+        if upstream.health.probe_due(now) {
             due.push(upstream.entry.clone());
         }
     }
-    // An upstream that is leaving or gone is still asked while calls run there, but not for itself.
+    // An upstream that is leaving or gone is still probed while calls run there, but not for itself.
     due.retain(|entry| {
         let usable = state.directory.get_usable(&entry.id, now).is_some();
         let upstream = state.upstream(entry, now);
-        let wanted = usable || upstream.pulse.in_flight() > 0;
+        let wanted = usable || upstream.health.in_flight() > 0;
         if !wanted {
-            upstream.pulse.answered();
+            upstream.health.probed();
         }
         wanted
     });
     due
 }
 
-/// Asks an upstream whether it lives, and gives up its calls if it does not answer; whether it does.
-pub(crate) async fn ask(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) -> bool {
-    let question = LifeQuestion {
+/// Probes an upstream, and fails over its calls if the probe fails; returns whether it is alive.
+pub(crate) async fn probe(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) -> bool {
+    let probe = HealthProbe {
         entry: entry.clone(),
         engine: gateway
             .config()
             .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
     };
     let start = gateway.timer.now();
-    let answer = tokio::time::timeout(ANSWER_BOUND, (gateway.transport.ask)(question)).await;
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
     let now = gateway.timer.now();
     let fault = match answer {
         // A later process answers: what waits here for the earlier one is lost, and its load is not that of
@@ -75,15 +75,15 @@
     };
     let mut state = gateway.state.lock();
     let upstream = state.upstream(&entry, now);
-    upstream.pulse.answered();
-    let in_flight = upstream.pulse.in_flight();
+    upstream.health.probed();
+    let in_flight = upstream.health.in_flight();
     drop(state);
-    if gateway.log.admits(LineKind::Question, now) {
+    if gateway.log.admits(LineKind::Probe, now) {
         let fault: &str = fault.unwrap_or("none");
         tracing::info!(upstream = %entry.id, fault, in_flight, ms = millis(now.since(start)),
-            "upstream asked");
+            "health check");
     }
-    if let Ok(Ok(LifeAnswer {
+    if let Ok(Ok(HealthReport {
         born: Some(born), ..
     })) = answer
     {
@@ -109,12 +109,12 @@
     if !only_engines {
         return;
     }
-    let question = LifeQuestion {
+    let probe = HealthProbe {
         entry: before.clone(),
         engine: true,
     };
-    let answer = tokio::time::timeout(ANSWER_BOUND, (gateway.transport.ask)(question)).await;
-    if let Ok(Ok(LifeAnswer {
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
+    if let Ok(Ok(HealthReport {
         load: Some(_),
         born,
     })) = answer
@@ -136,12 +136,12 @@
 }
 
 impl Gateway {
-    /// Notes that an upstream did not answer: its calls are given up, and it comes last from now on.
+    /// Notes that an upstream did not answer: its calls fail over, and it is ejected.
     pub(crate) fn give_up(&self, entry: &Arc<UpstreamEntry>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
-        let new = upstream.pulse.doubt(now);
+        let new = upstream.health.doubt(now);
         upstream.given_up.send_modify(|count| *count += 1);
         let crashes = state.died(&entry.id, now);
         let zone_alarm = new && state.zones.lost(&entry.zone, &entry.id, now);
@@ -208,26 +208,26 @@
         let mut state = self.state.lock();
         let crashes = state.died(id, now);
         if let Some(upstream) = state.known_upstream(id) {
-            upstream.pulse.doubt(now);
+            upstream.health.doubt(now);
             upstream.given_up.send_modify(|count| *count += 1);
         }
         drop(state);
         self.tell_crashes(id, crashes);
     }
 
-    /// Notes that a stream from an upstream broke. It comes last until it is heard of again, and is
-    /// asked at once; its other calls go on meanwhile.
+    /// Notes that a stream from an upstream broke. It is ejected until it answers again, and is probed at once; its
+    /// other calls go on meanwhile.
     pub(crate) fn broke(self: &Arc<Self>, entry: &Arc<UpstreamEntry>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
-        let new = upstream.pulse.doubt(now);
-        let ask_now = new && upstream.pulse.ask_now(now);
+        let new = upstream.health.doubt(now);
+        let probe_now = new && upstream.health.probe_now(now);
         let zone_alarm = new && state.zones.lost(&entry.zone, &entry.id, now);
         drop(state);
         self.log_suspect(entry, new, zone_alarm);
-        if ask_now {
-            tokio::spawn(ask(self.clone(), entry.clone()));
+        if probe_now {
+            tokio::spawn(probe(self.clone(), entry.clone()));
         }
     }
 
@@ -247,8 +247,8 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let usable = state.directory.get_usable(&entry.id, now).is_some();
-        let suspect =
-            state.upstream(entry, now).pulse.is_suspect() || state.peers.is_suspect(&entry.id, now);
+        let suspect = state.upstream(entry, now).health.is_suspect()
+            || state.peers.is_suspect(&entry.id, now);
         let open = state.rollouts.admission(entry, now) == Admission::Open;
         usable && !suspect && open
     }
@@ -261,7 +261,7 @@
             .iter()
             .filter(|id| {
                 let entry = state.directory.get_usable(id, now).cloned();
-                entry.is_some_and(|entry| !state.upstream(&entry, now).pulse.is_suspect())
+                entry.is_some_and(|entry| !state.upstream(&entry, now).health.is_suspect())
             })
             .count();
         u32::try_from(usable).unwrap_or(u32::MAX)
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -19,18 +19,18 @@
         UpstreamId, watch,
     },
     catkin_decisions::{
-        ANSWER_BOUND, Admission, AnswerOutcome, Born, CHANGES_TOLD, COMPLETING, CONFIG_WAIT,
-        CachedPrompts, ConfigVersion, Crash, CrashTally, EventFate, EventRelay, EventRun,
-        EventSplitter, HeardNews, LinkRate, LoadReading, Loan, LoanAsk, LoanDesk, MOST_CRASHES,
-        MOST_LENDERS, MemberWord, NEWS_AGE, NOTE_PERIOD, NewestConfig, NewsState, OWNER_LOST,
-        OwnerStep, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PeerView, PlacementCandidate,
+        Admission, AnswerOutcome, Born, CHANGES_TOLD, COMPLETING, CONFIG_WAIT, CachedPrompts,
+        ConfigVersion, Crash, CrashTally, EventFate, EventRelay, EventRun, EventSplitter,
+        HeardNews, LinkRate, LoadReading, Loan, LoanAsk, LoanDesk, MOST_CRASHES, MOST_LENDERS,
+        MemberWord, NEWS_AGE, NOTE_PERIOD, NewestConfig, NewsState, OWNER_LOST, OwnerStep,
+        PROBE_TIMEOUT, PeerDatagram, PeerLoad, PeerLoads, PeerNote, PeerView, PlacementCandidate,
         PlacementFor, Policy, Presence, PresenceChange, PromptPart, RepeatBudget,
         RepeatBudgetConfig, RestartEvidence, RollbackReason, Rollout, RolloutFault, RolloutGrant,
         RolloutNotice, RolloutOrder, RolloutOwner, RolloutPhase, RolloutProgress, RolloutRecord,
         RolloutReport, RolloutSettings, RolloutVerdict, Rollouts, Route, RoutingConfig,
         SEARCH_BOUND, STANDBY_AGE, StaleRestart, StoredRecord, StreamPace, TableRow, TableView,
-        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation, UpstreamLoad,
-        UpstreamPulse, UpstreamRestart, UpstreamTable, VersionSlots, VmLife, WakeDetector,
+        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation,
+        UpstreamLoad, UpstreamRestart, UpstreamTable, VersionSlots, VmLife, WakeDetector,
         WholeEvent, ZoneAlarm, ZoneNews, ZoneRole, is_large_zone, place, place_copy, rank_among,
         rank_of_vm, reading_time, store_backoff,
     },
@@ -48,7 +48,7 @@
     rollout_store::{ReadRecord, RolloutStore, RolloutWrite, RolloutWritten, WriteRecord},
     rollout_task::follow_rollouts,
     upstream_transport::{
-        AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, LifeAnswer, LifeQuestion,
+        AnswerBody, BodyFault, CopyFault, CopyOrder, CopySource, HealthProbe, HealthReport,
         SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
@@ -79,8 +79,8 @@
 mod core;
 mod dispatches;
 mod feed;
+mod health_check;
 mod kept_copy;
-mod liveness;
 mod outbox;
 mod peer_notes;
 mod prompt_search;
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -139,7 +139,7 @@
                     reading_ms: u32::try_from(reading.as_millis()).unwrap_or(u32::MAX),
                 });
             }
-            if upstream.pulse.is_suspect() && suspects.len() < MOST_TOLD {
+            if upstream.health.is_suspect() && suspects.len() < MOST_TOLD {
                 suspects.push(upstream.entry.id.clone());
             }
         }
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -46,7 +46,7 @@
             .usable(service, now)
             .cloned()
             .collect::<Vec<_>>();
-        engines.retain(|engine| !state.upstream(engine, now).pulse.is_suspect());
+        engines.retain(|engine| !state.upstream(engine, now).health.is_suspect());
         engines.sort_by_key(|engine| engine.zone != self.settings.zone);
         engines.truncate(state.cached.most_asked(self.settings.link));
         engines.retain(|engine| state.cached.is_due(&engine.id, now));
--- a/crates/catkinward/src/gateway/readiness.rs
+++ b/crates/catkinward/src/gateway/readiness.rs
@@ -71,7 +71,7 @@
             self.services_seen.has_some(service, now);
             let all_suspect = entries
                 .iter()
-                .all(|entry| self.upstream(entry, now).pulse.is_suspect());
+                .all(|entry| self.upstream(entry, now).health.is_suspect());
             all_suspect.then(|| (service.clone(), entries.len()))
         })
     }
--- a/crates/catkinward/src/gateway/reply_log.rs
+++ b/crates/catkinward/src/gateway/reply_log.rs
@@ -32,10 +32,10 @@
     let outcome = outcome(reply);
     if let Reply::NotRun { not_run } = reply {
         tracing::warn!(request = %call.id, outcome, reason = %not_run.reason(),
-            retry_after_ms = millis(not_run.retry_after()), "answered by this VM");
+            retry_after_ms = millis(not_run.retry_after()), "request rejected locally");
     } else {
         tracing::warn!(request = %call.id, outcome, host = &*call.host, path = &*call.path,
-            "answered by this VM");
+            "request rejected locally");
     }
 }
 
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -19,7 +19,7 @@
         let now = gateway.timer.now();
         let mut state = gateway.state.lock();
         let upstream = state.upstream(&entry, now);
-        upstream.pulse.sent(now);
+        upstream.health.sent(now);
         upstream.load.begin(prompt_tokens, now);
         let given_up = upstream.given_up.subscribe();
         drop(state);
@@ -47,7 +47,7 @@
         let now = self.gateway.timer.now();
         let mut state = self.gateway.state.lock();
         let upstream = state.upstream(&self.entry, now);
-        upstream.pulse.ended();
+        upstream.health.ended();
         upstream.load.end();
     }
 }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -44,7 +44,7 @@
 pub(crate) struct UpstreamState {
     id: UpstreamIncarnation,
     pub(crate) entry: Arc<UpstreamEntry>,
-    pub(crate) pulse: UpstreamPulse,
+    pub(crate) health: UpstreamHealth,
     pub(crate) load: UpstreamLoad,
     /// Counts how often its calls were given up.
     pub(crate) given_up: watch::Sender<u64>,
@@ -149,7 +149,7 @@
                 let upstream = UpstreamState {
                     id: entry.id.clone(),
                     entry: entry.clone(),
-                    pulse: UpstreamPulse::new(now),
+                    health: UpstreamHealth::new(now),
                     load: UpstreamLoad::default(),
                     given_up: watch::Sender::new(0),
                 };
@@ -178,7 +178,7 @@
     pub(crate) fn forget_gone(&mut self, now: Instant) {
         let directory = &self.directory;
         self.upstreams
-            .retain(|u| u.pulse.in_flight() > 0 || directory.get_usable(&u.id, now).is_some());
+            .retain(|u| u.health.in_flight() > 0 || directory.get_usable(&u.id, now).is_some());
     }
 
     pub(crate) fn budget(&mut self, service: &ServiceId) -> &mut RepeatBudget {
@@ -242,7 +242,7 @@
                 Some(PlacementCandidate {
                     entry,
                     load: &state.load,
-                    suspect: state.pulse.is_suspect()
+                    suspect: state.health.is_suspect()
                         || (who.policy.peer_suspects && peers.is_suspect(&entry.id)),
                     suspect_zone: who.policy.zone_alarm && self.zones.is_suspect(&entry.zone, now),
                     cached: cached_tokens(cached, &entry.id),
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -2,8 +2,8 @@
 
 use super::{
     copy_keeper::CopyKeeper,
+    health_check::probe,
     kept_copy::KeptCopy,
-    liveness::ask,
     repeats::{CALL_PATIENCE, STREAM_PATIENCE},
     reply::StreamCut,
     reply_log::millis,
@@ -65,9 +65,9 @@
         if self.broke_beginning.len() < MOST_CRASHES {
             return false;
         }
-        let asked = self.broke_beginning.iter();
-        let asked = asked.map(|entry| ask(self.gateway.clone(), entry.clone()));
-        let live = futures::future::join_all(asked).await;
+        let probes = self.broke_beginning.iter();
+        let probes = probes.map(|entry| probe(self.gateway.clone(), entry.clone()));
+        let live = futures::future::join_all(probes).await;
         let mut live = live.into_iter();
         self.broke_beginning
             .retain(|_| !live.next().unwrap_or(true));
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -13,7 +13,7 @@
     /// Asks an engine which parts of prompts it holds, the latest word on a part last.
     pub cached: AskCached,
     /// Asks an upstream over a connection of its own whether it lives and how busy it is.
-    pub ask: AskUpstream,
+    pub probe: ProbeUpstream,
 }
 
 /// Sends a call to an upstream.
@@ -29,8 +29,8 @@
 >;
 
 /// Asks an upstream a question.
-pub type AskUpstream =
-    Box<dyn Fn(LifeQuestion) -> BoxFuture<'static, Result<LifeAnswer, SendFault>> + Send + Sync>;
+pub type ProbeUpstream =
+    Box<dyn Fn(HealthProbe) -> BoxFuture<'static, Result<HealthReport, SendFault>> + Send + Sync>;
 
 /// Has an engine copy the memory of a run.
 pub type CopyMemory =
@@ -70,7 +70,7 @@
 
 /// A question to an upstream.
 #[derive(Clone, Debug)]
-pub struct LifeQuestion {
+pub struct HealthProbe {
     /// The upstream.
     pub entry: Arc<UpstreamEntry>,
     /// Whether it is an engine, which is asked for its load report. Elsewhere a connection that opens
@@ -80,7 +80,7 @@
 
 /// An upstream's answer to a question.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LifeAnswer {
+pub struct HealthReport {
     /// How busy it is, if it says so.
     pub load: Option<LoadReading>,
     /// When the process that answers started, if it says so.
--- a/crates/catkinward/src/peer_copies.rs
+++ b/crates/catkinward/src/peer_copies.rs
@@ -1,7 +1,7 @@
 //! Copies of the progress of generations: kept for other VMs, looked for, and taken over.
 
 use super::*;
-use crate::{peer_link::PeerLink, peers::ANSWER_BOUND};
+use crate::{peer_link::PeerLink, peers::PROBE_TIMEOUT};
 
 /// How long a token may wait until the copy of it is on its way. A holder that takes longer is
 /// passed over: a peer that went silent must not hold up a caller.
@@ -73,7 +73,7 @@
             tokio::spawn(async move {
                 let link = peers.link(&peer).await?;
                 let body = PeerBody::TakenOver(Box::new(update));
-                link.send(body, ANSWER_BOUND).await
+                link.send(body, PROBE_TIMEOUT).await
             });
         }
     }
@@ -105,14 +105,14 @@
         let asked = async {
             let link = self.link(&peer).await.ok()?;
             let answer = link
-                .ask(PeerBody::Find(id, point.next, point.from), ANSWER_BOUND)
+                .ask(PeerBody::Find(id, point.next, point.from), PROBE_TIMEOUT)
                 .await;
             if answer.is_err() {
                 self.drop_link(&peer.vm, link.serial);
             }
             answer.ok()
         };
-        if let Ok(Some(PeerBody::Found(found))) = tokio::time::timeout(ANSWER_BOUND, asked).await {
+        if let Ok(Some(PeerBody::Found(found))) = tokio::time::timeout(PROBE_TIMEOUT, asked).await {
             return found.map(|record| *record);
         }
         self.lost(&peer.vm);
--- a/crates/catkinward/src/peer_exchange.rs
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange of news with neighbours.
 
 use super::*;
-use crate::peers::ANSWER_BOUND;
+use crate::peers::PROBE_TIMEOUT;
 
 /// How often this VM exchanges news with one of its neighbours.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
@@ -21,7 +21,7 @@
             let Ok(link) = self.link(&peer).await else {
                 continue;
             };
-            let answer = link.ask(PeerBody::FetchBundle(digest), ANSWER_BOUND).await;
+            let answer = link.ask(PeerBody::FetchBundle(digest), PROBE_TIMEOUT).await;
             if let Ok(PeerBody::BundleContent(Some(content))) = answer {
                 return Some(Bytes::copy_from_slice(content.as_bytes()));
             }
@@ -62,7 +62,7 @@
         let link = self.link(peer).await?;
         let (deaths, asked) = (news.poison.len(), self.timer.now());
         match link
-            .ask(PeerBody::Gossip(Box::new(news)), ANSWER_BOUND)
+            .ask(PeerBody::Gossip(Box::new(news)), PROBE_TIMEOUT)
             .await
         {
             Ok(PeerBody::Gossip(gossip)) => {
@@ -86,7 +86,7 @@
     }
 
     /// Tells VMs of the deaths under a request, and hears what they know of these deaths: all VMs of a small
-    /// system, [`MOST_CONFERRED`] of a larger one. Waits for their answers up to [`ANSWER_BOUND`]; returns how
+    /// system, [`MOST_CONFERRED`] of a larger one. Waits for their answers up to [`PROBE_TIMEOUT`]; returns how
     /// many were asked and how many have answered.
     pub(crate) async fn confer(self: &Arc<Self>, poison: Vec<PoisonMark>) -> (usize, usize) {
         let now = self.timer.now();
@@ -97,7 +97,7 @@
         };
         let exchanges = peers
             .iter()
-            .map(|peer| tokio::time::timeout(ANSWER_BOUND, self.exchange(peer, news.clone())));
+            .map(|peer| tokio::time::timeout(PROBE_TIMEOUT, self.exchange(peer, news.clone())));
         let results = futures::future::join_all(exchanges).await;
         let answered = results.iter().filter(|result| matches!(result, Ok(Ok(()))));
         (peers.len(), answered.count())
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpListener;
 
 /// Bound until a peer answers.
-pub(crate) const ANSWER_BOUND: Duration = Duration::from_millis(300);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The other VMs: who they are, connections to a few of them, and copies kept for them.
 pub struct Peers {
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -63,7 +63,7 @@
 /// A process died under a request: its lines just end, and the process starts anew.
 #[gtest]
 fn death_of_the_process_is_explained() {
-    let lost = line(2, r#""message":"platform lost","feed":"config""#);
+    let lost = line(2, r#""message":"store unreachable","feed":"config""#);
     let log = accepted(1) + &lost + &line(4, r#""message":"start","vm":"vm-1""#);
 
     let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
@@ -74,7 +74,7 @@
 /// A call was refused. The reason is the VM's.
 #[gtest]
 fn refused_call_is_explained() {
-    let refused = r#""message":"answered by this VM","request":"r1","outcome":"not_run","reason":"upstream_refused""#;
+    let refused = r#""message":"request rejected locally","request":"r1","outcome":"not_run","reason":"upstream_refused""#;
     let log = accepted(1) + &line(1, refused);
 
     let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
--- a/crates/catkinward/tests/gateway_calls.rs
+++ b/crates/catkinward/tests/gateway_calls.rs
@@ -242,7 +242,7 @@
     let reply = running.handle("/quick/2").await;
 
     expect_that!(reply, pat!(Reply::Whole { .. }));
-    expect_that!(running.questions.lock().is_empty(), eq(true));
+    expect_that!(running.probes.lock().is_empty(), eq(true));
 }
 
 /// No route takes a path, and no team holds a key. Neither is sent anywhere.
--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -450,7 +450,7 @@
     tokio::time::sleep(Duration::from_secs(5)).await;
 
     // An upstream is asked only while a call is in flight there.
-    expect_that!(running.questions.lock().len(), eq(0));
+    expect_that!(running.probes.lock().len(), eq(0));
     expect_that!(running.gateway.drain.in_flight(), eq(0));
 }
 
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -14,7 +14,7 @@
 use catkinward::{
     Timer,
     gateway::{
-        AnswerBody, BodyFault, Call, CopySource, Gateway, GatewaySettings, LifeAnswer, Prompt,
+        AnswerBody, BodyFault, Call, CopySource, Gateway, GatewaySettings, HealthReport, Prompt,
         Reply, SendFault, UpstreamAnswer, UpstreamCall, UpstreamTransport,
     },
 };
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -57,11 +57,11 @@
 
 pub(super) type Scripted = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
-/// What upstreams were asked to do.
+/// What upstreams were told to do.
 #[derive(Clone, Default)]
 pub struct Observed {
     pub seen: Arc<Mutex<Vec<Seen>>>,
-    pub questions: Arc<Mutex<Vec<String>>>,
+    pub probes: Arc<Mutex<Vec<String>>>,
     /// Holders of copies that were ordered.
     pub copies: Arc<Mutex<Vec<String>>>,
     /// Copies that were freed.
@@ -78,7 +78,7 @@
 ) -> UpstreamTransport {
     let Observed {
         seen,
-        questions,
+        probes,
         copies,
         freed,
     } = observed.clone();
@@ -117,14 +117,14 @@
                 Ok(if holds { parts.to_vec() } else { Vec::new() })
             })
         }),
-        ask: Box::new(move |question| {
-            let id = question.entry.id.to_string();
+        probe: Box::new(move |probe| {
+            let id = probe.entry.id.to_string();
             let alive = alive(&id);
             let born = born(&id);
-            questions.lock().push(id);
+            probes.lock().push(id);
             Box::pin(async move {
                 if alive {
-                    return Ok(LifeAnswer {
+                    return Ok(HealthReport {
                         load: Some(LoadReading::default()),
                         born,
                     });
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -177,11 +177,11 @@
     upstream_death::UpstreamDeath,
     upstream_directory::{LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry},
     upstream_evidence::{EVIDENCE_BOUND, UpstreamEvidence},
+    upstream_health::{PROBE_TIMEOUT, SILENCE, UpstreamHealth},
     upstream_id::UpstreamId,
     upstream_incarnation::UpstreamIncarnation,
     upstream_load::{LoadReading, UpstreamLoad, reading_time},
     upstream_places::{CapacityReport, UpstreamPlaces},
-    upstream_pulse::{ANSWER_BOUND, SILENCE, UpstreamPulse},
     upstream_record::{AskedReport, UpstreamRecord},
     upstream_report::UpstreamReport,
     upstream_restart::{RestartEvidence, StaleRestart, TableView, UpstreamRestart},
@@ -347,11 +347,11 @@
 mod upstream_death;
 mod upstream_directory;
 mod upstream_evidence;
+mod upstream_health;
 mod upstream_id;
 mod upstream_incarnation;
 mod upstream_load;
 mod upstream_places;
-mod upstream_pulse;
 mod upstream_record;
 mod upstream_report;
 mod upstream_restart;
--- a/crates/decisions/tests/upstream_life.rs
+++ b/crates/decisions/tests/upstream_health.rs
@@ -1,7 +1,7 @@
 //! When upstreams are asked whether they live, and what their losses are taken for.
 
 use catkin_decisions::{
-    AvailabilityZone, Crash, CrashTally, Instant, SILENCE, UpstreamIncarnation, UpstreamPulse,
+    AvailabilityZone, Crash, CrashTally, Instant, SILENCE, UpstreamHealth, UpstreamIncarnation,
     ZoneAlarm,
 };
 use googletest::prelude::*;
@@ -18,16 +18,16 @@
 /// Many calls wait at an upstream that says nothing. It is asked once, not once for each of them.
 #[gtest]
 fn silent_upstream_is_asked_once() {
-    let mut pulse = UpstreamPulse::new(at(0));
+    let mut health = UpstreamHealth::new(at(0));
     for _ in 0..50 {
-        pulse.sent(at(1000));
+        health.sent(at(1000));
     }
     let silent = at(1000).after(SILENCE);
 
     let asked = [
-        pulse.ask(at(1100)),
-        pulse.ask(silent),
-        pulse.ask(silent.after(SILENCE)),
+        health.probe_due(at(1100)),
+        health.probe_due(silent),
+        health.probe_due(silent.after(SILENCE)),
     ];
 
     expect_that!(asked, eq([false, true, false]));
@@ -36,11 +36,11 @@
 /// Nothing runs at an upstream, so its silence means nothing.
 #[gtest]
 fn idle_upstream_is_not_asked() {
-    let mut pulse = UpstreamPulse::new(at(0));
-    pulse.sent(at(10));
-    pulse.ended();
+    let mut health = UpstreamHealth::new(at(0));
+    health.sent(at(10));
+    health.ended();
 
-    let asked = pulse.ask(at(60_000));
+    let asked = health.probe_due(at(60_000));
 
     expect_that!(asked, eq(false));
 }
@@ -49,22 +49,22 @@
 /// anything comes from it.
 #[gtest]
 fn suspect_is_asked_ever_more_rarely() {
-    let mut pulse = UpstreamPulse::new(at(0));
+    let mut health = UpstreamHealth::new(at(0));
     let mut asked = Vec::new();
-    pulse.doubt(at(0));
+    health.doubt(at(0));
     for ms in (0..8000).step_by(50) {
-        if pulse.ask(at(ms)) {
+        if health.probe_due(at(ms)) {
             asked.push(ms);
-            pulse.answered();
-            pulse.doubt(at(ms));
+            health.probed();
+            health.doubt(at(ms));
         }
     }
-    let suspect = pulse.is_suspect();
-    pulse.heard(at(8000));
+    let suspect = health.is_suspect();
+    health.heard(at(8000));
 
     expect_that!(asked, eq(&[400, 1200, 2800, 4400, 6000, 7600]));
     expect_that!(suspect, eq(true));
-    expect_that!(pulse.is_suspect(), eq(false));
+    expect_that!(health.is_suspect(), eq(false));
 }
 
 /// One upstream breaks again and again. That says nothing of its zone; three that are lost together
