--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -235,11 +235,11 @@
     pub fn put_upstreams(&self, entries: Vec<UpstreamEntry>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let at_start = !state.directory_read;
+        let at_start = state.directory_read < DirectoryRead::Whole;
         for entry in &entries {
             state.rollouts.version_seen(entry, at_start, now);
         }
-        state.directory_read = true;
+        state.directory_read = DirectoryRead::Whole;
         self.known.send_replace(state.is_current());
         let changes = state.directory.snapshot(entries, now);
         state.forget_gone(now);
@@ -247,6 +247,24 @@
         self.presence_changed(&changes);
     }
 
+    /// Takes in the first rows of the table of upstreams while the others come, so that calls are served with these.
+    pub(crate) fn put_first_upstreams(&self, rows: Vec<TableRow<UpstreamEntry>>) {
+        let mut state = self.state.lock();
+        if state.directory_read == DirectoryRead::Whole {
+            return;
+        }
+        let now = self.timer.now();
+        let mut changes = Vec::new();
+        for entry in rows.into_iter().filter_map(|row| row.entry) {
+            state.rollouts.version_seen(&entry, true, now);
+            changes.extend(state.directory.heard(entry));
+        }
+        state.directory_read = DirectoryRead::FirstRows;
+        self.known.send_replace(state.is_current());
+        drop(state);
+        self.presence_changed(&changes);
+    }
+
     /// Takes in one entry of an upstream.
     pub fn upstream_heard(&self, entry: UpstreamEntry) {
         let now = self.timer.now();
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -1,6 +1,7 @@
 //! What the platform keeps and tells: the configuration, the entries of upstreams, other VMs.
 
-use super::*;
+use super::{read_progress::while_it_progresses, *};
+use tokio::sync::mpsc;
 
 /// Bound of a question for changes that waits, and of a whole read: an answer takes some 4 ms; a
 /// store that is slow answers within a second. A connection that has gone silent is noticed so.
@@ -32,16 +33,24 @@
     /// Its name, for the log.
     pub name: &'static str,
     /// Reads all of it.
-    pub read: Box<dyn Fn() -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>,
+    pub read: ReadWhole<T>,
     /// Asks for what changed after a version; waits at the store for that long at most.
     pub changes: AskChanges<T>,
     /// Reads all of it as another VM has it, if that hears from the platform itself.
     pub read_from_peer: ReadFromPeer<T>,
 }
 
+/// Reads all of a feed, and shows what has come of it meanwhile.
+pub type ReadWhole<T> = Box<
+    dyn Fn(ReadProgress<T>) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync,
+>;
+
 /// Reads a feed from another VM, named by the address that its notes come from.
-pub type ReadFromPeer<T> =
-    Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>;
+pub type ReadFromPeer<T> = Box<
+    dyn Fn(SocketAddr, ReadProgress<T>) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>>
+        + Send
+        + Sync,
+>;
 
 /// Asks for changes after a version.
 pub type AskChanges<T> =
@@ -149,6 +158,7 @@
     let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone, |gateway| {
         gateway.platform_answers(false);
     });
+    follower.first_rows = Gateway::put_first_upstreams;
     loop {
         if let Read::Page { page, whole } = follower.next(Duration::ZERO).await {
             gateway.platform_answers(follower.answers);
@@ -174,8 +184,9 @@
 }
 
 async fn ask_peer<T>(feed: &Feed<T>, peer: SocketAddr) -> Option<FeedPage<T>> {
-    let answer = tokio::time::timeout(PEER_BOUND, (feed.read_from_peer)(peer)).await;
-    match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
+    let (progress, parts) = mpsc::unbounded_channel();
+    let read = (feed.read_from_peer)(peer, progress);
+    match while_it_progresses(read, parts, PEER_BOUND, |_| {}).await {
         Ok(page) => {
             tracing::info!(feed = feed.name, %peer, version = page.version, "read from a peer");
             Some(page)
@@ -232,6 +243,8 @@
     relies: fn(&Gateway) -> bool,
     /// Called when the store does not answer.
     lost: fn(&Gateway),
+    /// Takes the first rows of a whole read while the others come.
+    first_rows: fn(&Gateway, Vec<TableRow<T>>),
     wakes: watch::Receiver<u64>,
     /// Counts the returns of the store that any feed noticed.
     returns: watch::Receiver<u64>,
@@ -255,6 +268,7 @@
             waits: false,
             relies,
             lost,
+            first_rows: |_, _| {},
             wakes: gateway.wakes.subscribe(),
             returns: gateway.store_returns.subscribe(),
         }
@@ -291,23 +305,26 @@
                 RETURN_BOUNDS[self.faults % RETURN_BOUNDS.len()]
             };
             let whole = self.version.is_none();
+            let (progress, parts) = mpsc::unbounded_channel();
             let asked = async {
                 match self.version {
                     Some(version) => (self.feed.changes)(version, wait).await,
-                    None => (self.feed.read)().await,
+                    None => (self.feed.read)(progress).await,
                 }
             };
+            let (gateway, first_rows) = (self.gateway, self.first_rows);
+            let asked = while_it_progresses(asked, parts, bound, |rows| first_rows(gateway, rows));
             let asked_at = self.gateway.timer.now();
             let woke = self.wakes.changed();
             let answer = tokio::select! {
-                answer = tokio::time::timeout(bound, asked) => answer,
+                answer = asked => answer,
                 // The connection may have been lost meanwhile, and its question waits at the store.
                 Ok(()) = woke => {
                     wait = Duration::ZERO;
                     continue;
                 }
             };
-            let fault = match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
+            let fault = match answer {
                 Ok(page) => {
                     // A question that waited says nothing of the store's speed.
                     if wait.is_zero() {
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -9,7 +9,7 @@
         outbox::Outbox,
         readiness::{Readiness, ServicesSeen},
         rollouts::OwnedRollout,
-        state::{Among, GatewayState},
+        state::{Among, DirectoryRead, GatewayState},
         zone_config::ToldConfig,
     },
     super::{
@@ -44,6 +44,7 @@
     core::{Gateway, GatewaySettings, NOT_READY_RETRY},
     feed::{AskChanges, Feed, FeedFault, FeedPage, ReadFromPeer, follow_config, follow_upstreams},
     peer_notes::exchange_notes,
+    read_progress::{ReadPart, ReadProgress},
     reply::{EventBody, Reply, StreamCut},
     rollout_store::{ReadRecord, RolloutStore, RolloutWrite, RolloutWritten, WriteRecord},
     rollout_task::follow_rollouts,
@@ -84,6 +85,7 @@
 mod outbox;
 mod peer_notes;
 mod prompt_search;
+mod read_progress;
 mod readiness;
 mod repeats;
 mod reply;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -4,8 +4,8 @@
 pub(crate) struct GatewayState {
     pub(crate) config: NewestConfig,
     pub(crate) directory: UpstreamDirectory,
-    /// Whether the directory has been read once.
-    pub(crate) directory_read: bool,
+    /// How far the directory has been read.
+    pub(crate) directory_read: DirectoryRead,
     /// Sorted by id.
     upstreams: Vec<UpstreamState>,
     pub(crate) zones: ZoneAlarm,
@@ -31,6 +31,17 @@
     pub(crate) pace: StreamPace,
 }
 
+/// How far the directory has been read since this process started.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum DirectoryRead {
+    /// Not at all.
+    Nothing,
+    /// Its first rows, which serve while the others come.
+    FirstRows,
+    /// Once, as a whole.
+    Whole,
+}
+
 /// Which upstreams of a service are chosen from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Among<'a> {
@@ -63,7 +74,7 @@
         Self {
             config: NewestConfig::default(),
             directory: UpstreamDirectory::default(),
-            directory_read: false,
+            directory_read: DirectoryRead::Nothing,
             upstreams: Vec::new(),
             zones: ZoneAlarm::default(),
             services_seen: ServicesSeen::default(),
@@ -85,7 +96,7 @@
 
     /// Whether a configuration and upstreams are known.
     pub(crate) fn is_complete(&self) -> bool {
-        self.config.get().is_some() && self.directory_read
+        self.config.get().is_some() && self.directory_read > DirectoryRead::Nothing
     }
 
     /// Whether what is known was also read since this process last woke.
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -2,8 +2,10 @@
 
 mod gateway_support;
 
-use catkin_decisions::{ConfigVersion, RouteTable, RoutingConfig};
-use catkinward::gateway::{Feed, FeedFault, FeedPage, follow_config};
+use catkin_decisions::{ConfigVersion, RouteTable, RoutingConfig, UpstreamEntry};
+use catkinward::gateway::{
+    Feed, FeedFault, FeedPage, ReadPart, ReadProgress, follow_config, follow_upstreams,
+};
 use gateway_support::*;
 use googletest::prelude::*;
 use parking_lot::Mutex;
@@ -66,9 +68,9 @@
         let (reading, asking) = (self.clone(), self.clone());
         Feed {
             name: "config",
-            read: Box::new(move || Box::pin(reading.clone().read())),
+            read: Box::new(move |_| Box::pin(reading.clone().read())),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().changes(after, wait))),
-            read_from_peer: Box::new(move |_| {
+            read_from_peer: Box::new(move |_, _| {
                 let peer = peer.clone();
                 Box::pin(async move { peer.map(|p| p.page()).ok_or(FeedFault::NoAnswer) })
             }),
@@ -196,3 +198,96 @@
     expect_that!(waited, le(Duration::from_millis(650)));
     expect_that!(version(&running), eq(3));
 }
+
+/// A store whose answer to a whole read comes in pieces: all of the upstreams, a page each 700 ms, and bytes of it
+/// more often.
+fn slow_table(pages: u8, stalls: bool) -> Feed<UpstreamEntry> {
+    let read = move |progress: ReadProgress<UpstreamEntry>| async move {
+        let mut rows = Vec::new();
+        for n in 0..pages {
+            if stalls && n > 0 {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            progress.send(ReadPart::Bytes).unwrap();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let id = format!("engine-{n}");
+            rows.push(row(&id, upstream(&id, ENGINES, "a")));
+            if n + 1 < pages {
+                progress.send(ReadPart::Rows(rows.clone())).unwrap();
+            }
+        }
+        Ok(FeedPage { version: 1, rows })
+    };
+    Feed {
+        name: "upstreams",
+        read: Box::new(move |progress| Box::pin(read(progress))),
+        changes: Box::new(|_, _| Box::pin(std::future::pending())),
+        read_from_peer: Box::new(|_, _| Box::pin(async { Err(FeedFault::NoAnswer) })),
+    }
+}
+
+/// A gateway with a configuration that follows a table; the times at which it is ready and knows all.
+async fn start_with(feed: Feed<UpstreamEntry>, all: usize) -> (Duration, Duration) {
+    let fixture = GatewayFixture::new(|_| Script::Hang);
+    let config = fixture.config();
+    let running = fixture.unstarted();
+    running.gateway.put_config(Arc::new(config));
+    let start = running.timer.now();
+    tokio::spawn(follow_upstreams(running.gateway.clone(), feed));
+    let mut ready = None;
+    for _ in 0..1000 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let since = running.timer.now().since(start);
+        if ready.is_none() && running.gateway.is_ready() {
+            ready = Some(since);
+        }
+        let rows = running.gateway.table_page(Duration::from_secs(60));
+        if rows.is_some_and(|page| page.rows.len() == all) {
+            return (ready.unwrap(), since);
+        }
+    }
+    (ready.unwrap_or(Duration::MAX), Duration::MAX)
+}
+
+/// The whole table takes longer than an answer may, as over a small link after the loss of all VMs.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn whole_read_that_progresses_is_not_given_up() {
+    let (_, whole) = start_with(slow_table(5, false), 5).await;
+
+    expect_that!(whole, le(Duration::from_millis(3600)));
+}
+
+/// Calls are served with the first upstreams while the others are being read.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_is_ready_with_the_first_page_of_upstreams() {
+    let (ready, whole) = start_with(slow_table(5, false), 5).await;
+
+    expect_that!(ready, le(Duration::from_millis(800)));
+    expect_that!(whole, ge(Duration::from_millis(3500)));
+}
+
+/// The connection of a whole read goes silent.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn whole_read_that_stands_still_is_given_up() {
+    let reads = Arc::new(Mutex::new(0));
+    let count = reads.clone();
+    let stalled = slow_table(2, true);
+    let feed = Feed {
+        read: Box::new(move |progress| {
+            *count.lock() += 1;
+            (stalled.read)(progress)
+        }),
+        ..slow_table(2, true)
+    };
+
+    let fixture = GatewayFixture::new(|_| Script::Hang);
+    let running = fixture.unstarted();
+    tokio::spawn(follow_upstreams(running.gateway.clone(), feed));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    expect_that!(*reads.lock(), ge(2));
+}
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -62,9 +62,9 @@
         let peer = self.clone();
         Feed {
             name: "upstreams",
-            read: Box::new(|| Box::pin(async { Err(FeedFault::Refused) })),
+            read: Box::new(|_| Box::pin(async { Err(FeedFault::Refused) })),
             changes: Box::new(|_, _| Box::pin(async { Err(FeedFault::Refused) })),
-            read_from_peer: Box::new(move |_| {
+            read_from_peer: Box::new(move |_, _| {
                 let page = peer.page();
                 Box::pin(async move { Ok(page) })
             }),
@@ -75,7 +75,7 @@
         let (reading, asking) = (self.clone(), self.clone());
         Feed {
             name: "upstreams",
-            read: Box::new(move || {
+            read: Box::new(move |_| {
                 let page = reading.page();
                 Box::pin(async move { Ok(page) })
             }),
@@ -83,7 +83,7 @@
                 let page = asking.page();
                 Box::pin(async move { Ok(page) })
             }),
-            read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
+            read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
         }
     }
 
@@ -240,7 +240,7 @@
     let asked = Arc::new(Mutex::new(0));
     let feed = Feed {
         name: "config",
-        read: Box::new(move || {
+        read: Box::new(move |_| {
             let first = first.clone();
             Box::pin(async move { Ok(first) })
         }),
@@ -256,7 +256,7 @@
                 std::future::pending().await
             })
         }),
-        read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
+        read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
     };
     tokio::spawn(follow_config(running.gateway.clone(), feed));
     tokio::time::sleep(Duration::from_millis(300)).await;
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -88,9 +88,9 @@
         let (reading, asking, peer) = (self.clone(), self.clone(), self.clone());
         Feed {
             name: "config",
-            read: Box::new(move || Box::pin(reading.clone().ask_store(0, Duration::ZERO))),
+            read: Box::new(move |_| Box::pin(reading.clone().ask_store(0, Duration::ZERO))),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().ask_store(after, wait))),
-            read_from_peer: Box::new(move |address| {
+            read_from_peer: Box::new(move |address, _| {
                 peer.peers_asked.lock().push(address);
                 let answers = *peer.peer_answers.lock();
                 let page = answers.then(|| peer.page());
@@ -330,9 +330,9 @@
     let member = Member::relying().await;
     let table = Feed {
         name: "upstreams",
-        read: Box::new(|| Box::pin(async { Ok(empty_table()) })),
+        read: Box::new(|_| Box::pin(async { Ok(empty_table()) })),
         changes: Box::new(|_, _| Box::pin(async { Ok(empty_table()) })),
-        read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
+        read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
     };
     tokio::spawn(follow_upstreams(member.running.gateway.clone(), table));
     tokio::time::sleep(PERIOD).await;
--- a/crates/decisions/tests/rollouts.rs
+++ b/crates/decisions/tests/rollouts.rs
@@ -267,6 +267,17 @@
     }
 }
 
+/// Owners are replaced, and each of them grants out of its own account.
+#[gtest]
+fn slack_is_granted_by_the_first_owner_alone() {
+    let [first, second] = [1, 2].map(|term| RolloutOwner::new(term, 1, 0, SETTINGS.limit));
+
+    expect_that!(
+        (first.ledger.balance(), second.ledger.balance()),
+        eq((30, 0))
+    );
+}
+
 /// Without evidence a version does not take over, and is rolled back at the deadline.
 #[gtest]
 fn undecided_rollout_ends_with_a_rollback() {
