--- a/crates/catkinward/src/gateway/beliefs.rs
+++ b/crates/catkinward/src/gateway/beliefs.rs
@@ -30,7 +30,7 @@
             .count();
         let peers = state.peers.live_count(now);
         let age = state
-            .news
+            .gossip
             .age(now)
             .or(state.table_read.map(|at| now.since(at)));
         drop(state);
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -78,7 +78,7 @@
     /// Tells the sender of notes that upstreams died under calls.
     pub(crate) crashes_seen: Notify,
     /// Tells that news of the zone came.
-    pub(crate) news_came: Notify,
+    pub(crate) gossip_came: Notify,
     /// Newest configuration that another VM of the zone has in force.
     pub(crate) zone_config: watch::Sender<Option<ToldConfig>>,
     /// Counts how often a feed noticed that the store answers again.
@@ -132,7 +132,7 @@
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
             crashes_seen: Notify::new(),
-            news_came: Notify::new(),
+            gossip_came: Notify::new(),
             zone_config: watch::Sender::new(None),
             store_returns: watch::Sender::new(0),
             readiness: Mutex::new(Readiness::NothingKnown),
@@ -162,7 +162,7 @@
         self.state.lock().woke();
         self.known.send_replace(false);
         self.wakes.send_modify(|count| *count += 1);
-        self.news_came.notify_waiters();
+        self.gossip_came.notify_waiters();
     }
 
     /// Notes that a feed was read, whether or not there was anything new.
--- a/crates/catkinward/src/gateway/peer_notes.rs
+++ b/crates/catkinward/src/gateway/peer_notes.rs
@@ -110,7 +110,7 @@
         match ciborium::from_reader::<PeerDatagram, _>(&buf[..len]) {
             Ok(PeerDatagram::Note(note)) => gateway.take_note(note, address),
             Ok(PeerDatagram::Members(members)) => gateway.take_members(&members),
-            Ok(PeerDatagram::News(news)) => gateway.take_news(&news, address),
+            Ok(PeerDatagram::Gossip(news)) => gateway.take_gossip(&news, address),
             Ok(PeerDatagram::LoanAsk(ask)) => gateway.lend(ask, address),
             Ok(PeerDatagram::Loan(loan)) => gateway.borrow(&loan, address),
             Ok(PeerDatagram::Restart(restart)) => gateway.take_restart(&restart),
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -19,7 +19,7 @@
     pub(crate) cached: CachedPrompts,
     /// The platform's table of upstreams, as read here or told by another VM of the zone.
     pub(crate) table: UpstreamTable,
-    pub(crate) news: HeardNews,
+    pub(crate) gossip: GossipView,
     /// Whether the configuration, or the directory, was not read since this process last woke.
     pub(crate) old_config: bool,
     pub(crate) old_directory: bool,
@@ -84,7 +84,7 @@
             peers: PeerLoads::new(vm),
             cached: CachedPrompts::default(),
             table: UpstreamTable::default(),
-            news: HeardNews::default(),
+            gossip: GossipView::default(),
             table_read: None,
             config_read: None,
             rollouts: Rollouts::new(rollouts),
@@ -108,7 +108,7 @@
     pub(crate) fn woke(&mut self) {
         self.old_config = true;
         self.old_directory = true;
-        self.news = HeardNews::default();
+        self.gossip = GossipView::default();
         self.peers.forget_loads();
     }
 
--- a/crates/catkinward/src/gateway/zone_config.rs
+++ b/crates/catkinward/src/gateway/zone_config.rs
@@ -4,7 +4,7 @@
 //! not anything changes, so that calls of the store grow with the VMs. In a large zone only its reader does. It
 //! tells with each word which configuration is in force there and when the store was last asked; the others read a
 //! newer one from the VM that told of it. A reader whose own question hangs, or that the store turns away, tells an
-//! age that grows, and is not relied on for longer than [`CONFIG_NEWS_AGE`].
+//! age that grows, and is not relied on for longer than [`CONFIG_GOSSIP_AGE`].
 
 use super::*;
 
@@ -57,12 +57,12 @@
             return None;
         }
         let now = self.timer.now();
-        let told_until = match self.news_state(ZoneRole::Member) {
-            NewsState::Fresh(until) | NewsState::Behind(until) => until,
-            NewsState::Silent => return None,
+        let told_until = match self.gossip_state(ZoneRole::Member) {
+            GossipState::Fresh(until) | GossipState::Behind(until) => until,
+            GossipState::Silent => return None,
         };
         let state = self.state.lock();
-        let until = state.news.config_until()?.min(told_until);
+        let until = state.gossip.config_until()?.min(told_until);
         (!state.old_config && now < until).then_some(until)
     }
 
@@ -94,14 +94,14 @@
         let mut newest = self.zone_config.subscribe();
         let mut missed = false;
         loop {
-            let until = match self.news_state(ZoneRole::Member) {
-                NewsState::Fresh(until) | NewsState::Behind(until) => {
+            let until = match self.gossip_state(ZoneRole::Member) {
+                GossipState::Fresh(until) | GossipState::Behind(until) => {
                     missed = false;
                     until
                 }
-                NewsState::Silent if missed => return false,
+                GossipState::Silent if missed => return false,
                 // A change of the table may have been missed, which is being read meanwhile.
-                NewsState::Silent => {
+                GossipState::Silent => {
                     missed = true;
                     self.timer.now().after(TABLE_READ)
                 }
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -11,21 +11,21 @@
     /// Whether the table need not be read here now: another VM of the zone reads it and tells.
     pub(crate) fn relies_on_zone(&self) -> bool {
         let role = self.zone_role();
-        role != ZoneRole::Reader && matches!(self.news_state(role), NewsState::Fresh(_))
+        role != ZoneRole::Reader && matches!(self.gossip_state(role), GossipState::Fresh(_))
     }
 
     /// Waits for as long as others tell what they read, and nothing of it is missing here.
     pub(crate) async fn rely_on_zone(&self) {
         loop {
-            let mut came = std::pin::pin!(self.news_came.notified());
+            let mut came = std::pin::pin!(self.gossip_came.notified());
             came.as_mut().enable();
             let role = self.zone_role();
             if role == ZoneRole::Reader {
                 return;
             }
-            let until = match self.news_state(role) {
-                NewsState::Fresh(until) | NewsState::Behind(until) => until,
-                NewsState::Silent => return,
+            let until = match self.gossip_state(role) {
+                GossipState::Fresh(until) | GossipState::Behind(until) => until,
+                GossipState::Silent => return,
             };
             let wait = until.since(self.timer.now());
             // Whichever comes first, the state is looked at again.
@@ -36,7 +36,7 @@
     /// Waits until the zone tells what `relies` asks for.
     pub(crate) async fn zone_tells(&self, relies: fn(&Self) -> bool) {
         loop {
-            let mut came = std::pin::pin!(self.news_came.notified());
+            let mut came = std::pin::pin!(self.gossip_came.notified());
             came.as_mut().enable();
             if relies(self) {
                 return;
@@ -54,7 +54,7 @@
         let read = state.table.read(&page.rows, whole, page.version);
         let entries = whole.then(|| state.table.entries());
         if from_store {
-            state.news.read_here();
+            state.gossip.read_here();
             state.table_read = Some(now);
         }
         drop(state);
@@ -76,9 +76,9 @@
         let now = self.timer.now();
         let state = self.state.lock();
         let read_here = state.table_read.map(|at| now.since(at));
-        let told = match state.news.state(NEWS_AGE, now) {
-            NewsState::Fresh(_) => state.news.age(now),
-            NewsState::Behind(_) | NewsState::Silent => None,
+        let told = match state.gossip.state(GOSSIP_AGE, now) {
+            GossipState::Fresh(_) => state.gossip.age(now),
+            GossipState::Behind(_) | GossipState::Silent => None,
         };
         let fresh = [read_here, told].into_iter().flatten().any(|a| a <= age);
         fresh.then(|| FeedPage {
@@ -99,12 +99,12 @@
         }
         let now = self.timer.now();
         let state = self.state.lock();
-        let read = state.table_read.filter(|at| now.since(*at) < NEWS_AGE);
+        let read = state.table_read.filter(|at| now.since(*at) < GOSSIP_AGE);
         let Some(read) = read else {
             return;
         };
         let age_ms = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let news = ZoneNews {
+        let gossip = ZoneGossip {
             vm: self.settings.vm.clone(),
             config: state.config.get().map(|config| config.version),
             config_age_ms: state.config_read.map(age_ms),
@@ -121,49 +121,52 @@
             changes.chunks(CHANGES_TOLD).map(<[_]>::to_vec).collect()
         };
         for changes in parts {
-            let news = ZoneNews {
+            let gossip = ZoneGossip {
                 changes,
-                ..news.clone()
+                ..gossip.clone()
             };
             for address in &told {
-                self.outbox.send(*address, PeerDatagram::News(news.clone()));
+                self.outbox
+                    .send(*address, PeerDatagram::Gossip(gossip.clone()));
             }
         }
     }
 
     /// Takes in another VM's word on the table, with the address that it came from.
-    pub fn take_news(&self, news: &ZoneNews, address: SocketAddr) {
+    pub fn take_gossip(&self, gossip: &ZoneGossip, address: SocketAddr) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         // Who tells is a member that may not be known yet. Taken for alone, this VM would read for the zone too.
         let teller = MemberWord {
-            vm: news.vm.clone(),
+            vm: gossip.vm.clone(),
             zone: None,
             address,
             age_ms: 0,
         };
         let zone = &self.settings.zone;
         state.peers.take_members(&[teller], zone, now);
-        let changes = state.table.told(&news.changes, news.version, news.digest);
+        let changes = state
+            .table
+            .told(&gossip.changes, gossip.version, gossip.digest);
         let table = std::mem::take(&mut state.table);
-        state.news.take(news, &table, now);
+        state.gossip.take(gossip, &table, now);
         state.table = table;
-        if matches!(state.news.state(NEWS_AGE, now), NewsState::Fresh(_)) {
+        if matches!(state.gossip.state(GOSSIP_AGE, now), GossipState::Fresh(_)) {
             state.directory.platform_answers(now);
         }
         drop(state);
         if !changes.is_empty() {
             tracing::info!(
-                vm = &*news.vm,
-                version = news.version,
+                vm = &*gossip.vm,
+                version = gossip.version,
                 changes = changes.len(),
-                age_ms = news.age_ms,
-                "news of the zone"
+                age_ms = gossip.age_ms,
+                "gossip received"
             );
         }
         self.take_changes(changes);
-        self.config_told(news.config, address);
-        self.news_came.notify_waiters();
+        self.config_told(gossip.config, address);
+        self.gossip_came.notify_waiters();
     }
 
     /// Whether the table is kept up to date here, from the store or by another VM of the zone.
@@ -172,9 +175,9 @@
         let state = self.state.lock();
         let read = state
             .table_read
-            .is_some_and(|at| now.since(at) < NEWS_AGE && !state.old_directory);
+            .is_some_and(|at| now.since(at) < GOSSIP_AGE && !state.old_directory);
         drop(state);
-        read || matches!(self.news_state(ZoneRole::Member), NewsState::Fresh(_))
+        read || matches!(self.gossip_state(ZoneRole::Member), GossipState::Fresh(_))
     }
 
     /// Version of the store up to which the table is known here.
@@ -182,19 +185,19 @@
         self.state.lock().table.version()
     }
 
-    pub(crate) fn news_state(&self, role: ZoneRole) -> NewsState {
+    pub(crate) fn gossip_state(&self, role: ZoneRole) -> GossipState {
         let age = if role == ZoneRole::Standby {
             STANDBY_AGE
         } else {
-            NEWS_AGE
+            GOSSIP_AGE
         };
         let now = self.timer.now();
         let state = self.state.lock();
         if state.old_directory {
             // Datagrams from before this process was suspended still come, and seem new.
-            return NewsState::Silent;
+            return GossipState::Silent;
         }
-        state.news.state(age, now)
+        state.gossip.state(age, now)
     }
 
     /// Whether none but a few VMs of this zone ask the store all the time.
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -9,7 +9,7 @@
 use catkin_decisions::{
     Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
     Policy, PromptPart, RepeatBudgetConfig, RolloutSettings, Route, RouteTable, RouteTarget,
-    RoutingConfig, ServiceSpec, TableRow, UpstreamEntry, ZoneNews,
+    RoutingConfig, ServiceSpec, TableRow, UpstreamEntry, ZoneGossip,
 };
 use catkinward::{
     Timer,
@@ -211,8 +211,8 @@
 
 impl Running {
     /// Takes in another VM's word on the table, from [`TELLER`].
-    pub fn hear_news(&self, news: &ZoneNews) {
-        self.gateway.take_news(news, TELLER.parse().unwrap());
+    pub fn hear_gossip(&self, gossip: &ZoneGossip) {
+        self.gateway.take_gossip(gossip, TELLER.parse().unwrap());
     }
 
     pub fn call(&self, path: &str) -> Call {
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -3,8 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    Born, CHANGES_TOLD, ConfigVersion, NEWS_AGE, PeerDatagram, RoutingConfig, UpstreamChange,
-    UpstreamEntry, UpstreamTable, ZoneNews, ZoneRole,
+    Born, CHANGES_TOLD, ConfigVersion, GOSSIP_AGE, PeerDatagram, RoutingConfig, UpstreamChange,
+    UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole,
 };
 use catkinward::gateway::{
     Feed, FeedFault, FeedPage, exchange_notes, follow_config, follow_upstreams,
@@ -88,10 +88,10 @@
     }
 
     /// What a VM tells that has just read the table.
-    fn news(&self, changes: &[UpstreamChange]) -> ZoneNews {
+    fn news(&self, changes: &[UpstreamChange]) -> ZoneGossip {
         let mut table = UpstreamTable::default();
         table.read(&self.rows.lock(), true, *self.version.lock());
-        ZoneNews {
+        ZoneGossip {
             vm: reader(),
             config: Some(ConfigVersion(1)),
             config_age_ms: Some(0),
@@ -133,7 +133,7 @@
     tokio::spawn(follow_upstreams(running.gateway.clone(), table.feed()));
     for _ in 0..10 {
         hear_of_reader(&running);
-        running.hear_news(&table.news(&[]));
+        running.hear_gossip(&table.news(&[]));
         tokio::time::sleep(PERIOD).await;
     }
     table.take_calls();
@@ -148,7 +148,7 @@
 
     for _ in 0..20 {
         hear_of_reader(&running);
-        running.hear_news(&table.news(&[]));
+        running.hear_gossip(&table.news(&[]));
         tokio::time::sleep(PERIOD).await;
     }
 
@@ -163,7 +163,7 @@
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
 
-    running.hear_news(&table.news(&[change]));
+    running.hear_gossip(&table.news(&[change]));
     for _ in 0..8 {
         read_stream(running.handle("/stream/1").await).await;
     }
@@ -178,10 +178,10 @@
 #[tokio::test(start_paused = true)]
 async fn vm_reads_by_itself_when_nobody_tells_any_more() {
     let (running, table) = relying().await;
-    running.hear_news(&table.news(&[]));
+    running.hear_gossip(&table.news(&[]));
 
     table.set_leaving(0);
-    tokio::time::sleep(NEWS_AGE + Duration::from_millis(20)).await;
+    tokio::time::sleep(GOSSIP_AGE + Duration::from_millis(20)).await;
     for _ in 0..8 {
         read_stream(running.handle("/stream/1").await).await;
     }
@@ -197,7 +197,7 @@
     let (running, table) = relying().await;
     table.set_leaving(0);
 
-    running.hear_news(&table.news(&[]));
+    running.hear_gossip(&table.news(&[]));
     tokio::time::sleep(Duration::from_millis(100)).await;
 
     expect_that!(table.take_calls(), ge(1));
@@ -213,7 +213,7 @@
     table.set_leaving(0);
 
     running.gateway.woke(Duration::from_secs(4));
-    running.hear_news(&old);
+    running.hear_gossip(&old);
     tokio::time::sleep(Duration::from_millis(100)).await;
 
     expect_that!(table.take_calls(), ge(1));
@@ -263,7 +263,7 @@
 
     for _ in 0..3 {
         hear_of_reader(&running);
-        running.hear_news(&ZoneNews {
+        running.hear_gossip(&ZoneGossip {
             config: Some(ConfigVersion(11)),
             ..table.news(&[])
         });
@@ -295,8 +295,8 @@
     let mut buf = [0; 2000];
     let end = tokio::time::Instant::now() + Duration::from_secs(1);
     while let Ok(Ok(len)) = tokio::time::timeout_at(end, peer.recv(&mut buf)).await {
-        if let Ok(PeerDatagram::News(news)) = ciborium::from_reader(&buf[..len]) {
-            versions.push(news.version);
+        if let Ok(PeerDatagram::Gossip(gossip)) = ciborium::from_reader(&buf[..len]) {
+            versions.push(gossip.version);
         }
     }
     versions
@@ -324,7 +324,7 @@
     let (relying, table) = relying().await;
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
-    relying.hear_news(&table.news(std::slice::from_ref(&change)));
+    relying.hear_gossip(&table.news(std::slice::from_ref(&change)));
     let shown = relying.gateway.table_page(age);
     let turned_away = GatewayFixture::new(|_| Script::Hang).start();
     hear_of_reader(&turned_away);
@@ -400,7 +400,7 @@
             )
         }),
     };
-    let news = ZoneNews {
+    let gossip = ZoneGossip {
         vm: "edge-stirling-depot-long-400".into(),
         config: Some(ConfigVersion(u64::from(u32::MAX))),
         config_age_ms: Some(2400),
@@ -411,7 +411,7 @@
     };
 
     let mut buf = Vec::new();
-    ciborium::into_writer(&PeerDatagram::News(news), &mut buf).unwrap();
+    ciborium::into_writer(&PeerDatagram::Gossip(gossip), &mut buf).unwrap();
 
     expect_that!(buf.len(), le(1400));
 }
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -3,7 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    CONFIG_NEWS_AGE, ConfigVersion, RoutingConfig, UpstreamEntry, UpstreamTable, ZoneNews, ZoneRole,
+    CONFIG_GOSSIP_AGE, ConfigVersion, RoutingConfig, UpstreamEntry, UpstreamTable, ZoneGossip,
+    ZoneRole,
 };
 use catkinward::gateway::{Feed, FeedFault, FeedPage, follow_config, follow_upstreams};
 use gateway_support::*;
@@ -141,7 +142,7 @@
     /// Notes of all others, and the word of one that has what the store has, and asked it so long ago.
     fn hear(&self, config_age: Duration) {
         self.hear_notes();
-        self.running.hear_news(&ZoneNews {
+        self.running.hear_gossip(&ZoneGossip {
             config: Some(self.source.version()),
             ..self.word(config_age)
         });
@@ -153,8 +154,8 @@
         }
     }
 
-    fn word(&self, config_age: Duration) -> ZoneNews {
-        ZoneNews {
+    fn word(&self, config_age: Duration) -> ZoneGossip {
+        ZoneGossip {
             vm: self.others[0].clone(),
             config: self.running.gateway.config().map(|config| config.version),
             config_age_ms: Some(u32::try_from(config_age.as_millis()).unwrap()),
@@ -287,11 +288,11 @@
 
     while member.version() < ConfigVersion(3) && start.elapsed() < 2 * BOUND {
         member.hear_notes();
-        member.running.hear_news(&member.word(start.elapsed()));
+        member.running.hear_gossip(&member.word(start.elapsed()));
         tokio::time::sleep(PERIOD).await;
     }
 
-    expect_that!(start.elapsed(), le(CONFIG_NEWS_AGE + PERIOD));
+    expect_that!(start.elapsed(), le(CONFIG_GOSSIP_AGE + PERIOD));
 }
 
 /// All who tell die at once, right after the store has acknowledged a change.
@@ -317,7 +318,7 @@
     member.source.set_version(3);
 
     member.running.gateway.woke(Duration::from_secs(4));
-    member.running.hear_news(&old);
+    member.running.hear_gossip(&old);
     tokio::time::sleep(Duration::from_millis(50)).await;
 
     expect_that!(member.version(), eq(ConfigVersion(3)));
@@ -385,7 +386,7 @@
             member.hear_notes();
             if rng.random_bool(0.7) {
                 let word = member.word(reader_asked.elapsed());
-                member.running.hear_news(&ZoneNews {
+                member.running.hear_gossip(&ZoneGossip {
                     config: Some(reader_knows),
                     ..word
                 });
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -191,9 +191,9 @@
     wake_detector::WakeDetector,
     wall_time::WallTime,
     zone_alarm::ZoneAlarm,
-    zone_news::{
-        CHANGES_TOLD, CONFIG_NEWS_AGE, CONFIG_WAIT, HeardNews, NEWS_AGE, NewsState, REST_WAIT,
-        STANDBY_AGE, ZoneNews,
+    zone_gossip::{
+        CHANGES_TOLD, CONFIG_GOSSIP_AGE, CONFIG_WAIT, GOSSIP_AGE, GossipState, GossipView,
+        REST_WAIT, STANDBY_AGE, ZoneGossip,
     },
     zone_role::{ZoneRole, is_large_zone},
 };
@@ -361,5 +361,5 @@
 mod wake_detector;
 mod wall_time;
 mod zone_alarm;
-mod zone_news;
+mod zone_gossip;
 mod zone_role;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -9,9 +9,9 @@
     /// Members for one that wanted some.
     #[serde(rename = "m")]
     Members(Vec<MemberWord>),
-    /// What a VM has read of the platform.
+    /// What a VM has read of the store.
     #[serde(rename = "z")]
-    News(ZoneNews),
+    Gossip(ZoneGossip),
     /// Asks for repeats that the other does not need.
     #[serde(rename = "a")]
     LoanAsk(LoanAsk),
--- a/crates/decisions/src/zone_news.rs
+++ b/crates/decisions/src/zone_gossip.rs
@@ -1,11 +1,11 @@
-//! News of the platform within an availability zone: who reads it, and who may rely on that.
+//! Gossip within an availability zone: what the VMs that poll the store advertise, and who may rely on it.
 
 use super::*;
 
-/// Age up to which another VM's reading of the store counts: it reads every 1.1 s and tells every 0.4 s.
-/// A VM that relies on it and finds it older reads by itself at once, which leaves 0.4 s of the two
-/// seconds in which a leaving upstream must be known.
-pub const NEWS_AGE: Duration = Duration::from_millis(1600);
+/// Age up to which another VM's poll of the store counts: it polls every 1.1 s and gossips every 0.4 s. A VM whose
+/// gossip is older polls by itself at once, which leaves 0.4 s of the two seconds in which a leaving upstream must
+/// be known.
+pub const GOSSIP_AGE: Duration = Duration::from_millis(1600);
 
 /// Age of the reader's word at which the VM that stands by reads: later than the reader's word comes as a rule, and
 /// sooner than the others do without it.
@@ -14,21 +14,21 @@
 /// Age up to which another VM's reading of the configuration counts. Its question waits at the store for up to
 /// [`CONFIG_WAIT`]; the rest is for a store that is slow. Beyond that a VM asks by itself, which leaves half a
 /// second of the three in which a configuration must be in force.
-pub const CONFIG_NEWS_AGE: Duration = Duration::from_millis(2400);
+pub const CONFIG_GOSSIP_AGE: Duration = Duration::from_millis(2400);
 
 /// How long a question for changes of the configuration waits at the store. Its sum with the bound of an answer
 /// stays below three seconds, so that a silent connection is noticed in that time.
 pub const CONFIG_WAIT: Duration = Duration::from_millis(1900);
 
-/// Wait for the rest of news that came in part, or overtook a part, before the table is read instead.
+/// Wait for the rest of a delta that came in part, or overtook a part, before the table is read instead.
 pub const REST_WAIT: Duration = Duration::from_millis(60);
 
 /// Changes in one datagram: about 110 bytes each, within 1,400.
 pub const CHANGES_TOLD: usize = 10;
 
-/// A VM's word on what it has read of the platform, to the VMs of its zone.
+/// What a VM advertises to its zone of what it has read from the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ZoneNews {
+pub struct ZoneGossip {
     /// Its name.
     #[serde(rename = "v")]
     pub vm: Arc<str>,
@@ -52,35 +52,35 @@
     pub changes: Vec<UpstreamChange>,
 }
 
-/// What this VM knows by the word of others of its zone.
+/// What this VM has received from others of its zone.
 #[derive(Clone, Debug, Default)]
-pub struct HeardNews {
-    /// When the store was heard by the one who heard it last.
+pub struct GossipView {
+    /// When the store last answered any of them.
     store_heard: Option<Instant>,
-    /// When the store was asked for the configuration by the one who did so last.
+    /// When any of them last polled the store for the configuration.
     config_heard: Option<Instant>,
     /// Since when the own table is known to miss something.
     behind: Option<Instant>,
 }
 
-/// How this VM stands to the news.
+/// Whether this VM may rely on gossip.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NewsState {
+pub enum GossipState {
     /// The own table holds what the store said, until then at least.
     Fresh(Instant),
     /// Something is missing; it may still come until then.
     Behind(Instant),
-    /// Nobody tells.
+    /// No fresh gossip.
     Silent,
 }
 
-impl HeardNews {
-    /// Takes in a word, after the changes in it were taken into `table`.
-    pub fn take(&mut self, news: &ZoneNews, table: &UpstreamTable, now: Instant) {
+impl GossipView {
+    /// Takes in gossip, after the changes in it were merged into `table`.
+    pub fn take(&mut self, gossip: &ZoneGossip, table: &UpstreamTable, now: Instant) {
         let ago = |ms: u32| now.before(Duration::from_millis(ms.into()));
-        self.store_heard = self.store_heard.max(Some(ago(news.age_ms)));
-        self.config_heard = self.config_heard.max(news.config_age_ms.map(ago));
-        if table.is_behind(news.version, news.digest) {
+        self.store_heard = self.store_heard.max(Some(ago(gossip.age_ms)));
+        self.config_heard = self.config_heard.max(gossip.config_age_ms.map(ago));
+        if table.is_behind(gossip.version, gossip.digest) {
             self.behind.get_or_insert(now);
         } else {
             self.behind = None;
@@ -101,19 +101,20 @@
     /// Until when the configuration is known by the word of others; none if nobody told of theirs.
     #[must_use]
     pub fn config_until(&self) -> Option<Instant> {
-        self.config_heard.map(|heard| heard.after(CONFIG_NEWS_AGE))
+        self.config_heard
+            .map(|heard| heard.after(CONFIG_GOSSIP_AGE))
     }
 
     /// Whether the own table can be relied on without reading it, for words up to an age.
     #[must_use]
-    pub fn state(&self, age: Duration, now: Instant) -> NewsState {
+    pub fn state(&self, age: Duration, now: Instant) -> GossipState {
         let until = self.store_heard.map(|heard| heard.after(age));
         match (until, self.behind) {
-            (Some(until), None) if now < until => NewsState::Fresh(until),
+            (Some(until), None) if now < until => GossipState::Fresh(until),
             (Some(until), Some(since)) if now < until && now.since(since) < REST_WAIT => {
-                NewsState::Behind(since.after(REST_WAIT))
+                GossipState::Behind(since.after(REST_WAIT))
             }
-            _ => NewsState::Silent,
+            _ => GossipState::Silent,
         }
     }
 }
--- a/crates/decisions/tests/rollout_judge.rs
+++ b/crates/decisions/tests/rollout_judge.rs
@@ -174,6 +174,36 @@
     expect_that!(judge.answers(), eq((2, 2)));
 }
 
+/// The last answers before the deadline are bad, too few to be sure.
+#[gtest]
+fn version_under_suspicion_is_not_good() {
+    let life = VmLife {
+        vm: "vm-1".into(),
+        incarnation: 1,
+    };
+    let success = AnswerOutcome::Success(Duration::from_millis(10));
+    let mut evidence = RouteEvidence::new("/quick/".into());
+    let mut verdicts = Vec::new();
+    for failures in [0, 2] {
+        let mut judge = RolloutJudge::default();
+        for _ in 0..40 {
+            evidence.old.count(success);
+            evidence.new.count(success);
+        }
+        judge.take(&life, &evidence);
+        for _ in 0..failures {
+            evidence.new.count(AnswerOutcome::Failure);
+        }
+        judge.take(&life, &evidence);
+        verdicts.push(judge.verdict());
+    }
+
+    expect_that!(
+        verdicts,
+        eq(&[RolloutVerdict::Good, RolloutVerdict::Undecided])
+    );
+}
+
 #[gtest]
 fn counts_know_their_median_and_their_slow_answers() {
     let mut counts = AnswerCounts::default();
--- a/crates/decisions/tests/rollouts.rs
+++ b/crates/decisions/tests/rollouts.rs
@@ -143,6 +143,20 @@
     }
 }
 
+/// The order of a rollout that was rolled back is withdrawn; its version is still bad.
+#[gtest]
+fn version_that_was_rolled_back_stays_out_without_its_order() {
+    let mut rollouts = rollouts();
+    rollouts.take(
+        &notice(order("v2", 7), 1, RolloutPhase::RolledBack),
+        at(1000),
+    );
+
+    rollouts.withdraw(&"shop".parse().unwrap(), 8);
+
+    expect_that!(admissions(&rollouts, at(60_000))[1], eq(Admission::Barred));
+}
+
 /// Notices overtake each other.
 #[gtest]
 fn end_of_a_rollout_is_never_undone() {
--- a/crates/decisions/tests/zone_news.rs
+++ b/crates/decisions/tests/zone_gossip.rs
@@ -1,8 +1,8 @@
 //! One VM of a zone reads the platform's table of upstreams, and the others rely on its word.
 
 use catkin_decisions::{
-    ConfigVersion, HeardNews, Instant, NEWS_AGE, NewsState, REST_WAIT, UpstreamChange,
-    UpstreamEntry, UpstreamTable, ZoneNews, ZoneRole,
+    ConfigVersion, GOSSIP_AGE, GossipState, GossipView, Instant, REST_WAIT, UpstreamChange,
+    UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -54,10 +54,10 @@
 }
 
 /// What a VM tells that has read `changes` up to `version` after the same beginning.
-fn news(changes: &[UpstreamChange], version: u64) -> ZoneNews {
+fn news(changes: &[UpstreamChange], version: u64) -> ZoneGossip {
     let mut table = table();
     let changes = table.read(&written(version, changes), false, version).news;
-    ZoneNews {
+    ZoneGossip {
         vm: "vm-1".into(),
         config: Some(ConfigVersion(1)),
         config_age_ms: Some(0),
@@ -69,13 +69,13 @@
 }
 
 /// How a VM stands after it has taken in news, each at its time.
-fn after(taken: &[(u64, ZoneNews)], now: Instant) -> (UpstreamTable, NewsState) {
-    let (mut table, mut heard) = (table(), HeardNews::default());
-    for (ms, news) in taken {
-        table.told(&news.changes, news.version, news.digest);
-        heard.take(news, &table, at(*ms));
+fn after(taken: &[(u64, ZoneGossip)], now: Instant) -> (UpstreamTable, GossipState) {
+    let (mut table, mut heard) = (table(), GossipView::default());
+    for (ms, gossip) in taken {
+        table.told(&gossip.changes, gossip.version, gossip.digest);
+        heard.take(gossip, &table, at(*ms));
     }
-    (table, heard.state(NEWS_AGE, now))
+    (table, heard.state(GOSSIP_AGE, now))
 }
 
 /// Entries are written anew all the time with nothing new in them. Told on, they would fill the links of
@@ -96,7 +96,7 @@
 fn an_upstream_that_leaves_is_known_by_another_vms_word() {
     let (table, state) = after(&[(1000, news(&[entry(2, true)], 11))], at(1010));
 
-    expect_that!(state, eq(NewsState::Fresh(at(1000).after(NEWS_AGE))));
+    expect_that!(state, eq(GossipState::Fresh(at(1000).after(GOSSIP_AGE))));
     expect_that!(table.version(), eq(11));
 }
 
@@ -105,7 +105,7 @@
 #[gtest]
 fn a_lost_change_shows_with_the_next_word() {
     let lost = news(&[entry(2, true)], 11);
-    let next = ZoneNews {
+    let next = ZoneGossip {
         changes: Vec::new(),
         ..lost
     };
@@ -113,8 +113,8 @@
     let (_, soon) = after(&[(1000, next.clone())], at(1010));
     let (_, later) = after(&[(1000, next)], at(1000).after(REST_WAIT));
 
-    expect_that!(soon, eq(NewsState::Behind(at(1000).after(REST_WAIT))));
-    expect_that!(later, eq(NewsState::Silent));
+    expect_that!(soon, eq(GossipState::Behind(at(1000).after(REST_WAIT))));
+    expect_that!(later, eq(GossipState::Silent));
 }
 
 /// Many upstreams change at once, and the changes fill two datagrams. The first one alone does not fit
@@ -122,7 +122,7 @@
 #[gtest]
 fn the_rest_of_a_change_is_waited_for() {
     let both = news(&[entry(2, true), removed(3)], 11);
-    let part = |changes: &[UpstreamChange]| ZoneNews {
+    let part = |changes: &[UpstreamChange]| ZoneGossip {
         changes: changes.to_vec(),
         ..both.clone()
     };
@@ -131,24 +131,24 @@
     let (_, half) = after(&[(1000, second.clone())], at(1005));
     let (_, whole) = after(&[(1000, second), (1005, first)], at(1006));
 
-    expect_that!(half, eq(NewsState::Behind(at(1000).after(REST_WAIT))));
-    expect_that!(whole, eq(NewsState::Fresh(at(1005).after(NEWS_AGE))));
+    expect_that!(half, eq(GossipState::Behind(at(1000).after(REST_WAIT))));
+    expect_that!(whole, eq(GossipState::Fresh(at(1005).after(GOSSIP_AGE))));
 }
 
 /// The VM that reads loses its power, or the store turns it away and its words grow old. The others read
 /// the table themselves before a leaving upstream gets calls for longer than it may.
 #[gtest]
 fn old_words_do_not_count() {
-    let stale = ZoneNews {
+    let stale = ZoneGossip {
         age_ms: 1500,
         ..news(&[], 11)
     };
 
-    let (_, lost) = after(&[(5000, news(&[], 11))], at(5000).after(NEWS_AGE));
+    let (_, lost) = after(&[(5000, news(&[], 11))], at(5000).after(GOSSIP_AGE));
     let (_, turned_away) = after(&[(5000, stale)], at(5150));
 
-    expect_that!(lost, eq(NewsState::Silent));
-    expect_that!(turned_away, eq(NewsState::Silent));
+    expect_that!(lost, eq(GossipState::Silent));
+    expect_that!(turned_away, eq(GossipState::Silent));
 }
 
 /// Two VMs read for a zone, and the word of the one that lags comes last. What it does not know yet must
@@ -161,7 +161,7 @@
     let (table, state) = after(&[(1000, newer.clone()), (1001, older)], at(1002));
 
     expect_that!(table.digest(), eq(newer.digest));
-    expect_that!(state, matches_pattern!(NewsState::Fresh(_)));
+    expect_that!(state, matches_pattern!(GossipState::Fresh(_)));
 }
 
 #[gtest]
