--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -291,3 +291,33 @@
 
     expect_that!(*reads.lock(), ge(2));
 }
+
+/// A store that sends a byte now and then, and never an end.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn whole_read_without_an_end_is_given_up() {
+    let reads = Arc::new(Mutex::new(0));
+    let count = reads.clone();
+    let trickle = |progress: ReadProgress<UpstreamEntry>| async move {
+        while progress.send(ReadPart::Bytes).is_ok() {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        Err(FeedFault::NoAnswer)
+    };
+    let feed = Feed {
+        read: Box::new(move |progress| {
+            *count.lock() += 1;
+            Box::pin(trickle(progress))
+        }),
+        ..slow_table(2, true)
+    };
+
+    let running = GatewayFixture::new(|_| Script::Hang).unstarted();
+    tokio::spawn(follow_upstreams(running.gateway.clone(), feed));
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let early = *reads.lock();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    expect_that!(early, eq(1));
+    expect_that!(*reads.lock(), ge(2));
+}
--- a/crates/decisions/tests/rollouts.rs
+++ b/crates/decisions/tests/rollouts.rs
@@ -178,11 +178,10 @@
 fn rollback_reaches_a_later_owner() {
     let mut rollout = Rollout::new(order("v2", 7), Duration::from_secs(12), at(0));
     rollout.take(&notice(order("v2", 7), 2, RolloutPhase::Running), at(0));
+    let mut rolled_back = notice(order("v2", 7), 1, RolloutPhase::RolledBack);
+    rolled_back.progress.stored = false;
 
-    rollout.take(
-        &notice(order("v2", 7), 1, RolloutPhase::RolledBack),
-        at(100),
-    );
+    rollout.take(&rolled_back, at(100));
 
     expect_that!(rollout.progress.phase, eq(RolloutPhase::RolledBack));
 }
