--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -46,11 +46,8 @@
 >;
 
 /// Reads a feed from another VM, named by the address that its notes come from.
-pub type ReadFromPeer<T> = Box<
-    dyn Fn(SocketAddr, ReadProgress<T>) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>>
-        + Send
-        + Sync,
->;
+pub type ReadFromPeer<T> =
+    Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<FeedPage<T>, FeedFault>> + Send + Sync>;
 
 /// Asks for changes after a version.
 pub type AskChanges<T> =
@@ -184,9 +181,9 @@
 }
 
 async fn ask_peer<T>(feed: &Feed<T>, peer: SocketAddr) -> Option<FeedPage<T>> {
-    let (progress, parts) = mpsc::unbounded_channel();
-    let read = (feed.read_from_peer)(peer, progress);
-    match while_it_progresses(read, parts, PEER_BOUND, |_| {}).await {
+    // A VM whose link is full must not be kept busy by those that read from it; they have the store.
+    let answer = tokio::time::timeout(PEER_BOUND, (feed.read_from_peer)(peer)).await;
+    match answer.unwrap_or(Err(FeedFault::NoAnswer)) {
         Ok(page) => {
             tracing::info!(feed = feed.name, %peer, version = page.version, "read from a peer");
             Some(page)
--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -71,7 +71,7 @@
             if running.is_empty() {
                 return;
             }
-            let failed = self.report(&running);
+            let reported = self.report(&running);
             for rollout in running {
                 if self.gateway.owns(&rollout.order.service) {
                     self.drive(&rollout).await;
@@ -83,7 +83,7 @@
             tokio::select! {
                 tick = ticks.recv() => if tick.is_none() { return },
                 () = gateway.rollouts_changed.notified() => {
-                    if !failed {
+                    if !reported {
                         // Failures of a moment are reported together.
                         tokio::time::sleep(ROLLOUT_TICK / 4).await;
                         self.report_at = Instant::default();
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -70,7 +70,7 @@
             name: "config",
             read: Box::new(move |_| Box::pin(reading.clone().read())),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().changes(after, wait))),
-            read_from_peer: Box::new(move |_, _| {
+            read_from_peer: Box::new(move |_| {
                 let peer = peer.clone();
                 Box::pin(async move { peer.map(|p| p.page()).ok_or(FeedFault::NoAnswer) })
             }),
@@ -223,7 +223,7 @@
         name: "upstreams",
         read: Box::new(move |progress| Box::pin(read(progress))),
         changes: Box::new(|_, _| Box::pin(std::future::pending())),
-        read_from_peer: Box::new(|_, _| Box::pin(async { Err(FeedFault::NoAnswer) })),
+        read_from_peer: Box::new(|_| Box::pin(async { Err(FeedFault::NoAnswer) })),
     }
 }
 
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -64,7 +64,7 @@
             name: "upstreams",
             read: Box::new(|_| Box::pin(async { Err(FeedFault::Refused) })),
             changes: Box::new(|_, _| Box::pin(async { Err(FeedFault::Refused) })),
-            read_from_peer: Box::new(move |_, _| {
+            read_from_peer: Box::new(move |_| {
                 let page = peer.page();
                 Box::pin(async move { Ok(page) })
             }),
@@ -83,7 +83,7 @@
                 let page = asking.page();
                 Box::pin(async move { Ok(page) })
             }),
-            read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
+            read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
         }
     }
 
@@ -256,7 +256,7 @@
                 std::future::pending().await
             })
         }),
-        read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
+        read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
     };
     tokio::spawn(follow_config(running.gateway.clone(), feed));
     tokio::time::sleep(Duration::from_millis(300)).await;
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -91,7 +91,7 @@
             name: "config",
             read: Box::new(move |_| Box::pin(reading.clone().ask_store(0, Duration::ZERO))),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().ask_store(after, wait))),
-            read_from_peer: Box::new(move |address, _| {
+            read_from_peer: Box::new(move |address| {
                 peer.peers_asked.lock().push(address);
                 let answers = *peer.peer_answers.lock();
                 let page = answers.then(|| peer.page());
@@ -333,7 +333,7 @@
         name: "upstreams",
         read: Box::new(|_| Box::pin(async { Ok(empty_table()) })),
         changes: Box::new(|_, _| Box::pin(async { Ok(empty_table()) })),
-        read_from_peer: Box::new(|_, _| Box::pin(std::future::pending())),
+        read_from_peer: Box::new(|_| Box::pin(std::future::pending())),
     };
     tokio::spawn(follow_upstreams(member.running.gateway.clone(), table));
     tokio::time::sleep(PERIOD).await;
--- a/crates/decisions/src/rollout_order.rs
+++ b/crates/decisions/src/rollout_order.rs
@@ -30,9 +30,6 @@
     /// All upstreams of the service have that version already.
     #[display("the version is in use already")]
     VersionInUse,
-    /// It was withdrawn.
-    #[display("the order was withdrawn")]
-    Withdrawn,
 }
 
 impl RolloutOrder {
--- a/crates/decisions/src/rollouts.rs
+++ b/crates/decisions/src/rollouts.rs
@@ -40,9 +40,9 @@
     known: Vec<Rollout>,
     /// Sorted by service and version, with the time since when a version may get requests.
     versions: Vec<(ServiceId, SoftwareVersion, Instant)>,
-    /// Versions that were rolled back, sorted, with the order that brought them.
-    rolled_back: Vec<(ServiceId, SoftwareVersion, u64)>,
-    /// Orders that were withdrawn or replaced, by service, with the version of the store.
+    /// Versions that were rolled back, sorted.
+    rolled_back: Vec<(ServiceId, SoftwareVersion)>,
+    /// Services whose order was withdrawn, sorted, with the version of the store.
     withdrawn: Vec<(ServiceId, u64)>,
 }
 
@@ -154,7 +154,7 @@
     #[must_use]
     pub fn is_idle(&self, service: &ServiceId, now: Instant) -> bool {
         self.position(service).is_err()
-            && !self.rolled_back.iter().any(|(s, _, _)| s == service)
+            && !self.rolled_back.iter().any(|(s, _)| s == service)
             && !self
                 .versions
                 .iter()
@@ -208,9 +208,7 @@
 
     fn is_rolled_back(&self, service: &ServiceId, version: &SoftwareVersion) -> bool {
         let key = (service, version);
-        let place = self
-            .rolled_back
-            .binary_search_by(|(s, v, _)| (s, v).cmp(&key));
+        let place = self.rolled_back.binary_search_by(|(s, v)| (s, v).cmp(&key));
         place.is_ok()
     }
 
@@ -230,18 +228,16 @@
             RolloutPhase::RolledBack => self.bar(&order),
             RolloutPhase::Completed => self
                 .rolled_back
-                .retain(|(s, v, _)| (s, v) != (&order.service, &order.to)),
+                .retain(|(s, v)| (s, v) != (&order.service, &order.to)),
             RolloutPhase::Running | RolloutPhase::Completing => {}
         }
     }
 
     fn bar(&mut self, order: &RolloutOrder) {
         let key = (&order.service, &order.to);
-        let place = self
-            .rolled_back
-            .binary_search_by(|(s, v, _)| (s, v).cmp(&key));
+        let place = self.rolled_back.binary_search_by(|(s, v)| (s, v).cmp(&key));
         if let Err(index) = place {
-            let barred = (order.service.clone(), order.to.clone(), order.written);
+            let barred = (order.service.clone(), order.to.clone());
             self.rolled_back.insert(index, barred);
         }
     }
