A silent VM does not hold up connections to others

One lock was held while a connection to any VM was opened, up to 1 s. A VM that accepts connections and says nothing held up all others, also the question to peers before a refusal, which is bounded at 300 ms, and copies of progress. Now one lock for each VM. silent_vms_do_not_hold_up_connections_to_others fails with one lock for all (no answer in 2.5 s) and passes.

--- a/crates/catkinward/src/peer_links.rs
+++ b/crates/catkinward/src/peer_links.rs
@@ -32,8 +32,9 @@
         if let Some(link) = self.open_link(&peer.vm) {
             return Ok(link);
         }
-        // One at a time, or many streams that lose a connection would open one each.
-        let _guard = self.opening.lock().await;
+        // One at a time to each VM, or many streams that lose a connection would open one each.
+        let opening = self.opening(&peer.vm);
+        let _guard = opening.lock().await;
         if let Some(link) = self.open_link(&peer.vm) {
             return Ok(link);
         }
--- a/crates/catkinward/src/peers.rs
+++ b/crates/catkinward/src/peers.rs
@@ -18,7 +18,8 @@
     pub gossip: GossipSources,
     pub(crate) table: Mutex<PeerTable>,
     pub(crate) links: Mutex<Vec<(VmId, Arc<PeerLink>)>>,
-    pub(crate) opening: tokio::sync::Mutex<()>,
+    /// Held, for each VM, while a connection to it is opened.
+    opening: Mutex<Vec<(VmId, Arc<tokio::sync::Mutex<()>>)>>,
     pub(crate) holders: ArcSwap<Vec<PeerEntry>>,
     pub(crate) store: Mutex<ProgressStore>,
     pub(crate) generations: Arc<Generations>,
@@ -66,7 +67,7 @@
             gossip: GossipSources::default(),
             table: Mutex::new(table),
             links: Mutex::default(),
-            opening: tokio::sync::Mutex::default(),
+            opening: Mutex::default(),
             holders: ArcSwap::default(),
             store: Mutex::new(ProgressStore::new(ProgressLimits::default())),
             generations: parts.generations,
@@ -97,6 +98,20 @@
         &self.identity.entry
     }
 
+    /// The lock under which a connection to a VM is opened.
+    pub(crate) fn opening(&self, vm: &VmId) -> Arc<tokio::sync::Mutex<()>> {
+        let mut opening = self.opening.lock();
+        opening.retain(|(_, lock)| Arc::strong_count(lock) > 1);
+        match opening.binary_search_by(|(other, _)| other.cmp(vm)) {
+            Ok(i) => opening[i].1.clone(),
+            Err(i) => {
+                let lock = Arc::<tokio::sync::Mutex<()>>::default();
+                opening.insert(i, (vm.clone(), lock.clone()));
+                lock
+            }
+        }
+    }
+
     /// The VMs that keep copies of what this one runs.
     pub(crate) fn holders(&self) -> Arc<Vec<PeerEntry>> {
         self.holders.load_full()
--- a/crates/catkinward/tests/peers.rs
+++ b/crates/catkinward/tests/peers.rs
@@ -8,7 +8,7 @@
 use futures::{SinkExt, StreamExt};
 use googletest::prelude::*;
 use proptest::prelude::*;
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, tungstenite::Message};
 
@@ -171,6 +171,32 @@
     expect_that!(known, contains(eq(third.own())));
 }
 
+/// Guards against VMs that accept connections and then say nothing holding up connections to all others.
+#[gtest]
+#[tokio::test]
+async fn silent_vms_do_not_hold_up_connections_to_others() {
+    let mut silent = Vec::new();
+    for _ in 0..4 {
+        silent.push(listener().await);
+    }
+    let entries = silent.iter().enumerate();
+    let known = entries.map(|(n, (_, address))| entry(&format!("vm-{n}"), *address));
+    let asking = peers("vm-9", "secret", known.collect()).await;
+    let answering = peers("vm-8", "secret", Vec::new()).await;
+    let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
+    asking.gossip.hear(move |_, sender| {
+        let _ = tx.send(sender.clone());
+    });
+
+    asking.exchange_now();
+    tokio::task::yield_now().await;
+    asking.heard_of(answering.own().clone());
+    asking.exchange_now();
+
+    let heard = tokio::time::timeout(Duration::from_millis(2500), rx.recv()).await;
+    expect_that!(heard, ok(some(eq(&answering.own().vm))));
+}
+
 /// A VM is about to refuse a request under which two upstreams died, and asks the others first. One of them has
 /// refused another request for the same deaths, and said so to everybody long ago; it says so again. Without
 /// that the request that only ran beside it is refused as well.
