Announce the run of a suspect to peers before its order is sent

Cause: only the lost router had noticed the second death. The run of a suspect is now announced to the peers before the order, answers awaited for 100 ms at most; whoever finds the upstream dead marks the request. A suspect waits until the upstream of its announced run was asked.

A variant that does not wait for answers was not measured.

--- a/crates/catkinward/src/engine_client.rs
+++ b/crates/catkinward/src/engine_client.rs
@@ -23,7 +23,6 @@
     bound: Duration,
 ) -> Result<AttemptStream, AttemptFault> {
     upstream.check_eligible()?;
-    upstream.prove_alive().await?;
     let call = HttpCall {
         address: upstream.address(),
         method: Method::POST,
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -150,8 +150,18 @@
     /// Waits until upstreams have died under this request elsewhere. It will get no upstream then,
     /// and its team's other requests would wait behind it until its deadline.
     async fn until_poisoned(&self) {
-        while !self.node.upstreams.refuses(self.generation.request.body) {
-            tokio::time::sleep(SUSPECT_PATIENCE).await;
+        let (upstreams, body) = (&self.node.upstreams, self.generation.request.body);
+        loop {
+            upstreams.check_suspect(body).await;
+            if upstreams.refuses(body) {
+                return;
+            }
+            let wait = if upstreams.suspects(body) {
+                RETRY_PERIOD
+            } else {
+                SUSPECT_PATIENCE
+            };
+            tokio::time::sleep(wait).await;
         }
     }
 
@@ -167,6 +177,8 @@
             if now >= self.generation.request.deadline {
                 return Err(ProblemKind::Deadline);
             }
+            let body = self.generation.request.body;
+            self.node.upstreams.check_suspect(body).await;
             if self.is_poisoned().await {
                 return Err(self.poisoned());
             }
@@ -204,6 +216,19 @@
         refused
     }
 
+    /// Announces the run of a suspect to the other VMs.
+    async fn announce(&self, upstream: &Place) {
+        let (Some(peers), Some(run)) = (&self.node.peers, upstream.suspect_run()) else {
+            return;
+        };
+        let (body, start) = (run.digest, self.node.timer.now());
+        let marks = self.node.upstreams.poison_marks_of(body);
+        let (asked, answered) = peers.announce(run, marks).await;
+        let took = self.node.timer.now().since(start);
+        tracing::info!(id = %self.generation.request.id, %body, upstream = %upstream.id(), asked,
+            answered, took_ms = %took.as_millis(), "run of a suspect announced to peers");
+    }
+
     /// How a poisoned request ends: as not run only if no attempt was ever sent.
     fn poisoned(&self) -> ProblemKind {
         match self.generation.attempts() {
@@ -250,7 +275,11 @@
         metrics::counter!("catkin_attempts_total").increment(1);
         let connections = &self.node.connections;
         let mut guard = AttemptGuard::new(connections, upstream.address(), order);
-        let started = engine_client::start_attempt(connections, &upstream, order, START_BOUND);
+        let started = async {
+            upstream.prove_alive().await?;
+            self.announce(&upstream).await;
+            engine_client::start_attempt(connections, &upstream, order, START_BOUND).await
+        };
         let stream = match started.await {
             Ok(stream) => stream,
             Err(fault) => {
--- a/crates/catkinward/src/gossip.rs
+++ b/crates/catkinward/src/gossip.rs
@@ -10,6 +10,9 @@
     pub leaving: Vec<(UpstreamId, Incarnation)>,
     /// Requests that upstreams died under.
     pub poison: Vec<PoisonMark>,
+    /// Runs of suspects that the sender is about to start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectRun>,
     /// Some VMs, each with the milliseconds since it was last heard from.
     pub vms: Vec<(PeerEntry, u32)>,
 }
--- a/crates/catkinward/src/known.rs
+++ b/crates/catkinward/src/known.rs
@@ -1,9 +1,15 @@
 use super::*;
-use crate::upstream_state::{UpstreamState, read_report};
+use crate::{
+    http_client::HttpError,
+    upstream_state::{UpstreamState, read_report},
+};
 
 /// Bound of a call for a load report.
 const POLL_BOUND: Duration = Duration::from_millis(400);
 
+/// Bound of the call that finds out whether an upstream died.
+const DEATH_PROBE_BOUND: Duration = Duration::from_millis(300);
+
 /// Words of leaving kept for peers.
 const MOST_UNTOLD: usize = 255;
 
@@ -110,6 +116,31 @@
         }
     }
 
+    /// Asks an upstream whether a process of it lives.
+    pub(crate) async fn find_out(&self, state: &UpstreamState, incarnation: Incarnation) {
+        let asked = state.record.lock().ask(self.timer.now());
+        let load = self
+            .connections
+            .call_json(load_call(state.entry.address))
+            .await;
+        match load {
+            Ok(load) => {
+                let report = read_report(load);
+                let lives = report.incarnation == incarnation;
+                self.reported(state, asked, report);
+                if !lives {
+                    self.died(state, incarnation);
+                }
+            }
+            Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
+                self.died(state, incarnation);
+            }
+            Err(fault) => {
+                tracing::debug!(upstream = %state.entry.id, %fault, "no proof of a death");
+            }
+        }
+    }
+
     /// Asks an upstream for its load, after a random part of `jitter`.
     pub(crate) async fn poll(&self, state: &UpstreamState, jitter: Duration) {
         tokio::time::sleep(jitter.mul_f64(rand::random())).await;
@@ -135,3 +166,33 @@
         }
     }
 }
+
+/// A call that asks an upstream whether it lives.
+pub(crate) fn load_call(address: SocketAddr) -> HttpCall {
+    HttpCall {
+        address,
+        path: "/v1/load".to_owned(),
+        bound: DEATH_PROBE_BOUND,
+        fresh: true,
+        ..HttpCall::default()
+    }
+}
+
+/// Whether the network, not the upstream, is to blame.
+fn is_unreachable(error: &(dyn std::error::Error + 'static)) -> bool {
+    matches!(
+        io_kind(error),
+        Some(
+            io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::NetworkDown
+                | io::ErrorKind::TimedOut
+        )
+    )
+}
+
+fn io_kind(error: &(dyn std::error::Error + 'static)) -> Option<io::ErrorKind> {
+    std::iter::successors(Some(error), |error| error.source())
+        .find_map(|error| error.downcast_ref::<io::Error>())
+        .map(io::Error::kind)
+}
--- a/crates/catkinward/src/peer_exchange.rs
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -10,6 +10,9 @@
 /// there are more, the others hear of it from those that were asked.
 const MOST_CONFERRED: usize = 16;
 
+/// How long a suspect waits until peers have its announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// VMs named in one exchange.
 const VMS_TOLD: usize = 6;
 
@@ -91,13 +94,39 @@
     pub(crate) async fn confer(self: &Arc<Self>, poison: Vec<PoisonMark>) -> (usize, usize) {
         let now = self.timer.now();
         let peers = self.table.lock().nearest_of_all(now, MOST_CONFERRED);
-        let news = Gossip {
+        let gossip = Gossip {
             poison,
             ..Gossip::default()
         };
+        self.exchange_all(&peers, &gossip, PROBE_TIMEOUT).await
+    }
+
+    /// Announces to VMs that answer that a suspect is about to run, with the deaths under it. Waits for their answers up
+    /// to [`ANNOUNCE_TIMEOUT`]; returns how many were asked and how many have answered.
+    pub(crate) async fn announce(
+        self: &Arc<Self>,
+        run: SuspectRun,
+        poison: Vec<PoisonMark>,
+    ) -> (usize, usize) {
+        let now = self.timer.now();
+        let peers = self.table.lock().nearest(now, MOST_CONFERRED);
+        let gossip = Gossip {
+            poison,
+            suspects: vec![run],
+            ..Gossip::default()
+        };
+        self.exchange_all(&peers, &gossip, ANNOUNCE_TIMEOUT).await
+    }
+
+    async fn exchange_all(
+        self: &Arc<Self>,
+        peers: &[PeerEntry],
+        gossip: &Gossip,
+        bound: Duration,
+    ) -> (usize, usize) {
         let exchanges = peers
             .iter()
-            .map(|peer| tokio::time::timeout(PROBE_TIMEOUT, self.exchange(peer, news.clone())));
+            .map(|peer| tokio::time::timeout(bound, self.exchange(peer, gossip.clone())));
         let results = futures::future::join_all(exchanges).await;
         let answered = results.iter().filter(|result| matches!(result, Ok(Ok(()))));
         (peers.len(), answered.count())
--- a/crates/catkinward/src/upstream_gossip.rs
+++ b/crates/catkinward/src/upstream_gossip.rs
@@ -18,6 +18,7 @@
             hearing.note_leaving(id, *incarnation, LeavingSource::Peer);
         }
         hearing.merge_poison(&gossip.poison, sender);
+        hearing.suspects_announced(&gossip.suspects, sender);
         if let Some(peers) = table.upgrade() {
             hearing.set_watchers(watchers(&peers));
         }
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -2,13 +2,10 @@
 use crate::{
     engine_event::AttemptFault,
     http_client::HttpError,
-    known::Known,
+    known::{Known, load_call},
     upstream_state::{UpstreamState, read_report},
 };
 
-/// Bound of the call that finds out whether an upstream died.
-const DEATH_PROBE_BOUND: Duration = Duration::from_millis(300);
-
 /// One request's hold on an upstream: counted there until it is dropped.
 ///
 /// It is made from an [`Eligible`] only, and orders are sent to handles only, so that no work goes
@@ -196,7 +193,7 @@
         let load = self
             .known
             .connections
-            .call_json(self.load_call())
+            .call_json(load_call(self.address()))
             .await
             .map_err(|fault| {
                 tracing::info!(upstream = %self.id(), %fault, "no proof that the upstream lives");
@@ -212,29 +209,16 @@
         Ok(())
     }
 
-    fn load_call(&self) -> HttpCall {
-        HttpCall {
-            address: self.address(),
-            path: "/v1/load".to_owned(),
-            bound: DEATH_PROBE_BOUND,
-            fresh: true,
-            ..HttpCall::default()
-        }
+    /// The run as it is announced to other VMs, if its request is a suspect.
+    pub(crate) fn suspect_run(&self) -> Option<SuspectRun> {
+        self.known.poison.lock().suspect_run(self.run?)
     }
 
     async fn find_out(&self) {
         let _probing = self.state.probing.lock().await;
         let current = self.state.record.lock().evidence.incarnation();
-        if current != Some(self.incarnation) {
-            return;
-        }
-        let asked = self.state.record.lock().ask(self.known.timer.now());
-        match self.known.connections.call_json(self.load_call()).await {
-            Ok(load) => self.known.reported(&self.state, asked, read_report(load)),
-            Err(HttpError::Call { source, .. }) if !is_unreachable(&source) => {
-                self.known.died(&self.state, self.incarnation);
-            }
-            Err(fault) => tracing::debug!(upstream = %self.id(), %fault, "no proof of a death"),
+        if current == Some(self.incarnation) {
+            self.known.find_out(&self.state, self.incarnation).await;
         }
     }
 
@@ -254,22 +238,3 @@
         self.forget_run();
     }
 }
-
-/// Whether the network, not the upstream, is to blame.
-fn is_unreachable(error: &(dyn std::error::Error + 'static)) -> bool {
-    matches!(
-        io_kind(error),
-        Some(
-            io::ErrorKind::HostUnreachable
-                | io::ErrorKind::NetworkUnreachable
-                | io::ErrorKind::NetworkDown
-                | io::ErrorKind::TimedOut
-        )
-    )
-}
-
-fn io_kind(error: &(dyn std::error::Error + 'static)) -> Option<io::ErrorKind> {
-    std::iter::successors(Some(error), |error| error.source())
-        .find_map(|error| error.downcast_ref::<io::Error>())
-        .map(io::Error::kind)
-}
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -225,6 +225,35 @@
         }
     }
 
+    /// Takes the announcements of a peer that it is about to send suspects to upstreams.
+    pub fn suspects_announced(&self, runs: &[SuspectRun], peer: &VmId) {
+        let now = self.known.timer.now();
+        for run in runs {
+            tracing::info!(%peer, body = %run.digest, upstream = %run.upstream,
+                incarnation = run.incarnation.0, "peer sends a suspect");
+            self.known.poison.lock().announced(run.clone(), now);
+        }
+    }
+
+    /// Asks the upstreams to which other VMs have sent a suspect whether they live: one that died, died under it.
+    pub(crate) async fn check_suspect(&self, digest: RequestDigest) {
+        let now = self.known.timer.now();
+        let runs = self.known.poison.lock().unchecked(digest, now);
+        let checks = runs.iter().map(|run| async {
+            if let Some(state) = self.state(&run.upstream) {
+                self.known.find_out(&state, run.incarnation).await;
+            }
+            self.known.poison.lock().checked(run);
+        });
+        futures::future::join_all(checks).await;
+    }
+
+    /// Whether a request is a suspect.
+    pub(crate) fn suspects(&self, digest: RequestDigest) -> bool {
+        let now = self.known.timer.now();
+        self.known.poison.lock().is_marked(digest, now)
+    }
+
     /// Waits until there is something new for peers.
     pub(crate) async fn has_news(&self) {
         self.known.news.notified().await;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -163,6 +163,8 @@
     store_backoff::store_backoff,
     stream_pace::StreamPace,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
+    suspect_run::SuspectRun,
+    suspect_runs::SuspectRuns,
     suspicion::Suspicion,
     table_row::TableRow,
     team::Team,
@@ -333,6 +335,8 @@
 mod store_backoff;
 mod stream_pace;
 mod subset;
+mod suspect_run;
+mod suspect_runs;
 mod suspicion;
 mod table_row;
 mod team;
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -28,9 +28,9 @@
 //! a suspect. Suspects are sent to upstreams that have just proved alive, so a request that kills before
 //! it is answered is refused after its second upstream too.
 //!
-//! Grounds for the figures: the expiry outlasts a caller's resending, and is far below the 100
-//! minutes between two VM failures of an ordinary day at the target size. They are not tuned by a
-//! measurement; `tests/poison.rs` holds the bound of two.
+//! A VM may be lost together with the second upstream, and its caller returns to another VM. So the run of
+//! a suspect is announced to the other VMs before its order is sent ([`SuspectRun`]), and whoever notices
+//! that the upstream died marks the request.
 
 use super::*;
 
@@ -74,6 +74,8 @@
     /// Sorted by digest and id.
     runs: Vec<Run>,
     last: u64,
+    /// Runs of suspects on other VMs.
+    others: SuspectRuns,
 }
 
 #[derive(Clone, Debug)]
@@ -141,7 +143,9 @@
                 .any(|run| run.watched && run.upstream == *upstream && run.key.digest != digest)
         };
         let free = if marked {
-            watches && elsewhere.is_empty() && !beside_another()
+            let awaited = self.others.hold(digest, now);
+            let occupied = self.others.occupy(upstream, digest, now);
+            watches && elsewhere.is_empty() && !beside_another() && !awaited && !occupied
         } else {
             elsewhere.len() < MOST_UPSTREAMS
         };
@@ -220,8 +224,36 @@
         self.arrived(run);
     }
 
-    /// Notes the death of a process of an upstream and marks all digests in flight on it; returns the
-    /// marks that are new.
+    /// The run as it is announced to other VMs, if the request is a suspect.
+    #[must_use]
+    pub fn suspect_run(&self, run: PoisonRun) -> Option<SuspectRun> {
+        let i = self.runs.binary_search_by_key(&run, |run| run.key).ok()?;
+        let run = &self.runs[i];
+        run.watched.then(|| SuspectRun {
+            digest: run.key.digest,
+            upstream: run.upstream.clone(),
+            incarnation: run.incarnation,
+        })
+    }
+
+    /// Takes the announcement of another VM that it sends a suspect to an upstream.
+    pub fn announced(&mut self, run: SuspectRun, now: Instant) {
+        self.others.announced(run, now);
+    }
+
+    /// Announced runs of a request whose upstreams have to be asked whether they live before it is sent elsewhere.
+    #[must_use]
+    pub fn unchecked(&self, digest: RequestDigest, now: Instant) -> Vec<SuspectRun> {
+        self.others.unchecked(digest, now)
+    }
+
+    /// Notes that the upstream of an announced run was asked.
+    pub fn checked(&mut self, run: &SuspectRun) {
+        self.others.checked(run);
+    }
+
+    /// Notes the death of a process of an upstream and marks all digests in flight on it, by what is
+    /// known here; returns the marks that are new.
     pub fn died(
         &mut self,
         upstream: &UpstreamId,
@@ -234,13 +266,16 @@
             .into_iter()
             .partition(|run| run.upstream == *upstream && run.incarnation == incarnation);
         self.runs = running;
+        let under = dead
+            .iter()
+            .filter(|run| run.was_there || !self.is_marked(run.key.digest, now))
+            .map(|run| run.key.digest);
+        let mut under = under.collect::<Vec<_>>();
+        under.extend(self.others.died(death, now));
         let mut new = Vec::new();
-        for run in dead {
-            if !run.was_there && self.is_marked(run.key.digest, now) {
-                continue;
-            }
+        for digest in under {
             let mark = Mark {
-                digest: run.key.digest,
+                digest,
                 death,
                 at: now,
                 told: 0,
@@ -249,7 +284,7 @@
             if self.mark(mark.clone()) {
                 new.push(mark.tell(now));
             }
-            self.watch(run.key.digest);
+            self.watch(digest);
         }
         new
     }
@@ -316,7 +351,9 @@
             if changed {
                 new.push(*mark);
             }
-            if !mark.cleared {
+            if mark.cleared {
+                self.others.cleared(mark.digest);
+            } else {
                 self.watch(mark.digest);
             }
         }
@@ -396,6 +433,7 @@
     }
 
     fn clear(&mut self, digest: RequestDigest) {
+        self.others.cleared(digest);
         let range = self.range(digest);
         for run in &mut self.runs[range] {
             run.watched = false;
--- /dev/null
+++ b/crates/decisions/src/suspect_run.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// A run of a suspect, announced to other VMs before its order is sent: if the VM is lost together with the upstream,
+/// they know under which request it died.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct SuspectRun {
+    /// The request.
+    #[serde(rename = "d")]
+    pub digest: RequestDigest,
+    /// The upstream that it is sent to.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// The process of the upstream.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+}
+
+impl SuspectRun {
+    /// The death of the process that it is sent to.
+    #[must_use]
+    pub fn death(&self) -> UpstreamDeath {
+        UpstreamDeath::of(&self.upstream, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/suspect_runs.rs
@@ -0,0 +1,108 @@
+//! Suspects that other VMs have sent to upstreams.
+
+mod poison_support;
+
+use catkin_decisions::{PoisonHold, PoisonTracker, SuspectRun};
+use googletest::prelude::*;
+use poison_support::*;
+
+fn run_on(n: usize) -> SuspectRun {
+    SuspectRun {
+        digest: culprit(),
+        upstream: engine(n),
+        incarnation: FIRST,
+    }
+}
+
+/// A VM that knows of one death under the culprit, and that another VM sends it to engine 1.
+fn after_an_announcement() -> PoisonTracker {
+    let mut other = PoisonTracker::default();
+    start(&mut other, culprit(), 0);
+    die(&mut other, 0);
+    let mut tracker = PoisonTracker::default();
+    tracker.merge(&other.marks(at(0)), at(0));
+    tracker.announced(run_on(1), at(0));
+    tracker
+}
+
+#[gtest]
+fn only_suspects_are_announced() {
+    let mut tracker = PoisonTracker::default();
+    let fresh = start(&mut tracker, innocent(), 1);
+    start(&mut tracker, culprit(), 0);
+    die(&mut tracker, 0);
+    let suspect = start(&mut tracker, culprit(), 2);
+
+    expect_that!(tracker.suspect_run(fresh), none());
+    expect_that!(tracker.suspect_run(suspect), some(eq(&run_on(2))));
+}
+
+/// Guards against a VM that is lost with the second upstream: its caller's next VM would lose a third one.
+#[gtest]
+fn death_of_the_announced_upstream_refuses_the_request() {
+    let mut tracker = after_an_announcement();
+
+    die_at(&mut tracker, 1, at(5));
+
+    expect_that!(tracker.refuses(culprit(), at(5)), eq(true));
+    expect_that!(tracker.refuses(innocent(), at(5)), eq(false));
+}
+
+/// Guards against a death long afterwards, under whatever ran there then.
+#[gtest]
+fn late_death_of_the_announced_upstream_does_not_count() {
+    let mut tracker = after_an_announcement();
+
+    die_at(&mut tracker, 1, at(11));
+
+    expect_that!(tracker.refuses(culprit(), at(11)), eq(false));
+}
+
+/// Guards against sending a suspect to a third upstream before anybody has asked whether the second lives.
+#[gtest]
+fn suspect_waits_until_its_announced_upstream_was_checked() {
+    let mut tracker = after_an_announcement();
+    let may = |tracker: &PoisonTracker, seconds| {
+        tracker.may_start(culprit(), &engine(2), true, at(seconds))
+    };
+
+    let unchecked = tracker.unchecked(culprit(), at(2));
+    let before = may(&tracker, 2);
+    tracker.checked(&run_on(1));
+
+    expect_that!(unchecked, eq(&vec![run_on(1)]));
+    expect_that!(before, err(eq(PoisonHold::Elsewhere)));
+    expect_that!(may(&tracker, 1), err(eq(PoisonHold::Elsewhere)));
+    expect_that!(may(&tracker, 2), ok(eq(())));
+}
+
+/// Guards against two suspects of different VMs on one upstream, whose death could not tell them apart.
+#[gtest]
+fn other_suspects_keep_away_from_the_announced_upstream() {
+    let mut tracker = after_an_announcement();
+    start(&mut tracker, innocent(), 3);
+    die(&mut tracker, 3);
+    let may = |n, seconds| tracker.may_start(innocent(), &engine(n), true, at(seconds));
+
+    expect_that!(may(1, 1), err(eq(PoisonHold::Elsewhere)));
+    expect_that!(may(2, 1), ok(eq(())));
+    expect_that!(may(1, 2), ok(eq(())));
+}
+
+/// Guards against holding up a request that has proved innocent on the other VM.
+#[gtest]
+fn request_that_got_past_the_death_is_not_held() {
+    let mut other = PoisonTracker::default();
+    start(&mut other, culprit(), 0);
+    die(&mut other, 0);
+    let run = start(&mut other, culprit(), 1);
+    let mut tracker = after_an_announcement();
+
+    other.finished(run);
+    tracker.merge(&other.marks(at(0)), at(0));
+    die(&mut tracker, 1);
+
+    expect_that!(tracker.unchecked(culprit(), at(0)), is_empty());
+    let verdict = tracker.may_start(culprit(), &engine(2), true, at(0));
+    expect_that!(verdict, ok(eq(())));
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -257,6 +257,17 @@
         Ok(())
     }
 
+    /// How many engines take connections.
+    pub(crate) async fn live_engines(&self) -> usize {
+        let connects = self.engines.iter().map(|engine| async {
+            tokio::net::TcpStream::connect(engine.address())
+                .await
+                .is_ok()
+        });
+        let live = join_all(connects).await;
+        live.into_iter().filter(|live| *live).count()
+    }
+
     /// Work of an engine so far, unless it is dead.
     pub async fn engine_load(&self, engine: usize) -> Option<engine::UpstreamLoad> {
         self.read(self.engines[engine].address(), "/v1/load").await
--- a/crates/load/src/injector.rs
+++ b/crates/load/src/injector.rs
@@ -2,6 +2,9 @@
 use crate::{balancer::Balancer, generation_call::GenerationCall};
 use rustix::process::Signal;
 
+/// How long a caller of a request that crashes engines waits.
+const POISON_BOUND: Duration = Duration::from_secs(4);
+
 /// Carries out the faults of a scenario, and notes what a killed engine had done.
 pub(crate) struct Injector<'a> {
     pub(crate) fleet: &'a Fleet,
@@ -70,6 +73,15 @@
             Fault::Poison => self.poison(POISON, true).await?,
             Fault::KeylessPoison => self.poison(POISON, false).await?,
             Fault::UnansweredPoison => self.poison(UNANSWERED_POISON, true).await?,
+            Fault::PoisonKillingRouter => {
+                self.outcome.killed_routers.push(router);
+                self.poison_at(router, Signal::KILL).await?;
+            }
+            Fault::PoisonPausingRouter(pause) => {
+                self.poison_at(router, Signal::STOP).await?;
+                tokio::time::sleep(pause).await;
+                fleet.signal_router(router, Signal::CONT)?;
+            }
         }
         Ok(())
     }
@@ -83,23 +95,60 @@
     /// Sends a request that crashes its engine, and sends it again as its caller would.
     async fn poison(&mut self, prompt: &str, keyed: bool) -> Result<(), LoadError> {
         let clients = self.fleet.clients(0)?;
+        let call = self.poison_call(prompt, keyed);
+        for _ in 0..2 {
+            let call = call.clone();
+            call.make(
+                &clients,
+                self.balancer,
+                POISON_BOUND,
+                Instant::now() + POISON_BOUND,
+            )
+            .await;
+        }
+        Ok(())
+    }
+
+    /// Sends a request that crashes its engine to one router, which gets a signal at the loss of the second engine; its
+    /// caller sends it again at once to another.
+    async fn poison_at(&mut self, router: usize, signal: Signal) -> Result<(), LoadError> {
+        let clients = self.fleet.clients(0)?;
+        let call = self.poison_call(POISON, false);
+        let engines = self.fleet.live_engines().await;
+        let send = |router: usize| {
+            let (call, client) = (call.clone(), &clients[router..=router]);
+            async move {
+                let balancer = Balancer::new(1);
+                let deadline = Instant::now() + POISON_BOUND;
+                call.make(client, &balancer, POISON_BOUND, deadline).await
+            }
+        };
+        let lost = async {
+            while self.fleet.live_engines().await + 2 > engines {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = lost => {}
+            _ = send(router) => {}
+        }
+        self.fleet.signal_router(router, signal)?;
+        send((router + 1) % clients.len()).await;
+        Ok(())
+    }
+
+    fn poison_call(&mut self, prompt: &str, keyed: bool) -> GenerationCall {
         let prompt = format!("{prompt} {:x}", self.random.random::<u64>());
         let key = format!("poison-{:x}", self.random.random::<u64>());
-        let call = GenerationCall {
+        GenerationCall {
             due: Duration::ZERO,
             team: 0,
             prompt,
             seed: 1,
             tokens: 50,
             key: keyed.then_some(key),
-        };
-        let bound = Duration::from_secs(4);
-        for _ in 0..2 {
-            let deadline = Instant::now() + bound;
-            let call = call.clone();
-            call.make(&clients, self.balancer, bound, deadline).await;
         }
-        Ok(())
     }
 
     fn draw(&mut self, count: usize, except: &[usize]) -> usize {
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -51,6 +51,10 @@
     KeylessPoison,
     /// The same, but engines crash before they answer.
     UnansweredPoison,
+    /// A keyless one crashes two engines, its router is killed with the second, and its caller sends it again.
+    PoisonKillingRouter,
+    /// The same, but the router is stopped for so long.
+    PoisonPausingRouter(Duration),
 }
 
 impl Scenario {
--- a/crates/load/src/scenarios.rs
+++ b/crates/load/src/scenarios.rs
@@ -109,6 +109,19 @@
         peer_delay: Duration::from_millis(60),
         ..Scenario::BASE
     },
+    Scenario {
+        name: "poison-router-death",
+        about: "a router is killed at the second engine that a request crashes; its caller sends it again",
+        faults: &[(0.3, Fault::PoisonKillingRouter)],
+        ..Scenario::BASE
+    },
+    Scenario {
+        name: "poison-router-pause",
+        about: "the same, but the router is stopped for 3 s",
+        faults: &[(0.3, Fault::PoisonPausingRouter(PAUSE))],
+        patience: Duration::from_millis(1500),
+        ..Scenario::BASE
+    },
     Scenario {
         name: "poison-unanswered",
         about: "the same, but each engine crashes before it answers",
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -126,21 +126,37 @@
     let scenario = Scenario::find("poison-slow-peers").expect("a scenario");
     let program = Path::new(env!("CARGO_BIN_EXE_catkin-load"));
 
-    let reports = [107, 112, 125, 126, 129].map(async |seed| {
+    for seed in [107, 112, 125, 126, 129] {
         let settings = RunSettings {
             seed,
             arrivals: Some(Duration::from_secs(2)),
             ..RunSettings::default()
         };
-        run_scenario(program, &scenario, &settings, |_, _| {}).await
-    });
+        let report = run_scenario(program, &scenario, &settings, |_, _| {}).await;
 
-    for report in futures::future::join_all(reports).await {
         let report = report.expect("the experiment runs");
-        expect_that!(report.violations, is_empty(), "seed {}", report.seed);
+        expect_that!(report.violations, is_empty(), "seed {seed}");
     }
 }
 
+/// Guards against a router that is lost with the second engine and leaves nobody who knows under which request it died.
+#[gtest]
+#[tokio::test]
+async fn poison_request_costs_two_engines_when_its_router_is_killed_with_the_second() {
+    let report = short_run("poison-router-death", 3).await;
+
+    expect_that!(report.violations, is_empty());
+}
+
+/// Guards against a router that is paused at the loss of the second engine, as the one that is killed.
+#[gtest]
+#[tokio::test]
+async fn poison_request_costs_two_engines_when_its_router_is_paused_at_the_second() {
+    let report = short_run("poison-router-pause", 3).await;
+
+    expect_that!(report.violations, is_empty());
+}
+
 /// A request crashes each engine before that answers, so that it looks like one that was sent to an
 /// engine which was dead already. It took four engines with it before it was refused.
 #[gtest]
