A version is judged against the old one at the same moment

Evidence: the logs of both say Bad, not Undecided, with three late answers of four in one report. An answer after 4 ms counted as slow where the median is 1 ms, and late answers of a VM that stands still were held against all answers of the old version since the beginning.

--- a/crates/decisions/tests/rollout_judge.rs
+++ b/crates/decisions/tests/rollout_judge.rs
@@ -217,3 +217,61 @@
     expect_that!(counts.total(), eq(6));
     expect_that!(counts.bad(median + 3), eq(2));
 }
+
+/// Evidence of one VM: answers of both versions, so many of them after 200 ms and the others after 2 ms.
+fn moment(old: (u32, u32), new: (u32, u32)) -> RouteEvidence {
+    let mut evidence = RouteEvidence::new("/quick/".into());
+    let mut count = |(answers, late): (u32, u32), is_new: bool| {
+        for n in 0..answers {
+            let latency = Duration::from_millis(if n < late { 200 } else { 2 });
+            let counts = if is_new {
+                &mut evidence.new
+            } else {
+                &mut evidence.old
+            };
+            counts.count(AnswerOutcome::Success(latency));
+        }
+    };
+    count(old, false);
+    count(new, true);
+    evidence
+}
+
+fn verdict_after(moments: &[RouteEvidence]) -> RolloutVerdict {
+    let mut judge = RolloutJudge::default();
+    let vm = VmLife {
+        vm: "vm-1".into(),
+        incarnation: 1,
+    };
+    let mut sum = RouteEvidence::new("/quick/".into());
+    for moment in moments {
+        sum.old.merge(&moment.old);
+        sum.new.merge(&moment.new);
+        judge.take(&vm, &sum);
+    }
+    judge.verdict()
+}
+
+/// Guards against rolling a good version back because the VM stood still for a moment.
+#[gtest]
+fn late_answers_of_a_moment_count_against_both_versions() {
+    let usual = moment((400, 0), (60, 0));
+
+    let verdict = verdict_after(&[usual.clone(), moment((12, 4), (4, 3))]);
+    let only_new = verdict_after(&[usual, moment((12, 0), (4, 4))]);
+
+    expect_that!(verdict, eq(&RolloutVerdict::Good));
+    expect_that!(only_new, matches_pattern!(RolloutVerdict::Bad { .. }));
+}
+
+/// Guards against taking the noise of answers within a few milliseconds for slowness.
+#[gtest]
+fn answers_within_milliseconds_are_not_slow() {
+    let mut evidence = moment((400, 0), (0, 0));
+    for _ in 0..60 {
+        let outcome = AnswerOutcome::Success(Duration::from_millis(14));
+        evidence.new.count(outcome);
+    }
+
+    expect_that!(verdict_after(&[evidence]), eq(&RolloutVerdict::Good));
+}
