An owner gives up its rollout when another order replaces it

Operators would see: a new order judged by the answers of the version ordered before. What an owner holds was not bound to its order, so a lone VM went on under the new one and its status never said running (order_that_replaces_another_is_judged_by_its_own_answers fails before: running v2, rolled_back v3). It gives it up now and the new order is claimed as any other.

--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -210,6 +210,7 @@
         let now = gateway.timer.now();
         let term = record.progress.term;
         let owned = OwnedRollout {
+            order: rollout.order.written,
             owner: RolloutOwner::new(term, version, record.deadline_ms, settings.limit),
             confirmed: now,
             completing: None,
@@ -274,6 +275,11 @@
         };
         let own = &mut all[index].1;
         let term = own.owner.term;
+        if rollout.order.written > own.order {
+            tracing::warn!(%service, order = own.order, by = rollout.order.written, "rollout replaced by another order");
+            all.remove(index);
+            return Due::Nothing;
+        }
         if rollout.progress.term > term && !rollout.progress.phase.is_final() {
             tracing::warn!(%service, term, by = rollout.progress.term, "rollout owned by another VM");
             all.remove(index);
@@ -330,12 +336,14 @@
         let read = self.read(service).await;
         let now = self.gateway.timer.now();
         match read.map(|stored| stored.record) {
-            Some(Some(record)) if record.progress.term == term => self.change(service, |own| {
-                own.confirmed = now;
-                own.not_before = now.after(CONFIRM_PERIOD);
-            }),
             Some(Some(record)) if record.written == rollout.order.written => {
-                self.step_down(rollout, &record);
+                if record.progress.term != term {
+                    return self.step_down(rollout, &record);
+                }
+                self.change(service, |own| {
+                    own.confirmed = now;
+                    own.not_before = now.after(CONFIRM_PERIOD);
+                });
             }
             Some(_) => self.step_down_for_another_order(service),
             None => self.change(service, |own| own.not_before = now.after(STORE_RETRY)),
--- a/crates/catkinward/src/gateway/rollouts.rs
+++ b/crates/catkinward/src/gateway/rollouts.rs
@@ -16,6 +16,8 @@
 
 /// A rollout that this VM owns.
 pub(crate) struct OwnedRollout {
+    /// Version of the store at which its order was written.
+    pub(crate) order: u64,
     pub(crate) owner: RolloutOwner,
     /// When the store last confirmed that this VM is the owner.
     pub(crate) confirmed: Instant,
