A rollout whose order was withdrawn ends at its owner

VMs that see the withdrawal send the end to all; a write that conflicts with an unchanged record tells the owner the same, and it writes the end on condition that there is no order.

--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -169,6 +169,9 @@
         };
         match self.write(rollout, &record, stored.version).await {
             Some(RolloutWritten::Done(version)) => self.begin(rollout, &record, version, left),
+            Some(RolloutWritten::Conflict) if rollout.progress.phase.is_final() => {
+                self.end_without_order(rollout).await;
+            }
             Some(RolloutWritten::Conflict) | None => self.wait_before_claim(service),
         }
     }
@@ -259,7 +262,9 @@
             Due::Confirm { term } => self.confirm(rollout, term).await,
             Due::End { record, version } => match self.write(rollout, &record, version).await {
                 Some(RolloutWritten::Done(_)) => self.ended(rollout, record.progress),
-                Some(RolloutWritten::Conflict) | None => self.read_back(rollout, &record).await,
+                Some(RolloutWritten::Conflict) | None => {
+                    self.read_back(rollout, &record, version).await;
+                }
             },
         }
     }
@@ -350,8 +355,8 @@
         }
     }
 
-    /// Finds out what became of a write without an answer, or one that met another row.
-    async fn read_back(&mut self, rollout: &Rollout, record: &RolloutRecord) {
+    /// Finds out what became of a write without an answer, or one that met another row or order.
+    async fn read_back(&mut self, rollout: &Rollout, record: &RolloutRecord, expected: u64) {
         let service = &rollout.order.service;
         let read = self.read(service).await;
         let now = self.gateway.timer.now();
@@ -366,13 +371,57 @@
                 self.step_down(rollout, &found);
             }
             Some(found) if found.written == rollout.order.written => {
-                self.change(service, |own| own.owner.version = stored.version);
-                self.retry_end(rollout, now);
+                if stored.version == expected {
+                    // The record is as it was, so it is the order that has changed.
+                    return self.end_without_order(rollout).await;
+                }
+                self.change(service, |own| {
+                    own.owner.version = stored.version;
+                    own.not_before = now;
+                });
             }
             _ => self.step_down_for_another_order(service),
         }
     }
 
+    /// Ends a rollout whose order was withdrawn or replaced.
+    async fn end_without_order(&mut self, rollout: &Rollout) {
+        let service = &rollout.order.service;
+        let Some(stored) = self.read(service).await else {
+            return self.retry_without_order(service);
+        };
+        let record = stored
+            .record
+            .filter(|record| record.written == rollout.order.written);
+        let progress = RolloutProgress {
+            phase: RolloutPhase::RolledBack,
+            stored: true,
+            number: rollout.progress.number + 1,
+            ..record.as_ref().map_or(rollout.progress, |r| r.progress)
+        };
+        if let Some(record) = record.filter(|record| !record.progress.phase.is_final()) {
+            let write = RolloutWrite {
+                service: service.clone(),
+                record: RolloutRecord { progress, ..record },
+                expected: stored.version,
+                order: 0,
+            };
+            let written = tokio::time::timeout(STORE_BOUND, (self.store.write)(write)).await;
+            tracing::warn!(%service, order = rollout.order.written, ?written, "rollout without order");
+            if !matches!(written, Ok(Ok(_))) {
+                return self.retry_without_order(service);
+            }
+            // On a conflict another order is in force, and the status is that of its rollout.
+        }
+        self.ended(rollout, progress);
+    }
+
+    fn retry_without_order(&self, service: &ServiceId) {
+        let now = self.gateway.timer.now();
+        self.change(service, |own| own.not_before = now.after(STORE_RETRY));
+        self.wait_before_claim(service);
+    }
+
     /// Lets requests go on as before while the end of a rollout cannot be written.
     fn retry_end(&self, rollout: &Rollout, now: Instant) {
         let service = &rollout.order.service;
@@ -398,10 +447,25 @@
         tracing::info!(%service, to = %rollout.order.to, order = rollout.order.written, phase, "rollout ended");
         metrics::counter!("catkin_rollouts_total", "service" => service.to_string(), "end" => phase)
             .increment(1);
-        self.announce(service, progress, END_SENT);
+        self.send_end(rollout, progress);
         self.disown(service);
     }
 
+    /// Sends the end of a rollout to all VMs.
+    fn send_end(&self, rollout: &Rollout, progress: RolloutProgress) {
+        let gateway = &self.gateway;
+        let now = gateway.timer.now();
+        let notice = RolloutNotice {
+            progress,
+            ..rollout.notice(now)
+        };
+        let peers = gateway.state.lock().peers.live_addresses(now);
+        gateway.take_rollout(&notice);
+        for _ in 0..END_SENT {
+            gateway.send_notice(&notice, &peers);
+        }
+    }
+
     fn step_down(&self, rollout: &Rollout, record: &RolloutRecord) {
         let service = &rollout.order.service;
         tracing::warn!(%service, owner = &*record.owner, term = record.progress.term, "rollout owned by another VM");
@@ -425,39 +489,27 @@
         owned.retain(|(s, _)| s != service);
     }
 
-    /// Writes the end of rollouts whose order was withdrawn.
+    /// Ends rollouts whose order was withdrawn: those of its own in the store, and those of others at their owners.
     async fn end_withdrawn(&mut self) {
         let withdrawn = std::mem::take(&mut *self.gateway.withdrawn_rollouts.lock());
         for rollout in withdrawn {
-            let service = &rollout.order.service;
-            if !self.gateway.owns(service) {
+            if !self.gateway.owns(&rollout.order.service) {
+                self.send_end(
+                    &rollout,
+                    RolloutProgress {
+                        number: rollout.progress.number + 1,
+                        phase: RolloutPhase::RolledBack,
+                        stored: rollout.progress.term == 0,
+                        ..rollout.progress
+                    },
+                );
                 continue;
             }
-            self.disown(service);
-            let Some(stored) = self.read(service).await else {
+            self.end_without_order(&rollout).await;
+            if self.gateway.owns(&rollout.order.service) {
                 self.gateway.withdrawn_rollouts.lock().push(rollout);
                 return;
-            };
-            let Some(record) = stored.record else {
-                continue;
-            };
-            let record = RolloutRecord {
-                progress: RolloutProgress {
-                    number: record.progress.number + 1,
-                    phase: RolloutPhase::RolledBack,
-                    stored: true,
-                    ..record.progress
-                },
-                ..record
-            };
-            let write = RolloutWrite {
-                service: service.clone(),
-                record,
-                expected: stored.version,
-                order: 0,
-            };
-            let written = tokio::time::timeout(STORE_BOUND, (self.store.write)(write)).await;
-            tracing::warn!(%service, ?written, "rollout of a withdrawn order ended");
+            }
         }
     }
 
--- a/crates/decisions/src/rollouts.rs
+++ b/crates/decisions/src/rollouts.rs
@@ -115,7 +115,7 @@
         true
     }
 
-    /// Notes that an order was withdrawn at a version of the store; the rollout that it ends, if it ran.
+    /// Notes that an order was withdrawn at a version of the store; the rollout, if its end is not in the store yet.
     pub fn withdraw(&mut self, service: &ServiceId, at: u64) -> Option<Rollout> {
         match self.withdrawn.binary_search_by(|(s, _)| s.cmp(service)) {
             Ok(index) => self.withdrawn[index].1 = self.withdrawn[index].1.max(at),
@@ -126,7 +126,7 @@
             return None;
         }
         let rollout = self.known.remove(index);
-        if rollout.progress.phase.is_final() {
+        if rollout.progress.is_settled() {
             return None;
         }
         self.bar(&rollout.order);
--- a/crates/decisions/tests/rollouts.rs
+++ b/crates/decisions/tests/rollouts.rs
@@ -143,6 +143,21 @@
     }
 }
 
+/// Guards against an end that nobody writes, as its notice arrived before the withdrawal of the order.
+#[gtest]
+fn withdrawal_leaves_an_end_that_is_not_stored_to_the_owner() {
+    for (stored, left) in [(false, true), (true, false)] {
+        let mut rollouts = rollouts();
+        let mut end = notice(order("v2", 7), 1, RolloutPhase::RolledBack);
+        end.progress.stored = stored;
+        rollouts.take(&end, at(1000));
+
+        let withdrawn = rollouts.withdraw(&"shop".parse().unwrap(), 8);
+
+        expect_that!(withdrawn.is_some(), eq(left));
+    }
+}
+
 /// The order of a rollout that was rolled back is withdrawn; its version is still bad.
 #[gtest]
 fn version_that_was_rolled_back_stays_out_without_its_order() {
