The test of a paused router plays the seeds that show its fault

With the announcement of suspects taken out it passed: the one seed that it played does not lose a third engine. Of seeds 3 to 6 with the scenario's own tokens one or two do (3 engines lost), so the test plays these four; it is red without the announcement and passes with it. Its check is the same. One function runs scenarios as they are for both tests that need it.

--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -21,6 +21,20 @@
         .expect("the experiment runs")
 }
 
+/// Runs a scenario with the tokens and the step that it has.
+async fn run_as_it_is(name: &str, seed: u64, arrivals: Duration) -> Report {
+    let scenario = Scenario::find(name).expect("a scenario");
+    let settings = RunSettings {
+        seed,
+        arrivals: Some(arrivals),
+        ..RunSettings::default()
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_catkin-load"));
+    run_scenario(program, &scenario, &settings, |_, _| {})
+        .await
+        .expect("the experiment runs")
+}
+
 #[gtest]
 #[tokio::test]
 async fn steady() {
@@ -135,18 +149,9 @@
 #[gtest]
 #[tokio::test]
 async fn poison_request_is_refused_by_a_router_that_was_slow_to_answer() {
-    let scenario = Scenario::find("poison-slow-peers").expect("a scenario");
-    let program = Path::new(env!("CARGO_BIN_EXE_catkin-load"));
-
     for seed in [107, 112, 125, 126, 129] {
-        let settings = RunSettings {
-            seed,
-            arrivals: Some(Duration::from_secs(2)),
-            ..RunSettings::default()
-        };
-        let report = run_scenario(program, &scenario, &settings, |_, _| {}).await;
-
-        let report = report.expect("the experiment runs");
+        let report = run_as_it_is("poison-slow-peers", seed, Duration::from_secs(2)).await;
+
         expect_that!(report.violations, is_empty(), "seed {seed}");
     }
 }
@@ -164,9 +169,11 @@
 #[gtest]
 #[tokio::test]
 async fn poison_request_costs_two_engines_when_its_router_is_paused_at_the_second() {
-    let report = short_run("poison-router-pause", 3).await;
+    for seed in [3, 4, 5, 6] {
+        let report = run_as_it_is("poison-router-pause", seed, Duration::from_secs(1)).await;
 
-    expect_that!(report.violations, is_empty());
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
 }
 
 /// A request crashes each engine before that answers, so that it looks like one that was sent to an
