Look for a copy of progress again while it may be in flight

Callers saw: a router is killed and the caller of an accepted generation gets progress_lost from the router that it returns to. Cause: the copy leaves the lost router before the tokens that it covers, but reaches its holder after the caller's return where messages between routers take longer than that; the holder looked once. Change: looked for again with backoff, 0.5 s at most, only if the caller has received tokens.

--- a/crates/catkinward/src/returning_caller.rs
+++ b/crates/catkinward/src/returning_caller.rs
@@ -9,6 +9,12 @@
 /// received nothing, so to begin anew is correct and costs engine time only.
 const SMALL_SYSTEM: usize = 16;
 
+/// How long a copy of progress may be on its way to its holder after the VM that sent it was lost.
+const IN_FLIGHT_BOUND: Duration = Duration::from_millis(500);
+
+/// Wait before a copy that may be on its way is looked for again; it doubles each time.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+
 /// Finds the generation of a caller who gave an idempotency key: the one that runs here, one that
 /// another VM has run, or a new one.
 ///
@@ -21,7 +27,7 @@
     request: GenerationRequest,
     point: &ReturnPoint,
 ) -> Result<Generation, Problem> {
-    let Some(record) = find_copy(node, &request.id, point).await else {
+    let Some(record) = await_copy(node, &request, point).await else {
         if point.next == TokenIndex(0) {
             return Ok(Generation::new(request));
         }
@@ -36,6 +42,34 @@
     Ok(take_over(node, request, point, &record))
 }
 
+/// Looks for the copy of a generation, again and again while one that reaches as far as the caller may be on its way: a
+/// caller returns sooner than a message of the lost VM takes.
+async fn await_copy(
+    node: &Node,
+    request: &GenerationRequest,
+    point: &ReturnPoint,
+) -> Option<ProgressRecord> {
+    let start = node.timer.now();
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        let record = find_copy(node, &request.id, point).await;
+        let is_final = match &record {
+            Some(record) => record.head.digest != request.body || record.reaches(point),
+            None => point.next == TokenIndex(0),
+        };
+        let waited = node.timer.now().since(start);
+        if is_final || waited >= IN_FLIGHT_BOUND {
+            if point.next > TokenIndex(0) {
+                tracing::info!(id = %request.id, next = %point.next, found = record.is_some(), is_final,
+                    waited_ms = %waited.as_millis(), "caller returned: copy of progress looked for");
+            }
+            return record;
+        }
+        tokio::time::sleep(backoff).await;
+        backoff *= 2;
+    }
+}
+
 async fn find_copy(node: &Node, id: &RequestId, point: &ReturnPoint) -> Option<ProgressRecord> {
     let peers = node.peers.as_ref()?;
     if point.next == TokenIndex(0) && peers.entries().len() > SMALL_SYSTEM {
--- a/crates/load/src/scenarios.rs
+++ b/crates/load/src/scenarios.rs
@@ -74,6 +74,13 @@
         faults: &[(0.3, Fault::StutterRouters), (0.31, Fault::KillRouter)],
         ..Scenario::BASE
     },
+    Scenario {
+        name: "router-death-slow-peers",
+        about: "a router process is killed, while messages between routers take 60 ms",
+        faults: &[(0.5, Fault::KillRouter)],
+        peer_delay: Duration::from_millis(60),
+        ..Scenario::BASE
+    },
     Scenario {
         name: "router-pause",
         about: "a router process is stopped for 3 s; its callers turn to others; it comes back",
@@ -122,9 +129,16 @@
         faults: &[(0.3, Fault::PoisonKillingRouter)],
         ..Scenario::BASE
     },
+    Scenario {
+        name: "poison-router-death-slow-peers",
+        about: "the same, while messages between routers take 60 ms",
+        faults: &[(0.3, Fault::PoisonKillingRouter)],
+        peer_delay: Duration::from_millis(60),
+        ..Scenario::BASE
+    },
     Scenario {
         name: "poison-router-pause",
-        about: "the same, but the router is stopped for 3 s",
+        about: "as poison-router-death, but the router is stopped for 3 s",
         faults: &[(0.3, Fault::PoisonPausingRouter(PAUSE))],
         patience: Duration::from_millis(1500),
         ..Scenario::BASE
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -99,6 +99,18 @@
     expect_that!(report.returns, gt(0));
 }
 
+/// Guards against a caller who is told that its progress is lost while the copy is on its way to its holder.
+#[gtest]
+#[tokio::test]
+async fn router_that_dies_while_copies_are_in_flight_loses_no_answer() {
+    for seed in [102, 107, 111] {
+        let report =
+            run_as_it_is("router-death-slow-peers", seed, Duration::from_millis(1200)).await;
+
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against copies of progress that are given up because a busy VM wrote them late.
 #[gtest]
 #[tokio::test]
