Announce the run of a suspect to peers that were slow, and let messages outlive the wait

Callers saw: a router is killed with the second engine that a request crashes, and the request costs two more engines at the router that its caller returns to; the streams there are held up. Cause: peers that missed an answer within 2 s got no announcement, and a message was abandoned, with the connection that was being opened for it, when the wait for its answer ended.

--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -4,6 +4,7 @@
     engine_event::{AttemptFault, EngineEvent},
     generation::GenerationOutcome,
     generation_admission::SUSPECT_PATIENCE,
+    peer_exchange::ExchangeTally,
     place::Place,
     problem::{Problem, ProblemKind},
     progress_keeper::ProgressKeeper,
@@ -209,7 +210,9 @@
         };
         let (marks, start) = (upstreams.poison_marks_of(body), self.node.timer.now());
         let deaths = marks.len();
-        let (asked, answered) = peers.confer(marks).await;
+        let ExchangeTally {
+            asked, answered, ..
+        } = peers.confer(marks).await;
         let (refused, took) = (upstreams.refuses(body), self.node.timer.now().since(start));
         tracing::info!(id = %self.generation.request.id, %body, deaths, asked, answered, refused,
             took_ms = %took.as_millis(), "peers were asked about deaths under a request");
@@ -223,10 +226,15 @@
         };
         let (body, start) = (run.digest, self.node.timer.now());
         let marks = self.node.upstreams.poison_marks_of(body);
-        let (asked, answered) = peers.announce(run, marks).await;
+        let tally = peers.announce(run, marks).await;
+        let ExchangeTally {
+            asked,
+            awaited,
+            answered,
+        } = tally;
         let took = self.node.timer.now().since(start);
         tracing::info!(id = %self.generation.request.id, %body, upstream = %upstream.id(), asked,
-            answered, took_ms = %took.as_millis(), "run of a suspect announced to peers");
+            awaited, answered, took_ms = %took.as_millis(), "run of a suspect announced to peers");
     }
 
     /// How a poisoned request ends: as not run only if no attempt was ever sent.
--- a/crates/catkinward/src/peer_exchange.rs
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -10,12 +10,20 @@
 /// there are more, the others hear of it from those that were asked.
 const MOST_CONFERRED: usize = 16;
 
-/// How long a suspect waits until peers have its announcement.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// VMs named in one exchange.
 const VMS_TOLD: usize = 6;
 
+/// How an exchange with several VMs went.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeTally {
+    /// VMs that got the message.
+    pub(crate) asked: usize,
+    /// Those of them whose answers were awaited.
+    pub(crate) awaited: usize,
+    /// Those that have answered in time.
+    pub(crate) answered: usize,
+}
+
 impl Peers {
     /// Fetches the content of a bundle from one of the neighbours that has it in force.
     pub(crate) async fn fetch_bundle(self: &Arc<Self>, digest: BundleDigest) -> Option<Bytes> {
@@ -89,47 +97,62 @@
     }
 
     /// Sends VMs the deaths under a request, and takes what they know of these deaths: all VMs of a small
-    /// system, [`MOST_CONFERRED`] of a larger one. Waits for their answers up to [`PROBE_TIMEOUT`]; returns how
-    /// many were asked and how many have answered.
-    pub(crate) async fn confer(self: &Arc<Self>, poison: Vec<PoisonMark>) -> (usize, usize) {
+    /// system, [`MOST_CONFERRED`] of a larger one. Waits for their answers up to [`PROBE_TIMEOUT`].
+    pub(crate) async fn confer(self: &Arc<Self>, poison: Vec<PoisonMark>) -> ExchangeTally {
         let now = self.timer.now();
         let peers = self.table.lock().nearest_of_all(now, MOST_CONFERRED);
         let gossip = Gossip {
             poison,
             ..Gossip::default()
         };
-        self.exchange_all(&peers, &gossip, PROBE_TIMEOUT).await
+        self.exchange_all(&peers, &peers, &gossip).await
     }
 
-    /// Announces to VMs that answer that a suspect is about to run, with the deaths under it. Waits for their answers up
-    /// to [`ANNOUNCE_TIMEOUT`]; returns how many were asked and how many have answered.
+    /// Announces to VMs that a suspect is about to run, with the deaths under it. Waits up to [`PROBE_TIMEOUT`] for the
+    /// answers of those to which its caller may return; the others get it as well.
     pub(crate) async fn announce(
         self: &Arc<Self>,
         run: SuspectRun,
         poison: Vec<PoisonMark>,
-    ) -> (usize, usize) {
+    ) -> ExchangeTally {
         let now = self.timer.now();
-        let peers = self.table.lock().nearest(now, MOST_CONFERRED);
+        let (peers, awaited) = {
+            let table = self.table.lock();
+            let peers = table.nearest_of_all(now, MOST_CONFERRED);
+            let mut awaited = peers.clone();
+            awaited.retain(|peer| table.may_serve(now, &peer.vm));
+            (peers, awaited)
+        };
         let gossip = Gossip {
             poison,
             suspects: vec![run],
             ..Gossip::default()
         };
-        self.exchange_all(&peers, &gossip, ANNOUNCE_TIMEOUT).await
+        self.exchange_all(&peers, &awaited, &gossip).await
     }
 
+    /// Exchanges with VMs, each in a task of its own: a message that is not answered in time is still on its way.
     async fn exchange_all(
         self: &Arc<Self>,
         peers: &[PeerEntry],
+        awaited: &[PeerEntry],
         gossip: &Gossip,
-        bound: Duration,
-    ) -> (usize, usize) {
-        let exchanges = peers
+    ) -> ExchangeTally {
+        let exchanges = peers.iter().filter_map(|peer| {
+            let is_awaited = awaited.contains(peer);
+            let (peers, peer, gossip) = (self.clone(), peer.clone(), gossip.clone());
+            let exchange = tokio::spawn(async move { peers.exchange(&peer, gossip).await });
+            is_awaited.then(|| tokio::time::timeout(PROBE_TIMEOUT, exchange))
+        });
+        let results = futures::future::join_all(exchanges.collect::<Vec<_>>()).await;
+        let answered = results
             .iter()
-            .map(|peer| tokio::time::timeout(bound, self.exchange(peer, gossip.clone())));
-        let results = futures::future::join_all(exchanges).await;
-        let answered = results.iter().filter(|result| matches!(result, Ok(Ok(()))));
-        (peers.len(), answered.count())
+            .filter(|result| matches!(result, Ok(Ok(Ok(())))));
+        ExchangeTally {
+            asked: peers.len(),
+            awaited: awaited.len(),
+            answered: answered.count(),
+        }
     }
 
     /// Exchanges news with all neighbours at once: a change should not wait for the next round.
--- a/crates/catkinward/src/peer_links.rs
+++ b/crates/catkinward/src/peer_links.rs
@@ -24,7 +24,7 @@
         }
     }
 
-    /// The open connection to a holder; opens one if there is none.
+    /// The open connection to a VM; opens one if there is none.
     pub(crate) async fn link(
         self: &Arc<Self>,
         peer: &PeerEntry,
@@ -32,7 +32,15 @@
         if let Some(link) = self.open_link(&peer.vm) {
             return Ok(link);
         }
-        // One at a time to each VM, or many streams that lose a connection would open one each.
+        // A caller that gives up must not abandon the connection: to a distant VM it would never open.
+        let (peers, peer) = (self.clone(), peer.clone());
+        let opening = tokio::spawn(async move { peers.open_once(&peer).await });
+        opening.await.unwrap_or(Err(PeerFault::Broken))
+    }
+
+    /// Opens a connection to a VM unless another task has just done so: one at a time to each VM, or many streams that
+    /// lose a connection would open one each.
+    async fn open_once(self: &Arc<Self>, peer: &PeerEntry) -> Result<Arc<PeerLink>, PeerFault> {
         let opening = self.opening(&peer.vm);
         let _guard = opening.lock().await;
         if let Some(link) = self.open_link(&peer.vm) {
--- a/crates/decisions/src/peer_table.rs
+++ b/crates/decisions/src/peer_table.rs
@@ -15,12 +15,18 @@
 struct Peer {
     entry: PeerEntry,
     heard_of: Instant,
+    /// Its last answer.
+    answered: Option<Instant>,
+    /// The last call that it did not answer, unless it has answered since.
     failed: Option<Instant>,
 }
 
 /// How long a VM that did not answer is passed over.
 const FAILED_FOR: Duration = Duration::from_secs(2);
 
+/// How long after its last answer a VM that does not answer may still serve callers.
+const SERVES_FOR: Duration = Duration::from_secs(5);
+
 /// How long a VM is remembered of which nobody speaks any more.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
@@ -62,6 +68,7 @@
                 Peer {
                     entry,
                     heard_of: at,
+                    answered: None,
                     failed: None,
                 },
             ),
@@ -72,6 +79,7 @@
     pub fn answered(&mut self, now: Instant, vm: &VmId) {
         if let Ok(i) = self.position(vm) {
             self.peers[i].failed = None;
+            self.peers[i].answered = Some(now);
             self.peers[i].heard_of = now;
         }
     }
@@ -176,6 +184,16 @@
         nearest
     }
 
+    /// Whether a VM may serve callers, as far as is known: it was not found silent, or answered lately.
+    #[must_use]
+    pub fn may_serve(&self, now: Instant, vm: &VmId) -> bool {
+        let peer = self.position(vm).ok().map(|i| &self.peers[i]);
+        peer.is_some_and(|peer| {
+            let answered = peer.answered.is_some_and(|at| now.since(at) <= SERVES_FOR);
+            peer.failed.is_none() || answered
+        })
+    }
+
     fn zone_of(&self, vm: &VmId) -> Option<AvailabilityZone> {
         if *vm == self.own {
             return Some(self.own_zone.clone());
--- a/crates/decisions/tests/peer_table.rs
+++ b/crates/decisions/tests/peer_table.rs
@@ -56,6 +56,23 @@
     expect_that!(table.nearest_of_all(at(11), 2), eq(&answering));
 }
 
+/// Guards against a slow VM that is taken for dead, and against waits for one that is.
+#[gtest]
+fn vm_that_misses_an_answer_may_serve_until_it_has_been_silent_for_long() {
+    let mut table = table(0, 3);
+
+    table.answered(at(10), &vm(1));
+    table.failed(at(11), &vm(1));
+    table.failed(at(11), &vm(2));
+
+    expect_true!(table.may_serve(at(11), &vm(1)));
+    expect_true!(table.may_serve(at(15), &vm(1)));
+    expect_false!(table.may_serve(at(16), &vm(1)));
+    expect_false!(table.may_serve(at(11), &vm(2)));
+    table.answered(at(17), &vm(2));
+    expect_true!(table.may_serve(at(17), &vm(2)));
+}
+
 #[gtest]
 fn a_handful_of_neighbours_however_many_vms() {
     let table = table(0, 400);
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -177,6 +177,18 @@
     expect_that!(report.violations, is_empty());
 }
 
+/// Guards against a run that is not announced to routers which missed an answer lately, or is sent before they know of it.
+#[gtest]
+#[tokio::test]
+async fn poison_request_costs_two_engines_when_its_router_is_killed_and_peers_are_slow() {
+    for seed in [106, 111, 112, 114, 127] {
+        let arrivals = Duration::from_millis(1200);
+        let report = run_as_it_is("poison-router-death-slow-peers", seed, arrivals).await;
+
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against a router that is paused at the loss of the second engine, as the one that is killed.
 #[gtest]
 #[tokio::test]
