Hold back the order of a suspect that runs, or was found guilty, at another router

Callers saw: a request that crashes its engine arrives at two routers at once and costs three or four engines; streams there are held up, and an innocent one that ran beside it was refused. Cause: a run was chosen by what its router knew, announced, and sent whatever the answers had brought; and routers did not answer with runs of their own that conflict with the announced one. Change: conflicting runs are answered, and a run is committed right before its order is sent. Unit tests for each rule of precedence.

--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -68,6 +68,13 @@
     /// An event is no JSON of the agreed form.
     #[display("an event cannot be read: {_0}")]
     Form(serde_json::Error),
+    /// The request may not run there by what was learned since the upstream was chosen; nothing was sent.
+    #[display("the order was held back: {hold}")]
+    #[from(skip)]
+    Held {
+        /// Why.
+        hold: PoisonHold,
+    },
     /// The call failed.
     #[display("{_0}")]
     Http(http_client::HttpError),
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -286,6 +286,7 @@
         let started = async {
             upstream.prove_alive().await?;
             self.announce(&upstream).await;
+            upstream.commit()?;
             engine_client::start_attempt(connections, &upstream, order, START_BOUND).await
         };
         let stream = match started.await {
--- a/crates/catkinward/src/gossip.rs
+++ b/crates/catkinward/src/gossip.rs
@@ -13,6 +13,9 @@
     /// Runs of suspects that the sender is about to start.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRun>,
+    /// Runs of suspects on the sender that conflict with runs that were announced to it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub running: Vec<SuspectRun>,
     /// Some VMs, each with the milliseconds since it was last heard from.
     pub vms: Vec<(PeerEntry, u32)>,
 }
--- a/crates/catkinward/src/upstream_gossip.rs
+++ b/crates/catkinward/src/upstream_gossip.rs
@@ -11,6 +11,9 @@
     let answering = upstreams.clone();
     peers.gossip.answer(move |heard, gossip| {
         gossip.poison.extend(answering.culprits(&heard.poison));
+        let conflicts = answering.suspect_conflicts(&heard.suspects);
+        gossip.suspects.extend(conflicts.waiting);
+        gossip.running.extend(conflicts.running);
     });
     let (hearing, table) = (upstreams.clone(), Arc::downgrade(peers));
     peers.gossip.hear(move |gossip, sender| {
@@ -19,6 +22,7 @@
         }
         hearing.merge_poison(&gossip.poison, sender);
         hearing.suspects_announced(&gossip.suspects, sender);
+        hearing.suspects_run_elsewhere(&gossip.running, sender);
         if let Some(peers) = table.upgrade() {
             hearing.set_watchers(watchers(&peers));
         }
--- a/crates/catkinward/src/upstream_handle.rs
+++ b/crates/catkinward/src/upstream_handle.rs
@@ -142,7 +142,7 @@
     pub(crate) async fn lost(&self, fault: &AttemptFault) {
         match fault {
             AttemptFault::Refused { kind } => self.refused(*kind),
-            AttemptFault::NotEligible => {}
+            AttemptFault::NotEligible | AttemptFault::Held { .. } => {}
             AttemptFault::Unproven => {
                 self.failed();
                 // Nothing was sent, so the request was not there when the upstream died.
@@ -214,6 +214,20 @@
         self.known.poison.lock().suspect_run(self.run?)
     }
 
+    /// Commits the request to this upstream: its order is sent next.
+    ///
+    /// # Errors
+    ///
+    /// If deaths under the request or its run on another VM became known since the upstream was chosen.
+    pub(crate) fn commit(&self) -> Result<(), AttemptFault> {
+        let Some(run) = self.run else {
+            return Ok(());
+        };
+        let now = self.known.timer.now();
+        let committed = self.known.poison.lock().commit(run, now);
+        committed.map_err(|hold| AttemptFault::Held { hold })
+    }
+
     async fn find_out(&self) {
         let _probing = self.state.probing.lock().await;
         let current = self.state.record.lock().evidence.incarnation();
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -235,6 +235,22 @@
         }
     }
 
+    /// Takes the answers of a peer that suspects run there which this VM has announced, or other ones beside these.
+    pub fn suspects_run_elsewhere(&self, runs: &[SuspectRun], peer: &VmId) {
+        let now = self.known.timer.now();
+        for run in runs {
+            tracing::info!(%peer, body = %run.digest, upstream = %run.upstream,
+                incarnation = run.incarnation.0, "peer runs a suspect");
+            self.known.poison.lock().runs_elsewhere(run.clone(), now);
+        }
+    }
+
+    /// Runs of suspects here that conflict with runs that a peer announces.
+    #[must_use]
+    pub fn suspect_conflicts(&self, announced: &[SuspectRun]) -> SuspectConflicts {
+        self.known.poison.lock().conflicts(announced)
+    }
+
     /// Asks the upstreams to which other VMs have sent a suspect whether they live: one that died, died under it.
     pub(crate) async fn check_suspect(&self, digest: RequestDigest) {
         let now = self.known.timer.now();
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -164,7 +164,7 @@
     stream_pace::StreamPace,
     subset::{OTHER_ZONES, OWN_ZONE, subset},
     suspect_run::SuspectRun,
-    suspect_runs::SuspectRuns,
+    suspect_runs::{SuspectConflicts, SuspectRuns},
     suspicion::Suspicion,
     table_row::TableRow,
     team::Team,
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -94,6 +94,8 @@
     upstream: UpstreamId,
     incarnation: Incarnation,
     watched: bool,
+    /// Whether its order is sent, or is about to be.
+    sent: bool,
     /// Whether the upstream has begun to answer it, or proved alive right before it was sent.
     was_there: bool,
     steps: u32,
@@ -170,6 +172,7 @@
             upstream,
             incarnation,
             watched: self.is_marked(digest, now),
+            sent: false,
             was_there: false,
             steps: 0,
         };
@@ -229,16 +232,55 @@
     pub fn suspect_run(&self, run: PoisonRun) -> Option<SuspectRun> {
         let i = self.runs.binary_search_by_key(&run, |run| run.key).ok()?;
         let run = &self.runs[i];
-        run.watched.then(|| SuspectRun {
-            digest: run.key.digest,
-            upstream: run.upstream.clone(),
-            incarnation: run.incarnation,
-        })
+        run.watched.then(|| run.as_suspect())
+    }
+
+    /// Commits a run whose order is sent next, unless another VM has told of deaths under the request or of a run that goes
+    /// first since this one was started.
+    ///
+    /// # Errors
+    ///
+    /// Why the order must not be sent.
+    pub fn commit(&mut self, run: PoisonRun, now: Instant) -> Result<(), PoisonHold> {
+        if self.refuses(run.digest, now) {
+            return Err(PoisonHold::Refused);
+        }
+        let own = self.suspect_run(run);
+        if own.is_some_and(|own| self.others.precedes(&own, now)) {
+            return Err(PoisonHold::Elsewhere);
+        }
+        if let Some(run) = self.run_mut(run) {
+            run.sent = true;
+        }
+        Ok(())
+    }
+
+    /// Runs of suspects on this VM that conflict with runs that another VM announces.
+    #[must_use]
+    pub fn conflicts(&self, announced: &[SuspectRun]) -> SuspectConflicts {
+        let mut conflicts = SuspectConflicts::default();
+        for run in self.runs.iter().filter(|run| run.watched) {
+            let own = run.as_suspect();
+            if announced.iter().any(|other| other.conflicts(&own)) {
+                let of_kind = if run.sent {
+                    &mut conflicts.running
+                } else {
+                    &mut conflicts.waiting
+                };
+                of_kind.push(own);
+            }
+        }
+        conflicts
     }
 
     /// Takes the announcement of another VM that it sends a suspect to an upstream.
     pub fn announced(&mut self, run: SuspectRun, now: Instant) {
-        self.others.announced(run, now);
+        self.others.announced(run, false, now);
+    }
+
+    /// Takes the answer of another VM that a suspect runs there.
+    pub fn runs_elsewhere(&mut self, run: SuspectRun, now: Instant) {
+        self.others.announced(run, true, now);
     }
 
     /// Announced runs of a request whose upstreams have to be asked whether they live before it is sent elsewhere.
@@ -472,6 +514,16 @@
     }
 }
 
+impl Run {
+    fn as_suspect(&self) -> SuspectRun {
+        SuspectRun {
+            digest: self.key.digest,
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 impl Mark {
     fn tell(&self, now: Instant) -> PoisonMark {
         let age = now.since(self.at).as_millis();
--- a/crates/decisions/src/suspect_run.rs
+++ b/crates/decisions/src/suspect_run.rs
@@ -16,6 +16,13 @@
 }
 
 impl SuspectRun {
+    /// Whether the runs must not go on together: one request would crash two upstreams, or the death of one upstream could
+    /// not tell two requests apart.
+    #[must_use]
+    pub fn conflicts(&self, other: &Self) -> bool {
+        (self.digest == other.digest) != (self.upstream == other.upstream)
+    }
+
     /// The death of the process that it is sent to.
     #[must_use]
     pub fn death(&self) -> UpstreamDeath {
--- a/crates/decisions/src/suspect_runs.rs
+++ b/crates/decisions/src/suspect_runs.rs
@@ -9,6 +9,15 @@
 /// Announced runs kept; the oldest go first.
 const MOST_RUNS: usize = 1024;
 
+/// Runs of a VM that conflict with runs that another VM announces.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SuspectConflicts {
+    /// Those whose order is not sent yet.
+    pub waiting: Vec<SuspectRun>,
+    /// Those whose order is sent.
+    pub running: Vec<SuspectRun>,
+}
+
 /// Runs of suspects that other VMs have announced.
 ///
 /// A suspect waits until the upstream of its announced run was checked and has survived for [`HOLD`], and other
@@ -23,13 +32,15 @@
 struct Announced {
     run: SuspectRun,
     at: Instant,
+    /// Whether its order is known to be sent.
+    sent: bool,
     /// Whether this VM has asked the upstream since.
     checked: bool,
 }
 
 impl SuspectRuns {
-    /// Takes an announcement.
-    pub fn announced(&mut self, run: SuspectRun, now: Instant) {
+    /// Takes an announcement, or what another VM answers to one: then the run may be `sent`.
+    pub fn announced(&mut self, run: SuspectRun, sent: bool, now: Instant) {
         self.runs
             .retain(|announced| now.since(announced.at) <= EXPIRY);
         if self.runs.len() >= MOST_RUNS {
@@ -39,6 +50,7 @@
         let announced = Announced {
             run,
             at: now,
+            sent,
             checked: false,
         };
         match self.position(&announced.run) {
@@ -70,6 +82,16 @@
             .any(|announced| !announced.checked || announced.holds(now))
     }
 
+    /// Whether an announced run goes before one of this VM that conflicts with it: a run that was sent goes before one that
+    /// was not, and of two that were announced together one goes first on all VMs.
+    #[must_use]
+    pub fn precedes(&self, own: &SuspectRun, now: Instant) -> bool {
+        self.runs
+            .iter()
+            .filter(|announced| announced.run.conflicts(own) && announced.holds(now))
+            .any(|announced| announced.sent || announced.run < *own)
+    }
+
     /// Whether another request was just announced on an upstream.
     #[must_use]
     pub fn occupy(&self, upstream: &UpstreamId, digest: RequestDigest, now: Instant) -> bool {
--- a/crates/decisions/tests/suspect_runs.rs
+++ b/crates/decisions/tests/suspect_runs.rs
@@ -2,7 +2,7 @@
 
 mod poison_support;
 
-use catkin_decisions::{PoisonHold, PoisonTracker, SuspectRun};
+use catkin_decisions::{PoisonHold, PoisonRun, PoisonTracker, SuspectRun};
 use googletest::prelude::*;
 use poison_support::*;
 
@@ -25,6 +25,15 @@
     tracker
 }
 
+/// A VM whose culprit has lost engine 0 and is about to be sent to engine `n`.
+fn suspect_on(n: usize) -> (PoisonTracker, PoisonRun) {
+    let mut tracker = PoisonTracker::default();
+    start(&mut tracker, culprit(), 0);
+    die(&mut tracker, 0);
+    let run = start(&mut tracker, culprit(), n);
+    (tracker, run)
+}
+
 #[gtest]
 fn only_suspects_are_announced() {
     let mut tracker = PoisonTracker::default();
@@ -106,3 +115,65 @@
     expect_that!(unchecked, is_empty());
     expect_that!(tracker.is_marked(culprit(), at(0)), eq(false));
 }
+
+/// Guards against an order that is sent although its request was found guilty while peers were asked.
+#[gtest]
+fn order_is_held_back_once_the_request_is_refused() {
+    let mut other = PoisonTracker::default();
+    start(&mut other, culprit(), 1);
+    die(&mut other, 1);
+    let (mut tracker, run) = suspect_on(2);
+    let before = tracker.clone().commit(run, at(0));
+
+    tracker.merge(&other.marks(at(0)), at(0));
+
+    expect_that!(before, ok(eq(())));
+    expect_that!(tracker.commit(run, at(0)), err(eq(PoisonHold::Refused)));
+}
+
+/// Guards against VMs that send one suspect to two upstreams at the same time, and against none of them sending it.
+#[gtest]
+fn one_of_two_vms_that_announce_a_suspect_together_sends_it() {
+    let (mut first, first_run) = suspect_on(1);
+    let (mut second, second_run) = suspect_on(2);
+
+    first.announced(run_on(2), at(0));
+    second.announced(run_on(1), at(0));
+
+    expect_that!(first.commit(first_run, at(0)), ok(eq(())));
+    expect_that!(
+        second.commit(second_run, at(0)),
+        err(eq(PoisonHold::Elsewhere))
+    );
+}
+
+/// Guards against a suspect that is sent while an earlier copy of it runs on another VM.
+#[gtest]
+fn suspect_waits_for_its_run_on_another_vm() {
+    let (mut running, sent) = suspect_on(2);
+    running.commit(sent, at(0)).expect("nothing is in its way");
+    let (mut tracker, run) = suspect_on(1);
+
+    let conflicts = running.conflicts(&[run_on(1)]);
+    tracker.runs_elsewhere(conflicts.running[0].clone(), at(0));
+
+    expect_that!(conflicts.waiting, is_empty());
+    expect_that!(tracker.commit(run, at(0)), err(eq(PoisonHold::Elsewhere)));
+}
+
+/// Guards against two VMs that send different suspects to one upstream at the same time.
+#[gtest]
+fn suspect_waits_for_another_one_on_its_upstream() {
+    let (mut culprits, sent) = suspect_on(1);
+    culprits.commit(sent, at(0)).expect("nothing is in its way");
+    let mut tracker = PoisonTracker::default();
+    start(&mut tracker, innocent(), 0);
+    die(&mut tracker, 0);
+    let run = start(&mut tracker, innocent(), 1);
+
+    let announced = tracker.suspect_run(run).expect("a suspect");
+    let conflicts = culprits.conflicts(&[announced]);
+    tracker.runs_elsewhere(conflicts.running[0].clone(), at(0));
+
+    expect_that!(tracker.commit(run, at(0)), err(eq(PoisonHold::Elsewhere)));
+}
--- a/crates/load/src/injector.rs
+++ b/crates/load/src/injector.rs
@@ -89,6 +89,7 @@
             Fault::Poison => self.poison(POISON, true).await?,
             Fault::KeylessPoison => self.poison(POISON, false).await?,
             Fault::UnansweredPoison => self.poison(UNANSWERED_POISON, true).await?,
+            Fault::PoisonAtTwoRouters => self.poison_at_two(router).await?,
             Fault::PoisonKillingRouter => {
                 self.outcome.killed_routers.push(router);
                 self.poison_at(router, Signal::KILL).await?;
@@ -131,14 +132,7 @@
         let clients = self.fleet.clients(0)?;
         let call = self.poison_call(POISON, false);
         let engines = self.fleet.live_engines().await;
-        let send = |router: usize| {
-            let (call, client) = (call.clone(), &clients[router..=router]);
-            async move {
-                let balancer = Balancer::new(1);
-                let deadline = Instant::now() + POISON_BOUND;
-                call.make(client, &balancer, POISON_BOUND, deadline).await
-            }
-        };
+        let send = |router: usize| send_to(&clients[router], &call);
         let lost = async {
             while self.fleet.live_engines().await + 2 > engines {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -154,6 +148,18 @@
         Ok(())
     }
 
+    /// Sends a request that crashes its engine to a router and to the next one at the same time.
+    async fn poison_at_two(&mut self, router: usize) -> Result<(), LoadError> {
+        let clients = self.fleet.clients(0)?;
+        let call = self.poison_call(POISON, false);
+        let other = (router + 1) % clients.len();
+        tokio::join!(
+            send_to(&clients[router], &call),
+            send_to(&clients[other], &call)
+        );
+        Ok(())
+    }
+
     fn poison_call(&mut self, prompt: &str, keyed: bool) -> GenerationCall {
         let prompt = format!("{prompt} {:x}", self.random.random::<u64>());
         let key = format!("poison-{:x}", self.random.random::<u64>());
@@ -172,3 +178,13 @@
         left[self.random.random_range(0..left.len())]
     }
 }
+
+/// Makes a call at one router.
+async fn send_to(client: &CallerClient, call: &GenerationCall) {
+    let balancer = Balancer::new(1);
+    let deadline = Instant::now() + POISON_BOUND;
+    let clients = std::slice::from_ref(client);
+    call.clone()
+        .make(clients, &balancer, POISON_BOUND, deadline)
+        .await;
+}
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -55,7 +55,9 @@
     UnansweredPoison,
     /// A keyless one crashes two engines, its router is killed with the second, and its caller sends it again.
     PoisonKillingRouter,
-    /// The same, but the router is stopped for so long.
+    /// A keyless one arrives at two routers at once.
+    PoisonAtTwoRouters,
+    /// As `PoisonKillingRouter`, but the router is stopped for so long.
     PoisonPausingRouter(Duration),
 }
 
--- a/crates/load/src/scenarios.rs
+++ b/crates/load/src/scenarios.rs
@@ -143,9 +143,15 @@
         patience: Duration::from_millis(1500),
         ..Scenario::BASE
     },
+    Scenario {
+        name: "poison-at-two-routers",
+        about: "a request that crashes each engine arrives at two routers at once",
+        faults: &[(0.3, Fault::PoisonAtTwoRouters)],
+        ..Scenario::BASE
+    },
     Scenario {
         name: "poison-unanswered",
-        about: "the same, but each engine crashes before it answers",
+        about: "as poison, but each engine crashes before it answers",
         faults: &[(0.3, Fault::UnansweredPoison)],
         ..Scenario::BASE
     },
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -200,6 +200,18 @@
     }
 }
 
+/// Guards against two routers that send one suspect to two engines, as each learns of the other's run too late.
+#[gtest]
+#[tokio::test]
+async fn poison_request_that_arrives_at_two_routers_costs_two_engines() {
+    for seed in [101, 104, 130] {
+        let arrivals = Duration::from_millis(1200);
+        let report = run_as_it_is("poison-at-two-routers", seed, arrivals).await;
+
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// A request crashes each engine before that answers, so that it looks like one that was sent to an
 /// engine which was dead already. It took four engines with it before it was refused.
 #[gtest]
