Log what bad answers of a version under trial are held against

A good version was found bad in 1 of 40 runs beside heavy load, and the log did not have the answers of the old version in the same reports, so that three causes cannot be told apart: too few old answers in a report that is sent for each bad answer, one upstream that waits for a processor, or chance. The owner logs each report with bad answers of the new version: answers and bad ones of both versions, the part expected, the latency from which an answer is slow and the cumulative sum.

--- a/crates/catkinward/src/gateway/rollouts.rs
+++ b/crates/catkinward/src/gateway/rollouts.rs
@@ -293,7 +293,10 @@
             return None;
         }
         for evidence in &report.evidence {
-            owned.owner.judge.take(&report.vm, evidence);
+            let judged = owned.owner.judge.take(&report.vm, evidence);
+            if let Some(judged) = judged.filter(|judged| judged.new_bad > 0) {
+                log_bad_answers(report, &evidence.route, &judged);
+            }
         }
         if matches!(owned.owner.judge.verdict(), RolloutVerdict::Bad { .. }) {
             self.rollouts_changed.notify_one();
@@ -343,3 +346,10 @@
         owned.binary_search_by(|(s, _)| s.cmp(service)).is_ok()
     }
 }
+
+/// Logs a report with bad answers of a version under trial, and what they were held against.
+fn log_bad_answers(report: &RolloutReport, route: &str, judged: &JudgedReport) {
+    tracing::info!(service = %report.service, route, vm = %report.vm.vm, new = judged.new, new_bad = judged.new_bad,
+        old = judged.old, old_bad = judged.old_bad, usual = judged.usual, slowest = judged.slowest, sum = judged.sum,
+        "rollout: bad answers reported");
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -138,7 +138,7 @@
     rollout::{OWNER_LOST, Rollout},
     rollout_datagram::{RolloutGrant, RolloutReport},
     rollout_evidence::{AnswerCounts, AnswerOutcome, RouteEvidence, latency_bucket},
-    rollout_judge::{ROUTE_TRIES, RolloutJudge, RolloutVerdict},
+    rollout_judge::{JudgedReport, ROUTE_TRIES, RolloutJudge, RolloutVerdict},
     rollout_notice::{RolloutNotice, RolloutProgress},
     rollout_order::{RolloutFault, RolloutOrder},
     rollout_owner::{
--- a/crates/decisions/src/rollout_judge.rs
+++ b/crates/decisions/src/rollout_judge.rs
@@ -58,6 +58,25 @@
     },
 }
 
+/// What a report adds to the evidence on a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct JudgedReport {
+    /// Answers of the old versions in the report.
+    pub old: u32,
+    /// The bad ones among them.
+    pub old_bad: u32,
+    /// Answers of the new version that were judged with it.
+    pub new: u32,
+    /// The bad ones among them.
+    pub new_bad: u32,
+    /// Part of bad answers that was expected of a good version.
+    pub usual: f64,
+    /// Latency bucket above which an answer is slow.
+    pub slowest: u8,
+    /// Cumulative sum against the new version on the route.
+    pub sum: f64,
+}
+
 /// The evidence of all VMs.
 #[derive(Clone, Debug, Default)]
 pub struct RolloutJudge {
@@ -85,8 +104,8 @@
 }
 
 impl RolloutJudge {
-    /// Takes in a VM's counts of a route.
-    pub fn take(&mut self, vm: &VmLife, evidence: &RouteEvidence) {
+    /// Takes in a VM's counts of a route; returns what was judged, once the old versions have given enough answers.
+    pub fn take(&mut self, vm: &VmLife, evidence: &RouteEvidence) -> Option<JudgedReport> {
         let key = (vm.clone(), evidence.route.clone());
         let place = self.reports.binary_search_by(|(other, _)| other.cmp(&key));
         let index = place.unwrap_or_else(|index| {
@@ -105,7 +124,7 @@
         let route = &mut self.routes[index];
         route.sum.old.merge(&old);
         route.sum.new.merge(&new);
-        route.judge(&old, &mut self.all);
+        route.judge(&old, &mut self.all)
     }
 
     /// The verdict on what was taken in so far.
@@ -157,11 +176,9 @@
 impl JudgedRoute {
     /// Judges the answers that were not judged yet, once the old versions have given enough; `at_once` has those of the
     /// old versions in the same report.
-    fn judge(&mut self, at_once: &AnswerCounts, all: &mut Suspected) {
+    fn judge(&mut self, at_once: &AnswerCounts, all: &mut Suspected) -> Option<JudgedReport> {
         let old = &self.sum.old;
-        let (Some(median), true) = (old.median(), old.total() >= BASELINE) else {
-            return;
-        };
+        let median = old.median().filter(|_| old.total() >= BASELINE)?;
         let slowest = (median + SLOW_BUCKETS).max(latency_bucket(NEVER_SLOW));
         let answers = self.sum.new.since(&self.judged);
         self.judged = self.sum.new.clone();
@@ -173,6 +190,15 @@
         }
         self.suspected.add(total, bad, usual);
         all.add(total, bad, usual);
+        Some(JudgedReport {
+            old: at_once.total(),
+            old_bad: at_once.bad(slowest),
+            new: total,
+            new_bad: bad,
+            usual,
+            slowest,
+            sum: self.suspected.sum,
+        })
     }
 
     fn is_short(&self) -> bool {
--- a/crates/load/src/injector.rs
+++ b/crates/load/src/injector.rs
@@ -141,7 +141,7 @@
         tokio::select! {
             biased;
             () = lost => {}
-            _ = send(router) => {}
+            () = send(router) => {}
         }
         self.fleet.signal_router(router, signal)?;
         send((router + 1) % clients.len()).await;
