Announce a suspect before its engine proves alive, and withdraw an order that is not sent

Callers saw: two engines die by themselves 60 ms apart, and the caller of an accepted generation that was about to go on on the second one gets poisoned, a final error. Cause: the announcement came between the proof that the engine lives and the order, so a death during it counted as caused by the request; other routers blamed the announced run as well, sent or not. Change: announce, commit, prove, send; peers are told of an order that was not sent and clear what they laid to it.

--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -117,6 +117,15 @@
 }
 
 impl AttemptFault {
+    /// Whether the request surely was not on the upstream: no order reached it, or it refused the order.
+    pub(crate) fn never_ran(&self) -> bool {
+        match self {
+            Self::Held { .. } | Self::NotEligible | Self::Unproven | Self::Refused { .. } => true,
+            Self::Http(fault) => fault.never_connected(),
+            _ => false,
+        }
+    }
+
     /// Whether the engine may run the attempt although its stream did not come.
     pub(crate) fn may_have_started(&self) -> bool {
         use http_client::HttpError;
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -283,15 +283,21 @@
         metrics::counter!("catkin_attempts_total").increment(1);
         let connections = &self.node.connections;
         let mut guard = AttemptGuard::new(connections, upstream.address(), order);
+        let suspect = upstream.suspect_run();
         let started = async {
-            upstream.prove_alive().await?;
             self.announce(&upstream).await;
             upstream.commit()?;
+            upstream.prove_alive().await?;
             engine_client::start_attempt(connections, &upstream, order, START_BOUND).await
         };
         let stream = match started.await {
             Ok(stream) => stream,
             Err(fault) => {
+                if let (Some(run), Some(peers), true) =
+                    (suspect, &self.node.peers, fault.never_ran())
+                {
+                    peers.withdraw(run).await;
+                }
                 let found = Box::pin(self.find_started(&upstream, order, &fault)).await;
                 if !fault.may_have_started() {
                     guard.release();
--- a/crates/catkinward/src/gossip.rs
+++ b/crates/catkinward/src/gossip.rs
@@ -16,6 +16,9 @@
     /// Runs of suspects on the sender that conflict with runs that were announced to it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<SuspectRun>,
+    /// Runs that the sender has announced, and whose orders it did not send.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub withdrawn: Vec<SuspectRun>,
     /// Some VMs, each with the milliseconds since it was last heard from.
     pub vms: Vec<(PeerEntry, u32)>,
 }
--- a/crates/catkinward/src/peer_exchange.rs
+++ b/crates/catkinward/src/peer_exchange.rs
@@ -131,6 +131,17 @@
         self.exchange_all(&peers, &awaited, &gossip).await
     }
 
+    /// Tells VMs that the order of a run which was announced to them was not sent. Waits for no answer.
+    pub(crate) async fn withdraw(self: &Arc<Self>, run: SuspectRun) {
+        let now = self.timer.now();
+        let peers = self.table.lock().nearest_of_all(now, MOST_CONFERRED);
+        let gossip = Gossip {
+            withdrawn: vec![run],
+            ..Gossip::default()
+        };
+        self.exchange_all(&peers, &[], &gossip).await;
+    }
+
     /// Exchanges with VMs, each in a task of its own: a message that is not answered in time is still on its way.
     async fn exchange_all(
         self: &Arc<Self>,
--- a/crates/catkinward/src/upstream_gossip.rs
+++ b/crates/catkinward/src/upstream_gossip.rs
@@ -23,6 +23,7 @@
         hearing.merge_poison(&gossip.poison, sender);
         hearing.suspects_announced(&gossip.suspects, sender);
         hearing.suspects_run_elsewhere(&gossip.running, sender);
+        hearing.suspects_withdrawn(&gossip.withdrawn, sender);
         if let Some(peers) = table.upgrade() {
             hearing.set_watchers(watchers(&peers));
         }
--- a/crates/catkinward/src/upstreams.rs
+++ b/crates/catkinward/src/upstreams.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// Takes the withdrawals of a peer: orders of suspects that it has announced were not sent.
+    pub fn suspects_withdrawn(&self, runs: &[SuspectRun], peer: &VmId) {
+        for run in runs {
+            tracing::info!(%peer, body = %run.digest, upstream = %run.upstream,
+                incarnation = run.incarnation.0, "peer did not send a suspect");
+            self.known.poison.lock().withdrawn(run);
+        }
+    }
+
     /// Runs of suspects here that conflict with runs that a peer announces.
     #[must_use]
     pub fn suspect_conflicts(&self, announced: &[SuspectRun]) -> SuspectConflicts {
--- a/crates/decisions/src/poison_tracker.rs
+++ b/crates/decisions/src/poison_tracker.rs
@@ -86,6 +86,8 @@
     at: Instant,
     told: u32,
     cleared: bool,
+    /// Whether it stems from the announcement of another VM alone.
+    presumed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -283,6 +285,20 @@
         self.others.announced(run, true, now);
     }
 
+    /// Takes the withdrawal of a run by the VM that has announced it: its order was not sent.
+    pub fn withdrawn(&mut self, run: &SuspectRun) {
+        self.others.withdrawn(run);
+        let death = run.death();
+        let presumed = self
+            .marks
+            .iter_mut()
+            .filter(|mark| mark.digest == run.digest && mark.death == death && mark.presumed);
+        for mark in presumed.filter(|mark| !mark.cleared) {
+            mark.cleared = true;
+            mark.told = 0;
+        }
+    }
+
     /// Announced runs of a request whose upstreams have to be asked whether they live before it is sent elsewhere.
     #[must_use]
     pub fn unchecked(&self, digest: RequestDigest, now: Instant) -> Vec<SuspectRun> {
@@ -311,17 +327,19 @@
         let under = dead
             .iter()
             .filter(|run| run.was_there || !self.is_marked(run.key.digest, now))
-            .map(|run| run.key.digest);
+            .map(|run| (run.key.digest, false));
         let mut under = under.collect::<Vec<_>>();
-        under.extend(self.others.died(death, now));
+        let announced = self.others.died(death, now);
+        under.extend(announced.into_iter().map(|digest| (digest, true)));
         let mut new = Vec::new();
-        for digest in under {
+        for (digest, presumed) in under {
             let mark = Mark {
                 digest,
                 death,
                 at: now,
                 told: 0,
                 cleared: false,
+                presumed,
             };
             if self.mark(mark.clone()) {
                 new.push(mark.tell(now));
@@ -389,6 +407,7 @@
                 at: Instant(now.0.saturating_sub(age)),
                 told: 0,
                 cleared: mark.cleared,
+                presumed: false,
             });
             if changed {
                 new.push(*mark);
--- a/crates/decisions/src/suspect_runs.rs
+++ b/crates/decisions/src/suspect_runs.rs
@@ -107,6 +107,13 @@
         self.runs.retain(|announced| announced.run.digest != digest);
     }
 
+    /// Forgets a run whose order was not sent.
+    pub fn withdrawn(&mut self, run: &SuspectRun) {
+        if let Ok(i) = self.position(run) {
+            self.runs.remove(i);
+        }
+    }
+
     /// Forgets the runs on a process that has died; the requests that it died under.
     pub fn died(&mut self, death: UpstreamDeath, now: Instant) -> Vec<RequestDigest> {
         let on_it = |announced: &&Announced| announced.run.death() == death;
--- a/crates/decisions/tests/suspect_runs.rs
+++ b/crates/decisions/tests/suspect_runs.rs
@@ -177,3 +177,48 @@
 
     expect_that!(tracker.commit(run, at(0)), err(eq(PoisonHold::Elsewhere)));
 }
+
+/// Guards against an innocent request that is blamed for the death of an upstream to which its order was never sent.
+#[gtest]
+fn withdrawn_run_is_not_blamed_for_the_death_of_its_upstream() {
+    let mut late = after_an_announcement();
+    let mut early = late.clone();
+
+    late.withdrawn(&run_on(1));
+    die(&mut late, 1);
+    die(&mut early, 1);
+    let blamed = early.refuses(culprit(), at(0));
+    early.withdrawn(&run_on(1));
+
+    expect_that!(blamed, eq(true));
+    expect_that!(late.refuses(culprit(), at(0)), eq(false));
+    expect_that!(early.refuses(culprit(), at(0)), eq(false));
+    expect_that!(late.unchecked(culprit(), at(0)), is_empty());
+}
+
+/// Guards against a withdrawal that takes back a death which another VM has seen itself.
+#[gtest]
+fn withdrawal_keeps_a_death_that_was_seen() {
+    let (mut other, run) = suspect_on(1);
+    other.commit(run, at(0)).expect("nothing is in its way");
+    die(&mut other, 1);
+    let mut tracker = PoisonTracker::default();
+    tracker.merge(&other.marks(at(0)), at(0));
+
+    tracker.withdrawn(&run_on(1));
+
+    expect_that!(tracker.refuses(culprit(), at(0)), eq(true));
+}
+
+/// Guards against a suspect that is blamed for a death while its run is announced, before its order is sent.
+#[gtest]
+fn suspect_is_not_blamed_for_a_death_before_its_order() {
+    let mut tracker = PoisonTracker::default();
+    start(&mut tracker, culprit(), 0);
+    die(&mut tracker, 0);
+    tracker.started(culprit(), engine(1), FIRST, at(0));
+
+    die(&mut tracker, 1);
+
+    expect_that!(tracker.refuses(culprit(), at(0)), eq(false));
+}
--- a/crates/load/src/scenarios.rs
+++ b/crates/load/src/scenarios.rs
@@ -23,6 +23,14 @@
         recovery: RecoveryPolicy::LeastWork,
         ..Scenario::BASE
     },
+    Scenario {
+        name: "engine-deaths-slow-peers",
+        about: "two engines are killed 60 ms apart, while messages between routers take 60 ms",
+        generations: 6.0,
+        faults: &[(0.4, Fault::KillEngine), (0.45, Fault::KillEngine)],
+        peer_delay: Duration::from_millis(60),
+        ..Scenario::BASE
+    },
     Scenario {
         name: "engine-pause",
         about: "an engine process is stopped for 3 s and comes back",
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -212,6 +212,18 @@
     }
 }
 
+/// Guards against an innocent request that is refused for the death of an engine to which its order was never sent.
+#[gtest]
+#[tokio::test]
+async fn request_is_not_blamed_for_an_engine_that_dies_before_its_order() {
+    for seed in [104, 105, 118, 120, 129] {
+        let arrivals = Duration::from_millis(1200);
+        let report = run_as_it_is("engine-deaths-slow-peers", seed, arrivals).await;
+
+        expect_that!(report.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// A request crashes each engine before that answers, so that it looks like one that was sent to an
 /// engine which was dead already. It took four engines with it before it was refused.
 #[gtest]
