A reader whose link cannot carry the configuration leaves it to the store

Cause: 29 members of a zone read each configuration at once from its reader, whose link has 10 Mbit/s. Evidence: in the logs of eleven VMs 42 of 45 such reads were given up after 250 ms; at the reader 26 runs of streams were lost and 46 upstreams suspect. Change: a reader tells with its gossip that the configuration is to be read from the store if half of its link cannot carry it to all members in time. Cost: a call of the store for each member, which came after the failed read before. The new tests fail without the flag at either end.

--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -26,7 +26,7 @@
 ];
 
 /// Bound of an answer from another VM, which has it in memory: a way there and back takes 2 ms.
-const PEER_BOUND: Duration = Duration::from_millis(250);
+pub(crate) const PEER_BOUND: Duration = Duration::from_millis(250);
 
 /// A part of what the platform keeps.
 pub struct Feed<T> {
@@ -89,9 +89,12 @@
         };
         let read = match told {
             Some(told) => {
-                tracing::info!(config = %told.version, peer = %told.by, "a peer tells of a newer configuration");
-                let page = ask_peer(&feed, told.by).await;
-                take_config(&gateway, page.as_ref());
+                tracing::info!(config = %told.version, peer = %told.by, from_store = told.from_store,
+                    "a peer tells of a newer configuration");
+                if !told.from_store {
+                    let page = ask_peer(&feed, told.by).await;
+                    take_config(&gateway, page.as_ref());
+                }
                 if gateway.config().is_some_and(|c| c.version >= told.version) {
                     continue;
                 }
--- a/crates/catkinward/src/gateway/zone_config.rs
+++ b/crates/catkinward/src/gateway/zone_config.rs
@@ -22,18 +22,25 @@
     pub(crate) version: ConfigVersion,
     /// Address of the notes of the VM that told of it first.
     pub(crate) by: SocketAddr,
+    /// Whether it is read from the store, and not from that VM.
+    pub(crate) from_store: bool,
 }
 
 impl Gateway {
     /// Notes what configuration another VM of the zone has in force.
-    pub(crate) fn config_told(&self, version: Option<ConfigVersion>, by: SocketAddr) {
-        let Some(version) = version else {
+    pub(crate) fn config_told(&self, gossip: &ZoneGossip, by: SocketAddr) {
+        let Some(version) = gossip.config else {
             return;
         };
+        let from_store = gossip.config_from_store;
         self.zone_config.send_if_modified(|newest| {
             let newer = newest.is_none_or(|told| told.version < version);
             if newer {
-                *newest = Some(ToldConfig { version, by });
+                *newest = Some(ToldConfig {
+                    version,
+                    by,
+                    from_store,
+                });
             }
             newer
         });
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -98,15 +98,20 @@
             return;
         }
         let now = self.timer.now();
+        let readers = self.zone_vms().len().saturating_sub(1);
         let state = self.state.lock();
         let read = state.table_read.filter(|at| now.since(*at) < GOSSIP_AGE);
         let Some(read) = read else {
             return;
         };
         let age_ms = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let config = state.config.get();
         let gossip = ZoneGossip {
             vm: self.settings.vm.clone(),
-            config: state.config.get().map(|config| config.version),
+            config: config.map(|config| config.version),
+            config_from_store: config.is_some_and(|config| {
+                !link_carries_config(self.settings.link, config.bytes, readers, feed::PEER_BOUND)
+            }),
             config_age_ms: state.config_read.map(age_ms),
             version: state.table.version(),
             digest: state.table.digest(),
@@ -165,7 +170,7 @@
             );
         }
         self.take_changes(changes);
-        self.config_told(gossip.config, address);
+        self.config_told(gossip, address);
         self.gossip_came.notify_waiters();
     }
 
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -7,9 +7,9 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LoadReading, PeerNote,
-    Policy, PromptPart, RepeatBudgetConfig, RolloutSettings, Route, RouteTable, RouteTarget,
-    RoutingConfig, ServiceSpec, TableRow, UpstreamEntry, ZoneGossip,
+    Born, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LinkRate, LoadReading,
+    PeerNote, Policy, PromptPart, RepeatBudgetConfig, RolloutSettings, Route, RouteTable,
+    RouteTarget, RoutingConfig, ServiceSpec, TableRow, UpstreamEntry, ZoneGossip,
 };
 use catkinward::{
     Timer,
@@ -58,6 +58,8 @@
     holder: Option<&'static str>,
     rollouts: Option<RolloutSettings>,
     version: u64,
+    config_bytes: usize,
+    link: Option<LinkRate>,
 }
 
 /// A running gateway with what its upstreams saw.
@@ -89,9 +91,18 @@
             holder: None,
             rollouts: None,
             version: 1,
+            config_bytes: 0,
+            link: None,
         }
     }
 
+    /// The bandwidth of the VM's link, and the size of the configuration.
+    pub fn link(mut self, link: LinkRate, config_bytes: usize) -> Self {
+        self.link = Some(link);
+        self.config_bytes = config_bytes;
+        self
+    }
+
     pub fn upstream(mut self, id: &str, service: &str, zone: &str) -> Self {
         self.upstreams.push(upstream(id, service, zone));
         self
@@ -154,6 +165,7 @@
     /// The configuration that the gateway begins with.
     pub fn config(&self) -> RoutingConfig {
         RoutingConfig {
+            bytes: self.config_bytes,
             version: ConfigVersion(self.version),
             routes: RouteTable::new(self.routes.clone()),
             services: vec![service(ENGINES, true), service(PLAIN, false)],
@@ -185,7 +197,7 @@
         let settings = GatewaySettings {
             policy: Policy::default(),
             address: ([127, 0, 0, 1], 7001).into(),
-            link: None,
+            link: self.link,
             rollouts: self.rollouts,
             vm: "vm-1".into(),
             zone: self.zone.parse().unwrap(),
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -3,8 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    Born, CHANGES_TOLD, ConfigVersion, GOSSIP_AGE, PeerDatagram, RoutingConfig, UpstreamChange,
-    UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole,
+    Born, CHANGES_TOLD, ConfigVersion, GOSSIP_AGE, LinkRate, PeerDatagram, RoutingConfig,
+    UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole,
 };
 use catkinward::gateway::{
     Feed, FeedFault, FeedPage, exchange_notes, follow_config, follow_upstreams,
@@ -94,6 +94,7 @@
         ZoneGossip {
             vm: reader(),
             config: Some(ConfigVersion(1)),
+            config_from_store: false,
             config_age_ms: Some(0),
             version: table.version(),
             digest: table.digest(),
@@ -278,7 +279,16 @@
 
 /// Versions of the table that a VM tells its zone within a second.
 async fn told_to_the_zone(feed: impl FnOnce(&FakeTable) -> Feed<UpstreamEntry>) -> Vec<u64> {
-    let running = GatewayFixture::new(|_| Script::Hang).start();
+    let gossip = gossip_to_the_zone(GatewayFixture::new(|_| Script::Hang), feed).await;
+    gossip.iter().map(|gossip| gossip.version).collect()
+}
+
+/// What a VM that reads for its zone advertises to it within a second.
+async fn gossip_to_the_zone(
+    fixture: GatewayFixture,
+    feed: impl FnOnce(&FakeTable) -> Feed<UpstreamEntry>,
+) -> Vec<ZoneGossip> {
+    let running = fixture.start();
     let other = (2..100)
         .map(|n| Arc::<str>::from(format!("vm-{n}")))
         .find(|other| ZoneRole::of("vm-1", &["vm-1".into(), other.clone()]).reads())
@@ -291,15 +301,37 @@
         .take_note(running.peer_note(&other, "a"), peer.local_addr().unwrap());
     tokio::spawn(exchange_notes(running.gateway.clone(), own));
     tokio::spawn(follow_upstreams(running.gateway.clone(), feed(&table)));
-    let mut versions = Vec::new();
+    let mut received = Vec::new();
     let mut buf = [0; 2000];
     let end = tokio::time::Instant::now() + Duration::from_secs(1);
     while let Ok(Ok(len)) = tokio::time::timeout_at(end, peer.recv(&mut buf)).await {
         if let Ok(PeerDatagram::Gossip(gossip)) = ciborium::from_reader(&buf[..len]) {
-            versions.push(gossip.version);
+            received.push(gossip);
         }
     }
-    versions
+    received
+}
+
+/// Guards against a reader whose link is filled by the others of its zone that read the configuration from it.
+#[gtest]
+#[tokio::test]
+async fn configuration_that_the_link_cannot_carry_is_left_to_the_store() {
+    let small = GatewayFixture::new(|_| Script::Hang).link(LinkRate(10_000_000), 200_000);
+    let large = GatewayFixture::new(|_| Script::Hang).link(LinkRate(200_000_000), 200_000);
+
+    let by_small = gossip_to_the_zone(small, FakeTable::feed).await;
+    let by_large = gossip_to_the_zone(large, FakeTable::feed).await;
+
+    expect_that!(by_small, not(is_empty()));
+    expect_that!(
+        by_small.iter().all(|gossip| gossip.config_from_store),
+        eq(true)
+    );
+    expect_that!(by_large, not(is_empty()));
+    expect_that!(
+        by_large.iter().any(|gossip| gossip.config_from_store),
+        eq(false)
+    );
 }
 
 /// The store turns away the VM that reads for its zone, which then has the table from a peer elsewhere, up to two
@@ -403,6 +435,7 @@
     let gossip = ZoneGossip {
         vm: "edge-stirling-depot-long-400".into(),
         config: Some(ConfigVersion(u64::from(u32::MAX))),
+        config_from_store: true,
         config_age_ms: Some(2400),
         version: u64::from(u32::MAX),
         digest: u64::MAX,
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -158,6 +158,7 @@
         ZoneGossip {
             vm: self.others[0].clone(),
             config: self.running.gateway.config().map(|config| config.version),
+            config_from_store: false,
             config_age_ms: Some(u32::try_from(config_age.as_millis()).unwrap()),
             version: 10,
             digest: UpstreamTable::default().digest(),
@@ -216,6 +217,27 @@
     expect_that!(asked, some(eq(TELLER.parse::<SocketAddr>().unwrap())));
 }
 
+/// Guards against members that fill the small link of the VM which tells of a newer configuration.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn configuration_that_its_teller_cannot_carry_is_read_from_the_store() {
+    let member = Member::relying().await;
+    let asked_before = member.source.peers_asked.lock().len();
+    member.source.set_version(3);
+
+    member.hear_notes();
+    member.running.hear_gossip(&ZoneGossip {
+        config: Some(member.source.version()),
+        config_from_store: true,
+        ..member.word(Duration::ZERO)
+    });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+
+    expect_that!(member.version(), eq(ConfigVersion(3)));
+    expect_that!(member.source.take_store_calls(), eq(1));
+    expect_that!(member.source.peers_asked.lock().len(), eq(asked_before));
+}
+
 /// The VM that told of a newer configuration dies before the others have it from there. They ask the store.
 #[gtest]
 #[tokio::test(start_paused = true)]
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -58,6 +58,7 @@
     claim_verdict::ClaimVerdict,
     claimed::{Claimed, HeldClaim},
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
+    config_sharing::link_carries_config,
     config_version::ConfigVersion,
     crash_tally::{Crash, CrashTally, MOST_CRASHES},
     delivery::Delivery,
@@ -233,6 +234,7 @@
 mod claimed;
 mod comparisons;
 mod concurrency_limit;
+mod config_sharing;
 mod config_version;
 mod crash_tally;
 mod delivery;
--- a/crates/decisions/src/routing_config.rs
+++ b/crates/decisions/src/routing_config.rs
@@ -5,6 +5,8 @@
 pub struct RoutingConfig {
     /// Its version.
     pub version: ConfigVersion,
+    /// Size of its encoded form, in bytes.
+    pub bytes: usize,
     /// Its routes.
     pub routes: RouteTable,
     /// Its services, sorted by name.
--- a/crates/decisions/src/zone_gossip.rs
+++ b/crates/decisions/src/zone_gossip.rs
@@ -35,6 +35,9 @@
     /// Version of the configuration in force there, if there is one yet.
     #[serde(rename = "c")]
     pub config: Option<ConfigVersion>,
+    /// Whether others read that configuration from the store, as the VM's link cannot carry it to all of them.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub config_from_store: bool,
     /// Milliseconds since the store was asked there for the configuration and answered; none if it never was.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub config_age_ms: Option<u32>,
--- /dev/null
+++ b/crates/decisions/tests/config_sharing.rs
@@ -0,0 +1,28 @@
+//! Whether a VM's link carries its configuration to the others of its zone.
+
+use catkin_decisions::{LinkRate, link_carries_config};
+use googletest::prelude::*;
+use std::time::Duration;
+
+const WITHIN: Duration = Duration::from_millis(250);
+
+#[gtest]
+fn link_of_which_reads_take_more_than_half_does_not_carry_them() {
+    let mbit = |n: u64| Some(LinkRate(n * 1_000_000));
+    let cases = [
+        (mbit(10), 5_000, 29, true),
+        (mbit(10), 20_000, 29, false),
+        (mbit(200), 20_000, 29, true),
+        (mbit(10), 20_000, 3, true),
+        (mbit(10), usize::MAX, 29, false),
+        (None, 20_000, 29, true),
+    ];
+
+    for (link, bytes, readers, carries) in cases {
+        expect_that!(
+            link_carries_config(link, bytes, readers, WITHIN),
+            eq(carries),
+            "{link:?}, {bytes} bytes for {readers}"
+        );
+    }
+}
--- a/crates/decisions/tests/routes.rs
+++ b/crates/decisions/tests/routes.rs
@@ -40,6 +40,7 @@
         priority: None,
     };
     Arc::new(RoutingConfig {
+        bytes: 0,
         version: ConfigVersion(version),
         routes: RouteTable::default(),
         services: Vec::new(),
--- a/crates/decisions/tests/zone_gossip.rs
+++ b/crates/decisions/tests/zone_gossip.rs
@@ -60,6 +60,7 @@
     ZoneGossip {
         vm: "vm-1".into(),
         config: Some(ConfigVersion(1)),
+        config_from_store: false,
         config_age_ms: Some(0),
         version,
         digest: table.digest(),
