Selection: no state for unused upstreams, and no complete ranks

A selection ranked the VM among the 200 of its zone for each of 10,000 upstreams, two hashes a rank, and created a state for each upstream, which is then visited every 50 ms by the check for silence.

Change: a rank is counted only up to the limit that the decision distinguishes (four in the own zone, one elsewhere), and states are created for upstreams that are used. Readiness no longer copies the entries of each service.

--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -251,10 +251,9 @@
     /// Whether a run may resume from a copy on this upstream: it takes calls and is not suspect.
     pub(crate) fn can_resume_on(&self, entry: &Arc<UpstreamEntry>) -> bool {
         let now = self.timer.now();
-        let mut state = self.state.lock();
+        let state = self.state.lock();
         let usable = state.directory.get_usable(&entry.id, now).is_some();
-        let suspect = state.upstream(entry, now).health.is_suspect()
-            || state.peers.is_suspect(&entry.id, now);
+        let suspect = state.is_suspect(&entry.id) || state.peers.is_suspect(&entry.id, now);
         let open = state.rollouts.admission(entry, now) == VersionAdmission::Open;
         usable && !suspect && open
     }
@@ -262,13 +261,10 @@
     /// Number of these upstreams that take calls and are not suspect.
     pub(crate) fn count_usable(&self, ids: &[UpstreamIncarnation]) -> u32 {
         let now = self.timer.now();
-        let mut state = self.state.lock();
+        let state = self.state.lock();
         let usable = ids
             .iter()
-            .filter(|id| {
-                let entry = state.directory.get_usable(id, now).cloned();
-                entry.is_some_and(|entry| !state.upstream(&entry, now).health.is_suspect())
-            })
+            .filter(|id| state.directory.get_usable(id, now).is_some() && !state.is_suspect(id))
             .count();
         u32::try_from(usable).unwrap_or(u32::MAX)
     }
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -37,7 +37,7 @@
 
     fn engines_to_query(&self, service: &ServiceId) -> Vec<Arc<UpstreamEntry>> {
         let now = self.timer.now();
-        let mut state = self.state.lock();
+        let state = self.state.lock();
         let is_engine = state
             .config
             .get()
@@ -50,7 +50,7 @@
             .usable(service, now)
             .cloned()
             .collect::<Vec<_>>();
-        engines.retain(|engine| !state.upstream(engine, now).health.is_suspect());
+        engines.retain(|engine| !state.is_suspect(&engine.id));
         engines.sort_by_key(|engine| engine.zone != self.settings.zone);
         engines.truncate(state.cached.max_queries(self.settings.link));
         engines.retain(|engine| state.cached.needs_query(&engine.id, now));
--- a/crates/catkinward/src/gateway/readiness.rs
+++ b/crates/catkinward/src/gateway/readiness.rs
@@ -62,17 +62,15 @@
         let config = self.config.get().cloned()?;
         let mut names = config.services.iter().map(|service| &service.name);
         names.find_map(|service| {
-            let usable = self.directory.usable(service, now);
-            let entries = usable.cloned().collect::<Vec<_>>();
-            if entries.is_empty() {
+            let usable = || self.directory.usable(service, now);
+            if usable().next().is_none() {
                 let lost = self.recent_services.had_recent_upstreams(service, now);
                 return lost.then(|| (service.clone(), 0));
             }
+            let all_suspect = usable().all(|entry| self.is_suspect(&entry.id));
+            let count = if all_suspect { usable().count() } else { 0 };
             self.recent_services.record_upstreams(service, now);
-            let all_suspect = entries
-                .iter()
-                .all(|entry| self.upstream(entry, now).health.is_suspect());
-            all_suspect.then(|| (service.clone(), entries.len()))
+            all_suspect.then(|| (service.clone(), count))
         })
     }
 }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -6,7 +6,8 @@
     pub(crate) directory: UpstreamDirectory,
     /// How much of the directory has been read.
     pub(crate) directory_read: DirectoryRead,
-    /// Sorted by id.
+    /// Upstreams that this VM has used, sorted by id. Each costs time at every check for silence, and a VM
+    /// uses few of those that it knows.
     upstreams: Vec<UpstreamIncarnationState>,
     pub(crate) zones: ZoneOutageDetector,
     pub(crate) recent_services: RecentServices,
@@ -189,7 +190,13 @@
         Some(&mut self.upstreams[index])
     }
 
-    /// States of all upstreams, sorted by id.
+    /// Whether an upstream is suspected to have failed. One that this VM has not used yet is not.
+    pub(crate) fn is_suspect(&self, id: &UpstreamIncarnation) -> bool {
+        let found = self.upstreams.binary_search_by(|u| u.id.cmp(id));
+        found.is_ok_and(|index| self.upstreams[index].health.is_suspect())
+    }
+
+    /// States of the upstreams that this VM has used, sorted by id.
     pub(crate) fn upstreams_mut(&mut self) -> impl Iterator<Item = &mut UpstreamIncarnationState> {
         self.upstreams.iter_mut()
     }
@@ -252,22 +259,17 @@
         let now = context.now;
         let mut entries = self.eligible(service, candidate_set, now);
         entries.retain(|entry| !avoid.contains(&entry.id));
-        for entry in &entries {
-            self.upstream(entry, now);
-        }
+        let unused = UpstreamLoad::default();
         let peers = self.peers.view(now);
         let candidates = entries
             .iter()
-            .filter_map(|entry| {
-                let index = self
-                    .upstreams
-                    .binary_search_by(|u| u.id.cmp(&entry.id))
-                    .ok()?;
-                let state = &self.upstreams[index];
-                Some(PlacementCandidate {
+            .map(|entry| {
+                let found = self.upstreams.binary_search_by(|u| u.id.cmp(&entry.id));
+                let state = found.ok().map(|index| &self.upstreams[index]);
+                PlacementCandidate {
                     entry,
-                    load: &state.load,
-                    suspect: state.health.is_suspect()
+                    load: state.map_or(&unused, |state| &state.load),
+                    suspect: state.is_some_and(|state| state.health.is_suspect())
                         || (context.policy.peer_suspects && peers.is_suspect(&entry.id)),
                     suspect_zone: context.policy.zone_alarm
                         && self.zones.is_suspect(&entry.zone, now),
@@ -283,7 +285,7 @@
                     } else {
                         Duration::ZERO
                     },
-                })
+                }
             })
             .collect::<Vec<_>>();
         select(&candidates)
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -131,7 +131,7 @@
     recovery_policy::RecoveryPolicy,
     refusal_reason::RefusalReason,
     relay::Relay,
-    rendezvous::{rank_among, rendezvous_rank, rendezvous_score},
+    rendezvous::{rank_among, rank_below, rendezvous_rank, rendezvous_score},
     request_digest::RequestDigest,
     request_id::RequestId,
     request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -224,10 +224,11 @@
         cost = cost.max(baseline);
     }
     cost -= prefill_time(candidate.cached).as_secs_f64() * 1000.0;
-    cost += match (
-        other_zone,
-        rank_of_vm(&candidate.entry.id, context.vm, context.zone_vms),
-    ) {
+    // Among thousands of candidates the ranks are most of the cost of a selection.
+    let limit = if other_zone { 1 } else { SHARERS_PER_UPSTREAM };
+    let upstream = candidate.entry.id.as_str();
+    let rank = rank_below(limit, upstream, context.vm, context.zone_vms);
+    cost += match (other_zone, rank) {
         (true, 0) => policy.other_zone_stream,
         (true, _) => policy.other_zone_stream + OTHER_ZONE_PARTITION_COST,
         (false, 0) => 0.0,
@@ -253,9 +254,9 @@
     cost
 }
 
-/// Rank of a VM for an upstream among the VMs of its zone. The upstream belongs to the partition of the VM
-/// of rank 0.
+/// Rank of a VM for an upstream among the VMs of its zone; [`SHARERS_PER_UPSTREAM`] if the VM does not share
+/// it. The upstream belongs to the partition of the VM of rank 0.
 #[must_use]
 pub fn rank_of_vm(upstream: &UpstreamIncarnation, vm: &str, zone_vms: &[Arc<str>]) -> usize {
-    rank_among(upstream.as_str(), vm, zone_vms)
+    rank_below(SHARERS_PER_UPSTREAM, upstream.as_str(), vm, zone_vms)
 }
--- a/crates/decisions/src/rendezvous.rs
+++ b/crates/decisions/src/rendezvous.rs
@@ -20,6 +20,18 @@
         .count()
 }
 
+/// Like [`rank_among`], but returns `limit` for every rank from `limit` on, and compares no more candidates than
+/// that takes: on average about `limit` times the logarithm of their number.
+#[must_use]
+pub fn rank_below(limit: usize, key: &str, own: &str, all: &[Arc<str>]) -> usize {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let score = xxh3_64_with_seed(own.as_bytes(), seed);
+    let higher = all
+        .iter()
+        .filter(|other| xxh3_64_with_seed(other.as_bytes(), seed) > score && other.as_ref() != own);
+    higher.take(limit).count()
+}
+
 /// Sorts candidates by their scores for a key, the highest score first.
 pub fn rendezvous_rank<T, N: AsRef<str>>(
     key: &str,
