--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -79,6 +79,10 @@
     pub(crate) crashes_seen: Notify,
     /// Notifies that gossip of the zone was received.
     pub(crate) gossip_received: Notify,
+    /// The complete table as last encoded for another VM.
+    pub(crate) encoded_table: Mutex<Option<EncodedTable>>,
+    /// Limits the transfers of the table to other VMs.
+    pub(crate) transfers: Mutex<TransferLimit>,
     /// Newest configuration that another VM of the zone has advertised.
     pub(crate) zone_config: watch::Sender<Option<AdvertisedConfig>>,
     /// Counts how often a feed found that the store responds again.
@@ -133,6 +137,8 @@
             dispatches: Dispatches::default(),
             crashes_seen: Notify::new(),
             gossip_received: Notify::new(),
+            encoded_table: Mutex::default(),
+            transfers: Mutex::default(),
             zone_config: watch::Sender::new(None),
             store_recoveries: watch::Sender::new(0),
             readiness: Mutex::new(Readiness::NothingKnown),
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -31,27 +31,58 @@
 /// Timeout of a read from another VM, which has the data in memory: a round trip takes 2 ms.
 pub(crate) const PEER_READ_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum duration of a read from the store, even if it makes progress.
+const MAX_READ_TIME: Duration = Duration::from_secs(10);
+
+/// Maximum duration of a read of the table from another VM that makes progress. Well below the two
+/// seconds within which a leaving upstream must be known.
+const TABLE_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Pause of a member of a zone before it reads the next of several pages of changes. At the start of a fleet the
+/// table fills for seconds, and a reader of the zone will advertise it.
+const MEMBER_PAGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Minimum interval of reads of the table from another VM. While a reader reads many pages it advertises each of
+/// them, and a zone of 200 VMs that followed each one would occupy it.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long a VM that has read the first part of a large table waits for another VM of its zone to
+/// advertise the table: two intervals of gossip, in which it also learns of other VMs. Meanwhile it serves
+/// with what it has.
+const ZONE_START_WAIT: Duration = Duration::from_millis(800);
+
+/// How long a member of a large zone waits beyond that. After a loss of all VMs the readers begin to read
+/// the table only then.
+const MEMBER_START_WAIT: Duration = Duration::from_millis(2200);
+
 /// A table of the platform store, with the ways to read it.
 pub struct Feed<T> {
     /// Name of the feed in logs and metrics.
     pub name: &'static str,
-    /// Reads all rows.
-    pub read: ReadSnapshot<T>,
+    /// Reads a page of all rows, from the start or after a key.
+    pub read: ReadRows<T>,
     /// Long-polls the store for changes after a version; the store replies after at most the given
     /// duration.
     pub changes: RequestChanges<T>,
-    /// Reads all rows that another VM has, if that VM has recent responses of the platform.
+    /// Reads what another VM has, if that VM has recent responses of the platform: the changes after
+    /// a version, or all rows.
     pub read_from_peer: ReadFromPeer<T>,
 }
 
-/// Reads all rows of a feed, and reports its progress.
-pub type ReadSnapshot<T> = Box<
-    dyn Fn(ReadProgress<T>) -> BoxFuture<'static, Result<FeedPage<T>, FeedError>> + Send + Sync,
+/// Reads a page of a feed's rows after a key, and reports its progress.
+pub type ReadRows<T> = Box<
+    dyn Fn(Option<Arc<str>>, ReadProgress) -> BoxFuture<'static, Result<FeedPage<T>, FeedError>>
+        + Send
+        + Sync,
 >;
 
-/// Reads a feed from another VM, which is identified by the address of its heartbeats.
-pub type ReadFromPeer<T> =
-    Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<FeedPage<T>, FeedError>> + Send + Sync>;
+/// Reads a feed after a version from another VM, which is identified by the address of its
+/// heartbeats.
+pub type ReadFromPeer<T> = Box<
+    dyn Fn(SocketAddr, u64, ReadProgress) -> BoxFuture<'static, Result<PeerRead<T>, FeedError>>
+        + Send
+        + Sync,
+>;
 
 /// Requests the changes after a version.
 pub type RequestChanges<T> =
@@ -64,6 +95,17 @@
     pub version: u64,
     /// Rows that were written or removed.
     pub rows: Vec<TableRow<T>>,
+    /// Key of the last row, if the store holds further rows or changes that did not fit.
+    pub more: Option<Arc<str>>,
+}
+
+/// What another VM has of a feed.
+#[derive(Clone, Debug)]
+pub struct PeerRead<T> {
+    /// The rows.
+    pub page: FeedPage<T>,
+    /// Whether the rows are the complete feed, and not only the changes after the requested version.
+    pub whole: bool,
 }
 
 /// Why a feed could not be read.
@@ -97,8 +139,8 @@
                     from_store = advertised.from_store,
                     "a peer tells of a newer configuration");
                 if !advertised.from_store {
-                    let page = read_peer(&feed, advertised.by).await;
-                    apply_config(&gateway, page.as_ref());
+                    let read = read_peer(&feed, advertised.by, 0, PEER_READ_TIMEOUT).await;
+                    apply_config(&gateway, read.as_ref().map(|read| &read.page));
                 }
                 if gateway
                     .config()
@@ -122,7 +164,9 @@
             gateway.record_config_read();
         }
         gateway.record_feed_read(|state| state.config_is_stale = false);
-        if apply_config(&gateway, Some(&page)) && follower.reachable {
+        apply_config(&gateway, Some(&page));
+        if follower.reachable {
+            // The other VMs rely on the age of this read, and the next heartbeat is up to 0.4 s away.
             gateway.advertise_to_zone(&[]);
         }
     }
@@ -154,13 +198,12 @@
     }
 }
 
-/// Puts the configuration of a page in force; returns whether it is newer.
-fn apply_config(gateway: &Gateway, page: Option<&FeedPage<RoutingConfig>>) -> bool {
+/// Puts the configuration of a page in force if it is newer.
+fn apply_config(gateway: &Gateway, page: Option<&FeedPage<RoutingConfig>>) {
     let rows = page.into_iter().flat_map(|page| &page.rows);
-    let configs = rows.filter_map(|row| row.entry.as_ref());
-    configs
-        .map(|config| gateway.put_config(Arc::new(config.clone())))
-        .fold(false, |any, newer| any | newer)
+    for config in rows.filter_map(|row| row.entry.as_ref()) {
+        gateway.put_config(Arc::new(config.clone()));
+    }
 }
 
 /// Keeps the directory of upstreams up to date; never returns.
@@ -168,15 +211,39 @@
     let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone, |gateway| {
         gateway.set_platform_reachable(false);
     });
-    follower.first_rows = Gateway::put_first_upstreams;
+    let mut waits_for_zone = true;
     loop {
-        if let Read::Page { page, whole } = follower.next(Duration::ZERO).await {
-            gateway.set_platform_reachable(follower.reachable);
-            if follower.reachable || gateway.is_behind(&page) {
-                gateway.apply_table_read(&page, whole, follower.reachable);
+        // A small zone reads the store at once: it has few VMs, and a peer may take longer to respond.
+        let asks_zone = follower.part.is_some() || gateway.is_in_large_zone();
+        if asks_zone && catch_up_from_zone(&gateway, &feed).await {
+            follower.version = Some(gateway.table_version());
+            follower.part = None;
+            follower.pause(CATCH_UP_INTERVAL).await;
+        } else {
+            match follower.next(Duration::ZERO).await {
+                Read::Page { page, whole } => {
+                    gateway.set_platform_reachable(follower.reachable);
+                    if follower.reachable || gateway.is_behind(&page) {
+                        gateway.apply_table_read(&page, whole, follower.reachable);
+                    }
+                    gateway.record_feed_read(|state| state.directory_is_stale = false);
+                    if page.more.is_none() {
+                        follower.pause(UPSTREAM_POLL_INTERVAL).await;
+                    } else if gateway.zone_role() == ZoneRole::Member {
+                        follower.pause(MEMBER_PAGE_INTERVAL).await;
+                    }
+                }
+                Read::Part { rows } => {
+                    gateway.put_first_upstreams(rows);
+                    if std::mem::take(&mut waits_for_zone) && gateway.expects_peers() {
+                        gateway.wait_for_advertiser(ZONE_START_WAIT).await;
+                        if gateway.zone_role() == ZoneRole::Member && gateway.is_in_large_zone() {
+                            gateway.wait_for_advertiser(MEMBER_START_WAIT).await;
+                        }
+                    }
+                }
+                Read::Zone => {}
             }
-            gateway.record_feed_read(|state| state.directory_is_stale = false);
-            follower.pause(UPSTREAM_POLL_INTERVAL).await;
         }
         if gateway.relies_on_zone() {
             gateway.rely_on_zone().await;
@@ -186,20 +253,43 @@
     }
 }
 
+/// Reads the changes of upstreams that this VM has missed from the VM of its zone that advertised
+/// them; returns whether that brought the table forward.
+async fn catch_up_from_zone(gateway: &Gateway, feed: &Feed<UpstreamEntry>) -> bool {
+    let Some(advertiser) = gateway.advertiser_of_missed_changes() else {
+        return false;
+    };
+    let before = gateway.table_version();
+    let Some(read) = read_peer(feed, advertiser, before, TABLE_TRANSFER_TIMEOUT).await else {
+        return false;
+    };
+    gateway.apply_missed_changes(&read);
+    gateway.table_version() > before
+}
+
 /// Reads a feed from another VM. The platform may reject some VMs and serve others; without this,
 /// the rejected ones would keep old state, send calls to leaving upstreams, and refuse new routes
 /// and keys.
-async fn read_random_peer<T>(gateway: &Gateway, feed: &Feed<T>) -> Option<FeedPage<T>> {
-    read_peer(feed, gateway.random_peer()?).await
+async fn read_random_peer<T>(gateway: &Gateway, feed: &Feed<T>, after: u64) -> Option<PeerRead<T>> {
+    read_peer(feed, gateway.random_peer()?, after, PEER_READ_TIMEOUT).await
 }
 
-async fn read_peer<T>(feed: &Feed<T>, peer: SocketAddr) -> Option<FeedPage<T>> {
-    // VMs that read from a VM whose link is full must not keep it busy; they have the store.
-    let answer = tokio::time::timeout(PEER_READ_TIMEOUT, (feed.read_from_peer)(peer)).await;
-    match answer.unwrap_or(Err(FeedError::NoAnswer)) {
-        Ok(page) => {
-            tracing::info!(feed = feed.name, %peer, version = page.version, "read from a peer");
-            Some(page)
+/// Reads a feed from another VM for at most `limit`. VMs that read from a VM whose link is full must
+/// not keep it busy; they have the store.
+async fn read_peer<T>(
+    feed: &Feed<T>,
+    peer: SocketAddr,
+    after: u64,
+    limit: Duration,
+) -> Option<PeerRead<T>> {
+    let (progress, received) = mpsc::unbounded_channel();
+    let read = (feed.read_from_peer)(peer, after, progress);
+    match wait_while_progressing(read, received, PEER_READ_TIMEOUT, limit).await {
+        Ok(read) => {
+            let (version, rows) = (read.page.version, read.page.rows.len());
+            tracing::info!(feed = feed.name, %peer, after, version, rows, whole = read.whole,
+                "read from a peer");
+            Some(read)
         }
         Err(error) => {
             let error_name: &str = error.into();
@@ -218,6 +308,11 @@
         /// Whether the page holds the complete feed.
         whole: bool,
     },
+    /// Rows were read, and the store holds more of them.
+    Part {
+        /// The rows of this part.
+        rows: Vec<TableRow<T>>,
+    },
     /// The store does not respond here, and other VMs of the zone advertise what it holds.
     Zone,
 }
@@ -241,6 +336,8 @@
     /// Version up to which the feed was read; `None` before the first read and when the store no
     /// longer keeps the changes.
     version: Option<u64>,
+    /// Rows of a full read that is not complete yet.
+    part: Option<FeedPage<T>>,
     /// Whether the store responds.
     reachable: bool,
     failures: usize,
@@ -254,14 +351,12 @@
     relies: fn(&Gateway) -> bool,
     /// Called when the store does not respond.
     on_lost: fn(&Gateway),
-    /// Receives the first rows of a full read before the remaining ones.
-    first_rows: fn(&Gateway, Vec<TableRow<T>>),
     suspensions: watch::Receiver<u64>,
     /// Counts how often any feed found that the store responds again.
     recoveries: watch::Receiver<u64>,
 }
 
-impl<'a, T> Follower<'a, T> {
+impl<'a, T: Clone> Follower<'a, T> {
     fn new(
         gateway: &'a Arc<Gateway>,
         feed: &'a Feed<T>,
@@ -272,6 +367,7 @@
             gateway,
             feed,
             version: None,
+            part: None,
             reachable: true,
             failures: 0,
             consecutive_failures: 0,
@@ -279,7 +375,6 @@
             delay_next: false,
             relies,
             on_lost,
-            first_rows: |_, _| {},
             suspensions: gateway.suspensions.subscribe(),
             recoveries: gateway.store_recoveries.subscribe(),
         }
@@ -316,16 +411,17 @@
                 RECOVERY_TIMEOUTS[self.failures % RECOVERY_TIMEOUTS.len()]
             };
             let whole = self.version.is_none();
-            let (progress, parts) = mpsc::unbounded_channel();
+            let (progress, received) = mpsc::unbounded_channel();
             let pending = async {
                 match self.version {
                     Some(version) => (self.feed.changes)(version, wait).await,
-                    None => (self.feed.read)(progress).await,
+                    None => {
+                        let last = self.part.as_ref().and_then(|part| part.more.clone());
+                        (self.feed.read)(last, progress).await
+                    }
                 }
             };
-            let (gateway, first_rows) = (self.gateway, self.first_rows);
-            let pending =
-                wait_while_progressing(pending, parts, max_wait, |rows| first_rows(gateway, rows));
+            let pending = wait_while_progressing(pending, received, max_wait, MAX_READ_TIME);
             let sent_at = self.gateway.timer.now();
             let suspended = self.suspensions.changed();
             let answer = tokio::select! {
@@ -353,14 +449,40 @@
                     }
                     self.reachable = true;
                     self.consecutive_failures = 0;
+                    if whole {
+                        return self.add_part(page);
+                    }
                     self.version = Some(page.version);
-                    return Read::Page { page, whole };
+                    return Read::Page { page, whole: false };
                 }
                 Err(error) => error,
             };
-            if let Some(page) = self.failed(error).await {
-                return Read::Page { page, whole: true };
+            if let Some(PeerRead { page, whole }) = self.failed(error).await {
+                return Read::Page { page, whole };
+            }
+        }
+    }
+
+    /// Adds a page to a full read. Rows that change while the later pages are read are read again with
+    /// the changes after the version of the first page.
+    fn add_part(&mut self, page: FeedPage<T>) -> Read<T> {
+        let rows = page.more.as_ref().map(|_| page.rows.clone());
+        let read = match self.part.take() {
+            Some(mut part) => {
+                part.rows.extend(page.rows);
+                part.more = page.more;
+                part
             }
+            None => page,
+        };
+        if let Some(rows) = rows {
+            self.part = Some(read);
+            return Read::Part { rows };
+        }
+        self.version = Some(read.version);
+        Read::Page {
+            page: read,
+            whole: true,
         }
     }
 
@@ -384,7 +506,7 @@
     }
 
     /// Records a failure; returns the feed of another VM if one can be read.
-    async fn failed(&mut self, error: FeedError) -> Option<FeedPage<T>> {
+    async fn failed(&mut self, error: FeedError) -> Option<PeerRead<T>> {
         let error_name: &str = error.into();
         if self.reachable {
             tracing::warn!(
@@ -393,6 +515,7 @@
                 "store unreachable"
             );
         }
+        self.part = None;
         if error == FeedError::HistoryGone {
             self.version = None;
             return None;
@@ -402,11 +525,11 @@
         self.consecutive_failures += 1;
         (self.on_lost)(self.gateway);
         self.delay_next = true;
-        let page = read_random_peer(self.gateway, self.feed).await;
-        if let Some(page) = &page {
-            self.version = Some(page.version);
+        let read = read_random_peer(self.gateway, self.feed, self.version.unwrap_or(0)).await;
+        if let Some(read) = &read {
+            self.version = Some(read.page.version);
         }
-        page
+        read
     }
 
     /// Waits before the next request to the store, unless another feed finds that it responds
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -12,17 +12,22 @@
     let Some(mut ticks) = gateway.upgrade().map(|g| g.timer.subscribe(INTERVAL)) else {
         return;
     };
+    let mut last_role = None;
     while let Some(now) = ticks.recv().await {
         let Some(gateway) = gateway.upgrade() else {
             return;
         };
-        gateway.set_gauges(now);
+        let role = gateway.zone_role();
+        if last_role.replace(role) != Some(role) {
+            let zone_vms = gateway.zone_vms().len();
+            tracing::info!(%role, zone_vms, "role in the zone changed");
+        }
+        gateway.set_gauges(role, now);
     }
 }
 
 impl Gateway {
-    fn set_gauges(&self, now: Instant) {
-        let reads = self.zone_role().polls_store();
+    fn set_gauges(&self, role: ZoneRole, now: Instant) {
         let mut state = self.state.lock();
         let usable = state.directory.usable_count(now);
         let suspects = state
@@ -38,7 +43,7 @@
         gauge("catkin_upstreams_usable", usable);
         gauge("catkin_upstreams_suspect", suspects);
         gauge("catkin_peers", peers);
-        gauge("catkin_reads_for_zone", usize::from(reads));
+        gauge("catkin_reads_for_zone", usize::from(role.polls_store()));
         if let Some(age) = age {
             metrics::gauge!("catkin_table_age_seconds").set(age.as_secs_f64());
         }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -6,10 +6,11 @@
 pub(crate) use {
     self::{
         dispatches::Dispatches,
-        outbox::Outbox,
+        outbox::{Addressed, Outbox},
         readiness::{Readiness, RecentServices},
         rollouts::OwnedRollout,
         state::{Candidates, DirectoryRead, GatewayState},
+        table_transfer::EncodedTable,
         zone_config::AdvertisedConfig,
     },
     super::{
@@ -20,22 +21,22 @@
     },
     catkin_decisions::{
         COMPLETION_WAIT, CONFIG_POLL_TIMEOUT, CachedPrompts, CompleteEvent, ConfigVersion, Crash,
-        CrashTracker, EventDecision, EventRelay, EventRun, EventSplitter, GOSSIP_MAX_AGE,
-        GossipState, GossipView, HEARTBEAT_INTERVAL, JudgedReport, LinkRate, LoadSample, Loan,
-        LoanAsk, LoanRequests, MAX_CRASHES_PER_BODY, MAX_GOSSIPED_CHANGES, MAX_LENDERS,
-        MemberStatus, NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT,
-        PeerDatagram, PeerHeartbeat, PeerLoad, PeerLoads, PeerView, PlacementCandidate,
-        PlacementContext, Policy, Presence, PresenceChange, ProcessStart, PromptPart,
-        ResponseOutcome, RestartEvidence, RollbackReason, Rollout, RolloutGrant, RolloutNotice,
-        RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase, RolloutProgress,
-        RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts, Route,
-        RoutingConfig, STANDBY_MAX_AGE, SharedRetryBudget, SharedRetryBudgetConfig, StaleRestart,
-        StoredRecord, StreamDurationEstimator, SuspendDetector, TableFreshness, TableRow,
-        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation,
-        UpstreamLoad, UpstreamRestart, UpstreamTable, VersionAdmission, VersionSlots,
-        VmIncarnation, ZoneGossip, ZoneOutageDetector, ZoneRole, is_large_zone,
-        link_carries_config, prefill_time, rank_among, rank_of_vm, select_copy_holder,
-        select_upstream, store_backoff,
+        CrashTracker, DELTA_WAIT, EventDecision, EventRelay, EventRun, EventSplitter,
+        GOSSIP_MAX_AGE, GossipState, GossipView, HEARTBEAT_INTERVAL, JudgedReport, LinkRate,
+        LoadSample, Loan, LoanAsk, LoanRequests, MAX_CRASHES_PER_BODY, MAX_GOSSIPED_CHANGES,
+        MAX_LENDERS, MemberStatus, NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT,
+        PROMPT_SEARCH_TIMEOUT, PeerDatagram, PeerHeartbeat, PeerLoad, PeerLoads, PeerView,
+        PlacementCandidate, PlacementContext, Policy, Presence, PresenceChange, ProcessStart,
+        PromptPart, ResponseOutcome, RestartEvidence, RollbackReason, Rollout, RolloutGrant,
+        RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
+        RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts,
+        Route, RoutingConfig, STANDBY_MAX_AGE, SharedRetryBudget, SharedRetryBudgetConfig,
+        StaleRestart, StoredRecord, StreamDurationEstimator, SuspendDetector, TableFreshness,
+        TableRow, TransferLimit, UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamHealth,
+        UpstreamIncarnation, UpstreamLoad, UpstreamRestart, UpstreamTable, VersionAdmission,
+        VersionSlots, VmIncarnation, ZoneGossip, ZoneOutageDetector, ZoneRole, ZoneVm,
+        gossips_changes, is_large_zone, link_carries_config, prefill_time, rank_among, rank_of_vm,
+        select_copy_holder, select_upstream, store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -46,13 +47,15 @@
     call_log::{CallLog, LineKind},
     core::{Gateway, GatewaySettings, NOT_READY_RETRY_DELAY},
     feed::{
-        Feed, FeedError, FeedPage, ReadFromPeer, RequestChanges, follow_config, follow_upstreams,
+        Feed, FeedError, FeedPage, PeerRead, ReadFromPeer, RequestChanges, follow_config,
+        follow_upstreams,
     },
     peer_heartbeats::exchange_heartbeats,
-    read_progress::{ReadPart, ReadProgress},
+    read_progress::ReadProgress,
     reply::{EventBody, Reply, StreamCut},
     rollout_store::{ReadRecord, RolloutStore, RolloutWrite, RolloutWriteResult, WriteRecord},
     rollout_task::follow_rollouts,
+    table_transfer::decode_table_transfer,
     upstream_transport::{
         BodyError, CopyError, CopySource, HealthProbe, HealthReport, KvCopyRequest, ResponseBody,
         SendError, UpstreamCall, UpstreamResponse, UpstreamTransport,
@@ -106,6 +109,7 @@
 mod stream_call;
 mod stream_run;
 mod stream_send;
+mod table_transfer;
 mod upstream_transport;
 mod zone_config;
 mod zone_table;
--- a/crates/catkinward/src/gateway/outbox.rs
+++ b/crates/catkinward/src/gateway/outbox.rs
@@ -1,14 +1,16 @@
 use super::*;
 use tokio::sync::mpsc;
 
-/// Capacity of the queue; datagrams beyond it are dropped, just as the network may drop them. The
-/// loss of a third of 200 upstreams fills some ten datagrams to each VM of a zone of 67.
+/// Capacity of the queue; datagrams beyond it are dropped, just as the network may drop them.
 const CAPACITY: usize = 1024;
 
+/// A datagram and the VMs that receive it.
+pub(crate) type Addressed = (Vec<SocketAddr>, PeerDatagram);
+
 /// Queue of datagrams to other VMs; the task that owns the socket sends them.
 pub(crate) struct Outbox {
-    tx: mpsc::Sender<(SocketAddr, PeerDatagram)>,
-    rx: Mutex<Option<mpsc::Receiver<(SocketAddr, PeerDatagram)>>>,
+    tx: mpsc::Sender<Addressed>,
+    rx: Mutex<Option<mpsc::Receiver<Addressed>>>,
 }
 
 impl Default for Outbox {
@@ -24,13 +26,19 @@
 impl Outbox {
     /// Queues a datagram. Delivery is not guaranteed, and nothing relies on it.
     pub(crate) fn send(&self, to: SocketAddr, datagram: PeerDatagram) {
+        self.send_to_all(vec![to], datagram);
+    }
+
+    /// Queues a datagram to several VMs, which is encoded once.
+    pub(crate) fn send_to_all(&self, to: Vec<SocketAddr>, datagram: PeerDatagram) {
+        let recipients = to.len();
         if self.tx.try_send((to, datagram)).is_err() {
-            tracing::debug!(%to, "datagram dropped, outbox is full");
+            tracing::debug!(recipients, "datagram dropped, outbox is full");
         }
     }
 
     /// Takes the receiving end of the queue; `None` if it was taken before.
-    pub(crate) fn take(&self) -> Option<mpsc::Receiver<(SocketAddr, PeerDatagram)>> {
+    pub(crate) fn take(&self) -> Option<mpsc::Receiver<Addressed>> {
         self.rx.lock().take()
     }
 }
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -79,13 +79,10 @@
     }
 }
 
-async fn send_outbox(
-    mut datagrams: mpsc::Receiver<(SocketAddr, PeerDatagram)>,
-    socket: Arc<UdpSocket>,
-) {
+async fn send_outbox(mut datagrams: mpsc::Receiver<Addressed>, socket: Arc<UdpSocket>) {
     while let Some((to, datagram)) = datagrams.recv().await {
-        if !send(&socket, &datagram, &[to]).await {
-            tracing::warn!(%to, "datagram too large, not sent");
+        if !send(&socket, &datagram, &to).await {
+            tracing::warn!(recipients = to.len(), "datagram too large, not sent");
         }
     }
 }
@@ -170,6 +167,7 @@
             },
             wants_members: with_members && state.peers.wants_members(&self.settings.zone, now),
             rollouts: state.rollouts.notices(now),
+            link: self.settings.link,
         }
     }
 
--- a/crates/catkinward/src/gateway/read_progress.rs
+++ b/crates/catkinward/src/gateway/read_progress.rs
@@ -1,44 +1,27 @@
 use super::*;
 use tokio::sync::mpsc;
 
-/// Maximum duration of a full read, even if it makes progress.
-const MAX_READ_TIME: Duration = Duration::from_secs(10);
+/// Sender for the progress of a read: a message for each part of a response that arrives.
+pub type ReadProgress = mpsc::UnboundedSender<()>;
 
-/// Progress of a full read.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ReadPart<T> {
-    /// Some bytes of a response were received.
-    Bytes,
-    /// Rows of a page that is not the last one.
-    Rows(Vec<TableRow<T>>),
-}
-
-/// Sender for the progress of a full read.
-pub type ReadProgress<T> = mpsc::UnboundedSender<ReadPart<T>>;
-
-/// Receiver for the progress of a full read.
-pub(crate) type ReadParts<T> = mpsc::UnboundedReceiver<ReadPart<T>>;
-
-/// Waits for a read as long as it makes progress at least every `idle_timeout`. A large table takes
-/// seconds over a slow link; restarting the read after a fixed timeout would never complete it.
-pub(crate) async fn wait_while_progressing<T>(
-    read: impl Future<Output = Result<FeedPage<T>, FeedError>>,
-    mut parts: ReadParts<T>,
+/// Waits for a read for at most `max_time`, as long as it makes progress at least every `idle_timeout`. A
+/// large response takes seconds over a slow link; restarting the read after a fixed timeout would never
+/// complete it.
+pub(crate) async fn wait_while_progressing<R>(
+    read: impl Future<Output = Result<R, FeedError>>,
+    mut received: mpsc::UnboundedReceiver<()>,
     idle_timeout: Duration,
-    mut rows: impl FnMut(Vec<TableRow<T>>),
-) -> Result<FeedPage<T>, FeedError> {
+    max_time: Duration,
+) -> Result<R, FeedError> {
     let start = tokio::time::Instant::now();
     let mut deadline = start + idle_timeout;
     let mut read = std::pin::pin!(read);
     loop {
         tokio::select! {
             page = &mut read => return page,
-            Some(part) = parts.recv() => {
+            Some(()) = received.recv() => {
                 let now = tokio::time::Instant::now();
-                deadline = (now + idle_timeout).min(start + MAX_READ_TIME.max(idle_timeout));
-                if let ReadPart::Rows(page) = part {
-                    rows(page);
-                }
+                deadline = (now + idle_timeout).min(start + max_time.max(idle_timeout));
             }
             () = tokio::time::sleep_until(deadline) => return Err(FeedError::NoAnswer),
         }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -22,6 +22,10 @@
     /// zone.
     pub(crate) table: UpstreamTable,
     pub(crate) gossip: GossipView,
+    /// Name of the VM whose gossip was received last.
+    pub(crate) last_gossip_from: Option<Arc<str>>,
+    /// Address of the VM whose gossip showed last that changes are missing here.
+    pub(crate) table_advertiser: Option<SocketAddr>,
     /// Whether the configuration, or the directory, has not been read since this process was last
     /// suspended.
     pub(crate) config_is_stale: bool,
@@ -88,6 +92,8 @@
             cached: CachedPrompts::default(),
             table: UpstreamTable::default(),
             gossip: GossipView::default(),
+            last_gossip_from: None,
+            table_advertiser: None,
             table_read: None,
             config_read: None,
             rollouts: Rollouts::new(rollouts),
--- /dev/null
+++ b/crates/catkinward/src/gateway/table_transfer.rs
@@ -0,0 +1,171 @@
+//! Transfer of the platform's table of upstreams, or of its changes, from one VM of a zone to another.
+//!
+//! If each VM read the table from the store at its start and after each missed update, the store's calls and
+//! bytes would grow with the number of VMs times that of upstreams. So a VM that missed changes reads them
+//! from the VM that advertised them, and asks the store only if that one does not deliver.
+
+use super::*;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use serde::{Deserialize, Serialize};
+use std::io::{Read, Write};
+
+/// Maximum size of a decoded transfer: a row takes about 110 bytes.
+const MAX_DECODED_BYTES: u64 = 64 << 20;
+
+/// Rows of the table as one VM sends them to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct TableTransfer {
+    /// Version up to which the sender knows the table.
+    #[serde(rename = "n")]
+    version: u64,
+    /// Whether the rows are the complete table, and not only the changes since the requested version.
+    #[serde(rename = "w")]
+    whole: bool,
+    #[serde(rename = "u")]
+    rows: Vec<UpstreamChange>,
+}
+
+/// How long an encoded table is used while the contents do not change: well below the time for which the
+/// store keeps the changes after its version.
+const ENCODED_MAX_AGE: Duration = Duration::from_secs(2);
+
+/// Encoded transfer of the complete table, kept because many VMs of a zone start at about the same time.
+#[derive(Clone, Debug)]
+pub(crate) struct EncodedTable {
+    digest: u64,
+    at: Instant,
+    bytes: Bytes,
+}
+
+/// Encodes rows as compressed CBOR.
+fn encode(transfer: &TableTransfer) -> std::io::Result<Bytes> {
+    let mut encoded = Vec::new();
+    ciborium::into_writer(transfer, &mut encoded).map_err(std::io::Error::other)?;
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&encoded)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Decodes a transfer that another VM has sent.
+///
+/// # Errors
+///
+/// Returns [`FeedError::Refused`] if the bytes are not a transfer.
+pub fn decode_table_transfer(bytes: &[u8]) -> Result<PeerRead<UpstreamEntry>, FeedError> {
+    let mut decoded = Vec::new();
+    let read = DeflateDecoder::new(bytes)
+        .take(MAX_DECODED_BYTES)
+        .read_to_end(&mut decoded);
+    let transfer = read
+        .map_err(|error| error.to_string())
+        .and_then(|_| ciborium::from_reader(&decoded[..]).map_err(|error| error.to_string()));
+    let transfer: TableTransfer = transfer.map_err(|error| {
+        tracing::warn!(%error, "table of another VM cannot be read");
+        FeedError::Refused
+    })?;
+    Ok(PeerRead {
+        page: FeedPage {
+            version: transfer.version,
+            rows: transfer.rows,
+            more: None,
+        },
+        whole: transfer.whole,
+    })
+}
+
+impl Gateway {
+    /// The changes of the table after a version, or the complete table if not all of them are known here,
+    /// encoded for another VM; `None` if no response of the platform within `age` is known, or if the link
+    /// of this VM is busy with other transfers.
+    #[must_use]
+    pub fn table_transfer(&self, after: u64, age: Duration) -> Option<Bytes> {
+        if !self.knows_table_within(age) {
+            return None;
+        }
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let (version, digest) = (state.table.version(), state.table.digest());
+        let changes = state.table.changes_since(after);
+        let whole = changes.is_none();
+        let kept = self.encoded_table.lock().clone();
+        let is_current = |table: &EncodedTable| {
+            whole && table.digest == digest && now.since(table.at) < ENCODED_MAX_AGE
+        };
+        let kept = kept.filter(is_current);
+        let rows = match (&kept, changes) {
+            (Some(_), _) => Vec::new(),
+            (None, Some(changes)) => changes,
+            (None, None) => state.table.entries(),
+        };
+        drop(state);
+        let bytes = if let Some(table) = kept {
+            table.bytes
+        } else {
+            let transfer = TableTransfer {
+                version,
+                whole,
+                rows,
+            };
+            let bytes = encode(&transfer).ok()?;
+            if whole {
+                *self.encoded_table.lock() = Some(EncodedTable {
+                    digest,
+                    at: now,
+                    bytes: bytes.clone(),
+                });
+            }
+            bytes
+        };
+        let admitted = self.transfers.lock().admit(
+            u64::try_from(bytes.len()).unwrap_or(u64::MAX),
+            self.settings.link,
+            now,
+        );
+        let outcome = if admitted { "sent" } else { "refused" };
+        metrics::counter!("catkin_table_transfers_total", "outcome" => outcome).increment(1);
+        tracing::debug!(
+            after,
+            version,
+            whole,
+            bytes = bytes.len(),
+            outcome,
+            "table transfer"
+        );
+        admitted.then_some(bytes)
+    }
+
+    /// The VM of this zone that advertised changes which are missing here, unless they may still arrive.
+    pub(crate) fn advertiser_of_missed_changes(&self) -> Option<SocketAddr> {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let missed =
+            !state.directory_is_stale && state.gossip.has_missed_changes(GOSSIP_MAX_AGE, now);
+        state.table_advertiser.filter(|_| missed)
+    }
+
+    /// Whether other VMs are known, or some are named in the settings.
+    pub(crate) fn expects_peers(&self) -> bool {
+        let now = self.timer.now();
+        !self.settings.seeds.is_empty() || self.state.lock().peers.live_count(now) > 0
+    }
+
+    /// Waits for at most `limit` until another VM of this zone has advertised changes that are missing here.
+    pub(crate) async fn wait_for_advertiser(&self, limit: Duration) {
+        let missed = async {
+            while self.advertiser_of_missed_changes().is_none() {
+                tokio::time::sleep(DELTA_WAIT).await;
+            }
+        };
+        // Without one, the store is read.
+        let _ = tokio::time::timeout(limit, missed).await;
+    }
+
+    /// Applies what this VM has missed, as read from another VM.
+    pub(crate) fn apply_missed_changes(&self, read: &PeerRead<UpstreamEntry>) {
+        self.apply_table_read(&read.page, read.whole, false);
+        let mut state = self.state.lock();
+        let table = std::mem::take(&mut state.table);
+        state.gossip.record_catch_up(&table);
+        state.table = table;
+    }
+}
--- a/crates/catkinward/src/gateway/zone_config.rs
+++ b/crates/catkinward/src/gateway/zone_config.rs
@@ -60,7 +60,7 @@
     }
 
     fn config_relied_on_until(&self) -> Option<Instant> {
-        let zone_vms = self.zone_vms();
+        let zone_vms = self.zone_members();
         let role = ZoneRole::of(&self.settings.vm, &zone_vms);
         if role == ZoneRole::Reader || !is_large_zone(zone_vms.len()) {
             return None;
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -5,7 +5,7 @@
 impl Gateway {
     /// Role of this VM in its zone.
     pub(crate) fn zone_role(&self) -> ZoneRole {
-        ZoneRole::of(&self.settings.vm, &self.zone_vms())
+        ZoneRole::of(&self.settings.vm, &self.zone_members())
     }
 
     /// Whether this VM need not read the table now, because another VM of the zone reads and
@@ -80,6 +80,17 @@
     /// had a response of the platform within `age`.
     #[must_use]
     pub fn table_page(&self, age: Duration) -> Option<FeedPage<UpstreamEntry>> {
+        let is_known = self.knows_table_within(age);
+        let state = self.state.lock();
+        is_known.then(|| FeedPage {
+            version: state.table.version(),
+            rows: state.table.entries(),
+            more: None,
+        })
+    }
+
+    /// Whether this VM or the VM whose gossip it relies on had a response of the platform within `age`.
+    pub(crate) fn knows_table_within(&self, age: Duration) -> bool {
         let now = self.timer.now();
         let state = self.state.lock();
         let read_here = state.table_read.map(|at| now.since(at));
@@ -87,14 +98,10 @@
             GossipState::Fresh(_) => state.gossip.store_age(now),
             GossipState::Behind(_) | GossipState::Silent => None,
         };
-        let fresh = [read_here, advertised]
+        [read_here, advertised]
             .into_iter()
             .flatten()
-            .any(|a| a <= age);
-        fresh.then(|| FeedPage {
-            version: state.table.version(),
-            rows: state.table.entries(),
-        })
+            .any(|a| a <= age)
     }
 
     /// Whether a page of a peer is newer than the table here.
@@ -135,10 +142,13 @@
             digest: state.table.digest(),
             age_ms: age_ms(read),
             changes: Vec::new(),
+            link: self.settings.link,
         };
         let recipients = state.peers.addresses_in(&self.settings.zone, now);
         drop(state);
-        let parts = if changes.is_empty() {
+        let link = self.settings.link;
+        let parts = if changes.is_empty() || !gossips_changes(changes.len(), recipients.len(), link)
+        {
             vec![Vec::new()]
         } else {
             changes
@@ -151,10 +161,8 @@
                 changes,
                 ..gossip.clone()
             };
-            for address in &recipients {
-                self.outbox
-                    .send(*address, PeerDatagram::Gossip(gossip.clone()));
-            }
+            self.outbox
+                .send_to_all(recipients.clone(), PeerDatagram::Gossip(gossip));
         }
     }
 
@@ -169,6 +177,7 @@
             zone: None,
             address,
             age_ms: 0,
+            link: gossip.link,
         };
         let zone = &self.settings.zone;
         state.peers.apply_members(&[sender], zone, now);
@@ -177,6 +186,9 @@
             .apply_update(&gossip.changes, gossip.version, gossip.digest);
         let table = std::mem::take(&mut state.table);
         state.gossip.record(gossip, &table, now);
+        if table.is_behind(gossip.version, gossip.digest) {
+            state.table_advertiser = Some(address);
+        }
         state.table = table;
         if matches!(
             state.gossip.state(GOSSIP_MAX_AGE, now),
@@ -184,7 +196,17 @@
         ) {
             state.directory.record_platform_response(now);
         }
+        let before = state.last_gossip_from.replace(gossip.vm.clone());
         drop(state);
+        if before.as_ref() != Some(&gossip.vm) && self.log.admits(LineKind::Belief, now) {
+            tracing::info!(
+                vm = &*gossip.vm,
+                before = before.as_deref(),
+                version = gossip.version,
+                age_ms = gossip.age_ms,
+                "table is advertised by another VM"
+            );
+        }
         if !changes.is_empty() {
             tracing::info!(
                 vm = &*gossip.vm,
@@ -235,7 +257,20 @@
         is_large_zone(self.zone_vms().len())
     }
 
-    /// Live VMs of this zone, including this one.
+    /// Live VMs of this zone, including this one, with their links.
+    pub(crate) fn zone_members(&self) -> Vec<ZoneVm> {
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let others = state.peers.zone_vms(&self.settings.zone, now);
+        let mut vms = others.collect::<Vec<_>>();
+        vms.push(ZoneVm {
+            vm: self.settings.vm.clone(),
+            link: self.settings.link,
+        });
+        vms
+    }
+
+    /// Names of the live VMs of this zone, including this one.
     pub(crate) fn zone_vms(&self) -> Vec<Arc<str>> {
         let now = self.timer.now();
         let state = self.state.lock();
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -298,6 +298,7 @@
             members: Vec::new(),
             wants_members: false,
             rollouts: Vec::new(),
+            link: None,
         }
     }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -180,6 +180,7 @@
     token::Token,
     token_index::TokenIndex,
     token_log::TokenLog,
+    transfer_limit::TransferLimit,
     upstream::Upstream,
     upstream_crash_id::UpstreamCrashId,
     upstream_directory::{LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry},
@@ -198,10 +199,10 @@
     wall_time::WallTime,
     zone_gossip::{
         CONFIG_GOSSIP_MAX_AGE, CONFIG_POLL_TIMEOUT, DELTA_WAIT, GOSSIP_MAX_AGE, GossipState,
-        GossipView, MAX_GOSSIPED_CHANGES, STANDBY_MAX_AGE, ZoneGossip,
+        GossipView, MAX_GOSSIPED_CHANGES, STANDBY_MAX_AGE, ZoneGossip, gossips_changes,
     },
     zone_outage_detector::ZoneOutageDetector,
-    zone_role::{ZoneRole, is_large_zone},
+    zone_role::{ZoneRole, ZoneVm, is_large_zone},
 };
 
 mod address_index;
@@ -353,6 +354,7 @@
 mod token;
 mod token_index;
 mod token_log;
+mod transfer_limit;
 mod upstream;
 mod upstream_crash_id;
 mod upstream_directory;
--- a/crates/decisions/src/link_rate.rs
+++ b/crates/decisions/src/link_rate.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Bandwidth of a VM's network link, in bits per second.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct LinkRate(pub u64);
 
 impl LinkRate {
--- a/crates/decisions/src/peer_heartbeat.rs
+++ b/crates/decisions/src/peer_heartbeat.rs
@@ -33,6 +33,9 @@
     /// Rollouts known to the VM, its own and those received from others.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutNotice>,
+    /// Bandwidth of the sender's link, if it is known.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkRate>,
 }
 
 /// A VM's load on one upstream.
@@ -64,4 +67,7 @@
     /// Milliseconds since the described VM was last seen.
     #[serde(rename = "g")]
     pub age_ms: u32,
+    /// Bandwidth of the described VM's link, if it is known.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkRate>,
 }
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -63,6 +63,7 @@
     vm: Arc<str>,
     zone: AvailabilityZone,
     address: SocketAddr,
+    link: Option<LinkRate>,
     /// When the VM was last seen, by its own heartbeat or as advertised by others.
     last_seen: Instant,
     /// Its latest heartbeat; `None` if others have advertised it only.
@@ -100,6 +101,7 @@
             vm: heartbeat.vm.clone(),
             zone: heartbeat.zone.clone(),
             address,
+            link: heartbeat.link,
             last_seen: now,
             heartbeat: Some(Received { heartbeat, at: now }),
         };
@@ -166,6 +168,16 @@
             .map(|peer| peer.vm.clone())
     }
 
+    /// The other live VMs of a zone.
+    pub fn zone_vms(&self, zone: &AvailabilityZone, now: Instant) -> impl Iterator<Item = ZoneVm> {
+        self.live(now)
+            .filter(move |peer| peer.zone == *zone)
+            .map(|peer| ZoneVm {
+                vm: peer.vm.clone(),
+                link: peer.link,
+            })
+    }
+
     /// Names of all other live VMs.
     #[must_use]
     pub fn live_names(&self, now: Instant) -> Vec<Arc<str>> {
@@ -262,6 +274,7 @@
             zone: (peer.zone != *zone).then(|| peer.zone.clone()),
             address: peer.address,
             age_ms: u32::try_from(now.since(peer.last_seen).as_millis()).unwrap_or(u32::MAX),
+            link: peer.link,
         };
         let own = self.live(now).filter(|peer| peer.zone == *zone);
         let other = self.live(now).filter(|peer| peer.zone != *zone);
@@ -322,6 +335,7 @@
                 peer.last_seen = last_seen;
                 peer.address = member.address;
                 peer.zone = zone.clone();
+                peer.link = member.link.or(peer.link);
             }
             Ok(_) => {}
             Err(index) => {
@@ -329,6 +343,7 @@
                     vm: member.vm.clone(),
                     zone: zone.clone(),
                     address: member.address,
+                    link: member.link,
                     last_seen,
                     heartbeat: None,
                 };
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -14,6 +14,11 @@
 //! would remove it again.
 
 use super::*;
+use std::collections::VecDeque;
+
+/// Maximum number of removals that are kept for VMs that catch up. A VM that misses more of them reads the
+/// complete table.
+const MAX_KEPT_REMOVALS: usize = 4096;
 
 /// Rows of the table, with the version up to which they have been read and their digest.
 #[derive(Clone, Debug, Default)]
@@ -22,12 +27,18 @@
     rows: Vec<Row>,
     version: u64,
     digest: u64,
+    /// Versions and keys of removed rows, in the order in which they became known here.
+    removals: VecDeque<(u64, Arc<str>)>,
+    /// Version after which all removals are in `removals`; `None` before the first complete read.
+    removals_complete_after: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
 struct Row {
     /// Hash of the entry; 0 if the row was removed.
     hash: u64,
+    /// Version of the first known write with this content.
+    changed: u64,
     change: UpstreamChange,
 }
 
@@ -58,6 +69,33 @@
         present.map(|row| row.change.clone()).collect()
     }
 
+    /// Rows that changed or were removed after a version up to which another VM knows the table; `None` if
+    /// removals since then are not known here, so that the other VM needs the complete table.
+    #[must_use]
+    pub fn changes_since(&self, version: u64) -> Option<Vec<UpstreamChange>> {
+        if self.removals_complete_after? > version {
+            return None;
+        }
+        let removed = self.removals.iter().filter(|(written, key)| {
+            *written > version
+                && self
+                    .position(key)
+                    .ok()
+                    .is_none_or(|index| self.rows[index].change.entry.is_none())
+        });
+        let removed = removed.map(|(written, key)| UpstreamChange {
+            key: key.clone(),
+            written: *written,
+            entry: None,
+        });
+        let changed = self
+            .rows
+            .iter()
+            .filter(|row| row.change.entry.is_some() && row.changed > version)
+            .map(|row| row.change.clone());
+        Some(removed.chain(changed).collect())
+    }
+
     /// Digest of the contents, independent of the order in which they were read.
     #[must_use]
     pub fn digest(&self) -> u64 {
@@ -81,6 +119,7 @@
         if complete {
             let removals = self.removals_absent_from(&rows, version);
             self.set_rows(removals, &mut read);
+            self.removals_complete_after.get_or_insert(version);
         } else {
             rows.retain(|row| row.written > self.version || self.is_current_version(row));
         }
@@ -143,6 +182,18 @@
             .collect()
     }
 
+    fn record_removal(&mut self, removal: &UpstreamChange) {
+        if self.removals.len() == MAX_KEPT_REMOVALS
+            && let Some((dropped, _)) = self.removals.pop_front()
+        {
+            self.removals_complete_after = self
+                .removals_complete_after
+                .map(|version| version.max(dropped));
+        }
+        self.removals
+            .push_back((removal.written, removal.key.clone()));
+    }
+
     fn set_rows(&mut self, changes: Vec<UpstreamChange>, read: &mut TableRead) {
         for change in changes {
             match self.set_row(&change) {
@@ -171,8 +222,16 @@
             return SetOutcome::Older;
         }
         let hash = hash(change);
+        if change.entry.is_none() {
+            self.record_removal(change);
+        }
+        let changed = match found {
+            Ok(index) if before == hash => self.rows[index].changed,
+            _ => change.written,
+        };
         let row = Row {
             hash,
+            changed,
             change: change.clone(),
         };
         match found {
--- a/crates/decisions/src/zone_gossip.rs
+++ b/crates/decisions/src/zone_gossip.rs
@@ -28,6 +28,22 @@
 /// Maximum number of changes in one datagram: a change takes about 110 bytes of 1,400.
 pub const MAX_GOSSIPED_CHANGES: usize = 10;
 
+/// Number of datagrams in which a reader may send one delta to its zone over any link.
+const MIN_DELTA_DATAGRAMS: u64 = 512;
+
+/// Size of a full datagram, in bytes.
+const DATAGRAM_BYTES: u64 = 1400;
+
+/// Whether a delta of this many changes is sent as datagrams to this many VMs. The members read a larger one over
+/// a connection: as datagrams it would fill more than half of the sender's link for [`DELTA_WAIT`], and those
+/// that are lost would make every member read the table.
+#[must_use]
+pub fn gossips_changes(changes: usize, recipients: usize, link: Option<LinkRate>) -> bool {
+    let datagrams = changes.div_ceil(MAX_GOSSIPED_CHANGES) * recipients;
+    let carried = link.map_or(0, |link| link.bytes_in(DELTA_WAIT) / 2 / DATAGRAM_BYTES);
+    u64::try_from(datagrams).is_ok_and(|datagrams| datagrams <= carried.max(MIN_DELTA_DATAGRAMS))
+}
+
 /// What a VM has read from the store, as advertised to the other VMs of its zone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ZoneGossip {
@@ -57,6 +73,9 @@
     /// Changed rows of the upstream table: all of a delta, or one part of it.
     #[serde(rename = "u")]
     pub changes: Vec<UpstreamChange>,
+    /// Bandwidth of the sender's link, if it is known.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkRate>,
 }
 
 /// Freshness of the gossip that this VM has received from its zone.
@@ -68,6 +87,8 @@
     config_last_seen: Option<Instant>,
     /// Time since which the local table is known to miss changes.
     behind_since: Option<Instant>,
+    /// Version and digest of the table of the VM that last advertised missing changes.
+    behind: (u64, u64),
 }
 
 /// Whether this VM may rely on gossip.
@@ -89,6 +110,7 @@
         self.config_last_seen = self.config_last_seen.max(gossip.config_age_ms.map(ago));
         if table.is_behind(gossip.version, gossip.digest) {
             self.behind_since.get_or_insert(now);
+            self.behind = (gossip.version, gossip.digest);
         } else {
             self.behind_since = None;
         }
@@ -99,6 +121,24 @@
         self.behind_since = None;
     }
 
+    /// Records that this VM has read changes from another VM, and that `table` contains them.
+    pub fn record_catch_up(&mut self, table: &UpstreamTable) {
+        let (version, digest) = self.behind;
+        if !table.is_behind(version, digest) {
+            self.behind_since = None;
+        }
+    }
+
+    /// Whether changes are missing here that another VM has advertised and that have not arrived in time.
+    #[must_use]
+    pub fn has_missed_changes(&self, max_age: Duration, now: Instant) -> bool {
+        let is_fresh = self.store_age(now).is_some_and(|age| age < max_age);
+        is_fresh
+            && self
+                .behind_since
+                .is_some_and(|since| now.since(since) >= DELTA_WAIT)
+    }
+
     /// Time since the last response of the store to any VM that sent gossip; `None` without gossip.
     #[must_use]
     pub fn store_age(&self, now: Instant) -> Option<Duration> {
--- a/crates/decisions/src/zone_role.rs
+++ b/crates/decisions/src/zone_role.rs
@@ -9,6 +9,15 @@
 /// throttled together in one of 9 cases, but two readers and two deputies in only one of about 80.
 const DEPUTY_COUNT: usize = 2;
 
+/// Live VM of a zone, with the bandwidth of its link if it is known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ZoneVm {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Bandwidth of its link.
+    pub link: Option<LinkRate>,
+}
+
 /// Task of a VM in its zone, which follows from its rank among the zone's VMs.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -24,11 +33,12 @@
 }
 
 impl ZoneRole {
-    /// Returns the role of a VM; `zone_vms` are the zone's live VMs, including `vm`.
+    /// Returns the role of a VM; `zone_vms` are the zone's live VMs, including `vm`. VMs with less than half
+    /// of the fastest link are ranked last: a reader sends what it reads to the whole zone.
     #[must_use]
-    pub fn of(vm: &str, zone_vms: &[Arc<str>]) -> Self {
-        let ranked = rendezvous_rank("reader", zone_vms.to_vec(), Arc::clone);
-        let rank = ranked.iter().position(|other| other.as_ref() == vm);
+    pub fn of(vm: &str, zone_vms: &[ZoneVm]) -> Self {
+        let ranked = rank_readers(zone_vms);
+        let rank = ranked.iter().position(|other| other.vm.as_ref() == vm);
         let standby = usize::from(is_large_zone(zone_vms.len()));
         match rank.unwrap_or(ranked.len()) {
             0 => Self::Reader,
@@ -45,6 +55,14 @@
     }
 }
 
+fn rank_readers(zone_vms: &[ZoneVm]) -> Vec<ZoneVm> {
+    let mut ranked = rendezvous_rank("reader", zone_vms.to_vec(), |other| other.vm.clone());
+    let bits = |other: &ZoneVm| other.link.map_or(0, |link| link.0);
+    let fastest = ranked.iter().map(bits).max().unwrap_or(0);
+    ranked.sort_by_key(|other| bits(other) < fastest / 2);
+    ranked
+}
+
 /// Whether a zone has so many VMs that only its readers poll the platform store continuously.
 #[must_use]
 pub fn is_large_zone(vms: usize) -> bool {
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -58,6 +58,7 @@
         members,
         wants_members: false,
         rollouts: Vec::new(),
+        link: None,
     }
 }
 
@@ -221,6 +222,7 @@
         zone: None,
         address: address(99),
         age_ms: 1400,
+        link: None,
     };
     peers.apply_heartbeat(heartbeat(1, 1, 1, Vec::new()), address(1), at(5000));
 
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -117,6 +117,7 @@
             members: Vec::new(),
             wants_members: false,
             rollouts: Vec::new(),
+            link: None,
         }
     }
 }
