Membership: readers of a large zone relay the status of its members

Cause: a VM receives the status of 32 members of its own zone in an interval, whatever the size of the zone. With 200 VMs, news of one takes some 35 intervals (14 s, worked out) where the time after which a VM counts as lost is 6 s. VMs then disagree on who reads for the zone, and a reader does not send what it reads to VMs that it takes for lost.

Change: in a zone of more than 64 VMs all VMs send their heartbeats to the readers as well, and these relay a tenth of the members with each gossip, 60 bytes each. A reader advertises to every VM of its zone that was seen within a minute.

Measured: simulations of 65, 200 and 400 VMs in a zone (decisions/tests/peer_loads.rs), after 16 s every VM knows at least 98% of its zone, and half of 200 VMs is removed within 8 s of its loss.

--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -30,7 +30,7 @@
     for number in 1.. {
         tokio::select! {
             _ = ticks.recv() => {
-                gateway.advertise_to_zone(&[]);
+                gateway.advertise_with_members(number);
                 let mut recipients = gateway.recipients();
                 // The seeds may not be among the live VMs, as after a restart of the whole system,
                 // so they are notified too.
@@ -178,10 +178,11 @@
         state.peers.sample_addresses(1, rand::random(), now).pop()
     }
 
-    /// Recipients of the periodic heartbeat: a few VMs always, and those that share upstreams in
-    /// use here.
+    /// Recipients of the periodic heartbeat: a few VMs always, those that share upstreams in use here,
+    /// and those that read for the zone. These send what they read to all VMs that they know.
     fn recipients(&self) -> Vec<SocketAddr> {
         let now = self.timer.now();
+        let readers = ZoneRole::polling(&self.zone_members());
         let mut state = self.state.lock();
         let mut recipients =
             state
@@ -196,6 +197,8 @@
             .collect::<Vec<_>>();
         drop(state);
         recipients.extend(self.dispatch_recipients(&used));
+        let state = self.state.lock();
+        recipients.extend(readers.iter().filter_map(|vm| state.peers.address_of(vm)));
         recipients
     }
 
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -112,6 +112,18 @@
     /// Advertises what this VM has read to the zone, if its role includes that and the data is
     /// recent.
     pub(crate) fn advertise_to_zone(&self, changes: &[UpstreamChange]) {
+        self.advertise(changes, Vec::new());
+    }
+
+    /// Advertises the table at the interval of heartbeats, with the members of a large zone that are due.
+    pub(crate) fn advertise_with_members(&self, interval: u64) {
+        let now = self.timer.now();
+        let zone = &self.settings.zone;
+        let members = self.state.lock().peers.relayed_members(zone, interval, now);
+        self.advertise(&[], members);
+    }
+
+    fn advertise(&self, changes: &[UpstreamChange], members: Vec<Vec<MemberStatus>>) {
         if self.zone_role() == ZoneRole::Member {
             return;
         }
@@ -143,6 +155,7 @@
             age_ms: age_ms(read),
             changes: Vec::new(),
             link: self.settings.link,
+            members: Vec::new(),
         };
         let recipients = state.peers.addresses_in(&self.settings.zone, now);
         drop(state);
@@ -156,9 +169,15 @@
                 .map(<[_]>::to_vec)
                 .collect()
         };
-        for changes in parts {
+        let (mut parts, mut members) = (parts.into_iter(), members.into_iter());
+        loop {
+            let (part, relayed) = (parts.next(), members.next());
+            if part.is_none() && relayed.is_none() {
+                break;
+            }
             let gossip = ZoneGossip {
-                changes,
+                changes: part.unwrap_or_default(),
+                members: relayed.unwrap_or_default(),
                 ..gossip.clone()
             };
             self.outbox
@@ -181,6 +200,7 @@
         };
         let zone = &self.settings.zone;
         state.peers.apply_members(&[sender], zone, now);
+        state.peers.apply_members(&gossip.members, zone, now);
         let changes = state
             .table
             .apply_update(&gossip.changes, gossip.version, gossip.digest);
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -103,6 +103,7 @@
             age_ms: 0,
             changes: changes.to_vec(),
             link: None,
+            members: Vec::new(),
         }
     }
 
@@ -556,6 +557,7 @@
         age_ms: 1600,
         changes: (0..).take(MAX_GOSSIPED_CHANGES).map(change).collect(),
         link: Some(LinkRate(u64::from(u32::MAX))),
+        members: Vec::new(),
     };
 
     let mut buf = Vec::new();
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -171,6 +171,7 @@
             age_ms: 0,
             changes: Vec::new(),
             link: None,
+            members: Vec::new(),
         }
     }
 
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -14,6 +14,10 @@
 //! heartbeats to these. Membership spreads by gossip: each heartbeat lists a few members and goes to a few
 //! other VMs. So the traffic of a VM does not grow with the number of VMs, and the VMs that use an upstream
 //! most know its load.
+//!
+//! In a zone of more than [`MAX_GOSSIPED_ZONE`] VMs, the status of a VM takes too long to reach all others that way:
+//! each VM receives the status of a fixed number of others in an interval. There, all VMs send their heartbeats to those that read for the
+//! zone, and these relay the status of all members in turn with what they advertise.
 
 use super::*;
 
@@ -46,6 +50,17 @@
 /// Number of members of the own zone, and of other zones, that a heartbeat lists.
 const MEMBERS_PER_HEARTBEAT: (usize, usize) = (8, 2);
 
+/// Maximum number of VMs of a zone at which the status of a VM reaches all others by heartbeats alone within
+/// [`GOSSIPED_PEER_TIMEOUT`]: some `ln(n) / ln(1 + 32 / n)` intervals.
+const MAX_GOSSIPED_ZONE: usize = 64;
+
+/// Number of intervals in which a VM that reads for its zone relays the status of all members: with the
+/// two intervals that a heartbeat may be old, below [`GOSSIPED_PEER_TIMEOUT`].
+const RELAY_INTERVALS: u64 = 10;
+
+/// Maximum number of members relayed in one datagram: some 60 bytes each of 1,400.
+const MAX_RELAYED_MEMBERS: usize = 18;
+
 /// How long a VM is retained after it was last seen.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 
@@ -70,6 +85,19 @@
     heartbeat: Option<Received>,
 }
 
+impl Peer {
+    /// Status of the VM for a message from a VM in `zone`.
+    fn status(&self, zone: &AvailabilityZone, now: Instant) -> MemberStatus {
+        MemberStatus {
+            vm: self.vm.clone(),
+            zone: (self.zone != *zone).then(|| self.zone.clone()),
+            address: self.address,
+            age_ms: u32::try_from(now.since(self.last_seen).as_millis()).unwrap_or(u32::MAX),
+            link: self.link,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Received {
     heartbeat: PeerHeartbeat,
@@ -257,33 +285,55 @@
             .collect()
     }
 
-    /// Addresses of the other live VMs of a zone.
+    /// Addresses of the other VMs of a zone that are not known to be gone for long. In a large zone the
+    /// status of some live VMs is older than the time after which they count as lost.
     #[must_use]
     pub fn addresses_in(&self, zone: &AvailabilityZone, now: Instant) -> Vec<SocketAddr> {
-        self.live(now)
-            .filter(|peer| peer.zone == *zone)
+        self.peers
+            .iter()
+            .filter(|peer| peer.zone == *zone && now.since(peer.last_seen) < PEER_RETENTION)
             .map(|peer| peer.address)
             .collect()
     }
 
+    /// Address of another VM.
+    #[must_use]
+    pub fn address_of(&self, vm: &str) -> Option<SocketAddr> {
+        Some(self.peers[self.position(vm).ok()?].address)
+    }
+
     /// A few live VMs to list in a heartbeat that a VM in `zone` sends.
     #[must_use]
     pub fn members(&self, zone: &AvailabilityZone, random: u64, now: Instant) -> Vec<MemberStatus> {
-        let status = |peer: &Peer| MemberStatus {
-            vm: peer.vm.clone(),
-            zone: (peer.zone != *zone).then(|| peer.zone.clone()),
-            address: peer.address,
-            age_ms: u32::try_from(now.since(peer.last_seen).as_millis()).unwrap_or(u32::MAX),
-            link: peer.link,
-        };
         let own = self.live(now).filter(|peer| peer.zone == *zone);
         let other = self.live(now).filter(|peer| peer.zone != *zone);
         sample(own, MEMBERS_PER_HEARTBEAT.0, random)
             .chain(sample(other, MEMBERS_PER_HEARTBEAT.1, random))
-            .map(status)
+            .map(|peer| peer.status(zone, now))
             .collect()
     }
 
+    /// The live VMs of a large zone that a VM which reads for it relays in an interval, divided into datagrams;
+    /// nothing in a smaller zone. All are relayed within [`RELAY_INTERVALS`] consecutive intervals.
+    #[must_use]
+    pub fn relayed_members(
+        &self,
+        zone: &AvailabilityZone,
+        interval: u64,
+        now: Instant,
+    ) -> Vec<Vec<MemberStatus>> {
+        let own = self.live(now).filter(|peer| peer.zone == *zone);
+        let own = own.collect::<Vec<_>>();
+        if own.len() < MAX_GOSSIPED_ZONE {
+            return Vec::new();
+        }
+        let turn = usize::try_from(interval % RELAY_INTERVALS).unwrap_or(0);
+        let step = usize::try_from(RELAY_INTERVALS).unwrap_or(1);
+        let due = own.iter().skip(turn).step_by(step);
+        let due = due.map(|peer| peer.status(zone, now)).collect::<Vec<_>>();
+        due.chunks(MAX_RELAYED_MEMBERS).map(<[_]>::to_vec).collect()
+    }
+
     /// Whether this VM knows so few others in its `zone` that it should request members.
     #[must_use]
     pub fn wants_members(&self, zone: &AvailabilityZone, now: Instant) -> bool {
--- a/crates/decisions/src/zone_gossip.rs
+++ b/crates/decisions/src/zone_gossip.rs
@@ -76,6 +76,9 @@
     /// Bandwidth of the sender's link, if it is known.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub link: Option<LinkRate>,
+    /// Status of some of the zone's VMs.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<MemberStatus>,
 }
 
 /// Freshness of the gossip that this VM has received from its zone.
--- a/crates/decisions/src/zone_role.rs
+++ b/crates/decisions/src/zone_role.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Names of the VMs that poll the platform store for a zone.
+    #[must_use]
+    pub fn polling(zone_vms: &[ZoneVm]) -> Vec<Arc<str>> {
+        let count = 1 + usize::from(is_large_zone(zone_vms.len()));
+        let ranked = rank_readers(zone_vms).into_iter().take(count);
+        ranked.map(|other| other.vm).collect()
+    }
+
     /// Whether a VM with this role polls the platform store for its zone.
     #[must_use]
     pub fn polls_store(self) -> bool {
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -1,8 +1,8 @@
 //! Membership and load exchange among few and among many VMs.
 
 use catkin_decisions::{
-    HEARTBEAT_INTERVAL, Instant, MemberStatus, PEER_TIMEOUT, PeerHeartbeat, PeerLoad, PeerLoads,
-    SHARERS_PER_UPSTREAM, UpstreamEntry,
+    ConfigVersion, HEARTBEAT_INTERVAL, Instant, LinkRate, MemberStatus, PEER_TIMEOUT, PeerDatagram,
+    PeerHeartbeat, PeerLoad, PeerLoads, SHARERS_PER_UPSTREAM, UpstreamEntry, ZoneGossip,
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -70,6 +70,8 @@
     rng: Xoshiro256PlusPlus,
     /// Maximum number of datagrams that one VM sent in an interval.
     max_sent: usize,
+    /// VM that reads for the zone of a fleet with a single zone.
+    relay: Option<usize>,
 }
 
 impl Fleet {
@@ -80,6 +82,7 @@
             period: 0,
             rng: Xoshiro256PlusPlus::seed_from_u64(1),
             max_sent: 0,
+            relay: None,
         }
     }
 
@@ -104,6 +107,7 @@
                 };
                 let mut receivers = self.vms[n].heartbeat_receivers(&zone, random, now);
                 receivers.push(address(0));
+                receivers.extend(self.relay.filter(|relay| *relay != n).map(address));
                 self.max_sent = self.max_sent.max(receivers.len());
                 for m in 0..self.vms.len() {
                     if m != n && receivers.contains(&address(m)) {
@@ -113,6 +117,24 @@
                     }
                 }
             }
+            self.relay_members();
+        }
+    }
+
+    /// The VM that reads for the zone sends the members that are due to all that it knows.
+    fn relay_members(&mut self) {
+        let Some(relay) = self.relay else {
+            return;
+        };
+        let (now, zone) = (self.now(), zone_of(relay, self.zones).parse().unwrap());
+        let relayed = self.vms[relay].relayed_members(&zone, self.period, now);
+        let known = self.vms[relay].addresses_in(&zone, now);
+        for (n, vm) in self.vms.iter_mut().enumerate() {
+            if known.contains(&address(n)) {
+                for members in &relayed {
+                    vm.apply_members(members, &zone, now);
+                }
+            }
         }
     }
 
@@ -174,6 +196,75 @@
     expect_that!(still.count(), eq(0));
 }
 
+/// Guards against views of a large zone that miss a part of it: with 200 VMs, heartbeats alone bring the status of a VM after
+/// more than ten seconds, so it counted as lost again and again, VMs disagreed on who reads for the zone, and a reader
+/// did not send what it read to VMs that it took for lost.
+#[gtest]
+fn vms_of_a_large_zone_know_each_other_by_relayed_members() {
+    for size in [65, 200, 400] {
+        let mut fleet = Fleet::new(size, 1);
+        fleet.relay = Some(7);
+        fleet.run(40, &[]);
+
+        for _ in 0..5 {
+            fleet.run(1, &[]);
+            let known = (0..size).map(|n| fleet.known_in_zone(n)).min();
+            expect_that!(known, some(ge(size - 1 - size / 50)), "of {size}");
+        }
+    }
+}
+
+/// Guards against VMs that count as alive long after they have crashed because a reader relays them.
+#[gtest]
+fn half_of_a_large_zone_is_removed_after_its_loss() {
+    let mut fleet = Fleet::new(200, 1);
+    fleet.relay = Some(7);
+    fleet.run(40, &[]);
+    let lost = (100..200).collect::<Vec<_>>();
+
+    fleet.run(20, &lost);
+
+    let known = (0..100).map(|n| fleet.known_in_zone(n)).max();
+    expect_that!(known, some(eq(99)));
+}
+
+/// A relayed status of a VM with a long name fits into a datagram with the others.
+#[gtest]
+fn relayed_members_fit_into_a_datagram() {
+    let mut peers = PeerLoads::new(name(0));
+    let zone = zone_of(0, 1).parse().unwrap();
+    for n in 1..=400 {
+        let heartbeat = PeerHeartbeat {
+            vm: format!("edge-stirling-depot-long-{n:04}").as_str().into(),
+            link: Some(LinkRate(u64::from(u32::MAX))),
+            ..heartbeat(n, 1, 1, Vec::new())
+        };
+        let address = ([10, 255, 255, 255], 65_535).into();
+        peers.apply_heartbeat(heartbeat, address, at(1000));
+    }
+
+    let relayed = peers.relayed_members(&zone, 0, at(6900));
+
+    for members in &relayed {
+        let gossip = ZoneGossip {
+            vm: "edge-stirling-depot-long-400".into(),
+            config: Some(ConfigVersion(u64::from(u32::MAX))),
+            config_from_store: true,
+            config_age_ms: Some(2400),
+            version: u64::from(u32::MAX),
+            digest: u64::MAX,
+            age_ms: 1600,
+            changes: Vec::new(),
+            link: Some(LinkRate(u64::from(u32::MAX))),
+            members: members.clone(),
+        };
+        let mut buf = Vec::new();
+        ciborium::into_writer(&PeerDatagram::Gossip(gossip), &mut buf).unwrap();
+        expect_that!(buf.len(), le(1400));
+    }
+    expect_that!(relayed.iter().map(Vec::len).sum::<usize>(), eq(40));
+}
+
 /// The retry budget is divided by the number of VMs. A VM that knew only some of the others would take too
 /// large a share, and all VMs together would retry more than allowed.
 #[gtest]
--- a/crates/decisions/tests/zone_gossip.rs
+++ b/crates/decisions/tests/zone_gossip.rs
@@ -69,6 +69,7 @@
         age_ms: 0,
         changes,
         link: None,
+        members: Vec::new(),
     }
 }
 
