Transfers: spread the reads of a zone, encode a delta once, return to the advertiser

A VM that the store rejects stayed with the store after one failed read and asked it and random VMs, most of which have no copy, three times a second (69 refused). In a cold start a reader encoded the same 1,500 changes for each of 180 VMs.

Change: reads from a VM of the zone start at random within 0.4 ms for each VM of the zone. After a request to the store a VM tries the advertiser again. A reader keeps its last eight encoded transfers.

The new test fails without this change.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -79,8 +79,8 @@
     pub(crate) crashes_seen: Notify,
     /// Notifies that gossip of the zone was received.
     pub(crate) gossip_received: Notify,
-    /// The complete table as last encoded for another VM.
-    pub(crate) encoded_table: Mutex<Option<EncodedTable>>,
+    /// Transfers of the table to other VMs as they were encoded last.
+    pub(crate) encoded_transfers: Mutex<Vec<EncodedTransfer>>,
     /// Limits the transfers of the table to other VMs.
     pub(crate) transfers: Mutex<TransferLimit>,
     /// Newest configuration that another VM of the zone has advertised.
@@ -137,7 +137,7 @@
             dispatches: Dispatches::default(),
             crashes_seen: Notify::new(),
             gossip_received: Notify::new(),
-            encoded_table: Mutex::default(),
+            encoded_transfers: Mutex::default(),
             transfers: Mutex::default(),
             zone_config: watch::Sender::new(None),
             store_recoveries: watch::Sender::new(0),
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -46,6 +46,10 @@
 /// them, and a zone of 200 VMs that followed each one would occupy it.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Mean interval of reads that a VM gets from its zone after it has advertised something: all members would
+/// connect within a millisecond otherwise, more than its queue of new connections holds.
+const PEER_READ_INTERVAL: Duration = Duration::from_micros(400);
+
 /// How long a VM that has read the first part of a large table waits for another VM of its zone to
 /// advertise the table: two intervals of gossip, in which it also learns of other VMs. Meanwhile it serves
 /// with what it has.
@@ -139,6 +143,7 @@
                     from_store = advertised.from_store,
                     "a peer tells of a newer configuration");
                 if !advertised.from_store {
+                    spread_zone_reads(&gateway).await;
                     let read = read_peer(&feed, advertised.by, 0, PEER_READ_TIMEOUT).await;
                     apply_config(&gateway, read.as_ref().map(|read| &read.page));
                 }
@@ -259,6 +264,7 @@
     let Some(advertiser) = gateway.advertiser_of_missed_changes() else {
         return false;
     };
+    spread_zone_reads(gateway).await;
     let before = gateway.table_version();
     let Some(read) = read_peer(feed, advertiser, before, TABLE_TRANSFER_TIMEOUT).await else {
         return false;
@@ -267,6 +273,13 @@
     gateway.table_version() > before
 }
 
+/// Waits for a random part of the time in which the VMs of this zone read from one of them.
+async fn spread_zone_reads(gateway: &Gateway) {
+    let zone_vms = u32::try_from(gateway.zone_vms().len()).unwrap_or(u32::MAX);
+    let span = PEER_READ_INTERVAL.saturating_mul(zone_vms);
+    tokio::time::sleep(span.mul_f64(rand::random())).await;
+}
+
 /// Reads a feed from another VM. The platform may reject some VMs and serve others; without this,
 /// the rejected ones would keep old state, send calls to leaving upstreams, and refuse new routes
 /// and keys.
@@ -383,26 +396,33 @@
     /// The next page. Waits at the store for `wait` at most, or until it responds again; ends early
     /// if the store does not respond here and other VMs of the zone advertise what it holds.
     async fn next(&mut self, wait: Duration) -> Read<T> {
-        let relies = self.relies;
-        self.request(wait, relies).await
+        self.request(wait, false).await
     }
 
-    /// The next page from the store, for data that the zone advertised but did not deliver.
+    /// The next page from the store, for data that the zone advertised but did not deliver. Ends early
+    /// only after a request to the store: the zone may deliver it now.
     async fn next_from_store(&mut self, wait: Duration) -> Read<T> {
-        self.request(wait, |_| false).await
+        self.request(wait, true).await
     }
 
-    async fn request(&mut self, wait: Duration, relies: fn(&Gateway) -> bool) -> Read<T> {
-        let mut wait = wait;
+    async fn request(&mut self, wait: Duration, asks_store: bool) -> Read<T> {
+        let (mut wait, mut asks_store) = (wait, asks_store);
+        let relies = self.relies;
         loop {
             if !self.reachable {
                 if std::mem::take(&mut self.delay_next) {
-                    self.wait_for_recovery(relies).await;
+                    let ends_delay = if asks_store {
+                        |_: &Gateway| false
+                    } else {
+                        relies
+                    };
+                    self.wait_for_recovery(ends_delay).await;
                 }
-                if self.version.is_some() && relies(self.gateway) {
+                if !asks_store && self.version.is_some() && relies(self.gateway) {
                     return Read::Zone;
                 }
             }
+            asks_store = false;
             self.count_call();
             let max_wait = if self.reachable {
                 wait + STORE_TIMEOUT
@@ -413,13 +433,11 @@
             let whole = self.version.is_none();
             let (progress, received) = mpsc::unbounded_channel();
             let pending = async {
-                match self.version {
-                    Some(version) => (self.feed.changes)(version, wait).await,
-                    None => {
-                        let last = self.part.as_ref().and_then(|part| part.more.clone());
-                        (self.feed.read)(last, progress).await
-                    }
+                if let Some(version) = self.version {
+                    return (self.feed.changes)(version, wait).await;
                 }
+                let last = self.part.as_ref().and_then(|part| part.more.clone());
+                (self.feed.read)(last, progress).await
             };
             let pending = wait_while_progressing(pending, received, max_wait, MAX_READ_TIME);
             let sent_at = self.gateway.timer.now();
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -10,7 +10,7 @@
         readiness::{Readiness, RecentServices},
         rollouts::OwnedRollout,
         state::{Candidates, DirectoryRead, GatewayState},
-        table_transfer::EncodedTable,
+        table_transfer::EncodedTransfer,
         zone_config::AdvertisedConfig,
     },
     super::{
--- a/crates/catkinward/src/gateway/table_transfer.rs
+++ b/crates/catkinward/src/gateway/table_transfer.rs
@@ -25,13 +25,19 @@
     rows: Vec<UpstreamChange>,
 }
 
-/// How long an encoded table is used while the contents do not change: well below the time for which the
+/// How long an encoded transfer is used while the contents do not change: well below the time for which the
 /// store keeps the changes after its version.
 const ENCODED_MAX_AGE: Duration = Duration::from_secs(2);
 
-/// Encoded transfer of the complete table, kept because many VMs of a zone start at about the same time.
+/// Maximum number of encoded transfers that are kept.
+const MAX_ENCODED: usize = 8;
+
+/// An encoded transfer, kept because most VMs of a zone miss the same changes at the same time.
 #[derive(Clone, Debug)]
-pub(crate) struct EncodedTable {
+pub(crate) struct EncodedTransfer {
+    /// Version after which it contains the changes; `None` if it is the complete table.
+    after: Option<u64>,
+    /// Digest of the table.
     digest: u64,
     at: Instant,
     bytes: Bytes,
@@ -39,10 +45,10 @@
 
 /// Encodes rows as compressed CBOR.
 fn encode(transfer: &TableTransfer) -> std::io::Result<Bytes> {
-    let mut encoded = Vec::new();
-    ciborium::into_writer(transfer, &mut encoded).map_err(std::io::Error::other)?;
+    let mut buf = Vec::new();
+    ciborium::into_writer(transfer, &mut buf).map_err(std::io::Error::other)?;
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&encoded)?;
+    encoder.write_all(&buf)?;
     Ok(encoder.finish()?.into())
 }
 
@@ -85,37 +91,34 @@
         let now = self.timer.now();
         let state = self.state.lock();
         let (version, digest) = (state.table.version(), state.table.digest());
-        let changes = state.table.changes_since(after);
-        let whole = changes.is_none();
-        let kept = self.encoded_table.lock().clone();
-        let is_current = |table: &EncodedTable| {
-            whole && table.digest == digest && now.since(table.at) < ENCODED_MAX_AGE
-        };
-        let kept = kept.filter(is_current);
-        let rows = match (&kept, changes) {
-            (Some(_), _) => Vec::new(),
-            (None, Some(changes)) => changes,
-            (None, None) => state.table.entries(),
-        };
-        drop(state);
-        let bytes = if let Some(table) = kept {
-            table.bytes
+        let whole = !state.table.knows_changes_since(after);
+        let key = (!whole).then_some(after);
+        let mut kept = self.encoded_transfers.lock();
+        kept.retain(|e| e.digest == digest && now.since(e.at) < ENCODED_MAX_AGE);
+        let found = kept.iter().find(|e| e.after == key);
+        let bytes = if let Some(encoded) = found {
+            encoded.bytes.clone()
         } else {
+            let changes = state.table.changes_since(after);
             let transfer = TableTransfer {
                 version,
                 whole,
-                rows,
+                rows: changes.unwrap_or_else(|| state.table.entries()),
             };
             let bytes = encode(&transfer).ok()?;
-            if whole {
-                *self.encoded_table.lock() = Some(EncodedTable {
-                    digest,
-                    at: now,
-                    bytes: bytes.clone(),
-                });
+            if kept.len() == MAX_ENCODED {
+                kept.remove(0);
             }
+            kept.push(EncodedTransfer {
+                after: key,
+                digest,
+                at: now,
+                bytes: bytes.clone(),
+            });
             bytes
         };
+        drop(kept);
+        drop(state);
         let admitted = self.transfers.lock().admit(
             u64::try_from(bytes.len()).unwrap_or(u64::MAX),
             self.settings.link,
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -29,6 +29,8 @@
     peer_answers: Arc<Mutex<bool>>,
     store_calls: Arc<Mutex<u32>>,
     peers_read: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Whether only the VM that advertises the configuration has a copy of it.
+    only_advertiser_answers: Arc<Mutex<bool>>,
     /// Time that the store takes to send a newer configuration.
     transfer: Arc<Mutex<Duration>>,
 }
@@ -41,6 +43,7 @@
             peer_answers: Arc::new(Mutex::new(true)),
             store_calls: Arc::default(),
             peers_read: Arc::default(),
+            only_advertiser_answers: Arc::default(),
             transfer: Arc::default(),
         }
     }
@@ -94,7 +97,9 @@
             changes: Box::new(move |after, wait| Box::pin(asking.clone().read_store(after, wait))),
             read_from_peer: Box::new(move |address, _, _| {
                 peer.peers_read.lock().push(address);
-                let answers = *peer.peer_answers.lock();
+                let has_copy = !*peer.only_advertiser_answers.lock()
+                    || address == PEER.parse::<SocketAddr>().unwrap();
+                let answers = *peer.peer_answers.lock() && has_copy;
                 let read = answers.then(|| PeerRead {
                     page: peer.page(),
                     whole: true,
@@ -265,6 +270,30 @@
     expect_that!(member.source.take_store_calls(), ge(1));
 }
 
+/// Guards against a VM that the store rejects and that does not return to the advertiser after one failed read there: it
+/// asked the store and random VMs, most of which have no copy, three times a second until the store accepted it again.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn rejected_vm_reads_the_configuration_from_the_advertiser_again() {
+    let member = Member::relying().await;
+    *member.source.only_advertiser_answers.lock() = true;
+    *member.source.peer_answers.lock() = false;
+    *member.source.store_answers.lock() = false;
+    member.source.set_version(3);
+    member.receive(Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let early = member.version();
+
+    *member.source.peer_answers.lock() = true;
+    for _ in 0..4 {
+        member.receive(Duration::ZERO);
+        tokio::time::sleep(GOSSIP_INTERVAL).await;
+    }
+
+    expect_that!(early, eq(ConfigVersion(2)));
+    expect_that!(member.version(), eq(ConfigVersion(3)));
+}
+
 /// A configuration with a thousand more routes takes more than a second over the link of a small
 /// VM, and cannot be read from the advertising VM, whose link all members share. Guards against a
 /// timeout shorter than the transfer: with repeated attempts, callers of the new routes were
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -69,11 +69,18 @@
         present.map(|row| row.change.clone()).collect()
     }
 
+    /// Whether all changes after a version are known here, including removals.
+    #[must_use]
+    pub fn knows_changes_since(&self, version: u64) -> bool {
+        self.removals_complete_after
+            .is_some_and(|complete_after| complete_after <= version)
+    }
+
     /// Rows that changed or were removed after a version up to which another VM knows the table; `None` if
     /// removals since then are not known here, so that the other VM needs the complete table.
     #[must_use]
     pub fn changes_since(&self, version: u64) -> Option<Vec<UpstreamChange>> {
-        if self.removals_complete_after? > version {
+        if !self.knows_changes_since(version) {
             return None;
         }
         let removed = self.removals.iter().filter(|(written, key)| {
