Transfers: one encoding of large messages, and the complete table for a VM that has none

A VM that knows nothing asks for the changes after version 0. A VM that had read an empty store at version 0 answered with changes, and one that starts while the store is unreachable does not become ready with these: it needs a complete table (found by reading; the new test fails without the change). The two encoders of compressed CBOR are one.

--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub use self::{
     call::{Call, Prompt},
     call_log::{CallLog, LineKind},
+    compressed::{decode_compressed, encode_compressed},
     core::{Gateway, GatewaySettings, NOT_READY_RETRY_DELAY},
     feed::{
         Feed, FeedError, FeedPage, PeerRead, ReadFromPeer, RequestChanges, follow_config,
@@ -85,6 +86,7 @@
 mod buffered_call;
 mod call;
 mod call_log;
+mod compressed;
 mod core;
 mod dispatches;
 mod feed;
--- a/crates/catkinward/src/gateway/table_transfer.rs
+++ b/crates/catkinward/src/gateway/table_transfer.rs
@@ -4,13 +4,11 @@
 //! bytes would grow with the number of VMs times that of upstreams. So a VM that missed changes reads them
 //! from the VM that advertised them, and asks the store only if that one does not deliver.
 
-use super::*;
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use super::{
+    compressed::{decode_compressed, encode_compressed},
+    *,
+};
 use serde::{Deserialize, Serialize};
-use std::io::{Read, Write};
-
-/// Maximum size of a decoded transfer: a row takes about 110 bytes.
-const MAX_DECODED_BYTES: u64 = 64 << 20;
 
 /// Rows of the table as one VM sends them to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -43,32 +41,13 @@
     bytes: Bytes,
 }
 
-/// Encodes rows as compressed CBOR.
-fn encode(transfer: &TableTransfer) -> std::io::Result<Bytes> {
-    let mut buf = Vec::new();
-    ciborium::into_writer(transfer, &mut buf).map_err(std::io::Error::other)?;
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&buf)?;
-    Ok(encoder.finish()?.into())
-}
-
 /// Decodes a transfer that another VM has sent.
 ///
 /// # Errors
 ///
 /// Returns [`FeedError::Refused`] if the bytes are not a transfer.
 pub fn decode_table_transfer(bytes: &[u8]) -> Result<PeerRead<UpstreamEntry>, FeedError> {
-    let mut decoded = Vec::new();
-    let read = DeflateDecoder::new(bytes)
-        .take(MAX_DECODED_BYTES)
-        .read_to_end(&mut decoded);
-    let transfer = read
-        .map_err(|error| error.to_string())
-        .and_then(|_| ciborium::from_reader(&decoded[..]).map_err(|error| error.to_string()));
-    let transfer: TableTransfer = transfer.map_err(|error| {
-        tracing::warn!(%error, "table of another VM cannot be read");
-        FeedError::Refused
-    })?;
+    let transfer = decode_compressed::<TableTransfer>(bytes)?;
     Ok(PeerRead {
         page: FeedPage {
             version: transfer.version,
@@ -90,7 +69,7 @@
         }
         let now = self.timer.now();
         let state = self.state.lock();
-        let (version, digest) = (state.table.version(), state.table.digest());
+        let digest = state.table.digest();
         let whole = !state.table.knows_changes_since(after);
         let key = (!whole).then_some(after);
         let mut kept = self.encoded_transfers.lock();
@@ -100,12 +79,11 @@
             encoded.bytes.clone()
         } else {
             let changes = state.table.changes_since(after);
-            let transfer = TableTransfer {
-                version,
+            let bytes = encode_compressed(&TableTransfer {
+                version: state.table.version(),
                 whole,
                 rows: changes.unwrap_or_else(|| state.table.entries()),
-            };
-            let bytes = encode(&transfer).ok()?;
+            });
             if kept.len() == MAX_ENCODED {
                 kept.remove(0);
             }
@@ -126,14 +104,7 @@
         );
         let outcome = if admitted { "sent" } else { "refused" };
         metrics::counter!("catkin_table_transfers_total", "outcome" => outcome).increment(1);
-        tracing::debug!(
-            after,
-            version,
-            whole,
-            bytes = bytes.len(),
-            outcome,
-            "table transfer"
-        );
+        tracing::debug!(after, whole, bytes = bytes.len(), outcome, "table transfer");
         admitted.then_some(bytes)
     }
 
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -15,9 +15,10 @@
 //! other VMs. So the traffic of a VM does not grow with the number of VMs, and the VMs that use an upstream
 //! most know its load.
 //!
-//! In a zone of more than [`MAX_GOSSIPED_ZONE`] VMs, the status of a VM takes too long to reach all others that way:
-//! each VM receives the status of a fixed number of others in an interval. There, all VMs send their heartbeats to those that read for the
-//! zone, and these relay the status of all members in turn with what they advertise.
+//! In a zone of more than [`MAX_GOSSIPED_ZONE`] VMs, the status of a VM takes too long to reach all others that
+//! way: each VM receives the status of a fixed number of others in an interval. There, all VMs send their
+//! heartbeats to those that read for the zone, and these relay the status of all members in turn with what
+//! they advertise.
 
 use super::*;
 
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -69,11 +69,12 @@
         present.map(|row| row.change.clone()).collect()
     }
 
-    /// Whether all changes after a version are known here, including removals.
+    /// Whether all changes after a version are known here, including removals. A VM at version 0 has not read
+    /// anything yet, and needs the complete table.
     #[must_use]
     pub fn knows_changes_since(&self, version: u64) -> bool {
-        self.removals_complete_after
-            .is_some_and(|complete_after| complete_after <= version)
+        let complete_after = self.removals_complete_after;
+        version > 0 && complete_after.is_some_and(|complete_after| complete_after <= version)
     }
 
     /// Rows that changed or were removed after a version up to which another VM knows the table; `None` if
--- a/crates/decisions/tests/zone_gossip.rs
+++ b/crates/decisions/tests/zone_gossip.rs
@@ -454,6 +454,18 @@
     expect_that!(table.changes_since(10), some(is_empty()));
 }
 
+/// Guards against a VM that never becomes ready: it has read nothing, and gets what it takes for changes of a table that
+/// it does not have.
+#[gtest]
+fn vm_without_a_table_needs_the_complete_one() {
+    let mut table = UpstreamTable::default();
+    table.apply_read(&[], true, 0);
+    table.apply_read(&written(1, &[entry(1, false)]), false, 1);
+
+    expect_that!(table.changes_since(0), none());
+    expect_that!(table.changes_since(1), some(is_empty()));
+}
+
 /// Guards against rows that upstreams rewrite without a change in a delta: these would be the complete table.
 #[gtest]
 fn changes_since_a_version_omit_rows_that_were_only_rewritten() {
