--- a/crates/catkinward/src/gateway/compressed.rs
+++ b/crates/catkinward/src/gateway/compressed.rs
@@ -12,7 +12,7 @@
 ///
 /// # Panics
 ///
-/// Panics if the message has no encoding, as maps with keys of several types.
+/// Panics if the message cannot be written as CBOR, which no message between VMs causes.
 #[must_use]
 pub fn encode_compressed<T: Serialize>(message: &T) -> Bytes {
     let mut buf = Vec::new();
