Log: the body of a call, and why a stream was not taken for one that crashes engines

Cause: a refusal for crashes names the digest of a body, but no line of a call did, so that the calls which were sent again after it could only be found by time. Nothing showed whether a lost run had produced an event, nor how many of the checked engines were down.

Change: `accepted` and `run of a stream lost` name the body; the latter also whether the run had produced an event. A new line gives the outcome of the check of broken upstreams. `catkinctl explain` shows the lines of the body.

Measured: tests of explain and gateway_poison pass; no decision changes.

--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -82,14 +82,21 @@
         .iter()
         .map(|line| line.text("upstream"))
         .collect::<Vec<_>>();
+    let bodies = request_lines
+        .iter()
+        .map(|line| line.text("body"))
+        .collect::<Vec<_>>();
     let is_relevant = |line: &&LogLine| {
         let about_upstream = !line.text("upstream").is_empty()
             && line.text("request").is_empty()
             && upstreams.contains(&line.text("upstream"));
         let about_process =
             line.is_process_event() && request_lines.iter().any(|other| other.file == line.file);
+        let about_body = !line.text("body").is_empty()
+            && line.text("request").is_empty()
+            && bodies.contains(&line.text("body"));
         line.text("request") == request
-            || (span.contains(&line.micros) && (about_upstream || about_process))
+            || (span.contains(&line.micros) && (about_upstream || about_body || about_process))
     };
     let mut text = String::new();
     for line in lines.iter().filter(is_relevant) {
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -5,7 +5,7 @@
     buffered_call::call_buffered,
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
-    reply_log::{CallerLeftGuard, count_reply, log_local_reply, millis},
+    reply_log::{BodyHex, CallerLeftGuard, count_reply, log_local_reply, millis},
     shutdown::Shutdown,
     stream_call::call_stream,
     *,
@@ -359,7 +359,7 @@
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
-                patience_ms = millis(timeout), tokens = call.prompt.as_ref().map(|p| p.tokens),
+                body = %BodyHex(digest), patience_ms = millis(timeout), tokens = call.prompt.as_ref().map(|p| p.tokens),
                 "accepted");
         }
         Ok(AcceptedCall {
--- a/crates/catkinward/src/gateway/reply_log.rs
+++ b/crates/catkinward/src/gateway/reply_log.rs
@@ -28,6 +28,15 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Digest of a call's body as it is written to the log.
+pub(crate) struct BodyHex(pub(crate) u64);
+
+impl fmt::Display for BodyHex {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 pub(crate) fn log_local_reply(call: &Call, reply: &Reply) {
     let outcome = outcome(reply);
     if let Reply::NotRun { not_run } = reply {
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{reply_log::BodyHex, *};
 
 /// Mutable state of the gateway, behind one lock.
 pub(crate) struct GatewayState {
@@ -158,7 +158,7 @@
         let is_new = self.crashes.record_crash(crash);
         if is_new && self.crashes.is_refused(digest, now) {
             let crashes = self.crashes.crash_count(digest, now);
-            tracing::warn!(body = %format_args!("{digest:016x}"), crashes,
+            tracing::warn!(body = %BodyHex(digest), crashes,
                 "calls with this body are rejected from now on");
         }
         is_new
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -6,7 +6,7 @@
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
-    reply_log::{log_caller_left, millis},
+    reply_log::{BodyHex, log_caller_left, millis},
     run_guard::RunGuard,
     stream_call::StreamStop,
     *,
@@ -331,19 +331,25 @@
         } else if loss == Loss::Broken {
             self.broken_before_event.push(entry.clone());
         }
-        self.run_lost(&entry, loss);
+        self.run_lost(&entry, loss, produced_events);
         if self.accepted.route.kind.may_retry() {
             return Ok(());
         }
         Err(StreamStop::Cut(StreamCut::NotResumable))
     }
 
-    pub(super) fn run_lost(&mut self, entry: &Arc<UpstreamEntry>, loss: Loss) {
+    pub(super) fn run_lost(
+        &mut self,
+        entry: &Arc<UpstreamEntry>,
+        loss: Loss,
+        produced_events: bool,
+    ) {
         self.lost_at.get_or_insert(self.gateway.timer.now());
         self.avoid.push(entry.id.clone());
         let loss_name: &str = loss.into();
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
-            loss = loss_name, last_event = self.relay.last(),
+            body = %BodyHex(self.accepted.digest), loss = loss_name, produced_events,
+            last_event = self.relay.last(),
             copy = self.copy.as_ref().map(|c| tracing::field::display(c.holder.id.clone())),
             "run of a stream lost");
         if loss == Loss::Broken {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -65,12 +65,16 @@
         if self.broken_before_event.len() < MAX_CRASHES_PER_BODY {
             return false;
         }
+        let checked = self.broken_before_event.len();
         let probes = self.broken_before_event.iter();
         let probes = probes.map(|entry| probe(self.gateway.clone(), entry.clone()));
         let live = futures::future::join_all(probes).await;
         let mut live = live.into_iter();
         self.broken_before_event
             .retain(|_| !live.next().unwrap_or(true));
+        let down = self.broken_before_event.len();
+        tracing::warn!(request = %self.accepted.call.id, checked, down,
+            "upstreams that broke this stream were checked");
         self.broken_before_event.len() >= MAX_CRASHES_PER_BODY
     }
 
@@ -205,13 +209,13 @@
             () = tokio::time::sleep(FIRST_EVENT_TIMEOUT), if retryable => {
                 self.ran_on.push(entry.id.clone());
                 drop((guard, copy));
-                self.run_lost(&entry, Loss::Stalled);
+                self.run_lost(&entry, Loss::Stalled, false);
                 return Ok(false);
             }
             () = guard.upstream_abandoned() => {
                 self.ran_on.push(entry.id.clone());
                 drop((guard, copy));
-                self.run_lost(&entry, Loss::Silent);
+                self.run_lost(&entry, Loss::Silent, false);
                 return self.continue_if_retryable();
             }
             () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
@@ -290,7 +294,7 @@
         }
         self.ran_on.push(entry.id.clone());
         self.broken_before_event.push(entry.clone());
-        self.run_lost(entry, Loss::Broken);
+        self.run_lost(entry, Loss::Broken, false);
         self.continue_if_retryable()
     }
 
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -125,3 +125,18 @@
     );
     expect_that!(text(&unknown), eq("no log line mentions the request r9\n"));
 }
+
+/// A request was sent again although its body was refused. The refusal line names no request, only the body.
+#[gtest]
+fn refusal_of_the_body_is_shown() {
+    let lost = r#""message":"run of a stream lost","request":"r1","body":"0bb4""#;
+    let refused = r#""message":"calls with this body are rejected from now on","body":"0bb4""#;
+    let other = r#""message":"calls with this body are rejected from now on","body":"ffff""#;
+    let log = accepted(1) + &line(2, lost) + &line(3, refused) + &line(3, other);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    let text = text(&output);
+    expect_that!(text, contains_substring("rejected from now on body=0bb4"));
+    expect_that!(text, not(contains_substring("ffff")));
+}
