--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -266,6 +266,15 @@
         self.gateway.handle(self.call(path)).await
     }
 
+    /// Handles a call whose caller waits for the given time.
+    pub async fn handle_for(&self, path: &str, timeout: Duration) -> Reply {
+        let call = Call {
+            timeout: Some(timeout),
+            ..self.call(path)
+        };
+        self.gateway.handle(call).await
+    }
+
     /// Delivers a heartbeat of another VM to the gateway.
     pub fn receive_peer_heartbeat(&self) {
         self.receive_heartbeat(self.empty_heartbeat("vm-2", "b"));
