Crashes: an accepted call is not sent again after its body has crashed three engines

What callers saw: engines crashed one after the other under one body, 27 in all, with all streams that ran there.

Cause: the crash tracker was asked only when a call is accepted. Within the call the gateway asked whether the engines of its broken runs respond now, not whether they had crashed. A stream that waits two seconds in each engine crashes the third one five seconds after the first, which is back after 3.3 s, so one of three always responded and the stream was sent on.

Change: the tracker is asked before each resend of streams and plain calls, with the crashes of all VMs and attempts. Where crashes that are not confirmed yet would decide, these upstreams are checked first. A call that waits in an upstream when its body is refused is withdrawn. A crash after an event counts half, so that a stream which loses engines by coincidence goes on. A crash is also attributed if another process runs at the address (the engine was back before the check), and if it is known already when the connection breaks. Crashes that another body explains do not end a stream any more.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -1,6 +1,11 @@
 use super::{
-    accepted_call::AcceptedCall, reply_log::millis, retries::CALL_RETRY_TIMEOUT,
-    run_guard::RunGuard, upstream_transport::CONNECT_TIMEOUT, *,
+    accepted_call::AcceptedCall,
+    reply_log::{BodyHex, millis},
+    retries::CALL_RETRY_TIMEOUT,
+    run_guard::RunGuard,
+    state::CrashProof,
+    upstream_transport::CONNECT_TIMEOUT,
+    *,
 };
 use std::pin::pin;
 
@@ -32,6 +37,8 @@
     Moved(Arc<UpstreamEntry>),
     /// The call may have run.
     Lost,
+    /// Upstreams crashed under the same body, so the call was withdrawn.
+    Withdrawn,
     /// The deadline passed.
     TimedOut,
 }
@@ -88,6 +95,7 @@
                     return reply;
                 }
                 Sent::TimedOut => return Reply::TimedOut,
+                Sent::Withdrawn => return failure.unwrap_or(Reply::Unknown),
                 Sent::NotRun(evidence) => match dispatched.not_run(evidence) {
                     Ok(queued) => match self.next_upstream().await {
                         Some(next) => {
@@ -136,6 +144,10 @@
         if self.sends >= self.max_sends || self.accepted.time_left(now).is_zero() {
             return None;
         }
+        let AcceptedCall { call, digest, .. } = &self.accepted;
+        if self.gateway.refuse_resend(*digest, &call.id) {
+            return None;
+        }
         let next = self.gateway.select(&self.accepted, &self.avoid, &[])?;
         let paid = self.retry_prepaid
             || self
@@ -180,6 +192,12 @@
             tokio::select! {
                 response = &mut response => break response,
                 // A non-idempotent call stays with its upstream, which may still respond.
+                () = gateway.resend_forbidden(self.accepted.digest), if retryable => {
+                    tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
+                        body = %BodyHex(self.accepted.digest),
+                        "waiting call withdrawn: upstreams crashed under its body");
+                    return Sent::Withdrawn;
+                }
                 () = guard.upstream_abandoned(), if retryable => break Err(SendError::Lost),
                 () = stall, if retryable && stalls_at.is_some() => {
                     // If no retry is left, keep waiting for the response.
@@ -256,7 +274,9 @@
                 Sent::NotRun(NotRunEvidence::NoConnection)
             }
             SendError::Lost => {
-                self.gateway.call_broke(entry, self.accepted.digest);
+                let phase = CrashPhase::BeforeEvent;
+                let (digest, proof) = (self.accepted.digest, CrashProof::Unresponsive);
+                self.gateway.run_of_body_lost(entry, digest, phase, proof);
                 Sent::Lost
             }
             SendError::Crossed | SendError::Stalled => Sent::Lost,
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -7,6 +7,7 @@
     health_check::{adopt, watch_upstreams},
     reply_log::{BodyHex, CallerLeftGuard, count_reply, log_local_reply, millis},
     shutdown::Shutdown,
+    state::CrashProof,
     stream_call::call_stream,
     *,
 };
@@ -297,7 +298,8 @@
         let gone = change
             .as_ref()
             .filter(|(_, presence)| *presence == Presence::Gone);
-        let crashes = gone.map_or(0, |(id, _)| state.upstream_crashed(id, now));
+        let proof = CrashProof::Unresponsive;
+        let crashes = gone.map_or(0, |(id, _)| state.upstream_crashed(id, proof, now));
         drop(state);
         if let Some((id, _)) = gone {
             self.advertise_crashes(id, crashes);
@@ -311,8 +313,10 @@
     pub(crate) fn presence_changed(&self, changes: &[PresenceChange]) {
         for (id, presence) in changes {
             self.log_presence(id, *presence);
-            if *presence == Presence::Superseded {
-                self.process_ended(id);
+            match presence {
+                Presence::Superseded => self.process_ended(id),
+                Presence::Replaced => self.attribute_crash(id, CrashProof::ProcessEnded),
+                _ => {}
             }
         }
     }
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -1,4 +1,4 @@
-use super::{reply_log::millis, *};
+use super::{reply_log::millis, state::CrashProof, *};
 use std::sync::Weak;
 
 /// Interval at which upstreams are checked for silence: short compared with the silence timeout,
@@ -144,22 +144,13 @@
         let upstream = state.upstream(entry, now);
         let new = upstream.health.record_failure(now);
         upstream.failed_over.send_modify(|count| *count += 1);
-        let crashes = state.upstream_crashed(&entry.id, now);
+        let crashes = state.upstream_crashed(&entry.id, CrashProof::Unresponsive, now);
         let zone_alarm = new && state.zones.record_loss(&entry.zone, &entry.id, now);
         drop(state);
         self.advertise_crashes(&entry.id, crashes);
         self.log_suspect(entry, new, zone_alarm);
     }
 
-    /// Notifies other VMs immediately that an upstream crashed while running calls: the callers
-    /// retry within milliseconds, at any VM.
-    pub(crate) fn advertise_crashes(&self, upstream: &UpstreamIncarnation, calls: usize) {
-        if calls > 0 {
-            tracing::warn!(%upstream, calls, "upstream crashed while running calls");
-            self.crashes_seen.notify_one();
-        }
-    }
-
     /// Reports a restart to the VMs that share the upstream: while the platform is unreachable,
     /// they would learn of it only from a rejected call.
     fn report_restart(&self, restart: &UpstreamRestart) {
@@ -212,13 +203,12 @@
     pub(crate) fn process_ended(&self, id: &UpstreamIncarnation) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let crashes = state.upstream_crashed(id, now);
         if let Some(upstream) = state.existing_upstream(id) {
             upstream.health.record_failure(now);
             upstream.failed_over.send_modify(|count| *count += 1);
         }
         drop(state);
-        self.advertise_crashes(id, crashes);
+        self.attribute_crash(id, CrashProof::ProcessEnded);
     }
 
     /// Records that a stream from an upstream broke. The upstream is ejected until it responds
@@ -268,20 +258,4 @@
             .count();
         u32::try_from(usable).unwrap_or(u32::MAX)
     }
-
-    /// Records that the connection to an upstream broke while it was running a call with this body.
-    pub(crate) fn call_broke(&self, entry: &UpstreamEntry, digest: u64) {
-        let crash = Crash {
-            digest,
-            upstream: entry.id.clone(),
-            at: self.timer.now(),
-            cleared: false,
-        };
-        self.state.lock().record_broken_call(crash);
-    }
-
-    /// Records that the response of a call was complete.
-    pub(crate) fn record_delivery(&self, digest: u64) {
-        self.state.lock().crashes.record_complete_response(digest);
-    }
 }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -14,8 +14,10 @@
     /// Sorted by service.
     budgets: Vec<(ServiceId, SharedRetryBudget)>,
     pub(crate) crashes: CrashTracker,
-    /// Calls whose connection broke recently, until it is known whether their upstream crashed.
-    broken_calls: Vec<Crash>,
+    /// Notifies calls that wait in an upstream that another body is refused.
+    pub(crate) refusals: watch::Sender<u64>,
+    /// Runs that were lost recently, until it is known whether their upstream crashed.
+    lost_runs: Vec<LostRun>,
     pub(crate) peers: PeerLoads,
     pub(crate) cached: CachedPrompts,
     /// The platform's table of upstreams, as read by this VM or advertised by another VM of the
@@ -68,12 +70,30 @@
     pub(crate) failed_over: watch::Sender<u64>,
 }
 
-/// How long after a broken connection a crash of its upstream is attributed to the call: until the
+/// A run that was lost, and whose upstream may have crashed.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRun {
+    /// The crash, if there was one.
+    pub(crate) crash: Crash,
+    /// What shows that the upstream crashed.
+    pub(crate) proof: CrashProof,
+}
+
+/// What shows that the upstream of a lost run crashed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum CrashProof {
+    /// It does not respond, since the connection broke. It may as well be unreachable if the run only fell silent.
+    Unresponsive,
+    /// Another process runs at its address.
+    ProcessEnded,
+}
+
+/// How long after the loss of a run a crash of its upstream is attributed to the call: until the
 /// next caller is refused a connection or the entry of the upstream has expired.
 const CRASH_ATTRIBUTION_WINDOW: Duration = Duration::from_secs(5);
 
-/// Maximum number of broken calls kept; the oldest are dropped first.
-const MAX_BROKEN_CALLS: usize = 1024;
+/// Maximum number of lost runs kept; the oldest are dropped first.
+const MAX_LOST_RUNS: usize = 1024;
 
 impl GatewayState {
     /// State of a VM that has not read anything yet.
@@ -87,7 +107,8 @@
             recent_services: RecentServices::default(),
             budgets: Vec::new(),
             crashes: CrashTracker::default(),
-            broken_calls: Vec::new(),
+            refusals: watch::Sender::new(0),
+            lost_runs: Vec::new(),
             peers: PeerLoads::new(vm),
             cached: CachedPrompts::default(),
             table: UpstreamTable::default(),
@@ -122,32 +143,46 @@
         self.peers.discard_heartbeats();
     }
 
-    /// Records that the connection of a call broke. Connections also break while their upstream
-    /// lives, so no crash is attributed to the call before the upstream is known to have crashed.
-    pub(crate) fn record_broken_call(&mut self, crash: Crash) {
-        if self.broken_calls.len() == MAX_BROKEN_CALLS {
-            self.broken_calls.remove(0);
+    /// Records that a run was lost; returns whether a crash of its upstream is attributed to the call.
+    /// Connections also break while their upstream lives, so none is before the crash is known.
+    pub(crate) fn record_lost_run(&mut self, run: LostRun) -> bool {
+        let (upstream, now) = (&run.crash.upstream, run.crash.at);
+        let has_crashed = match run.proof {
+            CrashProof::Unresponsive => {
+                self.crashes
+                    .has_crashed_within(CRASH_ATTRIBUTION_WINDOW, upstream, now)
+                    || self.directory.has_ended(upstream)
+            }
+            CrashProof::ProcessEnded => self.directory.has_ended(upstream),
+        };
+        if has_crashed {
+            return self.apply_crash(run.crash);
         }
-        self.broken_calls.push(crash);
+        if self.lost_runs.len() == MAX_LOST_RUNS {
+            self.lost_runs.remove(0);
+        }
+        self.lost_runs.push(run);
+        false
     }
 
-    /// Records that an upstream crashed, and attributes the crash to the calls whose connections
-    /// broke shortly before; returns how many of these records are new.
+    /// Records that an upstream crashed, as shown by `proof`, and attributes the crash to the calls whose
+    /// runs were lost there shortly before; returns how many of these records are new.
     pub(crate) fn upstream_crashed(
         &mut self,
         upstream: &UpstreamIncarnation,
+        proof: CrashProof,
         now: Instant,
     ) -> usize {
-        self.broken_calls
-            .retain(|crash| now.since(crash.at) < CRASH_ATTRIBUTION_WINDOW);
-        let (attributed, rest) = std::mem::take(&mut self.broken_calls)
+        self.lost_runs
+            .retain(|run| now.since(run.crash.at) < CRASH_ATTRIBUTION_WINDOW);
+        let (attributed, rest) = std::mem::take(&mut self.lost_runs)
             .into_iter()
-            .partition(|crash| crash.upstream == *upstream);
-        self.broken_calls = rest;
-        let attributed: Vec<Crash> = attributed;
+            .partition(|run| run.crash.upstream == *upstream && run.proof <= proof);
+        self.lost_runs = rest;
+        let attributed: Vec<LostRun> = attributed;
         let is_new = attributed
             .into_iter()
-            .filter(|crash| self.apply_crash(crash.clone()));
+            .filter(|run| self.apply_crash(run.crash.clone()));
         is_new.count()
     }
 
@@ -161,6 +196,9 @@
             tracing::warn!(body = %BodyHex(digest), crashes,
                 "calls with this body are rejected from now on");
         }
+        if is_new && self.crashes.forbids_resend(digest, now) {
+            self.refusals.send_modify(|count| *count += 1);
+        }
         is_new
     }
 
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -3,11 +3,13 @@
 
 use super::{
     accepted_call::AcceptedCall,
+    crashes::UnconfirmedCrashes,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
     reply_log::{BodyHex, log_caller_left, millis},
     run_guard::RunGuard,
+    state::CrashProof,
     stream_call::StreamStop,
     *,
 };
@@ -39,9 +41,8 @@
     pub(super) retry_prepaid: bool,
     /// Upstreams that may have run the stream, including the current one.
     pub(super) ran_on: Vec<UpstreamIncarnation>,
-    /// Upstreams whose connection broke before the first event of a run. Cleared when a run produces an
-    /// event.
-    pub(super) broken_before_event: Vec<Arc<UpstreamEntry>>,
+    /// Upstreams whose connections broke and that may have crashed.
+    pub(super) unconfirmed_crashes: UnconfirmedCrashes,
     /// Whether the caller has received an event.
     pub(super) delivered: bool,
     /// Time when the caller received its first event.
@@ -85,6 +86,8 @@
     TimedOut,
     /// No data, but the KV copies of the run must be checked.
     CheckCopies,
+    /// Upstreams crashed under the same body, and this run has not produced an event yet.
+    Forbidden,
 }
 
 /// Why a run was lost.
@@ -103,11 +106,23 @@
     Stalled,
 }
 
+impl Loss {
+    /// What would show that the upstream of a run lost in this way has crashed; `None` if it has not.
+    fn crash_proof(self) -> Option<CrashProof> {
+        match self {
+            Self::Broken | Self::Torn => Some(CrashProof::Unresponsive),
+            Self::Silent | Self::Stalled => Some(CrashProof::ProcessEnded),
+            Self::Gap => None,
+        }
+    }
+}
+
 impl StreamRun {
     pub(crate) fn new(gateway: Arc<Gateway>, accepted: AcceptedCall) -> Self {
         Self {
             relay: EventRelay::new(accepted.call.last_event),
             gateway,
+            unconfirmed_crashes: UnconfirmedCrashes::new(accepted.digest),
             accepted,
             active: None,
             copy: None,
@@ -116,7 +131,6 @@
             sends: 0,
             retry_prepaid: false,
             ran_on: Vec::new(),
-            broken_before_event: Vec::new(),
             delivered: false,
             first_event_at: None,
             head: None,
@@ -162,6 +176,7 @@
                 Received::Broken(loss) => self.lose_active_run(loss)?,
                 Received::TimedOut => return Err(StreamStop::TimedOut),
                 Received::CheckCopies => self.check_copies(),
+                Received::Forbidden => return Err(self.withdraw()),
             }
         }
     }
@@ -219,6 +234,8 @@
             },
             () = active.guard.upstream_abandoned() => Received::Broken(Loss::Silent),
             () = active.copies.wait() => Received::CheckCopies,
+            () = self.gateway.resend_forbidden(self.accepted.digest),
+                if retryable && !active.produced_events => Received::Forbidden,
             () = tokio::time::sleep_until(stalls_at), if retryable => {
                 Received::Broken(Loss::Stalled)
             }
@@ -326,26 +343,22 @@
         self.copy = copies
             .into_best(loss == Loss::Silent)
             .filter(|_| produced_events);
-        if produced_events {
-            self.broken_before_event.clear();
-        } else if loss == Loss::Broken {
-            self.broken_before_event.push(entry.clone());
-        }
-        self.run_lost(&entry, loss, produced_events);
+        let phase = if produced_events {
+            CrashPhase::AfterEvent
+        } else {
+            CrashPhase::BeforeEvent
+        };
+        self.run_lost(&entry, loss, phase);
         if self.accepted.route.kind.may_retry() {
             return Ok(());
         }
         Err(StreamStop::Cut(StreamCut::NotResumable))
     }
 
-    pub(super) fn run_lost(
-        &mut self,
-        entry: &Arc<UpstreamEntry>,
-        loss: Loss,
-        produced_events: bool,
-    ) {
+    pub(super) fn run_lost(&mut self, entry: &Arc<UpstreamEntry>, loss: Loss, phase: CrashPhase) {
         self.lost_at.get_or_insert(self.gateway.timer.now());
         self.avoid.push(entry.id.clone());
+        let produced_events = phase == CrashPhase::AfterEvent;
         let loss_name: &str = loss.into();
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
             body = %BodyHex(self.accepted.digest), loss = loss_name, produced_events,
@@ -354,7 +367,24 @@
             "run of a stream lost");
         if loss == Loss::Broken {
             self.gateway.stream_broke(entry);
-            self.gateway.call_broke(entry, self.accepted.digest);
         }
+        let Some(proof) = loss.crash_proof() else {
+            return;
+        };
+        if proof == CrashProof::Unresponsive {
+            self.unconfirmed_crashes.push(entry.clone(), phase);
+        }
+        self.gateway
+            .run_of_body_lost(entry, self.accepted.digest, phase, proof);
+    }
+
+    /// Ends the stream while its run waits in an upstream. The connection is closed, so that the upstream does
+    /// not run it.
+    pub(super) fn withdraw(&mut self) -> StreamStop {
+        self.active = None;
+        tracing::warn!(request = %self.accepted.call.id, body = %BodyHex(self.accepted.digest),
+            upstream = self.ran_on.last().map(tracing::field::display),
+            "waiting call withdrawn: upstreams crashed under its body");
+        StreamStop::Cut(StreamCut::Poisoned)
     }
 }
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -2,7 +2,6 @@
 //! response.
 
 use super::{
-    health_check::probe,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
@@ -31,8 +30,13 @@
             if self.accepted.time_left(now).is_zero() {
                 return Err(StreamStop::TimedOut);
             }
-            if self.crashes_upstreams().await {
-                return Err(StreamStop::Cut(StreamCut::Poisoned));
+            let id = &self.accepted.call.id;
+            if self
+                .unconfirmed_crashes
+                .forbid_resend(&self.gateway, id)
+                .await
+            {
+                return Err(self.poisoned_stop());
             }
             if self.sends > 0 && !self.may_resend().await {
                 return Err(self.stop());
@@ -56,28 +60,6 @@
         }
     }
 
-    /// Whether so many upstreams crashed when they started to run this stream that it must be the cause.
-    /// Crashed upstreams otherwise do not count against a stream, so it would crash one upstream after the
-    /// other, and the log would show `run of a stream lost` with `loss=broken` up to twelve times for one request.
-    /// Connections also break while their upstreams live, so the upstreams are probed first. That costs a round
-    /// trip, only for streams whose third run ends before its first event.
-    async fn crashes_upstreams(&mut self) -> bool {
-        if self.broken_before_event.len() < MAX_CRASHES_PER_BODY {
-            return false;
-        }
-        let checked = self.broken_before_event.len();
-        let probes = self.broken_before_event.iter();
-        let probes = probes.map(|entry| probe(self.gateway.clone(), entry.clone()));
-        let live = futures::future::join_all(probes).await;
-        let mut live = live.into_iter();
-        self.broken_before_event
-            .retain(|_| !live.next().unwrap_or(true));
-        let down = self.broken_before_event.len();
-        tracing::warn!(request = %self.accepted.call.id, checked, down,
-            "upstreams that broke this stream were checked");
-        self.broken_before_event.len() >= MAX_CRASHES_PER_BODY
-    }
-
     async fn may_resend(&mut self) -> bool {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
         let alive = self.gateway.count_usable(&self.ran_on);
@@ -134,6 +116,13 @@
         }
     }
 
+    fn poisoned_stop(&self) -> StreamStop {
+        match self.stop() {
+            StreamStop::NotRun(_) => StreamStop::NotRun(RefusalReason::Poisoned),
+            _ => StreamStop::Cut(StreamCut::Poisoned),
+        }
+    }
+
     fn stop(&self) -> StreamStop {
         if self.ran_on.is_empty() {
             StreamStop::NotRun(RefusalReason::UpstreamRefused)
@@ -209,15 +198,19 @@
             () = tokio::time::sleep(FIRST_EVENT_TIMEOUT), if retryable => {
                 self.ran_on.push(entry.id.clone());
                 drop((guard, copy));
-                self.run_lost(&entry, Loss::Stalled, false);
+                self.run_lost(&entry, Loss::Stalled, CrashPhase::BeforeEvent);
                 return Ok(false);
             }
             () = guard.upstream_abandoned() => {
                 self.ran_on.push(entry.id.clone());
                 drop((guard, copy));
-                self.run_lost(&entry, Loss::Silent, false);
+                self.run_lost(&entry, Loss::Silent, CrashPhase::BeforeEvent);
                 return self.continue_if_retryable();
             }
+            () = gateway.resend_forbidden(self.accepted.digest), if retryable => {
+                self.ran_on.push(entry.id.clone());
+                return Err(self.withdraw());
+            }
             () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
         match response {
@@ -293,8 +286,7 @@
             return Ok(false);
         }
         self.ran_on.push(entry.id.clone());
-        self.broken_before_event.push(entry.clone());
-        self.run_lost(entry, Loss::Broken, false);
+        self.run_lost(entry, Loss::Broken, CrashPhase::BeforeEvent);
         self.continue_if_retryable()
     }
 
--- a/crates/catkinward/tests/gateway_poison.rs
+++ b/crates/catkinward/tests/gateway_poison.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use catkin_decisions::{Crash, RefusalReason, UpstreamEntry};
+use catkin_decisions::{Crash, CrashPhase, RefusalReason, UpstreamEntry};
 use catkinward::gateway::{Call, Reply, UpstreamCall};
 use gateway_support::*;
 use googletest::prelude::*;
@@ -57,6 +57,7 @@
                 upstream: format!("plain-{n}").parse().unwrap(),
                 at: running.timer.now(),
                 cleared: false,
+                phase: CrashPhase::BeforeEvent,
             };
             running.receive_crash(n, crash);
         }
@@ -229,6 +230,7 @@
             upstream: format!("engine-{n}").parse().unwrap(),
             at: running.timer.now(),
             cleared: false,
+            phase: CrashPhase::BeforeEvent,
         };
         running.receive_crash(n, crash);
     }
@@ -330,6 +332,7 @@
             upstream: n.parse().unwrap(),
             at: running.timer.now(),
             cleared: false,
+            phase: CrashPhase::BeforeEvent,
         };
         running.receive_crash(1, crash);
         tokio::time::sleep(Duration::from_millis(2)).await;
@@ -353,8 +356,7 @@
     let reply = tokio::spawn(async move { gateway.handle(call).await });
 
     for n in 0..10 {
-        tokio::time::sleep(Duration::from_millis(1000)).await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        tokio::time::sleep(Duration::from_millis(1300)).await;
         let sent_to = running.sent_to();
         let Some(crashed) = sent_to.iter().rev().nth(1) else {
             continue;
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -3,8 +3,9 @@
 //! A call whose body crashes its upstream is retried by its caller on any VM, and so takes down one
 //! upstream after the other, together with all calls that run there. Each VM records which upstreams
 //! crashed while running a call, sends these records to the other VMs, and refuses the call from the third
-//! crash on. A call that received a complete response is cleared, whichever upstreams crashed under it
-//! before. Crashes that a refused call explains are not attributed to the calls that ran beside it.
+//! crash on. A call that was accepted before is not sent again either, and is withdrawn from the upstream
+//! in which it waits. A call that received a complete response is cleared, whichever upstreams crashed under
+//! it before. Crashes that a refused call explains are not attributed to the calls that ran beside it.
 
 use super::*;
 
@@ -12,6 +13,9 @@
 /// availability zones crash together.
 pub const MAX_CRASHES_PER_BODY: usize = 3;
 
+/// Weight of the crashes under a call from which on it is not sent again.
+const RESEND_LIMIT: usize = MAX_CRASHES_PER_BODY * CrashPhase::BeforeEvent.weight();
+
 /// How long a crash counts: far longer than callers keep retrying.
 const CRASH_TTL: Duration = Duration::from_secs(600);
 
@@ -49,6 +53,44 @@
     /// Whether the call has received a complete response since.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cleared: bool,
+    /// How far the run had come.
+    #[serde(
+        rename = "p",
+        default,
+        skip_serializing_if = "CrashPhase::is_before_event"
+    )]
+    pub phase: CrashPhase,
+}
+
+/// How far a run had come when its upstream crashed.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum CrashPhase {
+    /// It had produced no event.
+    #[default]
+    #[serde(rename = "b")]
+    BeforeEvent,
+    /// It had produced an event, so it had got past the point at which a call usually crashes its upstream.
+    #[serde(rename = "a")]
+    AfterEvent,
+}
+
+impl CrashPhase {
+    /// Weight of a crash in the decision whether a call is sent again.
+    #[must_use]
+    pub const fn weight(self) -> usize {
+        match self {
+            Self::BeforeEvent => 2,
+            Self::AfterEvent => 1,
+        }
+    }
+
+    #[expect(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "serde passes a reference"
+    )]
+    fn is_before_event(&self) -> bool {
+        *self == Self::BeforeEvent
+    }
 }
 
 impl CrashTracker {
@@ -60,7 +102,11 @@
             .binary_search_by(|tracked| tracked.key().cmp(&key))
         {
             Ok(i) if crash.cleared => self.crashes[i].clear(),
-            Ok(_) => false,
+            Ok(i) => {
+                let known = &mut self.crashes[i].crash;
+                known.phase = known.phase.min(crash.phase);
+                false
+            }
             Err(_) => {
                 self.insert(crash);
                 true
@@ -126,10 +172,7 @@
     /// call refused earlier.
     #[must_use]
     pub fn crash_count(&self, digest: u64, now: Instant) -> usize {
-        let own_limit_at = self.limit_reached_at(digest, now);
-        self.active_crashes(digest, now)
-            .filter(|crash| !self.is_explained_by_another(crash, own_limit_at, now))
-            .count()
+        self.unexplained_crashes(digest, now).count()
     }
 
     /// Whether a call is refused because of its crashes.
@@ -138,6 +181,55 @@
         self.crash_count(digest, now) >= MAX_CRASHES_PER_BODY
     }
 
+    /// Whether a call that was accepted is not sent to another upstream because of its crashes.
+    #[must_use]
+    pub fn forbids_resend(&self, digest: u64, now: Instant) -> bool {
+        self.forbids_resend_with(digest, [], now)
+    }
+
+    /// Whether a call would not be sent to another upstream if upstreams had also crashed in these phases.
+    #[must_use]
+    pub fn forbids_resend_with(
+        &self,
+        digest: u64,
+        unconfirmed: impl IntoIterator<Item = CrashPhase>,
+        now: Instant,
+    ) -> bool {
+        let confirmed = self
+            .unexplained_crashes(digest, now)
+            .map(|crash| crash.phase);
+        let weight = confirmed.chain(unconfirmed).map(CrashPhase::weight);
+        weight.sum::<usize>() >= RESEND_LIMIT
+    }
+
+    /// Whether a crash of an upstream under a call is known.
+    #[must_use]
+    pub fn has_crash(&self, digest: u64, upstream: &UpstreamIncarnation) -> bool {
+        let key = (digest, upstream);
+        self.crashes
+            .binary_search_by(|tracked| tracked.key().cmp(&key))
+            .is_ok()
+    }
+
+    /// Whether an upstream is known to have crashed within `period`, under any call.
+    #[must_use]
+    pub fn has_crashed_within(
+        &self,
+        period: Duration,
+        upstream: &UpstreamIncarnation,
+        now: Instant,
+    ) -> bool {
+        self.crashes.iter().any(|tracked| {
+            tracked.crash.upstream == *upstream && now.since(tracked.crash.at) < period
+        })
+    }
+
+    fn unexplained_crashes(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
+        let own_limit_at = self.limit_reached_at(digest, now);
+        self.active_crashes(digest, now)
+            .filter(move |crash| !self.is_explained_by_another(crash, own_limit_at, now))
+    }
+
     /// Whether a call that reached the limit earlier than this one ran on the same upstream.
     fn is_explained_by_another(
         &self,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -59,7 +59,7 @@
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     config_sharing::link_carries_config,
     config_version::ConfigVersion,
-    crash_tracker::{Crash, CrashTracker, MAX_CRASHES_PER_BODY},
+    crash_tracker::{Crash, CrashPhase, CrashTracker, MAX_CRASHES_PER_BODY},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -268,6 +268,17 @@
         (known.presence != before).then_some((latest, known.presence))
     }
 
+    /// Whether another process is known to run at the address of an upstream.
+    #[must_use]
+    pub fn has_ended(&self, id: &UpstreamIncarnation) -> bool {
+        self.position(id).is_ok_and(|index| {
+            matches!(
+                self.known[index].presence,
+                Presence::Superseded | Presence::Replaced | Presence::Denied
+            )
+        })
+    }
+
     /// Applies a complete read of the entries; upstreams without an entry in it were removed.
     ///
     /// The entries are sorted first, so that each is found by binary search and new ones are appended to an
--- a/crates/decisions/tests/crash_tracker.rs
+++ b/crates/decisions/tests/crash_tracker.rs
@@ -1,6 +1,6 @@
 //! Counting of upstreams that crash while running the same call.
 
-use catkin_decisions::{Crash, CrashTracker, Instant, UpstreamIncarnation};
+use catkin_decisions::{Crash, CrashPhase, CrashTracker, Instant, UpstreamIncarnation};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
         upstream: upstream(n),
         at: at(seconds),
         cleared: false,
+        phase: CrashPhase::BeforeEvent,
     }
 }
 
@@ -134,3 +135,59 @@
     let refused = [CRASHING, HARMLESS].map(|digest| tracker.is_refused(digest, at(4)));
     expect_that!(refused, eq([true, true]));
 }
+
+fn crash_after_event(digest: u64, n: u64, seconds: u64) -> Crash {
+    Crash {
+        phase: CrashPhase::AfterEvent,
+        ..crash(digest, n, seconds)
+    }
+}
+
+/// Guards against sending an accepted call on after its third crash before an event.
+#[gtest]
+fn third_crash_before_an_event_forbids_another_send() {
+    let forbidden = [2, 3].map(|n| {
+        let tracker = tracker((0..n).map(|n| crash(CRASHING, n, 0)));
+        tracker.forbids_resend(CRASHING, at(1))
+    });
+
+    expect_that!(forbidden, eq([false, true]));
+}
+
+/// Guards against two failures: a call that crashes engines after an event is sent on for ever, and one whose
+/// engines crash by coincidence in the middle of its stream is cut.
+#[gtest]
+fn crashes_after_an_event_count_half() {
+    let forbidden = [5, 6].map(|n| {
+        let tracker = tracker((0..n).map(|n| crash_after_event(CRASHING, n, 0)));
+        tracker.forbids_resend(CRASHING, at(1))
+    });
+
+    expect_that!(forbidden, eq([false, true]));
+}
+
+/// Guards against a report of a VM whose run had produced events, which must not hide that another run had not.
+#[gtest]
+fn crash_before_an_event_outweighs_one_after_it() {
+    for order in [[0, 1], [1, 0]] {
+        let reports = [crash(CRASHING, 0, 0), crash_after_event(CRASHING, 0, 0)];
+        let others = (1..3).map(|n| crash(CRASHING, n, 0));
+
+        let tracker = tracker(order.map(|i| reports[i].clone()).into_iter().chain(others));
+
+        expect_that!(tracker.forbids_resend(CRASHING, at(1)), eq(true));
+    }
+}
+
+/// Guards against two bodies that crash the same engines hiding each other: the second one may not cost
+/// more than three engines of its own.
+#[gtest]
+fn second_crashing_body_is_stopped_after_three_crashes_of_its_own() {
+    let first = (0..3).map(|n| crash(CRASHING, n, n));
+    let second = (1..6).map(|n| crash(HARMLESS, n, n + 1));
+
+    let tracker = tracker(first.chain(second));
+
+    expect_that!(tracker.forbids_resend(CRASHING, at(9)), eq(true));
+    expect_that!(tracker.forbids_resend(HARMLESS, at(9)), eq(true));
+}
--- a/crates/decisions/tests/upstream_health.rs
+++ b/crates/decisions/tests/upstream_health.rs
@@ -1,7 +1,7 @@
 //! When upstreams are probed, and how their losses affect their zone and the calls that ran there.
 
 use catkin_decisions::{
-    AvailabilityZone, Crash, CrashTracker, Instant, SILENCE_TIMEOUT, UpstreamHealth,
+    AvailabilityZone, Crash, CrashPhase, CrashTracker, Instant, SILENCE_TIMEOUT, UpstreamHealth,
     UpstreamIncarnation, ZoneOutageDetector,
 };
 use googletest::prelude::*;
@@ -96,6 +96,7 @@
         upstream: id(upstream),
         at: at(0),
         cleared: false,
+        phase: CrashPhase::BeforeEvent,
     };
 
     tracker.record_crash(crash("u1"));
@@ -121,6 +122,7 @@
             upstream: id(upstream),
             at: at(0),
             cleared: false,
+            phase: CrashPhase::BeforeEvent,
         });
     }
 
