Crashes: a refused body is not forgotten when many engines crash

Cause: the tracker keeps 4,096 crashes and evicted the oldest of all. Engines that crash under thousands of calls, as with a whole availability zone of a large fleet, evicted the crashes of a body that was refused before, and it could crash three more engines.

Change: crashes under calls that are not refused are evicted first.

Measured: the new test fails without the change and passes with it.

--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -23,7 +23,7 @@
 /// limit, crashes of hours ago would fill every heartbeat.
 const SEND_PERIOD: Duration = Duration::from_secs(20);
 
-/// Maximum number of crashes that are kept; the oldest are evicted first.
+/// Maximum number of crashes that are kept; the oldest under calls that are not refused are evicted first.
 const MAX_TRACKED: usize = 4096;
 
 /// Crashes of upstreams by the digest of the call that ran there.
@@ -119,9 +119,7 @@
         self.crashes
             .retain(|tracked| now.since(tracked.crash.at) < CRASH_TTL);
         if self.crashes.len() == MAX_TRACKED {
-            let oldest = self.crashes.iter().map(|tracked| tracked.crash.at).min();
-            self.crashes
-                .retain(|tracked| Some(tracked.crash.at) != oldest);
+            self.evict(now);
         }
         for tracked in &mut self.crashes {
             if tracked.crash.upstream == crash.upstream {
@@ -140,6 +138,24 @@
         );
     }
 
+    /// Removes the oldest crashes under calls that are not refused, or the oldest of all if there are none.
+    fn evict(&mut self, now: Instant) {
+        let refused = self
+            .crashes
+            .chunk_by(|a, b| a.crash.digest == b.crash.digest)
+            .map(|same| same[0].crash.digest)
+            .filter(|digest| self.limit_reached_at(*digest, now).is_some())
+            .collect::<Vec<_>>();
+        let is_kept = |tracked: &TrackedCrash| refused.binary_search(&tracked.crash.digest).is_ok();
+        let evictable = self.crashes.iter().filter(|tracked| !is_kept(tracked));
+        let (oldest, any) = match evictable.map(|tracked| tracked.crash.at).min() {
+            Some(oldest) => (Some(oldest), false),
+            None => (self.crashes.iter().map(|t| t.crash.at).min(), true),
+        };
+        self.crashes
+            .retain(|tracked| Some(tracked.crash.at) != oldest || (is_kept(tracked) && !any));
+    }
+
     /// Crashes to send to other VMs: those sent least often, and of these the latest.
     ///
     /// If always the latest were sent, then after a crash of a zone's engines under more calls than a
--- a/crates/decisions/tests/crash_tracker.rs
+++ b/crates/decisions/tests/crash_tracker.rs
@@ -191,3 +191,14 @@
     expect_that!(tracker.forbids_resend(CRASHING, at(9)), eq(true));
     expect_that!(tracker.forbids_resend(HARMLESS, at(9)), eq(true));
 }
+
+/// Guards against a crash of many engines under thousands of calls, which evicted the crashes of a refused body.
+#[gtest]
+fn crash_of_many_engines_does_not_clear_a_refused_body() {
+    let refused = (0..3).map(|n| crash(CRASHING, n, 0));
+    let others = (0..9000).map(|n| crash(100 + n, 10 + n / 500, 1 + n / 500));
+
+    let tracker = tracker(refused.chain(others));
+
+    expect_that!(tracker.is_refused(CRASHING, at(30)), eq(true));
+}
