Log: limits that upstreams name; the division of a limit as decisions

Cause: no line and no state showed that an upstream had named how many requests a second it takes from all VMs together.

Change: the adapter reads the header into a typed rate or error, and the gateway logs when a limit is learned, changes or ends, for each process of an upstream. The division among the VMs, the token bucket, the demand that a VM advertises and the delays of refused callers are decisions without a network; nothing uses them yet.

Measured: nothing; no call is handled differently.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -182,6 +182,7 @@
         let response = async {
             let response = (gateway.transport.send)(call).await?;
             gateway.upstream_responded(entry, response.load);
+            gateway.limit_stated(entry, response.limit);
             collect(response).await
         };
         let mut response = pin!(response);
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -22,20 +22,22 @@
     catkin_decisions::{
         COMPLETION_WAIT, CONFIG_POLL_TIMEOUT, CachedPrompts, CompleteEvent, ConfigVersion, Crash,
         CrashPhase, CrashTracker, DELTA_WAIT, EventDecision, EventRelay, EventRun, EventSplitter,
-        GOSSIP_MAX_AGE, GossipState, GossipView, HEARTBEAT_INTERVAL, JudgedReport, LinkRate,
-        LoadSample, Loan, LoanAsk, LoanRequests, MAX_GOSSIPED_CHANGES, MAX_LENDERS, MemberStatus,
-        NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PeerDatagram,
-        PeerHeartbeat, PeerLoad, PeerLoads, PeerView, PlacementCandidate, PlacementContext, Policy,
-        Presence, PresenceChange, ProcessStart, PromptPart, ResponseOutcome, RestartEvidence,
+        GOSSIP_MAX_AGE, GossipState, GossipView, HEARTBEAT_INTERVAL, JudgedReport, LimitChange,
+        LimitStatement, LinkRate, LoadSample, Loan, LoanAsk, LoanRequests, MAX_GOSSIPED_CHANGES,
+        MAX_LENDERS, MemberStatus, NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT,
+        PROMPT_SEARCH_TIMEOUT, PeerDatagram, PeerHeartbeat, PeerLoad, PeerLoads, PeerView,
+        PlacementCandidate, PlacementContext, Policy, Presence, PresenceChange, ProcessStart,
+        PromptPart, RequestRate, RequestRateError, ResponseOutcome, RestartEvidence,
         RollbackReason, Rollout, RolloutGrant, RolloutNotice, RolloutOrder, RolloutOrderError,
         RolloutOwner, RolloutPhase, RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings,
         RolloutVerdict, Rollouts, Route, RoutingConfig, STANDBY_MAX_AGE, SharedRetryBudget,
         SharedRetryBudgetConfig, StaleRestart, StoredRecord, StreamDurationEstimator,
         SuspendDetector, TableFreshness, TableRow, TransferLimit, UpstreamChange,
-        UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation, UpstreamLoad,
-        UpstreamRestart, UpstreamTable, VersionAdmission, VersionSlots, VmIncarnation, ZoneGossip,
-        ZoneOutageDetector, ZoneRole, ZoneVm, gossips_changes, is_large_zone, link_carries_config,
-        prefill_time, rank_among, rank_of_vm, select_copy_holder, select_upstream, store_backoff,
+        UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation, UpstreamLimit,
+        UpstreamLoad, UpstreamRestart, UpstreamTable, VersionAdmission, VersionSlots,
+        VmIncarnation, ZoneGossip, ZoneOutageDetector, ZoneRole, ZoneVm, gossips_changes,
+        is_large_zone, link_carries_config, prefill_time, rank_among, rank_of_vm,
+        select_copy_holder, select_upstream, store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -94,6 +96,7 @@
 mod health_check;
 mod kv_copy;
 mod kv_copy_manager;
+mod limits;
 mod outbox;
 mod peer_heartbeats;
 mod prompt_search;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -66,6 +66,7 @@
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) health: UpstreamHealth,
     pub(crate) load: UpstreamLoad,
+    pub(crate) limit: UpstreamLimit,
     /// Counts how often the calls on the upstream were failed over.
     pub(crate) failed_over: watch::Sender<u64>,
 }
@@ -216,6 +217,7 @@
                     entry: entry.clone(),
                     health: UpstreamHealth::new(now),
                     load: UpstreamLoad::default(),
+                    limit: UpstreamLimit::default(),
                     failed_over: watch::Sender::new(0),
                 };
                 self.upstreams.insert(index, upstream);
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -230,6 +230,7 @@
     ) -> Result<bool, StreamStop> {
         let entry = guard.entry.clone();
         self.gateway.upstream_responded(&entry, response.load);
+        self.gateway.limit_stated(&entry, response.limit);
         if response.other_incarnation || response.not_executed {
             if response.other_incarnation {
                 self.gateway.upstream_replaced(&entry, response.incarnation);
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -147,6 +147,8 @@
     pub incarnation: Option<UpstreamId>,
     /// Load that the upstream reported with the response.
     pub load: Option<LoadSample>,
+    /// Requests per second that the upstream takes from all VMs together, if the response names such a limit.
+    pub limit: Option<Result<RequestRate, RequestRateError>>,
     /// Body of the response.
     pub body: ResponseBody,
 }
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -172,6 +172,7 @@
         other_incarnation: false,
         incarnation: None,
         load: None,
+        limit: None,
         body,
     }
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -96,6 +96,8 @@
     lease_step::{LeaseStep, LeaseWrite, LeaseWriteResult},
     leaving_source::LeavingSource,
     limit_kind::LimitKind,
+    limit_part::{FleetView, VmDemand, limit_part},
+    limit_queue::LimitQueue,
     link_rate::LinkRate,
     loan_requests::{LoanRequests, MAX_LENDERS},
     local_retry_budget::{LocalRetryBudget, LocalRetryBudgetConfig},
@@ -134,6 +136,7 @@
     rendezvous::{rank_among, rank_below, rendezvous_rank, rendezvous_score},
     request_digest::RequestDigest,
     request_id::RequestId,
+    request_rate::{RequestRate, RequestRateError},
     request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
     reserved_attempt::ReservedAttempt,
     resume_point::ResumePoint,
@@ -154,6 +157,7 @@
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
     service::Service,
+    service_demand::ServiceDemand,
     service_id::ServiceId,
     service_kind::ServiceKind,
     service_time::ServiceTime,
@@ -188,6 +192,7 @@
     upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth},
     upstream_id::UpstreamId,
     upstream_incarnation::UpstreamIncarnation,
+    upstream_limit::{LimitChange, LimitPart, LimitStatement, LimitedRequest, UpstreamLimit},
     upstream_load::{LoadSample, UpstreamLoad, prefill_time},
     upstream_record::{PendingReport, UpstreamRecord},
     upstream_report::UpstreamReport,
@@ -275,6 +280,8 @@
 mod lease_step;
 mod leaving_source;
 mod limit_kind;
+mod limit_part;
+mod limit_queue;
 mod link_rate;
 mod loan_requests;
 mod local_retry_budget;
@@ -310,6 +317,7 @@
 mod rendezvous;
 mod request_digest;
 mod request_id;
+mod request_rate;
 mod request_state;
 mod reserved_attempt;
 mod resume_point;
@@ -328,6 +336,7 @@
 mod route_table;
 mod routing_config;
 mod service;
+mod service_demand;
 mod service_id;
 mod service_kind;
 mod service_time;
@@ -362,6 +371,7 @@
 mod upstream_health;
 mod upstream_id;
 mod upstream_incarnation;
+mod upstream_limit;
 mod upstream_load;
 mod upstream_record;
 mod upstream_report;
