Limits: the VMs keep the limit of an upstream together

What callers and upstreams saw: an upstream that named how many requests a second it takes from all VMs together got two for each one that it allowed.

Cause: nothing read the limit, and no VM knew what the others send.

Change: each VM uses a part of a limit from a token bucket. Up to 25 VMs divide it by demand, which heartbeats carry for each service; a rise counts once the others know of it, a VM that is not heard keeps its part. In larger systems a few VMs of each availability zone, chosen by rendezvous hashing, use equal parts. The number of sharers and their bursts are bounded for all VMs together. Upstreams without room are left out of each choice: first sends, resends, copies that are resumed from, canaries. If none has room, the call is refused at once; callers are told to return one after the other. Statements are relayed in heartbeats, so that VMs without a part learn of the end.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -79,7 +79,7 @@
         let trial = self.gateway.select_canary_upstream(&self.accepted);
         let first = trial.or_else(|| self.gateway.select(&self.accepted, &[], &[]));
         let Some(mut entry) = first else {
-            return refused(queued, RefusalReason::NoUpstream);
+            return self.refused(queued, RefusalReason::NoUpstream);
         };
         let mut dispatched = queued.dispatch();
         let mut failure = None;
@@ -102,7 +102,7 @@
                             entry = next;
                             queued.dispatch()
                         }
-                        None => return refused(queued, RefusalReason::UpstreamRefused),
+                        None => return self.refused(queued, RefusalReason::UpstreamRefused),
                     },
                     Err(unknown) => match self.next_upstream().await {
                         Some(next) => {
@@ -129,6 +129,17 @@
         }
     }
 
+    /// Refuses the call, because of limits if they are the reason.
+    fn refused(&self, queued: Queued<RequestId>, reason: RefusalReason) -> Reply {
+        let not_run = if let Some(delay) = self.gateway.limit_retry_after(&self.accepted) {
+            queued.refuse(RefusalReason::Limit, delay)
+        } else {
+            let spread = 1.0 + 2.0 * rand::random::<f64>();
+            queued.refuse(reason, REFUSED_RETRY_AFTER.mul_f64(spread))
+        };
+        Reply::NotRun { not_run }
+    }
+
     /// Selects the next upstream of a call that may have run; `None` if the route forbids a retry, its
     /// maximum number of upstreams is reached, or no upstream, time, sends or retry budget is left.
     async fn next_for_retry(&self) -> Option<Arc<UpstreamEntry>> {
@@ -302,12 +313,6 @@
     }
 }
 
-fn refused(queued: Queued<RequestId>, reason: RefusalReason) -> Reply {
-    let spread = 1.0 + 2.0 * rand::random::<f64>();
-    let not_run = queued.refuse(reason, REFUSED_RETRY_AFTER.mul_f64(spread));
-    Reply::NotRun { not_run }
-}
-
 /// Whether a status tells the caller that its call has not run and will not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/catkinward/src/gateway/call_log.rs
+++ b/crates/catkinward/src/gateway/call_log.rs
@@ -24,6 +24,8 @@
     Belief,
     /// A health check ended.
     Probe,
+    /// Upstreams were left out because of their limits.
+    Limited,
 }
 
 /// Number of lines of each kind that were written in the current second.
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -352,6 +352,7 @@
         state
             .budget(&service)
             .record_call(&self.settings.retry_budget, now);
+        state.demand(&service).record_call(now);
         let digest = call.digest(team.as_ref());
         if state.crashes.is_refused(digest, now) {
             return Err(refused(call, RefusalReason::Poisoned, CRASHING_RETRY_DELAY).into());
@@ -377,15 +378,15 @@
         })
     }
 
-    /// Selects an upstream; `cached` holds the cached tokens of the prompt by upstream, sorted by
-    /// upstream.
+    /// Selects an upstream to send a call to; `cached` holds the cached tokens of the prompt by
+    /// upstream, sorted by upstream.
     pub(crate) fn select(
         &self,
         accepted: &AcceptedCall,
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
-        self.select_with(
+        self.select_for_send(
             accepted,
             avoid,
             cached,
@@ -394,6 +395,28 @@
         )
     }
 
+    /// Selects an upstream to send a call to, among those that have room within the limits that they
+    /// named, and takes the room.
+    pub(crate) fn select_for_send(
+        &self,
+        accepted: &AcceptedCall,
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
+        candidate_set: Candidates,
+        select: impl FnOnce(&[PlacementCandidate], &PlacementContext) -> Option<Arc<UpstreamEntry>>,
+    ) -> Option<Arc<UpstreamEntry>> {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let mut full = self.upstreams_without_room(&mut state, accepted, now);
+        full.extend_from_slice(avoid);
+        let selected =
+            self.select_in(&mut state, accepted, &full, cached, candidate_set, select)?;
+        if let Some(upstream) = state.existing_upstream(&selected.id) {
+            upstream.limit.record_sent();
+        }
+        Some(selected)
+    }
+
     /// Number of availability zones with usable upstreams of a service.
     pub(crate) fn zones_with(&self, service: &ServiceId) -> u32 {
         let now = self.timer.now();
@@ -441,8 +464,20 @@
         candidate_set: Candidates,
         select: impl FnOnce(&[PlacementCandidate], &PlacementContext) -> T,
     ) -> T {
-        let now = self.timer.now();
         let mut state = self.state.lock();
+        self.select_in(&mut state, accepted, avoid, cached, candidate_set, select)
+    }
+
+    fn select_in<T>(
+        &self,
+        state: &mut GatewayState,
+        accepted: &AcceptedCall,
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
+        candidate_set: Candidates,
+        select: impl FnOnce(&[PlacementCandidate], &PlacementContext) -> T,
+    ) -> T {
+        let now = self.timer.now();
         let zone = &self.settings.zone;
         let mut zone_vms = state.peers.live_in(zone, now).collect::<Vec<_>>();
         zone_vms.push(self.settings.vm.clone());
--- a/crates/catkinward/src/gateway/limits.rs
+++ b/crates/catkinward/src/gateway/limits.rs
@@ -1,6 +1,34 @@
-//! Limits that upstreams name in their responses.
+//! Limits that upstreams state in their responses, and this VM's part of each.
 
-use super::*;
+use super::{accepted_call::AcceptedCall, reply_log::millis, retries::PEER_DISCOVERY_TIME, *};
+
+/// What this VM knows of those that share the limits of a service.
+struct LimitSharers {
+    own: VmDemand,
+    /// The other VMs, if all of them advertise their demand to this one.
+    others: Option<Vec<VmDemand>>,
+    zone_vms: Vec<Arc<str>>,
+    zones: u32,
+    is_known: bool,
+}
+
+impl LimitSharers {
+    fn part(&self, upstream: &UpstreamIncarnation, limit: RequestRate) -> LimitPart {
+        let view = match &self.others {
+            _ if !self.is_known => FleetView::Unknown,
+            Some(others) => FleetView::Complete {
+                own: self.own.clone(),
+                others,
+            },
+            None => FleetView::Zone {
+                own: &self.own.vm,
+                zone_vms: &self.zone_vms,
+                zones: self.zones,
+            },
+        };
+        limit_part(upstream.as_str(), limit, &view)
+    }
+}
 
 impl Gateway {
     /// Records whether the response of an upstream names a limit.
@@ -16,22 +44,139 @@
                 return;
             }
         };
+        let at = self.timer.now();
+        self.apply_limit(entry, LimitStatement { limit, at }, "response");
+    }
+
+    /// Applies what another VM relays of an upstream's limit.
+    pub(crate) fn limit_relayed(&self, relayed: &PeerLimit) {
         let now = self.timer.now();
-        let mut state = self.state.lock();
-        let statement = LimitStatement { limit, at: now };
-        let change = state.upstream(entry, now).limit.apply(statement);
+        let state = self.state.lock();
+        let entry = state.directory.get_usable(&relayed.upstream, now).cloned();
         drop(state);
-        if let Some(change) = change {
-            self.log_limit(entry, change, limit);
+        if let Some(entry) = entry {
+            let statement = LimitStatement {
+                limit: relayed.limit,
+                at: now.before(Duration::from_millis(relayed.age_ms.into())),
+            };
+            self.apply_limit(&entry, statement, "peer");
         }
     }
 
-    fn log_limit(&self, entry: &UpstreamEntry, change: LimitChange, limit: Option<RequestRate>) {
-        if !self.log.admits(LineKind::Belief, self.timer.now()) {
+    fn apply_limit(&self, entry: &Arc<UpstreamEntry>, statement: LimitStatement, source: &str) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let Some(change) = state.upstream(entry, now).limit.apply(statement) else {
+            return;
+        };
+        let sharers = self.limit_sharers(&mut state, &entry.service, now);
+        drop(state);
+        if !self.log.admits(LineKind::Belief, now) {
             return;
         }
         let change: &str = change.into();
-        tracing::info!(upstream = %entry.id, change,
-            limit = limit.map(tracing::field::display), "limit of an upstream");
+        let part = statement
+            .limit
+            .map(|limit| sharers.part(&entry.id, limit))
+            .unwrap_or_default();
+        let age_ms = millis(now.since(statement.at));
+        tracing::info!(upstream = %entry.id, change, source, age_ms,
+            limit = statement.limit.map(tracing::field::display),
+            part = part.rate, sharers = part.sharers, "limit of an upstream");
+    }
+
+    fn limit_sharers(
+        &self,
+        state: &mut GatewayState,
+        service: &ServiceId,
+        now: Instant,
+    ) -> LimitSharers {
+        let zone = &self.settings.zone;
+        let alone = self.settings.seeds.is_empty();
+        let mut zone_vms = state.peers.live_in(zone, now).collect::<Vec<_>>();
+        zone_vms.push(self.settings.vm.clone());
+        let demand = state.demand(service);
+        let rate = if alone {
+            demand.rate(now)
+        } else {
+            demand.known_to_others(now)
+        };
+        LimitSharers {
+            own: VmDemand {
+                vm: self.settings.vm.clone(),
+                rate,
+            },
+            others: state.peers.demands(service, now),
+            zone_vms,
+            zones: u32::try_from(state.peers.zone_count(zone)).unwrap_or(u32::MAX),
+            is_known: alone || now.since(self.started) >= PEER_DISCOVERY_TIME,
+        }
+    }
+
+    /// Upstreams of the call's service whose limit leaves no room for it.
+    pub(crate) fn upstreams_without_room(
+        &self,
+        state: &mut GatewayState,
+        accepted: &AcceptedCall,
+        now: Instant,
+    ) -> Vec<UpstreamIncarnation> {
+        let service = &accepted.service;
+        if state.limited_upstreams(service).next().is_none() {
+            return Vec::new();
+        }
+        let sharers = self.limit_sharers(state, service, now);
+        let request = LimitedRequest {
+            priority: accepted.priority,
+            random: rand::random(),
+            now,
+        };
+        let limited = state.limited_upstreams(service).filter_map(|upstream| {
+            let part = sharers.part(&upstream.id, upstream.limit.limit()?);
+            let has_room = upstream.limit.has_room(&part, &request);
+            (!has_room).then(|| upstream.id.clone())
+        });
+        let limited = limited.collect::<Vec<_>>();
+        if !limited.is_empty() {
+            metrics::counter!("catkin_limited_choices_total").increment(1);
+            if self.log.admits(LineKind::Limited, now) {
+                tracing::info!(request = %accepted.call.id, reason = "limit", upstreams = limited.len(),
+                    "upstreams left out of the choice");
+            }
+        }
+        limited
+    }
+
+    /// Takes room for a call on an upstream that is selected for other reasons; returns whether there was any.
+    pub(crate) fn take_room(&self, accepted: &AcceptedCall, entry: &UpstreamEntry) -> bool {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        if self
+            .upstreams_without_room(&mut state, accepted, now)
+            .contains(&entry.id)
+        {
+            return false;
+        }
+        if let Some(upstream) = state.existing_upstream(&entry.id) {
+            upstream.limit.record_sent();
+        }
+        true
+    }
+
+    /// Time after which the caller of a call returns that no upstream has room for; `None` if limits are not the
+    /// reason for which the call is refused.
+    pub(crate) fn limit_retry_after(&self, accepted: &AcceptedCall) -> Option<Duration> {
+        let now = self.timer.now();
+        let service = &accepted.service;
+        let mut state = self.state.lock();
+        state.limited_upstreams(service).next()?;
+        let sharers = self.limit_sharers(&mut state, service, now);
+        let parts = state.limited_upstreams(service).filter_map(|upstream| {
+            let part = sharers.part(&upstream.id, upstream.limit.limit()?);
+            Some(part.rate + part.trial_rate)
+        });
+        let rate = parts.sum();
+        let retry_after = state.limit_queue(service).retry_after(rate, now);
+        metrics::counter!("catkin_limit_refusals_total").increment(1);
+        Some(retry_after)
     }
 }
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -18,6 +18,12 @@
 /// each, beside 700 bytes of suspects and crashes.
 const MAX_LOADS: usize = 20;
 
+/// Maximum number of limits in a heartbeat, some 35 bytes each.
+const MAX_LIMITS: usize = 8;
+
+/// Maximum number of loads beside limits in a heartbeat that would be too large with all of them.
+const MAX_LOADS_BESIDE_LIMITS: usize = 10;
+
 /// Exchanges heartbeats with the other VMs; never returns.
 pub async fn exchange_heartbeats(gateway: Arc<Gateway>, socket: UdpSocket) {
     let socket = Arc::new(socket);
@@ -73,7 +79,12 @@
     heartbeat
         .loads
         .sort_by_key(|load| std::cmp::Reverse((load.reading_ms, load.calls)));
-    heartbeat.loads.truncate(MAX_LOADS);
+    let max_loads = if heartbeat.limits.is_empty() {
+        MAX_LOADS
+    } else {
+        MAX_LOADS_BESIDE_LIMITS
+    };
+    heartbeat.loads.truncate(max_loads);
     if !send(socket, &PeerDatagram::Note(heartbeat), &recipients).await {
         tracing::warn!("heartbeat too large, not sent");
     }
@@ -168,6 +179,8 @@
             wants_members: with_members && state.peers.wants_members(&self.settings.zone, now),
             rollouts: state.rollouts.notices(now),
             link: self.settings.link,
+            demands: state.advertised_demands(now),
+            limits: state.relayed_limits(MAX_LIMITS, now),
         }
     }
 
@@ -231,6 +244,7 @@
         let (vm, crashes) = (heartbeat.vm.clone(), heartbeat.crashes.clone());
         let started = started_upstreams(&heartbeat);
         let rollouts = heartbeat.rollouts.clone();
+        let limits = heartbeat.limits.clone();
         let mut state = self.state.lock();
         let wanted = state
             .peers
@@ -247,6 +261,9 @@
         }
         let live = state.peers.live_count(now);
         drop(state);
+        for limit in &limits {
+            self.limit_relayed(limit);
+        }
         for (id, born) in started {
             self.upstream_started(&id, born);
         }
--- a/crates/catkinward/src/gateway/retries.rs
+++ b/crates/catkinward/src/gateway/retries.rs
@@ -9,7 +9,7 @@
 /// Time after the start in which this VM takes no share of the slack. It knows few other VMs at
 /// first and would take the shares of all the others; VMs that restart together would exceed the
 /// budget several times over. The live VMs are known after some six heartbeats.
-const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(3);
+pub(crate) const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
 /// Number of remaining retries at which loans are requested. A reply takes as long as sending a
 /// stream again, so the next lost stream does not have to wait for it.
--- a/crates/catkinward/src/gateway/rollouts.rs
+++ b/crates/catkinward/src/gateway/rollouts.rs
@@ -193,7 +193,7 @@
             .map(|entry| entry.id.clone())
             .collect::<Vec<_>>();
         drop(state);
-        let entry = self.select_with(
+        let entry = self.select_for_send(
             accepted,
             &[],
             &[],
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -38,6 +38,10 @@
     pub(crate) config_read: Option<Instant>,
     pub(crate) rollouts: Rollouts,
     pub(crate) stream_durations: StreamDurationEstimator,
+    /// Calls of each service at this VM, sorted by service.
+    demands: Vec<(ServiceId, ServiceDemand)>,
+    /// Callers refused because of limits, sorted by service.
+    limit_queues: Vec<(ServiceId, LimitQueue)>,
 }
 
 /// How much of the directory has been read since this process started.
@@ -62,7 +66,7 @@
 
 /// Health and load of one upstream.
 pub(crate) struct UpstreamIncarnationState {
-    id: UpstreamIncarnation,
+    pub(crate) id: UpstreamIncarnation,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) health: UpstreamHealth,
     pub(crate) load: UpstreamLoad,
@@ -120,6 +124,8 @@
             config_read: None,
             rollouts: Rollouts::new(rollouts),
             stream_durations: StreamDurationEstimator::default(),
+            demands: Vec::new(),
+            limit_queues: Vec::new(),
             config_is_stale: false,
             directory_is_stale: false,
         }
@@ -255,15 +261,54 @@
     }
 
     pub(crate) fn budget(&mut self, service: &ServiceId) -> &mut SharedRetryBudget {
-        let index = match self.budgets.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(index) => index,
-            Err(index) => {
-                let budget = (service.clone(), SharedRetryBudget::default());
-                self.budgets.insert(index, budget);
-                index
-            }
-        };
-        &mut self.budgets[index].1
+        of_service(&mut self.budgets, service)
+    }
+
+    pub(crate) fn demand(&mut self, service: &ServiceId) -> &mut ServiceDemand {
+        of_service(&mut self.demands, service)
+    }
+
+    pub(crate) fn limit_queue(&mut self, service: &ServiceId) -> &mut LimitQueue {
+        of_service(&mut self.limit_queues, service)
+    }
+
+    /// Demand for each service at this VM, for a heartbeat.
+    pub(crate) fn advertised_demands(&mut self, now: Instant) -> Vec<PeerDemand> {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let demands = self.demands.iter_mut().map(|(service, demand)| PeerDemand {
+            service: service.clone(),
+            calls_per_100_s: (100.0 * demand.advertise(now)) as u32,
+        });
+        demands.filter(|d| d.calls_per_100_s > 0).collect()
+    }
+
+    /// The latest statements of upstreams about their limits, for a heartbeat.
+    pub(crate) fn relayed_limits(&self, max: usize, now: Instant) -> Vec<PeerLimit> {
+        let stated = self
+            .upstreams
+            .iter()
+            .filter_map(|upstream| Some((&upstream.id, upstream.limit.relayed(now)?)));
+        let mut stated = stated.collect::<Vec<_>>();
+        stated.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.at));
+        let limits = stated
+            .into_iter()
+            .take(max)
+            .map(|(id, statement)| PeerLimit {
+                upstream: id.clone(),
+                limit: statement.limit,
+                age_ms: u32::try_from(now.since(statement.at).as_millis()).unwrap_or(u32::MAX),
+            });
+        limits.collect()
+    }
+
+    /// Upstreams of a service with a limit in force.
+    pub(crate) fn limited_upstreams<'a>(
+        &'a mut self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a mut UpstreamIncarnationState> {
+        self.upstreams
+            .iter_mut()
+            .filter(|u| u.entry.service == *service && u.limit.limit().is_some())
     }
 
     /// Upstreams of a service that may be selected.
@@ -338,6 +383,21 @@
     }
 }
 
+/// Value of a service in a sorted vector, created if there is none.
+fn of_service<'a, T: Default>(
+    values: &'a mut Vec<(ServiceId, T)>,
+    service: &ServiceId,
+) -> &'a mut T {
+    let index = match values.binary_search_by(|(s, _)| s.cmp(service)) {
+        Ok(index) => index,
+        Err(index) => {
+            values.insert(index, (service.clone(), T::default()));
+            index
+        }
+    };
+    &mut values[index].1
+}
+
 /// Whether the VM that selects receives the heartbeats of all VMs with calls on an upstream.
 fn knows_complete_load(
     peers: &PeerView,
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -42,7 +42,9 @@
                 return Err(self.stop());
             }
             self.retry_prepaid = false;
-            let mut from = self.copy.take().filter(KvCopy::is_usable);
+            let mut from = self.copy.take().filter(|copy| {
+                copy.is_usable() && self.gateway.take_room(&self.accepted, &copy.holder)
+            });
             if let Some(copy) = &mut from {
                 copy.keep();
             }
@@ -60,6 +62,11 @@
         }
     }
 
+    /// Time after which the caller returns, if no upstream has room within its limit.
+    pub(super) fn limit_retry_after(&self) -> Option<Duration> {
+        self.gateway.limit_retry_after(&self.accepted)
+    }
+
     async fn may_resend(&mut self) -> bool {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
         let alive = self.gateway.count_usable(&self.ran_on);
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -199,6 +199,7 @@
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
             RefusalReason::CallerLeft
             | RefusalReason::DeadlineTooNear
+            | RefusalReason::Limit
             | RefusalReason::QueueFull
             | RefusalReason::ShuttingDown => ProblemKind::Overloaded,
         };
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -307,6 +307,8 @@
             members: Vec::new(),
             wants_members: false,
             rollouts: Vec::new(),
+            demands: Vec::new(),
+            limits: Vec::new(),
             link: None,
         }
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -110,7 +110,7 @@
     path_rule::PathRule,
     peer_datagram::{Loan, LoanAsk, PeerDatagram},
     peer_entry::PeerEntry,
-    peer_heartbeat::{MemberStatus, PeerHeartbeat, PeerLoad},
+    peer_heartbeat::{MemberStatus, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad},
     peer_loads::{HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerLoads, SHARERS_PER_UPSTREAM},
     peer_table::PeerTable,
     peer_view::PeerView,
--- a/crates/decisions/src/peer_heartbeat.rs
+++ b/crates/decisions/src/peer_heartbeat.rs
@@ -36,6 +36,49 @@
     /// Bandwidth of the sender's link, if it is known.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub link: Option<LinkRate>,
+    /// Demand at the VM for each service with recent calls.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<PeerDemand>,
+    /// What upstreams stated lately of their limits, to the VM or to others.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<PeerLimit>,
+}
+
+impl PeerHeartbeat {
+    /// Demand for a service at the sender, in calls per second.
+    #[must_use]
+    pub fn demand(&self, service: &ServiceId) -> f64 {
+        let found = self
+            .demands
+            .iter()
+            .find(|demand| demand.service == *service);
+        found.map_or(0.0, |demand| f64::from(demand.calls_per_100_s) / 100.0)
+    }
+}
+
+/// Demand for a service at a VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerDemand {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: ServiceId,
+    /// Calls in a hundred seconds.
+    #[serde(rename = "r")]
+    pub calls_per_100_s: u32,
+}
+
+/// What an upstream stated of its limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerLimit {
+    /// The upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamIncarnation,
+    /// Its limit; `None` if the response named none.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RequestRate>,
+    /// Milliseconds since a VM received the response.
+    #[serde(rename = "g")]
+    pub age_ms: u32,
 }
 
 /// A VM's load on one upstream.
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -403,6 +403,44 @@
         }
     }
 
+    /// Demand for a service at each other VM, if all of them advertise it to this VM. One that has not been heard
+    /// lately counts with its last demand, and with the mean of the others at least: it may only be unreachable.
+    #[must_use]
+    pub fn demands(&self, service: &ServiceId, now: Instant) -> Option<Vec<VmDemand>> {
+        if !self.is_full_mesh(now) {
+            return None;
+        }
+        let advertised = self.peers.iter().map(|peer| {
+            let received = peer.heartbeat.as_ref();
+            let rate = received.map(|received| received.heartbeat.demand(service));
+            let fresh = received.is_some_and(|received| now.since(received.at) < PEER_TIMEOUT);
+            (peer, rate.unwrap_or(0.0), fresh)
+        });
+        let advertised = advertised
+            .filter(|(peer, ..)| now.since(peer.last_seen) < PEER_RETENTION)
+            .collect::<Vec<_>>();
+        let fresh = advertised.iter().filter(|(.., fresh)| *fresh);
+        let (sum, count) = fresh.fold((0.0, 0.0), |(sum, count), (_, rate, _)| {
+            (sum + rate, count + 1.0)
+        });
+        let mean = sum / f64::max(count, 1.0);
+        let demands = advertised.into_iter().map(|(peer, rate, fresh)| VmDemand {
+            vm: peer.vm.clone(),
+            rate: if fresh { rate } else { rate.max(mean) },
+        });
+        Some(demands.collect())
+    }
+
+    /// Number of availability zones with VMs, including this VM's.
+    #[must_use]
+    pub fn zone_count(&self, own: &AvailabilityZone) -> usize {
+        let mut zones = self.peers.iter().map(|peer| &peer.zone).collect::<Vec<_>>();
+        zones.push(own);
+        zones.sort_unstable();
+        zones.dedup();
+        zones.len()
+    }
+
     /// Whether there are so few VMs that each sends its heartbeats to all others.
     fn is_full_mesh(&self, now: Instant) -> bool {
         self.count_within(GOSSIPED_PEER_TIMEOUT, now) <= MAX_FULL_MESH_PEERS
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -22,6 +22,8 @@
     DeadlineTooNear,
     /// Too many requests with the same call key are in flight.
     HotKey,
+    /// No upstream has room within the limit that it named.
+    Limit,
     /// The idempotency key could not be claimed in time.
     NotClaimed,
     /// No upstream accepts work.
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -58,6 +58,8 @@
         members,
         wants_members: false,
         rollouts: Vec::new(),
+        demands: Vec::new(),
+        limits: Vec::new(),
         link: None,
     }
 }
@@ -103,6 +105,8 @@
                 let heartbeat = PeerHeartbeat {
                     wants_members: self.vms[n].wants_members(&zone, now),
                     rollouts: Vec::new(),
+                    demands: Vec::new(),
+                    limits: Vec::new(),
                     ..heartbeat(n, self.zones, self.period, members)
                 };
                 let mut receivers = self.vms[n].heartbeat_receivers(&zone, random, now);
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -117,6 +117,8 @@
             members: Vec::new(),
             wants_members: false,
             rollouts: Vec::new(),
+            demands: Vec::new(),
+            limits: Vec::new(),
             link: None,
         }
     }
