Limits: demand is advertised only for services with limits in force

Cause: every heartbeat carried the demand for each service, some 50 bytes, also where no upstream has a limit, and in large systems where nobody uses it.

Change: only services with limits in force, and only where each heartbeat reaches all VMs. Until the others know the demand, the parts are equal.

--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -272,14 +272,22 @@
         of_service(&mut self.limit_queues, service)
     }
 
-    /// Demand for each service at this VM, for a heartbeat.
+    /// Demand at this VM for each service with limits in force, for a heartbeat; none in a system in which the
+    /// heartbeats do not reach all VMs.
     pub(crate) fn advertised_demands(&mut self, now: Instant) -> Vec<PeerDemand> {
+        if !self.peers.is_full_mesh(now) {
+            return Vec::new();
+        }
+        let limited = self.upstreams.iter().filter(|u| u.limit.limit().is_some());
+        let mut services = limited.map(|u| u.entry.service.clone()).collect::<Vec<_>>();
+        services.sort_unstable();
+        services.dedup();
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let demands = self.demands.iter_mut().map(|(service, demand)| PeerDemand {
-            service: service.clone(),
-            calls_per_100_s: (100.0 * demand.advertise(now)) as u32,
-        });
-        demands.filter(|d| d.calls_per_100_s > 0).collect()
+        let demand = |service: ServiceId| PeerDemand {
+            calls_per_100_s: (100.0 * self.demand(&service).advertise(now)) as u32,
+            service,
+        };
+        services.into_iter().map(demand).collect()
     }
 
     /// The latest statements of upstreams about their limits, for a heartbeat.
--- a/crates/decisions/src/peer_heartbeat.rs
+++ b/crates/decisions/src/peer_heartbeat.rs
@@ -36,7 +36,7 @@
     /// Bandwidth of the sender's link, if it is known.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub link: Option<LinkRate>,
-    /// Demand at the VM for each service with recent calls.
+    /// Demand at the VM for each service whose upstreams have limits.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<PeerDemand>,
     /// What upstreams stated lately of their limits, to the VM or to others.
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -442,7 +442,8 @@
     }
 
     /// Whether there are so few VMs that each sends its heartbeats to all others.
-    fn is_full_mesh(&self, now: Instant) -> bool {
+    #[must_use]
+    pub fn is_full_mesh(&self, now: Instant) -> bool {
         self.count_within(GOSSIPED_PEER_TIMEOUT, now) <= MAX_FULL_MESH_PEERS
     }
 
