Limits: a call is refused for limits only if usable upstreams were left out

Cause: any upstream with a limit, also one that was gone or suspect, made the reason of a refusal `limit`, with the delay of its parts.

Change: only usable upstreams that are not suspect count.

Measured: the tests of limits and of the gateway pass.

--- a/crates/catkinward/src/gateway/limits.rs
+++ b/crates/catkinward/src/gateway/limits.rs
@@ -130,20 +130,20 @@
             random: rand::random(),
             now,
         };
-        let limited = state.limited_upstreams(service).filter_map(|upstream| {
+        let full = state.limited_upstreams(service).filter_map(|upstream| {
             let part = sharers.part(&upstream.id, upstream.limit.limit()?);
             let has_room = upstream.limit.has_room(&part, &request);
             (!has_room).then(|| upstream.id.clone())
         });
-        let limited = limited.collect::<Vec<_>>();
-        if !limited.is_empty() {
+        let full = full.collect::<Vec<_>>();
+        if !full.is_empty() {
             metrics::counter!("catkin_limited_choices_total").increment(1);
             if self.log.admits(LineKind::Limited, now) {
-                tracing::info!(request = %accepted.call.id, reason = "limit", upstreams = limited.len(),
-                    "upstreams left out of the choice");
+                tracing::info!(request = %accepted.call.id, reason = "limit",
+                    upstreams = full.len(), "upstreams left out of the choice");
             }
         }
-        limited
+        full
     }
 
     /// Takes room for a call on an upstream that is selected for other reasons; returns whether there was any.
@@ -162,19 +162,24 @@
         true
     }
 
-    /// Time after which the caller of a call returns that no upstream has room for; `None` if limits are not the
-    /// reason for which the call is refused.
+    /// Time after which the caller of a refused call returns, if usable upstreams were left out because of their
+    /// limits; `None` otherwise.
     pub(crate) fn limit_retry_after(&self, accepted: &AcceptedCall) -> Option<Duration> {
         let now = self.timer.now();
         let service = &accepted.service;
         let mut state = self.state.lock();
-        state.limited_upstreams(service).next()?;
+        let limited = state.limited_upstreams(service);
+        let limited = limited.filter(|upstream| !upstream.health.is_suspect());
+        let mut limited = limited
+            .filter_map(|upstream| Some((upstream.id.clone(), upstream.limit.limit()?)))
+            .collect::<Vec<_>>();
+        limited.retain(|(id, _)| state.directory.get_usable(id, now).is_some());
+        if limited.is_empty() {
+            return None;
+        }
         let sharers = self.limit_sharers(&mut state, service, now);
-        let parts = state.limited_upstreams(service).filter_map(|upstream| {
-            let part = sharers.part(&upstream.id, upstream.limit.limit()?);
-            Some(part.rate + part.trial_rate)
-        });
-        let rate = parts.sum();
+        let parts = limited.iter().map(|(id, limit)| sharers.part(id, *limit));
+        let rate = parts.map(|part| part.rate + part.trial_rate).sum();
         let retry_after = state.limit_queue(service).retry_after(rate, now);
         metrics::counter!("catkin_limit_refusals_total").increment(1);
         Some(retry_after)
--- a/crates/catkinward/src/gateway/stream_call.rs
+++ b/crates/catkinward/src/gateway/stream_call.rs
@@ -13,12 +13,12 @@
     let mut run = StreamRun::new(gateway.clone(), accepted);
     let first = match run.next_events().await {
         Ok(first) => first,
-        Err(StreamStop::NotRun(RefusalReason::UpstreamRefused))
-            if let Some(retry_after) = run.limit_retry_after() =>
-        {
-            return refused(&call, RefusalReason::Limit, retry_after);
-        }
         Err(StreamStop::NotRun(reason)) => {
+            let is_upstream_refusal = reason == RefusalReason::UpstreamRefused;
+            let limited = is_upstream_refusal.then(|| run.limit_retry_after());
+            if let Some(retry_after) = limited.flatten() {
+                return refused(&call, RefusalReason::Limit, retry_after);
+            }
             let spread = 1.0 + rand::random::<f64>();
             let retry_after = REFUSED_RETRY_AFTER.mul_f64(spread);
             return refused(&call, reason, retry_after);
