Crashes: the types of a lost run in a file of their own

Change: `LostRun` and `CrashProof` move out of the gateway's state and say what each proof shows; the order of two select branches follows their comment.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -1,9 +1,9 @@
 use super::{
     accepted_call::AcceptedCall,
+    lost_run::CrashProof,
     reply_log::{BodyHex, millis},
     retries::CALL_RETRY_TIMEOUT,
     run_guard::RunGuard,
-    state::CrashProof,
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
@@ -204,13 +204,13 @@
             tokio::select! {
                 response = &mut response => break response,
                 // A non-idempotent call stays with its upstream, which may still respond.
+                () = guard.upstream_abandoned(), if retryable => break Err(SendError::Lost),
                 () = gateway.resend_forbidden(self.accepted.digest), if retryable => {
                     tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
                         body = %BodyHex(self.accepted.digest),
                         "waiting call withdrawn: upstreams crashed under its body");
                     return Sent::Withdrawn;
                 }
-                () = guard.upstream_abandoned(), if retryable => break Err(SendError::Lost),
                 () = stall, if retryable && stalls_at.is_some() => {
                     // If no retry is left, keep waiting for the response.
                     self.runs += 1;
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -5,9 +5,9 @@
     buffered_call::call_buffered,
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
+    lost_run::CrashProof,
     reply_log::{BodyHex, CallerLeftGuard, count_reply, log_local_reply, millis},
     shutdown::Shutdown,
-    state::CrashProof,
     stream_call::call_stream,
     *,
 };
@@ -364,8 +364,8 @@
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
-                body = %BodyHex(digest), patience_ms = millis(timeout), tokens = call.prompt.as_ref().map(|p| p.tokens),
-                "accepted");
+                body = %BodyHex(digest), patience_ms = millis(timeout),
+                tokens = call.prompt.as_ref().map(|p| p.tokens), "accepted");
         }
         Ok(AcceptedCall {
             call: call.clone(),
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -2,8 +2,8 @@
 
 use super::{
     health_check::probe,
+    lost_run::{CrashProof, LostRun},
     reply_log::BodyHex,
-    state::{CrashProof, LostRun},
     *,
 };
 
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -1,4 +1,4 @@
-use super::{reply_log::millis, state::CrashProof, *};
+use super::{lost_run::CrashProof, reply_log::millis, *};
 use std::sync::Weak;
 
 /// Interval at which upstreams are checked for silence: short compared with the silence timeout,
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -97,6 +97,7 @@
 mod kv_copy;
 mod kv_copy_manager;
 mod limits;
+mod lost_run;
 mod outbox;
 mod peer_heartbeats;
 mod prompt_search;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -1,4 +1,8 @@
-use super::{reply_log::BodyHex, *};
+use super::{
+    lost_run::{CrashProof, LostRun},
+    reply_log::BodyHex,
+    *,
+};
 
 /// Mutable state of the gateway, behind one lock.
 pub(crate) struct GatewayState {
@@ -75,24 +79,6 @@
     pub(crate) failed_over: watch::Sender<u64>,
 }
 
-/// A run that was lost, and whose upstream may have crashed.
-#[derive(Clone, Debug)]
-pub(crate) struct LostRun {
-    /// The crash, if there was one.
-    pub(crate) crash: Crash,
-    /// What shows that the upstream crashed.
-    pub(crate) proof: CrashProof,
-}
-
-/// What shows that the upstream of a lost run crashed.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum CrashProof {
-    /// It does not respond, since the connection broke. It may as well be unreachable if the run only fell silent.
-    Unresponsive,
-    /// Another process runs at its address.
-    ProcessEnded,
-}
-
 /// How long after the loss of a run a crash of its upstream is attributed to the call: until the
 /// next caller is refused a connection or the entry of the upstream has expired.
 const CRASH_ATTRIBUTION_WINDOW: Duration = Duration::from_secs(5);
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -6,10 +6,10 @@
     crashes::UnconfirmedCrashes,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
+    lost_run::CrashProof,
     reply::StreamCut,
     reply_log::{BodyHex, log_caller_left, millis},
     run_guard::RunGuard,
-    state::CrashProof,
     stream_call::StreamStop,
     *,
 };
