--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -146,14 +146,18 @@
             .map(|same| same[0].crash.digest)
             .filter(|digest| self.limit_reached_at(*digest, now).is_some())
             .collect::<Vec<_>>();
-        let is_kept = |tracked: &TrackedCrash| refused.binary_search(&tracked.crash.digest).is_ok();
-        let evictable = self.crashes.iter().filter(|tracked| !is_kept(tracked));
-        let (oldest, any) = match evictable.map(|tracked| tracked.crash.at).min() {
-            Some(oldest) => (Some(oldest), false),
-            None => (self.crashes.iter().map(|t| t.crash.at).min(), true),
+        let is_refused =
+            |tracked: &TrackedCrash| refused.binary_search(&tracked.crash.digest).is_ok();
+        let oldest = |crashes: &[TrackedCrash], any: bool| {
+            let evictable = crashes.iter().filter(|tracked| any || !is_refused(tracked));
+            evictable.map(|tracked| tracked.crash.at).min()
+        };
+        let any = oldest(&self.crashes, false).is_none();
+        let Some(evicted_at) = oldest(&self.crashes, any) else {
+            return;
         };
         self.crashes
-            .retain(|tracked| Some(tracked.crash.at) != oldest || (is_kept(tracked) && !any));
+            .retain(|tracked| tracked.crash.at != evicted_at || (is_refused(tracked) && !any));
     }
 
     /// Crashes to send to other VMs: those sent least often, and of these the latest.
