--- a/crates/decisions/src/limit_part.rs
+++ b/crates/decisions/src/limit_part.rs
@@ -2,14 +2,14 @@
 //!
 //! In a small system every VM knows how many calls of the service each other VM has, and uses the limit
 //! in proportion to its own, with a small equal part for VMs whose calls begin. In a larger one, VMs know the
-//! others of their availability zone only, and a few of each zone, chosen by rendezvous hashing, use equal parts.
+//! others of their availability zone only, and a few of each zone, by rendezvous hashing, use equal parts.
 //!
 //! Each VM that has a part may hold one token, so the number of these VMs is bounded: all of them may
 //! send at once after a quiet time.
 
 use super::*;
 
-/// Fraction of a limit that the VMs use. The rest covers views that differ.
+/// Fraction of a limit that the VMs use. The rest covers VMs whose views of the others differ.
 const USABLE_FRACTION: f64 = 0.9;
 
 /// Fraction of the usable limit that is divided equally.
@@ -18,7 +18,7 @@
 /// Fraction of a limit that VMs without a part use for trial requests, all together.
 const TRIAL_FRACTION: f64 = 0.05;
 
-/// Tokens of all VMs together, beside [`BURST_SECONDS`]. An upstream bears five requests at once.
+/// Tokens of all VMs together, beside [`BURST_SECONDS`].
 const BURST_REQUESTS: f64 = 4.0;
 
 /// Time of the limit that all VMs together may save as tokens.
@@ -33,7 +33,7 @@
     Complete {
         /// This VM.
         own: VmDemand,
-        /// All other VMs, also those that have not been heard lately.
+        /// All other VMs, also those whose last heartbeat is old.
         others: &'a [VmDemand],
     },
     /// The VMs of this VM's availability zone.
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -403,8 +403,9 @@
         }
     }
 
-    /// Demand for a service at each other VM, if all of them advertise it to this VM. One that has not been heard
-    /// lately counts with its last demand, and with the mean of the others at least: it may only be unreachable.
+    /// Demand for a service at each other VM, if all of them advertise it to this VM. One whose
+    /// last heartbeat is old counts with its last demand, and with the mean of the others at least: it may
+    /// only be unreachable.
     #[must_use]
     pub fn demands(&self, service: &ServiceId, now: Instant) -> Option<Vec<VmDemand>> {
         if !self.is_full_mesh(now) {
--- a/crates/decisions/src/upstream_limit.rs
+++ b/crates/decisions/src/upstream_limit.rs
@@ -81,7 +81,7 @@
             return None;
         }
         let before = self.limit();
-        // Without a limit so far, the absence of one is no news.
+        // Most upstreams never name a limit.
         if before.is_none() && self.statement.is_none() && statement.limit.is_none() {
             return None;
         }
