Tests: bursts after a quiet hour, parts that grow, demand that begins

Cause: with the ramp of the demand, the bound of the sharers in a zone or the cautious refill removed, the tests of limits still passed.

Change: a test for each.

--- a/crates/decisions/tests/upstream_limits.rs
+++ b/crates/decisions/tests/upstream_limits.rs
@@ -422,3 +422,85 @@
     expect_that!(delays, eq([500, 1000, 1500]));
     expect_that!(later.as_millis(), eq(500));
 }
+
+/// Guards against a token saved by every VM of a large fleet during a quiet hour, and then sent at once.
+#[gtest]
+fn burst_after_a_quiet_hour_stays_within_that_of_all_vms_together() {
+    for (vms, zones, limit) in [
+        (8, 3, 0.5),
+        (25, 3, 4.5),
+        (64, 3, 0.5),
+        (400, 4, 4.5),
+        (1000, 5, 4.5),
+    ] {
+        let fleet = Fleet {
+            vms,
+            zones,
+            limit,
+            callers: Callers::Everywhere,
+            demand: 0.0,
+            lost: 0.0,
+            unknown: 0.0,
+            seed: 1,
+        };
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(fleet.seed);
+        let mut members = fleet.start(&mut rng);
+        let quiet = [0, 3600].map(|seconds| Instant(Duration::from_secs(seconds)));
+
+        let [_, sent] = quiet.map(|now| {
+            let sent = members.iter_mut().map(|vm| {
+                let calls = (0..50).filter(|_| fleet.send(vm, now, rng.random()));
+                calls.count()
+            });
+            sent.sum::<usize>()
+        });
+
+        expect_that!(sent, le(fleet.allowed()), "{fleet:?}");
+        expect_that!(sent, ge(1), "{fleet:?}");
+    }
+}
+
+/// Guards against a VM whose part grows and that then sends what another VM has sent before.
+#[gtest]
+fn part_that_grows_fills_the_bucket_from_then_on() {
+    let part = |rate, burst| LimitPart {
+        rate,
+        burst,
+        ..LimitPart::default()
+    };
+    let request = |millis| LimitedRequest {
+        priority: 1,
+        random: 0.5,
+        now: Instant(Duration::from_millis(millis)),
+    };
+    let mut limit = UpstreamLimit::default();
+    limit.apply(stated(Some(9.0), Instant::default()));
+    limit.has_room(&part(0.01, 1.0), &request(0));
+
+    let at_once = limit.has_room(&part(8.0, 16.0), &request(60_000));
+    let later = limit.has_room(&part(8.0, 16.0), &request(60_100));
+
+    expect_that!((at_once, later), eq((false, true)));
+}
+
+/// Guards against VMs whose calls begin at the same time and that each take the whole limit, because none knows of the
+/// others yet.
+#[gtest]
+fn demand_counts_once_the_others_know_of_it() {
+    let at = |millis| Instant(Duration::from_millis(millis));
+    let mut demand = ServiceDemand::default();
+    let mut known = Vec::new();
+    for n in 0..40 {
+        let now = at(10_000 + 100 * n);
+        demand.record_call(now);
+        if n % 4 == 0 {
+            demand.advertise(now);
+        }
+        known.push(demand.known_to_others(now) > 0.0);
+    }
+    let after_the_calls = demand.known_to_others(at(20_000));
+
+    let first = known.iter().position(|known| *known);
+    expect_that!(first, some(all!(ge(7), le(12))));
+    expect_that!(after_the_calls, eq(0.0));
+}
