--- a/crates/decisions/tests/upstream_limits.rs
+++ b/crates/decisions/tests/upstream_limits.rs
@@ -504,3 +504,22 @@
     expect_that!(first, some(all!(ge(7), le(12))));
     expect_that!(after_the_calls, eq(0.0));
 }
+
+/// Guards against a limit that a large fleet cannot use where the callers are: all in one availability zone.
+#[gtest]
+fn most_of_a_limit_is_used_by_one_zone_of_a_large_fleet() {
+    let fleet = Fleet {
+        vms: 400,
+        zones: 5,
+        limit: 50.0,
+        callers: Callers::OneZone,
+        demand: 2000.0,
+        lost: 0.0,
+        unknown: 0.0,
+        seed: 1,
+    };
+
+    let used = steady_rate(&fleet.run(600)) / fleet.limit;
+
+    expect_that!(used, ge(0.5), "{fleet:?}");
+}
