Log: parts of a prompt, crashes that do not count, and who reported a crash

`accepted` and `run of a stream lost` now name the parts, and two lines at the level of beliefs show the other two.

--- a/crates/catkinward/src/gateway/call.rs
+++ b/crates/catkinward/src/gateway/call.rs
@@ -40,6 +40,14 @@
     pub parts: Arc<[PromptPart]>,
 }
 
+impl Prompt {
+    /// Ids of the parts that other prompts may share: all but the last.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = &str> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| &*part.id)
+    }
+}
+
 impl Call {
     /// Digest that identifies a call when its caller sends it again under another id.
     #[must_use]
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -6,7 +6,7 @@
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
     lost_run::CrashProof,
-    reply_log::{BodyHex, CallerLeftGuard, count_reply, log_local_reply, millis},
+    reply_log::{BodyHex, CallerLeftGuard, count_reply, log_local_reply, logged_parts, millis},
     shutdown::Shutdown,
     stream_call::call_stream,
     *,
@@ -372,7 +372,8 @@
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
                 body = %BodyHex(digest), patience_ms = millis(timeout),
-                tokens = call.prompt.as_ref().map(|p| p.tokens), "accepted");
+                tokens = call.prompt.as_ref().map(|p| p.tokens),
+                parts = logged_parts(call), "accepted");
         }
         Ok(AcceptedCall {
             call: call.clone(),
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -60,10 +60,20 @@
 impl Gateway {
     /// Whether a call must not be sent again, because upstreams crashed under its body; logs it if so.
     pub(crate) fn refuse_resend(&self, digest: u64, id: &RequestId) -> bool {
+        let now = self.timer.now();
         let forbidden = self.forbids_resend(digest);
+        let (crashes, explained) = {
+            let crashes = &self.state.lock().crashes;
+            (
+                crashes.crash_count(digest, now),
+                crashes.explained_count(digest, now),
+            )
+        };
+        if !forbidden && crashes + explained > 0 && self.log.admits(LineKind::Belief, now) {
+            tracing::info!(request = %id, body = %BodyHex(digest), crashes, explained,
+                "call may be sent again: too few crashes count");
+        }
         if forbidden {
-            let now = self.timer.now();
-            let crashes = self.state.lock().crashes.crash_count(digest, now);
             tracing::warn!(request = %id, body = %BodyHex(digest), crashes,
                 "call not sent again: upstreams crashed under its body");
         }
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between the VMs, sent as datagrams and not over the connections between VMs: the next
 //! heartbeat makes up for a lost one, and a peer that hangs delays no other.
 
-use super::*;
+use super::{reply_log::BodyHex, *};
 use tokio::{net::UdpSocket, sync::mpsc};
 
 /// Maximum size of a datagram that is not fragmented.
@@ -264,11 +264,23 @@
         if !state.peers.apply_heartbeat(heartbeat, address, now) {
             return;
         }
-        for crash in crashes {
-            state.apply_crash(Crash { at: now, ..crash });
-        }
+        let new_crashes = crashes
+            .into_iter()
+            .filter(|crash| {
+                state.apply_crash(Crash {
+                    at: now,
+                    ..crash.clone()
+                })
+            })
+            .collect::<Vec<_>>();
         let live = state.peers.live_count(now);
         drop(state);
+        for crash in new_crashes {
+            if self.log.admits(LineKind::Belief, now) {
+                tracing::info!(upstream = %crash.upstream, body = %BodyHex(crash.digest),
+                    cleared = crash.cleared, %vm, "crash reported by another VM");
+            }
+        }
         for limit in &limits {
             self.limit_relayed(limit);
         }
--- a/crates/catkinward/src/gateway/reply_log.rs
+++ b/crates/catkinward/src/gateway/reply_log.rs
@@ -37,6 +37,16 @@
     }
 }
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Ids of the parts of a call's prompt that other prompts may share, separated by commas; `None` if there are none.
+pub(crate) fn logged_parts(call: &Call) -> Option<String> {
+    let parts = call.prompt.as_ref()?.shared_parts();
+    let parts = parts.take(MAX_LOGGED_PARTS).collect::<Vec<_>>();
+    (!parts.is_empty()).then(|| parts.join(","))
+}
+
 pub(crate) fn log_local_reply(call: &Call, reply: &Reply) {
     let outcome = outcome(reply);
     if let Reply::NotRun { not_run } = reply {
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -8,7 +8,7 @@
     kv_copy_manager::KvCopyManager,
     lost_run::CrashProof,
     reply::StreamCut,
-    reply_log::{BodyHex, log_caller_left, millis},
+    reply_log::{BodyHex, log_caller_left, logged_parts, millis},
     run_guard::RunGuard,
     stream_call::StreamStop,
     *,
@@ -375,8 +375,8 @@
         let produced_events = phase == CrashPhase::AfterEvent;
         let loss_name: &str = loss.into();
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
-            body = %BodyHex(self.accepted.digest), loss = loss_name, produced_events,
-            last_event = self.relay.last(),
+            body = %BodyHex(self.accepted.digest), parts = logged_parts(&self.accepted.call),
+            loss = loss_name, produced_events, last_event = self.relay.last(),
             copy = self.copy.as_ref().map(|c| tracing::field::display(c.holder.id.clone())),
             "run of a stream lost");
         if loss == Loss::Broken && path.is_direct() {
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -195,6 +195,13 @@
         self.unexplained_crashes(digest, now).count()
     }
 
+    /// Number of upstreams that crashed while running a call and whose crashes do not count, because a call
+    /// refused earlier explains them.
+    #[must_use]
+    pub fn explained_count(&self, digest: u64, now: Instant) -> usize {
+        self.active_crashes(digest, now).count() - self.crash_count(digest, now)
+    }
+
     /// Whether a call is refused because of its crashes.
     #[must_use]
     pub fn is_refused(&self, digest: u64, now: Instant) -> bool {
