--- a/crates/catkinward/src/gateway/accepted_call.rs
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -13,7 +13,8 @@
     pub(crate) priority: u8,
     /// Deadline of the caller or of the route, whichever is earlier.
     pub(crate) deadline: Instant,
-    pub(crate) digest: u64,
+    /// What the call has in common with others that may crash the upstreams which run it.
+    pub(crate) attributes: Arc<CallAttributes>,
 }
 
 /// Maximum idle time of a connection for a call that may be retried. Upstreams close idle
--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -4,6 +4,7 @@
     reply_log::{BodyHex, millis},
     retries::CALL_RETRY_TIMEOUT,
     run_guard::RunGuard,
+    run_progress::RunProgress,
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
@@ -94,7 +95,7 @@
                     dispatched.unknown().dispatch_again()
                 }
                 Sent::Answered(reply) => {
-                    self.gateway.record_delivery(self.accepted.digest);
+                    self.gateway.record_delivery(&self.accepted.attributes);
                     return reply;
                 }
                 Sent::TimedOut => return Reply::TimedOut,
@@ -158,8 +159,10 @@
         if self.sends >= self.max_sends || self.accepted.time_left(now).is_zero() {
             return None;
         }
-        let AcceptedCall { call, digest, .. } = &self.accepted;
-        if self.gateway.refuse_resend(*digest, &call.id) {
+        let AcceptedCall {
+            call, attributes, ..
+        } = &self.accepted;
+        if self.gateway.refuse_resend(attributes, &call.id).is_some() {
             return None;
         }
         let next = self.gateway.select(&self.accepted, &self.avoid, &[])?;
@@ -210,10 +213,10 @@
                 response = &mut response => break response,
                 // A non-idempotent call stays with its upstream, which may still respond.
                 () = guard.upstream_abandoned(), if retryable => break Err(SendError::Lost),
-                () = gateway.resend_forbidden(self.accepted.digest), if retryable => {
+                cause = gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
                     tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
-                        body = %BodyHex(self.accepted.digest),
-                        "waiting call withdrawn: upstreams crashed under its body");
+                        body = %BodyHex(self.accepted.attributes.body), %cause,
+                        "waiting call withdrawn: upstreams crashed under its body or a part");
                     return Sent::Withdrawn;
                 }
                 () = stall, if retryable && stalls_at.is_some() => {
@@ -305,9 +308,9 @@
                 Sent::NotRun(NotRunEvidence::NoConnection)
             }
             (SendError::Lost, _) => {
-                let phase = CrashPhase::BeforeEvent;
-                let (digest, proof) = (self.accepted.digest, CrashProof::of_broken(path));
-                self.gateway.run_of_body_lost(entry, digest, phase, proof);
+                let (call, proof) = (&self.accepted.attributes, CrashProof::of_broken(path));
+                let progress = RunProgress::default();
+                self.gateway.run_of_call_lost(entry, call, progress, proof);
                 Sent::Lost
             }
             (SendError::Crossed | SendError::Stalled, _) => Sent::Lost,
--- a/crates/catkinward/src/gateway/call.rs
+++ b/crates/catkinward/src/gateway/call.rs
@@ -65,4 +65,12 @@
         hasher.update(&self.body);
         hasher.digest()
     }
+
+    /// What the call has in common with others that may crash the upstreams which run it.
+    #[must_use]
+    pub fn attributes(&self, team: Option<&TeamId>, service: &ServiceId) -> CallAttributes {
+        let parts = self.prompt.iter().flat_map(Prompt::shared_parts);
+        let parts = parts.map(|part| PartId::new(service, part));
+        CallAttributes::new(self.digest(team), parts)
+    }
 }
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -20,10 +20,6 @@
 /// within 0.2 s if the platform responds; if it does not, another VM serves the caller better.
 const MAX_START_WAIT: Duration = Duration::from_millis(600);
 
-/// Retry delay for a caller whose body crashed upstreams. The crash record outlasts the delay, so
-/// the delay only prevents immediate retries.
-const CRASHING_RETRY_DELAY: Duration = Duration::from_secs(10);
-
 /// Retry delay for a caller of a VM that is shutting down: short, since the retry goes to another
 /// VM.
 const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -360,10 +356,8 @@
             .budget(&service)
             .record_call(&self.settings.retry_budget, now);
         state.demand(&service).record_call(now);
-        let digest = call.digest(team.as_ref());
-        if state.crashes.is_refused(digest, now) {
-            return Err(refused(call, RefusalReason::Poisoned, CRASHING_RETRY_DELAY).into());
-        }
+        let attributes = call.attributes(team.as_ref(), &service);
+        self.admit_despite_crashes(&mut state, call, &attributes, now)?;
         if !self.accepts(route.timeout) {
             return Err(refused(call, RefusalReason::ShuttingDown, SHUTDOWN_RETRY_DELAY).into());
         }
@@ -371,7 +365,7 @@
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
-                body = %BodyHex(digest), patience_ms = millis(timeout),
+                body = %BodyHex(attributes.body), patience_ms = millis(timeout),
                 tokens = call.prompt.as_ref().map(|p| p.tokens),
                 parts = logged_parts(call), "accepted");
         }
@@ -382,7 +376,7 @@
             team,
             priority: holder.and_then(|h| h.priority).unwrap_or(route.priority),
             deadline: call.arrived.after(timeout),
-            digest,
+            attributes: attributes.into(),
         })
     }
 
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -1,23 +1,30 @@
 //! Attribution of crashed upstreams to the calls that ran there, and what follows for these calls.
 
 use super::{
+    core,
     health_check::probe,
     lost_run::{CrashProof, LostRun},
-    reply_log::BodyHex,
+    reply_log::{BodyHex, millis},
+    run_progress::RunProgress,
     *,
 };
 
+/// Retry delays for a caller whose call is refused because of crashes. A body is refused for longer than any caller
+/// waits, so the delay only prevents immediate retries; a part may be tried sooner.
+const CRASHING_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_secs(10), Duration::from_secs(60));
+
 /// Upstreams whose connections broke under one call and that are not known to have crashed.
 pub(crate) struct UnconfirmedCrashes {
-    digest: u64,
+    call: Arc<CallAttributes>,
     runs: Vec<(Arc<UpstreamEntry>, CrashPhase)>,
 }
 
 impl UnconfirmedCrashes {
-    /// None yet, for a call whose body has this digest.
-    pub(crate) fn new(digest: u64) -> Self {
+    /// None yet, for a call with these attributes.
+    pub(crate) fn new(call: Arc<CallAttributes>) -> Self {
         Self {
-            digest,
+            call,
             runs: Vec::new(),
         }
     }
@@ -27,12 +34,16 @@
         self.runs.push((entry, phase));
     }
 
-    /// Whether the call must not be sent again, because upstreams crashed under its body.
+    /// Why the call must not be sent again, if upstreams crashed under its body or a part of its prompt.
     ///
     /// A crash is usually known from the health check that follows each broken connection. If the unconfirmed
-    /// ones would decide, these upstreams are checked first, which costs a round trip.
-    pub(crate) async fn forbid_resend(&mut self, gateway: &Arc<Gateway>, id: &RequestId) -> bool {
-        if self.would_decide(gateway) {
+    /// ones may decide, these upstreams are checked first, which costs a round trip.
+    pub(crate) async fn forbid_resend(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        id: &RequestId,
+    ) -> Option<CallAttribute> {
+        if self.may_decide(gateway) {
             let checked = self.runs.len();
             let probes = std::mem::take(&mut self.runs)
                 .into_iter()
@@ -42,54 +53,112 @@
             tracing::warn!(request = %id, checked, down,
                 "upstreams that broke this call were checked");
         }
-        gateway.refuse_resend(self.digest, id)
+        gateway.refuse_resend(&self.call, id)
     }
 
-    fn would_decide(&mut self, gateway: &Gateway) -> bool {
+    fn may_decide(&mut self, gateway: &Gateway) -> bool {
         let now = gateway.timer.now();
         let state = gateway.state.lock();
+        let crashes = &state.crashes;
+        let body = self.call.body;
         self.runs
-            .retain(|(entry, _)| !state.crashes.has_crash(self.digest, &entry.id));
+            .retain(|(entry, _)| !crashes.has_crash(body, &entry.id));
         let phases = self.runs.iter().map(|(_, phase)| *phase);
         !self.runs.is_empty()
-            && !state.crashes.forbids_resend(self.digest, now)
-            && state.crashes.forbids_resend_with(self.digest, phases, now)
+            && !crashes.forbids_resend(body, now)
+            && (crashes.forbids_resend_with(body, phases, now)
+                || crashes.has_suspect_part(&self.call, now))
     }
 }
 
 impl Gateway {
-    /// Whether a call must not be sent again, because upstreams crashed under its body; logs it if so.
-    pub(crate) fn refuse_resend(&self, digest: u64, id: &RequestId) -> bool {
+    /// Admits a call that arrives, unless upstreams crashed under its body or a part of its prompt.
+    pub(crate) fn admit_despite_crashes(
+        &self,
+        state: &mut GatewayState,
+        call: &Call,
+        attributes: &CallAttributes,
+        now: Instant,
+    ) -> Result<(), Box<Reply>> {
+        let refusal = match state.crashes.verdict(attributes, now) {
+            CrashVerdict::Admitted => return Ok(()),
+            CrashVerdict::Trial { part, slot } => {
+                let others = state.peers.live_names(now);
+                if slot.is_of(&part, &self.settings.vm, &others) {
+                    tracing::warn!(request = %call.id, %part, slot = slot.0,
+                        "part that crashed upstreams is tried");
+                    state.crashes.record_trial(part, now);
+                    return Ok(());
+                }
+                CrashRefusal {
+                    attribute: CallAttribute::Part(part),
+                    crashes: 0,
+                    blocked_for: Duration::ZERO,
+                }
+            }
+            CrashVerdict::Refused(refusal) => refusal,
+        };
+        let (shortest, longest) = CRASHING_RETRY_DELAYS;
+        let (reason, retry_after) = match &refusal.attribute {
+            CallAttribute::Body(_) => (RefusalReason::Poisoned, shortest),
+            CallAttribute::Part(_) => {
+                metrics::counter!("catkin_crashing_part_refusals_total").increment(1);
+                let retry_after = refusal.blocked_for.clamp(shortest, longest);
+                (RefusalReason::CrashingPart, retry_after)
+            }
+        };
+        if self.log.admits(LineKind::Accepted, now) {
+            tracing::info!(request = %call.id, cause = %refusal.attribute,
+                crashes = refusal.crashes, blocked_ms = millis(refusal.blocked_for),
+                "call refused: upstreams crashed under others like it");
+        }
+        Err(core::refused(call, reason, retry_after).into())
+    }
+
+    /// Why a call must not be sent again, if upstreams crashed under its body or a part of its prompt; logs it.
+    pub(crate) fn refuse_resend(
+        &self,
+        call: &CallAttributes,
+        id: &RequestId,
+    ) -> Option<CallAttribute> {
         let now = self.timer.now();
-        let forbidden = self.forbids_resend(digest);
+        let cause = self.forbids_resend(call);
         let (crashes, explained) = {
             let crashes = &self.state.lock().crashes;
             (
-                crashes.crash_count(digest, now),
-                crashes.explained_count(digest, now),
+                crashes.crash_count(call.body, now),
+                crashes.explained_count(call.body, now),
             )
         };
-        if !forbidden && crashes + explained > 0 && self.log.admits(LineKind::Belief, now) {
-            tracing::info!(request = %id, body = %BodyHex(digest), crashes, explained,
+        let body = BodyHex(call.body);
+        if let Some(cause) = &cause {
+            tracing::warn!(request = %id, %body, %cause, crashes, explained,
+                "call not sent again: upstreams crashed under its body or a part");
+        } else if crashes + explained > 0 && self.log.admits(LineKind::Belief, now) {
+            tracing::info!(request = %id, %body, crashes, explained,
                 "call may be sent again: too few crashes count");
         }
-        if forbidden {
-            tracing::warn!(request = %id, body = %BodyHex(digest), crashes,
-                "call not sent again: upstreams crashed under its body");
-        }
-        forbidden
+        cause
     }
 
-    fn forbids_resend(&self, digest: u64) -> bool {
+    fn forbids_resend(&self, call: &CallAttributes) -> Option<CallAttribute> {
         let now = self.timer.now();
-        self.state.lock().crashes.forbids_resend(digest, now)
+        let crashes = &self.state.lock().crashes;
+        if crashes.forbids_resend(call.body, now) {
+            return Some(CallAttribute::Body(call.body));
+        }
+        let blocked = crashes.blocked_part(call, now)?;
+        Some(CallAttribute::Part(blocked.part.clone()))
     }
 
-    /// Waits until a call must not be sent again. A call that waits in an upstream is then withdrawn before
-    /// it runs and crashes that upstream, too.
-    pub(crate) async fn resend_forbidden(&self, digest: u64) {
+    /// Waits until a call must not be sent again, and returns why. A call that waits in an upstream is then withdrawn
+    /// before it runs and crashes that upstream, too.
+    pub(crate) async fn resend_forbidden(&self, call: &CallAttributes) -> CallAttribute {
         let mut refusals = self.state.lock().refusals.subscribe();
-        while !self.forbids_resend(digest) {
+        loop {
+            if let Some(cause) = self.forbids_resend(call) {
+                return cause;
+            }
             if refusals.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
@@ -97,21 +166,21 @@
     }
 
     /// Records that a run of a call was lost, and that its upstream may have crashed.
-    pub(crate) fn run_of_body_lost(
+    pub(crate) fn run_of_call_lost(
         &self,
         entry: &UpstreamEntry,
-        digest: u64,
-        phase: CrashPhase,
+        call: &Arc<CallAttributes>,
+        progress: RunProgress,
         proof: CrashProof,
     ) {
-        let crash = Crash {
-            digest,
+        let run = LostRun {
+            call: call.clone(),
             upstream: entry.id.clone(),
             at: self.timer.now(),
-            cleared: false,
-            phase,
+            progress,
+            proof,
         };
-        let attributed = self.state.lock().record_lost_run(LostRun { crash, proof });
+        let attributed = self.state.lock().record_lost_run(run);
         self.advertise_crashes(&entry.id, usize::from(attributed));
     }
 
@@ -132,7 +201,36 @@
     }
 
     /// Records that the response of a call was complete.
-    pub(crate) fn record_delivery(&self, digest: u64) {
-        self.state.lock().crashes.record_complete_response(digest);
+    pub(crate) fn record_delivery(&self, call: &CallAttributes) {
+        let mut state = self.state.lock();
+        state.crashes.record_complete_response(call.body);
+    }
+
+    /// Records that a run that began to produce events at `began` got past its beginning.
+    pub(crate) fn record_clean_run(&self, call: &CallAttributes, began: Instant) {
+        if call.parts.is_empty() {
+            return;
+        }
+        let now = self.timer.now();
+        self.state.lock().record_clean_run(call, began, now);
+    }
+
+    /// Applies crashes under parts of prompts that another VM reports.
+    pub(crate) fn receive_crashes(&self, report: CrashReport) {
+        if report.vm == self.settings.vm {
+            return;
+        }
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        for crash in report.parts {
+            let crash = crash.received(now);
+            let (cause, upstream) = (crash.attribute.clone(), crash.upstream.clone());
+            let (age, cleared) = (now.since(crash.at), crash.cleared);
+            let is_new = state.apply_crashes([crash], now) > 0;
+            if is_new && self.log.admits(LineKind::Belief, now) {
+                tracing::info!(%upstream, %cause, cleared, age_ms = millis(age), vm = %report.vm,
+                    "crash reported by another VM");
+            }
+        }
     }
 }
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -35,6 +35,7 @@
             .filter(|upstream| upstream.health.is_suspect())
             .count();
         let peers = state.peers.live_count(now);
+        let crashing_parts = state.crashes.blamed_count();
         let age = state
             .gossip
             .store_age(now)
@@ -43,6 +44,7 @@
         gauge("catkin_upstreams_usable", usable);
         gauge("catkin_upstreams_suspect", suspects);
         gauge("catkin_peers", peers);
+        gauge("catkin_crashing_parts", crashing_parts);
         gauge("catkin_reads_for_zone", usize::from(role.polls_store()));
         if let Some(age) = age {
             metrics::gauge!("catkin_table_age_seconds").set(age.as_secs_f64());
--- a/crates/catkinward/src/gateway/lost_run.rs
+++ b/crates/catkinward/src/gateway/lost_run.rs
@@ -1,14 +1,31 @@
-use super::*;
+use super::{run_progress::RunProgress, *};
 
 /// A run that was lost, and whose upstream may have crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct LostRun {
-    /// The crash, if there was one.
-    pub(crate) crash: Crash,
+    /// What the call has in common with others.
+    pub(crate) call: Arc<CallAttributes>,
+    /// The upstream that ran it.
+    pub(crate) upstream: UpstreamIncarnation,
+    /// When it was lost.
+    pub(crate) at: Instant,
+    /// How far it had come.
+    pub(crate) progress: RunProgress,
     /// What would show that there was.
     pub(crate) proof: CrashProof,
 }
 
+impl LostRun {
+    /// Crashes of the upstream under each attribute of the call that may be the cause.
+    pub(crate) fn crashes(&self) -> impl Iterator<Item = Crash> {
+        let phase = self.progress.crash_phase();
+        let body = Crash::of_body(self.call.body, self.upstream.clone(), phase, self.at);
+        let parts = (!self.progress.is_past_beginning())
+            .then(|| Crash::of_parts(&self.call, &self.upstream, self.at));
+        std::iter::once(body).chain(parts.into_iter().flatten())
+    }
+}
+
 /// What shows that the upstream of a lost run crashed. The later of two shows what the earlier does.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum CrashProof {
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -21,15 +21,16 @@
         Timer, UpstreamId, watch,
     },
     catkin_decisions::{
-        COMPLETION_WAIT, CONFIG_POLL_TIMEOUT, CachedPrompts, CompleteEvent, ConfigVersion, Crash,
-        CrashPhase, CrashTracker, DELTA_WAIT, EventDecision, EventRelay, EventRun, EventSplitter,
+        BlameChange, COMPLETION_WAIT, CONFIG_POLL_TIMEOUT, CachedPrompts, CallAttribute,
+        CallAttributes, CompleteEvent, ConfigVersion, Crash, CrashPhase, CrashRefusal, CrashReport,
+        CrashTracker, CrashVerdict, DELTA_WAIT, EventDecision, EventRelay, EventRun, EventSplitter,
         FleetView, GOSSIP_MAX_AGE, GossipState, GossipView, HEARTBEAT_INTERVAL, JudgedReport,
         LimitPart, LimitQueue, LimitStatement, LimitedRequest, LinkRate, LoadSample, Loan, LoanAsk,
         LoanRequests, MAX_CONNECTIONS_FOR_OTHERS, MAX_GOSSIPED_CHANGES, MAX_LENDERS, MemberStatus,
-        NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PathContext,
-        PeerDatagram, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad, PeerLoads, PeerView,
-        PlacementCandidate, PlacementContext, Policy, Presence, PresenceChange, ProcessStart,
-        PromptPart, RequestRate, RequestRateError, ResponseOutcome, RestartEvidence,
+        NewestConfig, OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PartId,
+        PathContext, PeerDatagram, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad, PeerLoads,
+        PeerView, PlacementCandidate, PlacementContext, Policy, Presence, PresenceChange,
+        ProcessStart, PromptPart, RequestRate, RequestRateError, ResponseOutcome, RestartEvidence,
         RollbackReason, Rollout, RolloutGrant, RolloutNotice, RolloutOrder, RolloutOrderError,
         RolloutOwner, RolloutPhase, RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings,
         RolloutVerdict, Rollouts, Route, RoutingConfig, STANDBY_MAX_AGE, ServiceDemand,
@@ -115,6 +116,7 @@
 mod rollout_task;
 mod rollouts;
 mod run_guard;
+mod run_progress;
 mod send_path;
 mod shutdown;
 mod state;
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -24,6 +24,15 @@
 /// Maximum number of loads beside limits in a heartbeat that would be too large with all of them.
 const MAX_LOADS_BESIDE_LIMITS: usize = 10;
 
+/// Maximum number of crashes under parts of prompts in a datagram, up to a hundred bytes each.
+const MAX_PART_CRASHES: usize = 10;
+
+/// Maximum number of datagrams with such crashes that are sent together.
+const MAX_CRASH_REPORTS: usize = 3;
+
+/// Every how many heartbeats the crashes of a blamed part are sent again, for VMs that have started since.
+const HEARTBEATS_PER_EVIDENCE: u64 = 5;
+
 /// Exchanges heartbeats with the other VMs; never returns.
 pub async fn exchange_heartbeats(gateway: Arc<Gateway>, socket: UdpSocket) {
     let socket = Arc::new(socket);
@@ -41,6 +50,8 @@
                 // The seeds may not be among the live VMs, as after a restart of the whole system,
                 // so they are notified too.
                 recipients.extend(&gateway.settings.seeds);
+                let with_evidence = number % HEARTBEATS_PER_EVIDENCE == 0;
+                send_crash_reports(&gateway, &socket, &recipients, with_evidence).await;
                 send_heartbeat(&socket, gateway.heartbeat(incarnation, number, true), recipients)
                     .await;
             }
@@ -52,8 +63,10 @@
             }
             () = gateway.crashes_seen.notified() => {
                 tokio::time::sleep(BATCH_DELAY).await;
-                send_heartbeat(&socket, gateway.heartbeat(incarnation, number, false),
-                    gateway.recipients()).await;
+                let recipients = gateway.recipients();
+                send_crash_reports(&gateway, &socket, &recipients, false).await;
+                send_heartbeat(&socket, gateway.heartbeat(incarnation, number, false), recipients)
+                    .await;
             }
         }
     }
@@ -90,6 +103,23 @@
     }
 }
 
+/// Sends the crashes under parts of prompts that other VMs may not know.
+async fn send_crash_reports(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    recipients: &[SocketAddr],
+    with_evidence: bool,
+) {
+    let mut recipients = recipients.to_vec();
+    recipients.sort_unstable();
+    recipients.dedup();
+    for report in gateway.crash_reports(with_evidence) {
+        if !send(socket, &PeerDatagram::Crashes(report), &recipients).await {
+            tracing::warn!("crash report too large, not sent");
+        }
+    }
+}
+
 async fn send_outbox(mut datagrams: mpsc::Receiver<Addressed>, socket: Arc<UdpSocket>) {
     while let Some((to, datagram)) = datagrams.recv().await {
         if !send(&socket, &datagram, &to).await {
@@ -134,6 +164,7 @@
             Ok(PeerDatagram::Restart(restart)) => gateway.receive_restart(&restart),
             Ok(PeerDatagram::Rollout(notice)) => _ = gateway.apply_rollout_notice(&notice),
             Ok(PeerDatagram::RolloutReport(report)) => gateway.handle_report(&report, address),
+            Ok(PeerDatagram::Crashes(report)) => gateway.receive_crashes(report),
             Ok(PeerDatagram::RolloutGrant(grant)) => gateway.apply_grant(&grant, Some(address)),
             Err(error) => tracing::warn!(%address, %error, "note cannot be read"),
         }
@@ -187,6 +218,31 @@
         }
     }
 
+    /// Crashes under parts of prompts to send to other VMs, and those of a blamed part that are sent again.
+    fn crash_reports(&self, with_evidence: bool) -> Vec<CrashReport> {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let mut reports = Vec::new();
+        for _ in 0..MAX_CRASH_REPORTS {
+            let parts = state.crashes.next_parts_to_send(MAX_PART_CRASHES, now);
+            let is_full = parts.len() == MAX_PART_CRASHES;
+            reports.push(parts);
+            if !is_full {
+                break;
+            }
+        }
+        if with_evidence {
+            reports.push(state.crashes.next_evidence(now));
+        }
+        reports.retain(|parts| !parts.is_empty());
+        let vm = &self.settings.vm;
+        let report = |parts| CrashReport {
+            vm: vm.clone(),
+            parts,
+        };
+        reports.into_iter().map(report).collect()
+    }
+
     /// Address of a random live VM.
     pub(crate) fn random_peer(&self) -> Option<SocketAddr> {
         let now = self.timer.now();
@@ -266,12 +322,7 @@
         }
         let new_crashes = crashes
             .into_iter()
-            .filter(|crash| {
-                state.apply_crash(Crash {
-                    at: now,
-                    ..crash.clone()
-                })
-            })
+            .filter(|crash| state.apply_crashes([crash.clone().received(now)], now) > 0)
             .collect::<Vec<_>>();
         let live = state.peers.live_count(now);
         drop(state);
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -1,6 +1,6 @@
 use super::{
     lost_run::{CrashProof, LostRun},
-    reply_log::BodyHex,
+    reply_log::{BodyHex, millis},
     *,
 };
 
@@ -147,7 +147,7 @@
     /// Records that a run was lost; returns whether a crash of its upstream is attributed to the call.
     /// Connections also break while their upstream lives, so none is before the crash is known.
     pub(crate) fn record_lost_run(&mut self, run: LostRun) -> bool {
-        let (upstream, now) = (&run.crash.upstream, run.crash.at);
+        let (upstream, now) = (&run.upstream, run.at);
         let has_crashed = match run.proof {
             CrashProof::Unresponsive => {
                 self.crashes
@@ -157,7 +157,7 @@
             CrashProof::ProcessEnded => self.directory.has_ended(upstream),
         };
         if has_crashed {
-            return self.apply_crash(run.crash);
+            return self.apply_crashes(run.crashes(), now) > 0;
         }
         if self.lost_runs.len() == MAX_LOST_RUNS {
             self.lost_runs.remove(0);
@@ -175,32 +175,76 @@
         now: Instant,
     ) -> usize {
         self.lost_runs
-            .retain(|run| now.since(run.crash.at) < CRASH_ATTRIBUTION_WINDOW);
+            .retain(|run| now.since(run.at) < CRASH_ATTRIBUTION_WINDOW);
         let (attributed, rest) = std::mem::take(&mut self.lost_runs)
             .into_iter()
-            .partition(|run| run.crash.upstream == *upstream && run.proof <= proof);
+            .partition(|run| run.upstream == *upstream && run.proof <= proof);
         self.lost_runs = rest;
         let attributed: Vec<LostRun> = attributed;
         let is_new = attributed
             .into_iter()
-            .filter(|run| self.apply_crash(run.crash.clone()));
+            .filter(|run| self.apply_crashes(run.crashes(), now) > 0);
         is_new.count()
     }
 
-    /// Records a crash of an upstream under a call, observed here or by another VM; returns whether
-    /// it is new.
-    pub(crate) fn apply_crash(&mut self, crash: Crash) -> bool {
-        let (digest, now) = (crash.digest, crash.at);
-        let is_new = self.crashes.record_crash(crash);
-        if is_new && self.crashes.is_refused(digest, now) {
-            let crashes = self.crashes.crash_count(digest, now);
-            tracing::warn!(body = %BodyHex(digest), crashes,
-                "calls with this body are rejected from now on");
+    /// Records crashes, observed here or by another VM; returns how many are new.
+    pub(crate) fn apply_crashes(
+        &mut self,
+        crashes: impl IntoIterator<Item = Crash>,
+        now: Instant,
+    ) -> usize {
+        let (mut new, mut refused) = (0, false);
+        for crash in crashes {
+            let attribute = crash.attribute.clone();
+            if !self.crashes.record_crash(crash) {
+                continue;
+            }
+            new += 1;
+            if let CallAttribute::Body(digest) = attribute {
+                if self.crashes.is_refused(digest, now) {
+                    let crashes = self.crashes.crash_count(digest, now);
+                    tracing::warn!(body = %BodyHex(digest), crashes,
+                        "calls with this body are rejected from now on");
+                }
+                refused |= self.crashes.forbids_resend(digest, now);
+            }
         }
-        if is_new && self.crashes.forbids_resend(digest, now) {
+        if new > 0 {
+            refused |= self.update_blame(now);
+        }
+        if refused {
             self.refusals.send_modify(|count| *count += 1);
         }
-        is_new
+        new
+    }
+
+    /// Records that a run of a call that began to produce events at `began` got past its beginning.
+    pub(crate) fn record_clean_run(&mut self, call: &CallAttributes, began: Instant, now: Instant) {
+        if self.crashes.record_clean_run(call, began) {
+            self.update_blame(now);
+        }
+    }
+
+    /// Determines which parts crash upstreams, and logs what has changed; returns whether calls with a part are
+    /// refused from now on.
+    fn update_blame(&mut self, now: Instant) -> bool {
+        let changes = self.crashes.update_blame(now);
+        for change in &changes {
+            match change {
+                BlameChange::Blamed(blamed) => {
+                    tracing::warn!(part = %blamed.part, crashes = blamed.crashes,
+                        clean_runs = blamed.clean_runs, age_ms = millis(now.since(blamed.since)),
+                        last_crash_ms = millis(now.since(blamed.last_crash)),
+                        blocked_ms = millis(blamed.blocked_for(now)),
+                        "part crashes upstreams: calls with it are rejected from now on");
+                }
+                BlameChange::Cleared(part) => {
+                    tracing::warn!(%part, "part does not crash upstreams: calls with it are accepted");
+                }
+            }
+        }
+        let is_blame = |change: &BlameChange| matches!(change, BlameChange::Blamed(_));
+        changes.iter().any(is_blame)
     }
 
     /// State of an upstream, created if there is none.
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -10,6 +10,7 @@
     reply::StreamCut,
     reply_log::{BodyHex, log_caller_left, logged_parts, millis},
     run_guard::RunGuard,
+    run_progress::RunProgress,
     stream_call::StreamStop,
     *,
 };
@@ -77,7 +78,7 @@
     pub(super) copies: KvCopyManager,
     pub(super) body: ResponseBody,
     pub(super) splitter: EventSplitter,
-    pub(super) produced_events: bool,
+    pub(super) progress: RunProgress,
     /// Time of the last received data.
     pub(super) last_data_at: tokio::time::Instant,
 }
@@ -90,8 +91,8 @@
     TimedOut,
     /// No data, but the KV copies of the run must be checked.
     CheckCopies,
-    /// Upstreams crashed under the same body, and this run has not produced an event yet.
-    Forbidden,
+    /// Upstreams crashed under the same body or part, and this run has not produced an event yet.
+    Forbidden(CallAttribute),
 }
 
 /// Why a run was lost.
@@ -126,7 +127,7 @@
         Self {
             relay: EventRelay::new(accepted.call.last_event),
             gateway,
-            unconfirmed_crashes: UnconfirmedCrashes::new(accepted.digest),
+            unconfirmed_crashes: UnconfirmedCrashes::new(accepted.attributes.clone()),
             accepted,
             active: None,
             copy: None,
@@ -159,10 +160,8 @@
             }
             let events = self.take_events();
             match events {
-                Ok(events) if !events.is_empty() => {
-                    if let Some(active) = &mut self.active {
-                        active.produced_events = true;
-                    }
+                Ok((count, events)) if count > 0 => {
+                    self.record_progress(count);
                     self.record_delivery();
                     return Ok(Some(events.into()));
                 }
@@ -182,7 +181,7 @@
                 Received::Broken(loss) => self.lose_active_run(loss)?,
                 Received::TimedOut => return Err(StreamStop::TimedOut),
                 Received::CheckCopies => self.check_copies(),
-                Received::Forbidden => return Err(self.withdraw()),
+                Received::Forbidden(cause) => return Err(self.withdraw(&cause)),
             }
         }
     }
@@ -194,10 +193,11 @@
             sends = self.sends, runs = self.ran_on.len(), %cut, "stream cut");
     }
 
-    fn take_events(&mut self) -> Result<Vec<u8>, Loss> {
-        let mut buf = Vec::new();
+    /// Takes the next complete events that the caller has not received, and their number.
+    fn take_events(&mut self) -> Result<(u32, Vec<u8>), Loss> {
+        let (mut count, mut buf) = (0, Vec::new());
         let Some(active) = &mut self.active else {
-            return Ok(buf);
+            return Ok((count, buf));
         };
         while let Some(CompleteEvent { id, bytes }) = active.splitter.next_event() {
             let decision = match id {
@@ -207,13 +207,27 @@
                 None => EventDecision::Deliver,
             };
             match decision {
-                EventDecision::Deliver => buf.extend_from_slice(&bytes),
+                EventDecision::Deliver => {
+                    count += 1;
+                    buf.extend_from_slice(&bytes);
+                }
                 EventDecision::Drop => {}
                 EventDecision::Gap if buf.is_empty() => return Err(Loss::Gap),
                 EventDecision::Gap => break,
             }
         }
-        Ok(buf)
+        Ok((count, buf))
+    }
+
+    fn record_progress(&mut self, events: u32) {
+        let now = self.gateway.timer.now();
+        let Some(active) = &mut self.active else {
+            return;
+        };
+        if let Some(began) = active.progress.record_events(events, now) {
+            self.gateway
+                .record_clean_run(&self.accepted.attributes, began);
+        }
     }
 
     async fn receive(&mut self) -> Received {
@@ -223,7 +237,7 @@
         let Some(active) = &mut self.active else {
             return Received::Broken(Loss::Broken);
         };
-        let stall = if active.produced_events {
+        let stall = if active.progress.has_events() {
             STALL_TIMEOUT
         } else {
             FIRST_EVENT_TIMEOUT
@@ -240,8 +254,8 @@
             },
             () = active.guard.upstream_abandoned() => Received::Broken(Loss::Silent),
             () = active.copies.wait() => Received::CheckCopies,
-            () = self.gateway.resend_forbidden(self.accepted.digest),
-                if retryable && !active.produced_events => Received::Forbidden,
+            cause = self.gateway.resend_forbidden(&self.accepted.attributes),
+                if retryable && !active.progress.has_events() => Received::Forbidden(cause),
             () = tokio::time::sleep_until(stalls_at), if retryable => {
                 Received::Broken(Loss::Stalled)
             }
@@ -302,9 +316,16 @@
 
     fn complete_stream(&mut self) {
         self.ended = true;
-        self.active = None;
+        let began = self
+            .active
+            .take()
+            .and_then(|active| active.progress.began());
+        if let Some(began) = began {
+            self.gateway
+                .record_clean_run(&self.accepted.attributes, began);
+        }
         self.record_duration();
-        self.gateway.record_delivery(self.accepted.digest);
+        self.gateway.record_delivery(&self.accepted.attributes);
         let now = self.gateway.timer.now();
         if self.gateway.log.admits(LineKind::Answered, now) {
             let ms = millis(now.since(self.accepted.call.arrived));
@@ -341,7 +362,7 @@
             guard,
             copies,
             body,
-            produced_events,
+            progress,
             ..
         } = active;
         drop(body);
@@ -350,13 +371,8 @@
         // The KV cache of a run is not copied before its first event, and a resume from a missing copy costs a retry.
         self.copy = copies
             .into_best(loss == Loss::Silent)
-            .filter(|_| produced_events);
-        let phase = if produced_events {
-            CrashPhase::AfterEvent
-        } else {
-            CrashPhase::BeforeEvent
-        };
-        self.run_lost(&entry, path, loss, phase);
+            .filter(|_| progress.has_events());
+        self.run_lost(&entry, path, loss, progress);
         if self.accepted.route.kind.may_retry() {
             return Ok(());
         }
@@ -368,14 +384,14 @@
         entry: &Arc<UpstreamEntry>,
         path: SendPath,
         loss: Loss,
-        phase: CrashPhase,
+        progress: RunProgress,
     ) {
         self.lost_at.get_or_insert(self.gateway.timer.now());
         self.avoid.push(entry.id.clone());
-        let produced_events = phase == CrashPhase::AfterEvent;
+        let produced_events = progress.has_events();
         let loss_name: &str = loss.into();
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id, zone = %entry.zone,
-            body = %BodyHex(self.accepted.digest), parts = logged_parts(&self.accepted.call),
+            body = %BodyHex(self.accepted.attributes.body), parts = logged_parts(&self.accepted.call),
             loss = loss_name, produced_events, last_event = self.relay.last(),
             copy = self.copy.as_ref().map(|c| tracing::field::display(c.holder.id.clone())),
             "run of a stream lost");
@@ -387,19 +403,21 @@
         };
         let proof = proof.max(CrashProof::of_broken(path));
         if proof == CrashProof::Unresponsive {
-            self.unconfirmed_crashes.push(entry.clone(), phase);
+            self.unconfirmed_crashes
+                .push(entry.clone(), progress.crash_phase());
         }
         self.gateway
-            .run_of_body_lost(entry, self.accepted.digest, phase, proof);
+            .run_of_call_lost(entry, &self.accepted.attributes, progress, proof);
     }
 
     /// Ends the stream while its run waits in an upstream. The connection is closed, so that the upstream does
     /// not run it.
-    pub(super) fn withdraw(&mut self) -> StreamStop {
+    pub(super) fn withdraw(&mut self, cause: &CallAttribute) -> StreamStop {
         self.active = None;
-        tracing::warn!(request = %self.accepted.call.id, body = %BodyHex(self.accepted.digest),
+        tracing::warn!(request = %self.accepted.call.id,
+            body = %BodyHex(self.accepted.attributes.body), %cause,
             upstream = self.ran_on.last().map(tracing::field::display),
-            "waiting call withdrawn: upstreams crashed under its body");
+            "waiting call withdrawn: upstreams crashed under its body or a part");
         StreamStop::Cut(StreamCut::Poisoned)
     }
 }
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -8,6 +8,7 @@
     reply_log::millis,
     retries::{CALL_RETRY_TIMEOUT, STREAM_RETRY_TIMEOUT},
     run_guard::RunGuard,
+    run_progress::RunProgress,
     state::cached_tokens,
     stream_call::StreamStop,
     stream_run::{ActiveRun, FIRST_EVENT_TIMEOUT, Loss, StreamRun},
@@ -31,12 +32,9 @@
                 return Err(StreamStop::TimedOut);
             }
             let id = &self.accepted.call.id;
-            if self
-                .unconfirmed_crashes
-                .forbid_resend(&self.gateway, id)
-                .await
-            {
-                return Err(self.poisoned_stop());
+            let forbidden = self.unconfirmed_crashes.forbid_resend(&self.gateway, id);
+            if let Some(cause) = forbidden.await {
+                return Err(self.poisoned_stop(&cause));
             }
             if self.sends > 0 && !self.may_resend().await {
                 return Err(self.stop());
@@ -124,9 +122,13 @@
         }
     }
 
-    fn poisoned_stop(&self) -> StreamStop {
+    fn poisoned_stop(&self, cause: &CallAttribute) -> StreamStop {
+        let reason = match cause {
+            CallAttribute::Body(_) => RefusalReason::Poisoned,
+            CallAttribute::Part(_) => RefusalReason::CrashingPart,
+        };
         match self.stop() {
-            StreamStop::NotRun(_) => StreamStop::NotRun(RefusalReason::Poisoned),
+            StreamStop::NotRun(_) => StreamStop::NotRun(reason),
             _ => StreamStop::Cut(StreamCut::Poisoned),
         }
     }
@@ -208,18 +210,18 @@
             () = tokio::time::sleep(FIRST_EVENT_TIMEOUT), if retryable => {
                 self.record_run(&entry, path);
                 drop((guard, copy));
-                self.run_lost(&entry, path, Loss::Stalled, CrashPhase::BeforeEvent);
+                self.run_lost(&entry, path, Loss::Stalled, RunProgress::default());
                 return Ok(false);
             }
             () = guard.upstream_abandoned() => {
                 self.record_run(&entry, path);
                 drop((guard, copy));
-                self.run_lost(&entry, path, Loss::Silent, CrashPhase::BeforeEvent);
+                self.run_lost(&entry, path, Loss::Silent, RunProgress::default());
                 return self.continue_if_retryable();
             }
-            () = gateway.resend_forbidden(self.accepted.digest), if retryable => {
+            cause = gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
                 self.record_run(&entry, path);
-                return Err(self.withdraw());
+                return Err(self.withdraw(&cause));
             }
             () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
@@ -270,7 +272,7 @@
             copies: KvCopyManager::new(&self.gateway, copy),
             body: response.body,
             splitter: EventSplitter::default(),
-            produced_events: false,
+            progress: RunProgress::default(),
             last_data_at: tokio::time::Instant::now(),
         });
         Ok(true)
@@ -312,7 +314,7 @@
             return Ok(false);
         }
         self.record_run(entry, path);
-        self.run_lost(entry, path, Loss::Broken, CrashPhase::BeforeEvent);
+        self.run_lost(entry, path, Loss::Broken, RunProgress::default());
         self.continue_if_retryable()
     }
 
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -193,7 +193,7 @@
             RefusalReason::HotKey => ProblemKind::HotKey,
             RefusalReason::NoUpstream => ProblemKind::NoUpstream,
             RefusalReason::NotClaimed => ProblemKind::NotClaimed,
-            RefusalReason::Poisoned => ProblemKind::PoisonedNotRun,
+            RefusalReason::CrashingPart | RefusalReason::Poisoned => ProblemKind::PoisonedNotRun,
             RefusalReason::TeamLimit => ProblemKind::TeamLimit,
             RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
--- a/crates/catkinward/tests/gateway_poison.rs
+++ b/crates/catkinward/tests/gateway_poison.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use catkin_decisions::{Crash, CrashPhase, RefusalReason, UpstreamEntry};
+use catkin_decisions::{BodyCrash, CrashPhase, RefusalReason, UpstreamEntry};
 use catkinward::gateway::{Call, Reply, UpstreamCall};
 use gateway_support::*;
 use googletest::prelude::*;
@@ -52,10 +52,9 @@
             .start();
         let call = running.call("/quick/1");
         for n in 1..=crashes {
-            let crash = Crash {
+            let crash = BodyCrash {
                 digest: call.digest(None),
                 upstream: format!("plain-{n}").parse().unwrap(),
-                at: running.timer.now(),
                 cleared: false,
                 phase: CrashPhase::BeforeEvent,
             };
@@ -225,10 +224,9 @@
 /// Records that a call's body crashed engines of other VMs.
 fn crash_elsewhere(running: &Running, call: &Call, engines: std::ops::Range<usize>) {
     for n in engines {
-        let crash = Crash {
+        let crash = BodyCrash {
             digest: call.digest(None),
             upstream: format!("engine-{n}").parse().unwrap(),
-            at: running.timer.now(),
             cleared: false,
             phase: CrashPhase::BeforeEvent,
         };
@@ -327,10 +325,9 @@
         "engine-c1",
         "engine-c2",
     ] {
-        let crash = Crash {
+        let crash = BodyCrash {
             digest: 1,
             upstream: n.parse().unwrap(),
-            at: running.timer.now(),
             cleared: false,
             phase: CrashPhase::BeforeEvent,
         };
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    CallKind, CallerKey, CallerLimits, ConfigVersion, Crash, Instant, LinkRate, LoadSample,
+    BodyCrash, CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LinkRate, LoadSample,
     PeerHeartbeat, Policy, ProcessStart, PromptPart, RolloutSettings, Route, RouteTable,
     RouteTarget, RoutingConfig, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry,
     ZoneGossip,
@@ -281,7 +281,7 @@
     }
 
     /// Delivers a heartbeat with a crash, sent by the VM with the given number.
-    pub fn receive_crash(&self, vm: usize, crash: Crash) {
+    pub fn receive_crash(&self, vm: usize, crash: BodyCrash) {
         let heartbeat = self.empty_heartbeat(&format!("vm-{}", vm + 1), "b");
         self.receive_heartbeat(PeerHeartbeat {
             crashes: vec![crash],
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -1,11 +1,12 @@
-//! Counts the upstreams that crashed while running the same call.
+//! Attributes crashes of upstreams to the calls that ran there.
 //!
-//! A call whose body crashes its upstream is retried by its caller on any VM, and so takes down one
-//! upstream after the other, together with all calls that run there. Each VM records which upstreams
-//! crashed while running a call, sends these records to the other VMs, and refuses the call from the third
-//! crash on. A call that was accepted before is not sent again either, and is withdrawn from the upstream
-//! in which it waits. A call that received a complete response is cleared, whichever upstreams crashed under
-//! it before. Crashes that a refused call explains are not attributed to the calls that ran beside it.
+//! A call that crashes its upstream is retried by its caller on any VM, and so takes down one upstream after the other,
+//! together with all calls that run there. Its cause may be the whole body, or one part of the prompt, which other
+//! bodies have too. Each VM records which upstreams crashed under which attributes of calls, sends these records to
+//! the other VMs, and refuses calls with an attribute that crashes upstreams: a body from the third crash on, a part
+//! as `part_blame.rs` decides. A call that was accepted before is not sent again either, and is withdrawn from the
+//! upstream in which it waits. A body that received a complete response is cleared, and a part of which a run got past
+//! its beginning. Crashes that a refused attribute explains do not count for the calls that ran beside it.
 
 use super::*;
 
@@ -26,87 +27,88 @@
 /// Maximum number of crashes that are kept; the oldest under calls that are not refused are evicted first.
 const MAX_TRACKED: usize = 4096;
 
-/// Crashes of upstreams by the digest of the call that ran there.
+/// How long a crash under a part counts: as long as a part may stay blocked, and a while for trials after that.
+const PART_CRASH_TTL: Duration = Duration::from_secs(1800);
+
+/// Number of times that a crash under a part is sent to other VMs.
+const SENDS_PER_PART_CRASH: u32 = 12;
+
+/// Number of crashes of a blamed part that are sent to VMs that may have started since.
+const MAX_EVIDENCE: usize = 6;
+
+/// Crashes of upstreams by attribute of the calls that ran there.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTracker {
-    /// Sorted by digest and upstream.
+    /// Sorted by attribute and upstream.
     crashes: Vec<TrackedCrash>,
+    clean_runs: CleanRuns,
+    /// Parts that crash upstreams, sorted by part.
+    blamed: Vec<BlamedPart>,
+    /// The latest trial of this VM with a blamed part, sorted by part.
+    trials: Vec<(PartId, Instant)>,
+    /// Number of the next blamed part whose evidence is sent.
+    next_evidence: usize,
 }
 
-#[derive(Clone, Debug)]
-struct TrackedCrash {
-    crash: Crash,
-    /// Number of times that the crash was sent to other VMs.
-    times_sent: u32,
+/// Why a call is refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CrashRefusal {
+    /// What the call has in common with those under which upstreams crashed.
+    pub attribute: CallAttribute,
+    /// Number of upstreams that crashed.
+    pub crashes: usize,
+    /// Time until the call may be tried.
+    pub blocked_for: Duration,
 }
 
-/// Crash of an upstream while it ran a call.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Crash {
-    /// Digest of the call's path, team and body.
-    pub digest: u64,
-    /// The upstream that crashed.
-    pub upstream: UpstreamIncarnation,
-    /// When this process learned of the crash; the same for all calls that ran there.
-    #[serde(skip)]
-    pub at: Instant,
-    /// Whether the call has received a complete response since.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub cleared: bool,
-    /// How far the run had come.
-    #[serde(
-        rename = "p",
-        default,
-        skip_serializing_if = "CrashPhase::is_before_event"
-    )]
-    pub phase: CrashPhase,
+/// Whether a call may be sent, as far as crashes are concerned.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CrashVerdict {
+    /// It may.
+    Admitted,
+    /// Only as a trial of this part, by the VM whose turn it is.
+    Trial {
+        /// The part.
+        part: PartId,
+        /// The turn.
+        slot: TrialSlot,
+    },
+    /// It may not.
+    Refused(CrashRefusal),
 }
 
-/// How far a run had come when its upstream crashed.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-pub enum CrashPhase {
-    /// It had produced no event.
-    #[default]
-    #[serde(rename = "b")]
-    BeforeEvent,
-    /// It had produced an event, so it had got past the point at which a call usually crashes its upstream.
-    #[serde(rename = "a")]
-    AfterEvent,
+/// Change of what is known of a part.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BlameChange {
+    /// Calls with the part are refused from now on.
+    Blamed(BlamedPart),
+    /// They are no longer.
+    Cleared(PartId),
 }
 
-impl CrashPhase {
-    /// Weight of a crash in the decision whether a call is sent again.
-    #[must_use]
-    pub const fn weight(self) -> usize {
-        match self {
-            Self::BeforeEvent => 2,
-            Self::AfterEvent => 1,
-        }
-    }
-
-    #[expect(
-        clippy::trivially_copy_pass_by_ref,
-        reason = "serde passes a reference"
-    )]
-    fn is_before_event(&self) -> bool {
-        *self == Self::BeforeEvent
-    }
+/// A crash and how far it is known to others.
+/// A crash and how far it is known to others.
+#[derive(Clone, Debug)]
+struct TrackedCrash {
+    crash: Crash,
+    /// Number of times that the crash was sent to other VMs.
+    times_sent: u32,
 }
 
 impl CrashTracker {
     /// Records a crash, or that it is cleared; returns whether that is new.
-    pub fn record_crash(&mut self, crash: Crash) -> bool {
-        let key = (crash.digest, &crash.upstream);
+    pub fn record_crash(&mut self, mut crash: Crash) -> bool {
+        if let CallAttribute::Part(part) = &crash.attribute {
+            let last_began = self.clean_runs.last_began(part);
+            crash.cleared |= last_began.is_some_and(|began| began >= crash.at);
+        }
+        let key = (&crash.attribute, &crash.upstream);
         match self
             .crashes
             .binary_search_by(|tracked| tracked.key().cmp(&key))
         {
             Ok(i) if crash.cleared => self.crashes[i].clear(),
-            Ok(i) => {
-                let known = &mut self.crashes[i].crash;
-                known.phase = known.phase.min(crash.phase);
-                false
-            }
+            Ok(i) => self.crashes[i].merge(&crash),
             Err(_) => {
                 self.insert(crash);
                 true
@@ -117,7 +119,7 @@
     fn insert(&mut self, mut crash: Crash) {
         let now = crash.at;
         self.crashes
-            .retain(|tracked| now.since(tracked.crash.at) < CRASH_TTL);
+            .retain(|tracked| now.since(tracked.crash.at) < tracked.crash.attribute.crash_ttl());
         if self.crashes.len() == MAX_TRACKED {
             self.evict(now);
         }
@@ -127,7 +129,7 @@
                 tracked.crash.at = crash.at;
             }
         }
-        let key = (crash.digest, &crash.upstream);
+        let key = (&crash.attribute, &crash.upstream);
         let i = self.crashes.partition_point(|tracked| tracked.key() < key);
         self.crashes.insert(
             i,
@@ -138,16 +140,20 @@
         );
     }
 
-    /// Removes the oldest crashes under calls that are not refused, or the oldest of all if there are none.
+    /// Removes the oldest crashes under attributes that are not refused, or the oldest of all if there are none.
     fn evict(&mut self, now: Instant) {
         let refused = self
             .crashes
-            .chunk_by(|a, b| a.crash.digest == b.crash.digest)
-            .map(|same| same[0].crash.digest)
-            .filter(|digest| self.limit_reached_at(*digest, now).is_some())
+            .chunk_by(|a, b| a.crash.attribute == b.crash.attribute)
+            .map(|same| &same[0].crash.attribute)
+            .filter(|attribute| match attribute {
+                CallAttribute::Body(_) => self.limit_reached_at(attribute, now).is_some(),
+                CallAttribute::Part(part) => self.blamed(part).is_some(),
+            })
+            .cloned()
             .collect::<Vec<_>>();
         let is_refused =
-            |tracked: &TrackedCrash| refused.binary_search(&tracked.crash.digest).is_ok();
+            |tracked: &TrackedCrash| refused.binary_search(&tracked.crash.attribute).is_ok();
         let oldest = |crashes: &[TrackedCrash], any: bool| {
             let evictable = crashes.iter().filter(|tracked| any || !is_refused(tracked));
             evictable.map(|tracked| tracked.crash.at).min()
@@ -160,14 +166,64 @@
             .retain(|tracked| tracked.crash.at != evicted_at || (is_refused(tracked) && !any));
     }
 
-    /// Crashes to send to other VMs: those sent least often, and of these the latest.
+    /// Crashes under bodies to send to other VMs: those sent least often, and of these the latest.
     ///
     /// If always the latest were sent, then after a crash of a zone's engines under more calls than a
     /// heartbeat holds, some crashes would never be sent, and each VM would lose upstreams to a call that
     /// is known to crash them.
-    pub fn next_to_send(&mut self, max: usize, now: Instant) -> Vec<Crash> {
-        let fresh = |tracked: &&mut TrackedCrash| now.since(tracked.crash.at) < SEND_PERIOD;
-        let mut fresh = self.crashes.iter_mut().filter(fresh).collect::<Vec<_>>();
+    pub fn next_to_send(&mut self, max: usize, now: Instant) -> Vec<BodyCrash> {
+        let is_body = |tracked: &TrackedCrash| tracked.body().is_some();
+        let next = self.take_next(max, is_body, now);
+        let crashes = next.into_iter().filter_map(|crash| {
+            let CallAttribute::Body(digest) = crash.attribute else {
+                return None;
+            };
+            Some(BodyCrash {
+                digest,
+                upstream: crash.upstream,
+                cleared: crash.cleared,
+                phase: crash.phase,
+            })
+        });
+        crashes.collect()
+    }
+
+    /// Crashes under parts to send to other VMs, each a limited number of times.
+    pub fn next_parts_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
+        let is_due = |tracked: &TrackedCrash| {
+            tracked.body().is_none() && tracked.times_sent < SENDS_PER_PART_CRASH
+        };
+        let next = self.take_next(max, is_due, now);
+        let crashes = next.iter().filter_map(|crash| PartCrash::new(crash, now));
+        crashes.collect()
+    }
+
+    /// The latest crashes of one blamed part, of each in turn, for VMs that may have started since.
+    pub fn next_evidence(&mut self, now: Instant) -> Vec<PartCrash> {
+        if self.blamed.is_empty() {
+            return Vec::new();
+        }
+        self.next_evidence = (self.next_evidence + 1) % self.blamed.len();
+        let part = self.blamed[self.next_evidence].part.clone();
+        let attribute = CallAttribute::Part(part);
+        let mut crashes = self.active_crashes(&attribute, now).collect::<Vec<_>>();
+        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at));
+        let latest = crashes.into_iter().take(MAX_EVIDENCE);
+        latest
+            .filter_map(|crash| PartCrash::new(crash, now))
+            .collect()
+    }
+
+    fn take_next(
+        &mut self,
+        max: usize,
+        is_due: impl Fn(&TrackedCrash) -> bool,
+        now: Instant,
+    ) -> Vec<Crash> {
+        let is_fresh = |tracked: &&mut TrackedCrash| {
+            now.since(tracked.crash.at) < SEND_PERIOD && is_due(tracked)
+        };
+        let mut fresh = self.crashes.iter_mut().filter(is_fresh).collect::<Vec<_>>();
         fresh.sort_by_key(|tracked| (tracked.times_sent, std::cmp::Reverse(tracked.crash.at)));
         fresh.truncate(max);
         fresh
@@ -179,42 +235,125 @@
             .collect()
     }
 
-    /// Records that a call received a complete response. Its crashes are kept, because otherwise the same
-    /// crashes would count as new when other VMs report them.
+    /// Records that a call with this body received a complete response. Its crashes are kept, because otherwise the
+    /// same crashes would count as new when other VMs report them.
     pub fn record_complete_response(&mut self, digest: u64) {
-        let range = self.range(digest);
+        let range = self.range(&CallAttribute::Body(digest));
         for tracked in &mut self.crashes[range] {
             tracked.clear();
         }
     }
 
-    /// Number of upstreams that crashed while running a call, without the crashes that are explained by a
-    /// call refused earlier.
+    /// Records that a run of a call that began to produce events at `began` got past the point at which a call crashes
+    /// its upstream. So none of its parts is the cause of an earlier crash. Returns whether crashes were cleared.
+    pub fn record_clean_run(&mut self, call: &CallAttributes, began: Instant) -> bool {
+        let mut cleared = false;
+        for part in call.parts.iter() {
+            self.clean_runs.record(part, began);
+            let range = self.range(&CallAttribute::Part(part.clone()));
+            for tracked in &mut self.crashes[range] {
+                if tracked.crash.at <= began {
+                    cleared |= tracked.clear();
+                }
+            }
+        }
+        cleared
+    }
+
+    /// Determines which parts crash upstreams; returns what has changed. To be called after each change of what is
+    /// recorded.
+    pub fn update_blame(&mut self, now: Instant) -> Vec<BlameChange> {
+        let counted = self
+            .crashes
+            .iter()
+            .filter(|tracked| tracked.body().is_none() && tracked.counts(now))
+            .map(|tracked| &tracked.crash)
+            .collect::<Vec<_>>();
+        let blamed = blamed_parts(&counted, |part| self.clean_runs.count(part, now));
+        let before = std::mem::replace(&mut self.blamed, blamed);
+        let is_in =
+            |parts: &[BlamedPart], part| parts.binary_search_by(|b| b.part.cmp(part)).is_ok();
+        let new = self.blamed.iter().filter(|new| !is_in(&before, &new.part));
+        let new = new.cloned().map(BlameChange::Blamed);
+        let cleared = before.iter().filter(|old| !is_in(&self.blamed, &old.part));
+        let cleared = cleared.map(|old| BlameChange::Cleared(old.part.clone()));
+        new.chain(cleared).collect()
+    }
+
+    /// Number of parts that crash upstreams.
+    #[must_use]
+    pub fn blamed_count(&self) -> usize {
+        self.blamed.len()
+    }
+
+    /// Whether a call that arrives may be sent.
+    #[must_use]
+    pub fn verdict(&self, call: &CallAttributes, now: Instant) -> CrashVerdict {
+        let crashes = self.crash_count(call.body, now);
+        if crashes >= MAX_CRASHES_PER_BODY {
+            return CrashVerdict::Refused(CrashRefusal {
+                attribute: CallAttribute::Body(call.body),
+                crashes,
+                blocked_for: CRASH_TTL,
+            });
+        }
+        let blamed = call.parts.iter().filter_map(|part| self.blamed(part));
+        let Some(blamed) = blamed.max_by_key(|blamed| blamed.blocked_for(now)) else {
+            return CrashVerdict::Admitted;
+        };
+        match blamed.trial_slot(now) {
+            Some(slot) if !self.was_tried(&blamed.part, now) => CrashVerdict::Trial {
+                part: blamed.part.clone(),
+                slot,
+            },
+            _ => CrashVerdict::Refused(CrashRefusal {
+                attribute: CallAttribute::Part(blamed.part.clone()),
+                crashes: blamed.crashes,
+                blocked_for: blamed.blocked_for(now),
+            }),
+        }
+    }
+
+    /// Records that this VM tries a call with a blamed part.
+    pub fn record_trial(&mut self, part: PartId, now: Instant) {
+        self.trials
+            .retain(|(known, at)| *known != part && now.since(*at) < PART_CRASH_TTL);
+        self.trials.push((part, now));
+    }
+
+    fn was_tried(&self, part: &PartId, now: Instant) -> bool {
+        let mut trials = self.trials.iter();
+        trials.any(|(known, at)| known == part && now.since(*at) < TrialSlot::LENGTH)
+    }
+
+    /// Number of upstreams that crashed while running a call with this body, without the crashes that another
+    /// attribute refused earlier explains.
     #[must_use]
     pub fn crash_count(&self, digest: u64, now: Instant) -> usize {
         self.unexplained_crashes(digest, now).count()
     }
 
-    /// Number of upstreams that crashed while running a call and whose crashes do not count, because a call
-    /// refused earlier explains them.
+    /// Number of upstreams that crashed while running a call with this body and whose crashes do not count.
     #[must_use]
     pub fn explained_count(&self, digest: u64, now: Instant) -> usize {
-        self.active_crashes(digest, now).count() - self.crash_count(digest, now)
+        let all = self.active_crashes(&CallAttribute::Body(digest), now);
+        all.count() - self.crash_count(digest, now)
     }
 
-    /// Whether a call is refused because of its crashes.
+    /// Whether calls with this body are refused because of its crashes.
     #[must_use]
     pub fn is_refused(&self, digest: u64, now: Instant) -> bool {
         self.crash_count(digest, now) >= MAX_CRASHES_PER_BODY
     }
 
-    /// Whether a call that was accepted is not sent to another upstream because of its crashes.
+    /// Whether a call that was accepted is not sent to another upstream because of the crashes under its body.
     #[must_use]
     pub fn forbids_resend(&self, digest: u64, now: Instant) -> bool {
         self.forbids_resend_with(digest, [], now)
     }
 
-    /// Whether a call would not be sent to another upstream if upstreams had also crashed in these phases.
+    /// Whether a call would not be sent to another upstream because of the crashes under its body, if upstreams had
+    /// also crashed in these phases.
     #[must_use]
     pub fn forbids_resend_with(
         &self,
@@ -229,10 +368,27 @@
         weight.sum::<usize>() >= RESEND_LIMIT
     }
 
-    /// Whether a crash of an upstream under a call is known.
+    /// The part because of which a call that was accepted is not sent to another upstream.
+    #[must_use]
+    pub fn blocked_part(&self, call: &CallAttributes, now: Instant) -> Option<&BlamedPart> {
+        let mut blamed = call.parts.iter().filter_map(|part| self.blamed(part));
+        blamed.find(|blamed| !blamed.blocked_for(now).is_zero())
+    }
+
+    /// Whether an upstream has crashed under a part of the call that is not blamed.
+    #[must_use]
+    pub fn has_suspect_part(&self, call: &CallAttributes, now: Instant) -> bool {
+        call.parts.iter().any(|part| {
+            let attribute = CallAttribute::Part(part.clone());
+            self.active_crashes(&attribute, now).next().is_some()
+        })
+    }
+
+    /// Whether a crash of an upstream under a call with this body is known.
     #[must_use]
     pub fn has_crash(&self, digest: u64, upstream: &UpstreamIncarnation) -> bool {
-        let key = (digest, upstream);
+        let attribute = CallAttribute::Body(digest);
+        let key = (&attribute, upstream);
         self.crashes
             .binary_search_by(|tracked| tracked.key().cmp(&key))
             .is_ok()
@@ -251,13 +407,23 @@
         })
     }
 
+    fn blamed(&self, part: &PartId) -> Option<&BlamedPart> {
+        let i = self
+            .blamed
+            .binary_search_by(|blamed| blamed.part.cmp(part))
+            .ok()?;
+        Some(&self.blamed[i])
+    }
+
     fn unexplained_crashes(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
-        let own_limit_at = self.limit_reached_at(digest, now);
-        self.active_crashes(digest, now)
+        let attribute = CallAttribute::Body(digest);
+        let own_limit_at = self.limit_reached_at(&attribute, now);
+        self.active_crashes(&attribute, now)
             .filter(move |crash| !self.is_explained_by_another(crash, own_limit_at, now))
     }
 
-    /// Whether a call that reached the limit earlier than this one ran on the same upstream.
+    /// Whether a call ran on the same upstream that has a blamed part, or whose body reached the limit earlier than
+    /// this one.
     fn is_explained_by_another(
         &self,
         crash: &Crash,
@@ -267,42 +433,82 @@
         self.crashes
             .iter()
             .map(|tracked| &tracked.crash)
-            .filter(|other| other.upstream == crash.upstream && other.digest != crash.digest)
-            .filter_map(|other| self.limit_reached_at(other.digest, now))
-            .any(|other| own_limit_at.is_none_or(|own| other < own))
+            .filter(|other| other.upstream == crash.upstream && other.attribute != crash.attribute)
+            .any(|other| match &other.attribute {
+                CallAttribute::Part(part) => self.blamed(part).is_some(),
+                body @ CallAttribute::Body(_) => {
+                    let limit_at = self.limit_reached_at(body, now);
+                    limit_at.is_some_and(|other| own_limit_at.is_none_or(|own| other < own))
+                }
+            })
     }
 
-    /// When the crashes under a call reached the limit, regardless of the calls that ran beside it.
-    fn limit_reached_at(&self, digest: u64, now: Instant) -> Option<Instant> {
-        let times = self.active_crashes(digest, now).map(|crash| crash.at);
+    /// When the crashes under a body reached the limit, regardless of the calls that ran beside it.
+    fn limit_reached_at(&self, body: &CallAttribute, now: Instant) -> Option<Instant> {
+        let times = self.active_crashes(body, now).map(|crash| crash.at);
         Instant::nth_smallest(times, MAX_CRASHES_PER_BODY)
     }
 
-    fn active_crashes(&self, digest: u64, now: Instant) -> impl Iterator<Item = &Crash> {
-        self.crashes[self.range(digest)]
+    fn active_crashes<'a>(
+        &'a self,
+        attribute: &CallAttribute,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Crash> + use<'a> {
+        self.crashes[self.range(attribute)]
             .iter()
+            .filter(move |tracked| tracked.counts(now))
             .map(|tracked| &tracked.crash)
-            .filter(move |crash| !crash.cleared && now.since(crash.at) < CRASH_TTL)
     }
 
-    /// Index range of a call's crashes.
-    fn range(&self, digest: u64) -> std::ops::Range<usize> {
+    /// Index range of the crashes under an attribute.
+    fn range(&self, attribute: &CallAttribute) -> std::ops::Range<usize> {
         let start = self
             .crashes
-            .partition_point(|tracked| tracked.crash.digest < digest);
+            .partition_point(|tracked| tracked.crash.attribute < *attribute);
         let end = self
             .crashes
-            .partition_point(|tracked| tracked.crash.digest <= digest);
+            .partition_point(|tracked| tracked.crash.attribute <= *attribute);
         start..end
     }
 }
 
+impl CallAttribute {
+    fn crash_ttl(&self) -> Duration {
+        match self {
+            Self::Body(_) => CRASH_TTL,
+            Self::Part(_) => PART_CRASH_TTL,
+        }
+    }
+}
+
 impl TrackedCrash {
-    fn key(&self) -> (u64, &UpstreamIncarnation) {
-        (self.crash.digest, &self.crash.upstream)
+    fn key(&self) -> (&CallAttribute, &UpstreamIncarnation) {
+        (&self.crash.attribute, &self.crash.upstream)
+    }
+
+    fn body(&self) -> Option<u64> {
+        match self.crash.attribute {
+            CallAttribute::Body(digest) => Some(digest),
+            CallAttribute::Part(_) => None,
+        }
+    }
+
+    fn counts(&self, now: Instant) -> bool {
+        !self.crash.cleared && now.since(self.crash.at) < self.crash.attribute.crash_ttl()
+    }
+
+    /// Adds what another report tells of the crash; returns whether that matters for a part.
+    fn merge(&mut self, other: &Crash) -> bool {
+        self.crash.phase = self.crash.phase.min(other.phase);
+        self.crash.position = self.crash.position.min(other.position);
+        let is_new = self.crash.bodies.merge(&other.bodies);
+        if is_new {
+            self.times_sent = 0;
+        }
+        is_new
     }
 
-    /// Marks the call as having received a complete response; returns whether that is new.
+    /// Marks the attribute as not having caused the crash; returns whether that is new.
     fn clear(&mut self) -> bool {
         let is_new = !self.crash.cleared;
         if is_new {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,8 +6,8 @@
 pub(crate) use {
     crate::claim_change::ConflictOutcome,
     crate::{
-        address_index::AddressIndex, call_table::CallTable, comparison_counter::ComparisonCounter,
-        lane_queue::LaneQueue,
+        address_index::AddressIndex, call_table::CallTable, clean_runs::CleanRuns,
+        comparison_counter::ComparisonCounter, lane_queue::LaneQueue, part_blame::blamed_parts,
     },
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
@@ -29,6 +29,7 @@
     admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePosition},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
+    body_tags::BodyTags,
     bundle::Bundle,
     bundle_author::BundleAuthor,
     bundle_change::{BundleChange, ChangeResult},
@@ -40,6 +41,8 @@
     bundle_version::BundleVersion,
     bundle_view::{BundleView, PEER_FALLBACK_DELAY},
     cached_prompts::{CACHE_REPORT_TTL, CachedPrompts, PROMPT_SEARCH_TIMEOUT, PromptPart},
+    call_attribute::CallAttribute,
+    call_attributes::CallAttributes,
     call_key::CallKey,
     call_kind::CallKind,
     call_limiter::{CallLimiter, CallLimiterSettings},
@@ -59,7 +62,9 @@
     concurrency_limit::{ConcurrencyLimit, ConcurrencyLimitConfig},
     config_sharing::link_carries_config,
     config_version::ConfigVersion,
-    crash_tracker::{Crash, CrashPhase, CrashTracker, MAX_CRASHES_PER_BODY},
+    crash::{Crash, CrashPhase},
+    crash_report::{BodyCrash, CrashReport, PartCrash},
+    crash_tracker::{BlameChange, CrashRefusal, CrashTracker, CrashVerdict, MAX_CRASHES_PER_BODY},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
@@ -107,6 +112,9 @@
     order_planner::OrderPlanner,
     order_scope::{EngineTarget, OrderScope, order_scopes},
     order_settings::OrderSettings,
+    part_blame::BlamedPart,
+    part_id::PartId,
+    part_trial::TrialSlot,
     path_rule::PathRule,
     peer_datagram::{Loan, LoanAsk, PeerDatagram},
     peer_entry::PeerEntry,
@@ -218,6 +226,7 @@
 mod admission_queue;
 mod attempt;
 mod availability_zone;
+mod body_tags;
 mod bundle;
 mod bundle_author;
 mod bundle_change;
@@ -229,6 +238,8 @@
 mod bundle_version;
 mod bundle_view;
 mod cached_prompts;
+mod call_attribute;
+mod call_attributes;
 mod call_key;
 mod call_kind;
 mod call_limiter;
@@ -244,10 +255,13 @@
 mod claim_token;
 mod claim_verdict;
 mod claimed;
+mod clean_runs;
 mod comparison_counter;
 mod concurrency_limit;
 mod config_sharing;
 mod config_version;
+mod crash;
+mod crash_report;
 mod crash_tracker;
 mod delivery;
 mod draft_id;
@@ -295,6 +309,9 @@
 mod order_planner;
 mod order_scope;
 mod order_settings;
+mod part_blame;
+mod part_id;
+mod part_trial;
 mod path_rule;
 mod peer_datagram;
 mod peer_entry;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -31,6 +31,9 @@
     /// The owner's reply to a rollout report: how many canary requests the VM may send.
     #[serde(rename = "g")]
     RolloutGrant(RolloutGrant),
+    /// Crashes of upstreams under parts of prompts.
+    #[serde(rename = "c")]
+    Crashes(CrashReport),
 }
 
 /// Requests a part of another VM's retry budget for a service.
--- a/crates/decisions/src/peer_heartbeat.rs
+++ b/crates/decisions/src/peer_heartbeat.rs
@@ -23,7 +23,7 @@
     pub suspects: Vec<UpstreamIncarnation>,
     /// Crashes of upstreams that the VM knows of, each with the digest of a call that was running.
     #[serde(rename = "c")]
-    pub crashes: Vec<Crash>,
+    pub crashes: Vec<BodyCrash>,
     /// A few of the other VMs that the VM has received heartbeats or advertisements of.
     #[serde(rename = "m")]
     pub members: Vec<MemberStatus>,
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -18,6 +18,8 @@
 pub enum RefusalReason {
     /// The caller disconnected while the request was queued.
     CallerLeft,
+    /// Upstreams crashed under other requests with a part of the same prompt.
+    CrashingPart,
     /// The request cannot start in time for its deadline.
     DeadlineTooNear,
     /// Too many requests with the same call key are in flight.
--- a/crates/decisions/tests/crash_tracker.rs
+++ b/crates/decisions/tests/crash_tracker.rs
@@ -16,13 +16,7 @@
 }
 
 fn crash(digest: u64, n: u64, seconds: u64) -> Crash {
-    Crash {
-        digest,
-        upstream: upstream(n),
-        at: at(seconds),
-        cleared: false,
-        phase: CrashPhase::BeforeEvent,
-    }
+    Crash::of_body(digest, upstream(n), CrashPhase::BeforeEvent, at(seconds))
 }
 
 fn tracker(crashes: impl IntoIterator<Item = Crash>) -> CrashTracker {
@@ -36,10 +30,7 @@
 /// Sends crashes from one VM to another, as a heartbeat does.
 fn send_crashes(from: &mut CrashTracker, to: &mut CrashTracker, seconds: u64) {
     for crash in from.next_to_send(12, at(seconds)) {
-        to.record_crash(Crash {
-            at: at(seconds),
-            ..crash
-        });
+        to.record_crash(crash.received(at(seconds)));
     }
 }
 
--- a/crates/decisions/tests/upstream_health.rs
+++ b/crates/decisions/tests/upstream_health.rs
@@ -91,13 +91,7 @@
 #[gtest]
 fn call_is_refused_after_three_crashes() {
     let mut tracker = CrashTracker::default();
-    let crash = |upstream: &str| Crash {
-        digest: 7,
-        upstream: id(upstream),
-        at: at(0),
-        cleared: false,
-        phase: CrashPhase::BeforeEvent,
-    };
+    let crash = |upstream: &str| Crash::of_body(7, id(upstream), CrashPhase::BeforeEvent, at(0));
 
     tracker.record_crash(crash("u1"));
     tracker.record_crash(crash("u2"));
@@ -117,13 +111,12 @@
 fn completed_call_is_cleared() {
     let mut tracker = CrashTracker::default();
     for upstream in ["u1", "u2", "u3"] {
-        tracker.record_crash(Crash {
-            digest: 7,
-            upstream: id(upstream),
-            at: at(0),
-            cleared: false,
-            phase: CrashPhase::BeforeEvent,
-        });
+        tracker.record_crash(Crash::of_body(
+            7,
+            id(upstream),
+            CrashPhase::BeforeEvent,
+            at(0),
+        ));
     }
 
     tracker.record_complete_response(7);
