Explain: from a call refused for a part of its prompt to the crashes under others

A call refused with the reason crashing_part has no crash of its own. The lines about a part name it as `cause`, and catkinctl explain shows them and the lost runs of other calls with the part, however long ago.

--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -86,6 +86,11 @@
         .iter()
         .map(|line| line.text("body"))
         .collect::<Vec<_>>();
+    let causes = request_lines
+        .iter()
+        .map(|line| line.text("cause"))
+        .filter(|cause| !cause.is_empty())
+        .collect::<Vec<_>>();
     let is_relevant = |line: &&LogLine| {
         let about_upstream = !line.text("upstream").is_empty()
             && line.text("request").is_empty()
@@ -95,7 +100,12 @@
         let about_body = !line.text("body").is_empty()
             && line.text("request").is_empty()
             && bodies.contains(&line.text("body"));
+        // What is known of a part may be much older than the request.
+        let about_cause = line.micros <= last.micros
+            && ((line.text("request").is_empty() && causes.contains(&line.text("cause")))
+                || causes.iter().any(|cause| line.lost_run_with(cause)));
         line.text("request") == request
+            || about_cause
             || (span.contains(&line.micros) && (about_upstream || about_body || about_process))
     };
     let mut text = String::new();
@@ -193,6 +203,18 @@
         self.text("message")
     }
 
+    /// Whether this line reports the loss of a run that had not produced an event, of a call with the part that
+    /// `cause` names.
+    fn lost_run_with(&self, cause: &str) -> bool {
+        let part = cause
+            .strip_prefix("part ")
+            .and_then(|c| c.split('@').next());
+        let mut parts = self.text("parts").split(',');
+        self.message() == "run of a stream lost"
+            && self.fields["produced_events"] == false
+            && part.is_some_and(|part| parts.any(|p| p == part))
+    }
+
     fn is_process_event(&self) -> bool {
         matches!(
             self.message(),
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -84,14 +84,15 @@
             CrashVerdict::Admitted => return Ok(()),
             CrashVerdict::Trial { part, slot } => {
                 let others = state.peers.live_names(now);
+                let attribute = CallAttribute::Part(part.clone());
                 if slot.is_of(&part, &self.settings.vm, &others) {
-                    tracing::warn!(request = %call.id, %part, slot = slot.0,
+                    tracing::warn!(request = %call.id, cause = %attribute, slot = slot.0,
                         "part that crashed upstreams is tried");
                     state.crashes.record_trial(part, now);
                     return Ok(());
                 }
                 CrashRefusal {
-                    attribute: CallAttribute::Part(part),
+                    attribute,
                     crashes: 0,
                     blocked_for: Duration::ZERO,
                 }
@@ -216,7 +217,7 @@
     }
 
     /// Applies crashes under parts of prompts that another VM reports.
-    pub(crate) fn receive_crashes(&self, report: CrashReport) {
+    pub fn receive_crashes(&self, report: CrashReport) {
         if report.vm == self.settings.vm {
             return;
         }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -232,14 +232,16 @@
         for change in &changes {
             match change {
                 BlameChange::Blamed(blamed) => {
-                    tracing::warn!(part = %blamed.part, crashes = blamed.crashes,
+                    let cause = CallAttribute::Part(blamed.part.clone());
+                    tracing::warn!(%cause, crashes = blamed.crashes,
                         clean_runs = blamed.clean_runs, age_ms = millis(now.since(blamed.since)),
                         last_crash_ms = millis(now.since(blamed.last_crash)),
                         blocked_ms = millis(blamed.blocked_for(now)),
                         "part crashes upstreams: calls with it are rejected from now on");
                 }
                 BlameChange::Cleared(part) => {
-                    tracing::warn!(%part, "part does not crash upstreams: calls with it are accepted");
+                    let cause = CallAttribute::Part(part.clone());
+                    tracing::warn!(%cause, "part does not crash upstreams: calls with it are accepted");
                 }
             }
         }
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -140,3 +140,31 @@
     expect_that!(text, contains_substring("rejected from now on body=0bb4"));
     expect_that!(text, not(contains_substring("ffff")));
 }
+
+/// Guards against a refusal that nobody can trace: the crashes under the part are of other requests, and long ago.
+#[gtest]
+fn refusal_for_a_crashing_part_shows_the_crashes() {
+    let crashes = (1..=3).map(|n| {
+        let lost = format!(
+            r#""message":"run of a stream lost","request":"other-{n}","upstream":"u{n}","parts":"shared,7a2","produced_events":false"#
+        );
+        line(n, &lost)
+    });
+    let beside = r#""message":"run of a stream lost","request":"beside","upstream":"u3","parts":"shared,b1","produced_events":false"#;
+    let blamed = r#""message":"part crashes upstreams: calls with it are rejected from now on","cause":"part 7a2@engines","crashes":3"#;
+    let refused = r#""message":"call refused: upstreams crashed under others like it","request":"r1","cause":"part 7a2@engines""#;
+    let rejected = r#""message":"request rejected locally","request":"r1","outcome":"not_run","reason":"crashing_part""#;
+    let log = crashes.collect::<String>()
+        + &line(3, beside)
+        + &line(3, blamed)
+        + &line(50, refused)
+        + &line(50, rejected);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    let text = text(&output);
+    expect_that!(text.matches("run of a stream lost").count(), eq(3));
+    expect_that!(text, contains_substring("part crashes upstreams"));
+    expect_that!(text, not(contains_substring("b1")));
+    expect_that!(text, contains_substring("not_run, crashing_part"));
+}
--- a/crates/catkinward/tests/gateway_poison.rs
+++ b/crates/catkinward/tests/gateway_poison.rs
@@ -2,8 +2,8 @@
 
 mod gateway_support;
 
-use catkin_decisions::{BodyCrash, CrashPhase, RefusalReason, UpstreamEntry};
-use catkinward::gateway::{Call, Reply, UpstreamCall};
+use catkin_decisions::{BodyCrash, CrashPhase, PromptPart, RefusalReason, UpstreamEntry};
+use catkinward::gateway::{Call, Prompt, Reply, UpstreamCall};
 use gateway_support::*;
 use googletest::prelude::*;
 use http::StatusCode;
@@ -369,3 +369,101 @@
     expect_that!(matches!(reply.await, Ok(Reply::Unknown)), eq(true));
     expect_that!(running.sent_to().len(), le(4));
 }
+
+/// Calls with different bodies, whose prompts share parts.
+fn call_with_part(running: &Running, n: usize, part: &str) -> Call {
+    let parts = ["shared", part, "own"].map(|id| PromptPart {
+        id: id.into(),
+        tokens: 200,
+    });
+    Call {
+        id: format!("call-{n}").parse().unwrap(),
+        body: format!("body {n}").into(),
+        prompt: Some(Prompt {
+            tokens: 600,
+            max_generated: 800,
+            parts: parts.into(),
+        }),
+        ..running.call("/stream/1")
+    }
+}
+
+/// A gateway whose engines crash under calls with the part `crashing`, and are back some seconds later.
+fn engines_that_crash_under_a_part() -> Running {
+    let engines = RestartingEngines::default();
+    let up = engines.clone();
+    let crashes = |call: &UpstreamCall| {
+        let prompt = call.call.prompt.as_ref().unwrap();
+        prompt.parts.iter().any(|part| &*part.id == "crashing")
+    };
+    many_engines(move |call| {
+        if !crashes(call) {
+            return Script::Stream(events(1, 60), End::Whole);
+        }
+        let wait = Duration::from_secs(1);
+        engines.crash_after(call, wait);
+        Script::Stream(vec![Part::Pause(wait)], End::Break)
+    })
+    .answers_probes(move |id| up.is_up(id))
+    .start()
+}
+
+/// Guards against requests whose bodies differ and whose prompts share a part that crashes engine after engine.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn part_that_crashes_engines_is_refused_whatever_the_body() {
+    let running = engines_that_crash_under_a_part();
+    for n in 0..2 {
+        let call = call_with_part(&running, n, "crashing");
+        let reply = running.gateway.handle(call).await;
+        expect_that!(matches!(reply, Reply::Unknown), eq(true));
+    }
+    let sends = running.sent_to().len();
+
+    let again = call_with_part(&running, 3, "crashing");
+    let again = running.gateway.handle(again).await;
+    let sound = call_with_part(&running, 4, "sound");
+    let sound = read_stream(running.gateway.handle(sound).await).await;
+
+    let Reply::NotRun { not_run } = again else {
+        panic!("{again:?}");
+    };
+    expect_that!(not_run.reason(), eq(RefusalReason::CrashingPart));
+    expect_that!(sends, le(4));
+    expect_that!(sound, eq(&(text(1, 60), true)));
+}
+
+/// Guards against a crash by a call that already waits in an engine when a part of its prompt is blamed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn waiting_call_is_withdrawn_when_a_part_of_its_prompt_is_blamed() {
+    let running = many_engines(|_| Script::Hang).start();
+    let waiting = call_with_part(&running, 0, "crashing");
+    let gateway = running.gateway.clone();
+    let reply = tokio::spawn(async move { gateway.handle(waiting).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    let service = ENGINES.parse().unwrap();
+    for n in 0..3 {
+        running.receive_crash_of_part(&service, "crashing", n);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let reply = tokio::time::timeout(Duration::from_millis(10), reply).await;
+
+    expect_that!(matches!(reply, Ok(Ok(Reply::Unknown))), eq(true));
+    expect_that!(running.sent_to().len(), eq(1));
+}
+
+/// Guards against refusing a part that a coincidence of crashes blamed, though its calls get past their beginning.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn calls_that_get_past_their_beginning_clear_their_parts() {
+    let running = many_engines(|_| Script::Stream(events(1, 60), End::Whole)).start();
+    let service = ENGINES.parse().unwrap();
+    for n in 0..6 {
+        running.receive_crash_of_part(&service, "shared", n);
+        let call = call_with_part(&running, n, "sound");
+        let stream = read_stream(running.gateway.handle(call).await).await;
+        expect_that!(stream, eq(&(text(1, 60), true)), "call {n}");
+    }
+}
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use catkin_decisions::{
-    BodyCrash, CallKind, CallerKey, CallerLimits, ConfigVersion, Instant, LinkRate, LoadSample,
-    PeerHeartbeat, Policy, ProcessStart, PromptPart, RolloutSettings, Route, RouteTable,
-    RouteTarget, RoutingConfig, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry,
-    ZoneGossip,
+    BodyCrash, CallAttributes, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash,
+    CrashReport, Instant, LinkRate, LoadSample, PartCrash, PartId, PeerHeartbeat, Policy,
+    ProcessStart, PromptPart, RolloutSettings, Route, RouteTable, RouteTarget, RoutingConfig,
+    ServiceId, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry, ZoneGossip,
 };
 use catkinward::{
     Timer,
@@ -289,6 +289,21 @@
         });
     }
 
+    /// Delivers a report of another VM that an engine crashed under a call with this part.
+    pub fn receive_crash_of_part(&self, service: &ServiceId, part: &str, n: usize) {
+        let upstream = format!("other-engine-{n}").parse().unwrap();
+        let body = 1000 + u64::try_from(n).unwrap();
+        let call = CallAttributes::new(body, [PartId::new(service, part)]);
+        let now = self.timer.now();
+        let crashes = Crash::of_parts(&call, &upstream, now);
+        self.gateway.receive_crashes(CrashReport {
+            vm: "vm-2".into(),
+            parts: crashes
+                .filter_map(|crash| PartCrash::new(&crash, now))
+                .collect(),
+        });
+    }
+
     pub fn receive_heartbeat(&self, heartbeat: PeerHeartbeat) {
         self.gateway
             .receive_heartbeat(heartbeat, ([127, 0, 0, 2], 9).into());
--- a/crates/decisions/tests/part_fleet_support/mod.rs
+++ b/crates/decisions/tests/part_fleet_support/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each user of the module uses its part of it")]
 
 use catkin_decisions::{
-    CallAttributes, Crash, CrashReport, CrashTracker, CrashVerdict, Instant, PartCrash, PartId, ServiceId,
-    UpstreamIncarnation,
+    CallAttributes, Crash, CrashReport, CrashTracker, CrashVerdict, Instant, PartCrash, PartId,
+    ServiceId, UpstreamIncarnation,
 };
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
