--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -31,7 +31,7 @@
 const PART_CRASH_TTL: Duration = Duration::from_secs(1800);
 
 /// Number of times that a crash under a part is sent to other VMs.
-const SENDS_PER_PART_CRASH: u32 = 12;
+const SENDS_PER_PART_CRASH: u32 = 5;
 
 /// Number of crashes of a blamed part that are sent to VMs that may have started since.
 const MAX_EVIDENCE: usize = 6;
