Tests: sound requests beside outages are counted also if no part crashes engines

The count of sound requests began after the first crash under a part, so that the scenario without such a part counted none.

--- a/crates/decisions/examples/part_fleet.rs
+++ b/crates/decisions/examples/part_fleet.rs
@@ -10,7 +10,7 @@
 fn main() {
     let base = Scenario::default();
     println!(
-        "scenario\tengines lost, mean and most\tlate sends, most\tdays over three\tsound begun, least share\tbytes/s"
+        "scenario\tengines lost, mean and most\tlate sends, most\tdays over three\tsound begun, least\tsound refused, mean\tbytes/s"
     );
     for vms in [8, 60, 400, 1000] {
         show(&format!("{vms} VMs"), Scenario { vms, ..base });
@@ -78,5 +78,9 @@
     let least = shares.map(|day| 100 * day.sound_begun / day.sound).min();
     let bytes = days.iter().map(|day| day.report_bytes / 60).sum::<usize>() / days.len();
     let least = least.map_or_else(|| "-".to_owned(), |share| format!("{share} %"));
-    println!("{name}\t{mean}, {most}\t{most_late}\t{over} of {seeds}\t{least}\t{bytes}");
+    let sound = days.iter().map(|day| day.all_sound).sum::<usize>();
+    let refused = days.iter().map(|day| day.sound_refused).sum::<usize>();
+    let tenths = 1000 * refused / sound;
+    let refused = format!("{}.{} %", tenths / 10, tenths % 10);
+    println!("{name}\t{mean}, {most}\t{most_late}\t{over} of {seeds}\t{least}\t{refused}\t{bytes}");
 }
--- a/crates/decisions/tests/part_fleet_support/mod.rs
+++ b/crates/decisions/tests/part_fleet_support/mod.rs
@@ -80,6 +80,9 @@
     /// First attempts with sound prompts from two stable windows after the fifth crash on, and those that began.
     pub sound: usize,
     pub sound_begun: usize,
+    /// Sound first attempts of the whole day, and those refused for a part.
+    pub all_sound: usize,
+    pub sound_refused: usize,
     /// Bytes of crash reports that a VM sent on average.
     pub report_bytes: usize,
 }
@@ -178,6 +181,7 @@
     sound: Vec<(u64, bool)>,
     next_body: u64,
     report_bytes: usize,
+    sound_refused: usize,
 }
 
 impl Fleet {
@@ -207,6 +211,7 @@
             sound: Vec::new(),
             next_body: 0,
             report_bytes: 0,
+            sound_refused: 0,
         }
     }
 
@@ -411,6 +416,7 @@
             blocked.is_some() || call.sends >= MAX_SENDS
         };
         if is_refused {
+            self.sound_refused += usize::from(is_new && call.sound_index.is_some());
             return;
         }
         let up = (0..self.engines.len())
@@ -488,12 +494,13 @@
             };
             fifth(part).map_or(0, late)
         });
-        // The last crash if there are fewer than five.
+        // From the last crash on if there are fewer than five, and all day long if there is none.
         let known = |part: usize| fifth(part).or_else(|| self.crashes[part].last().copied());
         let from = (0..self.scenario.crashing).filter_map(known).max();
+        let from = from.map_or(0, |from| from + 2 * window);
         let late_sound = self.sound.iter().filter(|(at, _)| {
             // Runs of the last seconds have not got past their beginning.
-            from.is_some_and(|from| *at > from + 2 * window) && *at < DAY_MS - 6_000
+            *at > from && *at < DAY_MS - 6_000
         });
         let late_sound = late_sound.collect::<Vec<_>>();
         Day {
@@ -501,6 +508,8 @@
             crashes: self.crashes.iter().map(Vec::len).collect(),
             sound: late_sound.len(),
             sound_begun: late_sound.iter().filter(|(_, begun)| *begun).count(),
+            all_sound: self.sound.len(),
+            sound_refused: self.sound_refused,
             report_bytes: self.report_bytes / self.vms.len(),
         }
     }
