Streams: one without length and chunks that ends before its first event was broken off

A response may end with its connection. If an engine crashes after the head and its connection is closed in order, such a stream had no event, and the caller got a complete, empty one.

--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -65,8 +65,8 @@
     send_path::ConnectionPermit,
     table_transfer::decode_table_transfer,
     upstream_transport::{
-        BodyError, CopyError, CopySource, HealthProbe, HealthReport, KvCopyRequest, ResponseBody,
-        SendError, UpstreamCall, UpstreamResponse, UpstreamTransport,
+        BodyEnd, BodyError, CopyError, CopySource, HealthProbe, HealthReport, KvCopyRequest,
+        ResponseBody, SendError, UpstreamCall, UpstreamResponse, UpstreamTransport,
     },
 };
 
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -79,6 +79,7 @@
     pub(super) body: ResponseBody,
     pub(super) splitter: EventSplitter,
     pub(super) progress: RunProgress,
+    pub(super) body_end: BodyEnd,
     /// Time of the last received data.
     pub(super) last_data_at: tokio::time::Instant,
 }
@@ -103,7 +104,7 @@
     Broken,
     /// The upstream did not answer a health check.
     Silent,
-    /// The stream ended within an event, or its data could not be split into events.
+    /// The stream ended within an event, or before the first one, or its data could not be split into events.
     Torn,
     /// The run skipped events.
     Gap,
@@ -173,7 +174,7 @@
             }
             match self.receive().await {
                 Received::Bytes(bytes) => self.push(&bytes)?,
-                Received::End if self.has_incomplete_event() => self.lose_active_run(Loss::Torn)?,
+                Received::End if self.is_broken_off() => self.lose_active_run(Loss::Torn)?,
                 Received::End => {
                     self.complete_stream();
                     return Ok(None);
@@ -284,10 +285,13 @@
         }
     }
 
-    fn has_incomplete_event(&self) -> bool {
-        self.active
-            .as_ref()
-            .is_some_and(|active| active.splitter.has_incomplete_event())
+    /// Whether the active run, whose body has ended, was broken off: within an event, or before the first one if
+    /// only the end of the connection ended the body.
+    fn is_broken_off(&self) -> bool {
+        self.active.as_ref().is_some_and(|active| {
+            active.splitter.has_incomplete_event()
+                || (active.body_end == BodyEnd::Connection && !active.progress.has_events())
+        })
     }
 
     fn record_delivery(&mut self) {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -273,6 +273,7 @@
             body: response.body,
             splitter: EventSplitter::default(),
             progress: RunProgress::default(),
+            body_end: response.body_end,
             last_data_at: tokio::time::Instant::now(),
         });
         Ok(true)
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -151,10 +151,21 @@
     pub load: Option<LoadSample>,
     /// Requests per second that the upstream takes from all VMs together, if the response names such a limit.
     pub limit: Option<Result<RequestRate, RequestRateError>>,
+    /// What ends the body.
+    pub body_end: BodyEnd,
     /// Body of the response.
     pub body: ResponseBody,
 }
 
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// Its length, or its last chunk.
+    Framing,
+    /// The end of the connection, since the response has neither a length nor chunks.
+    Connection,
+}
+
 /// Body of an upstream's response.
 pub type ResponseBody = BoxStream<'static, Result<Bytes, BodyError>>;
 
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -165,6 +165,7 @@
 
 fn response(status: StatusCode, body: ResponseBody) -> UpstreamResponse {
     UpstreamResponse {
+        body_end: catkinward::gateway::BodyEnd::Framing,
         status,
         headers: HeaderMap::new(),
         signed: true,
