Callers' connections: a crowded VM keeps descriptors for its upstreams and closes further connections unread

For some seconds one VM may get most new connections of a zone. Callers then took all its descriptors: it read requests, reached no upstream and answered 503, or accepted nothing for seconds, also when most connections were idle.

Processor time of a crowded VM was not examined.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -220,6 +220,14 @@
         reply
     }
 
+    /// Records that a caller's connection was closed unread, because there is no room for it beside the `open` ones.
+    pub fn caller_connection_rejected(&self, open: usize) {
+        metrics::counter!("catkin_caller_connections_rejected_total").increment(1);
+        if self.log.admits(LineKind::Limited, self.timer.now()) {
+            tracing::warn!(open, "caller's connection closed unread: no room for it");
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the current one; returns whether it is.
     pub fn put_config(&self, config: Arc<RoutingConfig>) -> bool {
         let version = config.version;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -46,6 +46,7 @@
     call_key::CallKey,
     call_kind::CallKind,
     call_limiter::{CallLimiter, CallLimiterSettings},
+    caller_connection_limit::{CallerConnectionLimit, ConnectionAdmission},
     candidate::Candidate,
     capacity_share::CapacityShare,
     chain_id::ChainId,
@@ -244,6 +245,7 @@
 mod call_kind;
 mod call_limiter;
 mod call_table;
+mod caller_connection_limit;
 mod candidate;
 mod capacity_share;
 mod chain_id;
