Upstreams that are brittle get no requests that they would have to reject

An upstream in need may say in its responses how many rejections a second it bears (Server-Brittle); nothing read it, and each VM went on sending until the upstream rejected, so that it would fall over. While an upstream says so, each VM now uses a part of its slots, others only while a report of the last 300 ms says that half are free, and pauses after a rejection so that all VMs together cause half of what it bears at most.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -202,6 +202,8 @@
             let response = (gateway.transport.send)(call).await?;
             gateway.upstream_responded_over(path, entry, response.load);
             gateway.limit_stated(entry, response.limit);
+            let rejected = response.not_executed && !response.other_incarnation;
+            gateway.brittleness_stated(entry, response.bearable_rejections, rejected);
             collect(response).await
         };
         let mut response = pin!(response);
--- a/crates/catkinward/src/gateway/limits.rs
+++ b/crates/catkinward/src/gateway/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that upstreams state in their responses, and this VM's part of each.
+//! Limits that upstreams state in their responses, this VM's part of each, and upstreams that bear few rejections.
 
 use super::{accepted_call::AcceptedCall, reply_log::millis, *};
 
@@ -52,6 +52,26 @@
         self.apply_limit(entry, LimitStatement { limit, at }, "response");
     }
 
+    /// Records whether the response of an upstream says that it is brittle, and whether it rejected the request.
+    pub(crate) fn brittleness_stated(
+        &self,
+        entry: &Arc<UpstreamEntry>,
+        bearable: Option<u32>,
+        rejected: bool,
+    ) {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let brittleness = &mut state.upstream(entry, now).brittleness;
+        if rejected {
+            brittleness.record_rejection(now);
+        }
+        let changed = brittleness.apply(bearable);
+        drop(state);
+        if changed && self.log.admits(LineKind::Belief, now) {
+            tracing::info!(upstream = %entry.id, bearable, "brittleness of an upstream");
+        }
+    }
+
     /// Applies what another VM relays of an upstream's limit.
     pub(crate) fn limit_relayed(&self, relayed: &PeerLimit) {
         let now = self.timer.now();
@@ -123,6 +143,24 @@
         state: &mut GatewayState,
         accepted: &AcceptedCall,
         now: Instant,
+    ) -> Vec<UpstreamIncarnation> {
+        let mut full = state.brittle_without_room(&accepted.service, now);
+        full.extend(self.limited_without_room(state, accepted, now));
+        if !full.is_empty() {
+            metrics::counter!("catkin_limited_choices_total").increment(1);
+            if self.log.admits(LineKind::Limited, now) {
+                tracing::info!(request = %accepted.call.id, reason = "limit",
+                    upstreams = full.len(), "upstreams left out of the choice");
+            }
+        }
+        full
+    }
+
+    fn limited_without_room(
+        &self,
+        state: &mut GatewayState,
+        accepted: &AcceptedCall,
+        now: Instant,
     ) -> Vec<UpstreamIncarnation> {
         let service = &accepted.service;
         if state.limited_upstreams(service).next().is_none() {
@@ -139,15 +177,7 @@
             let has_room = upstream.limit.has_room(&part, &request);
             (!has_room).then(|| upstream.id.clone())
         });
-        let full = full.collect::<Vec<_>>();
-        if !full.is_empty() {
-            metrics::counter!("catkin_limited_choices_total").increment(1);
-            if self.log.admits(LineKind::Limited, now) {
-                tracing::info!(request = %accepted.call.id, reason = "limit",
-                    upstreams = full.len(), "upstreams left out of the choice");
-            }
-        }
-        full
+        full.collect()
     }
 
     /// Takes room for a call on an upstream that is selected for other reasons; returns whether there was any.
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -77,6 +77,7 @@
     pub(crate) health: UpstreamHealth,
     pub(crate) load: UpstreamLoad,
     pub(crate) limit: UpstreamLimit,
+    pub(crate) brittleness: Brittleness,
     /// Counts how often the calls on the upstream were failed over.
     pub(crate) failed_over: watch::Sender<u64>,
 }
@@ -264,6 +265,7 @@
                     health: UpstreamHealth::new(now),
                     load: UpstreamLoad::default(),
                     limit: UpstreamLimit::default(),
+                    brittleness: Brittleness::default(),
                     failed_over: watch::Sender::new(0),
                 };
                 self.upstreams.insert(index, upstream);
@@ -377,6 +379,27 @@
             .filter(|u| u.entry.service == *service && u.limit.limit().is_some())
     }
 
+    /// Upstreams of a service that are brittle and must not get a request now.
+    pub(crate) fn brittle_without_room(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> Vec<UpstreamIncarnation> {
+        let brittle = self.upstreams.iter().filter(|upstream| {
+            upstream.entry.service == *service && upstream.brittleness.bearable().is_some()
+        });
+        let mut vms = None;
+        let full = brittle.filter(|upstream| {
+            let vms = *vms.get_or_insert_with(|| self.peers.live_count(now) + 1);
+            let vms = u32::try_from(vms).unwrap_or(u32::MAX);
+            let slots = upstream.entry.slots;
+            !upstream
+                .brittleness
+                .has_room(slots, &upstream.load, vms, now)
+        });
+        full.map(|upstream| upstream.id.clone()).collect()
+    }
+
     /// Upstreams of a service that may be selected.
     fn eligible(
         &self,
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -244,6 +244,9 @@
         self.gateway
             .upstream_responded_over(guard.path, &entry, response.load);
         self.gateway.limit_stated(&entry, response.limit);
+        let rejected = response.not_executed && !response.other_incarnation;
+        self.gateway
+            .brittleness_stated(&entry, response.bearable_rejections, rejected);
         if response.other_incarnation || response.not_executed {
             if response.other_incarnation {
                 self.gateway.upstream_replaced(&entry, response.incarnation);
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -151,6 +151,8 @@
     pub load: Option<LoadSample>,
     /// Requests per second that the upstream takes from all VMs together, if the response names such a limit.
     pub limit: Option<Result<RequestRate, RequestRateError>>,
+    /// Rejections a second that the upstream bears, if the response says that it is brittle.
+    pub bearable_rejections: Option<u32>,
     /// What ends the body.
     pub body_end: BodyEnd,
     /// Body of the response.
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -165,6 +165,7 @@
 
 fn response(status: StatusCode, body: ResponseBody) -> UpstreamResponse {
     UpstreamResponse {
+        bearable_rejections: None,
         body_end: catkinward::gateway::BodyEnd::Framing,
         status,
         headers: HeaderMap::new(),
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -30,6 +30,7 @@
     attempt::Attempt,
     availability_zone::AvailabilityZone,
     body_tags::BodyTags,
+    brittleness::Brittleness,
     bundle::Bundle,
     bundle_author::BundleAuthor,
     bundle_change::{BundleChange, ChangeResult},
@@ -228,6 +229,7 @@
 mod attempt;
 mod availability_zone;
 mod body_tags;
+mod brittleness;
 mod bundle;
 mod bundle_author;
 mod bundle_change;
--- a/crates/decisions/src/upstream_load.rs
+++ b/crates/decisions/src/upstream_load.rs
@@ -81,11 +81,15 @@
     /// Number of calls there from all VMs, as far as known.
     #[must_use]
     pub fn calls(&self, now: Instant) -> u32 {
-        let others = self
-            .others
-            .filter(|(_, at)| now.since(*at) < REPORT_MAX_AGE)
-            .map_or(0, |(others, _)| others);
-        self.own_calls + others
+        let reported = self.calls_reported_within(REPORT_MAX_AGE, now);
+        reported.unwrap_or(self.own_calls)
+    }
+
+    /// Number of calls there from all VMs, if the upstream has reported it within `max_age`.
+    #[must_use]
+    pub fn calls_reported_within(&self, max_age: Duration, now: Instant) -> Option<u32> {
+        let (others, at) = self.others?;
+        (now.since(at) < max_age).then_some(self.own_calls + others)
     }
 
     /// Number of calls of this VM there.
