Crash reports: VMs that start learn of bodies that were refused long before

A crash under a body was sent to other VMs for 20 s. A VM that started later knew nothing of a refused body and lost three engines to it, each such VM anew. The crashes of one refused body after the other are now part of the heartbeats as long as the body is refused, with their age, so that they expire at all VMs together. refused_bodies_are_known_to_vms_that_start_later failed before. Heartbeats grow by three crashes at most, and only while a body is refused; earlier versions ignore the age.

--- a/crates/catkinward/tests/gateway_poison.rs
+++ b/crates/catkinward/tests/gateway_poison.rs
@@ -57,6 +57,7 @@
                 upstream: format!("plain-{n}").parse().unwrap(),
                 cleared: false,
                 phase: CrashPhase::BeforeEvent,
+                age_ms: 0,
             };
             running.receive_crash(n, crash);
         }
@@ -229,6 +230,7 @@
             upstream: format!("engine-{n}").parse().unwrap(),
             cleared: false,
             phase: CrashPhase::BeforeEvent,
+            age_ms: 0,
         };
         running.receive_crash(n, crash);
     }
@@ -330,6 +332,7 @@
             upstream: n.parse().unwrap(),
             cleared: false,
             phase: CrashPhase::BeforeEvent,
+            age_ms: 0,
         };
         running.receive_crash(1, crash);
         tokio::time::sleep(Duration::from_millis(2)).await;
--- a/crates/decisions/src/crash_report.rs
+++ b/crates/decisions/src/crash_report.rs
@@ -17,19 +17,31 @@
         skip_serializing_if = "CrashPhase::is_before_event"
     )]
     pub phase: CrashPhase,
+    /// Milliseconds since the crash; 0 for a recent one.
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
+    pub age_ms: u32,
 }
 
 impl BodyCrash {
-    /// The crash, as learned at `now`.
+    /// The crash, as received at `now`.
     #[must_use]
     pub fn received(self, now: Instant) -> Crash {
+        let at = now.before(Duration::from_millis(self.age_ms.into()));
         Crash {
             cleared: self.cleared,
-            ..Crash::of_body(self.digest, self.upstream, self.phase, now)
+            ..Crash::of_body(self.digest, self.upstream, self.phase, at)
         }
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(age_ms: &u32) -> bool {
+    *age_ms == 0
+}
+
 /// Crashes under parts of prompts, sent to other VMs beside the heartbeats.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -48,6 +48,8 @@
     trials: Vec<(PartId, Instant)>,
     /// Number of the next blamed part whose evidence is sent.
     next_evidence: usize,
+    /// The refused body whose crashes were sent last to VMs that may have started since.
+    last_refused: u64,
 }
 
 /// Why a call is refused.
@@ -173,7 +175,13 @@
     /// is known to crash them.
     pub fn next_to_send(&mut self, max: usize, now: Instant) -> Vec<BodyCrash> {
         let is_body = |tracked: &TrackedCrash| tracked.body().is_some();
-        let next = self.take_next(max, is_body, now);
+        let mut next = self.take_next(max, is_body, now);
+        for crash in &mut next {
+            // Only crashes that are sent again have an age: a short one makes no difference for a body.
+            crash.at = now;
+        }
+        let room = max - next.len();
+        next.extend(self.next_refused(now).into_iter().take(room));
         let crashes = next.into_iter().filter_map(|crash| {
             let CallAttribute::Body(digest) = crash.attribute else {
                 return None;
@@ -183,11 +191,32 @@
                 upstream: crash.upstream,
                 cleared: crash.cleared,
                 phase: crash.phase,
+                age_ms: u32::try_from(now.since(crash.at).as_millis()).unwrap_or(u32::MAX),
             })
         });
         crashes.collect()
     }
 
+    /// Crashes of a refused body that are not sent otherwise any more, of each body in turn.
+    fn next_refused(&mut self, now: Instant) -> Vec<Crash> {
+        let refused = self
+            .crashes
+            .chunk_by(|a, b| a.crash.attribute == b.crash.attribute)
+            .filter_map(|same| same[0].body())
+            .filter(|body| {
+                let limit_at = self.limit_reached_at(&CallAttribute::Body(*body), now);
+                limit_at.is_some_and(|at| now.since(at) >= SEND_PERIOD)
+            })
+            .collect::<Vec<_>>();
+        let after = refused.partition_point(|body| *body <= self.last_refused);
+        let Some(body) = refused.get(after).or(refused.first()) else {
+            return Vec::new();
+        };
+        self.last_refused = *body;
+        let crashes = self.active_crashes(&CallAttribute::Body(*body), now);
+        crashes.take(MAX_CRASHES_PER_BODY).cloned().collect()
+    }
+
     /// Crashes under parts to send to other VMs, each a limited number of times.
     pub fn next_parts_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
         let is_due = |tracked: &TrackedCrash| {
--- a/crates/decisions/tests/crash_tracker.rs
+++ b/crates/decisions/tests/crash_tracker.rs
@@ -183,6 +183,21 @@
     expect_that!(tracker.forbids_resend(HARMLESS, at(9)), eq(true));
 }
 
+/// Guards against a VM that has started since a body was refused and loses three engines to it.
+#[gtest]
+fn refused_bodies_are_known_to_vms_that_start_later() {
+    let mut tracker = tracker((0..3).map(|n| crash(CRASHING, n, n)));
+    tracker.record_crash(crash(HARMLESS, 7, 1));
+    let mut other = CrashTracker::default();
+
+    for _ in 0..2 {
+        send_crashes(&mut tracker, &mut other, 300);
+    }
+
+    expect_that!(other.is_refused(CRASHING, at(301)), eq(true));
+    expect_that!(other.crash_count(HARMLESS, at(301)), eq(0));
+}
+
 /// Guards against a crash of many engines under thousands of calls, which evicted the crashes of a refused body.
 #[gtest]
 fn crash_of_many_engines_does_not_clear_a_refused_body() {
