Crashes by attribute: resends wait for a check only if one more crash may blame a part

A stream whose connection broke waited for a health check before its resend if any crash was known under a part of its prompt, also under a first part that all requests of a route share. It now waits only if one more crash may be enough, as for bodies. A crash that was cleared no longer explains others. The verdict types have a file of their own.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -365,7 +365,7 @@
             .record_call(&self.settings.retry_budget, now);
         state.demand(&service).record_call(now);
         let attributes = call.attributes(team.as_ref(), &service);
-        self.admit_despite_crashes(&mut state, call, &attributes, now)?;
+        self.check_crashes(&mut state, call, &attributes, now)?;
         if !self.accepts(route.timeout) {
             return Err(refused(call, RefusalReason::ShuttingDown, SHUTDOWN_RETRY_DELAY).into());
         }
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -67,13 +67,13 @@
         !self.runs.is_empty()
             && !crashes.forbids_resend(body, now)
             && (crashes.forbids_resend_with(body, phases, now)
-                || crashes.has_suspect_part(&self.call, now))
+                || crashes.is_near_blame(&self.call, now))
     }
 }
 
 impl Gateway {
-    /// Admits a call that arrives, unless upstreams crashed under its body or a part of its prompt.
-    pub(crate) fn admit_despite_crashes(
+    /// Refuses a call that arrives if upstreams crashed under its body or a part of its prompt, unless it is a trial.
+    pub(crate) fn check_crashes(
         &self,
         state: &mut GatewayState,
         call: &Call,
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -44,7 +44,7 @@
     clean_runs: CleanRuns,
     /// Parts that crash upstreams, sorted by part.
     blamed: Vec<BlamedPart>,
-    /// The latest trial of this VM with a blamed part, sorted by part.
+    /// When this VM last tried a call with a part.
     trials: Vec<(PartId, Instant)>,
     /// Number of the next blamed part whose evidence is sent.
     next_evidence: usize,
@@ -52,43 +52,6 @@
     last_refused: u64,
 }
 
-/// Why a call is refused.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CrashRefusal {
-    /// What the call has in common with those under which upstreams crashed.
-    pub attribute: CallAttribute,
-    /// Number of upstreams that crashed.
-    pub crashes: usize,
-    /// Time until the call may be tried.
-    pub blocked_for: Duration,
-}
-
-/// Whether a call may be sent, as far as crashes are concerned.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CrashVerdict {
-    /// It may.
-    Admitted,
-    /// Only as a trial of this part, by the VM whose turn it is.
-    Trial {
-        /// The part.
-        part: PartId,
-        /// The turn.
-        slot: TrialSlot,
-    },
-    /// It may not.
-    Refused(CrashRefusal),
-}
-
-/// Change of what is known of a part.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BlameChange {
-    /// Calls with the part are refused from now on.
-    Blamed(BlamedPart),
-    /// They are no longer.
-    Cleared(PartId),
-}
-
-/// A crash and how far it is known to others.
 /// A crash and how far it is known to others.
 #[derive(Clone, Debug)]
 struct TrackedCrash {
@@ -404,12 +367,13 @@
         blamed.find(|blamed| !blamed.blocked_for(now).is_zero())
     }
 
-    /// Whether an upstream has crashed under a part of the call that is not blamed.
+    /// Whether one more crash may be enough to blame a part of the call.
     #[must_use]
-    pub fn has_suspect_part(&self, call: &CallAttributes, now: Instant) -> bool {
+    pub fn is_near_blame(&self, call: &CallAttributes, now: Instant) -> bool {
         call.parts.iter().any(|part| {
             let attribute = CallAttribute::Part(part.clone());
-            self.active_crashes(&attribute, now).next().is_some()
+            let times = self.active_crashes(&attribute, now).map(|crash| crash.at);
+            moments(times).len() + 1 >= MIN_MOMENTS
         })
     }
 
@@ -461,6 +425,7 @@
     ) -> bool {
         self.crashes
             .iter()
+            .filter(|tracked| tracked.counts(now))
             .map(|tracked| &tracked.crash)
             .filter(|other| other.upstream == crash.upstream && other.attribute != crash.attribute)
             .any(|other| match &other.attribute {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,8 +6,12 @@
 pub(crate) use {
     crate::claim_change::ConflictOutcome,
     crate::{
-        address_index::AddressIndex, call_table::CallTable, clean_runs::CleanRuns,
-        comparison_counter::ComparisonCounter, lane_queue::LaneQueue, part_blame::blamed_parts,
+        address_index::AddressIndex,
+        call_table::CallTable,
+        clean_runs::CleanRuns,
+        comparison_counter::ComparisonCounter,
+        lane_queue::LaneQueue,
+        part_blame::{MIN_MOMENTS, blamed_parts, moments},
     },
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
@@ -66,7 +70,8 @@
     config_version::ConfigVersion,
     crash::{Crash, CrashPhase},
     crash_report::{BodyCrash, CrashReport, PartCrash},
-    crash_tracker::{BlameChange, CrashRefusal, CrashTracker, CrashVerdict, MAX_CRASHES_PER_BODY},
+    crash_tracker::{CrashTracker, MAX_CRASHES_PER_BODY},
+    crash_verdict::{BlameChange, CrashRefusal, CrashVerdict},
     delivery::Delivery,
     draft_id::DraftId,
     drop_reason::DropReason,
@@ -267,6 +272,7 @@
 mod crash;
 mod crash_report;
 mod crash_tracker;
+mod crash_verdict;
 mod delivery;
 mod draft_id;
 mod drop_reason;
--- a/crates/decisions/src/part_blame.rs
+++ b/crates/decisions/src/part_blame.rs
@@ -15,7 +15,7 @@
 use std::cmp::Reverse;
 
 /// Number of moments of crashes from which on a part is blamed.
-const MIN_MOMENTS: usize = 3;
+pub(crate) const MIN_MOMENTS: usize = 3;
 
 /// Number of moments among these that no other blamed part explains.
 const MIN_OWN_MOMENTS: usize = 2;
@@ -180,7 +180,7 @@
 }
 
 /// Starts of the moments at which there were crashes.
-fn moments(times: impl Iterator<Item = Instant>) -> Vec<Instant> {
+pub(crate) fn moments(times: impl Iterator<Item = Instant>) -> Vec<Instant> {
     let mut times = times.collect::<Vec<_>>();
     times.sort_unstable();
     let mut moments: Vec<Instant> = Vec::new();
