Crash reports: less work and fewer lines where many engines crash

VMs were late, took engines and each other for silent, and the retry budget was used up.

Reports leave a line at the debug level only; the parts are determined anew only if the part has crashes enough or some part is blamed; crashes of refused bodies are looked up with each fifth heartbeat; a crash is sent three times. The tests of the fleet hold with three.

--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -222,16 +222,12 @@
             return;
         }
         let now = self.timer.now();
+        let crashes = report.parts.into_iter().map(|crash| crash.received(now));
         let mut state = self.state.lock();
-        for crash in report.parts {
-            let crash = crash.received(now);
-            let (cause, upstream) = (crash.attribute.clone(), crash.upstream.clone());
-            let (age, cleared) = (now.since(crash.at), crash.cleared);
-            let is_new = state.apply_crashes([crash], now) > 0;
-            if is_new && self.log.admits(LineKind::Belief, now) {
-                tracing::info!(%upstream, %cause, cleared, age_ms = millis(age), vm = %report.vm,
-                    "crash reported by another VM");
-            }
+        let new = state.apply_crashes(crashes, now);
+        drop(state);
+        if new > 0 {
+            tracing::debug!(new, vm = %report.vm, "crashes under parts reported by another VM");
         }
     }
 }
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between the VMs, sent as datagrams and not over the connections between VMs: the next
 //! heartbeat makes up for a lost one, and a peer that hangs delays no other.
 
-use super::{reply_log::BodyHex, *};
+use super::*;
 use tokio::{net::UdpSocket, sync::mpsc};
 
 /// Maximum size of a datagram that is not fragmented.
@@ -30,7 +30,8 @@
 /// Maximum number of datagrams with such crashes that are sent together.
 const MAX_CRASH_REPORTS: usize = 3;
 
-/// Every how many heartbeats the crashes of a blamed part are sent again, for VMs that have started since.
+/// Every how many heartbeats the crashes of a blamed part and of a refused body are sent again, for VMs that have
+/// started since.
 const HEARTBEATS_PER_EVIDENCE: u64 = 5;
 
 /// Exchanges heartbeats with the other VMs; never returns.
@@ -50,7 +51,7 @@
                 // The seeds may not be among the live VMs, as after a restart of the whole system,
                 // so they are notified too.
                 recipients.extend(&gateway.settings.seeds);
-                let with_evidence = number % HEARTBEATS_PER_EVIDENCE == 0;
+                let with_evidence = number.is_multiple_of(HEARTBEATS_PER_EVIDENCE);
                 send_crash_reports(&gateway, &socket, &recipients, with_evidence).await;
                 send_heartbeat(&socket, gateway.heartbeat(incarnation, number, true), recipients)
                     .await;
@@ -194,6 +195,10 @@
                 suspects.push(upstream.entry.id.clone());
             }
         }
+        let mut crashes = state.crashes.next_to_send(MAX_REPORTED, now);
+        if with_members && number.is_multiple_of(HEARTBEATS_PER_EVIDENCE) {
+            crashes.extend(state.crashes.next_refused(now));
+        }
         PeerHeartbeat {
             vm: self.settings.vm.clone(),
             zone: self.settings.zone.clone(),
@@ -201,7 +206,7 @@
             number,
             loads,
             suspects,
-            crashes: state.crashes.next_to_send(MAX_REPORTED, now),
+            crashes,
             members: if with_members {
                 state
                     .peers
@@ -320,17 +325,12 @@
         if !state.peers.apply_heartbeat(heartbeat, address, now) {
             return;
         }
-        let new_crashes = crashes
-            .into_iter()
-            .filter(|crash| state.apply_crashes([crash.clone().received(now)], now) > 0)
-            .collect::<Vec<_>>();
+        let crashes = crashes.into_iter().map(|crash| crash.received(now));
+        let new_crashes = state.apply_crashes(crashes, now);
         let live = state.peers.live_count(now);
         drop(state);
-        for crash in new_crashes {
-            if self.log.admits(LineKind::Belief, now) {
-                tracing::info!(upstream = %crash.upstream, body = %BodyHex(crash.digest),
-                    cleared = crash.cleared, %vm, "crash reported by another VM");
-            }
+        if new_crashes > 0 {
+            tracing::debug!(new = new_crashes, %vm, "crashes reported by another VM");
         }
         for limit in &limits {
             self.limit_relayed(limit);
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -194,13 +194,14 @@
         crashes: impl IntoIterator<Item = Crash>,
         now: Instant,
     ) -> usize {
-        let (mut new, mut refused) = (0, false);
+        let (mut new, mut refused, mut blame_may_change) = (0, false, false);
         for crash in crashes {
             let attribute = crash.attribute.clone();
             if !self.crashes.record_crash(crash) {
                 continue;
             }
             new += 1;
+            blame_may_change |= self.crashes.may_change_blame(&attribute);
             if let CallAttribute::Body(digest) = attribute {
                 if self.crashes.is_refused(digest, now) {
                     let crashes = self.crashes.crash_count(digest, now);
@@ -210,7 +211,7 @@
                 refused |= self.crashes.forbids_resend(digest, now);
             }
         }
-        if new > 0 {
+        if blame_may_change {
             refused |= self.update_blame(now);
         }
         if refused {
@@ -221,7 +222,8 @@
 
     /// Records that a run of a call that began to produce events at `began` got past its beginning.
     pub(crate) fn record_clean_run(&mut self, call: &CallAttributes, began: Instant, now: Instant) {
-        if self.crashes.record_clean_run(call, began) {
+        // Fewer crashes can only clear a part.
+        if self.crashes.record_clean_run(call, began) && self.crashes.blamed_count() > 0 {
             self.update_blame(now);
         }
     }
--- a/crates/decisions/src/crash_report.rs
+++ b/crates/decisions/src/crash_report.rs
@@ -23,6 +23,21 @@
 }
 
 impl BodyCrash {
+    /// Describes the crash of a body at `now`; `None` if the crash is one of a part.
+    #[must_use]
+    pub fn new(crash: &Crash, now: Instant) -> Option<Self> {
+        let CallAttribute::Body(digest) = crash.attribute else {
+            return None;
+        };
+        Some(Self {
+            digest,
+            upstream: crash.upstream.clone(),
+            cleared: crash.cleared,
+            phase: crash.phase,
+            age_ms: u32::try_from(now.since(crash.at).as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
     /// The crash, as received at `now`.
     #[must_use]
     pub fn received(self, now: Instant) -> Crash {
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -31,7 +31,7 @@
 const PART_CRASH_TTL: Duration = Duration::from_secs(1800);
 
 /// Number of times that a crash under a part is sent to other VMs.
-const SENDS_PER_PART_CRASH: u32 = 5;
+const SENDS_PER_PART_CRASH: u32 = 3;
 
 /// Number of crashes of a blamed part that are sent to VMs that may have started since.
 const MAX_EVIDENCE: usize = 6;
@@ -143,25 +143,13 @@
             // Only crashes that are sent again have an age: a short one makes no difference for a body.
             crash.at = now;
         }
-        let room = max - next.len();
-        next.extend(self.next_refused(now).into_iter().take(room));
-        let crashes = next.into_iter().filter_map(|crash| {
-            let CallAttribute::Body(digest) = crash.attribute else {
-                return None;
-            };
-            Some(BodyCrash {
-                digest,
-                upstream: crash.upstream,
-                cleared: crash.cleared,
-                phase: crash.phase,
-                age_ms: u32::try_from(now.since(crash.at).as_millis()).unwrap_or(u32::MAX),
-            })
-        });
+        let crashes = next.iter().filter_map(|crash| BodyCrash::new(crash, now));
         crashes.collect()
     }
 
-    /// Crashes of a refused body that are not sent otherwise any more, of each body in turn.
-    fn next_refused(&mut self, now: Instant) -> Vec<Crash> {
+    /// Crashes of a refused body that are not sent otherwise any more, of each body in turn, for VMs that may have
+    /// started since.
+    pub fn next_refused(&mut self, now: Instant) -> Vec<BodyCrash> {
         let refused = self
             .crashes
             .chunk_by(|a, b| a.crash.attribute == b.crash.attribute)
@@ -177,7 +165,10 @@
         };
         self.last_refused = *body;
         let crashes = self.active_crashes(&CallAttribute::Body(*body), now);
-        crashes.take(MAX_CRASHES_PER_BODY).cloned().collect()
+        crashes
+            .take(MAX_CRASHES_PER_BODY)
+            .filter_map(|crash| BodyCrash::new(crash, now))
+            .collect()
     }
 
     /// Crashes under parts to send to other VMs, each a limited number of times.
@@ -252,8 +243,19 @@
         cleared
     }
 
-    /// Determines which parts crash upstreams; returns what has changed. To be called after each change of what is
-    /// recorded.
+    /// Whether a new crash under an attribute may change which parts are blamed.
+    #[must_use]
+    pub fn may_change_blame(&self, attribute: &CallAttribute) -> bool {
+        match attribute {
+            CallAttribute::Body(_) => false,
+            CallAttribute::Part(_) => {
+                !self.blamed.is_empty() || self.range(attribute).len() >= MIN_MOMENTS
+            }
+        }
+    }
+
+    /// Determines which parts crash upstreams; returns what has changed. To be called after what is recorded of a part
+    /// has changed.
     pub fn update_blame(&mut self, now: Instant) -> Vec<BlameChange> {
         let counted = self
             .crashes
@@ -425,9 +427,9 @@
     ) -> bool {
         self.crashes
             .iter()
-            .filter(|tracked| tracked.counts(now))
+            .filter(|tracked| tracked.crash.upstream == crash.upstream && tracked.counts(now))
             .map(|tracked| &tracked.crash)
-            .filter(|other| other.upstream == crash.upstream && other.attribute != crash.attribute)
+            .filter(|other| other.attribute != crash.attribute)
             .any(|other| match &other.attribute {
                 CallAttribute::Part(part) => self.blamed(part).is_some(),
                 body @ CallAttribute::Body(_) => {
