Crash reports: in a large fleet one datagram with each heartbeat, suspect parts first

When a zone's engines crash, each of 90 VMs passed on each crash under each part several times, in up to three datagrams at once and again with each crash. A report is now one datagram of ten crashes, beyond 25 VMs with the heartbeats only; crashes of parts with several moments go first, then those that the VM has seen itself.

--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -27,9 +27,6 @@
 /// Maximum number of crashes under parts of prompts in a datagram, up to a hundred bytes each.
 const MAX_PART_CRASHES: usize = 10;
 
-/// Maximum number of datagrams with such crashes that are sent together.
-const MAX_CRASH_REPORTS: usize = 3;
-
 /// Every how many heartbeats the crashes of a blamed part and of a refused body are sent again, for VMs that have
 /// started since.
 const HEARTBEATS_PER_EVIDENCE: u64 = 5;
@@ -65,7 +62,9 @@
             () = gateway.crashes_seen.notified() => {
                 tokio::time::sleep(BATCH_DELAY).await;
                 let recipients = gateway.recipients();
-                send_crash_reports(&gateway, &socket, &recipients, false).await;
+                if gateway.is_full_mesh() {
+                    send_crash_reports(&gateway, &socket, &recipients, false).await;
+                }
                 send_heartbeat(&socket, gateway.heartbeat(incarnation, number, false), recipients)
                     .await;
             }
@@ -227,15 +226,7 @@
     fn crash_reports(&self, with_evidence: bool) -> Vec<CrashReport> {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let mut reports = Vec::new();
-        for _ in 0..MAX_CRASH_REPORTS {
-            let parts = state.crashes.next_parts_to_send(MAX_PART_CRASHES, now);
-            let is_full = parts.len() == MAX_PART_CRASHES;
-            reports.push(parts);
-            if !is_full {
-                break;
-            }
-        }
+        let mut reports = vec![state.crashes.next_parts_to_send(MAX_PART_CRASHES, now)];
         if with_evidence {
             reports.push(state.crashes.next_evidence(now));
         }
@@ -248,6 +239,13 @@
         reports.into_iter().map(report).collect()
     }
 
+    /// Whether the VMs send their heartbeats to all others. In a larger fleet, a crash of a zone's engines makes so
+    /// many VMs report at once that crash reports wait for the next heartbeat.
+    fn is_full_mesh(&self) -> bool {
+        let now = self.timer.now();
+        self.state.lock().peers.is_full_mesh(now)
+    }
+
     /// Address of a random live VM.
     pub(crate) fn random_peer(&self) -> Option<SocketAddr> {
         let now = self.timer.now();
@@ -326,7 +324,7 @@
             return;
         }
         let crashes = crashes.into_iter().map(|crash| crash.received(now));
-        let new_crashes = state.apply_crashes(crashes, now);
+        let new_crashes = state.apply_crashes(crashes, CrashTracker::record_reported, now);
         let live = state.peers.live_count(now);
         drop(state);
         if new_crashes > 0 {
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -158,7 +158,7 @@
             CrashProof::ProcessEnded => self.directory.has_ended(upstream),
         };
         if has_crashed {
-            return self.apply_crashes(run.crashes(), now) > 0;
+            return self.apply_crashes(run.crashes(), CrashTracker::record_crash, now) > 0;
         }
         if self.lost_runs.len() == MAX_LOST_RUNS {
             self.lost_runs.remove(0);
@@ -184,20 +184,21 @@
         let attributed: Vec<LostRun> = attributed;
         let is_new = attributed
             .into_iter()
-            .filter(|run| self.apply_crashes(run.crashes(), now) > 0);
+            .filter(|run| self.apply_crashes(run.crashes(), CrashTracker::record_crash, now) > 0);
         is_new.count()
     }
 
-    /// Records crashes, observed here or by another VM; returns how many are new.
+    /// Records crashes with `record`, as observed here or by another VM; returns how many are new.
     pub(crate) fn apply_crashes(
         &mut self,
         crashes: impl IntoIterator<Item = Crash>,
+        record: fn(&mut CrashTracker, Crash) -> bool,
         now: Instant,
     ) -> usize {
         let (mut new, mut refused, mut blame_may_change) = (0, false, false);
         for crash in crashes {
             let attribute = crash.attribute.clone();
-            if !self.crashes.record_crash(crash) {
+            if !record(&mut self.crashes, crash) {
                 continue;
             }
             new += 1;
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -9,6 +9,7 @@
 //! its beginning. Crashes that a refused attribute explains do not count for the calls that ran beside it.
 
 use super::*;
+use std::cmp::Reverse;
 
 /// Number of crashed upstreams at which a call is refused. Two may be a coincidence, because whole
 /// availability zones crash together.
@@ -56,13 +57,24 @@
 #[derive(Clone, Debug)]
 struct TrackedCrash {
     crash: Crash,
+    /// Whether this VM has seen the crash itself.
+    is_own: bool,
     /// Number of times that the crash was sent to other VMs.
     times_sent: u32,
 }
 
 impl CrashTracker {
-    /// Records a crash, or that it is cleared; returns whether that is new.
-    pub fn record_crash(&mut self, mut crash: Crash) -> bool {
+    /// Records a crash that this VM has seen; returns whether it is new.
+    pub fn record_crash(&mut self, crash: Crash) -> bool {
+        self.record(crash, true)
+    }
+
+    /// Records a crash that another VM reports, or that it is cleared; returns whether that is new.
+    pub fn record_reported(&mut self, crash: Crash) -> bool {
+        self.record(crash, false)
+    }
+
+    fn record(&mut self, mut crash: Crash, is_own: bool) -> bool {
         if let CallAttribute::Part(part) = &crash.attribute {
             let last_began = self.clean_runs.last_began(part);
             crash.cleared |= last_began.is_some_and(|began| began >= crash.at);
@@ -75,13 +87,13 @@
             Ok(i) if crash.cleared => self.crashes[i].clear(),
             Ok(i) => self.crashes[i].merge(&crash),
             Err(_) => {
-                self.insert(crash);
+                self.insert(crash, is_own);
                 true
             }
         }
     }
 
-    fn insert(&mut self, mut crash: Crash) {
+    fn insert(&mut self, mut crash: Crash, is_own: bool) {
         let now = crash.at;
         self.crashes
             .retain(|tracked| now.since(tracked.crash.at) < tracked.crash.attribute.crash_ttl());
@@ -100,6 +112,7 @@
             i,
             TrackedCrash {
                 crash,
+                is_own,
                 times_sent: 0,
             },
         );
@@ -171,14 +184,35 @@
             .collect()
     }
 
-    /// Crashes under parts to send to other VMs, each a limited number of times.
+    /// Crashes under parts to send to other VMs, each a limited number of times: first those of parts with crashes at
+    /// several moments, then those that this VM has seen itself.
     pub fn next_parts_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
-        let is_due = |tracked: &TrackedCrash| {
-            tracked.body().is_none() && tracked.times_sent < SENDS_PER_PART_CRASH
-        };
-        let next = self.take_next(max, is_due, now);
-        let crashes = next.iter().filter_map(|crash| PartCrash::new(crash, now));
-        crashes.collect()
+        let mut due = Vec::new();
+        let of_parts = self
+            .crashes
+            .chunk_by_mut(|a, b| a.crash.attribute == b.crash.attribute)
+            .filter(|same| same[0].body().is_none());
+        for same in of_parts {
+            let counted = same.iter().filter(|tracked| tracked.counts(now));
+            let is_suspect = moments(counted.map(|tracked| tracked.crash.at)).len() > 1;
+            let is_due = |tracked: &&mut TrackedCrash| {
+                now.since(tracked.crash.at) < SEND_PERIOD
+                    && tracked.times_sent < SENDS_PER_PART_CRASH
+            };
+            due.extend(same.iter_mut().filter(is_due).map(|tracked| {
+                let (is_own, at) = (tracked.is_own, Reverse(tracked.crash.at));
+                let rank = (Reverse(is_suspect), Reverse(is_own), tracked.times_sent, at);
+                (rank, tracked)
+            }));
+        }
+        due.sort_by_key(|(rank, _)| *rank);
+        due.truncate(max);
+        due.into_iter()
+            .filter_map(|(_, tracked)| {
+                tracked.times_sent += 1;
+                PartCrash::new(&tracked.crash, now)
+            })
+            .collect()
     }
 
     /// The latest crashes of one blamed part, of each in turn, for VMs that may have started since.
@@ -190,7 +224,7 @@
         let part = self.blamed[self.next_evidence].part.clone();
         let attribute = CallAttribute::Part(part);
         let mut crashes = self.active_crashes(&attribute, now).collect::<Vec<_>>();
-        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at));
+        crashes.sort_by_key(|crash| Reverse(crash.at));
         let latest = crashes.into_iter().take(MAX_EVIDENCE);
         latest
             .filter_map(|crash| PartCrash::new(crash, now))
@@ -207,7 +241,7 @@
             now.since(tracked.crash.at) < SEND_PERIOD && is_due(tracked)
         };
         let mut fresh = self.crashes.iter_mut().filter(is_fresh).collect::<Vec<_>>();
-        fresh.sort_by_key(|tracked| (tracked.times_sent, std::cmp::Reverse(tracked.crash.at)));
+        fresh.sort_by_key(|tracked| (tracked.times_sent, Reverse(tracked.crash.at)));
         fresh.truncate(max);
         fresh
             .into_iter()
