Crash reports: single crashes go to the VMs that collect those of a part

Most parts under which an engine crashes have no second crash, yet each VM of a large fleet kept and passed on every one. A VM now sends a crash that it has seen to three VMs, chosen by rendezvous among the live ones (all others in a fleet of up to 25), and only crashes of parts with several moments are passed on by all. Of one moment three crashes under a part are kept.

--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -113,8 +113,10 @@
     let mut recipients = recipients.to_vec();
     recipients.sort_unstable();
     recipients.dedup();
-    for report in gateway.crash_reports(with_evidence) {
-        if !send(socket, &PeerDatagram::Crashes(report), &recipients).await {
+    for (recipients, parts) in gateway.crash_reports(recipients, with_evidence) {
+        let vm = gateway.settings.vm.clone();
+        let report = PeerDatagram::Crashes(CrashReport { vm, parts });
+        if !send(socket, &report, &recipients).await {
             tracing::warn!("crash report too large, not sent");
         }
     }
@@ -222,25 +224,34 @@
         }
     }
 
-    /// Crashes under parts of prompts to send to other VMs, and those of a blamed part that are sent again.
-    fn crash_reports(&self, with_evidence: bool) -> Vec<CrashReport> {
+    /// Crashes under parts of prompts to send, with the VMs that they go to: those of suspect parts and, now and then,
+    /// of a blamed one to the recipients of the heartbeat, and others that this VM has seen to their collectors.
+    fn crash_reports(
+        &self,
+        recipients: Vec<SocketAddr>,
+        with_evidence: bool,
+    ) -> Vec<(Vec<SocketAddr>, Vec<PartCrash>)> {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let mut reports = vec![state.crashes.next_parts_to_send(MAX_PART_CRASHES, now)];
+        let mut reports = Vec::<(Vec<SocketAddr>, Vec<PartCrash>)>::new();
+        for crash in state.crashes.next_own_to_send(MAX_PART_CRASHES, now) {
+            let collectors = state.peers.crash_collectors(&crash.part, now);
+            match reports.iter_mut().find(|(to, _)| *to == collectors) {
+                Some((_, parts)) => parts.push(crash),
+                None => reports.push((collectors, vec![crash])),
+            }
+        }
+        let suspects = state.crashes.next_suspects_to_send(MAX_PART_CRASHES, now);
+        reports.push((recipients.clone(), suspects));
         if with_evidence {
-            reports.push(state.crashes.next_evidence(now));
+            reports.push((recipients, state.crashes.next_evidence(now)));
         }
-        reports.retain(|parts| !parts.is_empty());
-        let vm = &self.settings.vm;
-        let report = |parts| CrashReport {
-            vm: vm.clone(),
-            parts,
-        };
-        reports.into_iter().map(report).collect()
+        reports.retain(|(_, parts)| !parts.is_empty());
+        reports
     }
 
-    /// Whether the VMs send their heartbeats to all others. In a larger fleet, a crash of a zone's engines makes so
-    /// many VMs report at once that crash reports wait for the next heartbeat.
+    /// Whether the VMs send their heartbeats to all others. In a larger fleet, a crash of a zone's engines would make
+    /// so many VMs report at once that crash reports wait for the next heartbeat.
     fn is_full_mesh(&self) -> bool {
         let now = self.timer.now();
         self.state.lock().peers.is_full_mesh(now)
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -34,6 +34,9 @@
 /// Number of times that a crash under a part is sent to other VMs.
 const SENDS_PER_PART_CRASH: u32 = 3;
 
+/// Maximum number of crashes under a part that are kept of one moment.
+const MAX_CRASHES_PER_MOMENT: usize = 3;
+
 /// Number of crashes of a blamed part that are sent to VMs that may have started since.
 const MAX_EVIDENCE: usize = 6;
 
@@ -86,6 +89,7 @@
         {
             Ok(i) if crash.cleared => self.crashes[i].clear(),
             Ok(i) => self.crashes[i].merge(&crash),
+            Err(_) if self.is_superfluous(&crash) => false,
             Err(_) => {
                 self.insert(crash, is_own);
                 true
@@ -93,6 +97,20 @@
         }
     }
 
+    /// Whether enough crashes under a part are known of the same moment. When a zone's engines crash, all of them do
+    /// under a part that many calls share.
+    fn is_superfluous(&self, crash: &Crash) -> bool {
+        if matches!(crash.attribute, CallAttribute::Body(_)) {
+            return false;
+        }
+        let is_of_moment = |tracked: &&TrackedCrash| {
+            let at = tracked.crash.at;
+            at.since(crash.at).max(crash.at.since(at)) <= MOMENT
+        };
+        let known = self.crashes[self.range(&crash.attribute)].iter();
+        known.filter(is_of_moment).count() >= MAX_CRASHES_PER_MOMENT
+    }
+
     fn insert(&mut self, mut crash: Crash, is_own: bool) {
         let now = crash.at;
         self.crashes
@@ -184,31 +202,44 @@
             .collect()
     }
 
-    /// Crashes under parts to send to other VMs, each a limited number of times: first those of parts with crashes at
-    /// several moments, then those that this VM has seen itself.
-    pub fn next_parts_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
+    /// Crashes under suspect parts, those with crashes at several moments, to send to all VMs; each a limited number of
+    /// times, by each VM that knows it.
+    pub fn next_suspects_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
+        self.take_next_parts(max, |is_suspect, _| is_suspect, now)
+    }
+
+    /// Crashes under other parts that this VM has seen itself, to send to the VMs that collect those of a part. Most
+    /// parts get no second one.
+    pub fn next_own_to_send(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
+        self.take_next_parts(max, |is_suspect, is_own| is_own && !is_suspect, now)
+    }
+
+    fn take_next_parts(
+        &mut self,
+        max: usize,
+        is_wanted: impl Fn(bool, bool) -> bool,
+        now: Instant,
+    ) -> Vec<PartCrash> {
         let mut due = Vec::new();
         let of_parts = self
             .crashes
             .chunk_by_mut(|a, b| a.crash.attribute == b.crash.attribute)
             .filter(|same| same[0].body().is_none());
         for same in of_parts {
-            let counted = same.iter().filter(|tracked| tracked.counts(now));
-            let is_suspect = moments(counted.map(|tracked| tracked.crash.at)).len() > 1;
-            let is_due = |tracked: &&mut TrackedCrash| {
+            // With those that are cleared, so that all VMs which know them learn that.
+            let fresh = same.iter().map(|tracked| tracked.crash.at);
+            let fresh = fresh.filter(|at| now.since(*at) < SEND_PERIOD);
+            let is_suspect = moments(fresh).len() > 1;
+            due.extend(same.iter_mut().filter(|tracked| {
                 now.since(tracked.crash.at) < SEND_PERIOD
                     && tracked.times_sent < SENDS_PER_PART_CRASH
-            };
-            due.extend(same.iter_mut().filter(is_due).map(|tracked| {
-                let (is_own, at) = (tracked.is_own, Reverse(tracked.crash.at));
-                let rank = (Reverse(is_suspect), Reverse(is_own), tracked.times_sent, at);
-                (rank, tracked)
+                    && is_wanted(is_suspect, tracked.is_own)
             }));
         }
-        due.sort_by_key(|(rank, _)| *rank);
+        due.sort_by_key(|tracked| (tracked.times_sent, Reverse(tracked.crash.at)));
         due.truncate(max);
         due.into_iter()
-            .filter_map(|(_, tracked)| {
+            .filter_map(|tracked| {
                 tracked.times_sent += 1;
                 PartCrash::new(&tracked.crash, now)
             })
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,7 +11,7 @@
         clean_runs::CleanRuns,
         comparison_counter::ComparisonCounter,
         lane_queue::LaneQueue,
-        part_blame::{MIN_MOMENTS, blamed_parts, moments},
+        part_blame::{MIN_MOMENTS, MOMENT, blamed_parts, moments},
     },
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
--- a/crates/decisions/src/part_blame.rs
+++ b/crates/decisions/src/part_blame.rs
@@ -21,7 +21,7 @@
 const MIN_OWN_MOMENTS: usize = 2;
 
 /// Crashes within this time of the first one are of one moment.
-const MOMENT: Duration = Duration::from_millis(250);
+pub(crate) const MOMENT: Duration = Duration::from_millis(250);
 
 /// How long calls with a blamed part are refused after its last crash, before one of them is tried.
 const BLOCK_DURATION: Duration = Duration::from_secs(600);
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -62,6 +62,9 @@
 /// Maximum number of members relayed in one datagram: some 60 bytes each of 1,400.
 const MAX_RELAYED_MEMBERS: usize = 18;
 
+/// Number of VMs that collect the crashes under a part of prompts, in a larger system.
+const CRASH_COLLECTORS: usize = 3;
+
 /// How long a VM is retained after it was last seen.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 
@@ -272,6 +275,21 @@
         receivers
     }
 
+    /// Addresses of the VMs that collect the crashes under a part of prompts: all others in a small system, and a few
+    /// in a larger one, on which the VMs agree as far as they know the same ones.
+    #[must_use]
+    pub fn crash_collectors(&self, part: &PartId, now: Instant) -> Vec<SocketAddr> {
+        let peers = self.live(now).collect::<Vec<_>>();
+        if self.is_full_mesh(now) {
+            return peers.into_iter().map(|peer| peer.address).collect();
+        }
+        rendezvous_rank(&part.to_string(), peers, |peer| peer.vm.clone())
+            .into_iter()
+            .take(CRASH_COLLECTORS)
+            .map(|peer| peer.address)
+            .collect()
+    }
+
     fn sharers(
         &self,
         upstream: &UpstreamEntry,
--- a/crates/decisions/tests/part_fleet_support/mod.rs
+++ b/crates/decisions/tests/part_fleet_support/mod.rs
@@ -150,6 +150,14 @@
     Instant(Duration::from_millis(ms + 100_000))
 }
 
+/// The VMs that collect the crashes under a part.
+fn collectors(part: &PartId, vms: &[usize]) -> Vec<usize> {
+    let mut ranked = vms.to_vec();
+    ranked.sort_by_key(|vm| xxhash_rust::xxh3::xxh3_64(format!("{part}/{vm}").as_bytes()));
+    ranked.truncate(3);
+    ranked
+}
+
 fn service() -> ServiceId {
     "engines".parse().unwrap()
 }
@@ -450,39 +458,49 @@
             if !is_heartbeat && !is_notified {
                 continue;
             }
-            let mut crashes = vm.tracker.next_parts_to_send(10, at(ms));
+            let own = vm.tracker.next_own_to_send(10, at(ms));
+            let mut crashes = vm.tracker.next_suspects_to_send(10, at(ms));
             if is_heartbeat {
                 vm.heartbeats += 1;
                 if vm.heartbeats.is_multiple_of(5) {
                     crashes.extend(vm.tracker.next_evidence(at(ms)));
                 }
             }
-            if crashes.is_empty() {
+            let all = (0..vms).filter(|to| *to != from).collect::<Vec<_>>();
+            if vms <= 25 {
+                crashes.extend(own);
+                self.report(from, crashes, &all, ms);
                 continue;
             }
-            // A small fleet sends to all, a larger one to five VMs.
-            let receivers = if vms <= 25 {
-                (0..vms).filter(|to| *to != from).collect::<Vec<_>>()
-            } else {
-                (0..5).map(|_| self.rng.random_range(0..vms)).collect()
-            };
-            let report = CrashReport {
-                vm: format!("vm-{from}").into(),
-                parts: crashes,
-            };
-            let mut buf = Vec::new();
-            ciborium::into_writer(&report, &mut buf).unwrap();
-            self.report_bytes += buf.len() * receivers.len();
-            for to in receivers {
-                if self.rng.random_bool(self.scenario.loss) {
-                    continue;
-                }
-                self.under_way.push(Report {
-                    arrives_ms: ms + self.rng.random_range(2..60),
-                    to,
-                    crashes: report.parts.clone(),
-                });
+            for crash in own {
+                let collectors = collectors(&crash.part, &all);
+                self.report(from, vec![crash], &collectors, ms);
             }
+            let few = (0..5)
+                .map(|_| self.rng.random_range(0..vms))
+                .collect::<Vec<_>>();
+            self.report(from, crashes, &few, ms);
+        }
+    }
+
+    fn report(&mut self, from: usize, parts: Vec<PartCrash>, receivers: &[usize], ms: u64) {
+        if parts.is_empty() {
+            return;
+        }
+        let vm = format!("vm-{from}").into();
+        let report = CrashReport { vm, parts };
+        let mut buf = Vec::new();
+        ciborium::into_writer(&report, &mut buf).unwrap();
+        self.report_bytes += buf.len() * receivers.len();
+        for to in receivers {
+            if self.rng.random_bool(self.scenario.loss) {
+                continue;
+            }
+            self.under_way.push(Report {
+                arrives_ms: ms + self.rng.random_range(2..60),
+                to: *to,
+                crashes: report.parts.clone(),
+            });
         }
     }
 
