--- a/crates/decisions/src/part_blame.rs
+++ b/crates/decisions/src/part_blame.rs
@@ -7,9 +7,9 @@
 //! - The crashes are at several moments, since all upstreams of an availability zone may crash at once under a part
 //!   that many calls share.
 //! - No single body ran on all these upstreams; otherwise the body is the cause.
-//! - No other part explains the crashes better. Of the parts of one call that is the one with fewer clean runs, and
-//!   then the later one in the prompt, which fewer calls share, and then the one with more crashes. A part whose
-//!   calls ran beside a crashing one needs crashes of its own. Parts with the same evidence are all blamed.
+//! - No other part explains the crashes better. Of the parts of one call that is the one further on in the prompt, which
+//!   fewer calls share, then the one with fewer clean runs, and then the one with more crashes. A part whose calls ran
+//!   beside a crashing one needs crashes of its own. Parts with the same evidence are all blamed.
 
 use super::*;
 use std::cmp::Reverse;
@@ -126,10 +126,10 @@
     }
 
     /// Parts that explain crashes better are smaller.
-    fn rank(&self) -> (u32, Reverse<u16>, Reverse<usize>, Instant) {
+    fn rank(&self) -> (Reverse<u16>, u32, Reverse<usize>, Instant) {
         (
-            self.clean_runs,
             Reverse(self.position),
+            self.clean_runs,
             Reverse(self.crashes.len()),
             self.since,
         )
--- a/crates/decisions/tests/crashing_parts.rs
+++ b/crates/decisions/tests/crashing_parts.rs
@@ -67,6 +67,26 @@
     expect_that!(refused, none());
 }
 
+/// Guards against blaming the first parts for a later one that was used more than each of them before it crashed
+/// engines.
+#[gtest]
+fn first_parts_are_not_blamed_for_a_popular_later_one() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=20 {
+        let first = ["a", "b"][usize::try_from(n % 2).unwrap()];
+        tracker.record_clean_run(&call(n, &[first, "crashing"]), at(n));
+    }
+    for n in 21..=28 {
+        let first = ["a", "b"][usize::try_from(n % 2).unwrap()];
+        crash(&mut tracker, n, &call(n, &[first, "crashing"]), n);
+    }
+
+    let refused = [["a", "sound"], ["b", "sound"], ["c", "crashing"]]
+        .map(|parts| refused_part(&tracker, &call(99, &parts), 29));
+
+    expect_that!(refused, elements_are![none(), none(), some(eq("crashing"))]);
+}
+
 /// Guards against blaming a part for one body that crashes engines, whoever shares the part.
 #[gtest]
 fn part_of_one_crashing_body_is_not_blamed() {
