--- a/crates/decisions/src/caller_connection_limit.rs
+++ b/crates/decisions/src/caller_connection_limit.rs
@@ -14,8 +14,14 @@
 const MIN_IDLE: Duration = Duration::from_secs(1);
 
 /// Maximum number of open connections of callers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct CallerConnectionLimit(usize);
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CallerConnectionLimit {
+    /// It is not known how many the VM may have.
+    #[default]
+    Unlimited,
+    /// This many.
+    AtMost(usize),
+}
 
 /// What to do with a new connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,13 +44,17 @@
         reason = "far below 2^52"
     )]
     pub fn of_vm(connections: usize) -> Self {
-        Self((CALLERS_SHARE * connections as f64) as usize)
+        Self::AtMost((CALLERS_SHARE * connections as f64) as usize)
     }
 
     /// Decides on a new connection, given since when each open one has been idle; `None` for one with a request.
     #[must_use]
     pub fn admit(self, idle_since: &[Option<Instant>], now: Instant) -> ConnectionAdmission {
-        if idle_since.len() < self.0 {
+        let has_room = match self {
+            Self::Unlimited => true,
+            Self::AtMost(limit) => idle_since.len() < limit,
+        };
+        if has_room {
             return ConnectionAdmission::Admit;
         }
         let idle = idle_since.iter().enumerate();
