Tests: a clearing that does not spread, parts that a caller makes up, the broken path of a VM

Two tests fail on real faults and are listed: a trial that clears a part 10 minutes after its crashes clears it at one VM only, and a caller whose requests crash engines for other reasons makes all VMs refuse the first part that they share with sound ones.

--- a/crates/decisions/tests/crashing_parts.rs
+++ b/crates/decisions/tests/crashing_parts.rs
@@ -297,3 +297,28 @@
         eq(&CrashVerdict::Admitted)
     );
 }
+
+/// Guards against a VM that goes on refusing a part which a trial at another VM has cleared.
+#[gtest]
+fn clean_run_long_after_the_crashes_clears_the_part_at_other_vms() {
+    let mut tracker = CrashTracker::default();
+    for n in 1..=5 {
+        crash(&mut tracker, n, &call(n, &["crashing"]), n);
+    }
+    let mut other = CrashTracker::default();
+    for crash in tracker.next_evidence(at(6)) {
+        other.record_reported(crash.received(at(6)));
+    }
+    other.update_blame(at(6));
+    let before = refused_part(&other, &call(99, &["crashing"]), 7);
+
+    tracker.record_clean_run(&call(9, &["crashing"]), at(620));
+    for crash in tracker.next_suspects_to_send(10, at(621)) {
+        other.record_reported(crash.received(at(621)));
+    }
+    other.update_blame(at(621));
+
+    expect_that!(before, some(eq("crashing")));
+    let after = other.verdict(&call(99, &["crashing"]), at(622));
+    expect_that!(after, eq(&CrashVerdict::Admitted));
+}
--- a/crates/decisions/tests/part_fleet.rs
+++ b/crates/decisions/tests/part_fleet.rs
@@ -79,6 +79,43 @@
         prop_assert!(holds(&day), "{day:?}");
     }
 
+    /// Guards against a VM whose path is broken and that makes all VMs refuse what its calls share with theirs.
+    #[test]
+    fn broken_path_of_a_vm_does_not_stop_sound_requests(
+        seed in any::<u64>(),
+        first in 1_usize..40,
+        second in 1_usize..400,
+        gap in 40_u64..1_000,
+    ) {
+        let scenario = Scenario {
+            crashing_gap_ms: 1_000_000,
+            broken_path: true,
+            shared: (first, second),
+            sound_gap_ms: gap,
+            ..Scenario::default()
+        };
+        let day = play(scenario, seed);
+        prop_assert!(holds(&day), "{day:?}");
+    }
+
+    /// Guards against a caller whose requests crash engines for reasons of their own and name a part of others.
+    #[test]
+    fn made_up_parts_do_not_stop_sound_requests(
+        seed in any::<u64>(),
+        first in 1_usize..8,
+        gap in 60_u64..500,
+    ) {
+        let scenario = Scenario {
+            crashing_gap_ms: 1_000_000,
+            invented_parts: true,
+            shared: (first, 200),
+            sound_gap_ms: gap,
+            ..Scenario::default()
+        };
+        let day = play(scenario, seed);
+        prop_assert!(holds(&day), "{day:?}");
+    }
+
     /// Guards against refusing sound requests beside a crashing part while zones crash.
     #[test]
     fn crashing_part_is_found_beside_outages(seed in any::<u64>(), gap in 200_u64..1_500) {
--- a/crates/decisions/tests/part_fleet_support/mod.rs
+++ b/crates/decisions/tests/part_fleet_support/mod.rs
@@ -25,6 +25,12 @@
 /// Time between the beginning of a run and its crash.
 const CRASH_AFTER_MS: u64 = 80;
 
+/// When the path of a VM is broken.
+const BROKEN_PATH_MS: std::ops::Range<u64> = 10_000..20_000;
+
+/// Mean time between two requests of a caller that makes up parts.
+const INVENTED_GAP_MS: u64 = 500;
+
 /// Time after its beginning at which a sound run counts as clean, and at which it ends.
 const CLEAN_AFTER_MS: u64 = 1_000;
 const RUN_MS: u64 = 6_000;
@@ -48,6 +54,10 @@
     pub sound_before: bool,
     /// All engines of a zone, and once all engines, crash at random.
     pub outages: bool,
+    /// One VM loses all its runs for some seconds and takes their engines for crashed, which the others use.
+    pub broken_path: bool,
+    /// A caller sends requests that crash engines for other reasons, each with made-up parts and a shared one.
+    pub invented_parts: bool,
     /// Number of parts from which the first part of a sound prompt is drawn, and the second one.
     pub shared: (usize, usize),
     /// Mean time between two sound requests.
@@ -64,6 +74,8 @@
             restarts: false,
             sound_before: false,
             outages: false,
+            broken_path: false,
+            invented_parts: false,
             shared: (4, 200),
             sound_gap_ms: 250,
         }
@@ -182,7 +194,7 @@
     vms: Vec<Vm>,
     engines: Vec<Engine>,
     under_way: Vec<Report>,
-    /// Times of crashes under each crashing part, and of sends by VMs in touch.
+    /// Times of crashes under each crashing part, and of sends by VMs in touch; the last ones are of made-up parts.
     crashes: Vec<Vec<u64>>,
     sends: Vec<Vec<u64>>,
     /// Sound first attempts: their arrival, and whether they began.
@@ -214,8 +226,8 @@
             engines: engines.collect(),
             rng,
             under_way: Vec::new(),
-            crashes: vec![Vec::new(); scenario.crashing],
-            sends: vec![Vec::new(); scenario.crashing],
+            crashes: vec![Vec::new(); scenario.crashing + 1],
+            sends: vec![Vec::new(); scenario.crashing + 1],
             sound: Vec::new(),
             next_body: 0,
             report_bytes: 0,
@@ -366,6 +378,11 @@
                 self.new_call(&parts, Some(part), None, ms);
             }
         }
+        if self.scenario.invented_parts && happens(&mut self.rng, INVENTED_GAP_MS) {
+            let shared = self.rng.random_range(0..self.scenario.shared.0);
+            let parts = [format!("s{shared}"), format!("invented-{}", self.next_body)];
+            self.new_call(&parts, Some(self.scenario.crashing), None, ms);
+        }
         if happens(&mut self.rng, self.scenario.sound_gap_ms) {
             let shared = self.rng.random_range(0..self.scenario.shared.0);
             let second = self.rng.random_range(0..self.scenario.shared.1);
@@ -435,6 +452,16 @@
         }
         let engine = up[self.rng.random_range(0..up.len())];
         call.sends += 1;
+        if self.scenario.broken_path && call.vm == 0 && BROKEN_PATH_MS.contains(&ms) {
+            let id = engine_id(engine, self.engines[engine].incarnation);
+            let vm = &mut self.vms[0];
+            for crash in Crash::of_parts(&call.attributes, &id, at(ms)) {
+                vm.tracker.record_crash(crash);
+            }
+            vm.tracker.update_blame(at(ms));
+            vm.notified = true;
+            return;
+        }
         // A VM is not in touch for a stable window after its process has started.
         let in_touch = call.process == 0 || ms > call.process + self.scenario.stable_window_ms();
         if let (Some(part), true) = (call.crashing, in_touch) {
@@ -525,7 +552,10 @@
         let late_sound = late_sound.collect::<Vec<_>>();
         Day {
             late_sends: late_sends.collect(),
-            crashes: self.crashes.iter().map(Vec::len).collect(),
+            crashes: self.crashes[..self.scenario.crashing]
+                .iter()
+                .map(Vec::len)
+                .collect(),
             sound: late_sound.len(),
             sound_begun: late_sound.iter().filter(|(_, begun)| *begun).count(),
             all_sound: self.sound.len(),
