Crashes by attribute: the clearing of a part reaches the other VMs however old its crashes are

A VM whose trial cleared a part went on telling nobody: only crashes of the last 20 s were sent, and those of a blamed part are older than its block. All other VMs refused the part until trials of their own.

--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -224,7 +224,7 @@
         let now = self.timer.now();
         let crashes = report.parts.into_iter().map(|crash| crash.received(now));
         let mut state = self.state.lock();
-        let new = state.apply_crashes(crashes, CrashTracker::record_reported, now);
+        let new = state.apply_reported_crashes(crashes, now);
         drop(state);
         if new > 0 {
             tracing::debug!(new, vm = %report.vm, "crashes under parts reported by another VM");
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -335,7 +335,7 @@
             return;
         }
         let crashes = crashes.into_iter().map(|crash| crash.received(now));
-        let new_crashes = state.apply_crashes(crashes, CrashTracker::record_reported, now);
+        let new_crashes = state.apply_reported_crashes(crashes, now);
         let live = state.peers.live_count(now);
         drop(state);
         if new_crashes > 0 {
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -188,11 +188,21 @@
         is_new.count()
     }
 
+    /// Records crashes that another VM reports; returns how many are new.
+    pub(crate) fn apply_reported_crashes(
+        &mut self,
+        crashes: impl IntoIterator<Item = Crash>,
+        now: Instant,
+    ) -> usize {
+        let record = |tracker: &mut CrashTracker, crash| tracker.record_reported(crash, now);
+        self.apply_crashes(crashes, record, now)
+    }
+
     /// Records crashes with `record`, as observed here or by another VM; returns how many are new.
-    pub(crate) fn apply_crashes(
+    fn apply_crashes(
         &mut self,
         crashes: impl IntoIterator<Item = Crash>,
-        record: fn(&mut CrashTracker, Crash) -> bool,
+        record: impl Fn(&mut CrashTracker, Crash) -> bool,
         now: Instant,
     ) -> usize {
         let (mut new, mut refused, mut blame_may_change) = (0, false, false);
--- a/crates/decisions/examples/part_fleet.rs
+++ b/crates/decisions/examples/part_fleet.rs
@@ -3,7 +3,7 @@
 #[path = "../tests/part_fleet_support/mod.rs"]
 mod part_fleet_support;
 
-use part_fleet_support::{Scenario, play};
+use part_fleet_support::{Scenario, Trouble, play};
 
 const SEEDS: u64 = 20;
 
@@ -34,8 +34,7 @@
         show(&name, Scenario { shared, ..base });
     }
     let trouble = Scenario {
-        restarts: true,
-        outages: true,
+        troubles: &[Trouble::Restarts, Trouble::Outages],
         loss: 0.2,
         ..base
     };
@@ -50,13 +49,13 @@
     show(
         "sound before",
         Scenario {
-            sound_before: true,
+            troubles: &[Trouble::SoundBefore],
             ..base
         },
     );
     let none = Scenario {
         crashing_gap_ms: 1_000_000,
-        outages: true,
+        troubles: &[Trouble::Outages],
         ..base
     };
     show("outages only", none);
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -62,6 +62,8 @@
     crash: Crash,
     /// Whether this VM has seen the crash itself.
     is_own: bool,
+    /// When the upstream crashed, or the crash was cleared.
+    changed_at: Instant,
     /// Number of times that the crash was sent to other VMs.
     times_sent: u32,
 }
@@ -69,15 +71,16 @@
 impl CrashTracker {
     /// Records a crash that this VM has seen; returns whether it is new.
     pub fn record_crash(&mut self, crash: Crash) -> bool {
-        self.record(crash, true)
+        let now = crash.at;
+        self.record(crash, true, now)
     }
 
-    /// Records a crash that another VM reports, or that it is cleared; returns whether that is new.
-    pub fn record_reported(&mut self, crash: Crash) -> bool {
-        self.record(crash, false)
+    /// Records a crash that another VM reports at `now`, or that it is cleared; returns whether that is new.
+    pub fn record_reported(&mut self, crash: Crash, now: Instant) -> bool {
+        self.record(crash, false, now)
     }
 
-    fn record(&mut self, mut crash: Crash, is_own: bool) -> bool {
+    fn record(&mut self, mut crash: Crash, is_own: bool, now: Instant) -> bool {
         if let CallAttribute::Part(part) = &crash.attribute {
             let last_began = self.clean_runs.last_began(part);
             crash.cleared |= last_began.is_some_and(|began| began >= crash.at);
@@ -87,7 +90,7 @@
             .crashes
             .binary_search_by(|tracked| tracked.key().cmp(&key))
         {
-            Ok(i) if crash.cleared => self.crashes[i].clear(),
+            Ok(i) if crash.cleared => self.crashes[i].clear(now),
             Ok(i) => self.crashes[i].merge(&crash),
             Err(_) if self.is_superfluous(&crash) => false,
             Err(_) => {
@@ -124,6 +127,7 @@
                 tracked.crash.at = crash.at;
             }
         }
+        let changed_at = crash.at;
         let key = (&crash.attribute, &crash.upstream);
         let i = self.crashes.partition_point(|tracked| tracked.key() < key);
         self.crashes.insert(
@@ -131,6 +135,7 @@
             TrackedCrash {
                 crash,
                 is_own,
+                changed_at,
                 times_sent: 0,
             },
         );
@@ -227,11 +232,14 @@
             .filter(|same| same[0].body().is_none());
         for same in of_parts {
             // With those that are cleared, so that all VMs which know them learn that.
-            let fresh = same.iter().map(|tracked| tracked.crash.at);
-            let fresh = fresh.filter(|at| now.since(*at) < SEND_PERIOD);
-            let is_suspect = moments(fresh).len() > 1;
+            let is_fresh = |tracked: &TrackedCrash| now.since(tracked.changed_at) < SEND_PERIOD;
+            if !same.iter().any(is_fresh) {
+                continue;
+            }
+            let fresh = same.iter().filter(|tracked| is_fresh(tracked));
+            let is_suspect = moments(fresh.map(|tracked| tracked.crash.at)).len() > 1;
             due.extend(same.iter_mut().filter(|tracked| {
-                now.since(tracked.crash.at) < SEND_PERIOD
+                is_fresh(tracked)
                     && tracked.times_sent < SENDS_PER_PART_CRASH
                     && is_wanted(is_suspect, tracked.is_own)
             }));
@@ -288,7 +296,9 @@
     pub fn record_complete_response(&mut self, digest: u64) {
         let range = self.range(&CallAttribute::Body(digest));
         for tracked in &mut self.crashes[range] {
-            tracked.clear();
+            // A body is not sent again once its crashes are old.
+            let changed_at = tracked.changed_at;
+            tracked.clear(changed_at);
         }
     }
 
@@ -301,7 +311,7 @@
             let range = self.range(&CallAttribute::Part(part.clone()));
             for tracked in &mut self.crashes[range] {
                 if tracked.crash.at <= began {
-                    cleared |= tracked.clear();
+                    cleared |= tracked.clear(began);
                 }
             }
         }
@@ -570,10 +580,11 @@
     }
 
     /// Marks the attribute as not having caused the crash; returns whether that is new.
-    fn clear(&mut self) -> bool {
+    fn clear(&mut self, now: Instant) -> bool {
         let is_new = !self.crash.cleared;
         if is_new {
             self.crash.cleared = true;
+            self.changed_at = self.changed_at.max(now);
             self.times_sent = 0;
         }
         is_new
--- a/crates/decisions/tests/crash_tracker.rs
+++ b/crates/decisions/tests/crash_tracker.rs
@@ -30,7 +30,7 @@
 /// Sends crashes from one VM to another, as a heartbeat does.
 fn send_crashes(from: &mut CrashTracker, to: &mut CrashTracker, seconds: u64) {
     for crash in from.next_to_send(12, at(seconds)) {
-        to.record_reported(crash.received(at(seconds)));
+        to.record_reported(crash.received(at(seconds)), at(seconds));
     }
 }
 
@@ -192,7 +192,7 @@
 
     send_crashes(&mut tracker, &mut other, 300);
     for crash in tracker.next_refused(at(300)) {
-        other.record_reported(crash.received(at(300)));
+        other.record_reported(crash.received(at(300)), at(300));
     }
 
     expect_that!(other.is_refused(CRASHING, at(301)), eq(true));
--- a/crates/decisions/tests/crashing_parts.rs
+++ b/crates/decisions/tests/crashing_parts.rs
@@ -206,7 +206,7 @@
     let mut other = CrashTracker::default();
 
     for crash in tracker.next_evidence(at(300)) {
-        other.record_reported(crash.received(at(300)));
+        other.record_reported(crash.received(at(300)), at(300));
     }
     let changes = other.update_blame(at(300));
 
@@ -307,14 +307,14 @@
     }
     let mut other = CrashTracker::default();
     for crash in tracker.next_evidence(at(6)) {
-        other.record_reported(crash.received(at(6)));
+        other.record_reported(crash.received(at(6)), at(6));
     }
     other.update_blame(at(6));
     let before = refused_part(&other, &call(99, &["crashing"]), 7);
 
     tracker.record_clean_run(&call(9, &["crashing"]), at(620));
     for crash in tracker.next_suspects_to_send(10, at(621)) {
-        other.record_reported(crash.received(at(621)));
+        other.record_reported(crash.received(at(621)), at(621));
     }
     other.update_blame(at(621));
 
--- a/crates/decisions/tests/part_fleet.rs
+++ b/crates/decisions/tests/part_fleet.rs
@@ -2,7 +2,7 @@
 
 mod part_fleet_support;
 
-use part_fleet_support::{Day, Scenario, play};
+use part_fleet_support::{Day, Scenario, Trouble, play};
 use proptest::prelude::{any, prop_assert, prop_oneof, proptest};
 
 /// Most sends with a crashing part later than the stable window after its fifth crash.
@@ -38,7 +38,7 @@
         seed in any::<u64>(),
         vms in prop_oneof![8_usize..=25, 26_usize..=60],
     ) {
-        let scenario = Scenario { vms, restarts: true, ..Scenario::default() };
+        let scenario = Scenario { vms, troubles: &[Trouble::Restarts], ..Scenario::default() };
         let day = play(scenario, seed);
         prop_assert!(holds(&day), "{day:?}");
     }
@@ -54,7 +54,7 @@
     /// Guards against trusting a part for ever because it was sound once.
     #[test]
     fn part_that_was_sound_before_is_found(seed in any::<u64>(), gap in 200_u64..1_000) {
-        let scenario = Scenario { sound_before: true, crashing_gap_ms: gap, ..Scenario::default() };
+        let scenario = Scenario { troubles: &[Trouble::SoundBefore], crashing_gap_ms: gap, ..Scenario::default() };
         let day = play(scenario, seed);
         prop_assert!(holds(&day), "{day:?}");
     }
@@ -70,7 +70,7 @@
         let scenario = Scenario {
             crashing: 1,
             crashing_gap_ms: 1_000_000,
-            outages: true,
+            troubles: &[Trouble::Outages],
             shared: (first, second),
             sound_gap_ms: gap,
             ..Scenario::default()
@@ -89,7 +89,7 @@
     ) {
         let scenario = Scenario {
             crashing_gap_ms: 1_000_000,
-            broken_path: true,
+            troubles: &[Trouble::BrokenPath],
             shared: (first, second),
             sound_gap_ms: gap,
             ..Scenario::default()
@@ -107,7 +107,7 @@
     ) {
         let scenario = Scenario {
             crashing_gap_ms: 1_000_000,
-            invented_parts: true,
+            troubles: &[Trouble::InventedParts],
             shared: (first, 200),
             sound_gap_ms: gap,
             ..Scenario::default()
@@ -119,7 +119,7 @@
     /// Guards against refusing sound requests beside a crashing part while zones crash.
     #[test]
     fn crashing_part_is_found_beside_outages(seed in any::<u64>(), gap in 200_u64..1_500) {
-        let scenario = Scenario { outages: true, crashing_gap_ms: gap, ..Scenario::default() };
+        let scenario = Scenario { troubles: &[Trouble::Outages], crashing_gap_ms: gap, ..Scenario::default() };
         let day = play(scenario, seed);
         prop_assert!(holds(&day), "{day:?}");
     }
@@ -135,7 +135,7 @@
             vms: 400,
             crashing_gap_ms: gap,
             sound_gap_ms: 60,
-            restarts: true,
+            troubles: &[Trouble::Restarts],
             ..Scenario::default()
         };
         let day = play(scenario, seed);
--- a/crates/decisions/tests/part_fleet_support/mod.rs
+++ b/crates/decisions/tests/part_fleet_support/mod.rs
@@ -38,6 +38,21 @@
 /// Most sends of one call.
 const MAX_SENDS: u32 = 5;
 
+/// What happens beside the requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// VMs restart at random.
+    Restarts,
+    /// The crashing parts are sound until half of the day.
+    SoundBefore,
+    /// All engines of a zone, and once all engines, crash at random.
+    Outages,
+    /// One VM loses all its runs for some seconds and takes their engines for crashed, which the others use.
+    BrokenPath,
+    /// A caller sends requests that crash engines for other reasons, each with made-up parts and a shared one.
+    InventedParts,
+}
+
 /// A day of a fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Scenario {
@@ -48,16 +63,7 @@
     pub crashing_gap_ms: u64,
     /// Share of reports between VMs that are lost.
     pub loss: f64,
-    /// VMs restart at random.
-    pub restarts: bool,
-    /// The crashing parts are sound until half of the day.
-    pub sound_before: bool,
-    /// All engines of a zone, and once all engines, crash at random.
-    pub outages: bool,
-    /// One VM loses all its runs for some seconds and takes their engines for crashed, which the others use.
-    pub broken_path: bool,
-    /// A caller sends requests that crash engines for other reasons, each with made-up parts and a shared one.
-    pub invented_parts: bool,
+    pub troubles: &'static [Trouble],
     /// Number of parts from which the first part of a sound prompt is drawn, and the second one.
     pub shared: (usize, usize),
     /// Mean time between two sound requests.
@@ -71,11 +77,7 @@
             crashing: 1,
             crashing_gap_ms: 400,
             loss: 0.05,
-            restarts: false,
-            sound_before: false,
-            outages: false,
-            broken_path: false,
-            invented_parts: false,
+            troubles: &[],
             shared: (4, 200),
             sound_gap_ms: 250,
         }
@@ -109,9 +111,17 @@
         }
     }
 
+    fn has(&self, trouble: Trouble) -> bool {
+        self.troubles.contains(&trouble)
+    }
+
     /// From when on runs with the crashing parts crash their engines.
     fn onset_ms(&self) -> u64 {
-        if self.sound_before { DAY_MS / 2 } else { 0 }
+        if self.has(Trouble::SoundBefore) {
+            DAY_MS / 2
+        } else {
+            0
+        }
     }
 
     fn engines(&self) -> usize {
@@ -248,7 +258,7 @@
     }
 
     fn restart_vms(&mut self, ms: u64) {
-        if !self.scenario.restarts {
+        if !self.scenario.has(Trouble::Restarts) {
             return;
         }
         for vm in &mut self.vms {
@@ -269,14 +279,14 @@
         for report in arrived {
             let vm = &mut self.vms[report.to];
             for crash in report.crashes {
-                vm.tracker.record_reported(crash.received(at(ms)));
+                vm.tracker.record_reported(crash.received(at(ms)), at(ms));
             }
             vm.tracker.update_blame(at(ms));
         }
     }
 
     fn crash_by_outage(&mut self, ms: u64) {
-        if !self.scenario.outages {
+        if !self.scenario.has(Trouble::Outages) {
             return;
         }
         let zone = (ms > 0 && ms.is_multiple_of(9_000)).then(|| self.rng.random_range(0..3));
@@ -378,7 +388,7 @@
                 self.new_call(&parts, Some(part), None, ms);
             }
         }
-        if self.scenario.invented_parts && happens(&mut self.rng, INVENTED_GAP_MS) {
+        if self.scenario.has(Trouble::InventedParts) && happens(&mut self.rng, INVENTED_GAP_MS) {
             let shared = self.rng.random_range(0..self.scenario.shared.0);
             let parts = [format!("s{shared}"), format!("invented-{}", self.next_body)];
             self.new_call(&parts, Some(self.scenario.crashing), None, ms);
@@ -452,7 +462,7 @@
         }
         let engine = up[self.rng.random_range(0..up.len())];
         call.sends += 1;
-        if self.scenario.broken_path && call.vm == 0 && BROKEN_PATH_MS.contains(&ms) {
+        if self.scenario.has(Trouble::BrokenPath) && call.vm == 0 && BROKEN_PATH_MS.contains(&ms) {
             let id = engine_id(engine, self.engines[engine].incarnation);
             let vm = &mut self.vms[0];
             for crash in Crash::of_parts(&call.attributes, &id, at(ms)) {
