Statements of upstreams: one typed value, decoded once, applied at one place, logged

What an upstream states about itself in the head of a response (load, limit, brittleness, back-off, leaving) is now one value, UpstreamStatement. The adapter reads it where every request to an upstream is written, calls, copies, releases, queries and health checks alike, and hands it to the gate of the request, also for a response that is dropped afterwards. Statements about back-off and leaving get a line with the upstream, the status, the request that was answered and the path; they are not heeded yet. Limits and brittleness are applied as before.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -196,14 +196,12 @@
             path,
             max_idle: self.accepted.max_idle(),
             connect_timeout: CONNECT_TIMEOUT,
+            gate: gateway.gate_for_call(&self.accepted, entry, path),
         };
         let retryable = self.accepted.route.kind.may_retry();
         let response = async {
             let response = (gateway.transport.send)(call).await?;
-            gateway.upstream_responded_over(path, entry, response.load);
-            gateway.limit_stated(entry, response.limit);
-            let rejected = response.not_executed && !response.other_incarnation;
-            gateway.brittleness_stated(entry, response.bearable_rejections, rejected);
+            gateway.upstream_responded_over(path, entry);
             collect(response).await
         };
         let mut response = pin!(response);
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -536,20 +536,11 @@
     }
 
     /// Records that an upstream responded over a path. One through another VM says nothing about the own path.
-    pub(crate) fn upstream_responded_over(
-        &self,
-        path: SendPath,
-        entry: &Arc<UpstreamEntry>,
-        load: Option<LoadSample>,
-    ) {
+    pub(crate) fn upstream_responded_over(&self, path: SendPath, entry: &Arc<UpstreamEntry>) {
         if path.is_direct() {
-            return self.upstream_responded(entry, load);
+            return self.upstream_responded(entry, None);
         }
-        let now = self.timer.now();
         let mut state = self.state.lock();
-        if let Some(load) = load {
-            state.upstream(entry, now).load.record_report(load, now);
-        }
         let changes = state.directory.record_response(&entry.id);
         drop(state);
         self.presence_changed(&changes);
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -59,6 +59,7 @@
         engine: gateway
             .config()
             .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
+        gate: gateway.gate(&entry, UpstreamRequestKind::HealthCheck),
     };
     let start = gateway.timer.now();
     let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
@@ -113,6 +114,7 @@
     let probe = HealthProbe {
         entry: before.clone(),
         engine: true,
+        gate: gateway.gate(&before, UpstreamRequestKind::HealthCheck),
     };
     let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
     if let Ok(Ok(HealthReport {
--- a/crates/catkinward/src/gateway/kv_copy.rs
+++ b/crates/catkinward/src/gateway/kv_copy.rs
@@ -75,7 +75,10 @@
         state.upstream(&self.holder, now).load.copy_removed();
         drop(state);
         if self.free_on_drop && self.gateway.settings.policy.freed_copies {
-            tokio::spawn((self.gateway.transport.free)(self.source.clone()));
+            let gate = self
+                .gateway
+                .gate(&self.holder, UpstreamRequestKind::CopyRelease);
+            tokio::spawn((self.gateway.transport.free)(self.source.clone(), gate));
         }
     }
 }
--- a/crates/catkinward/src/gateway/kv_copy_manager.rs
+++ b/crates/catkinward/src/gateway/kv_copy_manager.rs
@@ -144,6 +144,7 @@
             source: run.clone(),
             call: accepted.call.id.clone(),
             holder: holder.clone(),
+            gate: self.gateway.gate(run, UpstreamRequestKind::CopyOrder),
         };
         self.pending = Some(PendingCopy {
             holder,
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -31,17 +31,18 @@
         PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PartCrash, PartId, PathContext, PeerDatagram,
         PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad, PeerLoads, PeerView, PlacementCandidate,
         PlacementContext, Policy, Presence, PresenceChange, ProcessStart, PromptPart, RequestRate,
-        RequestRateError, ResponseOutcome, RestartEvidence, RollbackReason, Rollout, RolloutGrant,
-        RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
+        RequestRateError, ResponseKind, ResponseOutcome, RestartEvidence, RollbackReason, Rollout,
+        RolloutGrant, RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
         RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts,
         Route, RoutingConfig, STANDBY_MAX_AGE, ServiceDemand, ServiceReaches, SharedRetryBudget,
         SharedRetryBudgetConfig, StaleRestart, StoredRecord, StreamDurationEstimator,
         SuspendDetector, TableFreshness, TableRow, TransferLimit, UpstreamChange,
         UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation, UpstreamLimit,
-        UpstreamLoad, UpstreamRestart, UpstreamTable, VersionAdmission, VersionSlots, VmDemand,
-        VmIncarnation, ZoneGossip, ZoneOutageDetector, ZoneRole, ZoneVm, choose_path,
-        gossips_changes, is_large_zone, limit_part, link_carries_config, prefill_time, rank_among,
-        rank_of_vm, select_copy_holder, select_upstream, store_backoff,
+        UpstreamLoad, UpstreamRequestKind, UpstreamRestart, UpstreamStatement, UpstreamTable,
+        VersionAdmission, VersionSlots, VmDemand, VmIncarnation, ZoneGossip, ZoneOutageDetector,
+        ZoneRole, ZoneVm, choose_path, gossips_changes, is_large_zone, limit_part,
+        link_carries_config, prefill_time, rank_among, rank_of_vm, select_copy_holder,
+        select_upstream, store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -65,6 +66,7 @@
     rollout_task::follow_rollouts,
     send_path::ConnectionPermit,
     table_transfer::decode_table_transfer,
+    upstream_gate::UpstreamGate,
     upstream_transport::{
         BodyEnd, BodyError, CopyError, CopySource, HealthProbe, HealthReport, KvCopyRequest,
         ResponseBody, SendError, UpstreamCall, UpstreamResponse, UpstreamTransport,
@@ -121,10 +123,12 @@
 mod send_path;
 mod shutdown;
 mod state;
+mod statements;
 mod stream_call;
 mod stream_run;
 mod stream_send;
 mod table_transfer;
+mod upstream_gate;
 mod upstream_transport;
 mod zone_config;
 mod zone_table;
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -6,7 +6,7 @@
     /// Cached tokens of a call's prompt by engine, sorted by engine. Engines are queried only for
     /// callers that reconnect: no engine has processed the prompt of any other caller yet.
     pub(crate) async fn search_prompt(
-        &self,
+        self: &Arc<Self>,
         accepted: &AcceptedCall,
     ) -> Vec<(UpstreamIncarnation, u32)> {
         let Some(prompt) = &accepted.call.prompt else {
@@ -57,8 +57,9 @@
         engines
     }
 
-    async fn query_cached(&self, engine: Arc<UpstreamEntry>) -> bool {
-        let query = (self.transport.cached)(engine.clone());
+    async fn query_cached(self: &Arc<Self>, engine: Arc<UpstreamEntry>) -> bool {
+        let gate = self.gate(&engine, UpstreamRequestKind::CacheQuery);
+        let query = (self.transport.cached)(engine.clone(), gate);
         let now = self.timer.now();
         match tokio::time::timeout(PROMPT_SEARCH_TIMEOUT, query).await {
             Ok(Ok(parts)) => {
--- /dev/null
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -0,0 +1,71 @@
+//! Applies what upstreams state about themselves in their responses.
+
+use super::{accepted_call::AcceptedCall, reply_log::millis, upstream_gate::UpstreamGate, *};
+
+impl Gateway {
+    /// Gate of a send of a call to an upstream.
+    pub(crate) fn gate_for_call(
+        self: &Arc<Self>,
+        accepted: &AcceptedCall,
+        entry: &Arc<UpstreamEntry>,
+        path: SendPath,
+    ) -> UpstreamGate {
+        UpstreamGate {
+            path,
+            call: Some(accepted.call.id.clone()),
+            ..self.gate(entry, UpstreamRequestKind::Call)
+        }
+    }
+
+    /// Gate of a request to an upstream over the own path.
+    pub(crate) fn gate(
+        self: &Arc<Self>,
+        entry: &Arc<UpstreamEntry>,
+        kind: UpstreamRequestKind,
+    ) -> UpstreamGate {
+        UpstreamGate {
+            gateway: self.clone(),
+            entry: entry.clone(),
+            kind,
+            path: SendPath::Direct,
+            call: None,
+        }
+    }
+
+    /// Applies a statement of an upstream.
+    pub(crate) fn apply_statement(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
+        let entry = &gate.entry;
+        if let Some(load) = statement.load {
+            let now = self.timer.now();
+            let mut state = self.state.lock();
+            state.upstream(entry, now).load.record_report(load, now);
+        }
+        // What a response to a call leaves out no longer holds; another one says nothing by it.
+        if statement.kind != ResponseKind::Other {
+            let rejected = statement.kind == ResponseKind::Rejection;
+            self.limit_stated(entry, statement.limit);
+            self.brittleness_stated(entry, statement.bearable_rejections, rejected);
+        }
+        self.log_statement(gate, statement);
+    }
+
+    fn log_statement(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
+        let now = self.timer.now();
+        if statement.back_off.is_none() && !statement.leaving {
+            return;
+        }
+        if !self.log.admits(LineKind::Belief, now) {
+            return;
+        }
+        let kind: &str = gate.kind.into();
+        let back_off = statement.back_off.map(|back_off| match back_off {
+            Ok(back_off) => millis(back_off.duration()).to_string(),
+            Err(error) => error.to_string(),
+        });
+        tracing::info!(upstream = %gate.entry.id, status = statement.status, kind,
+            answer_to = gate.call.as_ref().map(tracing::field::display),
+            back_off_ms = back_off, leaving = statement.leaving,
+            through = gate.path.through().map(tracing::field::display),
+            "statement of an upstream");
+    }
+}
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -270,7 +270,7 @@
         };
         let ActiveRun { guard, .. } = &active;
         self.gateway
-            .upstream_responded_over(guard.path, &guard.entry, None);
+            .upstream_responded_over(guard.path, &guard.entry);
         if active.splitter.push(bytes).is_err() {
             return self.lose_active_run(Loss::Torn);
         }
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -194,6 +194,7 @@
             path,
             max_idle: self.accepted.max_idle(),
             connect_timeout: CONNECT_TIMEOUT,
+            gate: gateway.gate_for_call(&self.accepted, &entry, path),
         };
         self.log_sent(&entry, path, copy.as_deref(), from_copy, time_left);
         let tokens = if from_copy {
@@ -241,12 +242,7 @@
         response: UpstreamResponse,
     ) -> Result<bool, StreamStop> {
         let entry = guard.entry.clone();
-        self.gateway
-            .upstream_responded_over(guard.path, &entry, response.load);
-        self.gateway.limit_stated(&entry, response.limit);
-        let rejected = response.not_executed && !response.other_incarnation;
-        self.gateway
-            .brittleness_stated(&entry, response.bearable_rejections, rejected);
+        self.gateway.upstream_responded_over(guard.path, &entry);
         if response.other_incarnation || response.not_executed {
             if response.other_incarnation {
                 self.gateway.upstream_replaced(&entry, response.incarnation);
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{upstream_gate::UpstreamGate, *};
 
 /// Functions that reach upstreams. The adapter implements the protocol; it neither retries nor abandons
 /// calls by itself.
@@ -24,7 +24,10 @@
 
 /// Function that queries which prompt parts an engine has cached.
 pub type QueryCachedPrompts = Box<
-    dyn Fn(Arc<UpstreamEntry>) -> BoxFuture<'static, Result<Vec<PromptPart>, SendError>>
+    dyn Fn(
+            Arc<UpstreamEntry>,
+            UpstreamGate,
+        ) -> BoxFuture<'static, Result<Vec<PromptPart>, SendError>>
         + Send
         + Sync,
 >;
@@ -39,7 +42,7 @@
 
 /// Function that frees a KV copy. It may fail without consequences, because engines free unused copies
 /// by themselves later.
-pub type FreeKvCopy = Box<dyn Fn(CopySource) -> BoxFuture<'static, ()> + Send + Sync>;
+pub type FreeKvCopy = Box<dyn Fn(CopySource, UpstreamGate) -> BoxFuture<'static, ()> + Send + Sync>;
 
 /// Request for a KV copy of a run.
 #[derive(Clone, Debug)]
@@ -50,6 +53,8 @@
     pub call: RequestId,
     /// The engine that receives the copy.
     pub holder: Arc<UpstreamEntry>,
+    /// Receives what the engine that runs the call states in its response.
+    pub gate: UpstreamGate,
 }
 
 /// Why no KV copy was made.
@@ -79,6 +84,8 @@
     /// connection suffices: a health request would wait for a slot like any call, so it says little about a
     /// full upstream.
     pub engine: bool,
+    /// Receives what the upstream states in its response.
+    pub gate: UpstreamGate,
 }
 
 /// Result of a health check.
@@ -121,6 +128,8 @@
     pub max_idle: Duration,
     /// Timeout for opening a new connection; the send fails with [`SendError::NoConnection`] afterwards.
     pub connect_timeout: Duration,
+    /// Receives what the upstream states in its response.
+    pub gate: UpstreamGate,
 }
 
 /// Identifies a KV copy of a run.
@@ -147,12 +156,6 @@
     pub other_incarnation: bool,
     /// Incarnation that responded, if it identified itself.
     pub incarnation: Option<UpstreamId>,
-    /// Load that the upstream reported with the response.
-    pub load: Option<LoadSample>,
-    /// Requests per second that the upstream takes from all VMs together, if the response names such a limit.
-    pub limit: Option<Result<RequestRate, RequestRateError>>,
-    /// Rejections a second that the upstream bears, if the response says that it is brittle.
-    pub bearable_rejections: Option<u32>,
     /// What ends the body.
     pub body_end: BodyEnd,
     /// Body of the response.
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -104,11 +104,11 @@
                 })
             })
         }),
-        free: Box::new(move |copy| {
+        free: Box::new(move |copy, _| {
             freed.lock().push(copy.handle.to_string());
             Box::pin(async {})
         }),
-        cached: Box::new(move |engine| {
+        cached: Box::new(move |engine, _| {
             let holds = cached_on == Some(engine.id.as_str());
             Box::pin(async move {
                 let parts = prompt_parts();
@@ -165,7 +165,6 @@
 
 fn response(status: StatusCode, body: ResponseBody) -> UpstreamResponse {
     UpstreamResponse {
-        bearable_rejections: None,
         body_end: catkinward::gateway::BodyEnd::Framing,
         status,
         headers: HeaderMap::new(),
@@ -173,8 +172,6 @@
         not_executed: false,
         other_incarnation: false,
         incarnation: None,
-        load: None,
-        limit: None,
         body,
     }
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -153,7 +153,9 @@
     request_id::RequestId,
     request_rate::{RequestRate, RequestRateError},
     request_state::{Dispatched, Done, NotRun, NotRunEvidence, Queued, Unknown},
+    requested_back_off::{RequestedBackOff, RequestedBackOffError},
     reserved_attempt::ReservedAttempt,
+    response_kind::ResponseKind,
     resume_point::ResumePoint,
     retry_refusal::RetryRefusal,
     rollout::{OWNER_TIMEOUT, Rollout},
@@ -215,8 +217,10 @@
     upstream_load::{LoadSample, UpstreamLoad, prefill_time},
     upstream_record::{PendingReport, UpstreamRecord},
     upstream_report::UpstreamReport,
+    upstream_request_kind::UpstreamRequestKind,
     upstream_restart::{RestartEvidence, StaleRestart, TableFreshness, UpstreamRestart},
     upstream_slots::{CapacityReport, UpstreamSlots},
+    upstream_statement::UpstreamStatement,
     upstream_table::{TableRead, UpstreamChange, UpstreamTable},
     utf8_joiner::Utf8Joiner,
     vm_id::VmId,
@@ -350,7 +354,9 @@
 mod request_id;
 mod request_rate;
 mod request_state;
+mod requested_back_off;
 mod reserved_attempt;
+mod response_kind;
 mod resume_point;
 mod retry_refusal;
 mod rollout;
@@ -408,8 +414,10 @@
 mod upstream_load;
 mod upstream_record;
 mod upstream_report;
+mod upstream_request_kind;
 mod upstream_restart;
 mod upstream_slots;
+mod upstream_statement;
 mod upstream_table;
 mod utf8_joiner;
 mod vm_id;
