Back-off of upstreams: asked on selection and right before each request is written

Cause: Retry-After of upstreams was read by nobody; a 503 affected only the call that got it. Class of fault: a statement of an upstream that has no place where it is kept and asked.

A back-off now binds this VM towards the incarnation that asked, until the end of the longest one, whatever is answered meanwhile (BackOffTable, kept apart from the state of upstreams, which is dropped when a row lapses). Selection, canary calls, resumes from copies, copy holders, queries of caches and health checks leave the upstream out, and the gate of each request is asked again right before it is written, so that a call which waited for a connection, a retry or a slot is selected anew. A VM that opened the connection is told by a datagram, since the upstream saw its address. While an upstream backs off, the others of its service get calls only up to their slots (the most urgent up to half as many more), so that none is pushed over. If all back off, calls are rejected at once, with the time of the first return plus a spread. After the end a growing share of the calls returns. Rejections of an upstream that backs off do not count as failures of it: they would keep it out of use afterwards.

Tests of crates/catkinward and platform (calls, limits, brittle_upstreams, cut_off_vm, streams) pass.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -133,9 +133,11 @@
         }
     }
 
-    /// Refuses the call, because of limits if they are the reason.
+    /// Refuses the call, because of back-offs or limits if they are the reason.
     fn refused(&self, queued: Queued<RequestId>, reason: RefusalReason) -> Reply {
-        let not_run = if let Some(delay) = self.gateway.limit_retry_after(&self.accepted) {
+        let not_run = if let Some(delay) = self.gateway.back_off_retry_after(&self.accepted) {
+            queued.refuse(RefusalReason::BackOff, delay)
+        } else if let Some(delay) = self.gateway.limit_retry_after(&self.accepted) {
             queued.refuse(RefusalReason::Limit, delay)
         } else {
             let spread = 1.0 + 2.0 * rand::random::<f64>();
@@ -241,7 +243,7 @@
             }
             Err(error) => self.handle_send_error(entry, path, error),
         };
-        if path.is_direct() {
+        if path.is_direct() && !gateway.is_backing_off(&entry.id) {
             let failed = !matches!(sent, Sent::Answered(_));
             gateway.record_call_outcome(entry, failed);
         }
@@ -294,6 +296,11 @@
     ) -> Sent {
         self.log_send_error(entry, error);
         match (error, path) {
+            (SendError::Withheld, _) => {
+                self.retry_prepaid = true;
+                self.sends -= 1;
+                Sent::NotRun(NotRunEvidence::Withheld)
+            }
             (SendError::NoConnection, SendPath::Through(other)) => {
                 self.retry_prepaid = true;
                 self.unopened.through.push(other);
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -418,6 +418,7 @@
         let now = self.timer.now();
         let mut state = self.state.lock();
         let mut full = self.upstreams_without_room(&mut state, accepted, now);
+        full.extend(self.upstreams_backing_off(&state, accepted, rand::random(), now));
         full.extend_from_slice(avoid);
         let selected =
             self.select_in(&mut state, accepted, &full, cached, candidate_set, select)?;
@@ -451,9 +452,14 @@
             // Another version cannot resume from its KV cache.
             return None;
         }
+        let now = self.timer.now();
+        let state = self.state.lock();
+        let avoid = state.back_offs.excluded(0.0, now).cloned();
+        let avoid = avoid.collect::<Vec<_>>();
+        drop(state);
         self.select_with(
             accepted,
-            &[],
+            &avoid,
             &[],
             Candidates::Open,
             |candidates, context| select_copy_holder(candidates, run, context).cloned(),
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -47,7 +47,7 @@
             let checked = self.runs.len();
             let probes = std::mem::take(&mut self.runs)
                 .into_iter()
-                .map(|(entry, _)| probe(gateway.clone(), entry));
+                .map(|(entry, _)| probe(gateway.clone(), entry, UpstreamRequestKind::CrashCheck));
             let live = futures::future::join_all(probes).await;
             let down = live.iter().filter(|live| !**live).count();
             tracing::warn!(request = %id, checked, down,
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -22,6 +22,7 @@
             let zone_vms = gateway.zone_vms().len();
             tracing::info!(%role, zone_vms, "role in the zone changed");
         }
+        gateway.remove_ended_back_offs(now);
         gateway.set_gauges(role, now);
     }
 }
@@ -36,6 +37,7 @@
             .count();
         let peers = state.peers.live_count(now);
         let crashing_parts = state.crashes.blamed_count();
+        let backing_off = state.back_offs.count_in_force(now);
         let age = state
             .gossip
             .store_age(now)
@@ -43,6 +45,7 @@
         drop(state);
         gauge("catkin_upstreams_usable", usable);
         gauge("catkin_upstreams_suspect", suspects);
+        gauge("catkin_upstreams_backing_off", backing_off);
         gauge("catkin_peers", peers);
         gauge("catkin_crashing_parts", crashing_parts);
         gauge("catkin_reads_for_zone", usize::from(role.polls_store()));
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -19,7 +19,8 @@
             gateway.record_suspension(gap);
         }
         for entry in due_probes(&gateway, now) {
-            tokio::spawn(probe(gateway.clone(), entry));
+            let kind = UpstreamRequestKind::HealthCheck;
+            tokio::spawn(probe(gateway.clone(), entry, kind));
         }
     }
 }
@@ -39,9 +40,10 @@
             due.push(upstream.entry.clone());
         }
     }
-    // Upstreams that are leaving or gone are probed only while calls run on them.
+    // Upstreams that are leaving or gone, or that back off, are probed only while calls run on them.
     due.retain(|entry| {
-        let usable = state.directory.get_usable(&entry.id, now).is_some();
+        let usable = state.directory.get_usable(&entry.id, now).is_some()
+            && !state.back_offs.is_in_force(&entry.id, now);
         let upstream = state.upstream(entry, now);
         let wanted = usable || upstream.health.in_flight() > 0;
         if !wanted {
@@ -52,14 +54,18 @@
     due
 }
 
-/// Probes an upstream, and fails over its calls if the probe fails; returns whether it is alive.
-pub(crate) async fn probe(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) -> bool {
+/// Probes an upstream, and fails over its calls if the probe fails; returns whether it is alive, as far as known.
+pub(crate) async fn probe(
+    gateway: Arc<Gateway>,
+    entry: Arc<UpstreamEntry>,
+    kind: UpstreamRequestKind,
+) -> bool {
     let probe = HealthProbe {
         entry: entry.clone(),
         engine: gateway
             .config()
             .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
-        gate: gateway.gate(&entry, UpstreamRequestKind::HealthCheck),
+        gate: gateway.gate(&entry, kind),
     };
     let start = gateway.timer.now();
     let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
@@ -72,6 +78,11 @@
             gateway.upstream_responded(&entry, answer.load);
             None
         }
+        Ok(Err(SendError::Withheld)) => {
+            let mut state = gateway.state.lock();
+            state.upstream(&entry, now).health.probe_ended();
+            return true;
+        }
         Ok(Err(fault)) => Some(fault.into()),
         Err(_) => Some("no_answer"),
     };
@@ -111,10 +122,15 @@
     if !only_engines {
         return;
     }
+    // What is known of the process before does not bind this one.
+    let responder = Arc::new(UpstreamEntry {
+        id: id.clone().into(),
+        ..UpstreamEntry::clone(&before)
+    });
     let probe = HealthProbe {
-        entry: before.clone(),
+        gate: gateway.gate(&responder, UpstreamRequestKind::HealthCheck),
+        entry: responder,
         engine: true,
-        gate: gateway.gate(&before, UpstreamRequestKind::HealthCheck),
     };
     let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
     if let Ok(Ok(HealthReport {
@@ -225,7 +241,8 @@
         drop(state);
         self.log_suspect(entry, new, zone_alarm);
         if probe_now {
-            tokio::spawn(probe(self.clone(), entry.clone()));
+            let kind = UpstreamRequestKind::CrashCheck;
+            tokio::spawn(probe(self.clone(), entry.clone(), kind));
         }
     }
 
@@ -247,7 +264,8 @@
         let usable = state.directory.get_usable(&entry.id, now).is_some();
         let suspect = state.is_suspect(&entry.id) || state.peers.is_suspect(&entry.id, now);
         let open = state.rollouts.admission(entry, now) == VersionAdmission::Open;
-        usable && !suspect && open
+        let backs_off = state.back_offs.is_in_force(&entry.id, now);
+        usable && !suspect && open && !backs_off
     }
 
     /// Number of these upstreams that take calls and are not suspect.
--- a/crates/catkinward/src/gateway/limits.rs
+++ b/crates/catkinward/src/gateway/limits.rs
@@ -187,6 +187,7 @@
         if self
             .upstreams_without_room(&mut state, accepted, now)
             .contains(&entry.id)
+            || state.back_offs.is_in_force(&entry.id, now)
         {
             return false;
         }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -21,18 +21,19 @@
         Timer, UpstreamId, watch,
     },
     catkin_decisions::{
-        BlameChange, Brittleness, COMPLETION_WAIT, CONFIG_POLL_TIMEOUT, CachedPrompts,
-        CallAttribute, CallAttributes, CompleteEvent, ConfigVersion, Crash, CrashPhase,
-        CrashRefusal, CrashReport, CrashTracker, CrashVerdict, DELTA_WAIT, EventDecision,
-        EventRelay, EventRun, EventSplitter, FleetView, GOSSIP_MAX_AGE, GossipState, GossipView,
-        HEARTBEAT_INTERVAL, JudgedReport, LimitPart, LimitQueue, LimitStatement, LimitedRequest,
-        LinkRate, LoadSample, Loan, LoanAsk, LoanRequests, MAX_CONNECTIONS_FOR_OTHERS,
-        MAX_GOSSIPED_CHANGES, MAX_LENDERS, MemberStatus, NewestConfig, OWNER_TIMEOUT, OwnerStep,
-        PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PartCrash, PartId, PathContext, PeerDatagram,
-        PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad, PeerLoads, PeerView, PlacementCandidate,
-        PlacementContext, Policy, Presence, PresenceChange, ProcessStart, PromptPart, RequestRate,
-        RequestRateError, ResponseKind, ResponseOutcome, RestartEvidence, RollbackReason, Rollout,
-        RolloutGrant, RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
+        BackOffTable, BlameChange, Brittleness, COMPLETION_WAIT, CONFIG_POLL_TIMEOUT,
+        CachedPrompts, CallAttribute, CallAttributes, CompleteEvent, ConfigVersion, Crash,
+        CrashPhase, CrashRefusal, CrashReport, CrashTracker, CrashVerdict, DELTA_WAIT,
+        EventDecision, EventRelay, EventRun, EventSplitter, FleetView, GOSSIP_MAX_AGE, GossipState,
+        GossipView, HEARTBEAT_INTERVAL, JudgedReport, LimitPart, LimitQueue, LimitStatement,
+        LimitedRequest, LinkRate, LoadSample, Loan, LoanAsk, LoanRequests,
+        MAX_CONNECTIONS_FOR_OTHERS, MAX_GOSSIPED_CHANGES, MAX_LENDERS, MemberStatus, NewestConfig,
+        OWNER_TIMEOUT, OwnerStep, PROBE_TIMEOUT, PROMPT_SEARCH_TIMEOUT, PartCrash, PartId,
+        PathContext, PeerDatagram, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad, PeerLoads,
+        PeerStatement, PeerView, PlacementCandidate, PlacementContext, Policy, Presence,
+        PresenceChange, ProcessStart, PromptPart, RequestRate, RequestRateError, RequestedBackOff,
+        ResponseKind, ResponseOutcome, RestartEvidence, RollbackReason, Rollout, RolloutGrant,
+        RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
         RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts,
         Route, RoutingConfig, STANDBY_MAX_AGE, ServiceDemand, ServiceReaches, SharedRetryBudget,
         SharedRetryBudgetConfig, StaleRestart, StoredRecord, StreamDurationEstimator,
@@ -40,7 +41,7 @@
         UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation, UpstreamLimit,
         UpstreamLoad, UpstreamRequestKind, UpstreamRestart, UpstreamStatement, UpstreamTable,
         VersionAdmission, VersionSlots, VmDemand, VmIncarnation, ZoneGossip, ZoneOutageDetector,
-        ZoneRole, ZoneVm, choose_path, gossips_changes, is_large_zone, limit_part,
+        ZoneRole, ZoneVm, choose_path, gossips_changes, has_spare_slot, is_large_zone, limit_part,
         link_carries_config, prefill_time, rank_among, rank_of_vm, select_copy_holder,
         select_upstream, store_backoff,
     },
@@ -93,6 +94,7 @@
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 
 mod accepted_call;
+mod back_offs;
 mod buffered_call;
 mod call;
 mod call_log;
--- a/crates/catkinward/src/gateway/prompt_search.rs
+++ b/crates/catkinward/src/gateway/prompt_search.rs
@@ -50,7 +50,9 @@
             .usable(service, now)
             .cloned()
             .collect::<Vec<_>>();
-        engines.retain(|engine| !state.is_suspect(&engine.id));
+        engines.retain(|engine| {
+            !state.is_suspect(&engine.id) && !state.back_offs.is_in_force(&engine.id, now)
+        });
         engines.sort_by_key(|engine| engine.zone != self.settings.zone);
         engines.truncate(state.cached.max_queries(self.settings.link));
         engines.retain(|engine| state.cached.needs_query(&engine.id, now));
--- a/crates/catkinward/src/gateway/send_path.rs
+++ b/crates/catkinward/src/gateway/send_path.rs
@@ -62,6 +62,9 @@
             Some(entry) if state.is_suspect(&entry.id) => {
                 refusal = refusal.or(Some("suspect_upstream"));
             }
+            Some(entry) if state.back_offs.is_in_force(&entry.id, now) => {
+                refusal = refusal.or(Some("back_off"));
+            }
             Some(_) => {}
         }
         drop(state);
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -13,6 +13,7 @@
     /// Upstreams that this VM has used, sorted by id. Each costs time at every check for silence, and a VM
     /// uses few of those that it knows.
     upstreams: Vec<UpstreamIncarnationState>,
+    pub(crate) back_offs: BackOffTable,
     pub(crate) zones: ZoneOutageDetector,
     pub(crate) recent_services: RecentServices,
     /// Sorted by service.
@@ -103,6 +104,7 @@
             directory: UpstreamDirectory::default(),
             directory_read: DirectoryRead::Nothing,
             upstreams: Vec::new(),
+            back_offs: BackOffTable::default(),
             zones: ZoneOutageDetector::default(),
             recent_services: RecentServices::default(),
             budgets: Vec::new(),
@@ -297,6 +299,12 @@
         Some(&mut self.upstreams[index])
     }
 
+    /// Number of calls on an upstream from all VMs, as far as known.
+    pub(crate) fn calls(&self, id: &UpstreamIncarnation, now: Instant) -> u32 {
+        let found = self.upstreams.binary_search_by(|u| u.id.cmp(id));
+        found.map_or(0, |index| self.upstreams[index].load.calls(now))
+    }
+
     /// Whether an upstream is suspected to have failed. One that this VM has not used yet is not.
     pub(crate) fn is_suspect(&self, id: &UpstreamIncarnation) -> bool {
         let found = self.upstreams.binary_search_by(|u| u.id.cmp(id));
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -1,6 +1,6 @@
 //! Applies what upstreams state about themselves in their responses.
 
-use super::{accepted_call::AcceptedCall, reply_log::millis, upstream_gate::UpstreamGate, *};
+use super::{accepted_call::AcceptedCall, upstream_gate::UpstreamGate, *};
 
 impl Gateway {
     /// Gate of a send of a call to an upstream.
@@ -46,26 +46,25 @@
             self.limit_stated(entry, statement.limit);
             self.brittleness_stated(entry, statement.bearable_rejections, rejected);
         }
-        self.log_statement(gate, statement);
+        match statement.back_off {
+            Some(Ok(asked)) => self.back_off_stated(gate, asked, statement.status),
+            Some(Err(error)) => {
+                tracing::warn!(upstream = %entry.id, %error, "back-off of an upstream cannot be read");
+            }
+            None => {}
+        }
+        self.log_leaving(gate, statement);
     }
 
-    fn log_statement(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
+    fn log_leaving(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
         let now = self.timer.now();
-        if statement.back_off.is_none() && !statement.leaving {
-            return;
-        }
-        if !self.log.admits(LineKind::Belief, now) {
+        if !statement.leaving || !self.log.admits(LineKind::Belief, now) {
             return;
         }
         let kind: &str = gate.kind.into();
-        let back_off = statement.back_off.map(|back_off| match back_off {
-            Ok(back_off) => millis(back_off.duration()).to_string(),
-            Err(error) => error.to_string(),
-        });
         tracing::info!(upstream = %gate.entry.id, status = statement.status, kind,
             answer_to = gate.call.as_ref().map(tracing::field::display),
-            back_off_ms = back_off, leaving = statement.leaving,
             through = gate.path.through().map(tracing::field::display),
-            "statement of an upstream");
+            "upstream states that it is leaving");
     }
 }
--- a/crates/catkinward/src/gateway/stream_call.rs
+++ b/crates/catkinward/src/gateway/stream_call.rs
@@ -15,6 +15,10 @@
         Ok(first) => first,
         Err(StreamStop::NotRun(reason)) => {
             let is_upstream_refusal = reason == RefusalReason::UpstreamRefused;
+            let backs_off = is_upstream_refusal.then(|| run.back_off_retry_after());
+            if let Some(retry_after) = backs_off.flatten() {
+                return refused(&call, RefusalReason::BackOff, retry_after);
+            }
             let limited = is_upstream_refusal.then(|| run.limit_retry_after());
             if let Some(retry_after) = limited.flatten() {
                 return refused(&call, RefusalReason::Limit, retry_after);
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -65,6 +65,11 @@
         self.gateway.limit_retry_after(&self.accepted)
     }
 
+    /// Time after which the caller returns, if all upstreams back off.
+    pub(super) fn back_off_retry_after(&self) -> Option<Duration> {
+        self.gateway.back_off_retry_after(&self.accepted)
+    }
+
     async fn may_resend(&mut self) -> bool {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
         // Those that ran it through another VM are unreachable from here only.
@@ -297,6 +302,10 @@
         path: SendPath,
         error: SendError,
     ) -> Result<bool, StreamStop> {
+        if error == SendError::Withheld {
+            self.retry_prepaid = true;
+            return Ok(false);
+        }
         if error == SendError::NoConnection {
             // Nothing was sent, so the next send does not count as another retry.
             self.retry_prepaid = true;
--- a/crates/catkinward/src/gateway/upstream_gate.rs
+++ b/crates/catkinward/src/gateway/upstream_gate.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// One request to an upstream, as the adapter reports on it.
+/// Permission for one request to an upstream, and the receiver of what the response states.
 #[derive(Clone)]
 pub struct UpstreamGate {
     pub(crate) gateway: Arc<Gateway>,
@@ -12,6 +12,13 @@
 }
 
 impl UpstreamGate {
+    /// Whether the request may be sent now. To be called right before it is written, since the upstream may have asked
+    /// for a back-off after it was selected.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.gateway.may_send(self)
+    }
+
     /// Records what the upstream states in the head of its response. To be called for each response, also for one
     /// that is of no use otherwise, except for a response to another request.
     pub fn record(&self, statement: &UpstreamStatement) {
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -53,7 +53,7 @@
     pub call: RequestId,
     /// The engine that receives the copy.
     pub holder: Arc<UpstreamEntry>,
-    /// Receives what the engine that runs the call states in its response.
+    /// Gate of the request to the engine that runs the call.
     pub gate: UpstreamGate,
 }
 
@@ -73,6 +73,9 @@
     /// The engine did not respond.
     #[display("the engine did not respond")]
     NoAnswer,
+    /// The engine wants no requests now.
+    #[display("the engine wants no requests now")]
+    Withheld,
 }
 
 /// A health check of an upstream.
@@ -84,7 +87,7 @@
     /// connection suffices: a health request would wait for a slot like any call, so it says little about a
     /// full upstream.
     pub engine: bool,
-    /// Receives what the upstream states in its response.
+    /// Gate of the request.
     pub gate: UpstreamGate,
 }
 
@@ -128,7 +131,7 @@
     pub max_idle: Duration,
     /// Timeout for opening a new connection; the send fails with [`SendError::NoConnection`] afterwards.
     pub connect_timeout: Duration,
-    /// Receives what the upstream states in its response.
+    /// Gate of the request.
     pub gate: UpstreamGate,
 }
 
@@ -187,6 +190,9 @@
     /// The response belongs to another call, or to none.
     #[display("the upstream's response does not belong to this call")]
     Crossed,
+    /// The upstream wants no requests now, so nothing was sent.
+    #[display("the upstream wants no requests now")]
+    Withheld,
     /// No response arrived before the stall timeout.
     #[display("the upstream did not respond in time")]
     Stalled,
--- a/crates/catkinward/src/plain_dispatch.rs
+++ b/crates/catkinward/src/plain_dispatch.rs
@@ -203,6 +203,7 @@
                 Ok(queued) => {
                     let reason = match evidence {
                         NotRunEvidence::NoConnection => RefusalReason::UpstreamUnreachable,
+                        NotRunEvidence::Withheld => RefusalReason::BackOff,
                         NotRunEvidence::UpstreamRefused => RefusalReason::UpstreamRefused,
                     };
                     self.pool.count_refusal(reason);
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -197,7 +197,8 @@
             RefusalReason::TeamLimit => ProblemKind::TeamLimit,
             RefusalReason::UpstreamRefused => ProblemKind::UpstreamRefused,
             RefusalReason::UpstreamUnreachable => ProblemKind::UpstreamUnreachable,
-            RefusalReason::CallerLeft
+            RefusalReason::BackOff
+            | RefusalReason::CallerLeft
             | RefusalReason::DeadlineTooNear
             | RefusalReason::Limit
             | RefusalReason::QueueFull
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -33,6 +33,7 @@
     admission_queue::{AdmissionConfig, AdmissionQueue, Arrival, QueuePosition},
     attempt::Attempt,
     availability_zone::AvailabilityZone,
+    back_off_table::{BackOffChange, BackOffTable, ReturnTime, has_spare_slot},
     body_tags::BodyTags,
     brittleness::Brittleness,
     bundle::Bundle,
@@ -123,7 +124,7 @@
     part_id::PartId,
     part_trial::TrialSlot,
     path_rule::PathRule,
-    peer_datagram::{Loan, LoanAsk, PeerDatagram},
+    peer_datagram::{Loan, LoanAsk, PeerDatagram, PeerStatement},
     peer_entry::PeerEntry,
     peer_heartbeat::{MemberStatus, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad},
     peer_loads::{HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerLoads, SHARERS_PER_UPSTREAM},
@@ -237,6 +238,7 @@
 mod admission_queue;
 mod attempt;
 mod availability_zone;
+mod back_off_table;
 mod body_tags;
 mod brittleness;
 mod bundle;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -34,6 +34,20 @@
     /// Crashes of upstreams under parts of prompts.
     #[serde(rename = "c")]
     Crashes(CrashReport),
+    /// Tells what an upstream stated in a response.
+    #[serde(rename = "s")]
+    Statement(PeerStatement),
+}
+
+/// What an upstream stated in a response to the sender that binds the receiver too.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerStatement {
+    /// The upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamIncarnation,
+    /// Time in milliseconds for which it wants no requests, on a connection that the receiver opened for the sender.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub back_off_ms: Option<u32>,
 }
 
 /// Requests a part of another VM's retry budget for a service.
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -16,6 +16,8 @@
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum RefusalReason {
+    /// The upstreams asked for a back-off.
+    BackOff,
     /// The caller disconnected while the request was queued.
     CallerLeft,
     /// Upstreams crashed under other requests with a part of the same prompt.
--- a/crates/decisions/src/request_state.rs
+++ b/crates/decisions/src/request_state.rs
@@ -53,6 +53,8 @@
     NoConnection,
     /// The upstream refused this attempt and stated that nothing ran.
     UpstreamRefused,
+    /// The request was withheld before it was written.
+    Withheld,
 }
 
 impl<T> Queued<T> {
--- a/crates/decisions/src/requested_back_off.rs
+++ b/crates/decisions/src/requested_back_off.rs
@@ -4,7 +4,7 @@
 const MAX_SECONDS: f64 = u32::MAX as f64;
 
 /// Time for which an upstream wants no requests from the VM that it answers.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RequestedBackOff(Duration);
 
 /// Why a text is not a [`RequestedBackOff`].
--- a/crates/decisions/src/upstream_request_kind.rs
+++ b/crates/decisions/src/upstream_request_kind.rs
@@ -12,6 +12,21 @@
     CopyOrder,
     /// Release of a KV copy.
     CopyRelease,
-    /// Health check.
+    /// Check whether an upstream whose connection broke has crashed.
+    CrashCheck,
+    /// Health check of an upstream that is silent or suspect.
     HealthCheck,
 }
+
+impl UpstreamRequestKind {
+    /// Whether the request is sent although the upstream wants none from this VM; `has_calls` is whether it runs calls
+    /// of this VM. Only checks are on which running calls depend.
+    #[must_use]
+    pub fn overrides_back_off(self, has_calls: bool) -> bool {
+        match self {
+            Self::CrashCheck => true,
+            Self::HealthCheck => has_calls,
+            Self::Call | Self::CacheQuery | Self::CopyOrder | Self::CopyRelease => false,
+        }
+    }
+}
--- a/crates/decisions/tests/encodings.rs
+++ b/crates/decisions/tests/encodings.rs
@@ -67,7 +67,7 @@
     }
     // Three heartbeats and three gossip datagrams (all fields set, optional ones absent, later fields set), five
     // rollouts, and one datagram of each other variant.
-    expect_that!(lines("PeerDatagram/").count(), eq(18));
+    expect_that!(lines("PeerDatagram/").count(), eq(19));
 }
 
 /// Each variant of [`PeerDatagram`] stands in the fixture. A new variant does not compile here until it has a name.
@@ -87,12 +87,13 @@
                 PeerDatagram::RolloutReport(_) => "rollout report",
                 PeerDatagram::RolloutGrant(_) => "rollout grant",
                 PeerDatagram::Crashes(_) => "crashes",
+                PeerDatagram::Statement(_) => "statement",
             }
         })
         .collect::<Vec<_>>();
     kinds.sort_unstable();
     kinds.dedup();
-    expect_that!(kinds.len(), eq(10));
+    expect_that!(kinds.len(), eq(11));
 }
 
 #[gtest]
