--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -9,14 +9,15 @@
 use catkin_decisions::{
     BodyCrash, CallAttributes, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash,
     CrashReport, Instant, LinkRate, LoadSample, PartCrash, PartId, PeerHeartbeat, Policy,
-    ProcessStart, PromptPart, RolloutSettings, Route, RouteTable, RouteTarget, RoutingConfig,
-    ServiceId, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry, ZoneGossip,
+    ProcessStart, PromptPart, ResponseKind, RolloutSettings, Route, RouteTable, RouteTarget,
+    RoutingConfig, ServiceId, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry,
+    UpstreamStatement, ZoneGossip,
 };
 use catkinward::{
     Timer,
     gateway::{
         BodyError, Call, CopySource, Gateway, GatewaySettings, HealthReport, Prompt, Reply,
-        ResponseBody, SendError, UpstreamCall, UpstreamResponse, UpstreamTransport,
+        ResponseBody, SendError, UpstreamCall, UpstreamGate, UpstreamResponse, UpstreamTransport,
     },
 };
 use futures::{StreamExt, stream};
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -11,6 +11,10 @@
     Unsigned(StatusCode),
     /// States that it did not run the call.
     NotExecuted,
+    /// The same, and asks for a back-off.
+    BackOff(Duration),
+    /// Accepts the connection after this time, and does the rest then.
+    AcceptAfter(Duration, Box<Script>),
     /// Responds as another incarnation.
     OtherIncarnation(Option<&'static str>),
     /// Accepts no connection.
@@ -83,17 +87,27 @@
     let timer = timer.clone();
     UpstreamTransport {
         send: Box::new(move |call| {
-            received.lock().push(ReceivedCall {
-                upstream: call.entry.id.to_string(),
-                last_event: call.last_event,
-                copy_to: call.copy_to.map(|address| address.to_string()),
-                from_copy: call.copy_from.as_ref().map(|copy| copy.handle.to_string()),
-                time_left: call.time_left,
-                max_idle: call.max_idle,
-                at: timer.now(),
-            });
-            let script = script(&call);
-            Box::pin(respond(script))
+            let (script, received, timer) = (script(&call), received.clone(), timer.clone());
+            Box::pin(async move {
+                let mut script = script;
+                while let Script::AcceptAfter(time, rest) = script {
+                    tokio::time::sleep(time).await;
+                    script = *rest;
+                }
+                if !call.gate.is_open() {
+                    return Err(SendError::Withheld);
+                }
+                received.lock().push(ReceivedCall {
+                    upstream: call.entry.id.to_string(),
+                    last_event: call.last_event,
+                    copy_to: call.copy_to.map(|address| address.to_string()),
+                    from_copy: call.copy_from.as_ref().map(|copy| copy.handle.to_string()),
+                    time_left: call.time_left,
+                    max_idle: call.max_idle,
+                    at: timer.now(),
+                });
+                respond(script, &call.gate).await
+            })
         }),
         copy: Box::new(move |order| {
             copies.lock().push(order.holder.id.to_string());
@@ -133,7 +147,7 @@
     }
 }
 
-async fn respond(script: Script) -> Result<UpstreamResponse, SendError> {
+async fn respond(script: Script, gate: &UpstreamGate) -> Result<UpstreamResponse, SendError> {
     // Simulated latency of an upstream.
     tokio::time::sleep(Duration::from_millis(5)).await;
     match script {
@@ -150,6 +164,20 @@
             signed: false,
             ..response(StatusCode::SERVICE_UNAVAILABLE, stream::empty().boxed())
         }),
+        Script::BackOff(time) => {
+            gate.record(&UpstreamStatement {
+                status: 503,
+                kind: ResponseKind::Rejection,
+                back_off: Some(Ok(time.into())),
+                ..UpstreamStatement::default()
+            });
+            Ok(UpstreamResponse {
+                not_executed: true,
+                signed: false,
+                ..response(StatusCode::SERVICE_UNAVAILABLE, stream::empty().boxed())
+            })
+        }
+        Script::AcceptAfter(..) => unreachable!("taken apart by the caller"),
         Script::OtherIncarnation(by) => Ok(UpstreamResponse {
             other_incarnation: true,
             incarnation: by.map(|by| by.parse().unwrap()),
