Leaving upstreams: what one states in its response applies like its row

Its presence is leaving now from the first such response on, permanently for that incarnation, whatever rows say later. The VMs that share it, and one that opened the connection, are told by a datagram, once. The gate of a call is closed also if the upstream is not present any more, so that a call which waited for a connection is selected anew.

--- a/crates/catkinward/src/gateway/back_offs.rs
+++ b/crates/catkinward/src/gateway/back_offs.rs
@@ -33,16 +33,19 @@
             let told = PeerStatement {
                 upstream: gate.entry.id.clone(),
                 back_off_ms: Some(u32::try_from(millis(asked.duration())).unwrap_or(u32::MAX)),
+                leaving: false,
             };
             self.outbox.send(other, PeerDatagram::Statement(told));
         }
     }
 
-    /// Applies what an upstream stated to another VM.
-    pub(crate) fn receive_statement(&self, told: &PeerStatement, from: SocketAddr) {
-        let Some(back_off_ms) = told.back_off_ms else {
-            return;
-        };
+    /// Applies a back-off that an upstream asked for on a connection that this VM opened for another one.
+    pub(crate) fn back_off_told(
+        &self,
+        upstream: &UpstreamIncarnation,
+        back_off_ms: u32,
+        from: SocketAddr,
+    ) {
         let asked = Duration::from_millis(back_off_ms.into()).into();
         let source = BackOffSource {
             kind: "connection_for_other",
@@ -50,7 +53,7 @@
             answer_to: None,
             path: Some(from),
         };
-        self.apply_back_off(&told.upstream, asked, &source);
+        self.apply_back_off(upstream, asked, &source);
     }
 
     fn apply_back_off(
@@ -83,28 +86,6 @@
         self.state.lock().back_offs.is_in_force(upstream, now)
     }
 
-    /// Whether the request of a gate may be written now.
-    pub(crate) fn may_send(&self, gate: &UpstreamGate) -> bool {
-        let now = self.timer.now();
-        let mut state = self.state.lock();
-        if !state.back_offs.is_in_force(&gate.entry.id, now) {
-            return true;
-        }
-        let upstream = state.existing_upstream(&gate.entry.id);
-        let has_calls = upstream.is_some_and(|upstream| upstream.health.in_flight() > 0);
-        drop(state);
-        if gate.kind.overrides_back_off(has_calls) {
-            return true;
-        }
-        let kind: &str = gate.kind.into();
-        metrics::counter!("catkin_withheld_requests_total", "kind" => kind).increment(1);
-        if self.log.admits(LineKind::Limited, now) {
-            tracing::info!(request = gate.call.as_ref().map(tracing::field::display),
-                upstream = %gate.entry.id, kind, reason = "back_off", "request withheld");
-        }
-        false
-    }
-
     /// Upstreams that a call must not select because they, or others in whose place they would get it, back off.
     pub(crate) fn upstreams_backing_off(
         &self,
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -32,6 +32,31 @@
         }
     }
 
+    /// Whether the request of a gate may be written now.
+    pub(crate) fn may_send(&self, gate: &UpstreamGate) -> bool {
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let upstream = state.existing_upstream(&gate.entry.id);
+        let has_calls = upstream.is_some_and(|upstream| upstream.health.in_flight() > 0);
+        let backs_off = state.back_offs.is_in_force(&gate.entry.id, now);
+        let usable = state.directory.get_usable(&gate.entry.id, now).is_some();
+        drop(state);
+        let reason = if backs_off && !gate.kind.overrides_back_off(has_calls) {
+            "back_off"
+        } else if gate.kind == UpstreamRequestKind::Call && !usable {
+            "not_present"
+        } else {
+            return true;
+        };
+        let kind: &str = gate.kind.into();
+        metrics::counter!("catkin_withheld_requests_total", "kind" => kind).increment(1);
+        if self.log.admits(LineKind::Limited, now) {
+            tracing::info!(request = gate.call.as_ref().map(tracing::field::display),
+                upstream = %gate.entry.id, kind, reason, "request withheld");
+        }
+        false
+    }
+
     /// Applies a statement of an upstream to the process that it is about, if that is known.
     pub(crate) fn apply_statement(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
         match statement.subject(&gate.entry.id.id) {
@@ -73,18 +98,55 @@
             }
             None => {}
         }
-        self.log_leaving(gate, statement);
+        if statement.leaving {
+            self.leaving_stated(gate, statement.status);
+        }
     }
 
-    fn log_leaving(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
-        let now = self.timer.now();
-        if !statement.leaving || !self.log.admits(LineKind::Belief, now) {
+    /// Records that an upstream is leaving. The other VMs that may use it are told: the store may not say so, and those that
+    /// open connections for this one have not read it.
+    fn leaving_stated(&self, gate: &UpstreamGate, status: u16) {
+        let (now, id) = (self.timer.now(), &gate.entry.id);
+        let mut state = self.state.lock();
+        let Some(change) = state.directory.record_leaving(id) else {
             return;
+        };
+        let zone = &self.settings.zone;
+        let mut receivers = state.peers.dispatch_receivers(&gate.entry, zone, now);
+        drop(state);
+        receivers.extend(gate.path.through());
+        receivers.sort_unstable();
+        receivers.dedup();
+        if self.log.admits(LineKind::Belief, now) {
+            let kind: &str = gate.kind.into();
+            tracing::info!(upstream = %id, status, kind,
+                answer_to = gate.call.as_ref().map(tracing::field::display),
+                path = gate.path.through().map(tracing::field::display),
+                told = receivers.len(), "upstream states that it is leaving");
         }
-        let kind: &str = gate.kind.into();
-        tracing::info!(upstream = %gate.entry.id, status = statement.status, kind,
-            answer_to = gate.call.as_ref().map(tracing::field::display),
-            through = gate.path.through().map(tracing::field::display),
-            "upstream states that it is leaving");
+        self.presence_changed(&[change]);
+        let told = PeerStatement {
+            upstream: id.clone(),
+            back_off_ms: None,
+            leaving: true,
+        };
+        self.outbox
+            .send_to_all(receivers, PeerDatagram::Statement(told));
+    }
+
+    /// Applies what an upstream stated to another VM.
+    pub(crate) fn receive_statement(&self, told: &PeerStatement, from: SocketAddr) {
+        if let Some(back_off_ms) = told.back_off_ms {
+            self.back_off_told(&told.upstream, back_off_ms, from);
+        }
+        if !told.leaving {
+            return;
+        }
+        let change = self.state.lock().directory.record_leaving(&told.upstream);
+        if change.is_some() && self.log.admits(LineKind::Belief, self.timer.now()) {
+            tracing::info!(upstream = %told.upstream, %from,
+                "upstream states that it is leaving, to another VM");
+        }
+        self.presence_changed(change.as_slice());
     }
 }
--- a/crates/catkinward/tests/gateway_back_off.rs
+++ b/crates/catkinward/tests/gateway_back_off.rs
@@ -147,3 +147,34 @@
     let to_b = received.iter().filter(|call| call.upstream == "engine-b");
     expect_that!(to_b.count(), le(1));
 }
+
+/// Guards against a call that is sent to an upstream which is leaving by now, since the call had selected it before and
+/// waited for a connection.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_that_waits_for_a_connection_goes_elsewhere_if_the_upstream_is_leaving() {
+    for path in ["/quick/1", "/once/1"] {
+        let running = GatewayFixture::new(|call| {
+            let ok = Script::Whole(StatusCode::OK, "yes");
+            if call.entry.zone.as_str() == "a" {
+                Script::AcceptAfter(Duration::from_millis(100), Box::new(ok))
+            } else {
+                ok
+            }
+        })
+        .upstream("plain-a", PLAIN, "a")
+        .upstream("plain-b", PLAIN, "b")
+        .start();
+
+        let leaves = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let mut entry = upstream("plain-a", PLAIN, "a");
+            entry.leaving = true;
+            running.gateway.upstream_updated(entry);
+        };
+        let (reply, ()) = tokio::join!(running.handle(path), leaves);
+
+        expect_that!(is_ok(&reply), eq(true), "{path}");
+        expect_that!(running.sent_to(), elements_are![eq("plain-b")], "{path}");
+    }
+}
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -39,7 +39,7 @@
     Statement(PeerStatement),
 }
 
-/// What an upstream stated in a response to the sender that binds the receiver too.
+/// What an upstream stated in a response to the sender that concerns the receiver too.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerStatement {
     /// The upstream.
@@ -48,6 +48,9 @@
     /// Time in milliseconds for which it wants no requests, on a connection that the receiver opened for the sender.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub back_off_ms: Option<u32>,
+    /// Whether it is leaving.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// Requests a part of another VM's retry budget for a service.
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -346,6 +346,24 @@
         changes
     }
 
+    /// Records that an upstream is leaving, as it said itself or to another VM; returns its presence if it changed. Like a
+    /// row that says so, this applies for as long as the incarnation is known.
+    pub fn record_leaving(&mut self, id: &UpstreamIncarnation) -> Option<PresenceChange> {
+        let index = self.position(id).ok()?;
+        let known = &mut self.known[index];
+        if !known.entry.leaving {
+            known.entry = Arc::new(UpstreamEntry {
+                leaving: true,
+                ..UpstreamEntry::clone(&known.entry)
+            });
+        }
+        let changed = matches!(
+            known.presence,
+            Presence::Present | Presence::Lapsed(_) | Presence::Reported(_)
+        ) && known.set_presence(Presence::Leaving);
+        changed.then(|| (id.clone(), Presence::Leaving))
+    }
+
     /// Records that another upstream responded at the address of `id`; `by` is its id, if it gave one.
     pub fn record_denial(
         &mut self,
@@ -516,9 +534,11 @@
 }
 
 impl KnownUpstream {
-    /// Presence of the upstream while it takes calls.
+    /// Presence of the upstream while it runs.
     fn usable_presence(&self) -> Presence {
-        if self.has_row {
+        if self.entry.leaving {
+            Presence::Leaving
+        } else if self.has_row {
             Presence::Present
         } else {
             Presence::Reported(None)
--- a/crates/decisions/tests/encodings.rs
+++ b/crates/decisions/tests/encodings.rs
@@ -66,8 +66,8 @@
         expect_that!(cbor_again::<PeerDatagram>(encoded), eq(encoded), "{name}");
     }
     // Three heartbeats and three gossip datagrams (all fields set, optional ones absent, later fields set), five
-    // rollouts, and one datagram of each other variant.
-    expect_that!(lines("PeerDatagram/").count(), eq(19));
+    // rollouts, two statements, and one datagram of each other variant.
+    expect_that!(lines("PeerDatagram/").count(), eq(20));
 }
 
 /// Each variant of [`PeerDatagram`] stands in the fixture. A new variant does not compile here until it has a name.
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -343,3 +343,50 @@
 
     expect_that!(usable(&directory, at(5001)), eq(&["u2", "u3"]));
 }
+
+/// Guards against calls to an upstream that said that it is leaving, after its row, or another VM's report of it, is
+/// read without that word.
+#[gtest]
+fn stated_leaving_outlasts_rows_lapses_and_replacement() {
+    let id: UpstreamIncarnation = "u1".parse().unwrap();
+    let mut row = UpstreamDirectory::default();
+    row.apply_entry(entry("u1", 1, false));
+    let mut lapsed = row.clone();
+    lapsed.record_platform_outage();
+    lapsed.remove_entry(&id.id, at(0));
+    let mut replaced = row.clone();
+    replaced.apply_entry(entry("u2", 1, false));
+
+    let changes = [&mut row, &mut lapsed, &mut replaced]
+        .map(|directory| directory.record_leaving(&id).is_some());
+    let again = row.record_leaving(&id);
+    row.apply_snapshot(vec![entry("u1", 1, false)], at(10));
+    lapsed.apply_entry(entry("u1", 1, false));
+    replaced.record_response(&id);
+
+    expect_that!(changes, eq([true, true, false]));
+    expect_that!(again, none());
+    for directory in [&row, &lapsed, &replaced] {
+        let is_usable = directory.get_usable(&id, at(20)).is_some();
+        expect_that!(is_usable, eq(false));
+    }
+}
+
+/// Guards against a new process that gets no calls since the one before it said that it was leaving.
+#[gtest]
+fn stated_leaving_does_not_bind_the_next_incarnation() {
+    let with_start = |ms| {
+        let mut entry = entry("u1", 1, false);
+        entry.id.born = Some(ProcessStart(ms));
+        entry
+    };
+    let mut directory = UpstreamDirectory::default();
+    directory.apply_entry(with_start(1));
+    directory.record_leaving(&with_start(1).id);
+
+    directory.apply_entry(with_start(2));
+
+    let next = with_start(2).id;
+    expect_that!(directory.get_usable(&next, at(0)).is_some(), eq(true));
+    expect_that!(directory.get_usable(&with_start(1).id, at(0)), none());
+}
