catkinctl explain: from a call rejected for a back-off to the response that asked for it

The lines about back-offs in force are shown however old they are, and the cause names the upstream, the time and the request in whose response it asked. Belief lines now serve as the link: a rejected call names the upstreams that were left out of its choice.

--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -82,6 +82,7 @@
         .iter()
         .map(|line| line.text("upstream"))
         .collect::<Vec<_>>();
+    let back_offs = back_offs_behind(&request_lines, lines);
     let bodies = request_lines
         .iter()
         .map(|line| line.text("body"))
@@ -104,18 +105,48 @@
         let about_cause = line.micros <= last.micros
             && ((line.text("request").is_empty() && causes.contains(&line.text("cause")))
                 || causes.iter().any(|cause| line.lost_run_with(cause)));
+        let about_back_off = back_offs.iter().any(|other| std::ptr::eq(*other, *line));
         line.text("request") == request
             || about_cause
+            || about_back_off
             || (span.contains(&line.micros) && (about_upstream || about_body || about_process))
     };
     let mut text = String::new();
     for line in lines.iter().filter(is_relevant) {
         text.push_str(&line.format_line(first.micros));
     }
-    text.extend(["cause: ", &cause(&request_lines, lines), "\n"]);
+    let mut cause = cause(&request_lines, lines);
+    if last.text("reason") == "back_off" {
+        cause.extend(back_offs.iter().map(|line| line.format_back_off()));
+    }
+    text.extend(["cause: ", &cause, "\n"]);
     text
 }
 
+/// The lines about back-offs that were in force when the request was logged last, of the upstreams that were left out of
+/// its choice or that it was sent to.
+fn back_offs_behind<'a>(request_lines: &[&LogLine], all: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let Some(last) = request_lines.last() else {
+        return Vec::new();
+    };
+    let left_out = request_lines
+        .iter()
+        .filter(|line| line.text("reason") == "back_off")
+        .flat_map(|line| line.text("left_out").split(','));
+    let sent_to = request_lines.iter().map(|line| line.text("upstream"));
+    let upstreams = left_out.chain(sent_to).collect::<Vec<_>>();
+    all.iter()
+        .filter(|line| {
+            let left = line.fields["left_ms"].as_u64().unwrap_or(0);
+            let until = line.micros.saturating_add(left.saturating_mul(1000));
+            line.message() == "back-off of an upstream"
+                && line.file == last.file
+                && (line.micros..until).contains(&last.micros)
+                && upstreams.contains(&line.text("upstream"))
+        })
+        .collect()
+}
+
 /// Determines the cause of a request's outcome from its log lines, as text for the operator.
 fn cause(request_lines: &[&LogLine], all: &[LogLine]) -> String {
     let last = request_lines
@@ -215,6 +246,19 @@
             && part.is_some_and(|part| parts.any(|p| p == part))
     }
 
+    /// Formats where a back-off comes from.
+    fn format_back_off(&self) -> String {
+        let answer_to = match self.text("answer_to") {
+            "" => String::new(),
+            request => format!(" in its response to {request}"),
+        };
+        format!(
+            "; {} asked for a back-off of {} ms{answer_to}",
+            self.text("upstream"),
+            self.fields["asked_ms"]
+        )
+    }
+
     fn is_process_event(&self) -> bool {
         matches!(
             self.message(),
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -168,3 +168,36 @@
     expect_that!(text, not(contains_substring("b1")));
     expect_that!(text, contains_substring("not_run, crashing_part"));
 }
+
+/// Guards against a rejection that nobody can trace: the upstream asked for the back-off in its response to another
+/// request, seconds ago.
+#[gtest]
+fn rejection_for_a_back_off_shows_the_response_that_asked_for_it() {
+    let back_off = |second, upstream: &str, answer_to: &str, left: u32| {
+        let fields = format!(
+            r#""message":"back-off of an upstream","upstream":"{upstream}","change":"begun","asked_ms":{left},"left_ms":{left},"status":503,"answer_to":"{answer_to}""#
+        );
+        line(second, &fields)
+    };
+    let left_out = r#""message":"upstreams left out of the choice","request":"r1","reason":"back_off","left_out":"u1,u2""#;
+    let rejected = r#""message":"request rejected locally","request":"r1","outcome":"not_run","reason":"back_off","retry_after_ms":4000"#;
+    let log = back_off(1, "u1", "ended", 2000)
+        + &back_off(5, "u1", "r0", 30_000)
+        + &back_off(6, "u3", "beside", 30_000)
+        + &accepted(20)
+        + &line(20, left_out)
+        + &line(20, rejected);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    let text = text(&output);
+    expect_that!(text, contains_substring("answer_to=r0"));
+    expect_that!(
+        text,
+        contains_substring(
+            "not_run, back_off; u1 asked for a back-off of 30000 ms in its response to r0"
+        )
+    );
+    expect_that!(text, not(contains_substring("ended")));
+    expect_that!(text, not(contains_substring("beside")));
+}
