--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -35,6 +35,7 @@
             .upstreams_mut()
             .filter(|upstream| upstream.health.is_suspect())
             .count();
+        state.peer_suspicions.remove_old(now);
         let peers = state.peers.live_count(now);
         let crashing_parts = state.crashes.blamed_count();
         let backing_off = state.back_offs.count_in_force(now);
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -328,7 +328,7 @@
         }
         let newly_suspect = heartbeat.suspects.iter();
         let newly_suspect = newly_suspect
-            .filter(|id| !state.peers.is_suspect(id, now) && !state.is_suspect(id))
+            .filter(|id| state.peer_suspicions.record(id, now) && !state.is_suspect(id))
             .cloned()
             .collect::<Vec<_>>();
         let before = state.peers.live_count(now);
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -24,6 +24,7 @@
     /// Runs that were lost recently, until it is known whether their upstream crashed.
     lost_runs: Vec<LostRun>,
     pub(crate) peers: PeerLoads,
+    pub(crate) peer_suspicions: PeerSuspicions,
     pub(crate) cached: CachedPrompts,
     /// The platform's table of upstreams, as read by this VM or advertised by another VM of the
     /// zone.
@@ -112,6 +113,7 @@
             refusals: watch::Sender::new(0),
             lost_runs: Vec::new(),
             peers: PeerLoads::new(vm),
+            peer_suspicions: PeerSuspicions::default(),
             cached: CachedPrompts::default(),
             table: UpstreamTable::default(),
             gossip: GossipView::default(),
--- a/crates/decisions/src/crash_tracker.rs
+++ b/crates/decisions/src/crash_tracker.rs
@@ -45,6 +45,8 @@
 pub struct CrashTracker {
     /// Sorted by attribute and upstream.
     crashes: Vec<TrackedCrash>,
+    /// Times of the tracked crashes, the same for all of an upstream, sorted by upstream.
+    crash_times: Vec<(UpstreamIncarnation, Instant)>,
     clean_runs: CleanRuns,
     /// Parts that crash upstreams, sorted by part.
     blamed: Vec<BlamedPart>,
@@ -116,17 +118,16 @@
 
     fn insert(&mut self, mut crash: Crash, is_own: bool) {
         let now = crash.at;
+        let before = self.crashes.len();
         self.crashes
             .retain(|tracked| now.since(tracked.crash.at) < tracked.crash.attribute.crash_ttl());
         if self.crashes.len() == MAX_TRACKED {
             self.evict(now);
         }
-        for tracked in &mut self.crashes {
-            if tracked.crash.upstream == crash.upstream {
-                crash.at = crash.at.min(tracked.crash.at);
-                tracked.crash.at = crash.at;
-            }
+        if self.crashes.len() < before {
+            self.index_crash_times();
         }
+        crash.at = self.unify_crash_time(&crash);
         let changed_at = crash.at;
         let key = (&crash.attribute, &crash.upstream);
         let i = self.crashes.partition_point(|tracked| tracked.key() < key);
@@ -141,6 +142,38 @@
         );
     }
 
+    /// Gives all crashes of an upstream the earliest of their times; returns that time.
+    fn unify_crash_time(&mut self, crash: &Crash) -> Instant {
+        let found = self
+            .crash_times
+            .binary_search_by(|(upstream, _)| upstream.cmp(&crash.upstream));
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let time = (crash.upstream.clone(), crash.at);
+                self.crash_times.insert(index, time);
+                return crash.at;
+            }
+        };
+        let known_at = &mut self.crash_times[index].1;
+        if crash.at < *known_at {
+            *known_at = crash.at;
+            let same = |tracked: &&mut TrackedCrash| tracked.crash.upstream == crash.upstream;
+            for tracked in self.crashes.iter_mut().filter(same) {
+                tracked.crash.at = crash.at;
+            }
+        }
+        *known_at
+    }
+
+    fn index_crash_times(&mut self) {
+        let times = self.crashes.iter().map(|tracked| &tracked.crash);
+        let times = times.map(|crash| (crash.upstream.clone(), crash.at));
+        self.crash_times = times.collect();
+        self.crash_times.sort_unstable();
+        self.crash_times.dedup_by(|a, b| a.0 == b.0);
+    }
+
     /// Removes the oldest crashes under attributes that are not refused, or the oldest of all if there are none.
     fn evict(&mut self, now: Instant) {
         let refused = self
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -128,6 +128,7 @@
     peer_entry::PeerEntry,
     peer_heartbeat::{MemberStatus, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad},
     peer_loads::{HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerLoads, SHARERS_PER_UPSTREAM},
+    peer_suspicions::PeerSuspicions,
     peer_table::PeerTable,
     peer_view::PeerView,
     placement::{
@@ -333,6 +334,7 @@
 mod peer_entry;
 mod peer_heartbeat;
 mod peer_loads;
+mod peer_suspicions;
 mod peer_table;
 mod peer_view;
 mod placement;
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -370,3 +370,18 @@
     let old = peers.view(at(1000).after(PEER_TIMEOUT));
     expect_that!(old.calls(&shared.id), eq(0));
 }
+
+/// Guards against a line for each heartbeat that names a suspect upstream.
+#[gtest]
+fn suspect_is_news_once_until_it_is_not_reported_any_more() {
+    let at = |seconds| Instant(Duration::from_secs(seconds));
+    let mut suspicions = catkin_decisions::PeerSuspicions::default();
+    let (one, other) = ("u1".parse().unwrap(), "u2".parse().unwrap());
+
+    let reports = [0, 5, 14, 24].map(|seconds| suspicions.record(&one, at(seconds)));
+    suspicions.remove_old(at(34));
+
+    expect_that!(reports, eq([true, false, false, true]));
+    expect_that!(suspicions.record(&other, at(34)), eq(true));
+    expect_that!(suspicions.record(&one, at(34)), eq(true));
+}
