--- a/crates/catkinward/tests/gateway_streams.rs
+++ b/crates/catkinward/tests/gateway_streams.rs
@@ -524,3 +524,40 @@
     expect_that!(first, eq(&(text(1, 40), true)));
     expect_that!(second, eq(&(text(1, 40), true)));
 }
+
+/// Guards against a KV copy that two runs resume from: a handle is good for one, and the second would be rejected or
+/// continue from the memory of another run.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn each_kv_copy_is_used_for_one_resume() {
+    for resumed in [Script::Lost, Script::NotExecuted, Script::NoConnection] {
+        let resumes = AtomicUsize::new(0);
+        let running = GatewayFixture::new(move |call| {
+            let first = call.last_event.map_or(1, |last| last + 1);
+            if call.copy_from.is_some() && resumes.fetch_add(1, Ordering::Relaxed) < 2 {
+                return resumed.clone();
+            }
+            if first < 20 {
+                Script::Stream(events(first, 20), End::Break)
+            } else {
+                Script::Stream(events(first, 40), End::Whole)
+            }
+        })
+        .default_upstreams()
+        .start();
+
+        let stream = read_stream(running.handle("/stream/1").await).await;
+
+        expect_that!(stream, eq(&(text(1, 40), true)));
+        let received = running.received.lock();
+        let mut used = received
+            .iter()
+            .filter_map(|call| Some((call.upstream.clone(), call.from_copy.clone()?)))
+            .collect::<Vec<_>>();
+        let uses = used.len();
+        used.sort();
+        used.dedup();
+        expect_that!(uses, ge(1));
+        expect_that!(used.len(), eq(uses));
+    }
+}
