--- a/crates/catkinward/tests/gateway_calls.rs
+++ b/crates/catkinward/tests/gateway_calls.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use catkin_decisions::{RefusalReason, SharedRetryBudgetConfig};
+use catkin_decisions::{CallKind, RefusalReason, Route, SharedRetryBudgetConfig};
 use catkinward::gateway::Reply;
 use gateway_support::*;
 use googletest::prelude::*;
@@ -293,3 +293,53 @@
         expect_that!(reply, matches_pattern!(Reply::Whole { .. }));
     }
 }
+
+/// Guards against upstreams that are given more time for a call that is sent again than its caller has left.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_that_is_sent_again_carries_the_time_that_is_left() {
+    let wait = Duration::from_millis(300);
+    let running = GatewayFixture::new(fails_first(Script::AcceptAfter(
+        wait,
+        Box::new(Script::Lost),
+    )))
+    .default_upstreams()
+    .start();
+
+    running.handle("/quick/1").await;
+
+    let received = running.received.lock();
+    expect_that!(received.len(), eq(2));
+    let deadline = Duration::from_secs(1);
+    expect_that!(received[1].time_left + wait, le(deadline));
+}
+
+/// Guards against calls and streams that run on more upstreams than their route allows.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_runs_on_no_more_upstreams_than_its_route_allows() {
+    let routes = [
+        route("/quick/", CallKind::Idempotent, PLAIN),
+        route("/stream/", CallKind::ResumableStream, ENGINES),
+    ]
+    .map(|route| Route {
+        max_upstreams: 2,
+        ..route
+    });
+    for path in ["/quick/1", "/stream/1"] {
+        for fault in [
+            Script::Whole(StatusCode::INTERNAL_SERVER_ERROR, "no"),
+            Script::Unsigned(StatusCode::OK),
+        ] {
+            let script = fault.clone();
+            let running = GatewayFixture::new(move |_| script.clone())
+                .default_upstreams()
+                .routes(routes.to_vec())
+                .start();
+
+            running.handle(path).await;
+
+            expect_that!(running.sent_to().len(), eq(2), "{path} {fault:?}");
+        }
+    }
+}
