--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -123,8 +123,8 @@
     text
 }
 
-/// The lines about back-offs that were in force when the request was logged last, of the upstreams that were left out of
-/// its choice or that it was sent to.
+/// The lines about back-offs that were in force when the request was logged last, of the upstreams that were left out
+/// of its choice or that it was sent to.
 fn back_offs_behind<'a>(request_lines: &[&LogLine], all: &'a [LogLine]) -> Vec<&'a LogLine> {
     let Some(last) = request_lines.last() else {
         return Vec::new();
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -13,6 +13,7 @@
     /// Upstreams that this VM has used, sorted by id. Each costs time at every check for silence, and a VM
     /// uses few of those that it knows.
     upstreams: Vec<UpstreamIncarnationState>,
+    /// Back-offs that upstreams asked for. They are kept when the state of an upstream is dropped.
     pub(crate) back_offs: BackOffTable,
     pub(crate) zones: ZoneOutageDetector,
     pub(crate) recent_services: RecentServices,
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Records that an upstream is leaving. The other VMs that may use it are told: the store may not say so, and those that
-    /// open connections for this one have not read it.
+    /// Records that an upstream is leaving. The other VMs that may use it are told: the store may not say so, and those
+    /// that open connections for this one have not read it.
     fn leaving_stated(&self, gate: &UpstreamGate, status: u16) {
         let (now, id) = (self.timer.now(), &gate.entry.id);
         let mut state = self.state.lock();
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -346,8 +346,8 @@
         changes
     }
 
-    /// Records that an upstream is leaving, as it said itself or to another VM; returns its presence if it changed. Like a
-    /// row that says so, this applies for as long as the incarnation is known.
+    /// Records that an upstream is leaving, as it stated in a response; returns its presence if it changed. Like a row
+    /// that says so, this applies for as long as the incarnation is known.
     pub fn record_leaving(&mut self, id: &UpstreamIncarnation) -> Option<PresenceChange> {
         let index = self.position(id).ok()?;
         let known = &mut self.known[index];
--- a/crates/decisions/src/upstream_statement.rs
+++ b/crates/decisions/src/upstream_statement.rs
@@ -33,8 +33,8 @@
 }
 
 impl UpstreamStatement {
-    /// The process that the statement is about, of a response to a request that was sent to `expected`. What one process
-    /// says does not bind another one at its address.
+    /// The process that the statement is about, in a response to a request that was sent to `expected`. What one
+    /// process says does not bind another one at its address.
     #[must_use]
     pub fn subject(&self, expected: &UpstreamId) -> StatementSubject<'_> {
         match &self.responder {
--- a/crates/decisions/tests/back_off_fleet.rs
+++ b/crates/decisions/tests/back_off_fleet.rs
@@ -1,5 +1,5 @@
-//! Fleets of VMs whose upstreams ask for back-offs. Counted as the rule counts: requests that reach an upstream from one
-//! VM between half a second after it asked that VM for a back-off and the end of that time.
+//! Fleets of VMs whose upstreams ask for back-offs. Counted are the requests that reach an upstream from one VM between
+//! half a second after it asked that VM for a back-off and the end of that time.
 
 use catkin_decisions::{
     BackOffTable, Instant, RequestedBackOff, UpstreamIncarnation, has_spare_slot,
