--- a/crates/catkinward/src/gateway/back_offs.rs
+++ b/crates/catkinward/src/gateway/back_offs.rs
@@ -14,8 +14,8 @@
 }
 
 impl Gateway {
-    /// Applies a back-off that the response to a request asks for. If the request came from another VM as the upstream
-    /// sees it, that VM is told.
+    /// Applies a back-off that the response to a request asks for. If another VM opened the connection, the upstream saw
+    /// that VM, which gets the statement too.
     pub(crate) fn back_off_stated(
         &self,
         gate: &UpstreamGate,
@@ -30,17 +30,17 @@
         };
         self.apply_back_off(&gate.entry.id, asked, &source);
         if let Some(other) = gate.path.through() {
-            let told = PeerStatement {
+            let statement = PeerStatement {
                 upstream: gate.entry.id.clone(),
                 back_off_ms: Some(u32::try_from(millis(asked.duration())).unwrap_or(u32::MAX)),
                 leaving: false,
             };
-            self.outbox.send(other, PeerDatagram::Statement(told));
+            self.outbox.send(other, PeerDatagram::Statement(statement));
         }
     }
 
     /// Applies a back-off that an upstream asked for on a connection that this VM opened for another one.
-    pub(crate) fn back_off_told(
+    pub(crate) fn back_off_received(
         &self,
         upstream: &UpstreamIncarnation,
         back_off_ms: u32,
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -166,7 +166,7 @@
             Ok(PeerDatagram::Restart(restart)) => gateway.receive_restart(&restart),
             Ok(PeerDatagram::Rollout(notice)) => _ = gateway.apply_rollout_notice(&notice),
             Ok(PeerDatagram::RolloutReport(report)) => gateway.handle_report(&report, address),
-            Ok(PeerDatagram::Statement(told)) => gateway.receive_statement(&told, address),
+            Ok(PeerDatagram::Statement(stated)) => gateway.receive_statement(&stated, address),
             Ok(PeerDatagram::Crashes(report)) => gateway.receive_crashes(report),
             Ok(PeerDatagram::RolloutGrant(grant)) => gateway.apply_grant(&grant, Some(address)),
             Err(error) => tracing::warn!(%address, %error, "note cannot be read"),
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Records that an upstream is leaving. The other VMs that may use it are told: the store may not say so, and those
-    /// that open connections for this one have not read it.
+    /// Records that an upstream is leaving, and sends that to the other VMs that may use it: the store may not say so,
+    /// and those that open connections for this VM do not read the responses.
     fn leaving_stated(&self, gate: &UpstreamGate, status: u16) {
         let (now, id) = (self.timer.now(), &gate.entry.id);
         let mut state = self.state.lock();
@@ -122,29 +122,30 @@
             tracing::info!(upstream = %id, status, kind,
                 answer_to = gate.call.as_ref().map(tracing::field::display),
                 path = gate.path.through().map(tracing::field::display),
-                told = receivers.len(), "upstream states that it is leaving");
+                receivers = receivers.len(), "upstream states that it is leaving");
         }
         self.presence_changed(&[change]);
-        let told = PeerStatement {
+        let statement = PeerStatement {
             upstream: id.clone(),
             back_off_ms: None,
             leaving: true,
         };
         self.outbox
-            .send_to_all(receivers, PeerDatagram::Statement(told));
+            .send_to_all(receivers, PeerDatagram::Statement(statement));
     }
 
     /// Applies what an upstream stated to another VM.
-    pub(crate) fn receive_statement(&self, told: &PeerStatement, from: SocketAddr) {
-        if let Some(back_off_ms) = told.back_off_ms {
-            self.back_off_told(&told.upstream, back_off_ms, from);
+    pub(crate) fn receive_statement(&self, statement: &PeerStatement, from: SocketAddr) {
+        let PeerStatement { upstream, .. } = statement;
+        if let Some(back_off_ms) = statement.back_off_ms {
+            self.back_off_received(upstream, back_off_ms, from);
         }
-        if !told.leaving {
+        if !statement.leaving {
             return;
         }
-        let change = self.state.lock().directory.record_leaving(&told.upstream);
+        let change = self.state.lock().directory.record_leaving(upstream);
         if change.is_some() && self.log.admits(LineKind::Belief, self.timer.now()) {
-            tracing::info!(upstream = %told.upstream, %from,
+            tracing::info!(%upstream, %from,
                 "upstream states that it is leaving, to another VM");
         }
         self.presence_changed(change.as_slice());
--- a/crates/decisions/src/peer_suspicions.rs
+++ b/crates/decisions/src/peer_suspicions.rs
@@ -1,10 +1,10 @@
 use super::*;
 
-/// How long after the last report of a suspect upstream another one is news.
+/// How long after the last report of a suspect upstream another one is not a repetition.
 const QUIET_PERIOD: Duration = Duration::from_secs(10);
 
-/// Upstreams that other VMs reported as suspect, to tell news from repetition: each suspect stands in the heartbeats of
-/// many VMs, and in several of each.
+/// Upstreams that other VMs reported as suspect. Each stands in several heartbeats of many VMs, so most reports are
+/// repetitions.
 #[derive(Clone, Debug, Default)]
 pub struct PeerSuspicions {
     /// Sorted by upstream, with the time of the last report.
@@ -12,7 +12,7 @@
 }
 
 impl PeerSuspicions {
-    /// Records a report; returns whether it is news.
+    /// Records a report; returns whether it is the first one, or the first after a quiet period.
     pub fn record(&mut self, upstream: &UpstreamIncarnation, now: Instant) -> bool {
         match self.reported.binary_search_by(|(id, _)| id.cmp(upstream)) {
             Ok(index) => {
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Forgets the upstreams whose next report is news.
+    /// Forgets the upstreams whose quiet period has passed.
     pub fn remove_old(&mut self, now: Instant) {
         self.reported
             .retain(|(_, last)| now.since(*last) < QUIET_PERIOD);
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -373,7 +373,7 @@
 
 /// Guards against a line for each heartbeat that names a suspect upstream.
 #[gtest]
-fn suspect_is_news_once_until_it_is_not_reported_any_more() {
+fn suspect_is_new_once_until_it_is_not_reported_any_more() {
     let at = |seconds| Instant(Duration::from_secs(seconds));
     let mut suspicions = catkin_decisions::PeerSuspicions::default();
     let (one, other) = ("u1".parse().unwrap(), "u2".parse().unwrap());
