--- a/crates/decisions/tests/back_offs.rs
+++ b/crates/decisions/tests/back_offs.rs
@@ -117,7 +117,7 @@
     expect_that!(ended, elements_are![eq(&id)]);
 }
 
-/// Guards against rejected callers that are told to return before the upstream does, or all at once.
+/// Guards against a Retry-After that ends before the back-off, or is the same for all rejected callers.
 #[gtest]
 fn rejected_callers_return_after_the_end_and_spread() {
     let mut table = BackOffTable::default();
