Requests whose caller has closed its connection are not run

Callers see other streams of that engine break.

Cause, from a system call trace: the runtime reads a socket that it has just accepted without waiting for an event, so the request is read and run before the event that reports the end of the connection. The HTTP library looks for that end, but only the event shows it. Requests without an idempotency key wait for nothing in between.

Ruled out: yielding once after the body is read.

Change: the accept loop asks the kernel whether the peer has closed the connection, once the headers are complete, and drops it. Later requests of a connection follow an event that has both.

--- a/crates/catkinward/src/http_server.rs
+++ b/crates/catkinward/src/http_server.rs
@@ -1,6 +1,7 @@
 //! Listening socket of the HTTP servers, with limits for connections that send no request.
 
 use super::*;
+use rustix::event::{PollFd, PollFlags, Timespec};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -107,7 +108,7 @@
         tokio::spawn(async move {
             let waited = tokio::time::timeout(HEADERS_TIMEOUT, wait_for_headers(&stream)).await;
             drop(permit);
-            if waited.is_ok_and(|complete| complete) {
+            if waited.is_ok_and(|complete| complete) && !is_closed_by_peer(&stream) {
                 let _ = tx.send(stream).await;
             }
         });
@@ -135,3 +136,11 @@
         delay = (delay * 2).min(Duration::from_millis(100));
     }
 }
+
+/// Returns whether the peer has closed the connection, so that nobody would read a response. The HTTP library may not
+/// see this before it runs the first request, because that is read before the runtime has polled the new socket.
+fn is_closed_by_peer(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let closed = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+    closed.is_ok_and(|count| count > 0)
+}
