A VM that has lost its path asks another one before it counts a crash

Cause: a broken connection and a failed health check count as a crash of the upstream. A VM that has lost its path sees both at every upstream of a service.

Change: while the path to a service is in doubt, a failed health check of an upstream with lost runs is followed by one through another VM; if that VM opens a connection, only the path has failed, and the runs do not count. Without such a VM, or if it does not reach the upstream either, they count as before, so that a body which crashes most of a service is still refused after the third.

Ruled out: not counting at all while in doubt.

--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -65,6 +65,7 @@
         engine: gateway
             .config()
             .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
+        path: SendPath::Direct,
         gate: gateway.gate(&entry, kind),
     };
     let start = gateway.timer.now();
@@ -86,11 +87,12 @@
         Ok(Err(fault)) => Some(fault.into()),
         Err(_) => Some("no_answer"),
     };
-    let mut state = gateway.state.lock();
-    let upstream = state.upstream(&entry, now);
-    upstream.health.probe_ended();
-    let in_flight = upstream.health.in_flight();
-    drop(state);
+    let in_flight = {
+        let mut state = gateway.state.lock();
+        let upstream = state.upstream(&entry, now);
+        upstream.health.probe_ended();
+        upstream.health.in_flight()
+    };
     if gateway.log.admits(LineKind::Probe, now) {
         let fault: &str = fault.unwrap_or("none");
         tracing::info!(upstream = %entry.id, fault, in_flight, ms = millis(now.since(start)),
@@ -102,8 +104,11 @@
     {
         gateway.upstream_started(&entry.id.id, born);
     }
-    if fault.is_some() {
-        gateway.fail_over(&entry);
+    if fault.is_some()
+        && let Some(other) = gateway.fail_over(&entry)
+        && !gateway.is_reached_through(other, &entry, kind).await
+    {
+        gateway.attribute_crash(&entry.id, CrashProof::Unresponsive);
     }
     fault.is_none()
 }
@@ -131,6 +136,7 @@
         gate: gateway.gate(&responder, UpstreamRequestKind::HealthCheck),
         entry: responder,
         engine: true,
+        path: SendPath::Direct,
     };
     let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
     if let Ok(Ok(HealthReport {
@@ -155,18 +161,66 @@
 }
 
 impl Gateway {
-    /// Records that an upstream did not respond: its calls fail over, and it is ejected.
-    pub(crate) fn fail_over(&self, entry: &Arc<UpstreamEntry>) {
+    /// Records that an upstream did not respond: its calls fail over, and it is ejected. Runs that were lost there
+    /// count as crashes, unless the upstream is reached through the VM that is returned.
+    fn fail_over(&self, entry: &Arc<UpstreamEntry>) -> Option<SocketAddr> {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
         let new = upstream.health.record_failure(now);
         upstream.failed_over.send_modify(|count| *count += 1);
-        let crashes = state.upstream_crashed(&entry.id, CrashProof::Unresponsive, now);
+        let other = self.vm_to_ask(&state, entry, now);
+        let crashes = match other {
+            Some(_) => 0,
+            None => state.upstream_crashed(&entry.id, CrashProof::Unresponsive, now),
+        };
         let zone_alarm = new && state.zones.record_loss(&entry.zone, &entry.id, now);
         drop(state);
         self.advertise_crashes(&entry.id, crashes);
         self.log_suspect(entry, new, zone_alarm);
+        other
+    }
+
+    /// The VM that shows whether an upstream or only the path to it has failed, if runs were lost there while the path
+    /// to its service is in doubt.
+    fn vm_to_ask(
+        &self,
+        state: &GatewayState,
+        entry: &UpstreamEntry,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let reach = state.service_reaches(now).of(&entry.service);
+        if !state.has_lost_run(&entry.id, now) || !reach.is_doubtful() {
+            return None;
+        }
+        let zone = &self.settings.zone;
+        let others = state
+            .peers
+            .paths_to(&entry.service, zone, rand::random(), now);
+        others.first().copied()
+    }
+
+    async fn is_reached_through(
+        self: &Arc<Self>,
+        other: SocketAddr,
+        entry: &Arc<UpstreamEntry>,
+        kind: UpstreamRequestKind,
+    ) -> bool {
+        let probe = HealthProbe {
+            entry: entry.clone(),
+            engine: false,
+            path: SendPath::Through(other),
+            gate: self.gate(entry, kind),
+        };
+        let start = self.timer.now();
+        let answer = tokio::time::timeout(PROBE_TIMEOUT, (self.transport.probe)(probe)).await;
+        let reached = matches!(answer, Ok(Ok(_)));
+        let now = self.timer.now();
+        if self.log.admits(LineKind::Probe, now) {
+            tracing::info!(upstream = %entry.id, through = %other, reached,
+                ms = millis(now.since(start)), "health check through another VM");
+        }
+        reached
     }
 
     /// Reports a restart to the VMs that share the upstream: while the platform is unreachable,
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -172,6 +172,13 @@
         false
     }
 
+    /// Whether a run was lost on an upstream recently whose crash is not known.
+    pub(crate) fn has_lost_run(&self, upstream: &UpstreamIncarnation, now: Instant) -> bool {
+        self.lost_runs
+            .iter()
+            .any(|run| run.upstream == *upstream && now.since(run.at) < CRASH_ATTRIBUTION_WINDOW)
+    }
+
     /// Records that an upstream crashed, as shown by `proof`, and attributes the crash to the calls whose
     /// runs were lost there shortly before; returns how many of these records are new.
     pub(crate) fn upstream_crashed(
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -87,6 +87,8 @@
     /// connection suffices: a health request would wait for a slot like any call, so it says little about a
     /// full upstream.
     pub engine: bool,
+    /// Path of the check. Through another VM, that an upstream accepts a connection suffices.
+    pub path: SendPath,
     /// Gate of the request.
     pub gate: UpstreamGate,
 }
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -55,6 +55,7 @@
     retry_budget: SharedRetryBudgetConfig,
     script: ScriptFn,
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    reached_by_others: bool,
     born: ProcessStarts,
     /// Engine that has the complete prompt cached.
     cached_on: Option<&'static str>,
@@ -89,6 +90,7 @@
             },
             script: Box::new(script),
             answers_probes: Arc::new(|_| true),
+            reached_by_others: false,
             born: Arc::new(|_| None),
             cached_on: None,
             rollouts: None,
@@ -162,6 +164,12 @@
         self
     }
 
+    /// Sets whether other VMs reach all upstreams.
+    pub fn reached_by_others(mut self, reached: bool) -> Self {
+        self.reached_by_others = reached;
+        self
+    }
+
     /// Sets the process start times that upstreams report in health checks.
     pub fn born(
         mut self,
@@ -204,6 +212,7 @@
         let transport = transport(
             self.script,
             self.answers_probes,
+            self.reached_by_others,
             self.born,
             self.cached_on,
             &timer,
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -73,6 +73,7 @@
 pub(super) fn transport(
     script: ScriptFn,
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    reached_by_others: bool,
     born: ProcessStarts,
     cached_on: Option<&'static str>,
     timer: &Arc<Timer>,
@@ -131,7 +132,11 @@
         }),
         probe: Box::new(move |probe| {
             let id = probe.entry.id.to_string();
-            let answers_probes = answers_probes(&id);
+            let answers_probes = if probe.path.is_direct() {
+                answers_probes(&id)
+            } else {
+                reached_by_others
+            };
             let born = born(&id);
             probes.lock().push(id);
             Box::pin(async move {
