A health check connection that is reset at once is a failure

Callers whose VM has lost its path to plain upstreams lost calls that may run only once, again and again: 15 to 20 of 120 in two seconds beside load.

Cause, from the logs of failing runs of callers_of_a_vm_whose_connections_to_upstreams_are_reset_are_served: a plain upstream counts as live when a connection opens. The broken path accepts connections and resets each a moment later, as intermediaries do whose upstream is gone. Each successful check put the upstream back into use, and the calls until the next refused connection were lost.

--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -83,11 +83,11 @@
 pub struct HealthProbe {
     /// Upstream to check.
     pub entry: Arc<UpstreamEntry>,
-    /// Whether the upstream is an engine, whose load report is requested. For other upstreams an open
-    /// connection suffices: a health request would wait for a slot like any call, so it says little about a
-    /// full upstream.
+    /// Whether the upstream is an engine, whose load report is requested. For other upstreams a connection
+    /// that stays open suffices: a health request would wait for a slot like any call, so it says little about
+    /// a full upstream.
     pub engine: bool,
-    /// Path of the check. Through another VM, that an upstream accepts a connection suffices.
+    /// Path of the check. Through another VM, a connection that stays open suffices.
     pub path: SendPath,
     /// Gate of the request.
     pub gate: UpstreamGate,
