Tests: a restarted engine that crashes again is shown to have restarted

Trace of a failing run: engine-12, engine-9, next-0, engine-3, engine-6, engine-15. The call is sent to next-0, the process that the test starts at the address of engine-12, and crashes it. For the next one the test takes an address derived from the name next-0, where nothing ran, so the platform never shows the end of next-0: the crash is not observable, and the test was wrong.

Change: the next process starts at the address of the one that crashed. The bound stays at four sends.

--- a/crates/catkinward/tests/gateway_poison.rs
+++ b/crates/catkinward/tests/gateway_poison.rs
@@ -354,6 +354,7 @@
     let call = running.call("/stream/1");
     let gateway = running.gateway.clone();
     let reply = tokio::spawn(async move { gateway.handle(call).await });
+    let mut restarted = Vec::<UpstreamEntry>::new();
 
     for n in 0..10 {
         tokio::time::sleep(Duration::from_millis(1300)).await;
@@ -361,11 +362,13 @@
         let Some(crashed) = sent_to.iter().rev().nth(1) else {
             continue;
         };
-        let before = upstream(crashed, ENGINES, "a");
+        let known = restarted.iter().find(|entry| entry.id.as_str() == crashed);
+        let before = known.cloned();
         let next = UpstreamEntry {
             id: format!("next-{n}").parse().unwrap(),
-            ..before
+            ..before.unwrap_or_else(|| upstream(crashed, ENGINES, "a"))
         };
+        restarted.push(next.clone());
         running.gateway.upstream_updated(next);
     }
 
