Tests: an engine of another service is not used by its reported id

Rule ROUTE, found while the guards of the table of rules were taken out by hand: without the condition that only one service has engines, no test failed. plain_upstream_is_not_used_by_its_reported_id does not reach it, since calls that are no streams never pass the reported id on.

Measured: engine_is_not_used_by_its_reported_id_if_several_services_have_engines fails without the condition and passes with it.

--- a/crates/catkinward/tests/gateway_replaced.rs
+++ b/crates/catkinward/tests/gateway_replaced.rs
@@ -55,6 +55,29 @@
     expect_that!(running.sent_to(), eq(&["plain-a1"]));
 }
 
+/// Guards against a call that is sent to an engine of another service, which has got the address of its own.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn engine_is_not_used_by_its_reported_id_if_several_services_have_engines() {
+    let running = GatewayFixture::new(|call| {
+        if call.entry.id.as_str() == "engine-a9" {
+            Script::Stream(events(1, 3), End::Whole)
+        } else {
+            Script::OtherIncarnation(Some("engine-a9"))
+        }
+    })
+    .engine_service("other-engines")
+    .upstream("engine-a1", ENGINES, "a")
+    .start();
+    running.handle("/stream/1").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    let reply = running.handle("/stream/1").await;
+
+    expect_that!(reply, pat!(Reply::NotRun { .. }));
+    expect_that!(running.sent_to(), eq(&["engine-a1"]));
+}
+
 /// An engine crashes during prefill and restarts under the same ID before it is probed, and its connection stays
 /// silent. The new process answers health checks, so the caller would wait six seconds, unless the gateway
 /// compares process start times.
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -51,6 +51,7 @@
     zone: &'static str,
     upstreams: Vec<UpstreamEntry>,
     routes: Vec<Route>,
+    services: Vec<ServiceSpec>,
     keys: Option<Vec<CallerKey>>,
     retry_budget: SharedRetryBudgetConfig,
     script: ScriptFn,
@@ -83,6 +84,7 @@
                 route("/stream/", CallKind::ResumableStream, ENGINES),
                 route("/stream-once/", CallKind::Stream, ENGINES),
             ],
+            services: vec![service(ENGINES, true), service(PLAIN, false)],
             keys: None,
             retry_budget: SharedRetryBudgetConfig {
                 slack: 100.0,
@@ -135,6 +137,13 @@
         self
     }
 
+    /// Adds a second service with engines.
+    pub fn engine_service(mut self, name: &str) -> Self {
+        self.services.push(service(name, true));
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
     pub fn routes(mut self, routes: Vec<Route>) -> Self {
         self.routes = routes;
         self
@@ -191,7 +200,7 @@
             bytes: self.config_bytes,
             version: ConfigVersion(self.version),
             routes: RouteTable::new(self.routes.clone()),
-            services: vec![service(ENGINES, true), service(PLAIN, false)],
+            services: self.services.clone(),
             limits: limits(),
             keys: self.keys.clone().map(RoutingConfig::sorted_keys),
         }
