A generation that is taken over twice at one VM gets a higher attempt number each time

The number of a take-over is random above that of the replica, so the second is smaller in half of the cases, and the engine refuses its attempts as stale until the first has ended.

Change: the number is above those of the VM's own generations of the request as well.

--- a/crates/catkinward/src/generation_lookup.rs
+++ b/crates/catkinward/src/generation_lookup.rs
@@ -112,7 +112,11 @@
     record: &ProgressRecord,
 ) -> Generation {
     let request = request.resumed_from(record);
-    let last = record.attempt.first_after_takeover(rand::random());
+    // This VM may have taken the generation over before, for another connection.
+    let own = node.generations.with_id(&record.id);
+    let own = own.iter().map(|other| other.attempts()).max();
+    let known = own.map_or(record.attempt, |own| own.max(record.attempt));
+    let last = known.first_after_takeover(rand::random());
     let generation = Generation::resumed(request, record, last);
     if record.finish.is_some() {
         return generation;
