A refused stale attempt ends a generation as superseded

Second cause of caller_whose_generation_was_taken_over_resumes_without_delay: a caller waits 12.4 s where 2 s are allowed, beside load.

Cause, from the log of a failing run: the VM that serves the caller is paused while another one takes the generation over, and the notice does not reach it. The engine ends its stream, and refuses each new attempt as stale. The VM sends one every 50 ms for 12 s, until the response has ended elsewhere.

Change: the refusal shows that the generation has been taken over. Its part ends as superseded, which interrupts the stream, and the caller resumes at another VM.

--- a/crates/catkinward/src/engine_event.rs
+++ b/crates/catkinward/src/engine_event.rs
@@ -119,6 +119,13 @@
 }
 
 impl AttemptError {
+    /// Returns whether the engine has seen a higher attempt number than that of a new attempt: the generation has been
+    /// taken over.
+    pub(crate) fn shows_takeover(&self) -> bool {
+        let stale = engine::EngineRefusalKind::StaleAttempt;
+        matches!(self, Self::Refused { kind } if *kind == stale)
+    }
+
     /// Returns whether the request certainly did not run on the upstream: the order did not reach
     /// it, or it refused the order.
     pub(crate) fn never_ran(&self) -> bool {
--- a/crates/catkinward/src/generation_driver.rs
+++ b/crates/catkinward/src/generation_driver.rs
@@ -129,6 +129,9 @@
                 Err(error) => error,
             };
             tracing::warn!(id = %self.generation.request.id, fault = %error, "attempt lost");
+            if error.shows_takeover() {
+                return GenerationOutcome::Failed(ProblemKind::Superseded);
+            }
             slot = match self.wait_for_upstream().await {
                 Ok(next) => next,
                 Err(kind) => return GenerationOutcome::Failed(kind),
