--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -11,10 +11,15 @@
         return;
     };
     let mut clocks = SuspendDetector::default();
+    let mut last_check = None;
     while let Some(now) = ticks.recv().await {
         let Some(gateway) = gateway.upgrade() else {
             return;
         };
+        let checked_at = gateway.timer.now();
+        if let Some(before) = last_check.replace(checked_at) {
+            log_late_check(&gateway, checked_at.since(before));
+        }
         if let Some(gap) = clocks.check(now, since_boot()) {
             gateway.record_suspension(gap);
         }
@@ -25,6 +30,13 @@
     }
 }
 
+/// Logs that this process did not check its upstreams for so long that its own delay looks like their silence.
+fn log_late_check(gateway: &Gateway, gap: Duration) {
+    if gap >= SILENCE_TIMEOUT && gateway.log.admits(LineKind::Belief, gateway.timer.now()) {
+        tracing::info!(ms = millis(gap), "checks of upstreams were late");
+    }
+}
+
 /// Time since boot, including suspensions.
 fn since_boot() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
@@ -87,16 +99,16 @@
         Ok(Err(fault)) => Some(fault.into()),
         Err(_) => Some("no_answer"),
     };
-    let in_flight = {
+    let (in_flight, silent) = {
         let mut state = gateway.state.lock();
         let upstream = state.upstream(&entry, now);
         upstream.health.probe_ended();
-        upstream.health.in_flight()
+        (upstream.health.in_flight(), upstream.health.silent_for(now))
     };
     if gateway.log.admits(LineKind::Probe, now) {
         let fault: &str = fault.unwrap_or("none");
-        tracing::info!(upstream = %entry.id, fault, in_flight, ms = millis(now.since(start)),
-            "health check");
+        tracing::info!(upstream = %entry.id, fault, in_flight, silent_ms = millis(silent),
+            ms = millis(now.since(start)), "health check");
     }
     if let Ok(Ok(HealthReport {
         born: Some(born), ..
--- a/crates/decisions/src/upstream_health.rs
+++ b/crates/decisions/src/upstream_health.rs
@@ -108,6 +108,12 @@
         self.probing = None;
     }
 
+    /// Time since the upstream was last seen, or since the first of its current calls was sent.
+    #[must_use]
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        now.since(self.last_seen)
+    }
+
     /// Whether the upstream is suspected of having failed.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
