--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -535,6 +535,11 @@
         }
         self.part = None;
         if error == FeedError::HistoryGone {
+            tracing::info!(
+                feed = self.feed.name,
+                version = self.version,
+                "the store does not have the changes: reading the complete table"
+            );
             self.version = None;
             return None;
         }
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -57,6 +57,16 @@
     ) {
         let now = self.timer.now();
         let mut state = self.state.lock();
+        let known = state.table.version();
+        if page.version < known && self.log.admits(LineKind::Belief, now) {
+            tracing::info!(
+                version = page.version,
+                known,
+                whole,
+                from_store,
+                "read of the table is older than the table"
+            );
+        }
         let read = state.table.apply_read(&page.rows, whole, page.version);
         let entries = whole.then(|| state.table.entries());
         if from_store {
