KNOWN-RED: calls and streams that end because their upstream is silent for a while

Callers of a stream whose upstream falls silent for a second or two and then goes on get a stream that is cut, or none at all; callers of idempotent calls get no response.

A health check that is not answered within 380 ms, or 450 ms without data, drops the run, and only then is another upstream looked for. If none may or will run the call, the run that would have gone on is gone.

The fixture learns to answer late, and records when connections are closed.

--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -15,6 +15,8 @@
     BackOff(Duration),
     /// Accepts the connection after this time, and does the rest then.
     AcceptAfter(Duration, Box<Script>),
+    /// Accepts the call at once, and does the rest after this time.
+    AnswerAfter(Duration, Box<Script>),
     /// Responds as another incarnation.
     OtherIncarnation(Option<&'static str>),
     /// Accepts no connection.
@@ -68,6 +70,22 @@
     pub copies: Arc<Mutex<Vec<String>>>,
     /// Handles of freed KV copies.
     pub freed: Arc<Mutex<Vec<String>>>,
+    /// Upstreams whose connections with a call were closed, and when.
+    pub closed: Arc<Mutex<Vec<(String, Instant)>>>,
+}
+
+/// Connection of a call, which records when it is closed.
+struct OpenConnection {
+    upstream: String,
+    timer: Arc<Timer>,
+    closed: Arc<Mutex<Vec<(String, Instant)>>>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let upstream = std::mem::take(&mut self.upstream);
+        self.closed.lock().push((upstream, self.timer.now()));
+    }
 }
 
 pub(super) fn transport(
@@ -84,11 +102,13 @@
         probes,
         copies,
         freed,
+        closed,
     } = observed.clone();
     let timer = timer.clone();
     UpstreamTransport {
         send: Box::new(move |call| {
             let (script, received, timer) = (script(&call), received.clone(), timer.clone());
+            let closed = closed.clone();
             Box::pin(async move {
                 let mut script = script;
                 while let Script::AcceptAfter(time, rest) = script {
@@ -107,7 +127,23 @@
                     max_idle: call.max_idle,
                     at: timer.now(),
                 });
-                respond(script, &call.gate).await
+                let connection = OpenConnection {
+                    upstream: call.entry.id.to_string(),
+                    timer,
+                    closed,
+                };
+                while let Script::AnswerAfter(time, rest) = script {
+                    tokio::time::sleep(time).await;
+                    script = *rest;
+                }
+                let response = respond(script, &call.gate).await?;
+                let body = response.body.inspect(move |_| {
+                    let _open = &connection;
+                });
+                Ok(UpstreamResponse {
+                    body: body.boxed(),
+                    ..response
+                })
             })
         }),
         copy: Box::new(move |order| {
@@ -182,7 +218,9 @@
                 ..response(StatusCode::SERVICE_UNAVAILABLE, stream::empty().boxed())
             })
         }
-        Script::AcceptAfter(..) => unreachable!("taken apart by the caller"),
+        Script::AcceptAfter(..) | Script::AnswerAfter(..) => {
+            unreachable!("taken apart by the caller")
+        }
         Script::OtherIncarnation(by) => Ok(UpstreamResponse {
             other_incarnation: true,
             incarnation: by.map(|by| by.parse().unwrap()),
