StorePosition: a version of the store with its era

A version of the platform store is compared without the era it belongs to. When the store comes back from an older copy, versions go back and are given out again, so versions of two eras say nothing about each other. One type holds both, ordered by era first. It is not used yet.

At era 0 it is written as the version alone, so datagrams and rows of a store that never came back from a copy keep their encoding. A VM that knows no eras cannot decode a later position; it then gets no gossip and reads the store itself, instead of taking a reader of the new era for one that lags.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -192,6 +192,8 @@
     software_version::SoftwareVersion,
     stall_detector::StallDetector,
     store_backoff::store_backoff,
+    store_era::StoreEra,
+    store_position::StorePosition,
     stream_duration_estimator::StreamDurationEstimator,
     subset::{OTHER_ZONES_SUBSET, OWN_ZONE_SUBSET, subset},
     suspect_run::SuspectRun,
@@ -391,6 +393,8 @@
 mod software_version;
 mod stall_detector;
 mod store_backoff;
+mod store_era;
+mod store_position;
 mod stream_duration_estimator;
 mod subset;
 mod suspect_run;
