Streams: keep a silent run until another upstream has taken the stream

Callers of streams whose upstream fell silent for a second and went on got a stream that was cut, or none: not resumable ones always, resumable ones whenever no other engine could be had.

A failed health check (380 ms after the last data) or 450 ms without data is a guess, but it closed the run as a broken connection does, before another upstream was selected, permitted, paid and asked. The only engine, a used-up retry budget, the maximum of upstreams or of sends, a refused body, or refusals by all others then ended the stream.

Such a run is now doubtful: it is kept and read while a successor is looked for, and closed when the successor has responded that it runs the stream, or 250 ms after it was sent there (an engine that prefills responds later, and two engines must not work on one stream for 400 ms). Data from the run cancels the successor, and the stream goes on with the run. Without a successor it stays, and others are tried after 0.25, 0.5, 1 and then every 2 s. A broken connection, the end of the process, another incarnation at the address and the deadline act at once, as before; the signal to the runs on an upstream now says whether its process has ended or only a health check failed. A stream that may run once stays with its upstream until one of these. The decision is a pure function (RunDoubt).

A run that received data within the silence timeout is no longer given up for a health check that failed meanwhile. A retry that is paid for and not sent stays paid. A KV copy is taken only when the stream is sent to its holder.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -214,7 +214,7 @@
             tokio::select! {
                 response = &mut response => break response,
                 // A non-idempotent call stays with its upstream, which may still respond.
-                () = guard.upstream_abandoned(), if retryable => break Err(SendError::Lost),
+                _ = guard.failed_over(), if retryable => break Err(SendError::Lost),
                 cause = gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
                     tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
                         body = %BodyHex(self.accepted.attributes.body), %cause,
--- a/crates/catkinward/src/gateway/crashes.rs
+++ b/crates/catkinward/src/gateway/crashes.rs
@@ -45,10 +45,12 @@
     ) -> Option<CallAttribute> {
         if self.may_decide(gateway) {
             let checked = self.runs.len();
-            let probes = std::mem::take(&mut self.runs)
-                .into_iter()
-                .map(|(entry, _)| probe(gateway.clone(), entry, UpstreamRequestKind::CrashCheck));
+            let probes = self.runs.iter().map(|(entry, _)| {
+                let kind = UpstreamRequestKind::CrashCheck;
+                probe(gateway.clone(), entry.clone(), kind)
+            });
             let live = futures::future::join_all(probes).await;
+            self.runs.clear();
             let down = live.iter().filter(|live| !**live).count();
             tracing::warn!(request = %id, checked, down,
                 "upstreams that broke this call were checked");
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -1,4 +1,4 @@
-use super::{lost_run::CrashProof, reply_log::millis, *};
+use super::{lost_run::CrashProof, reply_log::millis, run_guard::FailOverReason, *};
 use std::sync::Weak;
 
 /// Interval at which upstreams are checked for silence: short compared with the silence timeout,
@@ -168,7 +168,8 @@
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
         let new = upstream.health.record_failure(now);
-        upstream.failed_over.send_modify(|count| *count += 1);
+        let reason = FailOverReason::Unresponsive;
+        upstream.failed_over.send_modify(|runs| runs.signal(reason));
         let other = self.vm_to_ask(&state, entry, now);
         let crashes = match other {
             Some(_) => 0,
@@ -277,7 +278,8 @@
         let mut state = self.state.lock();
         if let Some(upstream) = state.existing_upstream(id) {
             upstream.health.record_failure(now);
-            upstream.failed_over.send_modify(|count| *count += 1);
+            let reason = FailOverReason::ProcessEnded;
+            upstream.failed_over.send_modify(|runs| runs.signal(reason));
         }
         drop(state);
         self.attribute_crash(id, CrashProof::ProcessEnded);
--- a/crates/catkinward/src/gateway/kv_copy_manager.rs
+++ b/crates/catkinward/src/gateway/kv_copy_manager.rs
@@ -52,25 +52,35 @@
         }
     }
 
-    /// The best usable copy: the one that grew with the run, since it lacks the fewest tokens.
-    /// After a silence, in which the own zone may have been partitioned, a copy in the own zone
-    /// takes precedence.
-    pub(crate) fn into_best(self, after_silence: bool) -> Option<KvCopy> {
-        let growing = self.growing.filter(KvCopy::is_usable);
-        let requested = self
-            .requested
-            .map(|(copy, _)| copy)
-            .filter(KvCopy::is_usable);
+    /// The best usable copy, after the run has ended.
+    pub(crate) fn into_best(mut self, after_silence: bool) -> Option<KvCopy> {
+        self.take_best(after_silence, |_| true)
+    }
+
+    /// Takes the best usable copy if `may_use` allows it: the one that grew with the run, since it lacks the fewest
+    /// tokens. After a silence, in which the own zone may have been partitioned, a copy in the own zone takes
+    /// precedence.
+    pub(crate) fn take_best(
+        &mut self,
+        after_silence: bool,
+        may_use: impl FnOnce(&KvCopy) -> bool,
+    ) -> Option<KvCopy> {
+        let growing = self.growing.as_ref().filter(|copy| copy.is_usable());
+        let requested = self.requested.as_ref().map(|(copy, _)| copy);
+        let requested = requested.filter(|copy| copy.is_usable());
         let own = &self.gateway.settings.zone;
-        match (growing, requested) {
-            (Some(growing), Some(requested))
-                if after_silence
-                    && growing.holder.zone != *own
-                    && requested.holder.zone == *own =>
-            {
-                Some(requested)
+        let takes_requested = match (growing, requested) {
+            (Some(growing), Some(requested)) => {
+                after_silence && growing.holder.zone != *own && requested.holder.zone == *own
             }
-            (growing, requested) => growing.or(requested),
+            (growing, _) => growing.is_none(),
+        };
+        if takes_requested {
+            requested.filter(|copy| may_use(copy))?;
+            self.requested.take().map(|(copy, _)| copy)
+        } else {
+            growing.filter(|copy| may_use(copy))?;
+            self.growing.take()
         }
     }
 
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -35,15 +35,15 @@
         RequestedBackOff, ResponseKind, ResponseOutcome, RestartEvidence, RollbackReason, Rollout,
         RolloutGrant, RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase,
         RolloutProgress, RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts,
-        Route, RoutingConfig, STANDBY_MAX_AGE, ServiceDemand, ServiceReaches, SharedRetryBudget,
-        SharedRetryBudgetConfig, StaleRestart, StatementSubject, StoredRecord,
-        StreamDurationEstimator, SuspendDetector, TableFreshness, TableRow, TransferLimit,
-        UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation,
-        UpstreamLimit, UpstreamLoad, UpstreamRequestKind, UpstreamRestart, UpstreamStatement,
-        UpstreamTable, VersionAdmission, VersionSlots, VmDemand, VmIncarnation, ZoneGossip,
-        ZoneOutageDetector, ZoneRole, ZoneVm, choose_path, gossips_changes, has_spare_slot,
-        is_large_zone, limit_part, link_carries_config, prefill_time, rank_among, rank_of_vm,
-        select_copy_holder, select_upstream, store_backoff,
+        Route, RoutingConfig, RunDecision, RunDoubt, RunSign, SILENCE_TIMEOUT, STANDBY_MAX_AGE,
+        ServiceDemand, ServiceReaches, SharedRetryBudget, SharedRetryBudgetConfig, StaleRestart,
+        StatementSubject, StoredRecord, StreamDurationEstimator, SuccessorState, SuspendDetector,
+        TableFreshness, TableRow, TransferLimit, UpstreamChange, UpstreamDirectory, UpstreamEntry,
+        UpstreamHealth, UpstreamIncarnation, UpstreamLimit, UpstreamLoad, UpstreamRequestKind,
+        UpstreamRestart, UpstreamStatement, UpstreamTable, VersionAdmission, VersionSlots,
+        VmDemand, VmIncarnation, ZoneGossip, ZoneOutageDetector, ZoneRole, ZoneVm, choose_path,
+        gossips_changes, has_spare_slot, is_large_zone, limit_part, link_carries_config,
+        prefill_time, rank_among, rank_of_vm, select_copy_holder, select_upstream, store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -102,6 +102,7 @@
 mod core;
 mod crashes;
 mod dispatches;
+mod doubtful_run;
 mod feed;
 mod gauges;
 mod health_check;
@@ -123,6 +124,7 @@
 mod run_guard;
 mod run_progress;
 mod send_path;
+mod sent_run;
 mod shutdown;
 mod state;
 mod statements;
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -6,8 +6,40 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) path: SendPath,
-    /// Changes when the runs on the upstream are abandoned.
-    pub(crate) failed_over: watch::Receiver<u64>,
+    /// Changes when the runs on the upstream fail over.
+    pub(crate) failed_over: watch::Receiver<FailOver>,
+}
+
+/// Signal to the runs on an upstream that it may have failed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FailOver {
+    /// Number of signals so far.
+    count: u64,
+    process_ended: bool,
+}
+
+/// Why the runs on an upstream fail over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FailOverReason {
+    /// It did not answer a health check; it may go on.
+    Unresponsive,
+    /// Its process has ended, so none of its runs goes on.
+    ProcessEnded,
+}
+
+impl FailOver {
+    pub(crate) fn signal(&mut self, reason: FailOverReason) {
+        self.count += 1;
+        self.process_ended |= reason == FailOverReason::ProcessEnded;
+    }
+
+    fn reason(self) -> FailOverReason {
+        if self.process_ended {
+            FailOverReason::ProcessEnded
+        } else {
+            FailOverReason::Unresponsive
+        }
+    }
 }
 
 impl RunGuard {
@@ -39,12 +71,22 @@
         }
     }
 
-    /// Waits until the runs on the upstream are abandoned.
-    pub(crate) async fn upstream_abandoned(&mut self) {
-        if !self.path.is_direct() || self.failed_over.changed().await.is_err() {
-            // Own health checks say nothing about this path, or the upstream no longer exists.
-            std::future::pending::<()>().await;
+    /// Waits until the runs on the upstream fail over.
+    pub(crate) async fn failed_over(&mut self) -> FailOverReason {
+        while self.failed_over.changed().await.is_ok() {
+            let reason = self.failed_over.borrow_and_update().reason();
+            // Own health checks say nothing about a path through another VM.
+            if self.path.is_direct() || reason == FailOverReason::ProcessEnded {
+                return reason;
+            }
         }
+        // The upstream no longer exists.
+        std::future::pending().await
+    }
+
+    /// Waits until the process of the upstream has ended.
+    pub(crate) async fn process_ended(&mut self) {
+        while self.failed_over().await != FailOverReason::ProcessEnded {}
     }
 }
 
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -1,6 +1,7 @@
 use super::{
     lost_run::{CrashProof, LostRun},
     reply_log::{BodyHex, millis},
+    run_guard::FailOver,
     *,
 };
 
@@ -81,8 +82,8 @@
     pub(crate) load: UpstreamLoad,
     pub(crate) limit: UpstreamLimit,
     pub(crate) brittleness: Brittleness,
-    /// Counts how often the calls on the upstream were failed over.
-    pub(crate) failed_over: watch::Sender<u64>,
+    /// Notifies the runs on the upstream that it may have failed.
+    pub(crate) failed_over: watch::Sender<FailOver>,
 }
 
 /// How long after the loss of a run a crash of its upstream is attributed to the call: until the
@@ -291,7 +292,7 @@
                     load: UpstreamLoad::default(),
                     limit: UpstreamLimit::default(),
                     brittleness: Brittleness::default(),
-                    failed_over: watch::Sender::new(0),
+                    failed_over: watch::Sender::new(FailOver::default()),
                 };
                 self.upstreams.insert(index, upstream);
                 index
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -4,13 +4,15 @@
 use super::{
     accepted_call::AcceptedCall,
     crashes::UnconfirmedCrashes,
+    doubtful_run::DoubtfulRun,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     lost_run::CrashProof,
     reply::StreamCut,
     reply_log::{BodyHex, log_caller_left, logged_parts, millis},
-    run_guard::RunGuard,
+    run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
+    sent_run::SentRun,
     stream_call::StreamStop,
     *,
 };
@@ -31,14 +33,19 @@
     pub(super) accepted: AcceptedCall,
     pub(super) relay: EventRelay,
     pub(super) active: Option<ActiveRun>,
+    /// Run that takes the place of one that was given up, before its upstream has responded.
+    pub(super) sent: Option<SentRun>,
     /// KV copy of the previous run.
     pub(super) copy: Option<KvCopy>,
+    /// KV copies of the run that is doubtful, if there is one.
+    pub(super) doubtful_copies: Option<KvCopyManager>,
     /// Number of prompt tokens that each engine has cached, sorted by engine.
     pub(super) cached: Vec<(UpstreamIncarnation, u32)>,
     /// Upstreams that lost or refused the stream.
     pub(super) avoid: Vec<UpstreamIncarnation>,
     pub(super) sends: u32,
-    /// Whether the next send takes nothing from the retry budget, because the previous one did not arrive.
+    /// Whether the next send takes nothing more from the retry budget, because it has been paid for or the previous
+    /// one did not arrive.
     pub(super) retry_prepaid: bool,
     /// Connections for this call that could not be opened.
     pub(super) unopened: UnopenedConnections,
@@ -55,9 +62,6 @@
     pub(super) head: Option<(StatusCode, HeaderMap)>,
     /// Time when the previous run was lost.
     pub(super) lost_at: Option<Instant>,
-    /// Time when the run was sent, to judge a rollout by the latency of its first event. `None` after that
-    /// event, and for a resumed run.
-    pub(super) sample_sent_at: Option<Instant>,
     /// Whether the stream is complete or cut.
     pub(super) ended: bool,
 }
@@ -74,6 +78,8 @@
 /// The run that currently produces the events.
 pub(super) struct ActiveRun {
     pub(super) number: EventRun,
+    /// Whether no other upstream may have run the stream before.
+    pub(super) is_first: bool,
     pub(super) guard: RunGuard,
     pub(super) copies: KvCopyManager,
     pub(super) body: ResponseBody,
@@ -82,6 +88,30 @@
     pub(super) body_end: BodyEnd,
     /// Time of the last received data.
     pub(super) last_data_at: tokio::time::Instant,
+    /// Time when the run was sent, to judge a rollout by the latency of its first event. `None` after that
+    /// event, and for a resumed run.
+    pub(super) sample_sent_at: Option<Instant>,
+}
+
+impl ActiveRun {
+    /// Whether the run, whose body has ended, was broken off: within an event, or before the first one if only the
+    /// end of the connection ended the body.
+    pub(super) fn is_broken_off(&self) -> bool {
+        self.splitter.has_incomplete_event()
+            || (self.body_end == BodyEnd::Connection && !self.progress.has_events())
+    }
+
+    /// What it means for the run that those on its upstream fail over.
+    fn receive_fail_over(&self, reason: FailOverReason) -> Received {
+        if reason == FailOverReason::ProcessEnded {
+            return Received::Broken(Loss::ProcessEnded);
+        }
+        // Data that arrives during a health check shows more than the check.
+        if self.progress.has_events() && self.last_data_at.elapsed() < SILENCE_TIMEOUT {
+            return Received::Nothing;
+        }
+        Received::Doubt(Loss::Silent)
+    }
 }
 
 /// What was received from the active run.
@@ -89,14 +119,18 @@
     Bytes(Bytes),
     End,
     Broken(Loss),
+    /// Nothing, for so long that the run may have failed.
+    Doubt(Loss),
     TimedOut,
+    /// Nothing that matters.
+    Nothing,
     /// No data, but the KV copies of the run must be checked.
     CheckCopies,
     /// Upstreams crashed under the same body or part, and this run has not produced an event yet.
     Forbidden(CallAttribute),
 }
 
-/// Why a run was lost.
+/// Why a run was lost, or may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Loss {
@@ -104,6 +138,8 @@
     Broken,
     /// The upstream did not answer a health check.
     Silent,
+    /// The process of the upstream ended.
+    ProcessEnded,
     /// The stream ended within an event, or before the first one, or its data could not be split into events.
     Torn,
     /// The run skipped events.
@@ -117,10 +153,15 @@
     fn crash_proof(self) -> Option<CrashProof> {
         match self {
             Self::Broken | Self::Torn => Some(CrashProof::Unresponsive),
-            Self::Silent | Self::Stalled => Some(CrashProof::ProcessEnded),
+            Self::Silent | Self::Stalled | Self::ProcessEnded => Some(CrashProof::ProcessEnded),
             Self::Gap => None,
         }
     }
+
+    /// Whether the own zone may have been partitioned.
+    fn follows_silence(self) -> bool {
+        matches!(self, Self::Silent | Self::ProcessEnded)
+    }
 }
 
 impl StreamRun {
@@ -131,7 +172,9 @@
             unconfirmed_crashes: UnconfirmedCrashes::new(accepted.attributes.clone()),
             accepted,
             active: None,
+            sent: None,
             copy: None,
+            doubtful_copies: None,
             cached: Vec::new(),
             avoid: Vec::new(),
             sends: 0,
@@ -143,7 +186,6 @@
             first_event_at: None,
             head: None,
             lost_at: None,
-            sample_sent_at: None,
             ended: false,
         }
     }
@@ -180,6 +222,13 @@
                     return Ok(None);
                 }
                 Received::Broken(loss) => self.lose_active_run(loss)?,
+                Received::Doubt(loss) => {
+                    if let Some(active) = self.active.take() {
+                        self.resolve_doubt(DoubtfulRun::Active(active), loss)
+                            .await?;
+                    }
+                }
+                Received::Nothing => {}
                 Received::TimedOut => return Err(StreamStop::TimedOut),
                 Received::CheckCopies => self.check_copies(),
                 Received::Forbidden(cause) => return Err(self.withdraw(&cause)),
@@ -204,7 +253,7 @@
             let decision = match id {
                 Some(id) => self.relay.decide(active.number, id),
                 // An event without an ID cannot be distinguished from one that was already delivered.
-                None if self.ran_on.len() > 1 => EventDecision::Drop,
+                None if !active.is_first => EventDecision::Drop,
                 None => EventDecision::Deliver,
             };
             match decision {
@@ -253,18 +302,18 @@
                 Some(Err(BodyError)) => Received::Broken(Loss::Broken),
                 None => Received::End,
             },
-            () = active.guard.upstream_abandoned() => Received::Broken(Loss::Silent),
+            reason = active.guard.failed_over() => active.receive_fail_over(reason),
             () = active.copies.wait() => Received::CheckCopies,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes),
                 if retryable && !active.progress.has_events() => Received::Forbidden(cause),
             () = tokio::time::sleep_until(stalls_at), if retryable => {
-                Received::Broken(Loss::Stalled)
+                Received::Doubt(Loss::Stalled)
             }
             () = tokio::time::sleep(time_left) => Received::TimedOut,
         }
     }
 
-    fn push(&mut self, bytes: &[u8]) -> Result<(), StreamStop> {
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), StreamStop> {
         let Some(active) = &mut self.active else {
             return Ok(());
         };
@@ -285,18 +334,15 @@
         }
     }
 
-    /// Whether the active run, whose body has ended, was broken off: within an event, or before the first one if
-    /// only the end of the connection ended the body.
     fn is_broken_off(&self) -> bool {
-        self.active.as_ref().is_some_and(|active| {
-            active.splitter.has_incomplete_event()
-                || (active.body_end == BodyEnd::Connection && !active.progress.has_events())
-        })
+        self.active.as_ref().is_some_and(ActiveRun::is_broken_off)
     }
 
     fn record_delivery(&mut self) {
         let now = self.gateway.timer.now();
-        if let (Some(sent), Some(active)) = (self.sample_sent_at.take(), &self.active) {
+        if let Some(active) = &mut self.active
+            && let Some(sent) = active.sample_sent_at.take()
+        {
             let outcome = ResponseOutcome::Success(now.since(sent));
             let entry = &active.guard.entry;
             self.gateway
@@ -356,11 +402,19 @@
             .record_complete(last, now.since(first));
     }
 
-    /// Handles the loss of the active run. Its connection is closed before another run can begin, so
-    /// that its upstream stops running it.
-    fn lose_active_run(&mut self, loss: Loss) -> Result<(), StreamStop> {
+    /// Handles the loss of the active run.
+    pub(super) fn lose_active_run(&mut self, loss: Loss) -> Result<(), StreamStop> {
+        if self.active.is_some() {
+            self.close_active_run(loss);
+            return self.continue_if_retryable();
+        }
+        Ok(())
+    }
+
+    /// Closes the connection of the active run, so that its upstream stops running it.
+    pub(super) fn close_active_run(&mut self, loss: Loss) {
         let Some(active) = self.active.take() else {
-            return Ok(());
+            return;
         };
         let ActiveRun {
             guard,
@@ -374,13 +428,9 @@
         drop(guard);
         // The KV cache of a run is not copied before its first event, and a resume from a missing copy costs a retry.
         self.copy = copies
-            .into_best(loss == Loss::Silent)
+            .into_best(loss.follows_silence())
             .filter(|_| progress.has_events());
         self.run_lost(&entry, path, loss, progress);
-        if self.accepted.route.kind.may_retry() {
-            return Ok(());
-        }
-        Err(StreamStop::Cut(StreamCut::NotResumable))
     }
 
     pub(super) fn run_lost(
@@ -414,6 +464,16 @@
             .run_of_call_lost(entry, &self.accepted.attributes, progress, proof);
     }
 
+    /// Takes a usable KV copy of the previous or of the doubtful run.
+    pub(super) fn take_copy(&mut self) -> Option<KvCopy> {
+        let (gateway, accepted) = (self.gateway.clone(), self.accepted.clone());
+        let has_room = |copy: &KvCopy| gateway.take_room(&accepted, &copy.holder);
+        if let Some(copy) = self.copy.take() {
+            return (copy.is_usable() && has_room(&copy)).then_some(copy);
+        }
+        self.doubtful_copies.as_mut()?.take_best(true, has_room)
+    }
+
     /// Ends the stream while its run waits in an upstream. The connection is closed, so that the upstream does
     /// not run it.
     pub(super) fn withdraw(&mut self, cause: &CallAttribute) -> StreamStop {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -2,13 +2,15 @@
 //! response.
 
 use super::{
+    doubtful_run::DoubtfulRun,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
     reply_log::millis,
     retries::{CALL_RETRY_TIMEOUT, STREAM_RETRY_TIMEOUT},
-    run_guard::RunGuard,
+    run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
+    sent_run::SentRun,
     state::cached_tokens,
     stream_call::StreamStop,
     stream_run::{ActiveRun, FIRST_EVENT_TIMEOUT, Loss, StreamRun},
@@ -23,39 +25,83 @@
 /// Delay before upstreams that refused or lost the stream are used again, when no other is left.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Why a stream is not sent to an upstream now.
+#[derive(Clone, Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum NoSend {
+    /// The deadline passed.
+    TimedOut,
+    /// Upstreams crashed under its body or a part of its prompt.
+    Forbidden(CallAttribute),
+    /// It was sent the maximum number of times.
+    Sends,
+    /// It may have run on as many upstreams as its route allows.
+    MaxUpstreams,
+    /// The retry budget is used up.
+    Budget,
+    /// No upstream may be selected.
+    NoUpstream,
+    /// It could not complete in the time that is left.
+    TooLate,
+}
+
 impl StreamRun {
     /// Starts a run: from the KV copy of the previous run if it is usable, otherwise on the best upstream.
     pub(super) async fn open(&mut self) -> Result<(), StreamStop> {
-        loop {
-            let now = self.gateway.timer.now();
-            if self.accepted.time_left(now).is_zero() {
-                return Err(StreamStop::TimedOut);
-            }
-            let id = &self.accepted.call.id;
-            let forbidden = self.unconfirmed_crashes.forbid_resend(&self.gateway, id);
-            if let Some(cause) = forbidden.await {
-                return Err(self.poisoned_stop(&cause));
-            }
-            if self.sends > 0 && !self.may_resend().await {
-                return Err(self.stop());
-            }
-            self.retry_prepaid = false;
-            let mut from = self.copy.take().filter(|copy| {
-                copy.is_usable() && self.gateway.take_room(&self.accepted, &copy.holder)
-            });
-            if let Some(copy) = &mut from {
-                copy.keep();
-            }
-            let entry = match &from {
-                Some(copy) => copy.holder.clone(),
-                None => match self.choose().await {
-                    Some(entry) if self.is_too_late(&entry) => return Err(self.deadline_stop()),
-                    Some(entry) => entry,
-                    None => return Err(self.stop()),
+        while self.active.is_none() {
+            let sent = match self.sent.take() {
+                Some(sent) => sent,
+                None => match self.prepare(None).await {
+                    Ok(sent) => sent,
+                    Err(reason) => return Err(self.stop_for(&reason)),
                 },
             };
-            if self.send(entry, from).await? {
-                return Ok(());
+            self.await_response(sent).await?;
+        }
+        Ok(())
+    }
+
+    /// Selects an upstream, other than that of the doubtful run, and sends the stream to it. Nothing is sent if this
+    /// is cancelled.
+    pub(super) async fn prepare(
+        &mut self,
+        doubtful: Option<&UpstreamIncarnation>,
+    ) -> Result<SentRun, NoSend> {
+        let now = self.gateway.timer.now();
+        if self.accepted.time_left(now).is_zero() {
+            return Err(NoSend::TimedOut);
+        }
+        let id = &self.accepted.call.id;
+        let forbidden = self.unconfirmed_crashes.forbid_resend(&self.gateway, id);
+        if let Some(cause) = forbidden.await {
+            return Err(NoSend::Forbidden(cause));
+        }
+        if self.sends > 0 {
+            self.permit_resend().await?;
+            self.retry_prepaid = true;
+        }
+        let mut from = self.take_copy();
+        if let Some(copy) = &mut from {
+            copy.keep();
+        }
+        let entry = match &from {
+            Some(copy) => copy.holder.clone(),
+            None => match self.choose(doubtful).await {
+                Some(entry) if self.is_too_late(&entry) => return Err(NoSend::TooLate),
+                Some(entry) => entry,
+                None => return Err(NoSend::NoUpstream),
+            },
+        };
+        Ok(self.send(entry, from))
+    }
+
+    fn stop_for(&self, reason: &NoSend) -> StreamStop {
+        match reason {
+            NoSend::TimedOut => StreamStop::TimedOut,
+            NoSend::Forbidden(cause) => self.poisoned_stop(cause),
+            NoSend::TooLate => self.deadline_stop(),
+            NoSend::Sends | NoSend::MaxUpstreams | NoSend::Budget | NoSend::NoUpstream => {
+                self.stop()
             }
         }
     }
@@ -70,13 +116,21 @@
         self.gateway.back_off_retry_after(&self.accepted)
     }
 
-    async fn may_resend(&mut self) -> bool {
+    async fn permit_resend(&mut self) -> Result<(), NoSend> {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
         // Those that ran it through another VM are unreachable from here only.
         let alive = self.gateway.count_usable(&self.ran_on) + self.runs_through_others;
-        self.sends < MAX_SENDS
-            && alive < self.accepted.route.max_upstreams
-            && (self.retry_prepaid || self.take_retry().await)
+        if self.sends >= MAX_SENDS {
+            return Err(NoSend::Sends);
+        }
+        if alive >= self.accepted.route.max_upstreams {
+            return Err(NoSend::MaxUpstreams);
+        }
+        if self.retry_prepaid || self.take_retry().await {
+            Ok(())
+        } else {
+            Err(NoSend::Budget)
+        }
     }
 
     async fn take_retry(&mut self) -> bool {
@@ -147,7 +201,10 @@
     }
 
     /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay.
-    async fn choose(&mut self) -> Option<Arc<UpstreamEntry>> {
+    async fn choose(
+        &mut self,
+        doubtful: Option<&UpstreamIncarnation>,
+    ) -> Option<Arc<UpstreamEntry>> {
         if self.sends == 0 && self.gateway.settings.policy.prompt_search {
             self.cached = self.gateway.search_prompt(&self.accepted).await;
         }
@@ -158,34 +215,34 @@
                 return trial;
             }
         }
-        let fresh = self
-            .gateway
-            .select(&self.accepted, &self.avoid, &self.cached);
+        let mut avoid = self.avoid.clone();
+        avoid.extend(doubtful.cloned());
+        let fresh = self.gateway.select(&self.accepted, &avoid, &self.cached);
         if fresh.is_some() {
             return fresh;
         }
         self.avoid.clear();
+        if doubtful.is_some() {
+            // The next search may use them again.
+            return None;
+        }
         if self.sends > 0 {
             tokio::time::sleep(REFUSED_RETRY_DELAY).await;
         }
         self.gateway.select(&self.accepted, &[], &self.cached)
     }
 
-    /// Sends the stream to an upstream; returns whether a run started.
-    async fn send(
-        &mut self,
-        entry: Arc<UpstreamEntry>,
-        from: Option<KvCopy>,
-    ) -> Result<bool, StreamStop> {
+    /// Sends the stream to an upstream.
+    fn send(&mut self, entry: Arc<UpstreamEntry>, from: Option<KvCopy>) -> SentRun {
         self.sends += 1;
+        self.retry_prepaid = false;
         let gateway = self.gateway.clone();
-        let from_copy = from.is_some();
         let copy = gateway.select_holder(&self.accepted, &entry);
         let now = gateway.timer.now();
         let time_left = self.accepted.time_left(now);
         // A resumed run produces its first event sooner than a new one, so it is not counted when a
         // rollout is judged.
-        self.sample_sent_at = (!from_copy && self.relay.last().is_none()).then_some(now);
+        let is_sample = from.is_none() && self.relay.last().is_none();
         let path = gateway.path_to(&entry, &self.unopened);
         let call = UpstreamCall {
             call: self.accepted.call.clone(),
@@ -201,68 +258,80 @@
             connect_timeout: CONNECT_TIMEOUT,
             gate: gateway.gate_for_call(&self.accepted, &entry, path),
         };
-        self.log_sent(&entry, path, copy.as_deref(), from_copy, time_left);
-        let tokens = if from_copy {
+        self.log_sent(&entry, path, copy.as_deref(), from.is_some(), time_left);
+        let tokens = if from.is_some() {
             0
         } else {
             self.prefill_tokens(&entry)
         };
-        let copy = copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id));
-        let mut guard = RunGuard::begin(&gateway, entry.clone(), tokens, path);
+        SentRun {
+            guard: RunGuard::begin(&gateway, entry, tokens, path),
+            copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id)),
+            _from: from,
+            response: (gateway.transport.send)(call),
+            sent_at: now,
+            stalls_at: tokio::time::Instant::now() + FIRST_EVENT_TIMEOUT,
+            sample_sent_at: is_sample.then_some(now),
+            recorded: false,
+        }
+    }
+
+    /// Waits for the response to a run. Afterwards the stream has an active run, or may be sent again.
+    async fn await_response(&mut self, mut run: SentRun) -> Result<(), StreamStop> {
+        let time_left = self.accepted.time_left(self.gateway.timer.now());
         let retryable = self.accepted.route.kind.may_retry();
-        let response = tokio::select! {
-            response = (gateway.transport.send)(call) => response,
+        let loss = tokio::select! {
+            response = &mut run.response => return self.handle_outcome(run, response),
+            reason = run.guard.failed_over() => match reason {
+                FailOverReason::ProcessEnded => return self.lose_sent_run(run, Loss::ProcessEnded),
+                FailOverReason::Unresponsive => Loss::Silent,
+            },
             // An upstream may send the response head only with the first event.
-            () = tokio::time::sleep(FIRST_EVENT_TIMEOUT), if retryable => {
-                self.record_run(&entry, path);
-                drop((guard, copy));
-                self.run_lost(&entry, path, Loss::Stalled, RunProgress::default());
-                return Ok(false);
-            }
-            () = guard.upstream_abandoned() => {
-                self.record_run(&entry, path);
-                drop((guard, copy));
-                self.run_lost(&entry, path, Loss::Silent, RunProgress::default());
-                return self.continue_if_retryable();
-            }
-            cause = gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
-                self.record_run(&entry, path);
+            () = tokio::time::sleep_until(run.stalls_at), if retryable => Loss::Stalled,
+            cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
+                self.record_run(&mut run);
                 return Err(self.withdraw(&cause));
             }
             () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
+        self.resolve_doubt(DoubtfulRun::Sent(run), loss).await
+    }
+
+    /// Handles the response to a run, or the failure of its connection.
+    pub(super) fn handle_outcome(
+        &mut self,
+        run: SentRun,
+        response: Result<UpstreamResponse, SendError>,
+    ) -> Result<(), StreamStop> {
         match response {
-            Ok(response) => self.handle_response(guard, copy, response),
-            Err(error) => {
-                drop((guard, copy));
-                self.handle_send_error(&entry, path, error)
-            }
+            Ok(response) => self.handle_response(run, response),
+            Err(error) => self.handle_send_error(run, error),
         }
     }
 
     fn handle_response(
         &mut self,
-        guard: RunGuard,
-        copy: Option<KvCopy>,
+        mut run: SentRun,
         response: UpstreamResponse,
-    ) -> Result<bool, StreamStop> {
-        let entry = guard.entry.clone();
-        self.gateway.upstream_responded_over(guard.path, &entry);
+    ) -> Result<(), StreamStop> {
+        let (entry, path) = run.target();
+        self.gateway.upstream_responded_over(path, &entry);
         if response.other_incarnation || response.not_executed {
             if response.other_incarnation {
                 self.gateway.upstream_replaced(&entry, response.incarnation);
             }
+            self.unrecord_run(&run);
             self.record_refusal(&entry, response.status);
-            return Ok(false);
+            return Ok(());
         }
-        self.record_run(&entry, guard.path);
+        self.record_run(&mut run);
         if !response.status.is_success() || !response.signed {
-            if response.status.is_server_error() && self.sample_sent_at.take().is_some() {
+            if response.status.is_server_error() && run.sample_sent_at.is_some() {
                 let failure = ResponseOutcome::Failure;
                 self.gateway
                     .record_rollout_response(&self.accepted, &entry, failure);
             }
-            drop(guard);
+            drop(run);
             self.record_refusal(&entry, response.status);
             return self.continue_if_retryable();
         }
@@ -272,41 +341,74 @@
         }
         self.active = Some(ActiveRun {
             number: self.relay.begin_run(),
-            guard,
-            copies: KvCopyManager::new(&self.gateway, copy),
+            is_first: self.ran_on.len() == 1,
+            guard: run.guard,
+            copies: KvCopyManager::new(&self.gateway, run.copy),
             body: response.body,
             splitter: EventSplitter::default(),
             progress: RunProgress::default(),
             body_end: response.body_end,
             last_data_at: tokio::time::Instant::now(),
+            sample_sent_at: run.sample_sent_at,
         });
-        Ok(true)
+        Ok(())
     }
 
-    fn record_run(&mut self, entry: &UpstreamEntry, path: SendPath) {
-        self.ran_on.push(entry.id.clone());
-        if !path.is_direct() {
+    /// Records that the upstream of a run may have run the stream.
+    pub(super) fn record_run(&mut self, run: &mut SentRun) {
+        if std::mem::replace(&mut run.recorded, true) {
+            return;
+        }
+        self.ran_on.push(run.guard.entry.id.clone());
+        if !run.guard.path.is_direct() {
             self.runs_through_others += 1;
         }
     }
 
+    /// Records that the upstream of a run has not run the stream.
+    fn unrecord_run(&mut self, run: &SentRun) {
+        let id = &run.guard.entry.id;
+        if !run.recorded {
+            return;
+        }
+        if let Some(index) = self.ran_on.iter().rposition(|ran_on| ran_on == id) {
+            self.ran_on.remove(index);
+        }
+        if !run.guard.path.is_direct() {
+            self.runs_through_others -= 1;
+        }
+    }
+
+    /// Closes the connection of a run without a response, so that its upstream stops running it.
+    pub(super) fn close_sent_run(&mut self, mut run: SentRun, loss: Loss) {
+        self.record_run(&mut run);
+        let (entry, path) = run.target();
+        drop(run);
+        self.run_lost(&entry, path, loss, RunProgress::default());
+    }
+
+    /// Handles the loss of a run without a response.
+    pub(super) fn lose_sent_run(&mut self, run: SentRun, loss: Loss) -> Result<(), StreamStop> {
+        self.close_sent_run(run, loss);
+        self.continue_if_retryable()
+    }
+
     fn record_refusal(&mut self, entry: &UpstreamEntry, status: StatusCode) {
         self.avoid.push(entry.id.clone());
         tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
             status = status.as_u16(), "upstream refused the stream");
     }
 
-    fn handle_send_error(
-        &mut self,
-        entry: &Arc<UpstreamEntry>,
-        path: SendPath,
-        error: SendError,
-    ) -> Result<bool, StreamStop> {
+    fn handle_send_error(&mut self, run: SentRun, error: SendError) -> Result<(), StreamStop> {
+        let (entry, path) = run.target();
         if error == SendError::Withheld {
+            self.unrecord_run(&run);
             self.retry_prepaid = true;
-            return Ok(false);
+            return Ok(());
         }
         if error == SendError::NoConnection {
+            self.unrecord_run(&run);
+            drop(run);
             // Nothing was sent, so the next send does not count as another retry.
             self.retry_prepaid = true;
             let error_name: &str = error.into();
@@ -318,19 +420,17 @@
             } else {
                 self.avoid.push(entry.id.clone());
                 self.unopened.direct = true;
-                self.gateway.stream_broke(entry);
+                self.gateway.stream_broke(&entry);
             }
-            return Ok(false);
+            return Ok(());
         }
-        self.record_run(entry, path);
-        self.run_lost(entry, path, Loss::Broken, RunProgress::default());
-        self.continue_if_retryable()
+        self.lose_sent_run(run, Loss::Broken)
     }
 
     /// Allows another run if the route may be retried; fails otherwise, because the call may have run.
-    fn continue_if_retryable(&self) -> Result<bool, StreamStop> {
+    pub(super) fn continue_if_retryable(&self) -> Result<(), StreamStop> {
         if self.accepted.route.kind.may_retry() {
-            return Ok(false);
+            return Ok(());
         }
         Err(StreamStop::Cut(StreamCut::NotResumable))
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -175,6 +175,7 @@
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
+    run_doubt::{MAX_RUN_OVERLAP, RunDecision, RunDoubt, RunSign, SuccessorState},
     send_path::{MAX_CONNECTIONS_FOR_OTHERS, PathContext, SendPath, choose_path},
     service::Service,
     service_demand::ServiceDemand,
@@ -376,6 +377,7 @@
 mod route;
 mod route_table;
 mod routing_config;
+mod run_doubt;
 mod send_path;
 mod service;
 mod service_demand;
