Buffered calls: keep a silent send until another upstream has taken the call

Callers of idempotent calls whose upstream fell silent for a second and went on got no response (502) if no other upstream could be had: the only one, refusals by all others, a used-up retry budget, or the maximum of upstreams.

A failed health check dropped the send before another upstream was looked for, and a send without a response for half of its time was dropped when another upstream was selected and paid, not when that one took the call.

Such a send is now doubtful, as a run of a stream is (RunDoubt): it is kept and read while the call is sent to another upstream, and closed when that one has responded, or has not refused the call for 250 ms. Its own response cancels the other send. Without another upstream it stays until its response, a broken connection, the end of the process or the deadline; others are tried at growing intervals, at most two more than there are zones, as before. Non-idempotent calls are never sent again. The end of the process, of which the signal tells now, ends them at once with an unknown outcome; until now they waited for their deadline.

A silent send that is handed over counts as a crash of its upstream only if the process has ended, as a silent run of a stream does. Until now the next failed health check of a paused upstream was enough.

Five more tests guard the deadline, the end of a process, the KV copy, events without IDs and data that arrives during a failed health check; they were written after the change.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -3,12 +3,11 @@
     lost_run::CrashProof,
     reply_log::{BodyHex, millis},
     retries::CALL_RETRY_TIMEOUT,
-    run_guard::RunGuard,
+    run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
-use std::pin::pin;
 
 /// Number of sends of a call allowed beyond one per zone with upstreams of its service, including refused ones. One
 /// full upstream in each zone must not end the call.
@@ -27,15 +26,15 @@
 const STALL_FRACTION: f64 = 0.5;
 
 /// Outcome of a send.
-enum Sent {
+pub(super) enum Sent {
     /// The upstream responded; the reply is for the caller.
     Answered(Reply),
     /// The upstream failed; its response goes to the caller unless another upstream succeeds.
     Failed(Reply),
     /// The call has not run.
     NotRun(NotRunEvidence),
-    /// No response came before the stall timeout; the call goes to this upstream next.
-    Moved(Arc<UpstreamEntry>),
+    /// The upstream was silent, and another one has taken the call.
+    HandedOver,
     /// The call may have run.
     Lost,
     /// Upstreams crashed under the same body, so the call was withdrawn.
@@ -57,23 +56,57 @@
         retry_prepaid: false,
         unopened: UnopenedConnections::default(),
         runs: 0,
+        failure: None,
     }
     .serve()
     .await
 }
 
-struct BufferedCall {
-    gateway: Arc<Gateway>,
-    accepted: AcceptedCall,
+pub(super) struct BufferedCall {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) accepted: AcceptedCall,
     /// Upstreams that the call was already sent to.
     avoid: Vec<UpstreamIncarnation>,
-    sends: u32,
+    pub(super) sends: u32,
     max_sends: u32,
     /// Whether the next send takes nothing from the retry budget, because the previous one did not arrive.
     retry_prepaid: bool,
     /// Connections for this call that could not be opened.
     unopened: UnopenedConnections,
+    /// Number of upstreams that may have run the call.
     runs: u32,
+    /// Response of an upstream that failed.
+    pub(super) failure: Option<Reply>,
+}
+
+/// A send whose response is awaited. Dropping it closes the connection.
+pub(super) struct PendingSend {
+    pub(super) guard: RunGuard,
+    pub(super) response: BoxFuture<'static, Result<CollectedResponse, SendError>>,
+    pub(super) sent_at: Instant,
+    /// When the call counts as stalled.
+    stalls_at: tokio::time::Instant,
+    /// Whether the upstream counts as one that may have run the call.
+    recorded: bool,
+}
+
+/// What a send came to.
+pub(super) struct Awaited {
+    pub(super) sent: Sent,
+    /// Send to another upstream that the call goes on with.
+    pub(super) successor: Option<PendingSend>,
+    /// Whether the call was sent to another upstream meanwhile.
+    pub(super) resent: bool,
+}
+
+impl From<Sent> for Awaited {
+    fn from(sent: Sent) -> Self {
+        Self {
+            sent,
+            successor: None,
+            resent: false,
+        }
+    }
 }
 
 impl BufferedCall {
@@ -82,54 +115,53 @@
         self.gateway.wait_for_rollout(&self.accepted.service).await;
         let trial = self.gateway.select_canary_upstream(&self.accepted);
         let first = trial.or_else(|| self.gateway.select(&self.accepted, &[], &[]));
-        let Some(mut entry) = first else {
+        let Some(entry) = first else {
             return self.refused(queued, RefusalReason::NoUpstream);
         };
         let mut dispatched = queued.dispatch();
-        let mut failure = None;
+        let mut pending = self.send(entry);
         loop {
-            let sent = self.send(&entry).await;
-            dispatched = match sent {
-                Sent::Moved(next) => {
-                    entry = next;
-                    dispatched.unknown().dispatch_again()
+            let awaited = self.await_response(pending).await;
+            if awaited.resent {
+                dispatched = dispatched.unknown().dispatch_again();
+            }
+            let sent = match awaited.sent {
+                Sent::Failed(reply) => {
+                    self.failure = Some(reply);
+                    Sent::Lost
                 }
+                sent => sent,
+            };
+            if let Some(successor) = awaited.successor {
+                pending = successor;
+                continue;
+            }
+            let next;
+            (dispatched, next) = match sent {
                 Sent::Answered(reply) => {
                     self.gateway.record_delivery(&self.accepted.attributes);
                     return reply;
                 }
                 Sent::TimedOut => return Reply::TimedOut,
-                Sent::Withdrawn => return failure.unwrap_or(Reply::Unknown),
+                Sent::Withdrawn => return self.failure.unwrap_or(Reply::Unknown),
                 Sent::NotRun(evidence) => match dispatched.not_run(evidence) {
                     Ok(queued) => match self.next_upstream().await {
-                        Some(next) => {
-                            entry = next;
-                            queued.dispatch()
-                        }
+                        Some(next) => (queued.dispatch(), next),
                         None => return self.refused(queued, RefusalReason::UpstreamRefused),
                     },
                     Err(unknown) => match self.next_upstream().await {
-                        Some(next) => {
-                            entry = next;
-                            unknown.dispatch_again()
-                        }
-                        None => return failure.unwrap_or(Reply::Unknown),
+                        Some(next) => (unknown.dispatch_again(), next),
+                        None => return self.failure.unwrap_or(Reply::Unknown),
                     },
                 },
-                Sent::Lost | Sent::Failed(_) => {
-                    self.runs += 1;
-                    if let Sent::Failed(reply) = sent {
-                        failure = Some(reply);
-                    }
+                Sent::Lost | Sent::Failed(_) | Sent::HandedOver => {
                     match self.next_for_retry().await {
-                        Some(next) => {
-                            entry = next;
-                            dispatched.unknown().dispatch_again()
-                        }
-                        None => return failure.unwrap_or(Reply::Unknown),
+                        Some(next) => (dispatched.unknown().dispatch_again(), next),
+                        None => return self.failure.unwrap_or(Reply::Unknown),
                     }
                 }
             };
+            pending = self.send(next);
         }
     }
 
@@ -148,7 +180,7 @@
 
     /// Selects the next upstream of a call that may have run; `None` if the route forbids a retry, its
     /// maximum number of upstreams is reached, or no upstream, time, sends or retry budget is left.
-    async fn next_for_retry(&self) -> Option<Arc<UpstreamEntry>> {
+    pub(super) async fn next_for_retry(&mut self) -> Option<Arc<UpstreamEntry>> {
         let retryable = self.accepted.route.kind.may_retry();
         if !retryable || self.runs >= self.accepted.route.max_upstreams {
             return None;
@@ -156,7 +188,7 @@
         self.next_upstream().await
     }
 
-    async fn next_upstream(&self) -> Option<Arc<UpstreamEntry>> {
+    async fn next_upstream(&mut self) -> Option<Arc<UpstreamEntry>> {
         let now = self.gateway.timer.now();
         if self.sends >= self.max_sends || self.accepted.time_left(now).is_zero() {
             return None;
@@ -176,16 +208,17 @@
         paid.then_some(next)
     }
 
-    async fn send(&mut self, entry: &Arc<UpstreamEntry>) -> Sent {
+    /// Sends the call to an upstream.
+    pub(super) fn send(&mut self, entry: Arc<UpstreamEntry>) -> PendingSend {
         self.sends += 1;
         self.retry_prepaid = false;
         self.avoid.push(entry.id.clone());
         let gateway = self.gateway.clone();
-        let path = gateway.path_to(entry, &self.unopened);
-        let mut guard = RunGuard::begin(&gateway, entry.clone(), 0, path);
-        let start = gateway.timer.now();
-        let time_left = self.accepted.time_left(start);
-        self.log_sent(entry, path, time_left);
+        let path = gateway.path_to(&entry, &self.unopened);
+        let guard = RunGuard::begin(&gateway, entry.clone(), 0, path);
+        let sent_at = gateway.timer.now();
+        let time_left = self.accepted.time_left(sent_at);
+        self.log_sent(&entry, path, time_left);
         let call = UpstreamCall {
             call: self.accepted.call.clone(),
             entry: entry.clone(),
@@ -198,58 +231,111 @@
             path,
             max_idle: self.accepted.max_idle(),
             connect_timeout: CONNECT_TIMEOUT,
-            gate: gateway.gate_for_call(&self.accepted, entry, path),
+            gate: gateway.gate_for_call(&self.accepted, &entry, path),
         };
-        let retryable = self.accepted.route.kind.may_retry();
-        let response = async {
+        let response = async move {
             let response = (gateway.transport.send)(call).await?;
-            gateway.upstream_responded_over(path, entry);
+            gateway.upstream_responded_over(path, &entry);
             collect(response).await
         };
-        let mut response = pin!(response);
+        PendingSend {
+            guard,
+            response: Box::pin(response),
+            sent_at,
+            stalls_at: tokio::time::Instant::now() + time_left.mul_f64(STALL_FRACTION),
+            recorded: false,
+        }
+    }
+
+    async fn await_response(&mut self, mut pending: PendingSend) -> Awaited {
+        let time_left = self.accepted.time_left(self.gateway.timer.now());
         let deadline = tokio::time::Instant::now() + time_left;
-        let mut stalls_at = Some(deadline - time_left.mul_f64(1.0 - STALL_FRACTION));
-        let response = loop {
-            let stall = tokio::time::sleep_until(stalls_at.unwrap_or(deadline));
+        let retryable = self.accepted.route.kind.may_retry();
+        let fault = loop {
             tokio::select! {
-                response = &mut response => break response,
-                // A non-idempotent call stays with its upstream, which may still respond.
-                _ = guard.failed_over(), if retryable => break Err(SendError::Lost),
-                cause = gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
-                    tracing::warn!(request = %self.accepted.call.id, upstream = %entry.id,
-                        body = %BodyHex(self.accepted.attributes.body), %cause,
-                        "waiting call withdrawn: upstreams crashed under its body or a part");
-                    return Sent::Withdrawn;
+                biased;
+                response = &mut pending.response => return self.finish(pending, response).into(),
+                reason = pending.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => return self.lose(pending).into(),
+                    FailOverReason::Unresponsive if retryable => break SendError::Silent,
+                    // A non-idempotent call stays with its upstream, which may still respond.
+                    FailOverReason::Unresponsive => {}
+                },
+                cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
+                    return self.withdraw(&pending, &cause).into();
                 }
-                () = stall, if retryable && stalls_at.is_some() => {
-                    // If no retry is left, keep waiting for the response.
-                    self.runs += 1;
-                    if let Some(next) = self.next_for_retry().await {
-                        self.log_send_error(entry, SendError::Stalled);
-                        gateway.record_call_outcome(entry, true);
-                        return Sent::Moved(next);
-                    }
-                    self.runs -= 1;
-                    stalls_at = None;
+                () = tokio::time::sleep_until(pending.stalls_at), if retryable => {
+                    break SendError::Stalled;
                 }
-                () = tokio::time::sleep_until(deadline) => return Sent::TimedOut,
+                () = tokio::time::sleep_until(deadline) => return Sent::TimedOut.into(),
             }
         };
+        self.resolve_doubt(pending, fault).await
+    }
+
+    /// Ends a call that waits in an upstream. The connection is closed, so that the upstream does not run it.
+    pub(super) fn withdraw(&self, pending: &PendingSend, cause: &CallAttribute) -> Sent {
+        tracing::warn!(request = %self.accepted.call.id, upstream = %pending.guard.entry.id,
+            body = %BodyHex(self.accepted.attributes.body), %cause,
+            "waiting call withdrawn: upstreams crashed under its body or a part");
+        Sent::Withdrawn
+    }
+
+    /// Handles the response to a send, or the failure of its connection.
+    pub(super) fn finish(
+        &mut self,
+        mut pending: PendingSend,
+        response: Result<CollectedResponse, SendError>,
+    ) -> Sent {
+        let (entry, path) = (pending.guard.entry.clone(), pending.guard.path);
         let sent = match response {
             Ok(response) => {
-                let sent = self.classify_response(entry, response);
-                self.record_outcome(entry, &sent, start);
+                let sent = self.classify_response(&entry, response);
+                self.record_outcome(&entry, &sent, pending.sent_at);
                 sent
             }
-            Err(error) => self.handle_send_error(entry, path, error),
+            Err(error) => self.handle_send_error(&entry, path, error),
         };
-        if path.is_direct() && !gateway.is_backing_off(&entry.id) {
+        match sent {
+            Sent::Lost | Sent::Failed(_) => self.record_run(&mut pending),
+            Sent::NotRun(_) if pending.recorded => self.runs -= 1,
+            _ => {}
+        }
+        if path.is_direct() && !self.gateway.is_backing_off(&entry.id) {
             let failed = !matches!(sent, Sent::Answered(_));
-            gateway.record_call_outcome(entry, failed);
+            self.gateway.record_call_outcome(&entry, failed);
         }
         sent
     }
 
+    /// Handles the end of the process to which the call was sent.
+    pub(super) fn lose(&mut self, mut pending: PendingSend) -> Sent {
+        self.record_run(&mut pending);
+        self.close(&pending, SendError::Lost);
+        Sent::Lost
+    }
+
+    /// Records that the upstream of a send may have run the call.
+    pub(super) fn record_run(&mut self, pending: &mut PendingSend) {
+        if !std::mem::replace(&mut pending.recorded, true) {
+            self.runs += 1;
+        }
+    }
+
+    /// Records that a send without a response is given up.
+    pub(super) fn close(&self, pending: &PendingSend, fault: SendError) {
+        let entry = &pending.guard.entry;
+        self.log_send_error(entry, fault);
+        if fault != SendError::Stalled {
+            let (call, proof) = (&self.accepted.attributes, CrashProof::ProcessEnded);
+            let progress = RunProgress::default();
+            self.gateway.run_of_call_lost(entry, call, progress, proof);
+        }
+        if pending.guard.path.is_direct() && !self.gateway.is_backing_off(&entry.id) {
+            self.gateway.record_call_outcome(entry, true);
+        }
+    }
+
     fn record_outcome(&self, entry: &UpstreamEntry, sent: &Sent, start: Instant) {
         let outcome = match sent {
             Sent::Answered(_) => ResponseOutcome::Success(self.gateway.timer.now().since(start)),
@@ -320,7 +406,7 @@
                 self.gateway.run_of_call_lost(entry, call, progress, proof);
                 Sent::Lost
             }
-            (SendError::Crossed | SendError::Stalled, _) => Sent::Lost,
+            (SendError::Crossed | SendError::Stalled | SendError::Silent, _) => Sent::Lost,
         }
     }
 
@@ -355,7 +441,7 @@
 }
 
 /// A response with its complete body.
-struct CollectedResponse {
+pub(super) struct CollectedResponse {
     head: CollectedHead,
     body: Bytes,
 }
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -102,6 +102,7 @@
 mod core;
 mod crashes;
 mod dispatches;
+mod doubtful_call;
 mod doubtful_run;
 mod feed;
 mod gauges;
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -198,6 +198,9 @@
     /// No response arrived before the stall timeout.
     #[display("the upstream did not respond in time")]
     Stalled,
+    /// No response arrived, and the upstream did not answer a health check.
+    #[display("the upstream is silent")]
+    Silent,
 }
 
 /// The connection broke before the body was complete.
--- a/crates/catkinward/tests/gateway_silence.rs
+++ b/crates/catkinward/tests/gateway_silence.rs
@@ -524,3 +524,101 @@
         expect_that!(running.sent_to().len(), eq(1), "{silence:?}");
     }
 }
+
+/// Guards against a call that waits until its deadline for a process that has ended.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn non_idempotent_call_ends_with_its_process() {
+    let running = GatewayFixture::new(|_| Script::Hang)
+        .upstream_started_at("plain-a", PLAIN, "a", ProcessStart(1000))
+        .start();
+    let (gateway, call) = (running.gateway.clone(), running.call("/once/1"));
+    let reply = tokio::spawn(async move { gateway.handle(call).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    let later = upstream_started_at("plain-a", PLAIN, "a", ProcessStart(2000));
+    running.gateway.upstream_updated(later);
+    let reply = tokio::time::timeout(Duration::from_millis(10), reply).await;
+
+    expect_that!(matches!(reply, Ok(Ok(Reply::Unknown))), eq(true));
+    expect_that!(running.sent_to().len(), eq(1));
+}
+
+/// Guards against a deadline that moves because health checks fail.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_non_idempotent_call_ends_at_its_deadline() {
+    let running = GatewayFixture::new(|_| Script::Hang)
+        .answers_probes(|_| false)
+        .default_upstreams()
+        .start();
+    let start = running.timer.now();
+
+    let reply = running
+        .handle_for("/once/1", Duration::from_millis(900))
+        .await;
+
+    expect_that!(reply, pat!(Reply::TimedOut));
+    let waited = running.timer.now().since(start);
+    expect_that!(waited, le(Duration::from_secs(1)));
+}
+
+/// Guards against a second send of a stream whose data arrives before the health check of its engine has failed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_with_data_during_a_failed_health_check_is_not_sent_again() {
+    let parts = [
+        events(1, 20),
+        vec![Part::Pause(Duration::from_millis(300))],
+        events(21, 40),
+    ];
+    let running = GatewayFixture::new(move |_| Script::Stream(parts.concat(), End::Whole))
+        .answers_probes(|_| false)
+        .default_upstreams()
+        .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(running.sent_to().len(), eq(1));
+}
+
+/// Guards against events that are dropped as duplicates, because a second send was cancelled and they have no IDs.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn events_without_ids_go_on_after_a_cancelled_second_send() {
+    let word = |n: u64| Part::Bytes(format!("data: word {n}\n\n"));
+    let parts = vec![word(1), Part::Pause(Duration::from_millis(500)), word(2)];
+    let never = Script::AnswerAfter(Duration::from_secs(60), Box::new(Script::Lost));
+    let first = Script::Stream(parts, End::Whole);
+    let running = silent_at_first(Duration::from_millis(500), first, never)
+        .default_upstreams()
+        .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    let words = "data: word 1\n\ndata: word 2\n\n".to_owned();
+    expect_that!(stream, eq(&(words, true)));
+    expect_that!(running.sent_to().len(), eq(2));
+}
+
+/// Guards against a prompt that is prefilled again, because a silence from which nothing came used up its KV copy.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn kv_copy_outlives_a_silence_without_a_second_send() {
+    let pause = vec![Part::Pause(Duration::from_secs(1))];
+    let parts = [events(1, 20), pause, events(21, 30)].concat();
+    let running = GatewayFixture::new(move |call| match (call.last_event, &call.copy_from) {
+        (None, _) => Script::Stream(parts.clone(), End::Break),
+        (Some(last), Some(_)) => Script::Stream(events(last + 1, 40), End::Whole),
+        (Some(_), None) => Script::NotExecuted,
+    })
+    .routes(vec![stream_route(1)])
+    .default_upstreams()
+    .start();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    expect_that!(running.sent_to().len(), eq(2));
+}
