--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -2,6 +2,7 @@
 //! entries of upstreams.
 
 use super::{read_progress::wait_while_progressing, *};
+use std::cmp::Ordering;
 use tokio::sync::mpsc;
 
 /// Timeout of a request for changes, beyond its wait at the store, and of a step of a full read: a
@@ -65,11 +66,11 @@
     pub name: &'static str,
     /// Reads a page of all rows, from the start or after a key.
     pub read: ReadRows<T>,
-    /// Long-polls the store for changes after a version; the store replies after at most the given
+    /// Long-polls the store for changes after a position; the store replies after at most the given
     /// duration.
     pub changes: RequestChanges<T>,
     /// Reads what another VM has, if that VM has recent responses of the platform: the changes after
-    /// a version, or all rows.
+    /// a position, or all rows.
     pub read_from_peer: ReadFromPeer<T>,
 }
 
@@ -80,23 +81,30 @@
         + Sync,
 >;
 
-/// Reads a feed after a version from another VM, which is identified by the address of its
+/// Reads a feed after a position from another VM, which is identified by the address of its
 /// heartbeats.
 pub type ReadFromPeer<T> = Box<
-    dyn Fn(SocketAddr, u64, ReadProgress) -> BoxFuture<'static, Result<PeerRead<T>, FeedError>>
+    dyn Fn(
+            SocketAddr,
+            StorePosition,
+            ReadProgress,
+        ) -> BoxFuture<'static, Result<PeerRead<T>, FeedError>>
         + Send
         + Sync,
 >;
 
-/// Requests the changes after a version.
-pub type RequestChanges<T> =
-    Box<dyn Fn(u64, Duration) -> BoxFuture<'static, Result<FeedPage<T>, FeedError>> + Send + Sync>;
+/// Requests the changes after a position.
+pub type RequestChanges<T> = Box<
+    dyn Fn(StorePosition, Duration) -> BoxFuture<'static, Result<FeedPage<T>, FeedError>>
+        + Send
+        + Sync,
+>;
 
-/// Rows of a feed at one version.
+/// Rows of a feed at one position.
 #[derive(Clone, Debug)]
 pub struct FeedPage<T> {
-    /// Version of the store up to which the rows are complete.
-    pub version: u64,
+    /// Position of the store up to which the rows are complete.
+    pub position: StorePosition,
     /// Rows that were written or removed.
     pub rows: Vec<TableRow<T>>,
     /// Key of the last row, if the store holds further rows or changes that did not fit.
@@ -108,7 +116,7 @@
 pub struct PeerRead<T> {
     /// The rows.
     pub page: FeedPage<T>,
-    /// Whether the rows are the complete feed, and not only the changes after the requested version.
+    /// Whether the rows are the complete feed, and not only the changes after the requested position.
     pub whole: bool,
 }
 
@@ -119,6 +127,13 @@
     /// The store no longer keeps the requested changes.
     #[display("the store no longer keeps the requested changes")]
     HistoryGone,
+    /// The store has come back from an older copy since the requested position, so that the changes after it
+    /// say nothing.
+    #[display("the store has come back from an older copy")]
+    EraChanged,
+    /// The response is of an era of the store before the latest known one.
+    #[display("the response is of an earlier era of the store")]
+    EarlierEra,
     /// The store or the VM refused the request.
     #[display("the platform refused the request")]
     Refused,
@@ -132,7 +147,7 @@
     let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone_config, |_| {});
     follower.backs_off = false;
     loop {
-        let advertised = if follower.version.is_some() {
+        let advertised = if follower.position.is_some() {
             gateway.newer_config_in_zone().await
         } else {
             None
@@ -144,7 +159,13 @@
                     "a peer tells of a newer configuration");
                 if !advertised.from_store {
                     spread_zone_reads(&gateway).await;
-                    let read = read_peer(&feed, advertised.by, 0, PEER_READ_TIMEOUT).await;
+                    let read = read_peer(
+                        &feed,
+                        advertised.by,
+                        StorePosition::default(),
+                        PEER_READ_TIMEOUT,
+                    )
+                    .await;
                     apply_config(&gateway, read.as_ref().map(|read| &read.page));
                 }
                 if gateway
@@ -213,18 +234,28 @@
 
 /// Keeps the directory of upstreams up to date; never returns.
 pub async fn follow_upstreams(gateway: Arc<Gateway>, feed: Feed<UpstreamEntry>) {
-    let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone, |gateway| {
+    let mut follower = Follower::new(&gateway, &feed, Gateway::zone_has_table, |gateway| {
         gateway.set_platform_reachable(false);
     });
     let mut waits_for_zone = true;
     loop {
         // A small zone reads the store at once: it has few VMs, and a peer may take longer to respond.
         let asks_zone = follower.part.is_some() || gateway.is_in_large_zone();
-        if asks_zone && catch_up_from_zone(&gateway, &feed).await {
-            follower.version = Some(gateway.table_version());
+        let caught_up = if asks_zone {
+            catch_up_from_zone(&gateway, &feed).await
+        } else {
+            None
+        };
+        if caught_up == Some(true) {
+            follower.position = Some(gateway.table_position());
             follower.part = None;
             follower.pause(CATCH_UP_INTERVAL).await;
         } else {
+            // A VM that the store and the zone reject would otherwise call both without a pause.
+            follower.relies = match caught_up {
+                Some(false) => Gateway::relies_on_zone,
+                _ => Gateway::zone_has_table,
+            };
             match follower.next(Duration::ZERO).await {
                 Read::Page { page, whole } => {
                     gateway.set_platform_reachable(follower.reachable);
@@ -247,30 +278,35 @@
                         }
                     }
                 }
+                Read::EraChanged => {
+                    // Without this wait, all VMs of a zone read the whole table from the store at once.
+                    let polls = gateway.zone_role().polls_store();
+                    if gateway.is_in_large_zone() && !polls {
+                        gateway.wait_for_advertiser(ZONE_START_WAIT).await;
+                    }
+                }
                 Read::Zone => {}
             }
         }
         if gateway.relies_on_zone() {
             gateway.rely_on_zone().await;
             // Updates received from other VMs count as read.
-            follower.version = Some(gateway.table_version());
+            follower.position = Some(gateway.table_position());
         }
     }
 }
 
 /// Reads the changes of upstreams that this VM has missed from the VM of its zone that advertised
-/// them; returns whether that brought the table forward.
-async fn catch_up_from_zone(gateway: &Gateway, feed: &Feed<UpstreamEntry>) -> bool {
-    let Some(advertiser) = gateway.advertiser_of_missed_changes() else {
-        return false;
-    };
+/// them; returns whether that brought the table forward, or `None` if no VM has advertised any.
+async fn catch_up_from_zone(gateway: &Gateway, feed: &Feed<UpstreamEntry>) -> Option<bool> {
+    let advertiser = gateway.advertiser_of_missed_changes()?;
     spread_zone_reads(gateway).await;
-    let before = gateway.table_version();
+    let before = gateway.table_position();
     let Some(read) = read_peer(feed, advertiser, before, TABLE_TRANSFER_TIMEOUT).await else {
-        return false;
+        return Some(false);
     };
     gateway.apply_missed_changes(&read);
-    gateway.table_version() > before
+    Some(gateway.table_position() > before)
 }
 
 /// Waits for a random part of the time in which the VMs of this zone read from one of them.
@@ -283,7 +319,11 @@
 /// Reads a feed from another VM. The platform may reject some VMs and serve others; without this,
 /// the rejected ones would keep old state, send calls to leaving upstreams, and refuse new routes
 /// and keys.
-async fn read_random_peer<T>(gateway: &Gateway, feed: &Feed<T>, after: u64) -> Option<PeerRead<T>> {
+async fn read_random_peer<T>(
+    gateway: &Gateway,
+    feed: &Feed<T>,
+    after: StorePosition,
+) -> Option<PeerRead<T>> {
     read_peer(feed, gateway.random_peer()?, after, PEER_READ_TIMEOUT).await
 }
 
@@ -292,15 +332,15 @@
 async fn read_peer<T>(
     feed: &Feed<T>,
     peer: SocketAddr,
-    after: u64,
+    after: StorePosition,
     limit: Duration,
 ) -> Option<PeerRead<T>> {
     let (progress, received) = mpsc::unbounded_channel();
     let read = (feed.read_from_peer)(peer, after, progress);
     match wait_while_progressing(read, received, PEER_READ_TIMEOUT, limit).await {
         Ok(read) => {
-            let (version, rows) = (read.page.version, read.page.rows.len());
-            tracing::info!(feed = feed.name, %peer, after, version, rows, whole = read.whole,
+            let (position, rows) = (read.page.position, read.page.rows.len());
+            tracing::info!(feed = feed.name, %peer, %after, %position, rows, whole = read.whole,
                 "read from a peer");
             Some(read)
         }
@@ -326,6 +366,8 @@
         /// The rows of this part.
         rows: Vec<TableRow<T>>,
     },
+    /// The store has come back from an older copy, so the complete feed is read next.
+    EraChanged,
     /// The store does not respond here, and other VMs of the zone advertise what it holds.
     Zone,
 }
@@ -346,9 +388,9 @@
 struct Follower<'a, T> {
     gateway: &'a Arc<Gateway>,
     feed: &'a Feed<T>,
-    /// Version up to which the feed was read; `None` before the first read and when the store no
+    /// Position up to which the feed was read; `None` before the first read and when the store no
     /// longer keeps the changes.
-    version: Option<u64>,
+    position: Option<StorePosition>,
     /// Rows of a full read that is not complete yet.
     part: Option<FeedPage<T>>,
     /// Whether the store responds.
@@ -379,7 +421,7 @@
         Self {
             gateway,
             feed,
-            version: None,
+            position: None,
             part: None,
             reachable: true,
             failures: 0,
@@ -418,7 +460,7 @@
                     };
                     self.wait_for_recovery(ends_delay).await;
                 }
-                if !asks_store && self.version.is_some() && relies(self.gateway) {
+                if !asks_store && self.position.is_some() && relies(self.gateway) {
                     return Read::Zone;
                 }
             }
@@ -430,11 +472,11 @@
                 wait = Duration::ZERO;
                 RECOVERY_TIMEOUTS[self.failures % RECOVERY_TIMEOUTS.len()]
             };
-            let whole = self.version.is_none();
+            let whole = self.position.is_none();
             let (progress, received) = mpsc::unbounded_channel();
             let pending = async {
-                if let Some(version) = self.version {
-                    return (self.feed.changes)(version, wait).await;
+                if let Some(position) = self.position {
+                    return (self.feed.changes)(position, wait).await;
                 }
                 let last = self.part.as_ref().and_then(|part| part.more.clone());
                 (self.feed.read)(last, progress).await
@@ -451,7 +493,7 @@
                     continue;
                 }
             };
-            let error = match answer {
+            let error = match answer.and_then(|page| self.check_era(page)) {
                 Ok(page) => {
                     // The latency of a request that waited says nothing about the store.
                     if wait.is_zero() {
@@ -470,7 +512,7 @@
                     if whole {
                         return self.add_part(page);
                     }
-                    self.version = Some(page.version);
+                    self.position = Some(page.position);
                     return Read::Page { page, whole: false };
                 }
                 Err(error) => error,
@@ -478,11 +520,28 @@
             if let Some(PeerRead { page, whole }) = self.failed(error).await {
                 return Read::Page { page, whole };
             }
+            if error == FeedError::EraChanged {
+                return Read::EraChanged;
+            }
+        }
+    }
+
+    /// Returns a page if it continues what was read before, which must be of the same era.
+    fn check_era(&self, page: FeedPage<T>) -> Result<FeedPage<T>, FeedError> {
+        let part = self.part.as_ref().map(|part| part.position);
+        match self
+            .position
+            .or(part)
+            .map(|known| known.era.cmp(&page.position.era))
+        {
+            Some(Ordering::Less) => Err(FeedError::EraChanged),
+            Some(Ordering::Greater) => Err(FeedError::EarlierEra),
+            Some(Ordering::Equal) | None => Ok(page),
         }
     }
 
     /// Adds a page to a full read. Rows that change while the later pages are read are read again with
-    /// the changes after the version of the first page.
+    /// the changes after the position of the first page.
     fn add_part(&mut self, page: FeedPage<T>) -> Read<T> {
         let rows = page.more.as_ref().map(|_| page.rows.clone());
         let read = match self.part.take() {
@@ -497,7 +556,7 @@
             self.part = Some(read);
             return Read::Part { rows };
         }
-        self.version = Some(read.version);
+        self.position = Some(read.position);
         Read::Page {
             page: read,
             whole: true,
@@ -507,7 +566,7 @@
     fn count_call(&self) {
         let cause = if !self.reachable {
             StoreCallCause::StoreAway
-        } else if self.version.is_none() {
+        } else if self.position.is_none() {
             StoreCallCause::WholeRead
         } else {
             StoreCallCause::Watch
@@ -526,6 +585,16 @@
     /// Records a failure; returns the feed of another VM if one can be read.
     async fn failed(&mut self, error: FeedError) -> Option<PeerRead<T>> {
         let error_name: &str = error.into();
+        if error == FeedError::EraChanged {
+            let known = self.position.take();
+            tracing::warn!(
+                feed = self.feed.name,
+                known = known.map(tracing::field::display),
+                "the store has come back from an older copy: the feed is read again"
+            );
+            self.part = None;
+            return None;
+        }
         if self.reachable {
             tracing::warn!(
                 feed = self.feed.name,
@@ -535,7 +604,7 @@
         }
         self.part = None;
         if error == FeedError::HistoryGone {
-            self.version = None;
+            self.position = None;
             return None;
         }
         self.reachable = false;
@@ -543,9 +612,11 @@
         self.consecutive_failures += 1;
         (self.on_lost)(self.gateway);
         self.delay_next = true;
-        let read = read_random_peer(self.gateway, self.feed, self.version.unwrap_or(0)).await;
+        let read =
+            read_random_peer(self.gateway, self.feed, self.position.unwrap_or_default()).await;
         if let Some(read) = &read {
-            self.version = Some(read.page.version);
+            // The other VM may still be in an earlier era.
+            self.position = self.position.max(Some(read.page.position));
         }
         read
     }
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -43,7 +43,9 @@
             .gossip
             .store_age(now)
             .or(state.table_read.map(|at| now.since(at)));
+        let era = usize::try_from(state.table.position().era.0).unwrap_or(usize::MAX);
         drop(state);
+        gauge("catkin_store_era", era);
         gauge("catkin_upstreams_usable", usable);
         gauge("catkin_upstreams_suspect", suspects);
         gauge("catkin_upstreams_backing_off", backing_off);
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -152,7 +152,7 @@
         let restart = UpstreamRestart {
             before: before.id.clone(),
             entry,
-            version: gateway.table_version(),
+            position: gateway.table_position(),
         };
         if gateway.record_restart(&restart, RestartEvidence::OwnProbe) {
             gateway.report_restart(&restart);
@@ -242,7 +242,7 @@
     /// Applies another VM's report of a restart, unless it is stale.
     pub fn receive_restart(&self, restart: &UpstreamRestart) {
         let table = TableFreshness {
-            version: self.table_version(),
+            position: self.table_position(),
             current: self.table_is_current(),
         };
         self.record_restart(restart, RestartEvidence::PeerReport(table));
@@ -258,12 +258,12 @@
             Err(StaleRestart::Known) => return false,
             Err(stale) => {
                 let reason: &str = stale.into();
-                tracing::info!(before = %restart.before, %upstream, version = restart.version, reason,
+                tracing::info!(before = %restart.before, %upstream, version = %restart.position, reason,
                     "restart report ignored");
                 return false;
             }
         };
-        tracing::info!(before = %restart.before, %upstream, version = restart.version, ?evidence,
+        tracing::info!(before = %restart.before, %upstream, version = %restart.position, ?evidence,
             "upstream restarted");
         self.presence_changed(&changes);
         self.process_ended(&restart.before);
--- a/crates/catkinward/src/gateway/table_transfer.rs
+++ b/crates/catkinward/src/gateway/table_transfer.rs
@@ -13,10 +13,10 @@
 /// Rows of the table as one VM sends them to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct TableTransfer {
-    /// Version up to which the sender knows the table.
+    /// Position up to which the sender knows the table.
     #[serde(rename = "n")]
-    version: u64,
-    /// Whether the rows are the complete table, and not only the changes since the requested version.
+    position: StorePosition,
+    /// Whether the rows are the complete table, and not only the changes since the requested position.
     #[serde(rename = "w")]
     whole: bool,
     #[serde(rename = "u")]
@@ -24,7 +24,7 @@
 }
 
 /// How long an encoded transfer is used while the contents do not change: well below the time for which the
-/// store keeps the changes after its version.
+/// store keeps the changes after its position.
 const ENCODED_MAX_AGE: Duration = Duration::from_secs(2);
 
 /// Maximum number of encoded transfers that are kept.
@@ -33,8 +33,10 @@
 /// An encoded transfer, kept because most VMs of a zone miss the same changes at the same time.
 #[derive(Clone, Debug)]
 pub(crate) struct EncodedTransfer {
-    /// Version after which it contains the changes; `None` if it is the complete table.
-    after: Option<u64>,
+    /// Position after which it contains the changes; `None` if it is the complete table.
+    after: Option<StorePosition>,
+    /// Era of the table.
+    era: StoreEra,
     /// Digest of the table.
     digest: u64,
     at: Instant,
@@ -50,7 +52,7 @@
     let transfer = decode_compressed::<TableTransfer>(bytes)?;
     Ok(PeerRead {
         page: FeedPage {
-            version: transfer.version,
+            position: transfer.position,
             rows: transfer.rows,
             more: None,
         },
@@ -59,28 +61,28 @@
 }
 
 impl Gateway {
-    /// The changes of the table after a version, or the complete table if not all of them are known here,
+    /// The changes of the table after a position, or the complete table if not all of them are known here,
     /// encoded for another VM; `None` if no response of the platform within `age` is known, or if the link
     /// of this VM is busy with other transfers.
     #[must_use]
-    pub fn table_transfer(&self, after: u64, age: Duration) -> Option<Bytes> {
+    pub fn table_transfer(&self, after: StorePosition, age: Duration) -> Option<Bytes> {
         if !self.knows_table_within(age) {
             return None;
         }
         let now = self.timer.now();
         let state = self.state.lock();
-        let digest = state.table.digest();
+        let (digest, era) = (state.table.digest(), state.table.position().era);
         let whole = !state.table.knows_changes_since(after);
         let key = (!whole).then_some(after);
         let mut kept = self.encoded_transfers.lock();
-        kept.retain(|e| e.digest == digest && now.since(e.at) < ENCODED_MAX_AGE);
+        kept.retain(|e| e.digest == digest && e.era == era && now.since(e.at) < ENCODED_MAX_AGE);
         let found = kept.iter().find(|e| e.after == key);
         let bytes = if let Some(encoded) = found {
             encoded.bytes.clone()
         } else {
             let changes = state.table.changes_since(after);
             let bytes = encode_compressed(&TableTransfer {
-                version: state.table.version(),
+                position: state.table.position(),
                 whole,
                 rows: changes.unwrap_or_else(|| state.table.entries()),
             });
@@ -89,6 +91,7 @@
             }
             kept.push(EncodedTransfer {
                 after: key,
+                era,
                 digest,
                 at: now,
                 bytes: bytes.clone(),
@@ -104,7 +107,7 @@
         );
         let outcome = if admitted { "sent" } else { "refused" };
         metrics::counter!("catkin_table_transfers_total", "outcome" => outcome).increment(1);
-        tracing::debug!(after, whole, bytes = bytes.len(), outcome, "table transfer");
+        tracing::debug!(%after, whole, bytes = bytes.len(), outcome, "table transfer");
         admitted.then_some(bytes)
     }
 
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -8,6 +8,15 @@
         ZoneRole::of(&self.settings.vm, &self.zone_members())
     }
 
+    /// Whether another VM of the zone has what this VM would read from the store: this VM has it from there, or can
+    /// read it there.
+    pub(crate) fn zone_has_table(&self) -> bool {
+        self.relies_on_zone()
+            || (self.is_in_large_zone()
+                && self.zone_role() != ZoneRole::Reader
+                && self.advertiser_of_missed_changes().is_some())
+    }
+
     /// Whether this VM need not read the table now, because another VM of the zone reads and
     /// advertises it.
     pub(crate) fn relies_on_zone(&self) -> bool {
@@ -57,19 +66,22 @@
     ) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let read = state.table.apply_read(&page.rows, whole, page.version);
-        let entries = whole.then(|| state.table.entries());
+        let read = state.table.apply_read(&page.rows, whole, page.position);
+        let entries = whole.then(|| entries_of(&state.table));
         if from_store {
             state.gossip.record_own_read();
             state.table_read = Some(now);
         }
         drop(state);
-        if let Some(entries) = entries {
-            self.put_upstreams(entries.into_iter().filter_map(|row| row.entry).collect());
-        } else {
+        match (read.left_era_at, entries) {
+            (Some(before), Some(entries)) => {
+                log_era_change(before, page.position, &read, None);
+                self.put_upstreams(entries);
+            }
+            (None, Some(entries)) => self.put_upstreams(entries),
             // Unchanged entries are applied too: an upstream that was considered gone is present
             // again with its next entry.
-            self.apply_changes(read.current);
+            (_, None) => self.apply_changes(read.current),
         }
         if from_store {
             self.advertise_to_zone(&read.changed);
@@ -83,7 +95,7 @@
         let is_known = self.knows_table_within(age);
         let state = self.state.lock();
         is_known.then(|| FeedPage {
-            version: state.table.version(),
+            position: state.table.position(),
             rows: state.table.entries(),
             more: None,
         })
@@ -106,7 +118,7 @@
 
     /// Whether a page of a peer is newer than the table here.
     pub(crate) fn is_behind(&self, page: &FeedPage<UpstreamEntry>) -> bool {
-        self.table_version() < page.version
+        self.table_position() < page.position
     }
 
     /// Advertises what this VM has read to the zone, if its role includes that and the data is
@@ -150,7 +162,7 @@
                 )
             }),
             config_age_ms: state.config_read.map(age_ms),
-            version: state.table.version(),
+            position: state.table.position(),
             digest: state.table.digest(),
             age_ms: age_ms(read),
             changes: Vec::new(),
@@ -201,14 +213,15 @@
         let zone = &self.settings.zone;
         state.peers.apply_members(&[sender], zone, now);
         state.peers.apply_members(&gossip.members, zone, now);
-        let changes = state
+        let read = state
             .table
-            .apply_update(&gossip.changes, gossip.version, gossip.digest);
+            .apply_update(&gossip.changes, gossip.position, gossip.digest);
         let table = std::mem::take(&mut state.table);
         state.gossip.record(gossip, &table, now);
-        if table.is_behind(gossip.version, gossip.digest) {
+        if table.is_behind(gossip.position, gossip.digest) {
             state.table_advertiser = Some(address);
         }
+        let entries = read.left_era_at.map(|_| entries_of(&table));
         state.table = table;
         if matches!(
             state.gossip.state(GOSSIP_MAX_AGE, now),
@@ -222,21 +235,27 @@
             tracing::info!(
                 vm = &*gossip.vm,
                 before = before.as_deref(),
-                version = gossip.version,
+                version = %gossip.position,
                 age_ms = gossip.age_ms,
                 "table is advertised by another VM"
             );
         }
-        if !changes.is_empty() {
+        if !read.changed.is_empty() {
             tracing::info!(
                 vm = &*gossip.vm,
-                version = gossip.version,
-                changes = changes.len(),
+                version = %gossip.position,
+                changes = read.changed.len(),
                 age_ms = gossip.age_ms,
                 "gossip received"
             );
         }
-        self.apply_changes(changes);
+        match (read.left_era_at, entries) {
+            (Some(before), Some(entries)) => {
+                log_era_change(before, gossip.position, &read, Some(&gossip.vm));
+                self.put_upstreams(entries);
+            }
+            _ => self.apply_changes(read.changed),
+        }
         self.record_advertised_config(gossip, address);
         self.gossip_received.notify_waiters();
     }
@@ -252,9 +271,9 @@
         read || matches!(self.gossip_state(ZoneRole::Member), GossipState::Fresh(_))
     }
 
-    /// Version of the store up to which the table is known here.
-    pub(crate) fn table_version(&self) -> u64 {
-        self.state.lock().table.version()
+    /// Position of the store up to which the table is known here.
+    pub(crate) fn table_position(&self) -> StorePosition {
+        self.state.lock().table.position()
     }
 
     pub(crate) fn gossip_state(&self, role: ZoneRole) -> GossipState {
@@ -313,3 +332,25 @@
         }
     }
 }
+
+fn entries_of(table: &UpstreamTable) -> Vec<UpstreamEntry> {
+    let rows = table.entries().into_iter();
+    rows.filter_map(|row| row.entry).collect()
+}
+
+/// Logs that the table follows the store into a later era, by a read of it or by an update of another VM.
+fn log_era_change(
+    before: StorePosition,
+    after: StorePosition,
+    read: &TableRead,
+    advertised_by: Option<&str>,
+) {
+    let removed = read
+        .changed
+        .iter()
+        .filter(|row| row.entry.is_none())
+        .count();
+    tracing::warn!(feed = "upstreams", %before, %after, removed,
+        changed = read.changed.len() - removed, advertised_by,
+        "the store has come back from an older copy: table replaced");
+}
--- a/crates/catkinward/tests/gateway_feeds.rs
+++ b/crates/catkinward/tests/gateway_feeds.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use catkin_decisions::{ConfigVersion, RouteTable, RoutingConfig, UpstreamEntry};
+use catkin_decisions::{ConfigVersion, RouteTable, RoutingConfig, StorePosition, UpstreamEntry};
 use catkinward::gateway::{
     Feed, FeedError, FeedPage, PeerRead, ReadProgress, follow_config, follow_upstreams,
 };
@@ -33,7 +33,7 @@
     fn page(&self) -> FeedPage<RoutingConfig> {
         let config = self.config.lock().clone();
         FeedPage {
-            version: config.version.0,
+            position: at_version(config.version.0),
             rows: vec![row("config", config)],
             more: None,
         }
@@ -49,7 +49,7 @@
     /// Waits for a change; hangs forever if an outage begins in the meantime.
     async fn changes(
         self,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
     ) -> std::result::Result<FeedPage<RoutingConfig>, FeedError> {
         let end = tokio::time::Instant::now() + wait;
@@ -58,7 +58,7 @@
                 std::future::pending::<()>().await;
             }
             let page = self.page();
-            if page.version > after || tokio::time::Instant::now() >= end {
+            if page.position > after || tokio::time::Instant::now() >= end {
                 return Ok(page);
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -217,7 +217,7 @@
         progress.send(()).unwrap();
         tokio::time::sleep(Duration::from_millis(600)).await;
         Ok(FeedPage {
-            version: 1,
+            position: at_version(1),
             rows: vec![row(&id(n), upstream(&id(n), ENGINES, "a"))],
             more: (n + 1 < pages).then(|| id(n).into()),
         })
--- a/crates/catkinward/tests/gateway_replaced.rs
+++ b/crates/catkinward/tests/gateway_replaced.rs
@@ -167,7 +167,7 @@
     let restart = UpstreamRestart {
         before: before.id,
         entry,
-        version: 0,
+        position: at_version(0),
     };
     running.gateway.receive_restart(&restart);
     let stream = read_stream(running.handle("/stream/1").await).await;
@@ -193,7 +193,7 @@
             id: "engine-a9".parse().unwrap(),
             ..before
         },
-        version: 0,
+        position: at_version(0),
     };
     running
         .gateway
--- a/crates/catkinward/tests/gateway_store_era.rs
+++ b/crates/catkinward/tests/gateway_store_era.rs
@@ -3,7 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    ConfigVersion, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole, ZoneVm,
+    ConfigVersion, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip,
+    ZoneRole, ZoneVm,
 };
 use catkinward::gateway::{Feed, FeedError, FeedPage, follow_upstreams};
 use gateway_support::*;
@@ -20,7 +21,7 @@
 
 #[derive(Clone)]
 struct StoreState {
-    version: u64,
+    position: StorePosition,
     rows: Vec<UpstreamChange>,
 }
 
@@ -32,7 +33,7 @@
             ..row(id, upstream(id, ENGINES, "a"))
         };
         Self(Arc::new(Mutex::new(StoreState {
-            version: 100,
+            position: at_version(100),
             rows: vec![row("engine-a1", 20), row("engine-a2", 30)],
         })))
     }
@@ -40,14 +41,14 @@
     /// Comes back from a copy at `version`.
     fn come_back_at(&self, version: u64) {
         let mut state = self.0.lock();
-        state.version = version;
+        state.position = StorePosition::new(state.position.era.next(), version);
     }
 
     /// Writes a row again, as `change` makes it.
     fn rewrite(&self, index: usize, change: impl FnOnce(&mut UpstreamChange)) {
         let mut state = self.0.lock();
-        state.version += 1;
-        state.rows[index].written = state.version;
+        state.position.version += 1;
+        state.rows[index].written = state.position.version;
         change(&mut state.rows[index]);
     }
 
@@ -63,17 +64,20 @@
         let state = self.0.lock();
         let rows = state.rows.iter().filter(|row| row.written > after);
         FeedPage {
-            version: state.version,
+            position: state.position,
             rows: rows.cloned().collect(),
             more: None,
         }
     }
 
-    fn changes(&self, after: u64) -> std::result::Result<FeedPage<UpstreamEntry>, FeedError> {
-        if after > self.0.lock().version {
+    fn changes(
+        &self,
+        after: StorePosition,
+    ) -> std::result::Result<FeedPage<UpstreamEntry>, FeedError> {
+        if after.version > self.0.lock().position.version {
             return Err(FeedError::HistoryGone);
         }
-        Ok(self.page(after))
+        Ok(self.page(after.version))
     }
 
     fn feed(&self) -> Feed<UpstreamEntry> {
@@ -96,13 +100,13 @@
     fn gossip(&self, vm: Arc<str>) -> ZoneGossip {
         let page = self.page(0);
         let mut table = UpstreamTable::default();
-        table.apply_read(&page.rows, true, page.version);
+        table.apply_read(&page.rows, true, page.position);
         ZoneGossip {
             vm,
             config: Some(ConfigVersion(1)),
             config_from_store: false,
             config_age_ms: Some(0),
-            version: page.version,
+            position: page.position,
             digest: table.digest(),
             age_ms: 0,
             changes: Vec::new(),
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -10,8 +10,8 @@
     BodyCrash, CallAttributes, CallKind, CallerKey, CallerLimits, ConfigVersion, Crash,
     CrashReport, Instant, LinkRate, LoadSample, PartCrash, PartId, PeerHeartbeat, Policy,
     ProcessStart, PromptPart, ResponseKind, RolloutSettings, Route, RouteTable, RouteTarget,
-    RoutingConfig, ServiceId, ServiceSpec, SharedRetryBudgetConfig, TableRow, UpstreamEntry,
-    UpstreamStatement, ZoneGossip,
+    RoutingConfig, ServiceId, ServiceSpec, SharedRetryBudgetConfig, StoreEra, StorePosition,
+    TableRow, UpstreamEntry, UpstreamStatement, ZoneGossip,
 };
 use catkinward::{
     Timer,
@@ -37,6 +37,11 @@
 /// Address of the peer VM that sends gossip.
 pub const PEER: &str = "10.0.0.9:7201";
 
+/// A position in the first era of the store.
+pub fn at_version(version: u64) -> StorePosition {
+    StorePosition::new(StoreEra(0), version)
+}
+
 /// A row of a table, written at version 10.
 pub fn row<T>(key: &str, entry: T) -> TableRow<T> {
     TableRow {
--- a/crates/catkinward/tests/gateway_zone.rs
+++ b/crates/catkinward/tests/gateway_zone.rs
@@ -4,7 +4,8 @@
 
 use catkin_decisions::{
     ConfigVersion, GOSSIP_MAX_AGE, LinkRate, MAX_GOSSIPED_CHANGES, PeerDatagram, ProcessStart,
-    RoutingConfig, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole, ZoneVm,
+    RoutingConfig, StoreEra, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable,
+    ZoneGossip, ZoneRole, ZoneVm,
 };
 use catkinward::gateway::{
     Feed, FeedError, FeedPage, PeerRead, decode_table_transfer, exchange_heartbeats, follow_config,
@@ -53,7 +54,7 @@
     fn page(&self) -> FeedPage<UpstreamEntry> {
         *self.calls.lock() += 1;
         FeedPage {
-            version: *self.version.lock(),
+            position: at_version(*self.version.lock()),
             rows: self.rows.lock().clone(),
             more: None,
         }
@@ -92,13 +93,13 @@
     /// Gossip of a VM that has just read the table.
     fn gossip_with(&self, changes: &[UpstreamChange]) -> ZoneGossip {
         let mut table = UpstreamTable::default();
-        table.apply_read(&self.rows.lock(), true, *self.version.lock());
+        table.apply_read(&self.rows.lock(), true, at_version(*self.version.lock()));
         ZoneGossip {
             vm: reader_name(),
             config: Some(ConfigVersion(1)),
             config_from_store: false,
             config_age_ms: Some(0),
-            version: table.version(),
+            position: table.position(),
             digest: table.digest(),
             age_ms: 0,
             changes: changes.to_vec(),
@@ -227,7 +228,7 @@
         read_from_peer: Box::new(move |_, _, _| {
             *count.lock() += 1;
             let page = FeedPage {
-                version: *peer.version.lock(),
+                position: at_version(*peer.version.lock()),
                 rows: peer.rows.lock().clone(),
                 more: None,
             };
@@ -292,7 +293,7 @@
 async fn transferred_changes_are_those_that_the_other_vm_misses() {
     let age = Duration::from_secs(2);
     let (running, table) = relying_member().await;
-    let version = *table.version.lock();
+    let position = at_version(*table.version.lock());
     table.set_leaving(0);
     let change = table.rows.lock()[0].clone();
     running.receive_gossip(&table.gossip_with(std::slice::from_ref(&change)));
@@ -301,7 +302,7 @@
         let sent = running.gateway.table_transfer(after, age).unwrap();
         decode_table_transfer(&sent).unwrap()
     };
-    let (missed, complete) = (read(version), read(0));
+    let (missed, complete) = (read(position), read(at_version(0)));
 
     expect_that!(missed.whole, eq(false));
     expect_that!(missed.page.rows, eq(&vec![change]));
@@ -309,7 +310,7 @@
     expect_that!(complete.page.rows.len(), eq(2));
     expect_that!(decode_table_transfer(b"not a table").is_err(), eq(true));
     tokio::time::sleep(Duration::from_millis(10)).await;
-    let old = running.gateway.table_transfer(version, Duration::ZERO);
+    let old = running.gateway.table_transfer(position, Duration::ZERO);
     expect_that!(old, none());
 }
 
@@ -338,7 +339,7 @@
     let (running, table) = relying_member().await;
     let old = running.gateway.config().unwrap();
     let page = |version| FeedPage {
-        version,
+        position: at_version(version),
         rows: vec![row(
             "config",
             RoutingConfig {
@@ -391,7 +392,10 @@
 /// Versions of the table that the reader of a zone advertises within a second.
 async fn advertised_versions(feed: impl FnOnce(&FakeTable) -> Feed<UpstreamEntry>) -> Vec<u64> {
     let gossip = advertised_gossip(GatewayFixture::new(|_| Script::Hang), feed).await;
-    gossip.iter().map(|gossip| gossip.version).collect()
+    gossip
+        .iter()
+        .map(|gossip| gossip.position.version)
+        .collect()
 }
 
 /// Gossip that the reader of a zone sends within a second.
@@ -552,7 +556,7 @@
         config: Some(ConfigVersion(u64::from(u32::MAX))),
         config_from_store: true,
         config_age_ms: Some(2400),
-        version: u64::from(u32::MAX),
+        position: StorePosition::new(StoreEra(u64::from(u32::MAX)), u64::from(u32::MAX)),
         digest: u64::MAX,
         age_ms: 1600,
         changes: (0..).take(MAX_GOSSIPED_CHANGES).map(change).collect(),
--- a/crates/catkinward/tests/gateway_zone_config.rs
+++ b/crates/catkinward/tests/gateway_zone_config.rs
@@ -3,8 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    CONFIG_GOSSIP_MAX_AGE, ConfigVersion, RoutingConfig, UpstreamEntry, UpstreamTable, ZoneGossip,
-    ZoneRole, ZoneVm,
+    CONFIG_GOSSIP_MAX_AGE, ConfigVersion, RoutingConfig, StorePosition, UpstreamEntry,
+    UpstreamTable, ZoneGossip, ZoneRole, ZoneVm,
 };
 use catkinward::gateway::{Feed, FeedError, FeedPage, PeerRead, follow_config, follow_upstreams};
 use gateway_support::*;
@@ -59,7 +59,7 @@
     fn page(&self) -> FeedPage<RoutingConfig> {
         let config = self.config.lock().clone();
         FeedPage {
-            version: config.version.0,
+            position: at_version(config.version.0),
             rows: vec![row("config", config)],
             more: None,
         }
@@ -67,7 +67,7 @@
 
     async fn read_store(
         self,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
     ) -> std::result::Result<FeedPage<RoutingConfig>, FeedError> {
         *self.store_calls.lock() += 1;
@@ -77,7 +77,7 @@
                 return Err(FeedError::Refused);
             }
             let page = self.page();
-            if page.version > after {
+            if page.position > after {
                 let transfer = *self.transfer.lock();
                 tokio::time::sleep(transfer).await;
                 return Ok(page);
@@ -93,7 +93,9 @@
         let (reading, asking, peer) = (self.clone(), self.clone(), self.clone());
         Feed {
             name: "config",
-            read: Box::new(move |_, _| Box::pin(reading.clone().read_store(0, Duration::ZERO))),
+            read: Box::new(move |_, _| {
+                Box::pin(reading.clone().read_store(at_version(0), Duration::ZERO))
+            }),
             changes: Box::new(move |after, wait| Box::pin(asking.clone().read_store(after, wait))),
             read_from_peer: Box::new(move |address, _, _| {
                 peer.peers_read.lock().push(address);
@@ -171,7 +173,7 @@
             config: self.running.gateway.config().map(|config| config.version),
             config_from_store: false,
             config_age_ms: Some(u32::try_from(config_age.as_millis()).unwrap()),
-            version: 10,
+            position: at_version(10),
             digest: UpstreamTable::default().digest(),
             age_ms: 0,
             changes: Vec::new(),
@@ -428,7 +430,7 @@
 
 fn empty_table() -> FeedPage<UpstreamEntry> {
     FeedPage {
-        version: 10,
+        position: at_version(10),
         rows: Vec::new(),
         more: None,
     }
--- a/crates/decisions/examples/whole_read.rs
+++ b/crates/decisions/examples/whole_read.rs
@@ -2,7 +2,8 @@
 //! `cargo run --release -p catkin-decisions --example whole_read`.
 
 use catkin_decisions::{
-    Instant, TableRow, UpstreamDirectory, UpstreamEntry, UpstreamTable, rendezvous_score,
+    Instant, StoreEra, StorePosition, TableRow, UpstreamDirectory, UpstreamEntry, UpstreamTable,
+    rendezvous_score,
 };
 use std::{
     net::SocketAddr,
@@ -32,8 +33,8 @@
             })
             .collect::<Vec<_>>();
         let mut table = UpstreamTable::default();
-        table.apply_read(&rows, true, 1);
-        let shared = time(|| table.apply_read(&rows, true, 2));
+        table.apply_read(&rows, true, StorePosition::new(StoreEra(0), 1));
+        let shared = time(|| table.apply_read(&rows, true, StorePosition::new(StoreEra(0), 2)));
         println!("{count:7}  {first:10?}  {again:10?}  {singly:10?}  {shared:12?}");
     }
 }
--- a/crates/decisions/src/table_replica.rs
+++ b/crates/decisions/src/table_replica.rs
@@ -3,7 +3,7 @@
 //! Changes are useful only to a VM that has all earlier rows. A VM may have received these from elsewhere
 //! and then read only changes itself. If it stored just the changes, they would appear to be the complete
 //! table, and a peer that reads them would take all other rows for removed, or a configuration for
-//! unchanged. Changes that do not continue from the stored version therefore make the replica incomplete
+//! unchanged. Changes that do not continue from the stored position therefore make the replica incomplete
 //! until the complete table is read again.
 
 use super::*;
@@ -13,8 +13,8 @@
 pub struct TableReplica<R> {
     /// Sorted by key, without removed rows.
     rows: Vec<(Arc<str>, R)>,
-    /// Version at which the rows are the complete table; `None` if they are incomplete.
-    version: Option<u64>,
+    /// Position at which the rows are the complete table; `None` if they are incomplete.
+    position: Option<StorePosition>,
 }
 
 /// The complete table at one version.
@@ -22,53 +22,53 @@
 pub struct TableSnapshot<'a, R> {
     /// Rows, sorted by key.
     pub rows: &'a [(Arc<str>, R)],
-    /// Version of the store at which the rows were current.
-    pub version: u64,
+    /// Position of the store at which the rows were current.
+    pub position: StorePosition,
 }
 
 impl<R> Default for TableReplica<R> {
     fn default() -> Self {
         Self {
             rows: Vec::new(),
-            version: None,
+            position: None,
         }
     }
 }
 
 impl<R> TableReplica<R> {
-    /// Replaces all rows by those of a complete read at `version`.
+    /// Replaces all rows by those of a complete read at `position`.
     pub fn replace_all(
         &mut self,
         rows: impl IntoIterator<Item = (Arc<str>, Option<R>)>,
-        version: u64,
+        position: StorePosition,
     ) {
         self.rows.clear();
         self.apply_rows(rows);
-        self.version = Some(version);
+        self.position = Some(position);
     }
 
-    /// Applies the rows that changed after version `after` and up to `version`.
+    /// Applies the rows that changed after position `after` and up to `position`, in the same era.
     pub fn apply_changes(
         &mut self,
-        after: u64,
+        after: StorePosition,
         rows: impl IntoIterator<Item = (Arc<str>, Option<R>)>,
-        version: u64,
+        position: StorePosition,
     ) {
-        if self.version != Some(after) {
+        if self.position != Some(after) || after.era != position.era {
             self.rows.clear();
-            self.version = None;
+            self.position = None;
             return;
         }
         self.apply_rows(rows);
-        self.version = Some(version);
+        self.position = Some(position);
     }
 
     /// The complete table, if it is known here.
     #[must_use]
     pub fn snapshot(&self) -> Option<TableSnapshot<'_, R>> {
-        self.version.map(|version| TableSnapshot {
+        self.position.map(|position| TableSnapshot {
             rows: &self.rows,
-            version,
+            position,
         })
     }
 
--- a/crates/decisions/src/table_row.rs
+++ b/crates/decisions/src/table_row.rs
@@ -6,8 +6,8 @@
     /// Key of the row, unique in its table.
     #[serde(rename = "k")]
     pub key: Arc<str>,
-    /// Version of the store at which the row was written or removed. Rows arrive late, repeatedly and out
-    /// of order; the version shows which of two is newer.
+    /// Version of the store at which the row was written or removed, in the era of the page, update or table that
+    /// holds the row. Rows arrive late, repeatedly and out of order; the version shows which of two is newer.
     #[serde(rename = "w")]
     pub written: u64,
     /// Content of the row; `None` if it was removed.
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -219,7 +219,7 @@
             if table.current {
                 return Err(StaleRestart::TableIsCurrent);
             }
-            if restart.version < table.version {
+            if restart.position < table.position {
                 return Err(StaleRestart::TableIsNewer);
             }
         }
--- a/crates/decisions/src/upstream_restart.rs
+++ b/crates/decisions/src/upstream_restart.rs
@@ -10,9 +10,9 @@
     /// Entry of the upstream that has the address now.
     #[serde(rename = "e")]
     pub entry: UpstreamEntry,
-    /// Version of the store up to which the reporting VM had read the table of upstreams.
+    /// Position of the store up to which the reporting VM had read the table of upstreams.
     #[serde(rename = "v", default)]
-    pub version: u64,
+    pub position: StorePosition,
 }
 
 /// Evidence for a restart.
@@ -27,8 +27,8 @@
 /// How recent a VM's view of the table of upstreams is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TableFreshness {
-    /// Version of the store up to which the table has been read.
-    pub version: u64,
+    /// Position of the store up to which the table has been read.
+    pub position: StorePosition,
     /// Whether the view is kept up to date.
     pub current: bool,
 }
@@ -46,7 +46,7 @@
     /// The table is kept up to date here and does not contain the upstream.
     #[display("the table is current and does not name the upstream")]
     TableIsCurrent,
-    /// The table has been read here up to a later version than by the reporting VM.
-    #[display("the table is known to a later version than the report's")]
+    /// The table has been read here up to a later position than by the reporting VM.
+    #[display("the table is known to a later position than the report's")]
     TableIsNewer,
 }
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -12,6 +12,10 @@
 //! version at which it was written, and an older row never replaces a newer one, nor one that was removed
 //! since. Otherwise a lagging reader could restore an upstream that had left, and no later read of changes
 //! would remove it again.
+//!
+//! The store may come back from an older copy of itself, in a new era, and then gives out versions again. So a
+//! table belongs to one era, as do the versions of its rows, and only a complete read or a digest leads to the
+//! next one.
 
 use super::*;
 use std::collections::VecDeque;
@@ -20,12 +24,12 @@
 /// complete table.
 const MAX_KEPT_REMOVALS: usize = 4096;
 
-/// Rows of the table, with the version up to which they have been read and their digest.
+/// Rows of the table, with the position up to which they have been read and their digest.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     /// Sorted by key. Removed rows are kept until the table has been read up to their removal.
     rows: Vec<Row>,
-    version: u64,
+    position: StorePosition,
     digest: u64,
     /// Versions and keys of removed rows, in the order in which they became known here.
     removals: VecDeque<(u64, Arc<str>)>,
@@ -37,7 +41,7 @@
 struct Row {
     /// Hash of the entry; 0 if the row was removed.
     hash: u64,
-    /// Version of the first known write with this content.
+    /// Version of the first known write with this content in the table's era.
     changed: u64,
     change: UpstreamChange,
 }
@@ -53,13 +57,15 @@
     pub current: Vec<UpstreamChange>,
     /// Rows of `current` whose content is new.
     pub changed: Vec<UpstreamChange>,
+    /// Position before the read, if it was in an earlier era.
+    pub left_era_at: Option<StorePosition>,
 }
 
 impl UpstreamTable {
-    /// Version of the store up to which the table has been read.
+    /// Position of the store up to which the table has been read.
     #[must_use]
-    pub fn version(&self) -> u64 {
-        self.version
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Rows of the upstreams that are present, without removals.
@@ -69,25 +75,29 @@
         present.map(|row| row.change.clone()).collect()
     }
 
-    /// Whether all changes after a version are known here, including removals. A VM at version 0 has not read
-    /// anything yet, and needs the complete table.
+    /// Whether all changes after a position are known here, including removals. A VM at version 0 has not read
+    /// anything yet, and one in another era knows other rows; both need the complete table.
     #[must_use]
-    pub fn knows_changes_since(&self, version: u64) -> bool {
+    pub fn knows_changes_since(&self, position: StorePosition) -> bool {
+        let StorePosition { era, version } = position;
         let complete_after = self.removals_complete_after;
-        version > 0 && complete_after.is_some_and(|complete_after| complete_after <= version)
+        era == self.position.era
+            && version > 0
+            && complete_after.is_some_and(|complete_after| complete_after <= version)
     }
 
-    /// Rows that changed or were removed after a version up to which another VM knows the table; `None` if
+    /// Rows that changed or were removed after a position up to which another VM knows the table; `None` if
     /// removals since then are not known here, so that the other VM needs the complete table.
     #[must_use]
-    pub fn changes_since(&self, version: u64) -> Option<Vec<UpstreamChange>> {
-        if !self.knows_changes_since(version) {
+    pub fn changes_since(&self, position: StorePosition) -> Option<Vec<UpstreamChange>> {
+        if !self.knows_changes_since(position) {
             return None;
         }
+        let version = position.version;
         let removed = self.removals.iter().filter(|(written, key)| {
             *written > version
                 && self
-                    .position(key)
+                    .row_index(key)
                     .ok()
                     .is_none_or(|index| self.rows[index].change.entry.is_none())
         });
@@ -110,66 +120,132 @@
         self.digest
     }
 
-    /// Applies a read of the table: all rows if `complete`, otherwise those written after a version up to
-    /// which the table was known.
+    /// Applies a read of the table: all rows if `complete`, otherwise those written after a position up to
+    /// which the table was known. Changes of a later era are dropped: they do not continue the rows known here.
     pub fn apply_read(
         &mut self,
         rows: &[UpstreamChange],
         complete: bool,
-        version: u64,
+        position: StorePosition,
     ) -> TableRead {
         let mut read = TableRead::default();
-        if version < self.version {
+        if position < self.position {
             // The store served this read before it served changes that other VMs have sent since.
             return read;
         }
+        if position.era > self.position.era {
+            return if complete {
+                self.replace(rows, position)
+            } else {
+                read
+            };
+        }
         let mut rows = rows.to_vec();
+        let version = position.version;
         if complete {
             let removals = self.removals_absent_from(&rows, version);
             self.set_rows(removals, &mut read);
             self.removals_complete_after.get_or_insert(version);
         } else {
-            rows.retain(|row| row.written > self.version || self.is_current_version(row));
+            let known = self.position.version;
+            rows.retain(|row| row.written > known || self.is_current_version(row));
         }
         self.set_rows(rows, &mut read);
         self.advance_version(version);
         read
     }
 
-    /// Applies an update of another VM: changes, with the digest and version of its table. Returns the
-    /// changes that are new here.
+    /// Applies an update of another VM: changes, with the digest and position of its table. Returns what is
+    /// new here. An update of an earlier era is dropped; one of a later era is applied if that leads to the
+    /// other VM's table.
     pub fn apply_update(
         &mut self,
         changes: &[UpstreamChange],
-        version: u64,
+        position: StorePosition,
         digest: u64,
-    ) -> Vec<UpstreamChange> {
+    ) -> TableRead {
+        if position.era < self.position.era {
+            return TableRead::default();
+        }
+        if position.era > self.position.era {
+            return self.follow_into_era(changes, position, digest);
+        }
         let mut changes = changes.to_vec();
         // Rows written up to this VM's version are known here, also if they were removed and dropped since.
-        changes.retain(|change| change.written > self.version);
+        changes.retain(|change| change.written > self.position.version);
         let mut read = TableRead::default();
         self.set_rows(changes, &mut read);
-        if version > self.version && self.digest == digest {
-            self.advance_version(version);
+        if position > self.position && self.digest == digest {
+            self.advance_version(position.version);
         }
-        read.changed
+        read
     }
 
-    /// Whether the digest of another VM, which has read up to `version`, shows that a change was missed
+    /// Whether the digest of another VM, which has read up to `position`, shows that a change was missed
     /// here.
     #[must_use]
-    pub fn is_behind(&self, version: u64, digest: u64) -> bool {
-        version > self.version && digest != self.digest
+    pub fn is_behind(&self, position: StorePosition, digest: u64) -> bool {
+        position > self.position && digest != self.digest
+    }
+
+    /// Replaces the table by a complete read of a later era.
+    fn replace(&mut self, rows: &[UpstreamChange], position: StorePosition) -> TableRead {
+        let mut next = Self {
+            position: StorePosition::new(position.era, 0),
+            ..Self::default()
+        };
+        let mut read = next.apply_read(rows, true, position);
+        read.changed.retain(|change| {
+            let known = self.row_index(&change.key);
+            known.map_or(0, |index| self.rows[index].hash) != hash(change)
+        });
+        let removals = self.removals_absent_from(rows, position.version);
+        read.current.extend_from_slice(&removals);
+        read.changed.extend(removals);
+        read.left_era_at = Some(self.position);
+        *self = next;
+        read
+    }
+
+    /// Takes the known rows with some changes for the table of a later era, if they have its digest.
+    fn follow_into_era(
+        &mut self,
+        changes: &[UpstreamChange],
+        position: StorePosition,
+        digest: u64,
+    ) -> TableRead {
+        let mut next = self.clone();
+        for row in &mut next.rows {
+            // Each row was written by then, but the version is not known here.
+            row.change.written = 0;
+        }
+        let mut read = TableRead::default();
+        next.set_rows(changes.to_vec(), &mut read);
+        if next.digest != digest {
+            return TableRead::default();
+        }
+        next.rows.retain(|row| row.change.entry.is_some());
+        for row in &mut next.rows {
+            row.change.written = position.version;
+            row.changed = position.version;
+        }
+        next.removals.clear();
+        let is_complete = self.removals_complete_after.is_some();
+        next.removals_complete_after = is_complete.then_some(position.version);
+        next.position = position;
+        read.left_era_at = Some(self.position);
+        *self = next;
+        read
     }
 
     /// Whether the row is known as it was written at that version. A row that is not, and is older than the
     /// table, was overwritten or removed since.
     fn is_current_version(&self, change: &UpstreamChange) -> bool {
-        let found = self.position(&change.key);
+        let found = self.row_index(&change.key);
         found.is_ok_and(|index| self.rows[index].change.written == change.written)
     }
 
-    fn position(&self, key: &str) -> Result<usize, usize> {
+    fn row_index(&self, key: &str) -> Result<usize, usize> {
         self.rows
             .binary_search_by(|row| row.change.key.as_ref().cmp(key))
     }
@@ -216,15 +292,15 @@
     }
 
     fn advance_version(&mut self, version: u64) {
-        self.version = self.version.max(version);
-        let known = self.version;
+        self.position.version = self.position.version.max(version);
+        let known = self.position.version;
         self.rows
             .retain(|row| row.change.entry.is_some() || row.change.written > known);
     }
 
     /// Sets a row unless a newer one is known.
     fn set_row(&mut self, change: &UpstreamChange) -> SetOutcome {
-        let found = self.position(&change.key);
+        let found = self.row_index(&change.key);
         let before = found.ok().map_or(0, |index| self.rows[index].hash);
         if found.is_ok_and(|index| self.rows[index].change.written > change.written) {
             return SetOutcome::Older;
--- a/crates/decisions/src/zone_gossip.rs
+++ b/crates/decisions/src/zone_gossip.rs
@@ -61,9 +61,9 @@
     /// none.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub config_age_ms: Option<u32>,
-    /// Store version up to which the sender has read the upstream table.
+    /// Store position up to which the sender has read the upstream table.
     #[serde(rename = "n")]
-    pub version: u64,
+    pub position: StorePosition,
     /// Digest of the sender's upstream table.
     #[serde(rename = "d")]
     pub digest: u64,
@@ -90,8 +90,8 @@
     config_last_seen: Option<Instant>,
     /// Time since which the local table is known to miss changes.
     behind_since: Option<Instant>,
-    /// Version and digest of the table of the VM that last advertised missing changes.
-    behind: (u64, u64),
+    /// Position and digest of the table of the VM that last advertised missing changes.
+    behind: (StorePosition, u64),
 }
 
 /// Whether this VM may rely on gossip.
@@ -106,14 +106,18 @@
 }
 
 impl GossipView {
-    /// Records received gossip, after its changes were merged into `table`.
+    /// Records received gossip, after its changes were merged into `table`. Gossip of an earlier era than the
+    /// table's shows nothing: what its sender has read since the store came back is not in it.
     pub fn record(&mut self, gossip: &ZoneGossip, table: &UpstreamTable, now: Instant) {
+        if gossip.position.era < table.position().era {
+            return;
+        }
         let ago = |ms: u32| now.before(Duration::from_millis(ms.into()));
         self.store_last_seen = self.store_last_seen.max(Some(ago(gossip.age_ms)));
         self.config_last_seen = self.config_last_seen.max(gossip.config_age_ms.map(ago));
-        if table.is_behind(gossip.version, gossip.digest) {
+        if table.is_behind(gossip.position, gossip.digest) {
             self.behind_since.get_or_insert(now);
-            self.behind = (gossip.version, gossip.digest);
+            self.behind = (gossip.position, gossip.digest);
         } else {
             self.behind_since = None;
         }
@@ -126,8 +130,8 @@
 
     /// Records that this VM has read changes from another VM, and that `table` contains them.
     pub fn record_catch_up(&mut self, table: &UpstreamTable) {
-        let (version, digest) = self.behind;
-        if !table.is_behind(version, digest) {
+        let (position, digest) = self.behind;
+        if !table.is_behind(position, digest) {
             self.behind_since = None;
         }
     }
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -2,7 +2,8 @@
 
 use catkin_decisions::{
     ConfigVersion, HEARTBEAT_INTERVAL, Instant, LinkRate, MemberStatus, PEER_TIMEOUT, PeerDatagram,
-    PeerHeartbeat, PeerLoad, PeerLoads, SHARERS_PER_UPSTREAM, UpstreamEntry, ZoneGossip,
+    PeerHeartbeat, PeerLoad, PeerLoads, SHARERS_PER_UPSTREAM, StoreEra, StorePosition,
+    UpstreamEntry, ZoneGossip,
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -257,7 +258,7 @@
             config: Some(ConfigVersion(u64::from(u32::MAX))),
             config_from_store: true,
             config_age_ms: Some(2400),
-            version: u64::from(u32::MAX),
+            position: StorePosition::new(StoreEra(u64::from(u32::MAX)), u64::from(u32::MAX)),
             digest: u64::MAX,
             age_ms: 1600,
             changes: Vec::new(),
--- a/crates/decisions/tests/restart_reports.rs
+++ b/crates/decisions/tests/restart_reports.rs
@@ -1,9 +1,9 @@
 //! Late restart reports, combined with a table of upstreams that some VMs cannot read.
 
 use catkin_decisions::{
-    Instant, LAPSE_GRACE, ProcessStart, RestartEvidence, StaleRestart, TableFreshness,
-    UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation, UpstreamRestart,
-    UpstreamTable,
+    Instant, LAPSE_GRACE, ProcessStart, RestartEvidence, StaleRestart, StoreEra, StorePosition,
+    TableFreshness, UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamIncarnation,
+    UpstreamRestart, UpstreamTable,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -33,17 +33,25 @@
     }
 }
 
+/// A position in the first era of the store.
+fn at_version(version: u64) -> StorePosition {
+    StorePosition::new(StoreEra(0), version)
+}
+
 /// Report that upstream `n` has taken the address of the other one of its pair.
 fn restart(n: u8, version: u64) -> UpstreamRestart {
     UpstreamRestart {
         before: entry(n ^ 1).id,
         entry: entry(n),
-        version,
+        position: at_version(version),
     }
 }
 
 fn report(version: u64, current: bool) -> RestartEvidence {
-    RestartEvidence::PeerReport(TableFreshness { version, current })
+    RestartEvidence::PeerReport(TableFreshness {
+        position: at_version(version),
+        current,
+    })
 }
 
 fn usable(directory: &UpstreamDirectory, now: Instant) -> Vec<String> {
@@ -234,9 +242,11 @@
             let rows = store.rows(0).into_iter();
             rows.filter(|row| row.entry.is_some()).collect()
         } else {
-            store.rows(self.table.version())
+            store.rows(self.table.position().version)
         };
-        let read = self.table.apply_read(&rows, whole, store.version());
+        let read = self
+            .table
+            .apply_read(&rows, whole, at_version(store.version()));
         if whole {
             let entries = self.table.entries().into_iter();
             self.directory
@@ -258,7 +268,7 @@
 
     fn deliver(&mut self, restart: &UpstreamRestart) {
         let table = TableFreshness {
-            version: self.table.version(),
+            position: self.table.position(),
             current: !self.rejected,
         };
         // The outcome is checked by the upstreams that are used.
@@ -283,7 +293,7 @@
                 Step::Advance(n) => store.advance(n),
                 Step::Reject(vm, rejected) => vms[vm].rejected = rejected,
                 Step::Read(vm, whole) => vms[vm].read(&store, whole, now),
-                Step::Report(vm, n) => reports.push(restart(n, vms[vm].table.version())),
+                Step::Report(vm, n) => reports.push(restart(n, vms[vm].table.position().version)),
                 Step::Deliver(report, vm) => {
                     if let Some(restart) = reports.get(report) {
                         vms[vm].deliver(restart);
--- a/crates/decisions/tests/table_replica.rs
+++ b/crates/decisions/tests/table_replica.rs
@@ -1,9 +1,14 @@
 //! Replicas of platform tables that a VM serves to its peers.
 
-use catkin_decisions::TableReplica;
+use catkin_decisions::{StoreEra, StorePosition, TableReplica};
 use googletest::prelude::*;
 use std::sync::Arc;
 
+/// A position in the first era of the store.
+fn at_version(version: u64) -> StorePosition {
+    StorePosition::new(StoreEra(0), version)
+}
+
 fn row(key: &str, value: u32) -> (Arc<str>, Option<u32>) {
     (key.into(), Some(value))
 }
@@ -21,14 +26,18 @@
 #[gtest]
 fn changes_extend_a_complete_read() {
     let mut table = TableReplica::default();
-    table.replace_all([row("b", 1), row("a", 1)], 10);
+    table.replace_all([row("b", 1), row("a", 1)], at_version(10));
 
-    table.apply_changes(10, [row("c", 1), removed("a"), row("b", 2)], 13);
+    table.apply_changes(
+        at_version(10),
+        [row("c", 1), removed("a"), row("b", 2)],
+        at_version(13),
+    );
 
     expect_that!(keys(&table), some(elements_are![eq(&"b"), eq(&"c")]));
     expect_that!(
-        table.snapshot().map(|snapshot| snapshot.version),
-        some(eq(13))
+        table.snapshot().map(|snapshot| snapshot.position),
+        some(eq(at_version(13)))
     );
 }
 
@@ -38,7 +47,7 @@
 fn changes_alone_are_not_a_complete_table() {
     let mut table = TableReplica::default();
 
-    table.apply_changes(10, [], 12);
+    table.apply_changes(at_version(10), [], at_version(12));
 
     expect_that!(keys(&table), none());
 }
@@ -48,11 +57,11 @@
 #[gtest]
 fn table_with_a_gap_is_incomplete_until_it_is_read_again() {
     let mut table = TableReplica::default();
-    table.replace_all([row("a", 1)], 10);
+    table.replace_all([row("a", 1)], at_version(10));
 
-    table.apply_changes(20, [row("c", 1)], 21);
+    table.apply_changes(at_version(20), [row("c", 1)], at_version(21));
     let with_gap = keys(&table).is_some();
-    table.replace_all([row("a", 1), row("b", 1), row("c", 1)], 22);
+    table.replace_all([row("a", 1), row("b", 1), row("c", 1)], at_version(22));
 
     expect_that!(with_gap, eq(false));
     expect_that!(keys(&table), some(len(eq(3))));
--- a/crates/decisions/tests/zone_gossip.rs
+++ b/crates/decisions/tests/zone_gossip.rs
@@ -2,7 +2,8 @@
 
 use catkin_decisions::{
     ConfigVersion, DELTA_WAIT, GOSSIP_MAX_AGE, GossipState, GossipView, Instant, LinkRate,
-    UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole, ZoneVm, gossips_changes,
+    StoreEra, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole,
+    ZoneVm, gossips_changes,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -12,6 +13,11 @@
     Instant(Duration::from_millis(ms))
 }
 
+/// A position in the first era of the store.
+fn at_version(version: u64) -> StorePosition {
+    StorePosition::new(StoreEra(0), version)
+}
+
 fn entry(n: u8, leaving: bool) -> UpstreamChange {
     let id = format!("engine-{n}");
     let entry = UpstreamEntry {
@@ -49,7 +55,7 @@
 /// The table of a VM that has read engines 1 to 3 at version 10.
 fn table() -> UpstreamTable {
     let mut table = UpstreamTable::default();
-    table.apply_read(&[1, 2, 3].map(|n| entry(n, false)), true, 10);
+    table.apply_read(&[1, 2, 3].map(|n| entry(n, false)), true, at_version(10));
     table
 }
 
@@ -57,14 +63,14 @@
 fn gossip_of(changes: &[UpstreamChange], version: u64) -> ZoneGossip {
     let mut table = table();
     let changes = table
-        .apply_read(&written(version, changes), false, version)
+        .apply_read(&written(version, changes), false, at_version(version))
         .changed;
     ZoneGossip {
         vm: "vm-1".into(),
         config: Some(ConfigVersion(1)),
         config_from_store: false,
         config_age_ms: Some(0),
-        version,
+        position: at_version(version),
         digest: table.digest(),
         age_ms: 0,
         changes,
@@ -77,7 +83,7 @@
 fn apply_gossip(received: &[(u64, ZoneGossip)], now: Instant) -> (UpstreamTable, GossipState) {
     let (mut table, mut view) = (table(), GossipView::default());
     for (ms, gossip) in received {
-        table.apply_update(&gossip.changes, gossip.version, gossip.digest);
+        table.apply_update(&gossip.changes, gossip.position, gossip.digest);
         view.record(gossip, &table, at(*ms));
     }
     (table, view.state(GOSSIP_MAX_AGE, now))
@@ -91,7 +97,7 @@
 
     let rows = written(11, &[entry(1, false), entry(2, true)]);
 
-    let read = table.apply_read(&rows, false, 11);
+    let read = table.apply_read(&rows, false, at_version(11));
 
     expect_that!(read.changed, eq(&written(11, &[entry(2, true)])));
     expect_that!(read.current, eq(&rows));
@@ -105,7 +111,7 @@
         state,
         eq(GossipState::Fresh(at(1000).after(GOSSIP_MAX_AGE)))
     );
-    expect_that!(table.version(), eq(11));
+    expect_that!(table.position(), eq(at_version(11)));
 }
 
 /// The datagram with a leaving upstream is lost. The digest in the next gossip differs from the local
@@ -203,14 +209,14 @@
 #[gtest]
 fn removed_upstream_is_not_restored_by_late_gossip() {
     let mut table = table();
-    table.apply_read(&written(12, &[removed(2)]), false, 12);
+    table.apply_read(&written(12, &[removed(2)]), false, at_version(12));
     let before = table.digest();
     let (present, removal) = (written(11, &[entry(2, true)]), written(12, &[removed(2)]));
 
     for late in [&removal, &present] {
-        table.apply_update(late, 13, before);
+        table.apply_update(late, at_version(13), before);
     }
-    table.apply_read(&written(14, &[entry(1, false)]), false, 14);
+    table.apply_read(&written(14, &[entry(1, false)]), false, at_version(14));
 
     expect_that!(table.digest(), eq(before));
 }
@@ -223,9 +229,9 @@
     let (present, removal) = (written(11, &[entry(4, false)]), written(12, &[removed(4)]));
 
     for late in [&removal, &present] {
-        table.apply_update(late, 13, 0);
+        table.apply_update(late, at_version(13), 0);
     }
-    table.apply_read(&[], false, 13);
+    table.apply_read(&[], false, at_version(13));
 
     expect_that!(table.entries().len(), eq(3));
 }
@@ -235,10 +241,10 @@
 fn removal_is_kept_until_the_table_was_read_beyond_it() {
     let mut table = table();
     let (present, removal) = (written(13, &[entry(2, true)]), written(14, &[removed(2)]));
-    table.apply_update(&removal, 15, 0);
+    table.apply_update(&removal, at_version(15), 0);
 
-    table.apply_read(&[], false, 11);
-    table.apply_update(&present, 15, 0);
+    table.apply_read(&[], false, at_version(11));
+    table.apply_update(&present, at_version(15), 0);
 
     expect_that!(table.entries().len(), eq(2));
 }
@@ -249,14 +255,14 @@
 #[gtest]
 fn outdated_rows_of_a_page_are_not_new() {
     let mut table = table();
-    table.apply_read(&written(12, &[removed(2)]), false, 12);
+    table.apply_read(&written(12, &[removed(2)]), false, at_version(12));
     let page = [
         written(11, &[entry(2, true)]),
         written(12, &[removed(2)]),
         written(13, &[entry(3, true)]),
     ];
 
-    let read = table.apply_read(&page.concat(), false, 13);
+    let read = table.apply_read(&page.concat(), false, at_version(13));
 
     expect_that!(read.changed, eq(&written(13, &[entry(3, true)])));
     expect_that!(table.entries().len(), eq(2));
@@ -268,13 +274,13 @@
     for complete in [false, true] {
         let mut table = table();
         let newer = gossip_of(&[entry(2, true), removed(3)], 12);
-        table.apply_update(&newer.changes, newer.version, newer.digest);
+        table.apply_update(&newer.changes, newer.position, newer.digest);
 
         let page = written(11, &[entry(1, false), entry(2, false), entry(3, false)]);
-        let read = table.apply_read(&page, complete, 11);
+        let read = table.apply_read(&page, complete, at_version(11));
 
         expect_that!(table.digest(), eq(newer.digest), "complete: {complete}");
-        expect_that!(table.version(), eq(12));
+        expect_that!(table.position(), eq(at_version(12)));
         expect_that!(read.changed, is_empty());
     }
 }
@@ -345,7 +351,7 @@
                 Step::Read(vm, complete, ago) => {
                     let version = store.0.len().saturating_sub(ago);
                     let (table, new_changes) = &mut vms[vm];
-                    let read_version = usize::try_from(table.version()).unwrap();
+                    let read_version = usize::try_from(table.position().version).unwrap();
                     let rows = if complete {
                         store.complete_table(version)
                     } else if version < read_version {
@@ -353,22 +359,22 @@
                     } else {
                         store.rows(read_version, version)
                     };
-                    *new_changes = table.apply_read(&rows, complete, version as u64).changed;
+                    *new_changes = table.apply_read(&rows, complete, at_version(version as u64)).changed;
                 }
                 Step::Receive(vm, from, order) => {
                     let (table, new_changes) = vms[from].clone();
                     for piece in order {
                         let piece = new_changes.iter().skip(usize::from(piece)).take(1);
                         let piece = piece.cloned().collect::<Vec<_>>();
-                        vms[vm].0.apply_update(&piece, table.version(), table.digest());
+                        vms[vm].0.apply_update(&piece, table.position(), table.digest());
                     }
                 }
             }
         }
         let version = store.0.len();
         for (table, _) in &mut vms {
-            let read_version = usize::try_from(table.version()).unwrap();
-            table.apply_read(&store.rows(read_version, version), false, version as u64);
+            let read_version = usize::try_from(table.position().version).unwrap();
+            table.apply_read(&store.rows(read_version, version), false, at_version(version as u64));
             let mut rows = store.complete_table(version);
             rows.sort_by(|a, b| a.key.cmp(&b.key));
             let entries = |rows: Vec<UpstreamChange>| {
@@ -390,9 +396,9 @@
                 1 => entry(n, false),
                 _ => entry(n, true),
             };
-            let read = reader.apply_read(&written(version, &[change]), false, version);
-            receiver.apply_update(&read.changed, version, reader.digest());
-            prop_assert!(!receiver.is_behind(version, reader.digest()));
+            let read = reader.apply_read(&written(version, &[change]), false, at_version(version));
+            receiver.apply_update(&read.changed, at_version(version), reader.digest());
+            prop_assert!(!receiver.is_behind(at_version(version), reader.digest()));
         }
         prop_assert_eq!(receiver.digest(), reader.digest());
     }
@@ -418,29 +424,29 @@
             }
         };
         let (mut other, mut behind) = (UpstreamTable::default(), UpstreamTable::default());
-        other.apply_read(&[], true, 0);
+        other.apply_read(&[], true, at_version(0));
         write(&mut store, &before);
         let known = store.0.len();
-        other.apply_read(&store.rows(0, known), false, known as u64);
+        other.apply_read(&store.rows(0, known), false, at_version(known as u64));
         if first_read {
-            behind.apply_read(&store.complete_table(known), true, known as u64);
+            behind.apply_read(&store.complete_table(known), true, at_version(known as u64));
         }
         write(&mut store, &after);
         let newest = store.0.len();
-        let missed = other.apply_read(&store.rows(known, newest), false, newest as u64).changed;
+        let missed = other.apply_read(&store.rows(known, newest), false, at_version(newest as u64)).changed;
         for (change, received) in missed.iter().zip(received) {
             if received {
-                behind.apply_update(std::slice::from_ref(change), newest as u64, other.digest());
+                behind.apply_update(std::slice::from_ref(change), at_version(newest as u64), other.digest());
             }
         }
 
-        let changes = other.changes_since(behind.version());
+        let changes = other.changes_since(behind.position());
         let whole = changes.is_none();
         let rows = changes.unwrap_or_else(|| other.entries());
-        behind.apply_read(&rows, whole, other.version());
+        behind.apply_read(&rows, whole, other.position());
 
         prop_assert_eq!(behind.digest(), other.digest());
-        prop_assert!(!behind.is_behind(other.version(), other.digest()));
+        prop_assert!(!behind.is_behind(other.position(), other.digest()));
     }
 }
 
@@ -450,8 +456,8 @@
 fn removals_before_the_first_read_need_the_complete_table() {
     let table = table();
 
-    expect_that!(table.changes_since(9), none());
-    expect_that!(table.changes_since(10), some(is_empty()));
+    expect_that!(table.changes_since(at_version(9)), none());
+    expect_that!(table.changes_since(at_version(10)), some(is_empty()));
 }
 
 /// Guards against a VM that never becomes ready: it has read nothing, and gets what it takes for changes of a table that
@@ -459,11 +465,11 @@
 #[gtest]
 fn vm_without_a_table_needs_the_complete_one() {
     let mut table = UpstreamTable::default();
-    table.apply_read(&[], true, 0);
-    table.apply_read(&written(1, &[entry(1, false)]), false, 1);
+    table.apply_read(&[], true, at_version(0));
+    table.apply_read(&written(1, &[entry(1, false)]), false, at_version(1));
 
-    expect_that!(table.changes_since(0), none());
-    expect_that!(table.changes_since(1), some(is_empty()));
+    expect_that!(table.changes_since(at_version(0)), none());
+    expect_that!(table.changes_since(at_version(1)), some(is_empty()));
 }
 
 /// Guards against rows that upstreams rewrite without a change in a delta: these would be the complete table.
@@ -471,12 +477,12 @@
 fn changes_since_a_version_omit_rows_that_were_only_rewritten() {
     let mut table = table();
     let rewritten = written(11, &[1, 2, 3].map(|n| entry(n, false)));
-    table.apply_read(&rewritten, false, 11);
+    table.apply_read(&rewritten, false, at_version(11));
     let changed = written(12, &[entry(2, true), removed(3)]);
 
-    table.apply_read(&changed, false, 12);
+    table.apply_read(&changed, false, at_version(12));
 
-    let since = table.changes_since(10).unwrap_or_default();
+    let since = table.changes_since(at_version(10)).unwrap_or_default();
     let keys = since
         .iter()
         .map(|row| (row.key.as_ref(), row.entry.is_some()));
