Keep upstreams that have gone out of use when the store lists them again

Callers would reach upstreams that have gone: the copy from which the store comes back still has their rows, and a row that is read made a removed upstream present again until the platform removed the row, three heartbeats of the upstream later. An upstream whose row was removed without a word goes on serving for a while, so such a call also breaks the bound on draining.

A complete read of a new era shows what was written before the store came back. An upstream that was removed before stays out of use until its row is written again, or is still there after the time in which the platform removes rows that are not written again: a VM that relies on another one does not see a row that is written again without a change. That an upstream is leaving stays permanent, also when the row of the copy says that it is ready.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -251,6 +251,19 @@
 
     /// Replaces the directory of upstreams by a complete table.
     pub fn put_upstreams(&self, entries: Vec<UpstreamEntry>) {
+        self.put_directory(entries, UpstreamDirectory::apply_snapshot);
+    }
+
+    /// Replaces the directory of upstreams by the complete table of a store that has come back from an older copy.
+    pub(crate) fn put_copied_upstreams(&self, entries: Vec<UpstreamEntry>) {
+        self.put_directory(entries, UpstreamDirectory::apply_copy);
+    }
+
+    fn put_directory(
+        &self,
+        entries: Vec<UpstreamEntry>,
+        apply: impl FnOnce(&mut UpstreamDirectory, Vec<UpstreamEntry>, Instant) -> Vec<PresenceChange>,
+    ) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let at_start = state.directory_read < DirectoryRead::Whole;
@@ -259,7 +272,7 @@
         }
         state.directory_read = DirectoryRead::Whole;
         self.current.send_replace(state.is_current());
-        let changes = state.directory.apply_snapshot(entries, now);
+        let changes = apply(&mut state.directory, entries, now);
         state.remove_gone(now);
         drop(state);
         self.presence_changed(&changes);
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -76,7 +76,7 @@
         match (read.left_era_at, entries) {
             (Some(before), Some(entries)) => {
                 log_era_change(before, page.position, &read, None);
-                self.put_upstreams(entries);
+                self.put_copied_upstreams(entries);
             }
             (None, Some(entries)) => self.put_upstreams(entries),
             // Unchanged entries are applied too: an upstream that was considered gone is present
@@ -252,7 +252,7 @@
         match (read.left_era_at, entries) {
             (Some(before), Some(entries)) => {
                 log_era_change(before, gossip.position, &read, Some(&gossip.vm));
-                self.put_upstreams(entries);
+                self.put_copied_upstreams(entries);
             }
             _ => self.apply_changes(read.changed),
         }
--- a/crates/catkinward/tests/gateway_store_era.rs
+++ b/crates/catkinward/tests/gateway_store_era.rs
@@ -52,6 +52,10 @@
         change(&mut state.rows[index]);
     }
 
+    fn remove(&self, index: usize) {
+        self.rewrite(index, |row| row.entry = None);
+    }
+
     fn set_leaving(&self, index: usize) {
         self.rewrite(index, |row| {
             if let Some(entry) = &mut row.entry {
@@ -62,7 +66,9 @@
 
     fn page(&self, after: u64) -> FeedPage<UpstreamEntry> {
         let state = self.0.lock();
-        let rows = state.rows.iter().filter(|row| row.written > after);
+        let is_listed =
+            |row: &&UpstreamChange| row.written > after && (after > 0 || row.entry.is_some());
+        let rows = state.rows.iter().filter(is_listed);
         FeedPage {
             position: state.position,
             rows: rows.cloned().collect(),
@@ -214,3 +220,24 @@
         elements_are![eq("engine-a2")]
     );
 }
+
+/// Guards against calls to an upstream that has gone: the copy is from before its entry was removed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn upstream_that_had_gone_before_the_store_came_back_gets_no_calls() {
+    let (running, store) = reader().await;
+    let copied = store.0.lock().rows.clone();
+    store.remove(0);
+    tokio::time::sleep(POLL_TIME).await;
+
+    store.come_back_at(60);
+    store.0.lock().rows = copied;
+    tokio::time::sleep(POLL_TIME).await;
+    let before = called_upstreams(&running).await;
+    store.rewrite(0, |_| {});
+    tokio::time::sleep(POLL_TIME).await;
+    let after = called_upstreams(&running).await;
+
+    expect_that!(before, elements_are![eq("engine-a2")]);
+    expect_that!(after, elements_are![eq("engine-a1"), eq("engine-a2")]);
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -212,7 +212,9 @@
     transfer_limit::TransferLimit,
     upstream::Upstream,
     upstream_crash_id::UpstreamCrashId,
-    upstream_directory::{LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry},
+    upstream_directory::{
+        COPY_GRACE, LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry,
+    },
     upstream_evidence::{EVIDENCE_MAX_AGE, UpstreamEvidence},
     upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth},
     upstream_id::UpstreamId,
--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -14,6 +14,10 @@
 //! unless its row is read within [`LAPSE_GRACE`] of the platform's return. Stale restart reports of removed
 //! upstreams are ignored, even if the upstream was never known here.
 //!
+//! When the store comes back from an older copy, it lists upstreams again that have been removed since. An
+//! upstream that runs writes its entry again; the entry of one that has gone is removed after [`COPY_GRACE`] at
+//! the latest. Until either happens the upstream gets no calls.
+//!
 //! Two entries may have the same address. Usually the upstream there crashed and restarted under another
 //! id, so the entry that arrives last replaces the other. The entry may also belong to an unrelated
 //! upstream, so a replacement is not final: a response of the replaced upstream restores it, and an
@@ -25,6 +29,10 @@
 /// platform promises about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// Time within which the platform removes the entries of upstreams that do not write them: three times the
+/// interval at which they do, with a margin.
+pub const COPY_GRACE: Duration = Duration::from_secs(4);
+
 /// How long a removed upstream is remembered: longer than any entry is delayed. Afterwards its id may be
 /// used again, also by upstreams that do not report when they started.
 const REMOVED_RETENTION: Duration = Duration::from_secs(30);
@@ -74,6 +82,9 @@
     Leaving,
     /// Its entry was removed.
     Gone,
+    /// Its entry was removed, and is in the copy from which the store came back. It takes calls once its entry is
+    /// written again, or if the entry is still there at the given time.
+    Returning(Instant),
     /// It has restarted under its id, so this incarnation has ended permanently.
     Superseded,
 }
@@ -116,6 +127,7 @@
         if let Ok(index) = self.tombstone_position(&entry.id.id) {
             self.tombstones.remove(index);
         }
+        self.record_written(&entry.id.id);
         let mut changes = Vec::new();
         let Some(id) = self.apply_without_address(entry, &mut changes) else {
             return changes;
@@ -319,6 +331,37 @@
         changes
     }
 
+    /// Applies a complete read of the entries from a store that has come back from an older copy. The entries of
+    /// upstreams that were removed before do not show that these run.
+    pub fn apply_copy(&mut self, entries: Vec<UpstreamEntry>, now: Instant) -> Vec<PresenceChange> {
+        let mut listed = entries.iter().map(|entry| &entry.id.id).collect::<Vec<_>>();
+        listed.sort_unstable();
+        let returning = Presence::Returning(now.after(COPY_GRACE));
+        let mut changes = Vec::new();
+        for known in &mut self.known {
+            let id = &known.entry.id;
+            if known.is_removed(now)
+                && !known.entry.leaving
+                && listed.binary_search(&&id.id).is_ok()
+            {
+                changes.push((id.clone(), returning));
+                known.presence = returning;
+            }
+        }
+        changes.extend(self.apply_snapshot(entries, now));
+        changes
+    }
+
+    /// Records that an upstream that may have gone has written its entry.
+    fn record_written(&mut self, id: &UpstreamId) {
+        let index = self.latest(id).and_then(|id| self.position(&id).ok());
+        if let Some(index) = index
+            && matches!(self.known[index].presence, Presence::Returning(_))
+        {
+            self.known[index].presence = Presence::Gone;
+        }
+    }
+
     fn index_addresses(&mut self) {
         let address_and_id = |known: &KnownUpstream| (known.entry.address, known.entry.id.clone());
         self.addresses
@@ -359,7 +402,10 @@
         }
         let changed = matches!(
             known.presence,
-            Presence::Present | Presence::Lapsed(_) | Presence::Reported(_)
+            Presence::Present
+                | Presence::Lapsed(_)
+                | Presence::Reported(_)
+                | Presence::Returning(_)
         ) && known.set_presence(Presence::Leaving);
         changed.then(|| (id.clone(), Presence::Leaving))
     }
@@ -514,7 +560,10 @@
             let known = &mut self.known[index];
             if matches!(
                 known.presence,
-                Presence::Present | Presence::Lapsed(_) | Presence::Reported(_)
+                Presence::Present
+                    | Presence::Lapsed(_)
+                    | Presence::Reported(_)
+                    | Presence::Returning(_)
             ) {
                 known.presence = Presence::Replaced;
                 changes.push((other, Presence::Replaced));
@@ -549,6 +598,7 @@
         match self.presence {
             Presence::Present | Presence::Reported(None) => true,
             Presence::Lapsed(until) | Presence::Reported(Some(until)) => now < until,
+            Presence::Returning(from) => now >= from,
             _ => false,
         }
     }
@@ -557,6 +607,7 @@
     fn is_removed(&self, now: Instant) -> bool {
         match self.presence {
             Presence::Gone => true,
+            Presence::Returning(from) => now < from,
             Presence::Lapsed(until) | Presence::Reported(Some(until)) => now >= until,
             _ => false,
         }
@@ -571,7 +622,8 @@
         // like it would restore an upstream that has left.
         entry.leaving |= self.entry.leaving;
         self.presence = match before {
-            Presence::Gone if entry.leaving => Presence::Gone,
+            Presence::Gone | Presence::Returning(_) if entry.leaving => Presence::Gone,
+            Presence::Returning(from) => Presence::Returning(from),
             Presence::Superseded => Presence::Superseded,
             Presence::Denied if !moved => Presence::Denied,
             _ => initial_presence(&entry),
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -1,7 +1,7 @@
 //! Directory of upstreams, with entries that arrive late, lapse and return.
 
 use catkin_decisions::{
-    Instant, LAPSE_GRACE, Presence, ProcessStart, UpstreamDirectory, UpstreamEntry,
+    COPY_GRACE, Instant, LAPSE_GRACE, Presence, ProcessStart, UpstreamDirectory, UpstreamEntry,
     UpstreamIncarnation,
 };
 use googletest::prelude::*;
@@ -390,3 +390,65 @@
     expect_that!(directory.get_usable(&next, at(0)).is_some(), eq(true));
     expect_that!(directory.get_usable(&with_start(1).id, at(0)), none());
 }
+
+/// A directory of two upstreams, of which the first has been removed.
+fn directory_without_u1() -> UpstreamDirectory {
+    let mut directory = UpstreamDirectory::default();
+    directory.apply_entry(entry("u1", 1, false));
+    directory.apply_entry(entry("u2", 2, false));
+    directory.remove_entry(&"u1".parse().unwrap(), at(1000));
+    directory
+}
+
+fn copied_entries() -> Vec<UpstreamEntry> {
+    vec![entry("u1", 1, false), entry("u2", 2, false)]
+}
+
+/// Guards against calls to an upstream that has gone, because the copy from which the store came back lists it.
+#[gtest]
+fn copied_entry_does_not_restore_a_removed_upstream() {
+    let mut directory = directory_without_u1();
+
+    directory.apply_copy(copied_entries(), at(2000));
+    directory.apply_snapshot(copied_entries(), at(3000));
+    let listed = usable(&directory, at(3000));
+    directory.apply_snapshot(vec![entry("u2", 2, false)], at(5000));
+    let removed = usable(&directory, at(20_000));
+
+    expect_that!(listed, eq(&["u2"]));
+    expect_that!(removed, eq(&["u2"]));
+}
+
+#[gtest]
+fn upstream_that_writes_its_entry_after_the_copy_is_usable() {
+    let mut directory = directory_without_u1();
+    directory.apply_copy(copied_entries(), at(2000));
+
+    directory.apply_entry(entry("u1", 1, false));
+
+    expect_that!(usable(&directory, at(2010)), eq(&["u1", "u2"]));
+}
+
+/// Guards against an upstream that is never used again: a VM that relies on another one does not see an entry that is
+/// written again without a change.
+#[gtest]
+fn copied_entry_that_is_not_removed_is_usable() {
+    let mut directory = directory_without_u1();
+
+    directory.apply_copy(copied_entries(), at(2000));
+
+    let kept = usable(&directory, at(2000).after(COPY_GRACE));
+    expect_that!(kept, eq(&["u1", "u2"]));
+}
+
+/// Guards against calls to an upstream that is leaving, because the copy is from before it said so.
+#[gtest]
+fn copied_entry_does_not_revoke_that_its_upstream_is_leaving() {
+    let mut directory = directory_without_u1();
+    directory.apply_entry(entry("u2", 2, true));
+
+    directory.apply_copy(copied_entries(), at(2000));
+    directory.apply_entry(entry("u2", 2, false));
+
+    expect_that!(usable(&directory, at(2000)), is_empty());
+}
