--- a/crates/catkinward/tests/gateway_store_era.rs
+++ b/crates/catkinward/tests/gateway_store_era.rs
@@ -3,7 +3,8 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    ConfigVersion, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip, ZoneRole, ZoneVm,
+    ConfigVersion, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip,
+    ZoneRole, ZoneVm,
 };
 use catkinward::gateway::{Feed, FeedError, FeedPage, follow_upstreams};
 use gateway_support::*;
@@ -20,7 +21,7 @@
 
 #[derive(Clone)]
 struct StoreState {
-    version: u64,
+    position: StorePosition,
     rows: Vec<UpstreamChange>,
 }
 
@@ -32,7 +33,7 @@
             ..row(id, upstream(id, ENGINES, "a"))
         };
         Self(Arc::new(Mutex::new(StoreState {
-            version: 100,
+            position: at_version(100),
             rows: vec![row("engine-a1", 20), row("engine-a2", 30)],
         })))
     }
@@ -40,17 +41,21 @@
     /// Comes back from a copy at `version`.
     fn come_back_at(&self, version: u64) {
         let mut state = self.0.lock();
-        state.version = version;
+        state.position = StorePosition::new(state.position.era.next(), version);
     }
 
     /// Writes a row again, as `change` makes it.
     fn rewrite(&self, index: usize, change: impl FnOnce(&mut UpstreamChange)) {
         let mut state = self.0.lock();
-        state.version += 1;
-        state.rows[index].written = state.version;
+        state.position.version += 1;
+        state.rows[index].written = state.position.version;
         change(&mut state.rows[index]);
     }
 
+    fn remove(&self, index: usize) {
+        self.rewrite(index, |row| row.entry = None);
+    }
+
     fn set_leaving(&self, index: usize) {
         self.rewrite(index, |row| {
             if let Some(entry) = &mut row.entry {
@@ -61,19 +66,24 @@
 
     fn page(&self, after: u64) -> FeedPage<UpstreamEntry> {
         let state = self.0.lock();
-        let rows = state.rows.iter().filter(|row| row.written > after);
+        let is_listed =
+            |row: &&UpstreamChange| row.written > after && (after > 0 || row.entry.is_some());
+        let rows = state.rows.iter().filter(is_listed);
         FeedPage {
-            version: state.version,
+            position: state.position,
             rows: rows.cloned().collect(),
             more: None,
         }
     }
 
-    fn changes(&self, after: u64) -> std::result::Result<FeedPage<UpstreamEntry>, FeedError> {
-        if after > self.0.lock().version {
+    fn changes(
+        &self,
+        after: StorePosition,
+    ) -> std::result::Result<FeedPage<UpstreamEntry>, FeedError> {
+        if after.version > self.0.lock().position.version {
             return Err(FeedError::HistoryGone);
         }
-        Ok(self.page(after))
+        Ok(self.page(after.version))
     }
 
     fn feed(&self) -> Feed<UpstreamEntry> {
@@ -96,13 +106,13 @@
     fn gossip(&self, vm: Arc<str>) -> ZoneGossip {
         let page = self.page(0);
         let mut table = UpstreamTable::default();
-        table.apply_read(&page.rows, true, page.version);
+        table.apply_read(&page.rows, true, page.position);
         ZoneGossip {
             vm,
             config: Some(ConfigVersion(1)),
             config_from_store: false,
             config_age_ms: Some(0),
-            version: page.version,
+            position: page.position,
             digest: table.digest(),
             age_ms: 0,
             changes: Vec::new(),
@@ -210,3 +220,24 @@
         elements_are![eq("engine-a2")]
     );
 }
+
+/// Guards against calls to an upstream that has gone: the copy is from before its entry was removed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn upstream_that_had_gone_before_the_store_came_back_gets_no_calls() {
+    let (running, store) = reader().await;
+    let copied = store.0.lock().rows.clone();
+    store.remove(0);
+    tokio::time::sleep(POLL_TIME).await;
+
+    store.come_back_at(60);
+    store.0.lock().rows = copied;
+    tokio::time::sleep(POLL_TIME).await;
+    let before = called_upstreams(&running).await;
+    store.rewrite(0, |_| {});
+    tokio::time::sleep(POLL_TIME).await;
+    let after = called_upstreams(&running).await;
+
+    expect_that!(before, elements_are![eq("engine-a2")]);
+    expect_that!(after, elements_are![eq("engine-a1"), eq("engine-a2")]);
+}
