Doubtful runs: try the next upstream at once if the previous one was not reached

A VM that lost its path to the upstreams counted connections that could not be opened as refusals of its search, and waited 0.25, 0.5, 1 s and more between them. Its streams resumed through another VM only after that.

Such a send takes nothing from the retry budget and reaches no upstream, so it is followed by the next at once; the maximum of sends bounds them as before.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -70,7 +70,7 @@
     pub(super) sends: u32,
     max_sends: u32,
     /// Whether the next send takes nothing from the retry budget, because the previous one did not arrive.
-    retry_prepaid: bool,
+    pub(super) retry_prepaid: bool,
     /// Connections for this call that could not be opened.
     unopened: UnopenedConnections,
     /// Number of upstreams that may have run the call.
--- a/crates/catkinward/src/gateway/doubtful_call.rs
+++ b/crates/catkinward/src/gateway/doubtful_call.rs
@@ -98,7 +98,10 @@
                         Sent::Failed(reply) => self.failure = Some(reply),
                         _ => {}
                     }
-                    search.record_refusal(now);
+                    // An upstream that the call did not reach is no reason to wait.
+                    if !self.retry_prepaid {
+                        search.record_refusal(now);
+                    }
                     self.log_kept(&pending, "upstream_refused", began);
                 }
                 Event::SuccessorEnded => {
--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -145,7 +145,10 @@
                         RunEvent::Response(response) => self.handle_outcome(sent, response)?,
                         _ => self.lose_sent_run(sent, Loss::ProcessEnded)?,
                     }
-                    search.record_refusal(now);
+                    // An upstream that the call did not reach is no reason to wait.
+                    if !self.retry_prepaid {
+                        search.record_refusal(now);
+                    }
                     self.log_kept(&run, doubt, "upstream_refused");
                 }
                 Event::Due => {}
--- a/crates/catkinward/tests/gateway_silence.rs
+++ b/crates/catkinward/tests/gateway_silence.rs
@@ -622,3 +622,40 @@
     expect_that!(stream, eq(&(text(1, 40), true)));
     expect_that!(running.sent_to().len(), eq(2));
 }
+
+/// Guards against a stream of a VM that lost its path to the upstreams and waits between its attempts to reach others.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_stream_of_a_vm_without_a_path_resumes_through_another_vm_in_time() {
+    let sends = AtomicUsize::new(0);
+    let mut fixture = GatewayFixture::new(move |call| {
+        let is_first = sends.fetch_add(1, Ordering::Relaxed) == 0;
+        match call.last_event {
+            _ if is_first => Script::Stream(events(1, 20), End::Hang),
+            Some(last) if !call.path.is_direct() => {
+                Script::Stream(events(last + 1, 40), End::Whole)
+            }
+            _ => Script::NoConnection,
+        }
+    })
+    .answers_probes(|_| false)
+    .reached_by_others(true);
+    for n in 0..12 {
+        fixture = fixture.upstream(&format!("engine-{n}"), ENGINES, ["a", "b", "c"][n % 3]);
+    }
+    let running = fixture.start();
+    let reply = running.handle("/stream/1").await;
+    running.receive_peer_heartbeat();
+    let start = running.timer.now();
+
+    let stream = read_stream(reply).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+    // The 40 events take 1.2 s.
+    let pause = running
+        .timer
+        .now()
+        .since(start)
+        .saturating_sub(Duration::from_millis(1200));
+    expect_that!(pause, le(Duration::from_millis(700)));
+}
