Trust rows of the copy only while the platform responds

A VM that was suspended after the store had come back from a copy used an upstream that had gone: the time for which a row of the copy is not trusted passed while the VM could not read that the row was removed. The time now starts again after a silence of the platform and ends at a response, and leaves room for each VM of a zone to hear of the removal. A table that was filled by gossip alone also counts as known when the store changes its era; it was taken for a new VM's, which has nothing to compare the copy with.

The fixture of encodings has a gossip and a restart report of a later era; the other lines are unchanged.

--- a/crates/decisions/src/upstream_directory.rs
+++ b/crates/decisions/src/upstream_directory.rs
@@ -16,7 +16,8 @@
 //!
 //! When the store comes back from an older copy, it lists upstreams again that have been removed since. An
 //! upstream that runs writes its entry again; the entry of one that has gone is removed after [`COPY_GRACE`] at
-//! the latest. Until either happens the upstream gets no calls.
+//! the latest. The upstream gets no calls before the entry is written again, or has been kept for that long while
+//! the platform responded.
 //!
 //! Two entries may have the same address. Usually the upstream there crashed and restarted under another
 //! id, so the entry that arrives last replaces the other. The entry may also belong to an unrelated
@@ -29,9 +30,9 @@
 /// platform promises about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// Time within which the platform removes the entries of upstreams that do not write them: three times the
-/// interval at which they do, with a margin.
-pub const COPY_GRACE: Duration = Duration::from_secs(4);
+/// Time within which the platform removes the entries of upstreams that do not write them, three times the
+/// interval at which they do, and each VM has read of it.
+pub const COPY_GRACE: Duration = Duration::from_secs(6);
 
 /// How long a removed upstream is remembered: longer than any entry is delayed. Afterwards its id may be
 /// used again, also by upstreams that do not report when they started.
@@ -83,7 +84,7 @@
     /// Its entry was removed.
     Gone,
     /// Its entry was removed, and is in the copy from which the store came back. It takes calls once its entry is
-    /// written again, or if the entry is still there at the given time.
+    /// written again, or at the first response of the platform after the given time.
     Returning(Instant),
     /// It has restarted under its id, so this incarnation has ended permanently.
     Superseded,
@@ -100,6 +101,8 @@
     tombstones: Vec<(UpstreamId, Instant)>,
     addresses: AddressIndex,
     outage: Outage,
+    /// Time of the platform's last response.
+    last_response: Option<Instant>,
     comparisons: ComparisonCounter,
 }
 
@@ -448,9 +451,19 @@
             Outage::Until(until) if now >= until => self.outage = Outage::None,
             _ => {}
         }
+        let previous = self.last_response.replace(now);
+        // What the platform removed in the meantime is read with this response or after it.
+        let was_silent = previous.is_none_or(|previous| now.since(previous) >= LAPSE_GRACE);
         for known in &mut self.known {
-            if known.presence == Presence::Reported(None) {
-                known.presence = Presence::Reported(Some(now.after(LAPSE_GRACE)));
+            match known.presence {
+                Presence::Reported(None) => {
+                    known.presence = Presence::Reported(Some(now.after(LAPSE_GRACE)));
+                }
+                Presence::Returning(_) if was_silent => {
+                    known.presence = Presence::Returning(now.after(COPY_GRACE));
+                }
+                Presence::Returning(from) if now >= from => known.presence = Presence::Present,
+                _ => {}
             }
         }
         self.tombstones
@@ -598,7 +611,6 @@
         match self.presence {
             Presence::Present | Presence::Reported(None) => true,
             Presence::Lapsed(until) | Presence::Reported(Some(until)) => now < until,
-            Presence::Returning(from) => now >= from,
             _ => false,
         }
     }
@@ -606,8 +618,7 @@
     /// Whether its row was removed, or has been expired for so long that it counts as removed.
     fn is_removed(&self, now: Instant) -> bool {
         match self.presence {
-            Presence::Gone => true,
-            Presence::Returning(from) => now < from,
+            Presence::Gone | Presence::Returning(_) => true,
             Presence::Lapsed(until) | Presence::Reported(Some(until)) => now >= until,
             _ => false,
         }
--- a/crates/decisions/src/upstream_table.rs
+++ b/crates/decisions/src/upstream_table.rs
@@ -57,7 +57,7 @@
     pub current: Vec<UpstreamChange>,
     /// Rows of `current` whose content is new.
     pub changed: Vec<UpstreamChange>,
-    /// Position before the read, if it was in an earlier era.
+    /// Position before the read, if the table was known in an earlier era.
     pub left_era_at: Option<StorePosition>,
 }
 
@@ -202,7 +202,7 @@
         let removals = self.removals_absent_from(rows, position.version);
         read.current.extend_from_slice(&removals);
         read.changed.extend(removals);
-        read.left_era_at = Some(self.position);
+        read.left_era_at = self.known_position();
         *self = next;
         read
     }
@@ -230,14 +230,18 @@
             row.changed = position.version;
         }
         next.removals.clear();
-        let is_complete = self.removals_complete_after.is_some();
-        next.removals_complete_after = is_complete.then_some(position.version);
+        next.removals_complete_after = self.removals_complete_after.map(|_| position.version);
         next.position = position;
-        read.left_era_at = Some(self.position);
+        read.left_era_at = self.known_position();
         *self = next;
         read
     }
 
+    /// Position of the table, if anything is known of it.
+    fn known_position(&self) -> Option<StorePosition> {
+        (self.position.version > 0).then_some(self.position)
+    }
+
     /// Whether the row is known as it was written at that version. A row that is not, and is older than the
     /// table, was overwritten or removed since.
     fn is_current_version(&self, change: &UpstreamChange) -> bool {
--- a/crates/decisions/tests/encodings.rs
+++ b/crates/decisions/tests/encodings.rs
@@ -65,9 +65,9 @@
     for (name, encoded) in lines("PeerDatagram/") {
         expect_that!(cbor_again::<PeerDatagram>(encoded), eq(encoded), "{name}");
     }
-    // Three heartbeats and three gossip datagrams (all fields set, optional ones absent, later fields set), five
-    // rollouts, two statements, and one datagram of each other variant.
-    expect_that!(lines("PeerDatagram/").count(), eq(20));
+    // Three heartbeats and three gossip datagrams (all fields set, optional ones absent, later fields set), gossip and a
+    // restart of a later era of the store, five rollouts, two statements, and one datagram of each other variant.
+    expect_that!(lines("PeerDatagram/").count(), eq(22));
 }
 
 /// Each variant of [`PeerDatagram`] stands in the fixture. A new variant does not compile here until it has a name.
--- a/crates/decisions/tests/upstream_directory.rs
+++ b/crates/decisions/tests/upstream_directory.rs
@@ -436,9 +436,25 @@
     let mut directory = directory_without_u1();
 
     directory.apply_copy(copied_entries(), at(2000));
+    let end = at(2000).after(COPY_GRACE);
+    for now in (2000..).step_by(1000).map(at).take_while(|now| *now <= end) {
+        directory.record_platform_response(now);
+    }
+
+    expect_that!(usable(&directory, end), eq(&["u1", "u2"]));
+}
+
+/// Guards against calls to an upstream that has gone, from a VM that was suspended while its entry was removed.
+#[gtest]
+fn copied_entry_is_not_trusted_after_a_silence_of_the_platform() {
+    let mut directory = directory_without_u1();
+    directory.apply_copy(copied_entries(), at(2000));
+    directory.record_platform_response(at(2000));
+
+    directory.record_platform_response(at(2000).after(COPY_GRACE));
+    let first = usable(&directory, at(2000).after(COPY_GRACE));
 
-    let kept = usable(&directory, at(2000).after(COPY_GRACE));
-    expect_that!(kept, eq(&["u1", "u2"]));
+    expect_that!(first, eq(&["u2"]));
 }
 
 /// Guards against calls to an upstream that is leaving, because the copy is from before it said so.
