Compare rollout orders and records within their era of the store

What operators and callers would see: after a return of the store from an older copy they read "running" for a rollout that had completed or was rolled back, a good version was rolled back since its order or record was missing, and a second owner of term 1 granted the slack again.

Cause: an order was identified by the version at which it was written, a record by that number, and a missing order counted as withdrawn. Versions of two eras say nothing about each other, and what was written since the copy is lost.

Orders, records and reports carry the position, the era and the version. In a later era an order with the same content continues its rollout; one that was withdrawn or replaced is recognised by content and version and not applied; one that is missing in an era in which it was not read is not withdrawn. A precondition holds versions of one era only, and a response of another era counts as a conflict. The owner writes a lost record again. Terms rise above those known to the VM as well as the record's. The end of a rollout counts as stored for its era only, and is written again without a "running" before it.

A withdrawal that cannot be written at once no longer drops the other withdrawals that wait, and is tried again.

--- a/crates/catkinward/src/gateway/rollout_store.rs
+++ b/crates/catkinward/src/gateway/rollout_store.rs
@@ -4,8 +4,8 @@
 pub struct RolloutStore {
     /// Reads the rollout record of a service.
     pub read: ReadRecord,
-    /// Writes a record together with the status that operators read, in one transaction, if the row and
-    /// the order have the expected versions.
+    /// Writes a record together with the status that operators read, in one transaction, if its
+    /// precondition holds.
     pub write: WriteRecord,
 }
 
@@ -13,7 +13,7 @@
 pub type ReadRecord =
     Box<dyn Fn(ServiceId) -> BoxFuture<'static, Result<StoredRecord, FeedError>> + Send + Sync>;
 
-/// Function that writes a rollout record if the row and the order have the expected versions.
+/// Function that writes a rollout record if its precondition holds.
 pub type WriteRecord = Box<
     dyn Fn(RolloutWrite) -> BoxFuture<'static, Result<RolloutWriteResult, FeedError>> + Send + Sync,
 >;
@@ -25,17 +25,16 @@
     pub service: ServiceId,
     /// New content of the row.
     pub record: RolloutRecord,
-    /// Version that the row must have; 0 if the row must not exist.
-    pub expected_version: u64,
-    /// Version that the order must have; 0 if the order must not exist.
-    pub expected_order: u64,
+    /// Versions that the row and the order must have.
+    pub precondition: RolloutPrecondition,
 }
 
 /// Result of a conditional write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RolloutWriteResult {
-    /// The record was written; the row now has this version.
-    Done(u64),
-    /// Nothing was written: the row or the order does not have the expected version.
+    /// The record was written; the row now has this position.
+    Done(StorePosition),
+    /// The row or the order does not have the expected version, or the store is in another era. The record has to be
+    /// read again.
     Conflict,
 }
--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -52,8 +52,8 @@
     /// Write the end of the rollout.
     End {
         record: RolloutRecord,
-        /// Version that the row must have.
-        version: u64,
+        /// Position of the row as last read.
+        position: StorePosition,
     },
 }
 
@@ -71,7 +71,7 @@
         loop {
             self.end_withdrawn().await;
             let running = self.running();
-            if running.is_empty() {
+            if running.is_empty() && self.gateway.withdrawn_rollouts.lock().is_empty() {
                 return;
             }
             let reported = self.report(&running);
@@ -135,7 +135,7 @@
         let mut vms = state.peers.live_names(now);
         vms.push(gateway.settings.vm.clone());
         drop(state);
-        let key = format!("{} {}", rollout.order.service, rollout.order.written);
+        let key = format!("{} {}", rollout.order.service, rollout.order.to);
         let rank = rank_among(&key, &gateway.settings.vm, &vms);
         rollout.needs_owner(rank, now)
     }
@@ -147,8 +147,18 @@
             self.delay_claim(service);
             return;
         };
+        let Some(precondition) = RolloutPrecondition::new(stored.position, rollout.order.written)
+        else {
+            let era = stored.position.era;
+            tracing::info!(%service, order = %rollout.order.written, %era,
+                "rollout is not claimed before its order is read in this era of the store");
+            if let Some(rollout) = self.gateway.state.lock().rollouts.get_mut(service) {
+                rollout.missing_in = Some(era);
+            }
+            return self.delay_claim(service);
+        };
         let now = self.gateway.timer.now();
-        let record = stored.record.filter(|r| r.written == rollout.order.written);
+        let record = stored.record.filter(|r| r.is_of(&rollout.order));
         if let Some(record) = &record
             && self.apply_stored_record(rollout, record, stored.now_ms, now)
         {
@@ -159,20 +169,32 @@
             None => rollout.deadline.since(now),
         };
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        // An end that was decided or announced is written at once: operators must not read that the rollout runs
+        // again.
+        let phase = rollout.progress.phase;
+        let phase = if phase.is_final() {
+            phase
+        } else {
+            RolloutPhase::Running
+        };
+        let stored_term = record.map_or(0, |record| record.progress.term);
         let record = RolloutRecord {
             written: rollout.order.written,
             to: rollout.order.to.clone(),
             progress: RolloutProgress {
-                term: record.map_or(0, |record| record.progress.term) + 1,
+                term: stored_term.max(rollout.progress.term) + 1,
                 number: 0,
-                phase: RolloutPhase::Running,
-                stored: false,
+                phase,
+                stored: phase.is_final(),
             },
             owner: self.gateway.vm_incarnation.to_string().into(),
             address: self.gateway.own_address(),
             deadline_ms: stored.now_ms.saturating_add(left_ms),
         };
-        match self.write(rollout, &record, stored.version).await {
+        match self.write(rollout, &record, precondition).await {
+            Some(RolloutWriteResult::Done(_)) if phase.is_final() => {
+                self.finish(rollout, record.progress);
+            }
             Some(RolloutWriteResult::Done(at)) => self.start_owning(rollout, &record, at, left),
             Some(RolloutWriteResult::Conflict) if rollout.progress.phase.is_final() => {
                 self.end_without_order(rollout).await;
@@ -201,6 +223,10 @@
         if known && !record.progress.phase.is_final() {
             return false;
         }
+        if record.progress.phase.is_final() && rollout.progress.phase > record.progress.phase {
+            // The store has returned from a copy without the end that was announced.
+            return false;
+        }
         self.gateway.apply_rollout_notice(&RolloutNotice {
             order: rollout.order.clone(),
             left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
@@ -220,7 +246,7 @@
         &self,
         rollout: &Rollout,
         record: &RolloutRecord,
-        version: u64,
+        position: StorePosition,
         left: Duration,
     ) {
         let gateway = &self.gateway;
@@ -231,8 +257,8 @@
         let now = gateway.timer.now();
         let term = record.progress.term;
         let owned = OwnedRollout {
-            order: rollout.order.written,
-            owner: RolloutOwner::new(term, version, record.deadline_ms, settings.limit),
+            order: rollout.order.clone(),
+            owner: RolloutOwner::new(term, position, record.deadline_ms, settings.limit),
             confirmed_at: now,
             completing_since: None,
             decided_end: None,
@@ -246,7 +272,7 @@
             Err(index) => all.insert(index, (service.clone(), owned)),
         }
         drop(all);
-        tracing::info!(%service, to = %rollout.order.to, order = rollout.order.written, term,
+        tracing::info!(%service, to = %rollout.order.to, order = %rollout.order.written, term,
             left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX), "rollout owned");
         self.announce(&service, record.progress, 1);
     }
@@ -278,11 +304,16 @@
         match self.decide(rollout) {
             StoreAction::Nothing => {}
             StoreAction::Confirm { term } => self.check_ownership(rollout, term).await,
-            StoreAction::End { record, version } => {
-                match self.write(rollout, &record, version).await {
+            StoreAction::End { record, position } => {
+                let precondition = RolloutPrecondition::new(position, rollout.order.written);
+                let written = match precondition {
+                    Some(precondition) => self.write(rollout, &record, precondition).await,
+                    None => None,
+                };
+                match written {
                     Some(RolloutWriteResult::Done(_)) => self.finish(rollout, record.progress),
                     Some(RolloutWriteResult::Conflict) | None => {
-                        self.read_back(rollout, &record, version).await;
+                        self.read_back(rollout, &record, position).await;
                     }
                 }
             }
@@ -300,11 +331,12 @@
         };
         let owned = &mut all[index].1;
         let term = owned.owner.term;
-        if rollout.order.written > owned.order {
-            tracing::warn!(%service, order = owned.order, by = rollout.order.written, "rollout superseded by another order");
+        if !rollout.order.is_same(&owned.order) {
+            tracing::warn!(%service, order = %owned.order.written, by = %rollout.order.written, "rollout superseded by another order");
             all.remove(index);
             return StoreAction::Nothing;
         }
+        owned.order.written = rollout.order.written;
         if rollout.progress.term > term && !rollout.progress.phase.is_final() {
             tracing::warn!(%service, term, by = rollout.progress.term, "rollout owned by another VM");
             all.remove(index);
@@ -332,7 +364,7 @@
             None => StoreAction::Nothing,
             Some(RolloutPhase::Running) => StoreAction::Confirm { term },
             Some(phase) => StoreAction::End {
-                version: owned.owner.version,
+                position: owned.owner.position,
                 record: RolloutRecord {
                     written: rollout.order.written,
                     to: rollout.order.to.clone(),
@@ -364,27 +396,78 @@
         let service = &rollout.order.service;
         let read = self.read(service).await;
         let now = self.gateway.timer.now();
-        match read.map(|stored| stored.record) {
-            Some(Some(record)) if record.written == rollout.order.written => {
-                if record.progress.term != term {
-                    return self.step_down(rollout, &record);
-                }
+        let retry = |owned: &mut OwnedRollout| owned.next_store_call = now.after(STORE_BACKOFF);
+        let Some(stored) = read else {
+            return self.update(service, retry);
+        };
+        let name = self.gateway.vm_incarnation.to_string();
+        let mut claim = RolloutClaim::OtherOrder;
+        self.update(service, |owned| {
+            claim = owned.owner.check_claim(&name, &rollout.order, &stored);
+        });
+        match (claim, &stored.record) {
+            (RolloutClaim::Confirmed, _) => self.update(service, |owned| {
+                owned.owner.position = stored.position;
+                owned.confirmed_at = now;
+                owned.next_store_call = now.after(OWNERSHIP_CHECK_INTERVAL);
+            }),
+            (RolloutClaim::OwnedByOther, Some(record)) => self.step_down(rollout, record),
+            (RolloutClaim::OwnedByOther | RolloutClaim::OtherOrder, _) => {
+                self.yield_to_other_order(service);
+            }
+            (RolloutClaim::Lost, _) => self.restore_claim(rollout, term, stored.position).await,
+            (RolloutClaim::OrderUnknown, _) => {
+                tracing::info!(%service, order = %rollout.order.written, term, era = %stored.position.era,
+                    "rollout waits for its order, which the store has lost");
                 self.update(service, |owned| {
-                    owned.confirmed_at = now;
                     owned.next_store_call = now.after(OWNERSHIP_CHECK_INTERVAL);
                 });
             }
-            Some(_) => self.yield_to_other_order(service),
-            None => self.update(service, |r| r.next_store_call = now.after(STORE_BACKOFF)),
         }
     }
 
+    /// Writes this VM's claim again after the store has lost it.
+    async fn restore_claim(&mut self, rollout: &Rollout, term: u64, position: StorePosition) {
+        let service = &rollout.order.service;
+        let mut deadline_ms = 0;
+        self.update(service, |owned| deadline_ms = owned.owner.deadline_ms);
+        let record = RolloutRecord {
+            written: rollout.order.written,
+            to: rollout.order.to.clone(),
+            progress: RolloutProgress {
+                term,
+                phase: RolloutPhase::Running,
+                stored: false,
+                ..rollout.progress
+            },
+            owner: self.gateway.vm_incarnation.to_string().into(),
+            address: self.gateway.own_address(),
+            deadline_ms,
+        };
+        let written = match RolloutPrecondition::new(position, rollout.order.written) {
+            Some(precondition) => self.write(rollout, &record, precondition).await,
+            None => None,
+        };
+        tracing::warn!(%service, order = %rollout.order.written, term, ?written,
+            "rollout record lost by the store is written again");
+        let now = self.gateway.timer.now();
+        self.update(service, |owned| {
+            if let Some(RolloutWriteResult::Done(position)) = written {
+                owned.owner.position = position;
+                owned.confirmed_at = now;
+                owned.next_store_call = now.after(OWNERSHIP_CHECK_INTERVAL);
+            } else {
+                owned.next_store_call = now.after(STORE_BACKOFF);
+            }
+        });
+    }
+
     /// Resolves a write that got no response or a conflict by reading the record again.
     async fn read_back(
         &mut self,
         rollout: &Rollout,
         record: &RolloutRecord,
-        expected_version: u64,
+        expected: StorePosition,
     ) {
         let service = &rollout.order.service;
         let read = self.read(service).await;
@@ -392,6 +475,11 @@
         let Some(stored) = read else {
             return self.resume_running(rollout, now);
         };
+        if stored.position.era != rollout.order.written.era {
+            // The end can be written only after the order has been read in this era.
+            self.update(service, |owned| owned.owner.position = stored.position);
+            return self.resume_running(rollout, now);
+        }
         match stored.record {
             Some(found) if found.progress == record.progress && found.owner == record.owner => {
                 self.finish(rollout, record.progress);
@@ -399,31 +487,36 @@
             Some(found) if found.progress.term > record.progress.term => {
                 self.step_down(rollout, &found);
             }
-            Some(found) if found.written == rollout.order.written => {
-                if stored.version == expected_version {
+            Some(found) if found.is_of(&rollout.order) => {
+                if stored.position == expected {
                     // The record is unchanged, so the conflict is due to a changed order.
-                    return self.end_without_order(rollout).await;
+                    self.end_without_order(rollout).await;
+                    return;
                 }
                 self.update(service, |owned| {
-                    owned.owner.version = stored.version;
+                    owned.owner.position = stored.position;
                     owned.next_store_call = now;
                 });
             }
+            _ if stored.position.era > expected.era => self.update(service, |owned| {
+                owned.owner.position = stored.position;
+                owned.next_store_call = now;
+            }),
             _ => self.yield_to_other_order(service),
         }
     }
 
-    /// Ends a rollout whose order was withdrawn or replaced.
-    async fn end_without_order(&mut self, rollout: &Rollout) {
+    /// Ends a rollout whose order was withdrawn or replaced. Returns `false` if that has to be tried again.
+    async fn end_without_order(&mut self, rollout: &Rollout) -> bool {
         let service = &rollout.order.service;
         let Some(stored) = self.read(service).await else {
-            return self.retry_without_order(service);
+            self.retry_without_order(service);
+            return false;
         };
-        let record = stored
-            .record
-            .filter(|record| record.written == rollout.order.written);
+        let record = stored.record.filter(|record| record.is_of(&rollout.order));
+        let phase = rollout.progress.phase.max(RolloutPhase::RolledBack);
         let progress = RolloutProgress {
-            phase: RolloutPhase::RolledBack,
+            phase,
             stored: true,
             number: rollout.progress.number + 1,
             ..record.as_ref().map_or(rollout.progress, |r| r.progress)
@@ -432,17 +525,18 @@
             let write = RolloutWrite {
                 service: service.clone(),
                 record: RolloutRecord { progress, ..record },
-                expected_version: stored.version,
-                expected_order: 0,
+                precondition: RolloutPrecondition::without_order(stored.position),
             };
             let written = tokio::time::timeout(STORE_TIMEOUT, (self.store.write)(write)).await;
-            tracing::warn!(%service, order = rollout.order.written, ?written, "ending rollout whose order no longer exists");
+            tracing::warn!(%service, order = %rollout.order.written, ?written, "ending rollout whose order no longer exists");
             if !matches!(written, Ok(Ok(_))) {
-                return self.retry_without_order(service);
+                self.retry_without_order(service);
+                return false;
             }
             // A conflict means that another order is in force; the stored status belongs to its rollout.
         }
         self.finish(rollout, progress);
+        true
     }
 
     fn retry_without_order(&self, service: &ServiceId) {
@@ -474,7 +568,7 @@
     fn finish(&self, rollout: &Rollout, progress: RolloutProgress) {
         let service = &rollout.order.service;
         let phase: &str = progress.phase.into();
-        tracing::info!(%service, to = %rollout.order.to, order = rollout.order.written, phase, "rollout ended");
+        tracing::info!(%service, to = %rollout.order.to, order = %rollout.order.written, phase, "rollout ended");
         metrics::counter!("catkin_rollouts_total", "service" => service.to_string(), "end" => phase)
             .increment(1);
         self.send_end(rollout, progress);
@@ -524,7 +618,8 @@
     async fn end_withdrawn(&mut self) {
         let withdrawn = std::mem::take(&mut *self.gateway.withdrawn_rollouts.lock());
         for rollout in withdrawn {
-            if !self.gateway.owns_rollout(&rollout.order.service) {
+            let is_owned = self.gateway.owns_rollout(&rollout.order.service);
+            if !is_owned && !rollout.progress.phase.is_final() {
                 self.send_end(
                     &rollout,
                     RolloutProgress {
@@ -536,10 +631,8 @@
                 );
                 continue;
             }
-            self.end_without_order(&rollout).await;
-            if self.gateway.owns_rollout(&rollout.order.service) {
+            if !self.end_without_order(&rollout).await {
                 self.gateway.withdrawn_rollouts.lock().push(rollout);
-                return;
             }
         }
     }
@@ -613,13 +706,12 @@
         &self,
         rollout: &Rollout,
         record: &RolloutRecord,
-        expected_version: u64,
+        precondition: RolloutPrecondition,
     ) -> Option<RolloutWriteResult> {
         let write = RolloutWrite {
             service: rollout.order.service.clone(),
             record: record.clone(),
-            expected_version,
-            expected_order: rollout.order.written,
+            precondition,
         };
         let written = tokio::time::timeout(STORE_TIMEOUT, (self.store.write)(write)).await;
         match written.unwrap_or(Err(FeedError::NoAnswer)) {
--- a/crates/catkinward/src/gateway/rollouts.rs
+++ b/crates/catkinward/src/gateway/rollouts.rs
@@ -17,8 +17,8 @@
 
 /// A rollout that this VM owns.
 pub(crate) struct OwnedRollout {
-    /// Store version of its order.
-    pub(crate) order: u64,
+    /// Its order, at the position at which it was last read.
+    pub(crate) order: RolloutOrder,
     pub(crate) owner: RolloutOwner,
     /// Time when the store last confirmed that this VM is the owner.
     pub(crate) confirmed_at: Instant,
@@ -57,7 +57,7 @@
         let term = self.owner.term;
         match step {
             OwnerStep::RollBack(reason) => {
-                tracing::warn!(%service, %to, order = written, term, answers, bad, ?reason,
+                tracing::warn!(%service, %to, order = %written, term, answers, bad, ?reason,
                     "rollout rolled back");
                 self.decided_end = Some(RolloutPhase::RolledBack);
                 self.next_store_call = now;
@@ -66,7 +66,7 @@
             OwnerStep::Complete
                 if self.completing_since.is_none() && now >= self.next_completion =>
             {
-                tracing::info!(%service, %to, order = written, term, answers, bad,
+                tracing::info!(%service, %to, order = %written, term, answers, bad,
                     "rollout completing");
                 self.completing_since = Some(now);
                 self.next_store_call = now;
@@ -104,29 +104,48 @@
             let zone = state.peers.addresses_in(&self.settings.zone, now);
             drop(state);
             self.send_notice(&notice, &zone);
+        } else if self.state.lock().rollouts.is_restored(&notice.order) {
+            let RolloutOrder {
+                service,
+                to,
+                written,
+                ..
+            } = &notice.order;
+            tracing::warn!(%service, %to, order = %written,
+                "rollout order of an older copy of the store: it was withdrawn or replaced");
         }
     }
 
-    /// Withdraws the rollout of a service whose order is gone as of version `at` of the operator's table.
-    pub fn withdraw_rollout_order(&self, service: &ServiceId, at: u64) {
+    /// Withdraws the rollout of a service whose order is gone as of position `at` of the operator's table.
+    pub fn withdraw_rollout_order(&self, service: &ServiceId, at: StorePosition) {
         let withdrawn = self.state.lock().rollouts.withdraw(service, at);
+        self.end_withdrawn_rollout(withdrawn);
+    }
+
+    fn end_withdrawn_rollout(&self, withdrawn: Option<Rollout>) {
         if let Some(rollout) = withdrawn {
-            tracing::warn!(%service, to = %rollout.order.to, order = rollout.order.written,
-                "rollout order withdrawn");
+            let RolloutOrder {
+                service,
+                to,
+                written,
+                ..
+            } = &rollout.order;
+            tracing::warn!(%service, %to, order = %written, "rollout order withdrawn");
             self.withdrawn_rollouts.lock().push(rollout);
             self.rollouts_changed.notify_one();
         }
     }
 
     /// Withdraws the rollouts of all services that are not in `with_order`, the complete set of services with an
-    /// order as of a version of the operator's table.
-    pub fn reconcile_rollout_orders(&self, with_order: &[ServiceId], version: u64) {
+    /// order as of a position of the operator's table.
+    pub fn reconcile_rollout_orders(&self, with_order: &[ServiceId], at: StorePosition) {
         let mut state = self.state.lock();
         let services = state.rollouts.iter_mut().map(|r| r.order.service.clone());
         let services = services.collect::<Vec<_>>();
         drop(state);
         for service in services.iter().filter(|s| !with_order.contains(s)) {
-            self.withdraw_rollout_order(service, version);
+            let withdrawn = self.state.lock().rollouts.withdraw_missing(service, at);
+            self.end_withdrawn_rollout(withdrawn);
         }
     }
 
@@ -137,7 +156,7 @@
         if changed_state {
             let phase: &str = notice.progress.phase.into();
             tracing::info!(service = %notice.order.service, to = %notice.order.to, phase,
-                order = notice.order.written, term = notice.progress.term, owner = ?notice.owner,
+                order = %notice.order.written, term = notice.progress.term, owner = ?notice.owner,
                 left_ms = notice.left_ms, "rollout");
             self.rollout_phases.send_modify(|count| *count += 1);
             self.rollouts_changed.notify_one();
@@ -283,7 +302,10 @@
         let rollout = state.rollouts.get_mut(&report.service);
         let notice = rollout.map(|rollout| rollout.notice(now));
         drop(state);
-        if let Some(notice) = notice.filter(|notice| notice.progress.term != report.term) {
+        let differs = |notice: &RolloutNotice| {
+            (notice.progress.term, notice.order.written) != (report.term, report.written)
+        };
+        if let Some(notice) = notice.filter(differs) {
             self.send_notice(&notice, &[from]);
         }
     }
@@ -296,7 +318,8 @@
             .binary_search_by(|(service, _)| service.cmp(&report.service))
             .ok()?;
         let owned = &mut owned[index].1;
-        if owned.owner.term != report.term || now.since(owned.confirmed_at) >= OWNERSHIP_TTL {
+        let is_addressed = (owned.owner.term, owned.order.written) == (report.term, report.written);
+        if !is_addressed || now.since(owned.confirmed_at) >= OWNERSHIP_TTL {
             return None;
         }
         let judge = &mut owned.owner.judge;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -161,6 +161,7 @@
     resume_point::ResumePoint,
     retry_refusal::RetryRefusal,
     rollout::{OWNER_TIMEOUT, Rollout},
+    rollout_claim::RolloutClaim,
     rollout_datagram::{RolloutGrant, RolloutReport},
     rollout_evidence::{ResponseCounts, ResponseOutcome, RouteEvidence, latency_bucket},
     rollout_judge::{JudgedReport, MIN_ROUTE_SAMPLES, RolloutJudge, RolloutVerdict},
@@ -170,6 +171,7 @@
         COMPLETION_LEAD, COMPLETION_WAIT, OwnerStep, RollbackReason, RolloutOwner, VersionSlots,
     },
     rollout_phase::RolloutPhase,
+    rollout_precondition::RolloutPrecondition,
     rollout_record::{RolloutRecord, StoredRecord},
     rollouts::{ORDER_TIMEOUT, RolloutSettings, Rollouts, VersionAdmission},
     route::{Route, RouteTarget},
@@ -366,6 +368,7 @@
 mod resume_point;
 mod retry_refusal;
 mod rollout;
+mod rollout_claim;
 mod rollout_datagram;
 mod rollout_evidence;
 mod rollout_judge;
@@ -373,6 +376,7 @@
 mod rollout_order;
 mod rollout_owner;
 mod rollout_phase;
+mod rollout_precondition;
 mod rollout_record;
 mod rollouts;
 mod route;
--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -28,6 +28,8 @@
     pub undersampled_routes: Vec<Arc<str>>,
     /// Canary requests granted to this VM.
     pub grants: ExposureGrants,
+    /// Era of the store in which the order is missing, because the store has lost it.
+    pub missing_in: Option<StoreEra>,
     /// Responses that this VM has observed, sorted by route.
     evidence: Vec<ObservedRoute>,
 }
@@ -51,27 +53,38 @@
             owner_last_seen: now,
             undersampled_routes: Vec::new(),
             grants: ExposureGrants::default(),
+            missing_in: None,
             evidence: Vec::new(),
         }
     }
 
-    /// Merges the state that another VM has of the same order. Returns whether the progress has
-    /// changed.
+    /// Merges the state that another VM has of the same order. Returns whether the progress, or the
+    /// position of the order, has changed.
     pub fn merge(&mut self, notice: &RolloutNotice, now: Instant) -> bool {
+        let is_later_era = notice.order.written > self.order.written;
+        if is_later_era {
+            // The store may have lost the end of the rollout with its copy.
+            self.order.written = notice.order.written;
+            self.progress.stored = false;
+        }
+        let progress = RolloutProgress {
+            stored: notice.progress.stored && notice.order.written == self.order.written,
+            ..notice.progress
+        };
         let last_seen = now.before(Duration::from_millis(notice.owner_age_ms.into()));
-        let same_owner = notice.progress.term == self.progress.term;
+        let same_owner = progress.term == self.progress.term;
         if notice.owner.is_some() && same_owner {
             self.owner_last_seen = self.owner_last_seen.max(last_seen);
         }
         self.deadline = self.deadline.min(now.after(notice.time_left()));
-        if !notice.progress.supersedes(&self.progress) {
-            return false;
+        if !progress.supersedes(&self.progress) {
+            return is_later_era;
         }
-        if notice.progress.term > self.progress.term {
+        if progress.term > self.progress.term {
             self.owner_last_seen = last_seen;
-            self.grants.attach(notice.progress.term);
+            self.grants.attach(progress.term);
         }
-        self.progress = notice.progress;
+        self.progress = progress;
         self.owner = notice.owner;
         true
     }
@@ -101,6 +114,7 @@
             OWNER_TIMEOUT
         };
         !self.progress.is_end_stored()
+            && self.missing_in <= Some(self.order.written.era)
             && now.since(self.owner_last_seen) >= timeout + RANK_DELAY * rank
     }
 
--- a/crates/decisions/src/rollout_datagram.rs
+++ b/crates/decisions/src/rollout_datagram.rs
@@ -6,9 +6,9 @@
     /// Service of the rollout.
     #[serde(rename = "s")]
     pub service: ServiceId,
-    /// Version of the store at which the order was written.
+    /// Position of the store at which the order was written.
     #[serde(rename = "o")]
-    pub written: u64,
+    pub written: StorePosition,
     /// Term of the owner that the report is addressed to.
     #[serde(rename = "t")]
     pub term: u64,
--- a/crates/decisions/src/rollout_order.rs
+++ b/crates/decisions/src/rollout_order.rs
@@ -12,9 +12,9 @@
     /// Time from the order to its deadline.
     #[serde(rename = "d")]
     pub duration: Duration,
-    /// Version of the store at which the order was written; later orders have higher ones.
+    /// Position of the store at which the order was written; later orders have higher ones.
     #[serde(rename = "o")]
-    pub written: u64,
+    pub written: StorePosition,
 }
 
 /// Error of an invalid order.
@@ -33,6 +33,30 @@
 }
 
 impl RolloutOrder {
+    /// Whether this is the same order as another one. In each era of the store an order has its own
+    /// position, and another version if the store lost it and the operator wrote it again, so orders of
+    /// different eras are the same if they have the same content.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        if self.written.era == other.written.era {
+            self.service == other.service && self.written == other.written
+        } else {
+            self.has_content_of(other)
+        }
+    }
+
+    /// Whether this is the row of an earlier order, which the store has restored from an older copy.
+    #[must_use]
+    pub fn is_restored(&self, earlier: &Self) -> bool {
+        self.written.era > earlier.written.era
+            && self.written.version == earlier.written.version
+            && self.has_content_of(earlier)
+    }
+
+    fn has_content_of(&self, other: &Self) -> bool {
+        (&self.service, &self.to, self.duration) == (&other.service, &other.to, other.duration)
+    }
+
     /// Checks the order against the configured services and the versions of the upstreams.
     ///
     /// # Errors
--- a/crates/decisions/src/rollout_owner.rs
+++ b/crates/decisions/src/rollout_owner.rs
@@ -52,8 +52,8 @@
 pub struct RolloutOwner {
     /// Term of this owner.
     pub term: u64,
-    /// Version of the stored rollout record, as last written or read by this owner.
-    pub version: u64,
+    /// Position of the stored rollout record, as last written or read by this owner.
+    pub position: StorePosition,
     /// Deadline by the store's clock, in milliseconds.
     pub deadline_ms: u64,
     /// Requests that the VMs have reported, and canary requests granted to them.
@@ -66,11 +66,11 @@
     /// Creates the owner of a term. Only the owner of the first term grants the slack; otherwise
     /// each of several owners would grant it.
     #[must_use]
-    pub fn new(term: u64, version: u64, deadline_ms: u64, limit: ExposureLimit) -> Self {
+    pub fn new(term: u64, position: StorePosition, deadline_ms: u64, limit: ExposureLimit) -> Self {
         let slack = if term == 1 { limit.slack } else { 0 };
         Self {
             term,
-            version,
+            position,
             deadline_ms,
             ledger: ExposureLedger::new(ExposureLimit { slack, ..limit }),
             judge: RolloutJudge::default(),
--- a/crates/decisions/src/rollouts.rs
+++ b/crates/decisions/src/rollouts.rs
@@ -6,6 +6,7 @@
 //! version is held back for [`ORDER_TIMEOUT`].
 
 use super::*;
+use std::collections::VecDeque;
 
 /// How long a new version is held back, so that an order for it can arrive first.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -14,6 +15,10 @@
 /// a typical load.
 const UPSTREAMS_PER_CANARY: usize = 10;
 
+/// Maximum number of orders that are remembered after they were withdrawn or replaced. Only those of the
+/// last seconds can be in an older copy of the store.
+const MAX_PAST_ORDERS: usize = 64;
+
 /// Settings of rollouts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutSettings {
@@ -45,8 +50,20 @@
     versions: Vec<(ServiceId, SoftwareVersion, Instant)>,
     /// Versions that were rolled back, sorted.
     rolled_back: Vec<(ServiceId, SoftwareVersion)>,
-    /// Services whose order was withdrawn, sorted, with the version of the store.
-    withdrawn: Vec<(ServiceId, u64)>,
+    /// Services whose order was withdrawn, sorted by service.
+    withdrawn: Vec<Withdrawal>,
+    /// Orders that were withdrawn or replaced, oldest first. The store restores them if it returns from an
+    /// older copy.
+    past: VecDeque<RolloutOrder>,
+}
+
+#[derive(Clone, Debug)]
+struct Withdrawal {
+    service: ServiceId,
+    /// Position of the store as of which the order was gone.
+    at: StorePosition,
+    /// The rollout of the order, if it was known here.
+    rollout: Option<Rollout>,
 }
 
 impl Rollouts {
@@ -96,12 +113,17 @@
         }
         let position = self.position(service);
         let index = match position {
-            Ok(index) if self.tracked[index].order.written > written => return false,
-            Ok(index) if self.tracked[index].order.written == written => {
+            Ok(index) if self.tracked[index].order.is_same(&notice.order) => {
+                let before = self.tracked[index].order.clone();
                 let changed = self.tracked[index].merge(notice, now);
+                if before.written.version != self.tracked[index].order.written.version {
+                    self.remember(before);
+                }
                 self.record_end(index);
                 return changed;
             }
+            _ if self.is_restored(&notice.order) => return false,
+            Ok(index) if self.tracked[index].order.written > written => return false,
             Ok(index) => {
                 // The new order replaces the previous one. The version of the previous order
                 // receives no more requests unless it had taken over.
@@ -109,6 +131,7 @@
                 if previous.progress.phase != RolloutPhase::Completed {
                     self.exclude(&previous.order);
                 }
+                self.remember(previous.order);
                 index
             }
             Err(index) => index,
@@ -120,23 +143,53 @@
         true
     }
 
-    /// Records that the order of a service was withdrawn at this version of the store. Returns its
-    /// rollout if the end is not stored yet.
-    pub fn withdraw(&mut self, service: &ServiceId, at: u64) -> Option<Rollout> {
-        match self.withdrawn.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(index) => self.withdrawn[index].1 = self.withdrawn[index].1.max(at),
-            Err(index) => self.withdrawn.insert(index, (service.clone(), at)),
-        }
-        let index = self.position(service).ok()?;
+    /// Records that the order of a service was withdrawn at this position of the store. Returns its
+    /// rollout if the end is not stored yet in this era of the store.
+    pub fn withdraw(&mut self, service: &ServiceId, at: StorePosition) -> Option<Rollout> {
+        let withdrawal = self.withdrawal_mut(service);
+        let is_later_era = at.era > withdrawal.at.era;
+        withdrawal.at = withdrawal.at.max(at);
+        let Ok(index) = self.position(service) else {
+            let withdrawn = self.withdrawal_mut(service).rollout.as_mut();
+            // The store may have lost the end with the first withdrawal.
+            return withdrawn.filter(|_| is_later_era).map(|rollout| {
+                rollout.order.written.era = at.era;
+                rollout.progress.stored = false;
+                rollout.clone()
+            });
+        };
         if self.tracked[index].order.written > at {
             return None;
         }
-        let rollout = self.tracked.remove(index);
-        if rollout.progress.is_end_stored() {
+        let mut rollout = self.tracked.remove(index);
+        self.remember(rollout.order.clone());
+        let is_end_stored = rollout.progress.is_end_stored();
+        if rollout.progress.phase != RolloutPhase::Completed {
+            self.exclude(&rollout.order);
+        }
+        let withdrawn = rollout.clone();
+        if !rollout.progress.phase.is_final() {
+            rollout.progress.phase = RolloutPhase::RolledBack;
+        }
+        self.withdrawal_mut(service).rollout = Some(rollout);
+        (!is_end_stored).then_some(withdrawn)
+    }
+
+    /// Records that the store held no order of a service at this position. After a return of the store from
+    /// an older copy, the operator writes an order again that the store has lost, so it is withdrawn only if
+    /// it was read in the same era.
+    pub fn withdraw_missing(&mut self, service: &ServiceId, at: StorePosition) -> Option<Rollout> {
+        let index = self.position(service).ok()?;
+        if self.tracked[index].order.written.era != at.era {
             return None;
         }
-        self.exclude(&rollout.order);
-        Some(rollout)
+        self.withdraw(service, at)
+    }
+
+    /// Whether an order was withdrawn or replaced before the store restored it from an older copy.
+    #[must_use]
+    pub fn is_restored(&self, order: &RolloutOrder) -> bool {
+        self.past.iter().any(|past| order.is_restored(past))
     }
 
     /// Returns the rollout of a service.
@@ -201,7 +254,7 @@
         mut upstreams: Vec<&'a Arc<UpstreamEntry>>,
     ) -> Vec<&'a Arc<UpstreamEntry>> {
         let count = upstreams.len().div_ceil(UPSTREAMS_PER_CANARY);
-        let key = format!("{} {}", order.service, order.written);
+        let key = format!("{} {}", order.service, order.to);
         upstreams = rendezvous_rank(&key, upstreams, |entry| entry.id.as_str().to_owned());
         upstreams.truncate(count);
         upstreams
@@ -219,9 +272,34 @@
         position.is_ok()
     }
 
-    fn is_withdrawn(&self, service: &ServiceId, written: u64) -> bool {
-        let position = self.withdrawn.binary_search_by(|(s, _)| s.cmp(service));
-        position.is_ok_and(|index| self.withdrawn[index].1 > written)
+    fn is_withdrawn(&self, service: &ServiceId, written: StorePosition) -> bool {
+        let position = self
+            .withdrawn
+            .binary_search_by(|withdrawal| withdrawal.service.cmp(service));
+        position.is_ok_and(|index| self.withdrawn[index].at > written)
+    }
+
+    fn withdrawal_mut(&mut self, service: &ServiceId) -> &mut Withdrawal {
+        let position = self
+            .withdrawn
+            .binary_search_by(|withdrawal| withdrawal.service.cmp(service));
+        let index = position.unwrap_or_else(|index| {
+            let withdrawal = Withdrawal {
+                service: service.clone(),
+                at: StorePosition::default(),
+                rollout: None,
+            };
+            self.withdrawn.insert(index, withdrawal);
+            index
+        });
+        &mut self.withdrawn[index]
+    }
+
+    fn remember(&mut self, order: RolloutOrder) {
+        if self.past.len() == MAX_PAST_ORDERS {
+            self.past.pop_front();
+        }
+        self.past.push_back(order);
     }
 
     /// Records how a rollout has ended: a version that was rolled back stays excluded until a new
--- a/crates/decisions/tests/rollouts.rs
+++ b/crates/decisions/tests/rollouts.rs
@@ -3,7 +3,8 @@
 use catkin_decisions::{
     ExposureLimit, Instant, ORDER_TIMEOUT, OWNER_TIMEOUT, OwnerStep, RollbackReason, Rollout,
     RolloutNotice, RolloutOrder, RolloutOrderError, RolloutOwner, RolloutPhase, RolloutProgress,
-    RolloutSettings, Rollouts, SoftwareVersion, UpstreamEntry, VersionAdmission, VersionSlots,
+    RolloutSettings, Rollouts, SoftwareVersion, StoreEra, StorePosition, UpstreamEntry,
+    VersionAdmission, VersionSlots,
 };
 use googletest::prelude::*;
 use std::{sync::Arc, time::Duration};
@@ -41,10 +42,14 @@
         service: "shop".parse().unwrap(),
         to: version(to),
         duration: Duration::from_secs(12),
-        written,
+        written: position(written),
     }
 }
 
+fn position(version: u64) -> StorePosition {
+    StorePosition::new(StoreEra(1), version)
+}
+
 fn notice(order: RolloutOrder, term: u64, phase: RolloutPhase) -> RolloutNotice {
     RolloutNotice {
         order,
@@ -140,7 +145,7 @@
         rollouts.merge(&notice(order("v2", 7), 1, RolloutPhase::Running), at(1000));
 
         if withdrawn {
-            rollouts.withdraw(&"shop".parse().unwrap(), 8);
+            rollouts.withdraw(&"shop".parse().unwrap(), position(8));
             rollouts.merge(&notice(order("v2", 7), 1, RolloutPhase::Running), at(2000));
         } else {
             rollouts.merge(&notice(order("v3", 8), 1, RolloutPhase::Running), at(2000));
@@ -163,7 +168,7 @@
         end.progress.stored = stored;
         rollouts.merge(&end, at(1000));
 
-        let withdrawn = rollouts.withdraw(&"shop".parse().unwrap(), 8);
+        let withdrawn = rollouts.withdraw(&"shop".parse().unwrap(), position(8));
 
         expect_that!(withdrawn.is_some(), eq(is_returned));
     }
@@ -178,7 +183,7 @@
         at(1000),
     );
 
-    rollouts.withdraw(&"shop".parse().unwrap(), 8);
+    rollouts.withdraw(&"shop".parse().unwrap(), position(8));
 
     expect_that!(
         admissions(&rollouts, at(60_000))[1],
@@ -320,7 +325,8 @@
 /// Owners are replaced, and each grants from its own ledger.
 #[gtest]
 fn only_the_first_owner_grants_the_slack() {
-    let [first, second] = [1, 2].map(|term| RolloutOwner::new(term, 1, 0, SETTINGS.limit));
+    let [first, second] =
+        [1, 2].map(|term| RolloutOwner::new(term, position(1), 0, SETTINGS.limit));
 
     expect_that!(
         (first.ledger.balance(), second.ledger.balance()),
@@ -331,7 +337,7 @@
 /// Without evidence a version does not take over, and is rolled back at the deadline.
 #[gtest]
 fn undecided_rollout_ends_with_a_rollback() {
-    let owner = RolloutOwner::new(1, 1, 0, SETTINGS.limit);
+    let owner = RolloutOwner::new(1, position(1), 0, SETTINGS.limit);
     let slots = VersionSlots { old: 18, new: 18 };
 
     let early = owner.step(Duration::from_secs(5), slots);
