Doubtful runs: read what has arrived before the end of the process counts

The body of a doubtful run and the news that its process has ended were polled in random order, so events that had arrived could be dropped. What has arrived is read first. No test shows the loss; the tests of catkinward pass.

--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -68,10 +68,12 @@
     async fn next(&mut self) -> RunEvent {
         match self {
             Self::Sent(run) => tokio::select! {
+                biased;
                 response = &mut run.response => RunEvent::Response(response),
                 () = run.guard.process_ended() => RunEvent::Lost(Loss::ProcessEnded),
             },
             Self::Active(run) => tokio::select! {
+                biased;
                 chunk = run.body.next() => match chunk {
                     Some(Ok(bytes)) => RunEvent::Bytes(bytes),
                     Some(Err(BodyError)) => RunEvent::Lost(Loss::Broken),
