Send waiting requests for changes again when the store is in a new era

Callers of a new route were refused for more than three seconds after the store had acknowledged the configuration. The VM's request for changes had been sent before the store came back from a copy and hung on its connection until it timed out, 2.8 s after it was sent, although the feed of the upstreams had found the new era long before.

The latest era that any feed or another VM shows is published within the process, and requests for changes that are under way are sent again when it rises, as after a suspension of the process.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -86,6 +86,8 @@
     pub(crate) zone_config: watch::Sender<Option<AdvertisedConfig>>,
     /// Counts how often a feed found that the store responds again.
     pub(crate) store_recoveries: watch::Sender<u64>,
+    /// Latest era of the store that this VM has read of, from the store or from another VM.
+    pub(crate) store_era: watch::Sender<StoreEra>,
     /// This VM's name and the incarnation of its process.
     pub(crate) vm_incarnation: VmIncarnation,
     /// Rollouts that this VM owns, sorted by service.
@@ -145,6 +147,7 @@
             transfers: Mutex::default(),
             zone_config: watch::Sender::new(None),
             store_recoveries: watch::Sender::new(0),
+            store_era: watch::Sender::new(StoreEra::default()),
             readiness: Mutex::new(Readiness::NothingKnown),
             drain: Arc::default(),
             timer,
@@ -345,6 +348,15 @@
         }
     }
 
+    /// Records the era of the store in a response, or in the gossip of another VM.
+    pub(crate) fn observe_store_era(&self, era: StoreEra) {
+        self.store_era.send_if_modified(|latest| {
+            let newer = era > *latest;
+            *latest = era.max(*latest);
+            newer
+        });
+    }
+
     /// Records whether the platform responds.
     pub fn set_platform_reachable(&self, responds: bool) {
         let now = self.timer.now();
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -409,6 +409,8 @@
     suspensions: watch::Receiver<u64>,
     /// Counts how often any feed found that the store responds again.
     recoveries: watch::Receiver<u64>,
+    /// Latest era of the store that any feed or another VM has found.
+    eras: watch::Receiver<StoreEra>,
 }
 
 impl<'a, T: Clone> Follower<'a, T> {
@@ -432,6 +434,7 @@
             on_lost,
             suspensions: gateway.suspensions.subscribe(),
             recoveries: gateway.store_recoveries.subscribe(),
+            eras: gateway.store_era.subscribe(),
         }
     }
 
@@ -484,6 +487,7 @@
             let pending = wait_while_progressing(pending, received, max_wait, MAX_READ_TIME);
             let sent_at = self.gateway.timer.now();
             let suspended = self.suspensions.changed();
+            self.eras.mark_unchanged();
             let answer = tokio::select! {
                 answer = pending => answer,
                 // The connection may have been lost in the meantime, with its request still
@@ -492,9 +496,15 @@
                     wait = Duration::ZERO;
                     continue;
                 }
+                // The same holds if the store has come back from a copy.
+                Ok(()) = self.eras.changed(), if !whole => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
             };
             let error = match answer.and_then(|page| self.check_era(page)) {
                 Ok(page) => {
+                    self.gateway.observe_store_era(page.position.era);
                     // The latency of a request that waited says nothing about the store.
                     if wait.is_zero() {
                         let took = self.gateway.timer.now().since(sent_at);
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -199,6 +199,7 @@
 
     /// Applies another VM's gossip about the table that came from `address`.
     pub fn receive_gossip(&self, gossip: &ZoneGossip, address: SocketAddr) {
+        self.observe_store_era(gossip.position.era);
         let now = self.timer.now();
         let mut state = self.state.lock();
         // The sender is a member that may not be known yet. Without it, this VM could consider
--- a/crates/catkinward/tests/gateway_store_era.rs
+++ b/crates/catkinward/tests/gateway_store_era.rs
@@ -3,10 +3,10 @@
 mod gateway_support;
 
 use catkin_decisions::{
-    ConfigVersion, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable, ZoneGossip,
-    ZoneRole, ZoneVm,
+    ConfigVersion, RoutingConfig, StorePosition, UpstreamChange, UpstreamEntry, UpstreamTable,
+    ZoneGossip, ZoneRole, ZoneVm,
 };
-use catkinward::gateway::{Feed, FeedError, FeedPage, follow_upstreams};
+use catkinward::gateway::{Feed, FeedError, FeedPage, follow_config, follow_upstreams};
 use gateway_support::*;
 use googletest::prelude::*;
 use parking_lot::Mutex;
@@ -241,3 +241,50 @@
     expect_that!(before, elements_are![eq("engine-a2")]);
     expect_that!(after, elements_are![eq("engine-a1"), eq("engine-a2")]);
 }
+
+/// Guards against a request for changes that hangs across the return and delays the configuration by its timeout.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn configuration_does_not_wait_for_a_request_of_the_earlier_era() {
+    let (running, store) = reader().await;
+    let config = running.gateway.config().expect("a configuration");
+    let reading = store.clone();
+    let feed = Feed {
+        name: "config",
+        read: Box::new(move |_, _| {
+            let position = reading.0.lock().position;
+            let config = RoutingConfig {
+                version: ConfigVersion(2 + position.era.0),
+                ..RoutingConfig::clone(&config)
+            };
+            let rows = vec![row("config", config)];
+            let page = FeedPage {
+                position,
+                rows,
+                more: None,
+            };
+            Box::pin(async move { Ok(page) })
+        }),
+        changes: {
+            let store = store.clone();
+            Box::new(move |after, _| {
+                let continues = store.0.lock().position.era == after.era;
+                Box::pin(async move {
+                    if continues {
+                        std::future::pending::<()>().await;
+                    }
+                    Err(FeedError::EraChanged)
+                })
+            })
+        },
+        read_from_peer: Box::new(|_, _, _| Box::pin(async { Err(FeedError::NoAnswer) })),
+    };
+    tokio::spawn(follow_config(running.gateway.clone(), feed));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    store.come_back_at(60);
+    tokio::time::sleep(POLL_TIME).await;
+
+    let config = running.gateway.config().expect("a configuration");
+    expect_that!(config.version, eq(ConfigVersion(3)));
+}
