--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -68,10 +68,12 @@
     async fn next(&mut self) -> RunEvent {
         match self {
             Self::Sent(run) => tokio::select! {
+                biased;
                 response = &mut run.response => RunEvent::Response(response),
                 () = run.guard.process_ended() => RunEvent::Lost(Loss::ProcessEnded),
             },
             Self::Active(run) => tokio::select! {
+                biased;
                 chunk = run.body.next() => match chunk {
                     Some(Ok(bytes)) => RunEvent::Bytes(bytes),
                     Some(Err(BodyError)) => RunEvent::Lost(Loss::Broken),
@@ -145,7 +147,10 @@
                         RunEvent::Response(response) => self.handle_outcome(sent, response)?,
                         _ => self.lose_sent_run(sent, Loss::ProcessEnded)?,
                     }
-                    search.record_refusal(now);
+                    // An upstream that the call did not reach is no reason to wait.
+                    if !self.retry_prepaid {
+                        search.record_refusal(now);
+                    }
                     self.log_kept(&run, doubt, "upstream_refused");
                 }
                 Event::Due => {}
