Health checks: a pause of the own process is no silence of an upstream

Callers saw streams cut, or 502, although their engine answered its health check at once: the router itself had not run for a quarter of a second, as while it reads a large configuration.

Cause: the timeout of a health check was measured across the pause. On waking, the timer fired before the response that had long arrived was read, and the upstream counted as lost: runs failed over, crashes were counted, the zone's alarm was fed. In the same way the time in which no check ran counted as silence of every upstream.

Change: `ProbeAttempt` decides whether a probe that timed out is void: its timeout fired more than 50 ms late, or a periodic check came that late since the send. A void probe is repeated, once, without a failure, a crash or an alarm; so is one through another VM. A check that came late moves the time at which upstreams were last seen on by its delay, for two late checks in a row at most, so that an upstream that is down is found on a VM that is always late.

With all checks 200 ms late a dead upstream fails within 1.5 s of the last data (pure test).

--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -17,20 +17,21 @@
             return;
         };
         let checked_at = gateway.timer.now();
-        if let Some(before) = last_check.replace(checked_at) {
-            log_late_check(&gateway, checked_at.since(before));
-        }
+        let gap = last_check
+            .replace(checked_at)
+            .map_or(CHECK_INTERVAL, |before| checked_at.since(before));
+        log_late_check(&gateway, gap);
         if let Some(gap) = clocks.check(now, since_boot()) {
             gateway.record_suspension(gap);
         }
-        for entry in due_probes(&gateway, now) {
+        for entry in due_probes(&gateway, checked_at, gap.saturating_sub(CHECK_INTERVAL)) {
             let kind = UpstreamRequestKind::HealthCheck;
             tokio::spawn(probe(gateway.clone(), entry, kind));
         }
     }
 }
 
-/// Logs that this process did not check its upstreams for so long that its own delay looks like their silence.
+/// Logs that this process did not check its upstreams for so long that its own delay would look like their silence.
 fn log_late_check(gateway: &Gateway, gap: Duration) {
     if gap >= SILENCE_TIMEOUT && gateway.log.admits(LineKind::Belief, gateway.timer.now()) {
         tracing::info!(ms = millis(gap), "checks of upstreams were late");
@@ -44,10 +45,12 @@
     Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
 }
 
-fn due_probes(gateway: &Gateway, now: Instant) -> Vec<Arc<UpstreamEntry>> {
+/// Upstreams whose probe is due, at a check that came late by `delay`.
+fn due_probes(gateway: &Gateway, now: Instant, delay: Duration) -> Vec<Arc<UpstreamEntry>> {
     let mut state = gateway.state.lock();
     let mut due = Vec::new();
     for upstream in state.upstreams_mut() {
+        upstream.health.record_check(delay, now);
         if upstream.health.start_probe_if_due(now) {
             due.push(upstream.entry.clone());
         }
@@ -72,17 +75,25 @@
     entry: Arc<UpstreamEntry>,
     kind: UpstreamRequestKind,
 ) -> bool {
-    let probe = HealthProbe {
-        entry: entry.clone(),
-        engine: gateway
-            .config()
-            .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
-        path: SendPath::Direct,
-        gate: gateway.gate(&entry, kind),
+    let mut attempt = gateway.first_probe(&entry);
+    let (answer, now) = loop {
+        let probe = HealthProbe {
+            entry: entry.clone(),
+            engine: gateway
+                .config()
+                .is_some_and(|c| c.service(&entry.service).is_some_and(|s| s.engine)),
+            path: SendPath::Direct,
+            gate: gateway.gate(&entry, kind),
+        };
+        let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
+        if answer.is_err()
+            && let Some(repeated) = gateway.repeat_probe(&entry, attempt)
+        {
+            attempt = repeated;
+            continue;
+        }
+        break (answer, gateway.timer.now());
     };
-    let start = gateway.timer.now();
-    let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
-    let now = gateway.timer.now();
     let fault = match answer {
         // A later process responds: the calls that wait for the earlier one are lost, and the
         // reported load is not that of the earlier one.
@@ -108,7 +119,7 @@
     if gateway.log.admits(LineKind::Probe, now) {
         let fault: &str = fault.unwrap_or("none");
         tracing::info!(upstream = %entry.id, fault, in_flight, silent_ms = millis(silent),
-            ms = millis(now.since(start)), "health check");
+            ms = millis(now.since(attempt.sent())), "health check");
     }
     if let Ok(Ok(HealthReport {
         born: Some(born), ..
@@ -173,6 +184,28 @@
 }
 
 impl Gateway {
+    fn first_probe(&self, entry: &Arc<UpstreamEntry>) -> ProbeAttempt {
+        let now = self.timer.now();
+        let pauses = self.state.lock().upstream(entry, now).health.pauses();
+        ProbeAttempt::first(now, pauses)
+    }
+
+    /// The repetition of a probe that timed out, if this process paused meanwhile.
+    fn repeat_probe(
+        &self,
+        entry: &Arc<UpstreamEntry>,
+        attempt: ProbeAttempt,
+    ) -> Option<ProbeAttempt> {
+        let now = self.timer.now();
+        let pauses = self.state.lock().upstream(entry, now).health.pauses();
+        let repeated = attempt.repeat(now, pauses)?;
+        if self.log.admits(LineKind::Probe, now) {
+            tracing::info!(upstream = %entry.id, ms = millis(now.since(attempt.sent())),
+                "health check is void and repeated: this process paused");
+        }
+        Some(repeated)
+    }
+
     /// Records that an upstream did not respond: its calls fail over, and it is ejected. Runs that were lost there
     /// count as crashes, unless the upstream is reached through the VM that is returned.
     fn fail_over(&self, entry: &Arc<UpstreamEntry>) -> Option<SocketAddr> {
@@ -225,13 +258,17 @@
             path: SendPath::Through(other),
             gate: self.gate(entry, kind),
         };
-        let start = self.timer.now();
-        let answer = tokio::time::timeout(PROBE_TIMEOUT, (self.transport.probe)(probe)).await;
+        let start = self.first_probe(entry);
+        let mut answer =
+            tokio::time::timeout(PROBE_TIMEOUT, (self.transport.probe)(probe.clone())).await;
+        if answer.is_err() && self.repeat_probe(entry, start).is_some() {
+            answer = tokio::time::timeout(PROBE_TIMEOUT, (self.transport.probe)(probe)).await;
+        }
         let reached = matches!(answer, Ok(Ok(_)));
         let now = self.timer.now();
         if self.log.admits(LineKind::Probe, now) {
             tracing::info!(upstream = %entry.id, through = %other, reached,
-                ms = millis(now.since(start)), "health check through another VM");
+                ms = millis(now.since(start.sent())), "health check through another VM");
         }
         reached
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -139,6 +139,7 @@
     poison_record::PoisonRecord,
     poison_tracker::{MAX_CRASHES_PER_DIGEST, PROBATION_STEPS, PoisonTracker, TrackedRunId},
     policy::Policy,
+    probe_attempt::ProbeAttempt,
     process_start::ProcessStart,
     progress_head::ProgressHead,
     progress_record::ProgressRecord,
@@ -347,6 +348,7 @@
 mod poison_record;
 mod poison_tracker;
 mod policy;
+mod probe_attempt;
 mod process_start;
 mod progress_head;
 mod progress_record;
--- a/crates/decisions/src/upstream_health.rs
+++ b/crates/decisions/src/upstream_health.rs
@@ -3,7 +3,8 @@
 //! A crashed VM, a network partition and an engine that processes a long prompt have the same symptom: no
 //! data arrives. A caller in the middle of a stream tolerates a pause of well under a second, so silence on
 //! all connections to an upstream starts one probe (a request for its load report, on a separate
-//! connection), however many calls wait there. The streams fail over only if the probe fails.
+//! connection), however many calls wait there. The streams fail over only if the probe fails. Time in which this
+//! process itself did not run is not the upstream's silence.
 
 use super::*;
 
@@ -15,6 +16,13 @@
 /// Timeout of a probe; a response takes 2 to 10 ms.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(180);
 
+/// Delay of this process above which it counts as a pause. Timers of a busy VM fire some milliseconds late.
+pub(crate) const MAX_OWN_DELAY: Duration = Duration::from_millis(50);
+
+/// Number of late checks in a row whose delay is no silence: on a VM that is always late, a dead upstream must still
+/// be found.
+const MAX_LATE_CHECKS: u32 = 2;
+
 /// First backoff before an upstream whose probe failed is probed again; it doubles each time.
 const FIRST_BACKOFF: Duration = Duration::from_millis(400);
 
@@ -26,6 +34,8 @@
 pub struct UpstreamHealth {
     last_seen: Instant,
     in_flight: u32,
+    late_checks: u32,
+    pauses: u32,
     probing: Option<Instant>,
     suspect: Option<Suspect>,
 }
@@ -43,6 +53,8 @@
         Self {
             last_seen: now,
             in_flight: 0,
+            late_checks: 0,
+            pauses: 0,
             probing: None,
             suspect: None,
         }
@@ -103,6 +115,25 @@
         free
     }
 
+    /// Records a periodic check of the upstream that came late by `delay`.
+    pub fn record_check(&mut self, delay: Duration, now: Instant) {
+        if delay <= MAX_OWN_DELAY {
+            self.late_checks = 0;
+            return;
+        }
+        self.pauses = self.pauses.wrapping_add(1);
+        if self.late_checks < MAX_LATE_CHECKS {
+            self.late_checks += 1;
+            self.last_seen = self.last_seen.after(delay).min(now);
+        }
+    }
+
+    /// Number of checks that came late because this process had paused.
+    #[must_use]
+    pub fn pauses(&self) -> u32 {
+        self.pauses
+    }
+
     /// Records the end of a probe.
     pub fn probe_ended(&mut self) {
         self.probing = None;
--- a/crates/decisions/tests/upstream_health.rs
+++ b/crates/decisions/tests/upstream_health.rs
@@ -1,8 +1,8 @@
 //! When upstreams are probed, and how their losses affect their zone and the calls that ran there.
 
 use catkin_decisions::{
-    AvailabilityZone, Crash, CrashPhase, CrashTracker, Instant, SILENCE_TIMEOUT, UpstreamHealth,
-    UpstreamIncarnation, ZoneOutageDetector,
+    AvailabilityZone, Crash, CrashPhase, CrashTracker, Instant, PROBE_TIMEOUT, ProbeAttempt,
+    SILENCE_TIMEOUT, UpstreamHealth, UpstreamIncarnation, ZoneOutageDetector,
 };
 use googletest::prelude::*;
 use std::time::Duration;
@@ -11,6 +11,9 @@
     Instant(Duration::from_millis(ms))
 }
 
+/// A delay of this process that counts as a pause.
+const OWN_DELAY: Duration = Duration::from_millis(100);
+
 fn id(name: &str) -> UpstreamIncarnation {
     name.parse().unwrap()
 }
@@ -123,3 +126,91 @@
 
     expect_that!(tracker.is_refused(7, at(10)), eq(false));
 }
+
+/// Guards against a pause of this process that counts as an upstream which does not answer its probe.
+#[gtest]
+fn probe_whose_timeout_fires_late_is_void_and_repeated_once() {
+    let late = at(0).after(PROBE_TIMEOUT).after(OWN_DELAY);
+    let first = ProbeAttempt::first(at(0), 0);
+
+    let repeated = first.repeat(late, 0);
+    let again = repeated.and_then(|probe| probe.repeat(late.after(OWN_DELAY * 4), 0));
+
+    expect_that!(repeated.map(ProbeAttempt::sent), some(eq(late)));
+    expect_that!(again.is_none(), eq(true));
+}
+
+/// Guards against an upstream that is down and is probed twice although this process did not pause.
+#[gtest]
+fn probe_whose_timeout_fires_in_time_is_not_repeated() {
+    let first = ProbeAttempt::first(at(0), 3);
+
+    let repeated = first.repeat(at(5).after(PROBE_TIMEOUT), 3);
+
+    expect_that!(repeated.is_none(), eq(true));
+}
+
+/// Guards against a pause that ends just before the timeout of a probe: the response has arrived, but is not read yet.
+#[gtest]
+fn probe_within_which_a_check_is_late_is_void() {
+    let mut health = UpstreamHealth::new(at(0));
+    let first = ProbeAttempt::first(at(0), health.pauses());
+    health.record_check(OWN_DELAY, at(100));
+
+    let repeated = first.repeat(at(0).after(PROBE_TIMEOUT), health.pauses());
+
+    expect_that!(repeated.is_some(), eq(true));
+}
+
+/// Guards against a pause of this process that counts as the silence of all upstreams.
+#[gtest]
+fn silence_is_counted_without_own_delays() {
+    let mut health = UpstreamHealth::new(at(0));
+    health.call_started(at(0));
+    health.record_check(OWN_DELAY, at(100).after(OWN_DELAY));
+
+    let silent = at(0).after(SILENCE_TIMEOUT);
+    let before = health.start_probe_if_due(silent);
+    let after = health.start_probe_if_due(silent.after(OWN_DELAY));
+
+    expect_that!([before, after], eq([false, true]));
+}
+
+/// Guards against a delay that moves the last response into the future.
+#[gtest]
+fn data_read_after_a_pause_is_not_from_the_future() {
+    let mut health = UpstreamHealth::new(at(0));
+    health.call_started(at(0));
+    health.record_activity(at(300));
+    health.record_check(OWN_DELAY, at(300));
+
+    let due = health.start_probe_if_due(at(300).after(SILENCE_TIMEOUT));
+
+    expect_that!(due, eq(true));
+}
+
+/// Guards against a dead upstream that is never found on a VM whose checks and timeouts are always late.
+#[gtest]
+fn dead_upstream_is_found_although_all_checks_are_late() {
+    let mut health = UpstreamHealth::new(at(0));
+    health.call_started(at(0));
+    let mut failed_at = None;
+    let mut probe = None;
+    for ms in (0..5000).step_by(250) {
+        health.record_check(Duration::from_millis(200), at(ms));
+        match probe {
+            None if health.start_probe_if_due(at(ms)) => {
+                probe = Some(ProbeAttempt::first(at(ms), health.pauses()));
+            }
+            None => {}
+            Some(sent) => {
+                probe = sent.repeat(at(ms), health.pauses());
+                if probe.is_none() {
+                    failed_at = failed_at.or(Some(ms));
+                }
+            }
+        }
+    }
+
+    expect_that!(failed_at, some(le(1500)));
+}
