--- /dev/null
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -0,0 +1,127 @@
+//! Upstreams to which a call is sent while its first one is silent, and which of the two runs is kept.
+
+mod gateway_support;
+
+use catkin_decisions::{CallKind, Route};
+use catkinward::gateway::{Reply, UpstreamCall};
+use gateway_support::*;
+use googletest::prelude::*;
+use http::StatusCode;
+use parking_lot::Mutex;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Pauses of sound upstreams.
+const PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(2)];
+
+/// Time that the first 20 events take.
+const TWENTY_EVENTS: Duration = Duration::from_millis(600);
+
+/// A pause of all upstreams at once, from the first call on.
+#[derive(Clone, Default)]
+struct SharedPause(Arc<Mutex<Option<Instant>>>);
+
+impl SharedPause {
+    /// Whether a call is the first; if so, the pause ends after this time.
+    fn begins_with(&self, _call: &UpstreamCall, length: Duration) -> bool {
+        let mut end = self.0.lock();
+        let is_first = end.is_none();
+        end.get_or_insert_with(|| Instant::now() + length);
+        is_first
+    }
+
+    fn left(&self) -> Duration {
+        let end = self.0.lock();
+        end.map_or(Duration::ZERO, |end| {
+            end.saturating_duration_since(Instant::now())
+        })
+    }
+}
+
+fn quick_route(max_upstreams: u32) -> Route {
+    Route {
+        max_upstreams,
+        timeout: Duration::from_secs(4),
+        ..route("/quick/", CallKind::Idempotent, PLAIN)
+    }
+}
+
+/// Guards against a cut of a stream whose run is closed for a successor that is paused as well.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stream_outlasts_a_pause_of_all_engines() {
+    for pause in PAUSES {
+        let paused = SharedPause::default();
+        let (probed, parts) = (paused.clone(), [events(1, 20), vec![Part::Pause(pause)]]);
+        let parts = [parts.concat(), events(21, 40)].concat();
+        let running = GatewayFixture::new(move |call| {
+            if paused.begins_with(call, TWENTY_EVENTS + pause) {
+                return Script::Stream(parts.clone(), End::Whole);
+            }
+            Script::AnswerAfter(paused.left(), Box::new(Script::NotExecuted))
+        })
+        .answers_probes(move |_| probed.left().is_zero())
+        .default_upstreams()
+        .start();
+
+        let stream = read_stream(running.handle("/stream/1").await).await;
+
+        expect_that!(stream, eq(&(text(1, 40), true)), "{pause:?}");
+        let (received, closed) = (running.received.lock(), running.closed.lock());
+        for (upstream, at) in closed.iter().filter(|c| c.0 != received[0].upstream) {
+            let sent = received.iter().find(|r| r.upstream == *upstream).unwrap();
+            expect_that!(at.since(sent.at), lt(Duration::from_millis(400)));
+        }
+    }
+}
+
+/// Guards against the loss of an idempotent call whose send is closed for a successor that is paused as well.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_outlasts_a_pause_of_all_upstreams() {
+    for pause in PAUSES {
+        let paused = SharedPause::default();
+        let probed = paused.clone();
+        let running = GatewayFixture::new(move |call| {
+            let answer = match paused.begins_with(call, pause) {
+                true => Script::Whole(StatusCode::OK, "first"),
+                false => Script::NotExecuted,
+            };
+            Script::AnswerAfter(paused.left(), Box::new(answer))
+        })
+        .answers_probes(move |_| probed.left().is_zero())
+        .routes(vec![quick_route(2)])
+        .default_upstreams()
+        .start();
+
+        let reply = running.handle("/quick/1").await;
+
+        assert!(matches!(reply, Reply::Whole { .. }), "{pause:?} {reply:?}");
+    }
+}
+
+/// Guards against the loss of an idempotent call whose silent send is closed before its successor has responded.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_call_is_kept_until_its_successor_responds() {
+    let silence = Duration::from_millis(700);
+    let paused = SharedPause::default();
+    let (probed, first) = (paused.clone(), Arc::new(Mutex::new(String::new())));
+    let silent = first.clone();
+    let running = GatewayFixture::new(move |call| {
+        if paused.begins_with(call, silence) {
+            *first.lock() = call.entry.id.to_string();
+            let answer = Script::Whole(StatusCode::OK, "first");
+            return Script::AnswerAfter(silence, Box::new(answer));
+        }
+        Script::AnswerAfter(Duration::from_millis(500), Box::new(Script::Lost))
+    })
+    .answers_probes(move |id| *silent.lock() != id || probed.left().is_zero())
+    .routes(vec![quick_route(2)])
+    .default_upstreams()
+    .start();
+
+    let reply = running.handle("/quick/1").await;
+
+    assert!(matches!(reply, Reply::Whole { .. }), "{reply:?}");
+}
