A silent run is kept if its successor is silent as well (LOST)

What callers saw: when all upstreams paused at once for 1 or 2 s, the only begun run was closed 250 ms after the send to a successor, which refused when it woke. The stream was cut and a buffered call ended as unknown, although the first run would have gone on.

Cause: a successor that had only not refused yet was taken for one that runs the call.

Change: a health check of the successor's upstream starts with the send, over the same path. The run is handed over after 250 ms only if it was answered; without an answer after 350 ms the successor is cancelled and the run is kept. At most one of two upstreams that wake together works on the call, and they overlap for less than 400 ms.

Evidence: stream_outlasts_a_pause_of_all_engines and call_outlasts_a_pause_of_all_upstreams, failing in 1 of 1 run before, pass in 2 of 2 runs. gateway_silence 25 of 25, also gateway_streams, gateway_calls, gateway_poison, gateway_lost_path, gateway_back_off and run_doubt. Not run: the platform tests.

--- a/crates/catkinward/src/gateway/doubtful_call.rs
+++ b/crates/catkinward/src/gateway/doubtful_call.rs
@@ -4,6 +4,7 @@
 use super::{
     buffered_call::{Awaited, BufferedCall, CollectedResponse, PendingSend, Sent},
     reply_log::millis,
+    successor_check::SuccessorCheck,
     *,
 };
 
@@ -34,23 +35,27 @@
         self.log_doubt(&pending, fault);
         let mut search = RunDoubt::new(self.accepted.route.kind, began);
         let mut successor: Option<PendingSend> = None;
+        let mut check: Option<SuccessorCheck> = None;
         let mut resent = false;
-        loop {
-            let state = successor.as_ref().map_or(SuccessorState::None, |sent| {
-                SuccessorState::Sent(sent.sent_at)
-            });
-            let event = match search.decide(RunSign::Silence, state, self.gateway.timer.now()) {
+        let sent = loop {
+            let state = state_of(successor.as_ref());
+            let now = self.gateway.timer.now();
+            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
+            let Some(decision) = search.decide_silent(state, heard, now) else {
+                self.cancel(successor.take());
+                search.end_search(now);
+                self.log_kept(&pending, "successor_silent", began);
+                continue;
+            };
+            let event = match decision {
                 RunDecision::Search => self.search(&mut pending).await,
                 RunDecision::Keep { until } => {
-                    self.watch(&mut pending, successor.as_mut(), until).await
+                    self.watch(&mut pending, successor.as_mut(), check.as_mut(), until)
+                        .await
                 }
                 RunDecision::HandOver | RunDecision::GoOn | RunDecision::Lost => {
                     self.hand_over(&pending, successor.as_ref(), fault, began);
-                    return Awaited {
-                        sent: Sent::HandedOver,
-                        successor,
-                        resent,
-                    };
+                    break Sent::HandedOver;
                 }
             };
             let now = self.gateway.timer.now();
@@ -61,22 +66,15 @@
                         self.log_answered(successor.as_ref(), began);
                         successor = None;
                     }
-                    return Awaited {
-                        sent,
-                        successor,
-                        resent,
-                    };
+                    break sent;
                 }
                 Event::ProcessEnded => {
-                    return Awaited {
-                        sent: self.lose(pending),
-                        successor,
-                        resent,
-                    };
+                    break self.lose(pending);
                 }
                 Event::Searched(Some(entry)) => {
                     resent = true;
-                    successor = Some(self.send(entry));
+                    let sent = successor.insert(self.send(entry));
+                    check = Some(self.check(sent));
                 }
                 Event::Searched(None) => {
                     search.end_search(now);
@@ -90,9 +88,8 @@
                         Sent::Answered(reply) => {
                             self.hand_over(&pending, None, fault, began);
                             return Awaited {
-                                sent: Sent::Answered(reply),
-                                successor: None,
                                 resent,
+                                ..Sent::Answered(reply).into()
                             };
                         }
                         Sent::Failed(reply) => self.failure = Some(reply),
@@ -114,6 +111,11 @@
                 Event::Forbidden(cause) => return self.withdraw(&pending, &cause).into(),
                 Event::TimedOut => return Sent::TimedOut.into(),
             }
+        };
+        Awaited {
+            sent,
+            successor,
+            resent,
         }
     }
 
@@ -136,6 +138,7 @@
         &mut self,
         pending: &mut PendingSend,
         mut successor: Option<&mut PendingSend>,
+        check: Option<&mut SuccessorCheck>,
         until: Option<Instant>,
     ) -> Event {
         let now = self.gateway.timer.now();
@@ -151,10 +154,17 @@
                 () = sent.guard.process_ended() => Event::SuccessorEnded,
             }
         };
+        let heard = async {
+            match check {
+                Some(check) => check.answered().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             response = &mut pending.response => Event::Response(response),
             event = response => event,
+            () = heard => Event::Due,
             () = pending.guard.process_ended() => Event::ProcessEnded,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes) => {
                 Event::Forbidden(cause)
@@ -164,6 +174,16 @@
         }
     }
 
+    fn check(&self, sent: &PendingSend) -> SuccessorCheck {
+        SuccessorCheck::start(&self.gateway, &sent.guard.entry, sent.guard.path)
+    }
+
+    fn cancel(&mut self, successor: Option<PendingSend>) {
+        if let Some(mut sent) = successor {
+            self.record_run(&mut sent);
+        }
+    }
+
     fn hand_over(
         &self,
         pending: &PendingSend,
@@ -208,3 +228,9 @@
         millis(self.gateway.timer.now().since(began))
     }
 }
+
+fn state_of(successor: Option<&PendingSend>) -> SuccessorState {
+    successor.map_or(SuccessorState::None, |sent| {
+        SuccessorState::Sent(sent.sent_at)
+    })
+}
--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -9,6 +9,7 @@
     stream_call::StreamStop,
     stream_run::{ActiveRun, Loss, StreamRun},
     stream_send::NoSend,
+    successor_check::SuccessorCheck,
     *,
 };
 
@@ -105,12 +106,25 @@
         let doubt = self.begin_doubt(&mut run, loss);
         let mut search = RunDoubt::new(self.accepted.route.kind, doubt.began);
         let mut successor: Option<SentRun> = None;
+        let mut check: Option<SuccessorCheck> = None;
         loop {
             let state = state_of(successor.as_ref());
-            let event = match search.decide(RunSign::Silence, state, self.gateway.timer.now()) {
+            let now = self.gateway.timer.now();
+            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
+            let Some(decision) = search.decide_silent(state, heard, now) else {
+                if let Some(sent) = successor.take() {
+                    self.cancel_unheard(sent);
+                }
+                check = None;
+                search.end_search(now);
+                self.log_kept(&run, doubt, "successor_silent");
+                continue;
+            };
+            let event = match decision {
                 RunDecision::Search => self.search(&mut run).await,
                 RunDecision::Keep { until } => {
-                    self.watch(&mut run, successor.as_mut(), until).await
+                    self.watch(&mut run, successor.as_mut(), check.as_mut(), until)
+                        .await
                 }
                 RunDecision::HandOver | RunDecision::GoOn | RunDecision::Lost => {
                     if let Some(sent) = &successor {
@@ -128,7 +142,11 @@
                         _ => self.lose_doubtful_run(run, event, doubt, successor),
                     };
                 }
-                Event::Searched(Ok(sent)) => successor = Some(sent),
+                Event::Searched(Ok(sent)) => {
+                    let (entry, path) = sent.target();
+                    check = Some(SuccessorCheck::start(&self.gateway, &entry, path));
+                    successor = Some(sent);
+                }
                 Event::Searched(Err(reason)) => {
                     search.end_search(now);
                     self.log_kept(&run, doubt, reason.into());
@@ -216,6 +234,7 @@
         &mut self,
         run: &mut DoubtfulRun,
         mut successor: Option<&mut SentRun>,
+        check: Option<&mut SuccessorCheck>,
         until: Option<Instant>,
     ) -> Event {
         let now = self.gateway.timer.now();
@@ -232,10 +251,17 @@
                 () = sent.guard.process_ended() => RunEvent::Lost(Loss::ProcessEnded),
             }
         };
+        let heard = async {
+            match check {
+                Some(check) => check.answered().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             event = run.next() => Event::Run(event),
             event = response => Event::Successor(event),
+            () = heard => Event::Due,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes), if withdrawable => {
                 Event::Forbidden(cause)
             }
@@ -244,6 +270,12 @@
         }
     }
 
+    /// Cancels a successor from whose upstream nothing was heard.
+    fn cancel_unheard(&mut self, mut sent: SentRun) {
+        self.record_run(&mut sent);
+        self.avoid.push(sent.guard.entry.id.clone());
+    }
+
     /// Goes on with a run that was doubtful. Its successor, if there is one, is cancelled.
     fn go_on(
         &mut self,
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -133,6 +133,7 @@
 mod stream_call;
 mod stream_run;
 mod stream_send;
+mod successor_check;
 mod table_transfer;
 mod upstream_gate;
 mod upstream_transport;
--- a/crates/catkinward/tests/gateway_successors.rs
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -83,9 +83,10 @@
         let paused = SharedPause::default();
         let probed = paused.clone();
         let running = GatewayFixture::new(move |call| {
-            let answer = match paused.begins_with(call, pause) {
-                true => Script::Whole(StatusCode::OK, "first"),
-                false => Script::NotExecuted,
+            let answer = if paused.begins_with(call, pause) {
+                Script::Whole(StatusCode::OK, "first")
+            } else {
+                Script::NotExecuted
             };
             Script::AnswerAfter(paused.left(), Box::new(answer))
         })
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -175,7 +175,9 @@
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
-    run_doubt::{MAX_RUN_OVERLAP, RunDecision, RunDoubt, RunSign, SuccessorState},
+    run_doubt::{
+        MAX_RUN_OVERLAP, RunDecision, RunDoubt, RunSign, SuccessorState, UNHEARD_SUCCESSOR_TIMEOUT,
+    },
     send_path::{MAX_CONNECTIONS_FOR_OTHERS, PathContext, SendPath, choose_path},
     service::Service,
     service_demand::ServiceDemand,
--- a/crates/decisions/src/run_doubt.rs
+++ b/crates/decisions/src/run_doubt.rs
@@ -12,6 +12,10 @@
 /// the prefill, and the two must not both work on the call for that long.
 pub const MAX_RUN_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Time from the send to a successor after which it is cancelled, if nothing was heard from its upstream since. A sound
+/// upstream answers a health check within milliseconds; one that is paused too is no better than the silent run.
+pub const UNHEARD_SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Interval between the first two searches for a successor; it doubles each time.
 const FIRST_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -110,6 +114,24 @@
         }
     }
 
+    /// Decides about a silent run, with whether the upstream of its successor was heard from since the send; `None` if
+    /// the successor is cancelled.
+    #[must_use]
+    pub fn decide_silent(
+        &self,
+        successor: SuccessorState,
+        heard: bool,
+        now: Instant,
+    ) -> Option<RunDecision> {
+        match successor {
+            SuccessorState::Sent(at) if !heard => {
+                let until = at.after(UNHEARD_SUCCESSOR_TIMEOUT);
+                (now < until).then_some(RunDecision::Keep { until: Some(until) })
+            }
+            _ => Some(self.decide(RunSign::Silence, successor, now)),
+        }
+    }
+
     /// Records that the call was sent to another upstream, which did not take it.
     pub fn record_refusal(&mut self, now: Instant) {
         self.sends_in_search += 1;
