A silent idempotent call is kept until another upstream responds (LOST)

What callers saw: a call ended as unknown although its first upstream, silent for 700 ms, responded. Its send had been closed 250 ms after the send to a successor, which took 500 ms and broke off.

Cause: the bound on the overlap of streams was applied to idempotent calls, which two upstreams may run at once.

Change: such a send is closed only on a response. A successor that becomes doubtful itself is cancelled, and the next upstream is tried.

Not run: the platform tests.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -85,7 +85,7 @@
     pub(super) response: BoxFuture<'static, Result<CollectedResponse, SendError>>,
     pub(super) sent_at: Instant,
     /// When the call counts as stalled.
-    stalls_at: tokio::time::Instant,
+    pub(super) stalls_at: tokio::time::Instant,
     /// Whether the upstream counts as one that may have run the call.
     recorded: bool,
 }
--- a/crates/catkinward/src/gateway/doubtful_call.rs
+++ b/crates/catkinward/src/gateway/doubtful_call.rs
@@ -4,6 +4,7 @@
 use super::{
     buffered_call::{Awaited, BufferedCall, CollectedResponse, PendingSend, Sent},
     reply_log::millis,
+    run_guard::FailOverReason,
     successor_check::SuccessorCheck,
     *,
 };
@@ -16,6 +17,8 @@
     Searched(Option<Arc<UpstreamEntry>>),
     Successor(Result<CollectedResponse, SendError>),
     SuccessorEnded,
+    /// The successor is doubtful in its turn.
+    SuccessorSilent,
     /// A decision is due.
     Due,
     /// Upstreams crashed under the same body or part.
@@ -107,6 +110,10 @@
                     }
                     search.record_refusal(now);
                 }
+                Event::SuccessorSilent => {
+                    self.cancel(successor.take());
+                    search.record_refusal(now);
+                }
                 Event::Due => {}
                 Event::Forbidden(cause) => return self.withdraw(&pending, &cause).into(),
                 Event::TimedOut => return Sent::TimedOut.into(),
@@ -151,7 +158,11 @@
             tokio::select! {
                 biased;
                 response = &mut sent.response => Event::Successor(response),
-                () = sent.guard.process_ended() => Event::SuccessorEnded,
+                reason = sent.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => Event::SuccessorEnded,
+                    FailOverReason::Unresponsive => Event::SuccessorSilent,
+                },
+                () = tokio::time::sleep_until(sent.stalls_at) => Event::SuccessorSilent,
             }
         };
         let heard = async {
--- a/crates/decisions/src/run_doubt.rs
+++ b/crates/decisions/src/run_doubt.rs
@@ -94,6 +94,10 @@
             (RunSign::End, _) => RunDecision::Lost,
             (RunSign::Data, _) => RunDecision::GoOn,
             (RunSign::Silence, SuccessorState::Accepted) => RunDecision::HandOver,
+            // Two upstreams may run such a call at the same time, so the first response decides.
+            (RunSign::Silence, SuccessorState::Sent(_)) if self.kind == CallKind::Idempotent => {
+                RunDecision::Keep { until: None }
+            }
             (RunSign::Silence, SuccessorState::Sent(at)) => {
                 let until = at.after(MAX_RUN_OVERLAP);
                 if now >= until {
