A silent run counts towards the maximum of upstreams (LOST)

What callers saw: a stream whose route allows one upstream ran on a second one while the first was silent.

Cause: upstreams that are suspect were not counted, also while their run was kept.

Change: the upstream of a doubtful run always counts, once; a run through another VM is counted as such already.

Evidence: silent_run_counts_as_one_of_the_upstreams_of_its_route, failing in 1 of 1 run before, passes in 2 of 2; resumable_streams_of_one_upstream_outlast_its_pause, failing in 1 of 1 run before, passes in 1 of 1. gateway_silence 25 of 25, gateway_streams 22 of 22, gateway_lost_path 2 of 2. The whole of paused_upstreams ran only before this change: 13 of 14, without that test.

--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -218,7 +218,7 @@
     async fn search(&mut self, run: &mut DoubtfulRun) -> Event {
         let time_left = self.accepted.time_left(self.gateway.timer.now());
         let (gateway, attributes) = (self.gateway.clone(), self.accepted.attributes.clone());
-        let doubtful = run.guard().entry.id.clone();
+        let doubtful = (run.guard().entry.id.clone(), run.guard().path);
         let has_events = run.has_events();
         tokio::select! {
             biased;
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -65,7 +65,7 @@
     /// is cancelled.
     pub(super) async fn prepare(
         &mut self,
-        doubtful: Option<&UpstreamIncarnation>,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
     ) -> Result<SentRun, NoSend> {
         let now = self.gateway.timer.now();
         if self.accepted.time_left(now).is_zero() {
@@ -77,7 +77,7 @@
             return Err(NoSend::Forbidden(cause));
         }
         if self.sends > 0 {
-            self.permit_resend().await?;
+            self.permit_resend(doubtful).await?;
             self.retry_prepaid = true;
         }
         let mut from = self.take_copy();
@@ -86,7 +86,7 @@
         }
         let entry = match &from {
             Some(copy) => copy.holder.clone(),
-            None => match self.choose(doubtful).await {
+            None => match self.choose(doubtful.map(|(id, _)| id)).await {
                 Some(entry) if self.is_too_late(&entry) => return Err(NoSend::TooLate),
                 Some(entry) => entry,
                 None => return Err(NoSend::NoUpstream),
@@ -116,10 +116,19 @@
         self.gateway.back_off_retry_after(&self.accepted)
     }
 
-    async fn permit_resend(&mut self) -> Result<(), NoSend> {
+    async fn permit_resend(
+        &mut self,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
+    ) -> Result<(), NoSend> {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
         // Those that ran it through another VM are unreachable from here only.
-        let alive = self.gateway.count_usable(&self.ran_on) + self.runs_through_others;
+        let mut alive = self.gateway.count_usable(&self.ran_on) + self.runs_through_others;
+        // A doubtful run may go on, however its upstream looks from here.
+        if doubtful.is_some_and(|(id, path)| {
+            path.is_direct() && self.gateway.count_usable(std::slice::from_ref(id)) == 0
+        }) {
+            alive += 1;
+        }
         if self.sends >= MAX_SENDS {
             return Err(NoSend::Sends);
         }
--- a/crates/catkinward/tests/gateway_successors.rs
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -126,3 +126,34 @@
 
     assert!(matches!(reply, Reply::Whole { .. }), "{reply:?}");
 }
+
+/// Guards against more upstreams for a stream than its route allows, because a silent one is not counted.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_run_counts_as_one_of_the_upstreams_of_its_route() {
+    for pause in PAUSES {
+        let paused = SharedPause::default();
+        let (probed, first) = (paused.clone(), Arc::new(Mutex::new(String::new())));
+        let silent = first.clone();
+        let parts = [events(1, 20), vec![Part::Pause(pause)], events(21, 40)].concat();
+        let running = GatewayFixture::new(move |call| {
+            if paused.begins_with(call, TWENTY_EVENTS + pause) {
+                *first.lock() = call.entry.id.to_string();
+                return Script::Stream(parts.clone(), End::Whole);
+            }
+            Script::Stream(events(call.last_event.unwrap_or(0) + 1, 40), End::Whole)
+        })
+        .answers_probes(move |id| *silent.lock() != id || probed.left().is_zero())
+        .routes(vec![Route {
+            max_upstreams: 1,
+            ..route("/stream/", CallKind::ResumableStream, ENGINES)
+        }])
+        .default_upstreams()
+        .start();
+
+        let stream = read_stream(running.handle("/stream/1").await).await;
+
+        expect_that!(stream, eq(&(text(1, 40), true)), "{pause:?}");
+        expect_that!(running.sent_to().len(), eq(1), "{pause:?}");
+    }
+}
