--- a/crates/catkinward/tests/gateway_successors.rs
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -157,3 +157,36 @@
         expect_that!(running.sent_to().len(), eq(1), "{pause:?}");
     }
 }
+
+/// Guards against a cut of a broken stream, because silent streams that no other engine may take used up the retries.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn broken_stream_resumes_beside_silent_streams_of_the_only_engine() {
+    let pause = vec![Part::Pause(Duration::from_secs(8))];
+    let parts = [events(1, 20), pause, events(21, 40)].concat();
+    let running = GatewayFixture::new(move |call| match call.last_event {
+        Some(last) => Script::Stream(events(last + 1, 40), End::Whole),
+        None if call.call.target.as_ref().contains("broken") => {
+            Script::Stream(events(1, 20), End::Break)
+        }
+        None => Script::Stream(parts.clone(), End::Whole),
+    })
+    .retry_budget(catkin_decisions::SharedRetryBudgetConfig {
+        ratio: 0.0,
+        slack: 20.0,
+        ..Default::default()
+    })
+    .upstream("engine-a1", ENGINES, "a")
+    .start();
+    let mut silent = tokio::task::JoinSet::new();
+    for n in 0..30 {
+        let call = running.call(&format!("/stream/{n}"));
+        let gateway = running.gateway.clone();
+        silent.spawn(async move { read_stream(gateway.handle(call).await).await });
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    let stream = read_stream(running.handle("/stream/broken").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+}
