A silent stream takes a retry only if there is another upstream (LOST)

What callers saw: beside 30 silent streams of the only engine, a stream whose connection broke was cut, because the retry budget was used up by sends that did not happen.

Cause: a search paid before it selected an upstream.

Change: for a doubtful run the upstream is selected first.

Not run after this change: the platform tests.

--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -77,7 +77,20 @@
             return Err(NoSend::Forbidden(cause));
         }
         if self.sends > 0 {
-            self.permit_resend(doubtful).await?;
+            self.permit_resend(doubtful)?;
+        }
+        // A doubtful run is kept without another upstream, so nothing is paid before there is one.
+        let mut selected = None;
+        if doubtful.is_some() && self.copy.is_none() {
+            selected = self.choose(doubtful.map(|(id, _)| id)).await;
+            if selected.is_none() {
+                return Err(NoSend::NoUpstream);
+            }
+        }
+        if self.sends > 0 {
+            if !self.retry_prepaid && !self.take_retry().await {
+                return Err(NoSend::Budget);
+            }
             self.retry_prepaid = true;
         }
         let mut from = self.take_copy();
@@ -86,7 +99,7 @@
         }
         let entry = match &from {
             Some(copy) => copy.holder.clone(),
-            None => match self.choose(doubtful.map(|(id, _)| id)).await {
+            None => match self.choose_unless(selected, doubtful).await {
                 Some(entry) if self.is_too_late(&entry) => return Err(NoSend::TooLate),
                 Some(entry) => entry,
                 None => return Err(NoSend::NoUpstream),
@@ -116,8 +129,19 @@
         self.gateway.back_off_retry_after(&self.accepted)
     }
 
-    async fn permit_resend(
+    async fn choose_unless(
         &mut self,
+        selected: Option<Arc<UpstreamEntry>>,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
+    ) -> Option<Arc<UpstreamEntry>> {
+        match selected {
+            Some(entry) => Some(entry),
+            None => self.choose(doubtful.map(|(id, _)| id)).await,
+        }
+    }
+
+    fn permit_resend(
+        &self,
         doubtful: Option<&(UpstreamIncarnation, SendPath)>,
     ) -> Result<(), NoSend> {
         // Upstreams that crashed or are unreachable do not count, since the call did not cause their loss.
@@ -135,11 +159,7 @@
         if alive >= self.accepted.route.max_upstreams {
             return Err(NoSend::MaxUpstreams);
         }
-        if self.retry_prepaid || self.take_retry().await {
-            Ok(())
-        } else {
-            Err(NoSend::Budget)
-        }
+        Ok(())
     }
 
     async fn take_retry(&mut self) -> bool {
