--- a/crates/catkinward/src/gateway/doubtful_call.rs
+++ b/crates/catkinward/src/gateway/doubtful_call.rs
@@ -4,6 +4,8 @@
 use super::{
     buffered_call::{Awaited, BufferedCall, CollectedResponse, PendingSend, Sent},
     reply_log::millis,
+    run_guard::FailOverReason,
+    successor_check::SuccessorCheck,
     *,
 };
 
@@ -15,6 +17,8 @@
     Searched(Option<Arc<UpstreamEntry>>),
     Successor(Result<CollectedResponse, SendError>),
     SuccessorEnded,
+    /// The successor is doubtful in its turn.
+    SuccessorSilent,
     /// A decision is due.
     Due,
     /// Upstreams crashed under the same body or part.
@@ -34,23 +38,27 @@
         self.log_doubt(&pending, fault);
         let mut search = RunDoubt::new(self.accepted.route.kind, began);
         let mut successor: Option<PendingSend> = None;
+        let mut check: Option<SuccessorCheck> = None;
         let mut resent = false;
-        loop {
-            let state = successor.as_ref().map_or(SuccessorState::None, |sent| {
-                SuccessorState::Sent(sent.sent_at)
-            });
-            let event = match search.decide(RunSign::Silence, state, self.gateway.timer.now()) {
+        let sent = loop {
+            let state = state_of(successor.as_ref());
+            let now = self.gateway.timer.now();
+            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
+            let Some(decision) = search.decide_silent(state, heard, now) else {
+                self.cancel(successor.take());
+                search.end_search(now);
+                self.log_kept(&pending, "successor_silent", began);
+                continue;
+            };
+            let event = match decision {
                 RunDecision::Search => self.search(&mut pending).await,
                 RunDecision::Keep { until } => {
-                    self.watch(&mut pending, successor.as_mut(), until).await
+                    self.watch(&mut pending, successor.as_mut(), check.as_mut(), until)
+                        .await
                 }
                 RunDecision::HandOver | RunDecision::GoOn | RunDecision::Lost => {
                     self.hand_over(&pending, successor.as_ref(), fault, began);
-                    return Awaited {
-                        sent: Sent::HandedOver,
-                        successor,
-                        resent,
-                    };
+                    break Sent::HandedOver;
                 }
             };
             let now = self.gateway.timer.now();
@@ -61,22 +69,15 @@
                         self.log_answered(successor.as_ref(), began);
                         successor = None;
                     }
-                    return Awaited {
-                        sent,
-                        successor,
-                        resent,
-                    };
+                    break sent;
                 }
                 Event::ProcessEnded => {
-                    return Awaited {
-                        sent: self.lose(pending),
-                        successor,
-                        resent,
-                    };
+                    break self.lose(pending);
                 }
                 Event::Searched(Some(entry)) => {
                     resent = true;
-                    successor = Some(self.send(entry));
+                    let sent = successor.insert(self.send(entry));
+                    check = Some(self.check(sent));
                 }
                 Event::Searched(None) => {
                     search.end_search(now);
@@ -90,9 +91,8 @@
                         Sent::Answered(reply) => {
                             self.hand_over(&pending, None, fault, began);
                             return Awaited {
-                                sent: Sent::Answered(reply),
-                                successor: None,
                                 resent,
+                                ..Sent::Answered(reply).into()
                             };
                         }
                         Sent::Failed(reply) => self.failure = Some(reply),
@@ -110,10 +110,19 @@
                     }
                     search.record_refusal(now);
                 }
+                Event::SuccessorSilent => {
+                    self.cancel(successor.take());
+                    search.record_refusal(now);
+                }
                 Event::Due => {}
                 Event::Forbidden(cause) => return self.withdraw(&pending, &cause).into(),
                 Event::TimedOut => return Sent::TimedOut.into(),
             }
+        };
+        Awaited {
+            sent,
+            successor,
+            resent,
         }
     }
 
@@ -136,6 +145,7 @@
         &mut self,
         pending: &mut PendingSend,
         mut successor: Option<&mut PendingSend>,
+        check: Option<&mut SuccessorCheck>,
         until: Option<Instant>,
     ) -> Event {
         let now = self.gateway.timer.now();
@@ -148,13 +158,24 @@
             tokio::select! {
                 biased;
                 response = &mut sent.response => Event::Successor(response),
-                () = sent.guard.process_ended() => Event::SuccessorEnded,
+                reason = sent.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => Event::SuccessorEnded,
+                    FailOverReason::Unresponsive => Event::SuccessorSilent,
+                },
+                () = tokio::time::sleep_until(sent.stalls_at) => Event::SuccessorSilent,
+            }
+        };
+        let heard = async {
+            match check {
+                Some(check) => check.answered().await,
+                None => std::future::pending().await,
             }
         };
         tokio::select! {
             biased;
             response = &mut pending.response => Event::Response(response),
             event = response => event,
+            () = heard => Event::Due,
             () = pending.guard.process_ended() => Event::ProcessEnded,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes) => {
                 Event::Forbidden(cause)
@@ -164,6 +185,16 @@
         }
     }
 
+    fn check(&self, sent: &PendingSend) -> SuccessorCheck {
+        SuccessorCheck::start(&self.gateway, &sent.guard.entry, sent.guard.path)
+    }
+
+    fn cancel(&mut self, successor: Option<PendingSend>) {
+        if let Some(mut sent) = successor {
+            self.record_run(&mut sent);
+        }
+    }
+
     fn hand_over(
         &self,
         pending: &PendingSend,
@@ -208,3 +239,9 @@
         millis(self.gateway.timer.now().since(began))
     }
 }
+
+fn state_of(successor: Option<&PendingSend>) -> SuccessorState {
+    successor.map_or(SuccessorState::None, |sent| {
+        SuccessorState::Sent(sent.sent_at)
+    })
+}
--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -9,6 +9,7 @@
     stream_call::StreamStop,
     stream_run::{ActiveRun, Loss, StreamRun},
     stream_send::NoSend,
+    successor_check::SuccessorCheck,
     *,
 };
 
@@ -107,12 +108,25 @@
         let doubt = self.begin_doubt(&mut run, loss);
         let mut search = RunDoubt::new(self.accepted.route.kind, doubt.began);
         let mut successor: Option<SentRun> = None;
+        let mut check: Option<SuccessorCheck> = None;
         loop {
             let state = state_of(successor.as_ref());
-            let event = match search.decide(RunSign::Silence, state, self.gateway.timer.now()) {
+            let now = self.gateway.timer.now();
+            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
+            let Some(decision) = search.decide_silent(state, heard, now) else {
+                if let Some(sent) = successor.take() {
+                    self.cancel_unheard(sent);
+                }
+                check = None;
+                search.end_search(now);
+                self.log_kept(&run, doubt, "successor_silent");
+                continue;
+            };
+            let event = match decision {
                 RunDecision::Search => self.search(&mut run).await,
                 RunDecision::Keep { until } => {
-                    self.watch(&mut run, successor.as_mut(), until).await
+                    self.watch(&mut run, successor.as_mut(), check.as_mut(), until)
+                        .await
                 }
                 RunDecision::HandOver | RunDecision::GoOn | RunDecision::Lost => {
                     if let Some(sent) = &successor {
@@ -130,7 +144,11 @@
                         _ => self.lose_doubtful_run(run, event, doubt, successor),
                     };
                 }
-                Event::Searched(Ok(sent)) => successor = Some(sent),
+                Event::Searched(Ok(sent)) => {
+                    let (entry, path) = sent.target();
+                    check = Some(SuccessorCheck::start(&self.gateway, &entry, path));
+                    successor = Some(sent);
+                }
                 Event::Searched(Err(reason)) => {
                     search.end_search(now);
                     self.log_kept(&run, doubt, reason.into());
@@ -202,7 +220,7 @@
     async fn search(&mut self, run: &mut DoubtfulRun) -> Event {
         let time_left = self.accepted.time_left(self.gateway.timer.now());
         let (gateway, attributes) = (self.gateway.clone(), self.accepted.attributes.clone());
-        let doubtful = run.guard().entry.id.clone();
+        let doubtful = (run.guard().entry.id.clone(), run.guard().path);
         let has_events = run.has_events();
         tokio::select! {
             biased;
@@ -218,6 +236,7 @@
         &mut self,
         run: &mut DoubtfulRun,
         mut successor: Option<&mut SentRun>,
+        check: Option<&mut SuccessorCheck>,
         until: Option<Instant>,
     ) -> Event {
         let now = self.gateway.timer.now();
@@ -234,10 +253,17 @@
                 () = sent.guard.process_ended() => RunEvent::Lost(Loss::ProcessEnded),
             }
         };
+        let heard = async {
+            match check {
+                Some(check) => check.answered().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             event = run.next() => Event::Run(event),
             event = response => Event::Successor(event),
+            () = heard => Event::Due,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes), if withdrawable => {
                 Event::Forbidden(cause)
             }
@@ -246,6 +272,12 @@
         }
     }
 
+    /// Cancels a successor from whose upstream nothing was heard.
+    fn cancel_unheard(&mut self, mut sent: SentRun) {
+        self.record_run(&mut sent);
+        self.avoid.push(sent.guard.entry.id.clone());
+    }
+
     /// Goes on with a run that was doubtful. Its successor, if there is one, is cancelled.
     fn go_on(
         &mut self,
