--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -82,7 +82,7 @@
         // A doubtful run is kept without another upstream, so nothing is paid before there is one.
         let mut selected = None;
         if doubtful.is_some() && self.copy.is_none() {
-            selected = self.choose(doubtful.map(|(id, _)| id)).await;
+            selected = self.choose(doubtful).await;
             if selected.is_none() {
                 return Err(NoSend::NoUpstream);
             }
@@ -136,7 +136,7 @@
     ) -> Option<Arc<UpstreamEntry>> {
         match selected {
             Some(entry) => Some(entry),
-            None => self.choose(doubtful.map(|(id, _)| id)).await,
+            None => self.choose(doubtful).await,
         }
     }
 
@@ -229,10 +229,11 @@
         }
     }
 
-    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay.
+    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay. Beside
+    /// a doubtful run, its own upstream is selected only if no other is and another VM reaches it.
     async fn choose(
         &mut self,
-        doubtful: Option<&UpstreamIncarnation>,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
     ) -> Option<Arc<UpstreamEntry>> {
         if self.sends == 0 && self.gateway.settings.policy.prompt_search {
             self.cached = self.gateway.search_prompt(&self.accepted).await;
@@ -245,15 +246,19 @@
             }
         }
         let mut avoid = self.avoid.clone();
-        avoid.extend(doubtful.cloned());
+        avoid.extend(doubtful.map(|(id, _)| id.clone()));
         let fresh = self.gateway.select(&self.accepted, &avoid, &self.cached);
         if fresh.is_some() {
             return fresh;
         }
         self.avoid.clear();
-        if doubtful.is_some() {
-            // The next search may use them again.
-            return None;
+        if let Some((id, path)) = doubtful {
+            // The next search may use the others again.
+            avoid.retain(|other| other != id);
+            let same = self.gateway.select(&self.accepted, &avoid, &self.cached);
+            return same.filter(|entry| {
+                path.is_direct() && !self.gateway.path_to(entry, &self.unopened).is_direct()
+            });
         }
         if self.sends > 0 {
             tokio::time::sleep(REFUSED_RETRY_DELAY).await;
--- a/crates/catkinward/tests/gateway_successors.rs
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -190,3 +190,25 @@
 
     expect_that!(stream, eq(&(text(1, 40), true)));
 }
+
+/// Guards against a stream that stays on the path that has failed, although another VM reaches its only engine.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_stream_of_the_only_engine_resumes_there_through_another_vm() {
+    let running = GatewayFixture::new(|call| {
+        if call.path.is_direct() {
+            return Script::Stream(events(1, 20), End::Hang);
+        }
+        let last = call.last_event.unwrap_or(0);
+        Script::Stream(events(last + 1, 40), End::Whole)
+    })
+    .answers_probes(|_| false)
+    .reached_by_others(true)
+    .upstream("engine-a1", ENGINES, "a")
+    .start();
+    running.receive_peer_heartbeat();
+
+    let stream = read_stream(running.handle("/stream/1").await).await;
+
+    expect_that!(stream, eq(&(text(1, 40), true)));
+}
