--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -78,7 +78,7 @@
 /// The run that currently produces the events.
 pub(super) struct ActiveRun {
     pub(super) number: EventRun,
-    /// Whether no other upstream may have run the stream before.
+    /// Whether the caller has received no event of an earlier run.
     pub(super) is_first: bool,
     pub(super) guard: RunGuard,
     pub(super) copies: KvCopyManager,
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -375,7 +375,7 @@
         }
         self.active = Some(ActiveRun {
             number: self.relay.begin_run(),
-            is_first: self.ran_on.len() == 1,
+            is_first: !self.delivered,
             guard: run.guard,
             copies: KvCopyManager::new(&self.gateway, run.copy),
             body: response.body,
--- a/crates/catkinward/tests/gateway_successors.rs
+++ b/crates/catkinward/tests/gateway_successors.rs
@@ -212,3 +212,32 @@
 
     expect_that!(stream, eq(&(text(1, 40), true)));
 }
+
+/// Guards against a stream without event ids that appears complete and is empty, because its silent first run was sent a
+/// successor before any event.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn events_without_ids_are_delivered_after_a_successor_was_cancelled() {
+    let pause = Duration::from_millis(500);
+    let paused = SharedPause::default();
+    let probed = paused.clone();
+    let parts = (1..=5).map(|n| Part::Bytes(format!("data: {n}\n\n")));
+    let stream = Script::Stream(parts.collect(), End::Whole);
+    let running = GatewayFixture::new(move |call| {
+        let delay = if paused.begins_with(call, pause) {
+            pause
+        } else {
+            Duration::from_secs(3)
+        };
+        Script::AnswerAfter(delay, Box::new(stream.clone()))
+    })
+    .answers_probes(move |_| probed.left().is_zero())
+    .default_upstreams()
+    .start();
+
+    let (text, is_whole) = read_stream(running.handle("/stream/1").await).await;
+
+    let all = (1..=5).map(|n| format!("data: {n}\n\n"));
+    expect_that!(text, eq(&all.collect::<String>()));
+    expect_that!(is_whole, eq(true));
+}
