--- a/crates/catkinward/src/gateway/doubtful_call.rs
+++ b/crates/catkinward/src/gateway/doubtful_call.rs
@@ -43,8 +43,8 @@
         let sent = loop {
             let state = state_of(successor.as_ref());
             let now = self.gateway.timer.now();
-            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
-            let Some(decision) = search.decide_silent(state, heard, now) else {
+            let answered = check.as_ref().is_none_or(SuccessorCheck::has_answered);
+            let Some(decision) = search.decide_silent(state, answered, now) else {
                 self.cancel(successor.take());
                 search.end_search(now);
                 self.log_kept(&pending, "successor_silent", began);
@@ -165,9 +165,9 @@
                 () = tokio::time::sleep_until(sent.stalls_at) => Event::SuccessorSilent,
             }
         };
-        let heard = async {
+        let answered = async {
             match check {
-                Some(check) => check.answered().await,
+                Some(check) => check.wait().await,
                 None => std::future::pending().await,
             }
         };
@@ -175,7 +175,7 @@
             biased;
             response = &mut pending.response => Event::Response(response),
             event = response => event,
-            () = heard => Event::Due,
+            () = answered => Event::Due,
             () = pending.guard.process_ended() => Event::ProcessEnded,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes) => {
                 Event::Forbidden(cause)
--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -112,10 +112,10 @@
         loop {
             let state = state_of(successor.as_ref());
             let now = self.gateway.timer.now();
-            let heard = check.as_ref().is_none_or(SuccessorCheck::is_heard);
-            let Some(decision) = search.decide_silent(state, heard, now) else {
+            let answered = check.as_ref().is_none_or(SuccessorCheck::has_answered);
+            let Some(decision) = search.decide_silent(state, answered, now) else {
                 if let Some(sent) = successor.take() {
-                    self.cancel_unheard(sent);
+                    self.cancel_unresponsive(sent);
                 }
                 check = None;
                 search.end_search(now);
@@ -253,9 +253,9 @@
                 () = sent.guard.process_ended() => RunEvent::Lost(Loss::ProcessEnded),
             }
         };
-        let heard = async {
+        let answered = async {
             match check {
-                Some(check) => check.answered().await,
+                Some(check) => check.wait().await,
                 None => std::future::pending().await,
             }
         };
@@ -263,7 +263,7 @@
             biased;
             event = run.next() => Event::Run(event),
             event = response => Event::Successor(event),
-            () = heard => Event::Due,
+            () = answered => Event::Due,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes), if withdrawable => {
                 Event::Forbidden(cause)
             }
@@ -272,8 +272,8 @@
         }
     }
 
-    /// Cancels a successor from whose upstream nothing was heard.
-    fn cancel_unheard(&mut self, mut sent: SentRun) {
+    /// Cancels a successor whose upstream has not answered a health check.
+    fn cancel_unresponsive(&mut self, mut sent: SentRun) {
         self.record_run(&mut sent);
         self.avoid.push(sent.guard.entry.id.clone());
     }
--- a/crates/catkinward/src/gateway/successor_check.rs
+++ b/crates/catkinward/src/gateway/successor_check.rs
@@ -4,7 +4,7 @@
 pub(super) struct SuccessorCheck {
     answer: BoxFuture<'static, bool>,
     ended: bool,
-    heard: bool,
+    answered: bool,
 }
 
 impl SuccessorCheck {
@@ -38,21 +38,21 @@
         Self {
             answer: Box::pin(answer),
             ended: false,
-            heard: false,
+            answered: false,
         }
     }
 
     /// Whether the upstream has answered the check.
-    pub(super) fn is_heard(&self) -> bool {
-        self.heard
+    pub(super) fn has_answered(&self) -> bool {
+        self.answered
     }
 
     /// Waits until the upstream answers the check, once.
-    pub(super) async fn answered(&mut self) {
+    pub(super) async fn wait(&mut self) {
         if !self.ended {
-            self.heard = (&mut self.answer).await;
+            self.answered = (&mut self.answer).await;
             self.ended = true;
-            if self.heard {
+            if self.answered {
                 return;
             }
         }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -179,7 +179,7 @@
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
     run_doubt::{
-        MAX_RUN_OVERLAP, RunDecision, RunDoubt, RunSign, SuccessorState, UNHEARD_SUCCESSOR_TIMEOUT,
+        MAX_RUN_OVERLAP, RunDecision, RunDoubt, RunSign, SuccessorState, UNANSWERED_CHECK_TIMEOUT,
     },
     send_path::{MAX_CONNECTIONS_FOR_OTHERS, PathContext, SendPath, choose_path},
     service::Service,
--- a/crates/decisions/src/run_doubt.rs
+++ b/crates/decisions/src/run_doubt.rs
@@ -12,9 +12,9 @@
 /// the prefill, and the two must not both work on the call for that long.
 pub const MAX_RUN_OVERLAP: Duration = Duration::from_millis(250);
 
-/// Time from the send to a successor after which it is cancelled, if nothing was heard from its upstream since. A sound
-/// upstream answers a health check within milliseconds; one that is paused too is no better than the silent run.
-pub const UNHEARD_SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time from the send to a successor after which it is cancelled if its upstream has not answered a health check: a sound
+/// upstream answers within milliseconds, and a paused one is no better than the silent run.
+pub const UNANSWERED_CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Interval between the first two searches for a successor; it doubles each time.
 const FIRST_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
@@ -22,8 +22,8 @@
 /// Longest interval between searches for a successor.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Number of upstreams that are tried in the first search. Later searches try one each: upstreams that refused
-/// shortly before are likely to refuse again, and each send is taken from the retry budget.
+/// Maximum number of sends of the first search. Later searches send once: upstreams that refused shortly before are
+/// likely to refuse again, and each send is taken from the retry budget.
 const FIRST_SEARCH_SENDS: u32 = 3;
 
 /// A run that may have failed, and the search for an upstream that takes its call.
@@ -118,18 +118,18 @@
         }
     }
 
-    /// Decides about a silent run, with whether the upstream of its successor was heard from since the send; `None` if
-    /// the successor is cancelled.
+    /// Decides about a silent run, given whether the upstream of its successor has answered a health check since the
+    /// send; `None` if the successor is cancelled.
     #[must_use]
     pub fn decide_silent(
         &self,
         successor: SuccessorState,
-        heard: bool,
+        answered: bool,
         now: Instant,
     ) -> Option<RunDecision> {
         match successor {
-            SuccessorState::Sent(at) if !heard => {
-                let until = at.after(UNHEARD_SUCCESSOR_TIMEOUT);
+            SuccessorState::Sent(at) if !answered => {
+                let until = at.after(UNANSWERED_CHECK_TIMEOUT);
                 (now < until).then_some(RunDecision::Keep { until: Some(until) })
             }
             _ => Some(self.decide(RunSign::Silence, successor, now)),
