--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -506,7 +506,7 @@
         }
     }
 
-    /// Ends a rollout whose order was withdrawn or replaced. Returns `false` if that has to be tried again.
+    /// Ends a rollout whose order was withdrawn or replaced; returns whether no further attempt is needed.
     async fn end_without_order(&mut self, rollout: &Rollout) -> bool {
         let service = &rollout.order.service;
         let Some(stored) = self.read(service).await else {
