--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -68,6 +68,9 @@
     pub(crate) waiting_retries: AtomicU32,
     /// Number of connections to upstreams that are open for other VMs.
     pub(crate) connections_for_others: AtomicU32,
+    /// Notifies queued calls that an upstream may have room.
+    #[allow(dead_code)]
+    pub(crate) room_changed: Notify,
     /// Notifies waiting calls that a budget loan has arrived.
     pub(crate) loan_arrived: Notify,
     /// Datagrams to other VMs that do not wait for the next heartbeat.
@@ -138,6 +141,7 @@
             started: timer.now(),
             waiting_retries: AtomicU32::new(0),
             connections_for_others: AtomicU32::new(0),
+            room_changed: Notify::new(),
             loan_arrived: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
@@ -553,13 +557,18 @@
     }
 
     /// Records that an upstream responded, with its load if it reported one.
-    pub(crate) fn upstream_responded(&self, entry: &Arc<UpstreamEntry>, load: Option<LoadSample>) {
+    pub(crate) fn upstream_responded(
+        &self,
+        entry: &Arc<UpstreamEntry>,
+        load: Option<(LoadSample, RoomReport)>,
+    ) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
         upstream.health.record_activity(now);
-        if let Some(load) = load {
+        if let Some((load, room)) = load {
             upstream.load.record_report(load, now);
+            upstream.room.record_report(load, room, now);
         }
         let changes = state.directory.record_response(&entry.id);
         drop(state);
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -99,7 +99,7 @@
         // reported load is not that of the earlier one.
         Ok(Ok(answer)) if entry.id.is_before(answer.born) => Some("started_again"),
         Ok(Ok(answer)) => {
-            gateway.upstream_responded(&entry, answer.load);
+            gateway.upstream_responded(&entry, answer.load_and_room());
             None
         }
         Ok(Err(SendError::Withheld)) => {
@@ -165,6 +165,7 @@
     if let Ok(Ok(HealthReport {
         load: Some(_),
         born,
+        ..
     })) = answer
     {
         let entry = UpstreamEntry {
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -35,17 +35,17 @@
         RequestRateError, RequestedBackOff, ResponseKind, ResponseOutcome, RestartEvidence,
         RollbackReason, Rollout, RolloutClaim, RolloutGrant, RolloutNotice, RolloutOrder,
         RolloutOrderError, RolloutOwner, RolloutPhase, RolloutPrecondition, RolloutProgress,
-        RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts, Route,
+        RolloutRecord, RolloutReport, RolloutSettings, RolloutVerdict, Rollouts, RoomReport, Route,
         RoutingConfig, RunDecision, RunDoubt, RunSign, SILENCE_TIMEOUT, STANDBY_MAX_AGE,
         ServiceDemand, ServiceReaches, SharedRetryBudget, SharedRetryBudgetConfig, StaleRestart,
         StatementSubject, StoreEra, StorePosition, StoredRecord, StreamDurationEstimator,
         SuccessorState, SuspendDetector, TableFreshness, TableRead, TableRow, TransferLimit,
         UpstreamChange, UpstreamDirectory, UpstreamEntry, UpstreamHealth, UpstreamIncarnation,
-        UpstreamLimit, UpstreamLoad, UpstreamRequestKind, UpstreamRestart, UpstreamStatement,
-        UpstreamTable, VersionAdmission, VersionSlots, VmDemand, VmIncarnation, ZoneGossip,
-        ZoneOutageDetector, ZoneRole, ZoneVm, choose_path, gossips_changes, has_spare_slot,
-        is_large_zone, limit_part, link_carries_config, prefill_time, rank_among, rank_of_vm,
-        select_copy_holder, select_upstream, store_backoff,
+        UpstreamLimit, UpstreamLoad, UpstreamRequestKind, UpstreamRestart, UpstreamRoom,
+        UpstreamStatement, UpstreamTable, VersionAdmission, VersionSlots, VmDemand, VmIncarnation,
+        ZoneGossip, ZoneOutageDetector, ZoneRole, ZoneVm, choose_path, gossips_changes,
+        has_spare_slot, is_large_zone, limit_part, link_carries_config, prefill_time, rank_among,
+        rank_of_vm, select_copy_holder, select_upstream, store_backoff,
     },
     futures::{StreamExt, future::BoxFuture, stream::BoxStream},
     std::fmt::{self, Formatter},
@@ -126,6 +126,7 @@
 mod rollouts;
 mod run_guard;
 mod run_progress;
+mod scheduling;
 mod send_path;
 mod sent_run;
 mod shutdown;
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -80,6 +80,7 @@
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) health: UpstreamHealth,
     pub(crate) load: UpstreamLoad,
+    pub(crate) room: UpstreamRoom,
     pub(crate) limit: UpstreamLimit,
     pub(crate) brittleness: Brittleness,
     /// Notifies the runs on the upstream that it may have failed.
@@ -290,6 +291,7 @@
                     entry: entry.clone(),
                     health: UpstreamHealth::new(now),
                     load: UpstreamLoad::default(),
+                    room: UpstreamRoom::default(),
                     limit: UpstreamLimit::default(),
                     brittleness: Brittleness::default(),
                     failed_over: watch::Sender::new(FailOver::default()),
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -83,7 +83,9 @@
         if let Some(load) = statement.load {
             let now = self.timer.now();
             let mut state = self.state.lock();
-            state.upstream(entry, now).load.record_report(load, now);
+            let upstream = state.upstream(entry, now);
+            upstream.load.record_report(load, now);
+            upstream.room.record_report(load, statement.room, now);
         }
         // What a response to a call leaves out no longer holds; another one says nothing by it.
         if statement.kind != ResponseKind::Other {
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -98,10 +98,19 @@
 pub struct HealthReport {
     /// Load of the upstream, if it reports one.
     pub load: Option<LoadSample>,
+    /// Room of the upstream, as far as it reports it.
+    pub room: RoomReport,
     /// Start time of the process that answered, if it reports one.
     pub born: Option<ProcessStart>,
 }
 
+impl HealthReport {
+    /// What the upstream reports of its load and its room.
+    pub(crate) fn load_and_room(&self) -> Option<(LoadSample, RoomReport)> {
+        Some((self.load?, self.room))
+    }
+}
+
 /// Connect timeout for upstreams: many times what a connection takes within a region, and short compared with a
 /// caller's timeout. A partitioned VM, one without power or a full accept queue never answers. Without the timeout a
 /// non-idempotent call would wait until its deadline and end as `timed_out`, as if it might have run, although no
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -461,6 +461,7 @@
         name: name.parse().unwrap(),
         engine,
         copies: engine,
+        kv_capacity: None,
     }
 }
 
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -180,6 +180,7 @@
                     return Ok(HealthReport {
                         load: Some(LoadSample::default()),
                         born,
+                        ..HealthReport::default()
                     });
                 }
                 std::future::pending().await
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -175,6 +175,7 @@
     rollout_precondition::RolloutPrecondition,
     rollout_record::{RolloutRecord, StoredRecord},
     rollouts::{ORDER_TIMEOUT, RolloutSettings, Rollouts, VersionAdmission},
+    room_report::{KvMemory, RoomReport, Slowdown},
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
@@ -231,6 +232,7 @@
     upstream_report::UpstreamReport,
     upstream_request_kind::UpstreamRequestKind,
     upstream_restart::{RestartEvidence, StaleRestart, TableFreshness, UpstreamRestart},
+    upstream_room::UpstreamRoom,
     upstream_slots::{CapacityReport, UpstreamSlots},
     upstream_statement::{StatementSubject, UpstreamStatement},
     upstream_table::{TableRead, UpstreamChange, UpstreamTable},
@@ -386,6 +388,7 @@
 mod rollout_precondition;
 mod rollout_record;
 mod rollouts;
+mod room_report;
 mod route;
 mod route_table;
 mod routing_config;
@@ -436,6 +439,7 @@
 mod upstream_report;
 mod upstream_request_kind;
 mod upstream_restart;
+mod upstream_room;
 mod upstream_slots;
 mod upstream_statement;
 mod upstream_table;
--- a/crates/decisions/src/routing_config.rs
+++ b/crates/decisions/src/routing_config.rs
@@ -26,6 +26,8 @@
     pub engine: bool,
     /// Whether the service's upstreams keep KV copies (backups of each other's KV cache).
     pub copies: bool,
+    /// KV cache memory of each engine in tokens, if the configuration states it.
+    pub kv_capacity: Option<u32>,
 }
 
 /// Limits on the size of a caller's requests and on the time they may take to arrive.
@@ -67,6 +69,18 @@
         Some(&self.services[index])
     }
 
+    /// Whether the calls of a service compete by rank: the routes to it have different priorities.
+    #[must_use]
+    pub fn is_ranked(&self, service: &ServiceId) -> bool {
+        let mut priorities = self
+            .routes
+            .iter()
+            .filter(|route| route.targets.iter().any(|t| t.service == *service))
+            .map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Looks up a caller's key.
     #[must_use]
     pub fn find_key(&self, key: &str) -> Option<&CallerKey> {
--- a/crates/decisions/src/upstream_statement.rs
+++ b/crates/decisions/src/upstream_statement.rs
@@ -22,6 +22,8 @@
     pub responder: Option<UpstreamId>,
     /// Its load.
     pub load: Option<LoadSample>,
+    /// Its room, as far as it states it.
+    pub room: RoomReport,
     /// Requests per second that it takes from all VMs together.
     pub limit: Option<Result<RequestRate, RequestRateError>>,
     /// Rejections a second that it bears.
