Pack heartbeats into datagrams and merge partial ones

Cause: a heartbeat over 1,400 bytes was shortened by constants, and not sent at all if it was still too large, as after the crash of a zone. Change: `pack` sends a heartbeat that fits unchanged, and otherwise one or two partial ones (`PeerDatagram::Partial`). The kinds of items have shares of the space, and the lists rotate. `PeerLoads` keeps what a partial heartbeat does not list, with its age. `PeerDatagram::encode` divides other datagrams with long lists. ciborium becomes a dependency of the crate, to measure items; before, only its tests used it.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -92,6 +92,9 @@
     failure_ejection::FailureEjection,
     fair_queue::{FairQueue, PopOptions, QueueTeam},
     finish::Finish,
+    heartbeat_packing::{
+        HeartbeatItem, HeartbeatRotation, HeartbeatTrigger, PackedHeartbeat, pack,
+    },
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     hot_keys::HotKeys,
@@ -124,7 +127,7 @@
     part_id::PartId,
     part_trial::TrialSlot,
     path_rule::PathRule,
-    peer_datagram::{Loan, LoanAsk, PeerDatagram, PeerStatement},
+    peer_datagram::{EncodedDatagrams, Loan, LoanAsk, PeerDatagram, PeerStatement},
     peer_entry::PeerEntry,
     peer_heartbeat::{MemberStatus, PeerDemand, PeerHeartbeat, PeerLimit, PeerLoad},
     peer_loads::{HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerLoads, SHARERS_PER_UPSTREAM},
@@ -309,6 +312,7 @@
 mod failure_ejection;
 mod fair_queue;
 mod finish;
+mod heartbeat_packing;
 mod hedge;
 mod hex;
 mod hot_keys;
--- a/crates/decisions/src/peer_datagram.rs
+++ b/crates/decisions/src/peer_datagram.rs
@@ -6,6 +6,9 @@
     /// The sender's heartbeat.
     #[serde(rename = "n")]
     Note(PeerHeartbeat),
+    /// Part of a heartbeat that does not fit into a datagram: what it does not list stays as it was.
+    #[serde(rename = "h")]
+    Partial(PeerHeartbeat),
     /// Status of some members of the fleet, for a VM that requested members in its heartbeat.
     #[serde(rename = "m")]
     Members(Vec<MemberStatus>),
@@ -39,6 +42,90 @@
     Statement(PeerStatement),
 }
 
+/// A datagram in encoded form.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EncodedDatagrams {
+    /// One datagram, or several if its lists did not fit into one.
+    pub datagrams: Vec<Vec<u8>>,
+    /// Number of datagrams with a single item that are too large; they are not sent.
+    pub too_large: usize,
+}
+
+impl PeerDatagram {
+    /// Encodes the datagram in at most `max_bytes`, or as several datagrams with a part of its lists each.
+    #[must_use]
+    pub fn encode(&self, max_bytes: usize) -> EncodedDatagrams {
+        let mut encoded = EncodedDatagrams::default();
+        self.encode_into(max_bytes, &mut encoded);
+        encoded
+    }
+
+    fn encode_into(&self, max_bytes: usize, encoded: &mut EncodedDatagrams) {
+        let mut bytes = Vec::with_capacity(max_bytes);
+        ciborium::into_writer(self, &mut bytes).expect("datagrams can be written as CBOR");
+        if bytes.len() <= max_bytes {
+            encoded.datagrams.push(bytes);
+        } else if let Some(halves) = self.halves() {
+            for half in halves {
+                half.encode_into(max_bytes, encoded);
+            }
+        } else {
+            encoded.too_large += 1;
+        }
+    }
+
+    /// Two datagrams that have the same effect as this one; `None` if it contains no list of several items.
+    /// Heartbeats are divided by [`pack`](crate::pack) instead.
+    fn halves(&self) -> Option<[Self; 2]> {
+        match self {
+            Self::Members(members) => Some(halves(members)?.map(Self::Members)),
+            Self::Crashes(report) => Some(halves(&report.parts)?.map(|parts| {
+                let vm = report.vm.clone();
+                Self::Crashes(CrashReport { vm, parts })
+            })),
+            Self::RolloutReport(report) => Some(halves(&report.evidence)?.map(|evidence| {
+                Self::RolloutReport(RolloutReport {
+                    evidence,
+                    ..report.clone()
+                })
+            })),
+            // Each part names routes that need samples, whichever arrives last.
+            Self::RolloutGrant(grant) => Some(halves(&grant.undersampled_routes)?.map(|routes| {
+                Self::RolloutGrant(RolloutGrant {
+                    undersampled_routes: routes,
+                    ..grant.clone()
+                })
+            })),
+            Self::Gossip(gossip) => {
+                let with = |changes, members| {
+                    Self::Gossip(ZoneGossip {
+                        changes,
+                        members,
+                        ..gossip.clone()
+                    })
+                };
+                if !gossip.members.is_empty() && !gossip.changes.is_empty() {
+                    return Some([
+                        with(gossip.changes.clone(), Vec::new()),
+                        with(Vec::new(), gossip.members.clone()),
+                    ]);
+                }
+                if let Some(changes) = halves(&gossip.changes) {
+                    return Some(changes.map(|changes| with(changes, Vec::new())));
+                }
+                Some(halves(&gossip.members)?.map(|members| with(Vec::new(), members)))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The two halves of a list; `None` if it has less than two items.
+fn halves<T: Clone>(items: &[T]) -> Option<[Vec<T>; 2]> {
+    let (first, second) = items.split_at(items.len() / 2);
+    (!first.is_empty()).then(|| [first.to_vec(), second.to_vec()])
+}
+
 /// What an upstream stated in a response to the sender that concerns the receiver too.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerStatement {
--- a/crates/decisions/src/peer_loads.rs
+++ b/crates/decisions/src/peer_loads.rs
@@ -7,7 +7,8 @@
 //! sends its prompts.
 //!
 //! A heartbeat holds the complete load of its sender, so the next one makes up for a lost one. Sequence
-//! numbers detect heartbeats that arrive out of order.
+//! numbers detect heartbeats that arrive out of order. A heartbeat that does not fit into a datagram is partial
+//! ([`pack`](crate::pack)): what it does not list keeps its value and age, and is dropped after [`PEER_TIMEOUT`].
 //!
 //! In a small system each VM sends its heartbeats to all others. In a larger one each upstream is shared by
 //! a few VMs of its zone ([`SHARERS_PER_UPSTREAM`]), and every VM with calls on the upstream sends its
@@ -65,6 +66,10 @@
 /// Number of VMs that collect the crashes under a part of prompts, in a larger system.
 const CRASH_COLLECTORS: usize = 3;
 
+/// How long a demand stays known that partial heartbeats do not list. A demand that a VM advertises no more
+/// concerns a service without limits, so a late end changes nothing.
+const DEMAND_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// How long a VM is retained after it was last seen.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 
@@ -102,10 +107,145 @@
     }
 }
 
+/// The state that a VM advertises, merged from its latest heartbeats.
 #[derive(Clone, Debug)]
 struct Received {
     heartbeat: PeerHeartbeat,
     at: Instant,
+    /// When the items of the heartbeat's lists were received, in the same order; empty if all were received with the
+    /// latest heartbeat.
+    times: ItemTimes,
+}
+
+/// Times at which the items of each list were received.
+#[derive(Clone, Debug, Default)]
+struct ItemTimes {
+    loads: Vec<Instant>,
+    suspects: Vec<Instant>,
+    demands: Vec<Instant>,
+    doubtful: Vec<Instant>,
+}
+
+impl Received {
+    fn complete(heartbeat: PeerHeartbeat, at: Instant) -> Self {
+        Self {
+            heartbeat,
+            at,
+            times: ItemTimes::default(),
+        }
+    }
+
+    /// Adds what this state has and a partial heartbeat does not list, with its age.
+    fn merge_into(self, partial: &mut Self) {
+        let (at, now) = (self.at, partial.at);
+        let (old, new) = (self.heartbeat, &mut partial.heartbeat);
+        let (old_times, times) = (self.times, &mut partial.times);
+        let kept = keep(&new.loads, old.loads, &old_times.loads, |load| {
+            &load.upstream
+        });
+        add(
+            &mut new.loads,
+            &mut times.loads,
+            kept,
+            at,
+            now,
+            PEER_TIMEOUT,
+        );
+        let kept = keep(&new.suspects, old.suspects, &old_times.suspects, |id| id);
+        add(
+            &mut new.suspects,
+            &mut times.suspects,
+            kept,
+            at,
+            now,
+            PEER_TIMEOUT,
+        );
+        let kept = keep(&new.doubtful, old.doubtful, &old_times.doubtful, |id| id);
+        add(
+            &mut new.doubtful,
+            &mut times.doubtful,
+            kept,
+            at,
+            now,
+            PEER_TIMEOUT,
+        );
+        let kept = keep(&new.demands, old.demands, &old_times.demands, |demand| {
+            &demand.service
+        });
+        add(
+            &mut new.demands,
+            &mut times.demands,
+            kept,
+            at,
+            now,
+            DEMAND_TIMEOUT,
+        );
+    }
+
+    /// Loads that are recent enough to be used, with their ages.
+    fn loads(&self, now: Instant) -> impl Iterator<Item = (&PeerLoad, Duration)> {
+        let ages = ages(&self.times.loads, self.at, now);
+        let loads = self.heartbeat.loads.iter().zip(ages);
+        loads.filter(|(_, age)| *age < PEER_TIMEOUT)
+    }
+
+    /// Suspects that are recent enough to be used.
+    fn suspects(&self, now: Instant) -> impl Iterator<Item = &UpstreamIncarnation> {
+        let ages = ages(&self.times.suspects, self.at, now);
+        let suspects = self.heartbeat.suspects.iter().zip(ages);
+        suspects
+            .filter(|(_, age)| *age < PEER_TIMEOUT)
+            .map(|(upstream, _)| upstream)
+    }
+
+    /// Whether the VM's path to a service is in doubt.
+    fn is_doubtful(&self, service: &ServiceId, now: Instant) -> bool {
+        let ages = ages(&self.times.doubtful, self.at, now);
+        let mut doubtful = self.heartbeat.doubtful.iter().zip(ages);
+        doubtful.any(|(id, age)| id == service && age < PEER_TIMEOUT)
+    }
+}
+
+/// Ages of the items of a list of which `times` are known, and which were received at `at` otherwise.
+fn ages(times: &[Instant], at: Instant, now: Instant) -> impl Iterator<Item = Duration> {
+    let times = times.iter().copied().chain(std::iter::repeat(at));
+    times.map(move |time| now.since(time))
+}
+
+/// The items of the old list that the new one does not contain, with their times if these are known.
+fn keep<T, K: Ord>(
+    new: &[T],
+    old: Vec<T>,
+    old_times: &[Instant],
+    key: impl Fn(&T) -> &K,
+) -> Vec<(T, Option<Instant>)> {
+    let mut listed = new.iter().map(&key).collect::<Vec<_>>();
+    listed.sort_unstable();
+    let times = old_times.iter().copied().map(Some);
+    let times = times.chain(std::iter::repeat(None));
+    old.into_iter()
+        .zip(times)
+        .filter(|(item, _)| listed.binary_search(&key(item)).is_err())
+        .collect()
+}
+
+/// Adds kept items that are younger than `timeout`. Those without a time of their own were received at `at`.
+fn add<T>(
+    items: &mut Vec<T>,
+    times: &mut Vec<Instant>,
+    kept: Vec<(T, Option<Instant>)>,
+    at: Instant,
+    now: Instant,
+    timeout: Duration,
+) {
+    times.resize(items.len(), now);
+    for (item, time) in kept {
+        let time = time.unwrap_or(at);
+        if now.since(time) < timeout {
+            items.push(item);
+            times.push(time);
+        }
+    }
 }
 
 impl PeerLoads {
@@ -118,44 +258,59 @@
         }
     }
 
-    /// Applies a heartbeat. Returns false for a duplicate or an older one; its members are applied all the
-    /// same.
+    /// Applies a complete heartbeat, which replaces all that the VM advertised before. Returns false for a duplicate or
+    /// an older one; its members are applied all the same.
     pub fn apply_heartbeat(
         &mut self,
         heartbeat: PeerHeartbeat,
         address: SocketAddr,
         now: Instant,
     ) -> bool {
+        self.apply(Received::complete(heartbeat, now), address, false)
+    }
+
+    /// Applies a partial heartbeat. What it does not list keeps its value and age, unless the sender has
+    /// restarted. Returns false for a duplicate or an older one.
+    pub fn apply_partial_heartbeat(
+        &mut self,
+        heartbeat: PeerHeartbeat,
+        address: SocketAddr,
+        now: Instant,
+    ) -> bool {
+        self.apply(Received::complete(heartbeat, now), address, true)
+    }
+
+    fn apply(&mut self, mut received: Received, address: SocketAddr, is_partial: bool) -> bool {
+        let now = received.at;
         self.peers
             .retain(|peer| now.since(peer.last_seen) < PEER_RETENTION);
+        let heartbeat = &received.heartbeat;
         self.apply_members(&heartbeat.members, &heartbeat.zone, now);
-        let peer = |heartbeat: PeerHeartbeat| Peer {
-            vm: heartbeat.vm.clone(),
-            zone: heartbeat.zone.clone(),
+        let position = self.position(&heartbeat.vm);
+        if let Ok(index) = position
+            && let Some(known) = &self.peers[index].heartbeat
+            && known.heartbeat.incarnation == heartbeat.incarnation
+        {
+            if heartbeat.number <= known.heartbeat.number {
+                return false;
+            }
+            if is_partial && let Some(known) = self.peers[index].heartbeat.take() {
+                known.merge_into(&mut received);
+            }
+        }
+        let peer = Peer {
+            vm: received.heartbeat.vm.clone(),
+            zone: received.heartbeat.zone.clone(),
             address,
-            link: heartbeat.link,
+            link: received.heartbeat.link,
             last_seen: now,
-            heartbeat: Some(Received { heartbeat, at: now }),
+            heartbeat: Some(received),
         };
-        match self.position(&heartbeat.vm) {
-            Ok(index) => {
-                let known = self.peers[index]
-                    .heartbeat
-                    .as_ref()
-                    .map(|received| &received.heartbeat);
-                let is_old = known.is_some_and(|k| {
-                    k.incarnation == heartbeat.incarnation && heartbeat.number <= k.number
-                });
-                if !is_old {
-                    self.peers[index] = peer(heartbeat);
-                }
-                !is_old
-            }
-            Err(index) => {
-                self.peers.insert(index, peer(heartbeat));
-                true
-            }
+        match position {
+            Ok(index) => self.peers[index] = peer,
+            Err(index) => self.peers.insert(index, peer),
         }
+        true
     }
 
     /// Applies what a peer advertises of other VMs; those without a zone are in `zone`.
@@ -176,11 +331,13 @@
     /// What the other VMs advertise of upstreams at `now`.
     #[must_use]
     pub fn view(&self, now: Instant) -> PeerView<'_> {
-        let recent_heartbeats = self
-            .recent_heartbeats(now)
-            .map(|received| (&received.heartbeat, now.since(received.at)));
-        let has_peers = self.live(now).next().is_some();
-        PeerView::new(recent_heartbeats, has_peers, self.is_full_mesh(now))
+        let recent = || self.recent_heartbeats(now);
+        PeerView::new(
+            recent().flat_map(|received| received.loads(now)),
+            recent().flat_map(|received| received.suspects(now)),
+            self.live(now).next().is_some(),
+            self.is_full_mesh(now),
+        )
     }
 
     /// Number of other VMs that were seen within `window`.
@@ -388,7 +545,7 @@
     #[must_use]
     pub fn is_suspect(&self, upstream: &UpstreamIncarnation, now: Instant) -> bool {
         self.recent_heartbeats(now)
-            .any(|received| received.heartbeat.suspects.contains(upstream))
+            .any(|received| received.suspects(now).any(|suspect| suspect == upstream))
     }
 
     /// Addresses of other VMs whose path to a service is not in doubt, those of `zone` first; `random` spreads the
@@ -406,7 +563,7 @@
                 .heartbeat
                 .as_ref()
                 .filter(|received| now.since(received.at) < PEER_TIMEOUT);
-            recent.is_some_and(|received| !received.heartbeat.doubtful.contains(service))
+            recent.is_some_and(|received| !received.is_doubtful(service, now))
         });
         let (mut own, mut other) = reaching.partition::<Vec<_>, _>(|peer| peer.zone == *zone);
         for peers in [&mut own, &mut other] {
--- a/crates/decisions/src/peer_view.rs
+++ b/crates/decisions/src/peer_view.rs
@@ -23,23 +23,21 @@
 }
 
 impl<'a> PeerView<'a> {
-    /// Adds up the loads of heartbeats, each with its age. `has_peers` is whether any other VM is alive,
+    /// Adds up the advertised loads, each with its age. `has_peers` is whether any other VM is alive,
     /// `is_full_mesh` whether each VM sends its heartbeats to all others.
     pub(crate) fn new(
-        heartbeats: impl Iterator<Item = (&'a PeerHeartbeat, Duration)>,
+        loads: impl Iterator<Item = (&'a PeerLoad, Duration)>,
+        suspects: impl Iterator<Item = &'a UpstreamIncarnation>,
         has_peers: bool,
         is_full_mesh: bool,
     ) -> Self {
-        let mut loads = Vec::new();
-        let mut suspects = Vec::new();
-        for (heartbeat, age) in heartbeats {
-            suspects.extend(&heartbeat.suspects);
-            loads.extend(heartbeat.loads.iter().map(|load| AdvertisedLoad {
-                upstream: &load.upstream,
-                calls: load.calls,
-                prefill: Duration::from_millis(load.reading_ms.into()).saturating_sub(age),
-            }));
-        }
+        let loads = loads.map(|(load, age)| AdvertisedLoad {
+            upstream: &load.upstream,
+            calls: load.calls,
+            prefill: Duration::from_millis(load.reading_ms.into()).saturating_sub(age),
+        });
+        let mut loads = loads.collect::<Vec<_>>();
+        let mut suspects = suspects.collect::<Vec<_>>();
         loads.sort_unstable_by_key(|load| load.upstream);
         // An engine processes prompts one after the other, so the prefill times are added like the calls.
         loads.dedup_by(|next, sum| {
--- a/crates/decisions/tests/encodings.rs
+++ b/crates/decisions/tests/encodings.rs
@@ -67,7 +67,7 @@
     }
     // Three heartbeats and three gossip datagrams (all fields set, optional ones absent, later fields set), gossip and a
     // restart of a later era of the store, five rollouts, two statements, and one datagram of each other variant.
-    expect_that!(lines("PeerDatagram/").count(), eq(22));
+    expect_that!(lines("PeerDatagram/").count(), eq(23));
 }
 
 /// Each variant of [`PeerDatagram`] stands in the fixture. A new variant does not compile here until it has a name.
@@ -78,6 +78,7 @@
             let bytes = parse_hex(encoded).expect("hexadecimal digits");
             match ciborium::from_reader(&bytes[..]).expect("a datagram") {
                 PeerDatagram::Note(_) => "heartbeat",
+                PeerDatagram::Partial(_) => "partial heartbeat",
                 PeerDatagram::Members(_) => "members",
                 PeerDatagram::Gossip(_) => "gossip",
                 PeerDatagram::LoanAsk(_) => "loan request",
@@ -93,7 +94,7 @@
         .collect::<Vec<_>>();
     kinds.sort_unstable();
     kinds.dedup();
-    expect_that!(kinds.len(), eq(11));
+    expect_that!(kinds.len(), eq(12));
 }
 
 #[gtest]
