Send heartbeats in parts if they do not fit

Change: the gateway packs its heartbeats, counts partial ones and the items left out, and divides crash reports and the outbox's datagrams. The limit of 12 suspects in a heartbeat is removed, since the packing chooses among them.

--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -11,20 +11,13 @@
 /// at once, and a millisecond is short compared with the hundreds that a prefill takes.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
 
-/// Maximum number of suspects, and of crashes, in a heartbeat.
-const MAX_REPORTED: usize = 12;
+/// Maximum number of crashes that are added to a heartbeat.
+const MAX_CRASHES: usize = 12;
 
-/// Maximum number of loads in a heartbeat that would be too large with all of them: some 25 bytes
-/// each, beside 700 bytes of suspects and crashes.
-const MAX_LOADS: usize = 20;
-
-/// Maximum number of limits in a heartbeat, some 35 bytes each.
+/// Maximum number of statements about limits in a heartbeat, the latest ones.
 const MAX_LIMITS: usize = 8;
 
-/// Maximum number of loads beside limits in a heartbeat that would be too large with all of them.
-const MAX_LOADS_BESIDE_LIMITS: usize = 10;
-
-/// Maximum number of crashes under parts of prompts in a datagram, up to a hundred bytes each.
+/// Maximum number of crashes under parts of prompts in a crash report.
 const MAX_PART_CRASHES: usize = 10;
 
 /// Every how many heartbeats the crashes of a blamed part and of a refused body are sent again, for VMs that have
@@ -38,7 +31,12 @@
         tokio::spawn(send_outbox(datagrams, socket.clone()));
     }
     tokio::spawn(receive_datagrams(gateway.clone(), socket.clone()));
-    let incarnation = gateway.vm_incarnation.incarnation;
+    let mut sender = HeartbeatSender {
+        gateway: gateway.clone(),
+        socket: socket.clone(),
+        rotation: HeartbeatRotation::default(),
+        extra_datagrams: 0,
+    };
     let mut ticks = gateway.timer.subscribe(HEARTBEAT_INTERVAL);
     for number in 1.. {
         tokio::select! {
@@ -50,14 +48,12 @@
                 recipients.extend(&gateway.settings.seeds);
                 let with_evidence = number.is_multiple_of(HEARTBEATS_PER_EVIDENCE);
                 send_crash_reports(&gateway, &socket, &recipients, with_evidence).await;
-                send_heartbeat(&socket, gateway.heartbeat(incarnation, number, true), recipients)
-                    .await;
+                sender.send(number, HeartbeatTrigger::Interval, recipients).await;
             }
             () = gateway.dispatches.wait() => {
                 tokio::time::sleep(BATCH_DELAY).await;
                 let recipients = gateway.dispatch_recipients(&gateway.dispatches.take());
-                send_heartbeat(&socket, gateway.heartbeat(incarnation, number, false), recipients)
-                    .await;
+                sender.send(number, HeartbeatTrigger::Event, recipients).await;
             }
             () = gateway.crashes_seen.notified() => {
                 tokio::time::sleep(BATCH_DELAY).await;
@@ -65,41 +61,54 @@
                 if gateway.is_full_mesh() {
                     send_crash_reports(&gateway, &socket, &recipients, false).await;
                 }
-                send_heartbeat(&socket, gateway.heartbeat(incarnation, number, false), recipients)
-                    .await;
+                sender.send(number, HeartbeatTrigger::Event, recipients).await;
             }
         }
     }
 }
 
-/// Sends a heartbeat. One that is too large, as on a VM with dozens of streams, is sent without
-/// members and with the largest loads only.
-async fn send_heartbeat(
-    socket: &UdpSocket,
-    heartbeat: PeerHeartbeat,
-    mut recipients: Vec<SocketAddr>,
-) {
-    recipients.sort_unstable();
-    recipients.dedup();
-    let complete = PeerDatagram::Note(heartbeat);
-    if send(socket, &complete, &recipients).await {
-        return;
-    }
-    let PeerDatagram::Note(mut heartbeat) = complete else {
-        return;
-    };
-    heartbeat.members.clear();
-    heartbeat
-        .loads
-        .sort_by_key(|load| std::cmp::Reverse((load.reading_ms, load.calls)));
-    let max_loads = if heartbeat.limits.is_empty() {
-        MAX_LOADS
-    } else {
-        MAX_LOADS_BESIDE_LIMITS
-    };
-    heartbeat.loads.truncate(max_loads);
-    if !send(socket, &PeerDatagram::Note(heartbeat), &recipients).await {
-        tracing::warn!("heartbeat too large, not sent");
+struct HeartbeatSender {
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    rotation: HeartbeatRotation,
+    /// Number of datagrams beyond the first of each heartbeat; they have sequence numbers of their own.
+    extra_datagrams: u64,
+}
+
+impl HeartbeatSender {
+    /// Sends the heartbeat with a number, or parts of it if it does not fit into a datagram.
+    async fn send(
+        &mut self,
+        number: u64,
+        trigger: HeartbeatTrigger,
+        mut recipients: Vec<SocketAddr>,
+    ) {
+        recipients.sort_unstable();
+        recipients.dedup();
+        let heartbeat = self
+            .gateway
+            .heartbeat(number, self.extra_datagrams, trigger);
+        let now = self.gateway.timer.now();
+        let packed = pack(
+            heartbeat,
+            &mut self.rotation,
+            trigger,
+            MAX_DATAGRAM_BYTES,
+            now,
+        );
+        if packed.is_partial {
+            metrics::counter!("catkin_heartbeats_partial_total").increment(1);
+        }
+        for (kind, count) in packed.left_out {
+            let kind: &'static str = kind.into();
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            metrics::counter!("catkin_heartbeat_items_left_out_total", "kind" => kind)
+                .increment(count);
+        }
+        for (index, datagram) in (0..).zip(&packed.datagrams) {
+            self.extra_datagrams += u64::from(index > 0);
+            send_to_all(&self.socket, datagram, &recipients).await;
+        }
     }
 }
 
@@ -116,34 +125,37 @@
     for (recipients, parts) in gateway.crash_reports(recipients, with_evidence) {
         let vm = gateway.settings.vm.clone();
         let report = PeerDatagram::Crashes(CrashReport { vm, parts });
-        if !send(socket, &report, &recipients).await {
-            tracing::warn!("crash report too large, not sent");
-        }
+        send(socket, &report, &recipients).await;
     }
 }
 
 async fn send_outbox(mut datagrams: mpsc::Receiver<Addressed>, socket: Arc<UdpSocket>) {
     while let Some((to, datagram)) = datagrams.recv().await {
-        if !send(&socket, &datagram, &to).await {
-            tracing::warn!(recipients = to.len(), "datagram too large, not sent");
-        }
+        send(&socket, &datagram, &to).await;
     }
 }
 
-/// Sends a datagram to each address; returns `false` if it is too large.
-async fn send(socket: &UdpSocket, datagram: &PeerDatagram, recipients: &[SocketAddr]) -> bool {
-    let mut buf = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    ciborium::into_writer(datagram, &mut buf).expect("datagrams can be written as CBOR");
-    if buf.len() > MAX_DATAGRAM_BYTES {
-        return false;
+/// Sends a datagram to each address, divided into several if its lists are long.
+async fn send(socket: &UdpSocket, datagram: &PeerDatagram, recipients: &[SocketAddr]) {
+    let encoded = datagram.encode(MAX_DATAGRAM_BYTES);
+    for datagram in &encoded.datagrams {
+        send_to_all(socket, datagram, recipients).await;
+    }
+    if encoded.too_large > 0 {
+        tracing::warn!(
+            items = encoded.too_large,
+            "items too large for a datagram, not sent"
+        );
     }
+}
+
+async fn send_to_all(socket: &UdpSocket, datagram: &[u8], recipients: &[SocketAddr]) {
     for address in recipients {
-        if let Err(error) = socket.send_to(&buf, address).await {
+        if let Err(error) = socket.send_to(datagram, address).await {
             // A VM that has stopped refuses datagrams; the next heartbeat shows whether it is back.
             tracing::debug!(%address, %error, "datagram not sent");
         }
     }
-    true
 }
 
 async fn receive_datagrams(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -159,6 +171,9 @@
         };
         match ciborium::from_reader::<PeerDatagram, _>(&buf[..len]) {
             Ok(PeerDatagram::Note(heartbeat)) => gateway.receive_heartbeat(heartbeat, address),
+            Ok(PeerDatagram::Partial(heartbeat)) => {
+                gateway.receive_partial_heartbeat(heartbeat, address);
+            }
             Ok(PeerDatagram::Members(members)) => gateway.receive_members(&members),
             Ok(PeerDatagram::Gossip(gossip)) => gateway.receive_gossip(&gossip, address),
             Ok(PeerDatagram::LoanAsk(ask)) => gateway.lend(ask, address),
@@ -175,8 +190,15 @@
 }
 
 impl Gateway {
-    /// Builds a heartbeat. Those that are sent after a dispatch or a crash leave out the members.
-    fn heartbeat(&self, incarnation: u64, number: u64, with_members: bool) -> PeerHeartbeat {
+    /// Builds the heartbeat with a number, to which that of the extra datagrams before is added. Those that are sent after
+    /// a dispatch or a crash leave out the members.
+    fn heartbeat(
+        &self,
+        number: u64,
+        extra_datagrams: u64,
+        trigger: HeartbeatTrigger,
+    ) -> PeerHeartbeat {
+        let with_members = trigger == HeartbeatTrigger::Interval;
         let now = self.timer.now();
         let mut state = self.state.lock();
         let mut loads = Vec::new();
@@ -193,19 +215,19 @@
                 });
             }
             let is_evidence = doubtful.binary_search(&upstream.entry.service).is_err();
-            if upstream.health.is_suspect() && is_evidence && suspects.len() < MAX_REPORTED {
+            if upstream.health.is_suspect() && is_evidence {
                 suspects.push(upstream.entry.id.clone());
             }
         }
-        let mut crashes = state.crashes.next_to_send(MAX_REPORTED, now);
+        let mut crashes = state.crashes.next_to_send(MAX_CRASHES, now);
         if with_members && number.is_multiple_of(HEARTBEATS_PER_EVIDENCE) {
             crashes.extend(state.crashes.next_refused(now));
         }
         PeerHeartbeat {
             vm: self.settings.vm.clone(),
             zone: self.settings.zone.clone(),
-            incarnation,
-            number,
+            incarnation: self.vm_incarnation.incarnation,
+            number: number + extra_datagrams,
             loads,
             suspects,
             crashes,
@@ -309,8 +331,22 @@
         state.peers.apply_members(members, &self.settings.zone, now);
     }
 
-    /// Applies a heartbeat of another VM that came from `address`.
+    /// Applies a complete heartbeat of another VM that came from `address`.
     pub fn receive_heartbeat(&self, heartbeat: PeerHeartbeat, address: SocketAddr) {
+        self.apply_heartbeat(heartbeat, address, PeerLoads::apply_heartbeat);
+    }
+
+    /// Applies a partial heartbeat of another VM that came from `address`.
+    pub fn receive_partial_heartbeat(&self, heartbeat: PeerHeartbeat, address: SocketAddr) {
+        self.apply_heartbeat(heartbeat, address, PeerLoads::apply_partial_heartbeat);
+    }
+
+    fn apply_heartbeat(
+        &self,
+        heartbeat: PeerHeartbeat,
+        address: SocketAddr,
+        apply: fn(&mut PeerLoads, PeerHeartbeat, SocketAddr, Instant) -> bool,
+    ) {
         if heartbeat.vm == self.settings.vm {
             return;
         }
@@ -332,7 +368,7 @@
             .cloned()
             .collect::<Vec<_>>();
         let before = state.peers.live_count(now);
-        if !state.peers.apply_heartbeat(heartbeat, address, now) {
+        if !apply(&mut state.peers, heartbeat, address, now) {
             return;
         }
         let crashes = crashes.into_iter().map(|crash| crash.received(now));
