Room of upstreams, and placement of scheduled services by expected time

Upstreams reported slots, memory and speed, but nothing decided by them: prefill was taken to be 8 tokens a ms everywhere, and no decision considered memory.

UpstreamRoom keeps what a VM promised on an upstream, its reports and its speed, and estimates the time of a call there. Streams of scheduled services go to an upstream with room by expected time; other services are placed as before. Heartbeats carry the promised memory for scheduled services. Figures that cannot be read are logged once for each process and no longer make a whole report or configuration unreadable.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -215,7 +215,7 @@
         self.avoid.push(entry.id.clone());
         let gateway = self.gateway.clone();
         let path = gateway.path_to(&entry, &self.unopened);
-        let guard = RunGuard::begin(&gateway, entry.clone(), 0, path);
+        let guard = RunGuard::begin(&gateway, entry.clone(), self.accepted.call.size(), 0, path);
         let sent_at = gateway.timer.now();
         let time_left = self.accepted.time_left(sent_at);
         self.log_sent(&entry, path, time_left);
--- a/crates/catkinward/src/gateway/call.rs
+++ b/crates/catkinward/src/gateway/call.rs
@@ -49,6 +49,17 @@
 }
 
 impl Call {
+    /// Size of the call at an engine.
+    #[must_use]
+    pub fn size(&self) -> CallSize {
+        self.prompt
+            .as_ref()
+            .map_or_else(CallSize::default, |prompt| CallSize {
+                prompt: prompt.tokens,
+                max_generated: prompt.max_generated,
+            })
+    }
+
     /// Digest that identifies a call when its caller sends it again under another id.
     #[must_use]
     pub fn digest(&self, team: Option<&TeamId>) -> u64 {
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -69,8 +69,9 @@
     /// Number of connections to upstreams that are open for other VMs.
     pub(crate) connections_for_others: AtomicU32,
     /// Notifies queued calls that an upstream may have room.
-    #[allow(dead_code)]
     pub(crate) room_changed: Notify,
+    /// Whether a service was found to be scheduled.
+    pub(crate) has_scheduled: AtomicBool,
     /// Notifies waiting calls that a budget loan has arrived.
     pub(crate) loan_arrived: Notify,
     /// Datagrams to other VMs that do not wait for the next heartbeat.
@@ -142,6 +143,7 @@
             waiting_retries: AtomicU32::new(0),
             connections_for_others: AtomicU32::new(0),
             room_changed: Notify::new(),
+            has_scheduled: AtomicBool::default(),
             loan_arrived: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
@@ -240,6 +242,9 @@
         let version = config.version;
         let mut state = self.state.lock();
         let advanced = state.config.advance(config);
+        if advanced {
+            state.schedulings.clear();
+        }
         self.current.send_replace(state.is_current());
         drop(state);
         if advanced {
@@ -350,6 +355,9 @@
                 _ => {}
             }
         }
+        if !changes.is_empty() {
+            self.room_may_have_changed();
+        }
     }
 
     /// Records the era of the store in a response, or in the gossip of another VM.
@@ -425,6 +433,9 @@
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
+        if accepted.route.kind.is_stream() && self.is_scheduled(&accepted.service) {
+            return self.select_without_wait(accepted, avoid, cached);
+        }
         self.select_for_send(
             accepted,
             avoid,
@@ -486,6 +497,9 @@
         let avoid = state.back_offs.excluded(0.0, now).cloned();
         let avoid = avoid.collect::<Vec<_>>();
         drop(state);
+        if self.is_scheduled(&accepted.service) {
+            return self.select_holder_with_room(accepted, &avoid, run);
+        }
         self.select_with(
             accepted,
             &avoid,
@@ -523,18 +537,8 @@
         select: impl FnOnce(&[PlacementCandidate], &PlacementContext) -> T,
     ) -> T {
         let now = self.timer.now();
-        let zone = &self.settings.zone;
-        let mut zone_vms = state.peers.live_in(zone, now).collect::<Vec<_>>();
-        zone_vms.push(self.settings.vm.clone());
-        let context = PlacementContext {
-            zone: &self.settings.zone,
-            vm: &self.settings.vm,
-            zone_vms: &zone_vms,
-            stream: accepted.route.kind.is_stream(),
-            random: rand::random(),
-            now,
-            policy: &self.settings.policy,
-        };
+        let zone_vms = self.live_zone_vms(state, now);
+        let context = self.placement_context(accepted.route.kind.is_stream(), &zone_vms, now);
         state.select_with(
             &accepted.service,
             avoid,
@@ -545,6 +549,33 @@
         )
     }
 
+    /// Names of the live VMs of this zone, including this VM.
+    pub(crate) fn live_zone_vms(&self, state: &GatewayState, now: Instant) -> Vec<Arc<str>> {
+        let mut zone_vms = state
+            .peers
+            .live_in(&self.settings.zone, now)
+            .collect::<Vec<_>>();
+        zone_vms.push(self.settings.vm.clone());
+        zone_vms
+    }
+
+    pub(crate) fn placement_context<'a>(
+        &'a self,
+        stream: bool,
+        zone_vms: &'a [Arc<str>],
+        now: Instant,
+    ) -> PlacementContext<'a> {
+        PlacementContext {
+            zone: &self.settings.zone,
+            vm: &self.settings.vm,
+            zone_vms,
+            stream,
+            random: rand::random(),
+            now,
+            policy: &self.settings.policy,
+        }
+    }
+
     /// Whether the rollouts admit every request of its service to an upstream.
     pub(crate) fn is_open(&self, entry: &UpstreamEntry) -> bool {
         let now = self.timer.now();
@@ -566,12 +597,14 @@
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
         upstream.health.record_activity(now);
-        if let Some((load, room)) = load {
-            upstream.load.record_report(load, now);
-            upstream.room.record_report(load, room, now);
-        }
+        let reported = load.is_some();
+        let unreadable =
+            load.and_then(|(load, room)| upstream.record_report(Some(load), room, now));
         let changes = state.directory.record_response(&entry.id);
         drop(state);
+        if reported {
+            self.report_received(entry, unreadable);
+        }
         self.presence_changed(&changes);
     }
 
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -24,6 +24,7 @@
         }
         gateway.remove_ended_back_offs(now);
         gateway.set_gauges(role, now);
+        gateway.set_room_gauges(now);
     }
 }
 
--- a/crates/catkinward/src/gateway/kv_copy.rs
+++ b/crates/catkinward/src/gateway/kv_copy.rs
@@ -9,20 +9,18 @@
     pub(crate) source: CopySource,
     /// Whether to request that the holder frees the copy when it is dropped.
     free_on_drop: bool,
+    /// Memory promised to the copy at its holder.
+    tokens: u32,
 }
 
 impl KvCopy {
     /// A copy that an upstream receives from a run as it grows. Its handle is the call's id.
-    pub(crate) fn growing(
-        gateway: &Arc<Gateway>,
-        holder: Arc<UpstreamEntry>,
-        call: &RequestId,
-    ) -> Self {
+    pub(crate) fn growing(gateway: &Arc<Gateway>, holder: Arc<UpstreamEntry>, call: &Call) -> Self {
         let source = CopySource {
             address: holder.address,
-            handle: call.as_str().into(),
+            handle: call.id.as_str().into(),
         };
-        Self::count(gateway, holder, source, false)
+        Self::count(gateway, holder, source, call.size(), false)
     }
 
     /// A copy that was requested explicitly. Its holder reserves memory for it for some seconds
@@ -31,28 +29,31 @@
         gateway: &Arc<Gateway>,
         holder: Arc<UpstreamEntry>,
         source: CopySource,
+        size: CallSize,
     ) -> Self {
-        Self::count(gateway, holder, source, true)
+        Self::count(gateway, holder, source, size, true)
     }
 
     fn count(
         gateway: &Arc<Gateway>,
         holder: Arc<UpstreamEntry>,
         source: CopySource,
+        size: CallSize,
         free_on_drop: bool,
     ) -> Self {
         let now = gateway.timer.now();
-        gateway
-            .state
-            .lock()
-            .upstream(&holder, now)
-            .load
-            .copy_added();
+        let tokens = size.tokens();
+        let mut state = gateway.state.lock();
+        let upstream = state.upstream(&holder, now);
+        upstream.load.copy_added();
+        upstream.room.copy_added(tokens);
+        drop(state);
         Self {
             gateway: gateway.clone(),
             holder,
             source,
             free_on_drop,
+            tokens,
         }
     }
 
@@ -72,8 +73,11 @@
     fn drop(&mut self) {
         let now = self.gateway.timer.now();
         let mut state = self.gateway.state.lock();
-        state.upstream(&self.holder, now).load.copy_removed();
+        let upstream = state.upstream(&self.holder, now);
+        upstream.load.copy_removed();
+        upstream.room.copy_removed(self.tokens);
         drop(state);
+        self.gateway.room_may_have_changed();
         if self.free_on_drop && self.gateway.settings.policy.freed_copies {
             let gate = self
                 .gateway
--- a/crates/catkinward/src/gateway/kv_copy_manager.rs
+++ b/crates/catkinward/src/gateway/kv_copy_manager.rs
@@ -37,6 +37,7 @@
 
 struct PendingCopy {
     holder: Arc<UpstreamEntry>,
+    size: CallSize,
     answer: BoxFuture<'static, Result<CopySource, CopyError>>,
 }
 
@@ -101,7 +102,7 @@
             return;
         };
         let answer = (&mut pending.answer).await;
-        let holder = pending.holder.clone();
+        let (holder, size) = (pending.holder.clone(), pending.size);
         self.pending = None;
         let now = self.gateway.timer.now();
         match answer {
@@ -112,7 +113,7 @@
                 {
                     before.keep();
                 }
-                let copy = KvCopy::ordered(&self.gateway, holder, source);
+                let copy = KvCopy::ordered(&self.gateway, holder, source, size);
                 self.requested = Some((copy, now));
             }
             Err(error) => {
@@ -158,6 +159,7 @@
         };
         self.pending = Some(PendingCopy {
             holder,
+            size: accepted.call.size(),
             answer: (self.gateway.transport.copy)(order),
         });
     }
--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -182,14 +182,22 @@
         let mut loads = Vec::new();
         let mut suspects = Vec::new();
         let doubtful = state.service_reaches(now).doubtful();
+        let scheduled = state.scheduled_services(now);
         for upstream in state.upstreams_mut() {
-            let prefill = upstream.load.prefill_left(now);
+            let is_scheduled = scheduled.contains(&upstream.entry.service);
+            let prefill = if is_scheduled {
+                upstream.room.prefill_left(now)
+            } else {
+                upstream.load.prefill_left(now)
+            };
             let calls = upstream.load.call_and_copy_count();
             if calls > 0 || !prefill.is_zero() {
                 loads.push(PeerLoad {
                     upstream: upstream.entry.id.clone(),
                     calls,
                     reading_ms: u32::try_from(prefill.as_millis()).unwrap_or(u32::MAX),
+                    hundred_tokens: is_scheduled
+                        .then(|| PeerLoad::in_hundreds(upstream.room.promised_tokens())),
                 });
             }
             let is_evidence = doubtful.binary_search(&upstream.entry.service).is_err();
@@ -339,6 +347,7 @@
         let new_crashes = state.apply_reported_crashes(crashes, now);
         let live = state.peers.live_count(now);
         drop(state);
+        self.room_may_have_changed();
         if new_crashes > 0 {
             tracing::debug!(new = new_crashes, %vm, "crashes reported by another VM");
         }
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -8,6 +8,10 @@
     pub(crate) path: SendPath,
     /// Changes when the runs on the upstream fail over.
     pub(crate) failed_over: watch::Receiver<FailOver>,
+    /// The run in the room of the upstream.
+    run: RoomRun,
+    /// Whether the upstream has sent data of the response.
+    has_data: bool,
 }
 
 /// Signal to the runs on an upstream that it may have failed.
@@ -43,21 +47,37 @@
 }
 
 impl RunGuard {
-    /// Counts a run, with the prompt tokens that its upstream has to prefill. A run over a path through another VM
+    /// Counts a run of a call of `size`, with the prompt tokens that its upstream has to prefill. A run over a path through another VM
     /// says nothing about the own one, so its silence starts no health check.
     pub(crate) fn begin(
         gateway: &Arc<Gateway>,
         entry: Arc<UpstreamEntry>,
+        size: CallSize,
         prompt_tokens: u32,
         path: SendPath,
     ) -> Self {
         let now = gateway.timer.now();
         let mut state = gateway.state.lock();
+        let is_scheduled = state.scheduling(&entry.service, now).is_scheduled;
+        let peer_prefill = if is_scheduled && prompt_tokens > 0 {
+            state.peers.view(now).prefill_left(&entry.id)
+        } else {
+            Duration::ZERO
+        };
         let upstream = state.upstream(&entry, now);
         if path.is_direct() {
             upstream.health.call_started(now);
         }
-        upstream.load.call_started(prompt_tokens, now);
+        let prefill = if is_scheduled {
+            let speed = upstream.room.speed();
+            speed.prefill_time(f64::from(prompt_tokens), now)
+        } else {
+            prefill_time(prompt_tokens)
+        };
+        upstream.load.call_started_with(prefill, now);
+        let run = upstream
+            .room
+            .run_started(size, prompt_tokens, peer_prefill, now);
         let failed_over = upstream.failed_over.subscribe();
         drop(state);
         if prompt_tokens > 0 {
@@ -68,7 +88,21 @@
             entry,
             path,
             failed_over,
+            run,
+            has_data: false,
+        }
+    }
+
+    /// Records that data of the response has arrived: with the first event, the prompt is prefilled.
+    pub(crate) fn record_data(&mut self) {
+        if std::mem::replace(&mut self.has_data, true) {
+            return;
+        }
+        let now = self.gateway.timer.now();
+        if let Some(upstream) = self.gateway.state.lock().existing_upstream(&self.entry.id) {
+            upstream.room.first_event(self.run, now);
         }
+        self.gateway.room_may_have_changed();
     }
 
     /// Waits until the runs on the upstream fail over.
@@ -99,5 +133,8 @@
             upstream.health.call_ended();
         }
         upstream.load.call_ended();
+        upstream.room.run_ended(self.run);
+        drop(state);
+        self.gateway.room_may_have_changed();
     }
 }
--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -52,6 +52,7 @@
     demands: Vec<(ServiceId, ServiceDemand)>,
     /// Callers refused because of limits, sorted by service.
     limit_queues: Vec<(ServiceId, LimitQueue)>,
+    pub(crate) schedulings: Schedulings,
 }
 
 /// How much of the directory has been read since this process started.
@@ -87,6 +88,21 @@
     pub(crate) failed_over: watch::Sender<FailOver>,
 }
 
+impl UpstreamIncarnationState {
+    /// Records a report of the upstream. Returns the figure that cannot be read, for the first such report.
+    pub(crate) fn record_report(
+        &mut self,
+        load: Option<LoadSample>,
+        room: RoomReport,
+        now: Instant,
+    ) -> Option<ReportFigure> {
+        if let Some(load) = load {
+            self.load.record_report(load, now);
+        }
+        self.room.record_report(load, room, now)
+    }
+}
+
 /// How long after the loss of a run a crash of its upstream is attributed to the call: until the
 /// next caller is refused a connection or the entry of the upstream has expired.
 const CRASH_ATTRIBUTION_WINDOW: Duration = Duration::from_secs(5);
@@ -128,6 +144,7 @@
             stream_durations: StreamDurationEstimator::default(),
             demands: Vec::new(),
             limit_queues: Vec::new(),
+            schedulings: Schedulings::default(),
             config_is_stale: false,
             directory_is_stale: false,
         }
@@ -470,40 +487,89 @@
         context: &PlacementContext,
         select: impl FnOnce(&[PlacementCandidate]) -> T,
     ) -> T {
-        let now = context.now;
-        let mut entries = self.eligible(service, candidate_set, now);
+        let mut entries = self.eligible(service, candidate_set, context.now);
         entries.retain(|entry| !avoid.contains(&entry.id));
         let unused = UpstreamLoad::default();
-        let peers = self.peers.view(now);
+        let peers = self.peers.view(context.now);
+        let candidates = entries
+            .iter()
+            .map(|entry| {
+                let state = self.used_upstream(entry);
+                let load = state.map_or(&unused, |state| &state.load);
+                self.candidate(entry, state, load, &peers, cached, context)
+            })
+            .collect::<Vec<_>>();
+        select(&candidates)
+    }
+
+    /// Selects among the upstreams of a scheduled service that are not in `avoid`.
+    pub(crate) fn select_with_room<T>(
+        &self,
+        service: &ServiceId,
+        avoid: &[UpstreamIncarnation],
+        cached: &[(UpstreamIncarnation, u32)],
+        context: &RoomContext,
+        select: impl FnOnce(&[RoomCandidate]) -> T,
+    ) -> T {
+        let placement = &context.placement;
+        let mut entries = self.eligible(service, Candidates::Open, placement.now);
+        entries.retain(|entry| !avoid.contains(&entry.id));
+        let (unused, unused_room) = (UpstreamLoad::default(), UpstreamRoom::default());
+        let peers = self.peers.view(placement.now);
         let candidates = entries
             .iter()
             .map(|entry| {
-                let found = self.upstreams.binary_search_by(|u| u.id.cmp(&entry.id));
-                let state = found.ok().map(|index| &self.upstreams[index]);
-                PlacementCandidate {
-                    entry,
-                    load: state.map_or(&unused, |state| &state.load),
-                    suspect: state.is_some_and(|state| state.health.is_suspect())
-                        || (context.policy.peer_suspects && peers.is_suspect(&entry.id)),
-                    suspect_zone: context.policy.zone_alarm
-                        && self.zones.is_suspect(&entry.zone, now),
-                    cached: cached_tokens(cached, &entry.id),
-                    peer_calls: if context.policy.peer_loads {
-                        peers.calls(&entry.id)
+                let state = self.used_upstream(entry);
+                let load = state.map_or(&unused, |state| &state.load);
+                RoomCandidate {
+                    placement: self.candidate(entry, state, load, &peers, cached, placement),
+                    room: state.map_or(&unused_room, |state| &state.room),
+                    peer_tokens: if placement.policy.peer_loads {
+                        peers.tokens(&entry.id)
                     } else {
                         0
                     },
-                    load_is_complete: knows_complete_load(&peers, entry, context),
-                    peer_prefill: if context.policy.peer_loads {
-                        peers.prefill_left(&entry.id)
-                    } else {
-                        Duration::ZERO
-                    },
                 }
             })
             .collect::<Vec<_>>();
         select(&candidates)
     }
+
+    fn used_upstream(&self, entry: &UpstreamEntry) -> Option<&UpstreamIncarnationState> {
+        let found = self.upstreams.binary_search_by(|u| u.id.cmp(&entry.id));
+        found.ok().map(|index| &self.upstreams[index])
+    }
+
+    fn candidate<'a>(
+        &self,
+        entry: &'a Arc<UpstreamEntry>,
+        state: Option<&UpstreamIncarnationState>,
+        load: &'a UpstreamLoad,
+        peers: &PeerView,
+        cached: &[(UpstreamIncarnation, u32)],
+        context: &PlacementContext,
+    ) -> PlacementCandidate<'a> {
+        PlacementCandidate {
+            entry,
+            load,
+            suspect: state.is_some_and(|state| state.health.is_suspect())
+                || (context.policy.peer_suspects && peers.is_suspect(&entry.id)),
+            suspect_zone: context.policy.zone_alarm
+                && self.zones.is_suspect(&entry.zone, context.now),
+            cached: cached_tokens(cached, &entry.id),
+            peer_calls: if context.policy.peer_loads {
+                peers.calls(&entry.id)
+            } else {
+                0
+            },
+            load_is_complete: knows_complete_load(peers, entry, context),
+            peer_prefill: if context.policy.peer_loads {
+                peers.prefill_left(&entry.id)
+            } else {
+                Duration::ZERO
+            },
+        }
+    }
 }
 
 /// Value of a service in a sorted vector, created if there is none.
--- a/crates/catkinward/src/gateway/statements.rs
+++ b/crates/catkinward/src/gateway/statements.rs
@@ -80,12 +80,13 @@
 
     fn apply_to_subject(&self, gate: &UpstreamGate, statement: &UpstreamStatement) {
         let entry = &gate.entry;
-        if let Some(load) = statement.load {
+        if statement.load.is_some() || !statement.room.is_empty() {
             let now = self.timer.now();
             let mut state = self.state.lock();
             let upstream = state.upstream(entry, now);
-            upstream.load.record_report(load, now);
-            upstream.room.record_report(load, statement.room, now);
+            let unreadable = upstream.record_report(statement.load, statement.room, now);
+            drop(state);
+            self.report_received(entry, unreadable);
         }
         // What a response to a call leaves out no longer holds; another one says nothing by it.
         if statement.kind != ResponseKind::Other {
@@ -105,6 +106,16 @@
         }
     }
 
+    /// Handles a report of an upstream after it was recorded; `unreadable` is a figure that cannot be read, once for
+    /// each process of an upstream.
+    pub(crate) fn report_received(&self, entry: &UpstreamEntry, unreadable: Option<ReportFigure>) {
+        if let Some(figure) = unreadable {
+            let figure: &str = figure.into();
+            tracing::warn!(upstream = %entry.id, figure, "figure in an upstream's report cannot be read");
+        }
+        self.room_may_have_changed();
+    }
+
     /// Records that an upstream is leaving, and sends that to the other VMs that may use it: the store may not say so,
     /// and those that open connections for this VM do not read the responses.
     fn leaving_stated(&self, gate: &UpstreamGate, status: u16) {
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -317,7 +317,8 @@
         let Some(active) = &mut self.active else {
             return Ok(());
         };
-        let ActiveRun { guard, .. } = &active;
+        let ActiveRun { guard, .. } = active;
+        guard.record_data();
         self.gateway
             .upstream_responded_over(guard.path, &guard.entry);
         if active.splitter.push(bytes).is_err() {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -299,8 +299,8 @@
             self.prefill_tokens(&entry)
         };
         SentRun {
-            guard: RunGuard::begin(&gateway, entry, tokens, path),
-            copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id)),
+            guard: RunGuard::begin(&gateway, entry, self.accepted.call.size(), tokens, path),
+            copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call)),
             _from: from,
             response: (gateway.transport.send)(call),
             sent_at: now,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -84,6 +84,7 @@
     error::Error,
     event_relay::{EventDecision, EventRelay, EventRun},
     event_splitter::{CompleteEvent, EventSplitter, MAX_EVENT_BYTES},
+    expected_time::{EngineSpeed, SPEED_STATEMENT_PERIOD},
     exposure::{
         ExposureGrants, ExposureLedger, ExposureLimit, ExposurePermit, GRANT_LIFETIME,
         VmIncarnation,
@@ -175,7 +176,10 @@
     rollout_precondition::RolloutPrecondition,
     rollout_record::{RolloutRecord, StoredRecord},
     rollouts::{ORDER_TIMEOUT, RolloutSettings, Rollouts, VersionAdmission},
-    room_report::{KvMemory, RoomReport, Slowdown},
+    room_placement::{
+        RoomCandidate, RoomContext, select_copy_holder_with_room, select_for_time, select_with_room,
+    },
+    room_report::{KvMemory, ReportFigure, RoomReport, Slowdown},
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
@@ -232,7 +236,7 @@
     upstream_report::UpstreamReport,
     upstream_request_kind::UpstreamRequestKind,
     upstream_restart::{RestartEvidence, StaleRestart, TableFreshness, UpstreamRestart},
-    upstream_room::UpstreamRoom,
+    upstream_room::{CallSize, KnownLoad, RoomEstimate, RoomRun, UpstreamRoom},
     upstream_slots::{CapacityReport, UpstreamSlots},
     upstream_statement::{StatementSubject, UpstreamStatement},
     upstream_table::{TableRead, UpstreamChange, UpstreamTable},
@@ -304,6 +308,7 @@
 mod error;
 mod event_relay;
 mod event_splitter;
+mod expected_time;
 mod exposure;
 mod failed_call;
 mod failure_ejection;
@@ -388,6 +393,7 @@
 mod rollout_precondition;
 mod rollout_record;
 mod rollouts;
+mod room_placement;
 mod room_report;
 mod route;
 mod route_table;
--- a/crates/decisions/src/peer_heartbeat.rs
+++ b/crates/decisions/src/peer_heartbeat.rs
@@ -96,6 +96,31 @@
     /// Milliseconds until the upstream has completed the prefill of the prompts that the VM sent there.
     #[serde(rename = "r")]
     pub reading_ms: u32,
+    /// Memory promised to these calls and copies, in hundreds of tokens, rounded up; `None` for an upstream of a
+    /// service that is not scheduled. A finer unit would take more bytes; thousands, rounded up, would leave room for
+    /// eight calls of 9,040 tokens in 88,000 in place of nine.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub hundred_tokens: Option<u32>,
+}
+
+/// Memory that a call is taken to need if its VM does not advertise it, in tokens.
+const UNKNOWN_CALL_TOKENS: u32 = 9000;
+
+impl PeerLoad {
+    /// Memory in tokens promised to the calls and copies.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        match self.hundred_tokens {
+            Some(hundreds) => hundreds.saturating_mul(100),
+            None => self.calls.saturating_mul(UNKNOWN_CALL_TOKENS),
+        }
+    }
+
+    /// Converts an amount of memory for [`Self::hundred_tokens`].
+    #[must_use]
+    pub fn in_hundreds(tokens: u32) -> u32 {
+        tokens.div_ceil(100)
+    }
 }
 
 /// What one VM advertises of another one.
--- a/crates/decisions/src/peer_view.rs
+++ b/crates/decisions/src/peer_view.rs
@@ -20,6 +20,7 @@
     upstream: &'a UpstreamIncarnation,
     calls: u32,
     prefill: Duration,
+    tokens: u32,
 }
 
 impl<'a> PeerView<'a> {
@@ -38,6 +39,7 @@
                 upstream: &load.upstream,
                 calls: load.calls,
                 prefill: Duration::from_millis(load.reading_ms.into()).saturating_sub(age),
+                tokens: load.tokens(),
             }));
         }
         loads.sort_unstable_by_key(|load| load.upstream);
@@ -47,6 +49,7 @@
             if same {
                 sum.calls += next.calls;
                 sum.prefill += next.prefill;
+                sum.tokens = sum.tokens.saturating_add(next.tokens);
             }
             same
         });
@@ -72,6 +75,12 @@
             .map_or(Duration::ZERO, |load| load.prefill)
     }
 
+    /// Memory in tokens promised to calls and KV copies of other VMs on an upstream.
+    #[must_use]
+    pub fn tokens(&self, upstream: &UpstreamIncarnation) -> u32 {
+        self.load(upstream).map_or(0, |load| load.tokens)
+    }
+
     /// Whether an upstream does not respond to some other VM.
     #[must_use]
     pub fn is_suspect(&self, upstream: &UpstreamIncarnation) -> bool {
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -49,10 +49,10 @@
 const OTHER_ZONE_PARTITION_COST: f64 = 50.0;
 
 /// Cost of a suspect zone; higher than that of any load that is still served in time.
-const SUSPECT_ZONE_COST: f64 = 20_000.0;
+pub(crate) const SUSPECT_ZONE_COST: f64 = 20_000.0;
 
 /// Cost of a suspect upstream; higher than that of a suspect zone, since the upstream itself has failed.
-const SUSPECT_COST: f64 = 40_000.0;
+pub(crate) const SUSPECT_COST: f64 = 40_000.0;
 
 /// Cost of an upstream whose latest plain calls all failed, in milliseconds of wait like the other costs:
 /// a call that fails there is retried at another upstream, which takes the time of a further call.
@@ -158,7 +158,7 @@
         .map(|c| c.entry)
 }
 
-fn random_start(len: usize, random: f64) -> usize {
+pub(crate) fn random_start(len: usize, random: f64) -> usize {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -195,7 +195,7 @@
 }
 
 /// Maximum number of streams assumed on an engine whose load is unknown.
-const MAX_BASELINE_STREAMS: f64 = 2.0;
+pub(crate) const MAX_BASELINE_STREAMS: f64 = 2.0;
 
 /// Mean cost of the streams on the engines whose load this VM knows completely, assumed as a minimum for
 /// the others. Where many VMs share the engines, a VM that took unknown engines for idle would add its
@@ -218,25 +218,33 @@
     context: &PlacementContext,
     other_zone: bool,
 ) -> f64 {
-    let policy = context.policy;
     let mut cost = load_cost(candidate, context);
     if !candidate.load_is_complete {
         cost = cost.max(baseline);
     }
     cost -= prefill_time(candidate.cached).as_secs_f64() * 1000.0;
+    cost + partition_cost(candidate, context, other_zone)
+}
+
+/// Cost of an upstream's zone and partition for a stream.
+pub(crate) fn partition_cost(
+    candidate: &PlacementCandidate,
+    context: &PlacementContext,
+    other_zone: bool,
+) -> f64 {
+    let policy = context.policy;
     // Among thousands of candidates the ranks are most of the cost of a selection.
     let limit = if other_zone { 1 } else { SHARERS_PER_UPSTREAM };
     let upstream = candidate.entry.id.as_str();
     let rank = rank_below(limit, upstream, context.vm, context.zone_vms);
-    cost += match (other_zone, rank) {
+    match (other_zone, rank) {
         (true, 0) => policy.other_zone_stream,
         (true, _) => policy.other_zone_stream + OTHER_ZONE_PARTITION_COST,
         (false, 0) => 0.0,
         (false, _) if !policy.parts => 0.0,
         (false, rank) if rank < SHARERS_PER_UPSTREAM => policy.other_part,
         (false, _) => policy.not_shared,
-    };
-    cost
+    }
 }
 
 fn call_cost(candidate: &PlacementCandidate, context: &PlacementContext, other_zone: bool) -> f64 {
--- a/crates/decisions/src/room_report.rs
+++ b/crates/decisions/src/room_report.rs
@@ -10,6 +10,30 @@
     pub slowdown: Option<Slowdown>,
     /// Its KV cache memory.
     pub memory: Option<KvMemory>,
+    /// A figure that was stated and cannot be read.
+    pub unreadable: Option<ReportFigure>,
+}
+
+impl RoomReport {
+    /// Whether the upstream stated nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A figure of an upstream's report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReportFigure {
+    /// Numbers of running and waiting calls.
+    Calls,
+    /// Number of slots.
+    Slots,
+    /// How long work takes.
+    Slowdown,
+    /// Used and total memory.
+    Memory,
 }
 
 /// How long work takes on an upstream at the moment, in percent of the usual time: 200 is half as fast as usual.
--- a/crates/decisions/src/upstream_load.rs
+++ b/crates/decisions/src/upstream_load.rs
@@ -44,11 +44,13 @@
 impl UpstreamLoad {
     /// Records the start of a call, with the prompt tokens that are to be processed for it.
     pub fn call_started(&mut self, prompt_tokens: u32, now: Instant) {
+        self.call_started_with(prefill_time(prompt_tokens), now);
+    }
+
+    /// Records the start of a call, with the time in which its prompt is processed.
+    pub fn call_started_with(&mut self, prefill: Duration, now: Instant) {
         self.own_calls += 1;
-        self.prefill_until = self
-            .prefill_until
-            .max(now)
-            .after(prefill_time(prompt_tokens));
+        self.prefill_until = self.prefill_until.max(now).after(prefill);
     }
 
     /// Records the end of a call.
--- a/crates/decisions/tests/peer_loads.rs
+++ b/crates/decisions/tests/peer_loads.rs
@@ -344,6 +344,7 @@
         upstream: upstream.id.clone(),
         calls,
         reading_ms: 500,
+        hundred_tokens: None,
     };
     let mut peers = PeerLoads::new(name(0));
     for (n, loads) in [
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -110,6 +110,7 @@
                     upstream: entry.id.clone(),
                     calls: load.own_calls(),
                     reading_ms: u32::try_from(load.prefill_left(now).as_millis()).unwrap(),
+                    hundred_tokens: None,
                 })
                 .collect(),
             suspects: Vec::new(),
