--- a/crates/decisions/src/heartbeat_packing.rs
+++ b/crates/decisions/src/heartbeat_packing.rs
@@ -296,6 +296,7 @@
             upstream: upstream.clone(),
             calls: 0,
             reading_ms: 0,
+            hundred_tokens: None,
         }));
         let is_changed = |load: &PeerLoad| {
             let known = sent.loads.get(&load.upstream);
--- a/crates/decisions/tests/heartbeat_packing.rs
+++ b/crates/decisions/tests/heartbeat_packing.rs
@@ -48,6 +48,7 @@
         upstream: upstream(n, 14),
         calls,
         reading_ms,
+        hundred_tokens: None,
     }
 }
 
@@ -113,6 +114,7 @@
                     upstream: upstream(n, len),
                     calls: 1 + u32::try_from(n).unwrap() % 9,
                     reading_ms: 3000,
+                    hundred_tokens: None,
                 })
                 .collect(),
             suspects: (0..self.suspects)
