--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -3,6 +3,7 @@
 use super::{
     accepted_call::AcceptedCall,
     buffered_call::call_buffered,
+    call_queue::CallQueues,
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
     lost_run::CrashProof,
@@ -22,7 +23,7 @@
 
 /// Retry delay for a caller of a VM that is shutting down: short, since the retry goes to another
 /// VM.
-const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Settings of a [`Gateway`].
 #[derive(Clone, Debug)]
@@ -72,6 +73,8 @@
     pub(crate) room_changed: Notify,
     /// Whether a service was found to be scheduled.
     pub(crate) has_scheduled: AtomicBool,
+    /// Streams that wait for room at an upstream.
+    pub(crate) call_queues: Mutex<CallQueues>,
     /// Notifies waiting calls that a budget loan has arrived.
     pub(crate) loan_arrived: Notify,
     /// Datagrams to other VMs that do not wait for the next heartbeat.
@@ -144,6 +147,7 @@
             connections_for_others: AtomicU32::new(0),
             room_changed: Notify::new(),
             has_scheduled: AtomicBool::default(),
+            call_queues: Mutex::default(),
             loan_arrived: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
--- a/crates/catkinward/src/gateway/scheduling.rs
+++ b/crates/catkinward/src/gateway/scheduling.rs
@@ -118,7 +118,6 @@
     }
 
     /// Selects an upstream with room for a call of a scheduled service.
-    #[allow(dead_code)]
     pub(crate) fn select_with_room(
         &self,
         accepted: &AcceptedCall,
