Keep runs that wait at busy upstreams of scheduled services

At twice the load calls wait in engines for longer than FIRST_EVENT_TIMEOUT, and each was closed and sent to another engine, where it joined the end of the queue again and its prompt was processed a second time.

The decision module first_event compares the calls that an upstream reports with those that this VM has there: the run is kept while the report counts them, and doubtful if two reports count fewer. Begun runs that pause are handed over only if a usable KV copy exists. Reports are requested at the checks. Upstreams on which only first runs wait are checked after 600 ms of silence.

Services that are not scheduled keep their timeouts.

--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -302,7 +302,7 @@
                 self.handle_outcome(sent, response)
             }
             (DoubtfulRun::Active(mut active), event) => {
-                active.last_data_at = tokio::time::Instant::now();
+                active.record_data();
                 if !matches!(event, RunEvent::Bytes(_)) {
                     active.body = futures::stream::empty().boxed();
                 }
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -1,4 +1,11 @@
-use super::{lost_run::CrashProof, reply_log::millis, run_guard::FailOverReason, *};
+use super::{
+    accepted_call::AcceptedCall,
+    lost_run::CrashProof,
+    reply_log::millis,
+    run_guard::{FailOverReason, RunGuard},
+    stream_run::Loss,
+    *,
+};
 use std::sync::Weak;
 
 /// Interval at which upstreams are checked for silence: short compared with the silence timeout,
@@ -47,11 +54,17 @@
 
 /// Upstreams whose probe is due, at a check that came late by `delay`.
 fn due_probes(gateway: &Gateway, now: Instant, delay: Duration) -> Vec<Arc<UpstreamEntry>> {
+    let scheduled = gateway.scheduled_services();
     let mut state = gateway.state.lock();
     let mut due = Vec::new();
     for upstream in state.upstreams_mut() {
         upstream.health.record_check(delay, now);
-        if upstream.health.start_probe_if_due(now) {
+        let timeout = if scheduled.contains(&upstream.entry.service) {
+            upstream.health.scheduled_silence_timeout()
+        } else {
+            SILENCE_TIMEOUT
+        };
+        if upstream.health.start_probe_after(timeout, now) {
             due.push(upstream.entry.clone());
         }
     }
@@ -184,7 +197,97 @@
     }
 }
 
+/// Requests a load report of an upstream. A failure means nothing: only silence starts a health check.
+async fn fetch_report(gateway: Arc<Gateway>, entry: Arc<UpstreamEntry>) {
+    let probe = HealthProbe {
+        entry: entry.clone(),
+        engine: true,
+        path: SendPath::Direct,
+        gate: gateway.gate(&entry, UpstreamRequestKind::HealthCheck),
+    };
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, (gateway.transport.probe)(probe)).await;
+    if let Ok(Ok(report)) = answer
+        && !entry.id.is_before(report.born)
+    {
+        gateway.upstream_responded(&entry, report.load_and_room());
+    }
+}
+
 impl Gateway {
+    /// Checks a run without data: whether its upstream is busy with it. Returns why the run is doubtful, if it is.
+    pub(super) fn check_wait(
+        self: &Arc<Self>,
+        accepted: &AcceptedCall,
+        guard: &RunGuard,
+        wait: &mut EventWait,
+        has_copy: bool,
+        begun: bool,
+    ) -> Option<Loss> {
+        // The reports of a path through another VM are not read, and count none of the calls there.
+        let scheduled = guard.path.is_direct() && self.is_scheduled(&accepted.service);
+        let now = self.timer.now();
+        let upstream = scheduled.then(|| self.upstream_calls(&guard.entry, now));
+        match wait.check(upstream.as_ref(), has_copy, now) {
+            WaitDecision::Wait => None,
+            WaitDecision::Busy(report) => {
+                let stage = if begun { "next_event" } else { "first_event" };
+                metrics::counter!("catkin_runs_kept_busy_total", "stage" => stage).increment(1);
+                if self.log.admits(LineKind::Belief, now) {
+                    tracing::info!(request = %accepted.call.id, upstream = %guard.entry.id, stage,
+                        prompt = accepted.call.prompt.as_ref().map(|prompt| prompt.tokens),
+                        priority = accepted.priority, report_age_ms = millis(now.since(report.at)),
+                        calls = report.calls, own_calls = report.own_calls,
+                        left_ms = millis(accepted.time_left(now)), "run waits on a busy upstream");
+                }
+                None
+            }
+            WaitDecision::Doubtful => Some(Loss::Stalled),
+            WaitDecision::Missing(report) => {
+                metrics::counter!("catkin_runs_missing_total").increment(1);
+                if self.log.admits(LineKind::Belief, now) {
+                    tracing::warn!(request = %accepted.call.id, upstream = %guard.entry.id,
+                        report_age_ms = millis(now.since(report.at)), calls = report.calls,
+                        own_calls = report.own_calls, "upstream reports fewer calls than it was sent");
+                }
+                Some(Loss::Missing)
+            }
+        }
+    }
+
+    /// What is known of the calls of an upstream. Its report is requested for the next check.
+    fn upstream_calls(self: &Arc<Self>, entry: &Arc<UpstreamEntry>, now: Instant) -> UpstreamCalls {
+        let mut state = self.state.lock();
+        let upstream = state.upstream(entry, now);
+        let health = &mut upstream.health;
+        let report = upstream.room.last_load().map(|(load, at)| CallReport {
+            at,
+            calls: load.running.saturating_add(load.waiting),
+            own_calls: health.waiting.counted_at(at, health.in_flight()),
+        });
+        let known = UpstreamCalls {
+            suspect: health.is_suspect(),
+            report,
+        };
+        let requests = health.waiting.request_report(now);
+        drop(state);
+        if requests {
+            metrics::counter!("catkin_reports_requested_total").increment(1);
+            tokio::spawn(fetch_report(self.clone(), entry.clone()));
+        }
+        known
+    }
+
+    /// The scheduled services of the configuration in force.
+    fn scheduled_services(&self) -> Vec<ServiceId> {
+        let Some(config) = self.config() else {
+            return Vec::new();
+        };
+        let specs = config.services.iter();
+        let scheduled =
+            specs.filter(|spec| spec.kv_capacity.is_some() && self.is_scheduled(&spec.name));
+        scheduled.map(|spec| spec.name.clone()).collect()
+    }
+
     fn first_probe(&self, entry: &Arc<UpstreamEntry>) -> ProbeAttempt {
         let now = self.timer.now();
         let pauses = self.state.lock().upstream(entry, now).health.pauses();
--- a/crates/catkinward/src/gateway/kv_copy_manager.rs
+++ b/crates/catkinward/src/gateway/kv_copy_manager.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Whether a run could resume from one of the copies.
+    pub(crate) fn has_usable(&self) -> bool {
+        let requested = self.requested.as_ref().map(|(copy, _)| copy);
+        self.growing.iter().chain(requested).any(KvCopy::is_usable)
+    }
+
     /// Whether a run and the copy that grows with it both become unreachable if the own zone is
     /// partitioned.
     fn is_exposed(&self, run: &UpstreamEntry) -> bool {
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -6,6 +6,8 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) path: SendPath,
+    /// The run among those that wait for their first event, if it does.
+    waiting: Option<WaitingRun>,
     /// Changes when the runs on the upstream fail over.
     pub(crate) failed_over: watch::Receiver<FailOver>,
 }
@@ -67,10 +69,32 @@
             gateway: gateway.clone(),
             entry,
             path,
+            waiting: None,
             failed_over,
         }
     }
 
+    /// Counts the run as one that waits for its first event. It `resumes` a stream if its caller has received events.
+    pub(crate) fn waits_for_event(mut self, resumes: bool) -> Self {
+        if self.path.is_direct() {
+            let now = self.gateway.timer.now();
+            let run = WaitingRun { sent: now, resumes };
+            self.waiting = Some(run);
+            let mut state = self.gateway.state.lock();
+            state.upstream(&self.entry, now).health.waiting.add(run);
+        }
+        self
+    }
+
+    /// Records that the run has sent its first event.
+    pub(crate) fn record_first_event(&mut self) {
+        if let Some(run) = self.waiting.take() {
+            let now = self.gateway.timer.now();
+            let mut state = self.gateway.state.lock();
+            state.upstream(&self.entry, now).health.waiting.remove(run);
+        }
+    }
+
     /// Waits until the runs on the upstream fail over.
     pub(crate) async fn failed_over(&mut self) -> FailOverReason {
         while self.failed_over.changed().await.is_ok() {
@@ -98,6 +122,9 @@
         if self.path.is_direct() {
             upstream.health.call_ended();
         }
+        if let Some(run) = self.waiting {
+            upstream.health.waiting.remove(run);
+        }
         upstream.load.call_ended();
     }
 }
--- a/crates/catkinward/src/gateway/sent_run.rs
+++ b/crates/catkinward/src/gateway/sent_run.rs
@@ -9,8 +9,8 @@
     pub(super) _from: Option<KvCopy>,
     pub(super) response: BoxFuture<'static, Result<UpstreamResponse, SendError>>,
     pub(super) sent_at: Instant,
-    /// When a first event would count as late.
-    pub(super) stalls_at: tokio::time::Instant,
+    /// Its wait for the first event.
+    pub(super) wait: EventWait,
     /// Time of the send if the run is a sample by which a rollout is judged.
     pub(super) sample_sent_at: Option<Instant>,
     /// Whether the upstream counts as one that may have run the stream.
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -17,16 +17,6 @@
     *,
 };
 
-/// Time without data from a started run after which the stream resumes on another upstream although this
-/// one answers health checks: the connection is dead, or the engine preempted the run for a more urgent
-/// one. Events come every 30 to 200 ms; with the resume a caller waits less than 0.7 s.
-const STALL_TIMEOUT: Duration = Duration::from_millis(450);
-
-/// Time without a first event after which the prompt is prefilled on another upstream. Prefill, with the
-/// wait for other prompts, takes one to four seconds, and a restart costs as much again, so this timeout
-/// only covers dead connections.
-pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(6);
-
 /// State of a stream that is being served to a caller, across all its runs.
 pub(crate) struct StreamRun {
     pub(super) gateway: Arc<Gateway>,
@@ -88,12 +78,20 @@
     pub(super) body_end: BodyEnd,
     /// Time of the last received data.
     pub(super) last_data_at: tokio::time::Instant,
+    /// The wait for the next data; `None` until it begins.
+    pub(super) wait: Option<EventWait>,
     /// Time when the run was sent, to judge a rollout by the latency of its first event. `None` after that
     /// event, and for a resumed run.
     pub(super) sample_sent_at: Option<Instant>,
 }
 
 impl ActiveRun {
+    /// Records that data arrived.
+    pub(super) fn record_data(&mut self) {
+        self.last_data_at = tokio::time::Instant::now();
+        self.wait = None;
+    }
+
     /// Whether the run, whose body has ended, was broken off: within an event, or before the first one if only the
     /// end of the connection ended the body.
     pub(super) fn is_broken_off(&self) -> bool {
@@ -126,6 +124,8 @@
     Nothing,
     /// No data, but the KV copies of the run must be checked.
     CheckCopies,
+    /// No data, for so long that the upstream is checked for the run.
+    CheckWait,
     /// Upstreams crashed under the same body or part, and this run has not produced an event yet.
     Forbidden(CallAttribute),
 }
@@ -146,6 +146,8 @@
     Gap,
     /// The upstream answers health checks, but the run sends no data.
     Stalled,
+    /// The upstream reports fewer calls than this VM has there.
+    Missing,
 }
 
 impl Loss {
@@ -153,7 +155,9 @@
     fn crash_proof(self) -> Option<CrashProof> {
         match self {
             Self::Broken | Self::Torn => Some(CrashProof::Unresponsive),
-            Self::Silent | Self::Stalled | Self::ProcessEnded => Some(CrashProof::ProcessEnded),
+            Self::Silent | Self::Stalled | Self::Missing | Self::ProcessEnded => {
+                Some(CrashProof::ProcessEnded)
+            }
             Self::Gap => None,
         }
     }
@@ -222,10 +226,10 @@
                     return Ok(None);
                 }
                 Received::Broken(loss) => self.lose_active_run(loss)?,
-                Received::Doubt(loss) => {
-                    if let Some(active) = self.active.take() {
-                        self.resolve_doubt(DoubtfulRun::Active(active), loss)
-                            .await?;
+                Received::Doubt(loss) => self.doubt_active_run(loss).await?,
+                Received::CheckWait => {
+                    if let Some(loss) = self.check_wait() {
+                        self.doubt_active_run(loss).await?;
                     }
                 }
                 Received::Nothing => {}
@@ -274,6 +278,9 @@
         let Some(active) = &mut self.active else {
             return;
         };
+        if !active.progress.has_events() {
+            active.guard.record_first_event();
+        }
         if let Some(began) = active.progress.record_events(events, now) {
             self.gateway
                 .record_clean_run(&self.accepted.attributes, began);
@@ -287,16 +294,20 @@
         let Some(active) = &mut self.active else {
             return Received::Broken(Loss::Broken);
         };
-        let stall = if active.progress.has_events() {
-            STALL_TIMEOUT
-        } else {
-            FIRST_EVENT_TIMEOUT
-        };
-        let stalls_at = active.last_data_at + stall;
+        let since = now.before(active.last_data_at.elapsed());
+        let begun = active.progress.has_events();
+        let wait = active.wait.get_or_insert_with(|| {
+            if begun {
+                EventWait::for_next(since)
+            } else {
+                EventWait::for_first(since)
+            }
+        });
+        let check_in = wait.check_at().since(now);
         tokio::select! {
             chunk = active.body.next() => match chunk {
                 Some(Ok(bytes)) => {
-                    active.last_data_at = tokio::time::Instant::now();
+                    active.record_data();
                     Received::Bytes(bytes)
                 }
                 Some(Err(BodyError)) => Received::Broken(Loss::Broken),
@@ -306,13 +317,28 @@
             () = active.copies.wait() => Received::CheckCopies,
             cause = self.gateway.resend_forbidden(&self.accepted.attributes),
                 if retryable && !active.progress.has_events() => Received::Forbidden(cause),
-            () = tokio::time::sleep_until(stalls_at), if retryable => {
-                Received::Doubt(Loss::Stalled)
-            }
+            () = tokio::time::sleep(check_in), if retryable => Received::CheckWait,
             () = tokio::time::sleep(time_left) => Received::TimedOut,
         }
     }
 
+    async fn doubt_active_run(&mut self, loss: Loss) -> Result<(), StreamStop> {
+        match self.active.take() {
+            Some(active) => self.resolve_doubt(DoubtfulRun::Active(active), loss).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Checks the active run, which has sent no data for a while; returns why it is doubtful, if it is.
+    fn check_wait(&mut self) -> Option<Loss> {
+        let active = self.active.as_mut()?;
+        let has_copy = active.progress.has_events() && active.copies.has_usable();
+        let wait = active.wait.as_mut()?;
+        let begun = active.progress.has_events();
+        self.gateway
+            .check_wait(&self.accepted, &active.guard, wait, has_copy, begun)
+    }
+
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), StreamStop> {
         let Some(active) = &mut self.active else {
             return Ok(());
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -13,7 +13,7 @@
     sent_run::SentRun,
     state::cached_tokens,
     stream_call::StreamStop,
-    stream_run::{ActiveRun, FIRST_EVENT_TIMEOUT, Loss, StreamRun},
+    stream_run::{ActiveRun, Loss, StreamRun},
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
@@ -299,12 +299,13 @@
             self.prefill_tokens(&entry)
         };
         SentRun {
-            guard: RunGuard::begin(&gateway, entry, tokens, path),
+            guard: RunGuard::begin(&gateway, entry, tokens, path)
+                .waits_for_event(self.relay.last().is_some()),
             copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id)),
             _from: from,
             response: (gateway.transport.send)(call),
             sent_at: now,
-            stalls_at: tokio::time::Instant::now() + FIRST_EVENT_TIMEOUT,
+            wait: EventWait::for_first(now),
             sample_sent_at: is_sample.then_some(now),
             recorded: false,
         }
@@ -312,21 +313,33 @@
 
     /// Waits for the response to a run. Afterwards the stream has an active run, or may be sent again.
     async fn await_response(&mut self, mut run: SentRun) -> Result<(), StreamStop> {
-        let time_left = self.accepted.time_left(self.gateway.timer.now());
         let retryable = self.accepted.route.kind.may_retry();
-        let loss = tokio::select! {
-            response = &mut run.response => return self.handle_outcome(run, response),
-            reason = run.guard.failed_over() => match reason {
-                FailOverReason::ProcessEnded => return self.lose_sent_run(run, Loss::ProcessEnded),
-                FailOverReason::Unresponsive => Loss::Silent,
-            },
-            // An upstream may send the response head only with the first event.
-            () = tokio::time::sleep_until(run.stalls_at), if retryable => Loss::Stalled,
-            cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
-                self.record_run(&mut run);
-                return Err(self.withdraw(&cause));
+        let loss = loop {
+            let now = self.gateway.timer.now();
+            let time_left = self.accepted.time_left(now);
+            let check_in = run.wait.check_at().since(now);
+            tokio::select! {
+                response = &mut run.response => return self.handle_outcome(run, response),
+                reason = run.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => {
+                        return self.lose_sent_run(run, Loss::ProcessEnded);
+                    }
+                    FailOverReason::Unresponsive => break Loss::Silent,
+                },
+                // An upstream may send the response head only with the first event.
+                () = tokio::time::sleep(check_in), if retryable => {
+                    let SentRun { guard, wait, .. } = &mut run;
+                    let checked = self.gateway.check_wait(&self.accepted, guard, wait, false, false);
+                    if let Some(loss) = checked {
+                        break loss;
+                    }
+                }
+                cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
+                    self.record_run(&mut run);
+                    return Err(self.withdraw(&cause));
+                }
+                () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
             }
-            () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
         self.resolve_doubt(DoubtfulRun::Sent(run), loss).await
     }
@@ -383,6 +396,7 @@
             progress: RunProgress::default(),
             body_end: response.body_end,
             last_data_at: tokio::time::Instant::now(),
+            wait: None,
             sample_sent_at: run.sample_sent_at,
         });
         Ok(())
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -92,6 +92,10 @@
     failure_ejection::FailureEjection,
     fair_queue::{FairQueue, PopOptions, QueueTeam},
     finish::Finish,
+    first_event::{
+        CallReport, EventWait, FIRST_EVENT_TIMEOUT, STALL_TIMEOUT, UpstreamCalls, WaitDecision,
+        WaitingRun, WaitingRuns,
+    },
     hedge::{Hedge, HedgeConfig},
     hex::{parse_hex, to_hex},
     hot_keys::HotKeys,
@@ -223,7 +227,7 @@
         COPY_GRACE, LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry,
     },
     upstream_evidence::{EVIDENCE_MAX_AGE, UpstreamEvidence},
-    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth},
+    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth, WAITING_SILENCE_TIMEOUT},
     upstream_id::UpstreamId,
     upstream_incarnation::UpstreamIncarnation,
     upstream_limit::{LimitChange, LimitPart, LimitStatement, LimitedRequest, UpstreamLimit},
@@ -309,6 +313,7 @@
 mod failure_ejection;
 mod fair_queue;
 mod finish;
+mod first_event;
 mod hedge;
 mod hex;
 mod hot_keys;
--- a/crates/decisions/src/upstream_health.rs
+++ b/crates/decisions/src/upstream_health.rs
@@ -13,6 +13,11 @@
 /// tolerates.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Silence after which an upstream of a scheduled service is probed on which this VM only has runs that wait for their
+/// first event. An engine that processes prompts sends nothing for a second or more, and a probe every 200 ms gave six
+/// probes for each request in a burst without faults. No caller is in the middle of a stream there.
+pub const WAITING_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Timeout of a probe; a response takes 2 to 10 ms.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(180);
 
@@ -38,6 +43,8 @@
     pauses: u32,
     probing: Option<Instant>,
     suspect: Option<Suspect>,
+    /// Runs of this VM there that wait for their first event.
+    pub waiting: WaitingRuns,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +64,7 @@
             pauses: 0,
             probing: None,
             suspect: None,
+            waiting: WaitingRuns::default(),
         }
     }
 
@@ -93,12 +101,27 @@
         new
     }
 
-    /// Whether a probe is due; if so, it is marked as started.
+    /// Whether a probe is due after a silence of [`SILENCE_TIMEOUT`]; if so, it is marked as started.
     pub fn start_probe_if_due(&mut self, now: Instant) -> bool {
+        self.start_probe_after(SILENCE_TIMEOUT, now)
+    }
+
+    /// Silence after which an upstream of a scheduled service is probed.
+    #[must_use]
+    pub fn scheduled_silence_timeout(&self) -> Duration {
+        if self.waiting.only_first_runs(self.in_flight) {
+            WAITING_SILENCE_TIMEOUT
+        } else {
+            SILENCE_TIMEOUT
+        }
+    }
+
+    /// Whether a probe is due after a silence of `timeout`; if so, it is marked as started.
+    pub fn start_probe_after(&mut self, timeout: Duration, now: Instant) -> bool {
         let due = match (self.probing, self.suspect) {
             (Some(_), _) => false,
             (None, Some(suspect)) => now >= suspect.probe_at,
-            (None, None) => self.in_flight > 0 && now.since(self.last_seen) >= SILENCE_TIMEOUT,
+            (None, None) => self.in_flight > 0 && now.since(self.last_seen) >= timeout,
         };
         if due {
             self.probing = Some(now);
--- a/crates/decisions/src/upstream_room.rs
+++ b/crates/decisions/src/upstream_room.rs
@@ -20,6 +20,13 @@
         (now.since(at) < max_age).then_some(load)
     }
 
+    /// The calls that the upstream reported last, with the time of the report.
+    #[must_use]
+    pub fn last_load(&self) -> Option<(LoadSample, Instant)> {
+        let (load, _, at) = self.report?;
+        Some((load, at))
+    }
+
     /// Whether the upstream stated its current speed within `max_age`.
     #[must_use]
     pub fn states_speed(&self, max_age: Duration, now: Instant) -> bool {
