Give scarce retries to urgent streams that can complete; tests under load

When the retry budget was used up, streams waited for it without regard to urgency, and a stream that could no longer complete took a retry and was then refused as too late.

A stream of a scheduled service that would have to wait takes no retry once it cannot complete before its deadline, and none while more urgent ones wait at this VM.

--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -66,6 +66,8 @@
     pub(crate) started: Instant,
     /// Number of calls that wait for retry budget.
     pub(crate) waiting_retries: AtomicU32,
+    /// Calls of scheduled services that wait for retry budget.
+    pub(crate) waiting_ranks: Mutex<WaitingRanks>,
     /// Number of connections to upstreams that are open for other VMs.
     pub(crate) connections_for_others: AtomicU32,
     /// Notifies queued calls that an upstream may have room.
@@ -140,6 +142,7 @@
             loan_requests: Mutex::default(),
             started: timer.now(),
             waiting_retries: AtomicU32::new(0),
+            waiting_ranks: Mutex::default(),
             connections_for_others: AtomicU32::new(0),
             room_changed: Notify::new(),
             loan_arrived: Notify::new(),
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -8,6 +8,7 @@
         dispatches::Dispatches,
         outbox::{Addressed, Outbox},
         readiness::{Readiness, RecentServices},
+        retries::WaitingRanks,
         rollouts::OwnedRollout,
         send_path::UnopenedConnections,
         state::{Candidates, DirectoryRead, GatewayState},
--- a/crates/catkinward/src/gateway/retries.rs
+++ b/crates/catkinward/src/gateway/retries.rs
@@ -1,6 +1,7 @@
 //! Retry budgets of services and budget loans between VMs.
 
 use super::{reply_log::millis, *};
+use std::collections::BTreeMap;
 
 /// How long a VM that was last seen counts as one that shares the retry budget. A partitioned VM
 /// continues to serve and to retry, so it must not be dropped early.
@@ -30,15 +31,31 @@
     /// Takes a retry of a service from the budget. If none remain, waits up to `max_wait` for loans
     /// from other VMs or for the budget's window to advance.
     pub(crate) async fn take_retry(&self, service: &ServiceId, max_wait: Duration) -> bool {
-        if self.try_take_retry(service, 1) {
+        self.take_ranked_retry(service, max_wait, None).await
+    }
+
+    /// Takes a retry like [`Self::take_retry`]. A ranked call that would have to wait takes none once it can no longer
+    /// complete, and none while more urgent calls of its service wait here.
+    pub(crate) async fn take_ranked_retry(
+        &self,
+        service: &ServiceId,
+        max_wait: Duration,
+        rank: Option<RetryRank>,
+    ) -> bool {
+        if self.may_take_retry(service, rank) && self.try_take_retry(service, 1) {
             return true;
         }
         let waiting = WaitingCall::begin(&self.waiting_retries);
+        let _ranked = rank.map(|rank| RankedCall::begin(&self.waiting_ranks, service, rank));
         let until = tokio::time::Instant::now() + max_wait;
         for round in 0.. {
             let mut arrived = std::pin::pin!(self.loan_arrived.notified());
             arrived.as_mut().enable();
-            if self.try_take_retry(service, waiting.count()) {
+            if rank.is_some_and(|rank| self.timer.now() > rank.latest_start) {
+                metrics::counter!("catkin_retries_too_late_total").increment(1);
+                break;
+            }
+            if self.may_take_retry(service, rank) && self.try_take_retry(service, waiting.count()) {
                 return true;
             }
             let wait = if round < QUICK_ROUNDS {
@@ -58,6 +75,11 @@
         false
     }
 
+    /// Whether no more urgent call of the service waits for a retry at this VM.
+    fn may_take_retry(&self, service: &ServiceId, rank: Option<RetryRank>) -> bool {
+        rank.is_none_or(|rank| !self.waiting_ranks.lock().has_above(service, rank.priority))
+    }
+
     fn log_exhausted(&self, service: &ServiceId) {
         let now = self.timer.now();
         let mut state = self.state.lock();
@@ -161,6 +183,53 @@
     }
 }
 
+/// Which calls of a scheduled service get retries first when they are scarce.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryRank {
+    /// Priority of the call; 0 is the highest.
+    pub(crate) priority: u8,
+    /// When the call must be sent at the latest to complete before its deadline.
+    pub(crate) latest_start: Instant,
+}
+
+/// Number of calls that wait for retry budget, by service and priority.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingRanks(BTreeMap<(ServiceId, u8), u32>);
+
+impl WaitingRanks {
+    /// Whether calls of a higher priority wait.
+    fn has_above(&self, service: &ServiceId, priority: u8) -> bool {
+        let above = (service.clone(), 0)..(service.clone(), priority);
+        self.0.range(above).next().is_some()
+    }
+}
+
+/// Counts a ranked call that waits for retry budget until it is dropped.
+struct RankedCall<'a> {
+    ranks: &'a Mutex<WaitingRanks>,
+    key: (ServiceId, u8),
+}
+
+impl<'a> RankedCall<'a> {
+    fn begin(ranks: &'a Mutex<WaitingRanks>, service: &ServiceId, rank: RetryRank) -> Self {
+        let key = (service.clone(), rank.priority);
+        *ranks.lock().0.entry(key.clone()).or_default() += 1;
+        Self { ranks, key }
+    }
+}
+
+impl Drop for RankedCall<'_> {
+    fn drop(&mut self) {
+        let mut ranks = self.ranks.lock();
+        if let Some(count) = ranks.0.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                ranks.0.remove(&self.key);
+            }
+        }
+    }
+}
+
 /// Counts a call that waits for retry budget until it is dropped.
 struct WaitingCall<'a> {
     count: &'a AtomicU32,
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -7,7 +7,7 @@
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
     reply_log::millis,
-    retries::{CALL_RETRY_TIMEOUT, STREAM_RETRY_TIMEOUT},
+    retries::{CALL_RETRY_TIMEOUT, RetryRank, STREAM_RETRY_TIMEOUT},
     run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
     sent_run::SentRun,
@@ -169,11 +169,42 @@
         } else {
             CALL_RETRY_TIMEOUT
         };
+        let service = &self.accepted.service;
+        let rank = self
+            .gateway
+            .is_scheduled(service)
+            .then(|| self.retry_rank());
         self.gateway
-            .take_retry(&self.accepted.service, max_wait)
+            .take_ranked_retry(service, max_wait, rank)
             .await
     }
 
+    /// Rank of the stream among those that wait for retry budget. Without a usable KV copy its prompt has to be
+    /// prefilled, except for what an engine has cached.
+    fn retry_rank(&self) -> RetryRank {
+        let copy = self.copy.as_ref().is_some_and(KvCopy::is_usable);
+        let doubtful = self.doubtful_copies.as_ref();
+        let prefill = if copy || doubtful.is_some_and(KvCopyManager::has_usable) {
+            Duration::ZERO
+        } else {
+            let prompt = self.accepted.call.prompt.as_ref().map_or(0, |p| p.tokens);
+            let cached = self.cached.iter().map(|(_, tokens)| *tokens).max();
+            prefill_time(prompt.saturating_sub(cached.unwrap_or(0)))
+        };
+        let had = self.relay.last().unwrap_or(0);
+        let rest = self
+            .gateway
+            .state
+            .lock()
+            .stream_durations
+            .min_remaining(had);
+        let needed = prefill + rest.unwrap_or_default();
+        RetryRank {
+            priority: self.accepted.priority,
+            latest_start: self.accepted.deadline.before(needed),
+        }
+    }
+
     /// Number of tokens that an engine must prefill before the next event.
     fn prefill_tokens(&self, entry: &UpstreamEntry) -> u32 {
         let prompt = self.accepted.call.prompt.as_ref().map_or(0, |p| p.tokens);
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -28,7 +28,7 @@
 mod upstreams;
 
 pub use self::upstreams::{End, Observed, Part, ReceivedCall, Script};
-use self::upstreams::{ProcessStarts, ScriptFn, transport};
+use self::upstreams::{ProcessStarts, ReportedLoads, ScriptFn, transport};
 
 pub const HOST: &str = "shop.example";
 pub const ENGINES: &str = "engines";
@@ -63,6 +63,7 @@
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     reached_by_others: bool,
     born: ProcessStarts,
+    loads: ReportedLoads,
     /// Engine that has the complete prompt cached.
     cached_on: Option<&'static str>,
     rollouts: Option<RolloutSettings>,
@@ -99,6 +100,7 @@
             answers_probes: Arc::new(|_| true),
             reached_by_others: false,
             born: Arc::new(|_| None),
+            loads: Arc::new(|_| LoadSample::default()),
             cached_on: None,
             rollouts: None,
             version: 1,
@@ -193,6 +195,26 @@
         self
     }
 
+    /// Sets the loads that upstreams report in health checks.
+    pub fn loads(mut self, loads: impl Fn(&str) -> LoadSample + Send + Sync + 'static) -> Self {
+        self.loads = Arc::new(loads);
+        self
+    }
+
+    /// Makes the engines a scheduled service, with an urgent route beside the others; they keep KV copies if `copies`
+    /// is set.
+    pub fn scheduled(mut self, copies: bool) -> Self {
+        for service in self.services.iter_mut().filter(|service| service.engine) {
+            service.kv_capacity = Some(88_000);
+            service.copies = copies;
+        }
+        self.routes.push(Route {
+            priority: 0,
+            ..route("/urgent/", CallKind::ResumableStream, ENGINES)
+        });
+        self
+    }
+
     /// Sets the engine that still has the caller's prompt cached.
     pub fn cached_on(mut self, id: &'static str) -> Self {
         self.cached_on = Some(id);
@@ -228,6 +250,7 @@
             self.answers_probes,
             self.reached_by_others,
             self.born,
+            self.loads,
             self.cached_on,
             &timer,
             &observed,
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -59,6 +59,9 @@
 /// Returns the process start time that an upstream reports in health checks.
 pub(super) type ProcessStarts = Arc<dyn Fn(&str) -> Option<ProcessStart> + Send + Sync>;
 
+/// Returns the load that an upstream reports in health checks.
+pub(super) type ReportedLoads = Arc<dyn Fn(&str) -> LoadSample + Send + Sync>;
+
 pub(super) type ScriptFn = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
 /// Record of the requests that upstreams received.
@@ -93,6 +96,7 @@
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     reached_by_others: bool,
     born: ProcessStarts,
+    loads: ReportedLoads,
     cached_on: Option<&'static str>,
     timer: &Arc<Timer>,
     observed: &Observed,
@@ -173,12 +177,12 @@
             } else {
                 reached_by_others
             };
-            let born = born(&id);
+            let (born, load) = (born(&id), loads(&id));
             probes.lock().push(id);
             Box::pin(async move {
                 if answers_probes {
                     return Ok(HealthReport {
-                        load: Some(LoadSample::default()),
+                        load: Some(load),
                         born,
                         ..HealthReport::default()
                     });
