Log streams that get no retry, and pass health reports to the test fixture as one

A refused retry of a scheduled stream left no line that names the call. It is logged with its reason.

--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -33,7 +33,7 @@
 enum Event {
     Run(RunEvent),
     /// The search for a successor ended.
-    Searched(Result<SentRun, NoSend>),
+    Searched(Result<Box<SentRun>, NoSend>),
     Successor(RunEvent),
     /// A decision is due.
     Due,
@@ -147,7 +147,7 @@
                 Event::Searched(Ok(sent)) => {
                     let (entry, path) = sent.target();
                     check = Some(SuccessorCheck::start(&self.gateway, &entry, path));
-                    successor = Some(sent);
+                    successor = Some(*sent);
                 }
                 Event::Searched(Err(reason)) => {
                     search.end_search(now);
@@ -227,7 +227,7 @@
             event = run.next() => Event::Run(event),
             cause = gateway.resend_forbidden(&attributes), if !has_events => Event::Forbidden(cause),
             () = tokio::time::sleep(time_left) => Event::TimedOut,
-            sent = self.prepare(Some(&doubtful)) => Event::Searched(sent),
+            sent = self.prepare(Some(&doubtful)) => Event::Searched(sent.map(Box::new)),
         }
     }
 
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -221,7 +221,6 @@
         guard: &RunGuard,
         wait: &mut EventWait,
         has_copy: bool,
-        begun: bool,
     ) -> Option<Loss> {
         // The reports of a path through another VM are not read, and count none of the calls there.
         let scheduled = guard.path.is_direct() && self.is_scheduled(&accepted.service);
@@ -230,7 +229,11 @@
         match wait.check(upstream.as_ref(), has_copy, now) {
             WaitDecision::Wait => None,
             WaitDecision::Busy(report) => {
-                let stage = if begun { "next_event" } else { "first_event" };
+                let stage = if wait.is_for_first() {
+                    "first_event"
+                } else {
+                    "next_event"
+                };
                 metrics::counter!("catkin_runs_kept_busy_total", "stage" => stage).increment(1);
                 if self.log.admits(LineKind::Belief, now) {
                     tracing::info!(request = %accepted.call.id, upstream = %guard.entry.id, stage,
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -334,9 +334,8 @@
         let active = self.active.as_mut()?;
         let has_copy = active.progress.has_events() && active.copies.has_usable();
         let wait = active.wait.as_mut()?;
-        let begun = active.progress.has_events();
         self.gateway
-            .check_wait(&self.accepted, &active.guard, wait, has_copy, begun)
+            .check_wait(&self.accepted, &active.guard, wait, has_copy)
     }
 
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), StreamStop> {
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -174,9 +174,28 @@
             .gateway
             .is_scheduled(service)
             .then(|| self.retry_rank());
-        self.gateway
+        let taken = self
+            .gateway
             .take_ranked_retry(service, max_wait, rank)
-            .await
+            .await;
+        if let (Some(rank), false) = (rank, taken) {
+            self.log_no_retry(rank);
+        }
+        taken
+    }
+
+    fn log_no_retry(&self, rank: RetryRank) {
+        let now = self.gateway.timer.now();
+        if self.gateway.log.admits(LineKind::Belief, now) {
+            let reason = if now > rank.latest_start {
+                "too_late"
+            } else {
+                "budget"
+            };
+            tracing::info!(request = %self.accepted.call.id, reason, priority = rank.priority,
+                sends = self.sends, last_event = self.relay.last(),
+                left_ms = millis(self.accepted.time_left(now)), "stream got no retry");
+        }
     }
 
     /// Rank of the stream among those that wait for retry budget. Without a usable KV copy its prompt has to be
@@ -360,7 +379,7 @@
                 // An upstream may send the response head only with the first event.
                 () = tokio::time::sleep(check_in), if retryable => {
                     let SentRun { guard, wait, .. } = &mut run;
-                    let checked = self.gateway.check_wait(&self.accepted, guard, wait, false, false);
+                    let checked = self.gateway.check_wait(&self.accepted, guard, wait, false);
                     if let Some(loss) = checked {
                         break loss;
                     }
--- a/crates/catkinward/tests/gateway_busy.rs
+++ b/crates/catkinward/tests/gateway_busy.rs
@@ -23,9 +23,12 @@
 /// Age of a report when it arrives.
 const REPORT_DELAY: Duration = Duration::from_millis(200);
 
-/// Arrival and end of the calls of each engine, which processes their prompts one after the other.
+/// Arrival of a call, and the end of its prefill.
+type Prefill = (time::Instant, time::Instant);
+
+/// Engines with their calls, whose prompts each processes one after the other.
 #[derive(Clone, Default)]
-struct Engines(Arc<Mutex<BTreeMap<String, Vec<(time::Instant, time::Instant)>>>>);
+struct Engines(Arc<Mutex<BTreeMap<String, Vec<Prefill>>>>);
 
 impl Engines {
     /// Adds a call; returns the time until its first event.
@@ -151,7 +154,11 @@
 
     expect_that!(stream.await.unwrap(), eq(&(text(1, 40), true)));
     // The 40 events take 1.2 s.
-    let pause = running.timer.now().since(begin) - Duration::from_millis(1200);
+    let pause = running
+        .timer
+        .now()
+        .since(begin)
+        .saturating_sub(Duration::from_millis(1200));
     expect_that!(pause, le(Duration::from_millis(700)));
 }
 
@@ -228,7 +235,7 @@
 
     // The pause begins after 600 ms.
     expect_that!(busy, none());
-    expect_that!(lost, some(le(Duration::from_millis(2000))));
+    expect_that!(lost, some(le(Duration::from_secs(2))));
     for handed_over in [copied, unscheduled] {
         expect_that!(handed_over, some(le(Duration::from_millis(1100))));
     }
@@ -289,8 +296,7 @@
         time::sleep(Duration::from_millis(30)).await;
     }
     streams.join_all().await;
-    let resent = resent.lock().clone();
-    resent
+    resent.lock().clone()
 }
 
 /// Guards against a retry for a less urgent stream while a more urgent one waits, and for one that cannot complete.
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -28,7 +28,7 @@
 mod upstreams;
 
 pub use self::upstreams::{End, Observed, Part, ReceivedCall, Script};
-use self::upstreams::{ProcessStarts, ReportedLoads, ScriptFn, transport};
+use self::upstreams::{HealthReports, ProcessStarts, ReportedLoads, ScriptFn, transport};
 
 pub const HOST: &str = "shop.example";
 pub const ENGINES: &str = "engines";
@@ -245,12 +245,17 @@
     pub fn start_empty(self) -> Running {
         let timer = Timer::start();
         let observed = Observed::default();
+        let (born, loads) = (self.born, self.loads);
+        let reports: HealthReports = Arc::new(move |id| HealthReport {
+            load: Some(loads(id)),
+            born: born(id),
+            ..HealthReport::default()
+        });
         let transport = transport(
             self.script,
             self.answers_probes,
             self.reached_by_others,
-            self.born,
-            self.loads,
+            reports,
             self.cached_on,
             &timer,
             &observed,
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -62,6 +62,9 @@
 /// Returns the load that an upstream reports in health checks.
 pub(super) type ReportedLoads = Arc<dyn Fn(&str) -> LoadSample + Send + Sync>;
 
+/// Returns what an upstream reports in health checks.
+pub(super) type HealthReports = Arc<dyn Fn(&str) -> HealthReport + Send + Sync>;
+
 pub(super) type ScriptFn = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
 /// Record of the requests that upstreams received.
@@ -95,8 +98,7 @@
     script: ScriptFn,
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     reached_by_others: bool,
-    born: ProcessStarts,
-    loads: ReportedLoads,
+    reports: HealthReports,
     cached_on: Option<&'static str>,
     timer: &Arc<Timer>,
     observed: &Observed,
@@ -177,15 +179,11 @@
             } else {
                 reached_by_others
             };
-            let (born, load) = (born(&id), loads(&id));
+            let report = reports(&id);
             probes.lock().push(id);
             Box::pin(async move {
                 if answers_probes {
-                    return Ok(HealthReport {
-                        load: Some(load),
-                        born,
-                        ..HealthReport::default()
-                    });
+                    return Ok(report);
                 }
                 std::future::pending().await
             })
--- a/crates/decisions/src/first_event.rs
+++ b/crates/decisions/src/first_event.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Whether the run waits for its first event.
+    #[must_use]
+    pub fn is_for_first(&self) -> bool {
+        !self.begun
+    }
+
     /// When the run is to be checked.
     #[must_use]
     pub fn check_at(&self) -> Instant {
