--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -6,6 +6,8 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) path: SendPath,
+    /// The run among those that wait for their first event, if it does.
+    waiting: Option<WaitingRun>,
     /// Changes when the runs on the upstream fail over.
     pub(crate) failed_over: watch::Receiver<FailOver>,
     /// The run in the room of the upstream.
@@ -87,21 +89,39 @@
             gateway: gateway.clone(),
             entry,
             path,
+            waiting: None,
             failed_over,
             run,
             has_data: false,
         }
     }
 
+    /// Counts the run as one that waits for its first event. It `resumes` a stream if its caller has received events.
+    pub(crate) fn waits_for_event(mut self, resumes: bool) -> Self {
+        if self.path.is_direct() {
+            let now = self.gateway.timer.now();
+            let run = WaitingRun { sent: now, resumes };
+            self.waiting = Some(run);
+            let mut state = self.gateway.state.lock();
+            state.upstream(&self.entry, now).health.waiting.add(run);
+        }
+        self
+    }
+
     /// Records that data of the response has arrived: with the first event, the prompt is prefilled.
     pub(crate) fn record_data(&mut self) {
         if std::mem::replace(&mut self.has_data, true) {
             return;
         }
         let now = self.gateway.timer.now();
-        if let Some(upstream) = self.gateway.state.lock().existing_upstream(&self.entry.id) {
+        let mut state = self.gateway.state.lock();
+        if let Some(upstream) = state.existing_upstream(&self.entry.id) {
             upstream.room.first_event(self.run, now);
+            if let Some(run) = self.waiting.take() {
+                upstream.health.waiting.remove(run);
+            }
         }
+        drop(state);
         self.gateway.room_may_have_changed();
     }
 
@@ -132,6 +152,9 @@
         if self.path.is_direct() {
             upstream.health.call_ended();
         }
+        if let Some(run) = self.waiting {
+            upstream.health.waiting.remove(run);
+        }
         upstream.load.call_ended();
         upstream.room.run_ended(self.run);
         drop(state);
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -8,13 +8,13 @@
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
     reply_log::millis,
-    retries::{CALL_RETRY_TIMEOUT, STREAM_RETRY_TIMEOUT},
+    retries::{CALL_RETRY_TIMEOUT, RetryRank, STREAM_RETRY_TIMEOUT},
     run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
     sent_run::SentRun,
     state::cached_tokens,
     stream_call::StreamStop,
-    stream_run::{ActiveRun, FIRST_EVENT_TIMEOUT, Loss, StreamRun},
+    stream_run::{ActiveRun, Loss, StreamRun},
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
@@ -197,9 +197,59 @@
         } else {
             CALL_RETRY_TIMEOUT
         };
-        self.gateway
-            .take_retry(&self.accepted.service, max_wait)
-            .await
+        let service = &self.accepted.service;
+        let rank = self
+            .gateway
+            .is_scheduled(service)
+            .then(|| self.retry_rank());
+        let taken = self
+            .gateway
+            .take_ranked_retry(service, max_wait, rank)
+            .await;
+        if let (Some(rank), false) = (rank, taken) {
+            self.log_no_retry(rank);
+        }
+        taken
+    }
+
+    fn log_no_retry(&self, rank: RetryRank) {
+        let now = self.gateway.timer.now();
+        if self.gateway.log.admits(LineKind::Belief, now) {
+            let reason = if now > rank.latest_start {
+                "too_late"
+            } else {
+                "budget"
+            };
+            tracing::info!(request = %self.accepted.call.id, reason, priority = rank.priority,
+                sends = self.sends, last_event = self.relay.last(),
+                left_ms = millis(self.accepted.time_left(now)), "stream got no retry");
+        }
+    }
+
+    /// Rank of the stream among those that wait for retry budget. Without a usable KV copy its prompt has to be
+    /// prefilled, except for what an engine has cached.
+    fn retry_rank(&self) -> RetryRank {
+        let copy = self.copy.as_ref().is_some_and(KvCopy::is_usable);
+        let doubtful = self.doubtful_copies.as_ref();
+        let prefill = if copy || doubtful.is_some_and(KvCopyManager::has_usable) {
+            Duration::ZERO
+        } else {
+            let prompt = self.accepted.call.prompt.as_ref().map_or(0, |p| p.tokens);
+            let cached = self.cached.iter().map(|(_, tokens)| *tokens).max();
+            prefill_time(prompt.saturating_sub(cached.unwrap_or(0)))
+        };
+        let had = self.relay.last().unwrap_or(0);
+        let rest = self
+            .gateway
+            .state
+            .lock()
+            .stream_durations
+            .min_remaining(had);
+        let needed = prefill + rest.unwrap_or_default();
+        RetryRank {
+            priority: self.accepted.priority,
+            latest_start: self.accepted.deadline.before(needed),
+        }
     }
 
     /// Number of tokens that an engine must prefill before the next event.
@@ -368,14 +418,16 @@
             self.prefill_tokens(&entry)
         };
         SentRun {
-            guard: run.unwrap_or_else(|| {
-                RunGuard::begin(&gateway, entry, self.accepted.call.size(), tokens, path)
-            }),
+            guard: run
+                .unwrap_or_else(|| {
+                    RunGuard::begin(&gateway, entry, self.accepted.call.size(), tokens, path)
+                })
+                .waits_for_event(self.relay.last().is_some()),
             copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call)),
             _from: from,
             response: (gateway.transport.send)(call),
             sent_at: now,
-            stalls_at: tokio::time::Instant::now() + FIRST_EVENT_TIMEOUT,
+            wait: EventWait::for_first(now),
             sample_sent_at: is_sample.then_some(now),
             recorded: false,
         }
@@ -383,21 +435,33 @@
 
     /// Waits for the response to a run. Afterwards the stream has an active run, or may be sent again.
     async fn await_response(&mut self, mut run: SentRun) -> Result<(), StreamStop> {
-        let time_left = self.accepted.time_left(self.gateway.timer.now());
         let retryable = self.accepted.route.kind.may_retry();
-        let loss = tokio::select! {
-            response = &mut run.response => return self.handle_outcome(run, response),
-            reason = run.guard.failed_over() => match reason {
-                FailOverReason::ProcessEnded => return self.lose_sent_run(run, Loss::ProcessEnded),
-                FailOverReason::Unresponsive => Loss::Silent,
-            },
-            // An upstream may send the response head only with the first event.
-            () = tokio::time::sleep_until(run.stalls_at), if retryable => Loss::Stalled,
-            cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
-                self.record_run(&mut run);
-                return Err(self.withdraw(&cause));
+        let loss = loop {
+            let now = self.gateway.timer.now();
+            let time_left = self.accepted.time_left(now);
+            let check_in = run.wait.check_at().since(now);
+            tokio::select! {
+                response = &mut run.response => return self.handle_outcome(run, response),
+                reason = run.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => {
+                        return self.lose_sent_run(run, Loss::ProcessEnded);
+                    }
+                    FailOverReason::Unresponsive => break Loss::Silent,
+                },
+                // An upstream may send the response head only with the first event.
+                () = tokio::time::sleep(check_in), if retryable => {
+                    let SentRun { guard, wait, .. } = &mut run;
+                    let checked = self.gateway.check_wait(&self.accepted, guard, wait, false);
+                    if let Some(loss) = checked {
+                        break loss;
+                    }
+                }
+                cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
+                    self.record_run(&mut run);
+                    return Err(self.withdraw(&cause));
+                }
+                () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
             }
-            () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
         self.resolve_doubt(DoubtfulRun::Sent(run), loss).await
     }
@@ -454,6 +518,7 @@
             progress: RunProgress::default(),
             body_end: response.body_end,
             last_data_at: tokio::time::Instant::now(),
+            wait: None,
             sample_sent_at: run.sample_sent_at,
         });
         Ok(())
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -59,6 +59,12 @@
 /// Returns the process start time that an upstream reports in health checks.
 pub(super) type ProcessStarts = Arc<dyn Fn(&str) -> Option<ProcessStart> + Send + Sync>;
 
+/// Returns the load that an upstream reports in health checks.
+pub(super) type ReportedLoads = Arc<dyn Fn(&str) -> LoadSample + Send + Sync>;
+
+/// Returns what an upstream reports in health checks.
+pub(super) type HealthReports = Arc<dyn Fn(&str) -> HealthReport + Send + Sync>;
+
 pub(super) type ScriptFn = Box<dyn Fn(&UpstreamCall) -> Script + Send + Sync>;
 
 /// Record of the requests that upstreams received.
@@ -92,7 +98,7 @@
     script: ScriptFn,
     answers_probes: Arc<dyn Fn(&str) -> bool + Send + Sync>,
     reached_by_others: bool,
-    born: ProcessStarts,
+    reports: HealthReports,
     cached_on: Option<&'static str>,
     timer: &Arc<Timer>,
     observed: &Observed,
@@ -173,15 +179,11 @@
             } else {
                 reached_by_others
             };
-            let born = born(&id);
+            let report = reports(&id);
             probes.lock().push(id);
             Box::pin(async move {
                 if answers_probes {
-                    return Ok(HealthReport {
-                        load: Some(LoadSample::default()),
-                        born,
-                        ..HealthReport::default()
-                    });
+                    return Ok(report);
                 }
                 std::future::pending().await
             })
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -97,6 +97,10 @@
     failure_ejection::FailureEjection,
     fair_queue::{FairQueue, PopOptions, QueueTeam},
     finish::Finish,
+    first_event::{
+        CallReport, EventWait, FIRST_EVENT_TIMEOUT, STALL_TIMEOUT, UpstreamCalls, WaitDecision,
+        WaitingRun, WaitingRuns,
+    },
     heartbeat_packing::{
         HeartbeatItem, HeartbeatRotation, HeartbeatTrigger, PackedHeartbeat, pack,
     },
@@ -234,7 +238,7 @@
         COPY_GRACE, LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry,
     },
     upstream_evidence::{EVIDENCE_MAX_AGE, UpstreamEvidence},
-    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth},
+    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth, WAITING_SILENCE_TIMEOUT},
     upstream_id::UpstreamId,
     upstream_incarnation::UpstreamIncarnation,
     upstream_limit::{LimitChange, LimitPart, LimitStatement, LimitedRequest, UpstreamLimit},
@@ -322,6 +326,7 @@
 mod failure_ejection;
 mod fair_queue;
 mod finish;
+mod first_event;
 mod heartbeat_packing;
 mod hedge;
 mod hex;
