--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -149,6 +149,14 @@
         self
     }
 
+    /// Sets the memory of the engines.
+    pub fn kv_capacity(mut self, tokens: u32) -> Self {
+        for service in self.services.iter_mut().filter(|s| s.engine) {
+            service.kv_capacity = Some(tokens);
+        }
+        self
+    }
+
     pub fn routes(mut self, routes: Vec<Route>) -> Self {
         self.routes = routes;
         self
--- a/crates/decisions/src/expected_time.rs
+++ b/crates/decisions/src/expected_time.rs
@@ -15,7 +15,7 @@
 
 /// Maximum weight of one statement. After a pause in the statements, a single one of a speed that jumps would
 /// otherwise replace the mean of all earlier ones.
-const MAX_STATEMENT_WEIGHT: f64 = 0.5;
+const MAX_STATEMENT_WEIGHT: f64 = 0.3;
 
 /// Weight of the speed that one first event shows.
 const OBSERVATION_WEIGHT: f64 = 0.3;
--- a/crates/decisions/src/room_placement.rs
+++ b/crates/decisions/src/room_placement.rs
@@ -6,7 +6,8 @@
 //!
 //! A VM does not know all calls on the upstreams that it does not share. It uses those by their reports. Without a
 //! recent report it sends a prompt there only if the upstreams that it knows have no room, and few at once: under
-//! overload, each VM would otherwise send one to each of them at the same time.
+//! overload, each VM would otherwise send one to each of them at the same time. If its latest reports say that most
+//! of them were full, it sends none.
 //!
 //! Costs are milliseconds, as in [`crate::placement`].
 
@@ -15,9 +16,9 @@
     MAX_BASELINE_STREAMS, SUSPECT_COST, SUSPECT_ZONE_COST, partition_cost, random_start,
 };
 
-/// Minimum number of prompts that a VM may have in prefill at a time on upstreams whose load it neither knows nor was
-/// told lately; see [`max_blind_prompts`].
-const MIN_BLIND_PROMPTS: usize = 2;
+/// Cost of an upstream of the own zone that other VMs share with this one and that is in another VM's partition. It
+/// decides only between upstreams that are otherwise equal: this VM is notified of the dispatches there.
+const SHARED_COST: f64 = 30.0;
 
 /// Calls for which a holder's memory must have room beside a KV copy.
 const CALLS_BESIDE_COPY: u32 = 2;
@@ -102,7 +103,13 @@
     let all_suspect = candidates.iter().all(|c| c.placement.suspect);
     let rated = rate(candidates, context);
     let has_room = |rated: &&Rated| {
-        rated.estimate.has_room(tokens, reserve)
+        // Other VMs may send a call by the same report.
+        let others = if rated.candidate.placement.load_is_complete {
+            0
+        } else {
+            tokens
+        };
+        rated.estimate.has_room(tokens, reserve + others)
             && (all_suspect || !rated.candidate.placement.suspect)
     };
     let (blind, known) = rated
@@ -112,11 +119,22 @@
     if let Some(entry) = least_cost(&known, baseline(&rated), context) {
         return Some(entry);
     }
+    // A known upstream that only prefills has room within a second; one of unknown load may be full.
+    let has_room_soon = rated.iter().any(|rated| {
+        let placement = &rated.candidate.placement;
+        placement.load_is_complete
+            && !placement.suspect
+            && rated.estimate.free_slots > 0
+            && rated.estimate.leaves(tokens, reserve)
+    });
+    if has_room_soon {
+        return None;
+    }
     let in_prefill = rated
         .iter()
         .filter(|rated| rated.is_blind() && rated.candidate.room.has_unread(now))
         .count();
-    if in_prefill >= max_blind_prompts(candidates, context) {
+    if in_prefill >= max_blind_prompts(&rated, context) {
         return None;
     }
     let mut blind = blind;
@@ -169,14 +187,31 @@
     select_copy_holder(&holders, run, &context.placement)
 }
 
-/// Number of prompts that a VM may have in prefill at a time on upstreams of unknown load: its share of the upstreams
-/// of its zone. If all VMs send that many, there is one for each upstream.
-fn max_blind_prompts(candidates: &[RoomCandidate], context: &RoomContext) -> usize {
+/// Number of prompts that a VM may have in prefill at a time on upstreams of unknown load. It is the VM's share of the
+/// upstreams of its zone if the latest reports say that most had room, none if most were full, and one without any.
+fn max_blind_prompts(rated: &[Rated], context: &RoomContext) -> usize {
     let PlacementContext { zone, zone_vms, .. } = context.placement;
-    let in_zone = candidates
+    let unknown = rated
+        .iter()
+        .filter(|rated| !rated.candidate.placement.load_is_complete);
+    let reports = unknown.filter_map(|rated| rated.estimate.was_full);
+    let (full, open) = reports.fold((0, 0), |(full, open), was_full| {
+        if was_full {
+            (full + 1, open)
+        } else {
+            (full, open + 1)
+        }
+    });
+    if full > open {
+        return 0;
+    }
+    if open == 0 && zone_vms.len() > 1 {
+        return 1;
+    }
+    let in_zone = rated
         .iter()
-        .filter(|c| c.placement.entry.zone == *zone);
-    (in_zone.count() / zone_vms.len().max(1)).max(MIN_BLIND_PROMPTS)
+        .filter(|rated| rated.candidate.placement.entry.zone == *zone);
+    (in_zone.count() / zone_vms.len().max(1)).max(1)
 }
 
 fn rate<'a, 'b>(candidates: &'b [RoomCandidate<'a>], context: &RoomContext) -> Vec<Rated<'a, 'b>> {
@@ -235,7 +270,12 @@
     let other_zone = policy.own_zone && placement.entry.zone != *context.placement.zone;
     let mut cost = estimate.first_event.as_secs_f64() * 1000.0;
     cost += policy.stream_cost * streams / speed;
-    cost += partition_cost(placement, &context.placement, other_zone);
+    let partition = partition_cost(placement, &context.placement, other_zone);
+    cost += if placement.load_is_complete && !other_zone {
+        partition.min(SHARED_COST)
+    } else {
+        partition
+    };
     if placement.suspect_zone {
         cost += SUSPECT_ZONE_COST;
     }
--- a/crates/decisions/src/upstream_room.rs
+++ b/crates/decisions/src/upstream_room.rs
@@ -11,6 +11,9 @@
 /// How long a report of an upstream counts.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1500);
 
+/// How long a report shows that an upstream whose other calls are unknown was full. Runs last 6 s and more.
+const FULL_PERIOD: Duration = Duration::from_secs(5);
+
 /// How late a report is: calls that were sent this long before it may be missing in it.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 
@@ -21,6 +24,11 @@
 /// Minimum share of a prompt that counts as not prefilled until its first event arrives.
 const UNREAD_SHARE: f64 = 0.125;
 
+/// Share of a call's prompt that the prompts ahead of it may take at an engine: one waits there while another one is
+/// prefilled, so that the engine is not idle, and the others wait in the VMs. Less than 1, because the prefill that
+/// other VMs advertise is taken to go on between two heartbeats, also for a prompt whose turn has not come.
+const MAX_AHEAD: f64 = 0.7;
+
 /// Prompts shorter than this are treated as this long where the wait at an engine is compared with a prompt.
 const MIN_PROMPT: u32 = 1000;
 
@@ -77,6 +85,8 @@
     pub calls: u32,
     /// Age of the last report, if it still counts.
     pub age: Option<Duration>,
+    /// Whether there was no room for such a call at the last report, if there was one lately.
+    pub was_full: Option<bool>,
     /// Whether the call may be sent as far as slots and the wait at the upstream are concerned.
     is_open: bool,
 }
@@ -353,8 +363,20 @@
             Some(capacity) => capacity.saturating_sub(used),
             None => u32::MAX,
         };
-        let free_slots = self.slots.unwrap_or(known.slots).saturating_sub(calls);
+        let slots = self.slots.unwrap_or(known.slots);
+        let was_full = self.reported_load(FULL_PERIOD, now).map(|load| {
+            let calls = load.running + load.waiting;
+            let total = capacity.or(known.capacity).unwrap_or(u32::MAX);
+            calls >= slots || (calls + 1).saturating_mul(call.tokens()) > total
+        });
+        let free_slots = slots.saturating_sub(calls);
         let is_proven = self.has_produced || self.load.is_some();
+        // Where other VMs' calls are not known, one of them may be sending a prompt too.
+        let max_ahead = if is_proven && known.is_complete {
+            one_prompt.mul_f64(MAX_AHEAD)
+        } else {
+            Duration::from_nanos(1)
+        };
         let uncached = f64::from(call.prompt.saturating_sub(cached));
         let first_event = ahead + self.speed.prefill_time(uncached, now);
         let decode = self
@@ -367,8 +389,9 @@
             free_tokens,
             free_slots,
             calls,
+            was_full,
             age: report.map(|(_, at)| now.since(at)),
-            is_open: free_slots > 0 && ahead < one_prompt && (is_proven || ahead.is_zero()),
+            is_open: free_slots > 0 && ahead < max_ahead,
         }
     }
 }
