--- a/crates/decisions/tests/room_support/mod.rs
+++ b/crates/decisions/tests/room_support/mod.rs
@@ -16,6 +16,7 @@
 };
 pub const CAPACITY: u32 = 88_000;
 pub const STEP_MS: u64 = 10;
+const STEP: f64 = 10.0;
 const SLOTS: u32 = 32;
 
 pub fn at(ms: u64) -> Instant {
@@ -47,7 +48,7 @@
     prompts: VecDeque<(Run, f64, u64)>,
     streams: Vec<(Run, f64)>,
     /// Sum of the calls there over all steps.
-    pub call_steps: u64,
+    pub call_steps: f64,
     /// Longest wait of a prompt before its prefill began.
     pub longest_wait: u64,
     pub most_tokens: u32,
@@ -65,7 +66,7 @@
             speed: 1.0,
             prompts: VecDeque::new(),
             streams: Vec::new(),
-            call_steps: 0,
+            call_steps: 0.0,
             longest_wait: 0,
             most_tokens: 0,
         }
@@ -86,8 +87,8 @@
 
     pub fn step(&mut self, now_ms: u64) -> Vec<Event> {
         let mut events = Vec::new();
-        self.call_steps += u64::from(self.calls());
-        let ms = STEP_MS as f64 * self.speed;
+        self.call_steps += f64::from(self.calls());
+        let ms = STEP * self.speed;
         let decode = if self.prompts.is_empty() {
             0.2
         } else {
@@ -186,7 +187,7 @@
             }
             for index in 0..self.vms.len() {
                 let share = self.vms[index].demand / total_demand;
-                let chance = calls_per_s * share * STEP_MS as f64 / 1000.0;
+                let chance = calls_per_s * share * STEP / 1000.0;
                 if self.rng.random::<f64>() < chance {
                     self.vms[index].waiting.push_back(now_ms);
                 }
@@ -384,13 +385,17 @@
             .iter_mut()
             .zip(&self.gone)
             .filter(|(_, gone)| !**gone);
-        let loads = live.map(|(engine, _)| std::mem::take(&mut engine.call_steps) as f64);
+        let loads = live.map(|(engine, _)| std::mem::take(&mut engine.call_steps));
         let loads = loads.collect::<Vec<_>>();
-        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+        let mean = mean_of(&loads);
         loads.into_iter().fold(0.0, f64::max) / mean
     }
 }
 
+pub fn mean_of(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / f64::from(u32::try_from(values.len()).unwrap())
+}
+
 fn address(vm: usize) -> SocketAddr {
     ([127, 0, 0, 1], u16::try_from(1000 + vm).unwrap()).into()
 }
--- a/crates/decisions/tests/upstream_room.rs
+++ b/crates/decisions/tests/upstream_room.rs
@@ -8,7 +8,7 @@
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use room_support::{CALL, CAPACITY, Engine, Event, Fleet, STEP_MS, at, entry, zone};
+use room_support::{CALL, CAPACITY, Engine, Event, Fleet, STEP_MS, at, entry, mean_of, zone};
 use std::time::Duration;
 
 /// An engine of 88,000 tokens and 32 slots that only this VM uses.
@@ -36,13 +36,15 @@
     let mut room = UpstreamRoom::default();
     let mut engine = Engine::new(entry("engine", zone(0)));
     let (mut late, mut forecasts, mut errors) = (Vec::new(), Vec::new(), Vec::new());
+    let mut percent = 100;
     for ms in (1000..400_000).step_by(10) {
         if ms % 200 == 0 {
-            engine.speed = rng.random_range(0.5..2.0);
+            percent = rng.random_range(50..200_u32);
+            engine.speed = f64::from(percent) / 100.0;
         }
-        late.push(100.0 / engine.speed);
+        late.push(10_000 / percent);
         if ms % interval == 0 && late.len() > 30 {
-            let stated = report(late[late.len() - 30].round() as u32);
+            let stated = report(late[late.len() - 30]);
             room.record_report(Some(LoadSample::default()), stated, at(ms));
         }
         if rng.random::<f64>() < 0.7 * 0.01 && ms > 5000 {
@@ -63,7 +65,7 @@
             }
         }
     }
-    errors.iter().sum::<f64>() / errors.len() as f64
+    mean_of(&errors)
 }
 
 /// A VM that takes every engine for one of the usual speed places calls on slow ones as on fast ones.
