Dispatch queue: which waiting streams of a service start next, or are refused

Under overload a call went to a full engine at once and waited there behind calls of any rank, so everything was late together.

DispatchQueue orders waiting streams by whether they can still meet their target, then by priority, team (FairQueue) and latest start, and refuses on arrival those that cannot start in time by the rate of this VM's starts. FairQueue can now sort a team's requests by a time; a FIFO is the case of equal times.

--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -201,6 +201,7 @@
             | RefusalReason::CallerLeft
             | RefusalReason::DeadlineTooNear
             | RefusalReason::Limit
+            | RefusalReason::Overloaded
             | RefusalReason::QueueFull
             | RefusalReason::ShuttingDown => ProblemKind::Overloaded,
         };
--- a/crates/decisions/src/fair_queue.rs
+++ b/crates/decisions/src/fair_queue.rs
@@ -9,6 +9,9 @@
 //! teams are dropped. `ready` holds the teams with queued requests in descending order of their tag,
 //! so that the next one is popped off the end and each change moves at most a few kilobytes of plain
 //! numbers. Removing a request from the middle of a FIFO leaves an empty entry that is skipped later.
+//!
+//! A queue whose requests have different urgency within a team uses [`FairQueue::push_by_time`], which
+//! sorts a team's backlog by a time of each request instead of its arrival.
 //! `examples/decision_cost.rs` measures the cost; `docs/LOAD.md` has its figures.
 
 use super::*;
@@ -79,6 +82,8 @@
 
 #[derive(Debug)]
 struct Entry<T> {
+    /// Sort key within the team, before the number; the same for all requests of a FIFO.
+    time: Instant,
     number: u64,
     cost: u32,
     item: Option<T>,
@@ -121,20 +126,33 @@
 
     /// Appends a request to its team's backlog.
     pub fn push(&mut self, team: &QueueTeam, cost: u32, item: T) -> Ticket {
+        self.push_by_time(team, cost, Instant::default(), item)
+    }
+
+    /// Inserts a request into its team's backlog, behind the requests whose time is not later.
+    pub fn push_by_time(&mut self, team: &QueueTeam, cost: u32, time: Instant, item: T) -> Ticket {
         let team_index = self.find_or_insert_team(team);
         let number = self.next_number;
         self.next_number += 1;
-        self.team_queues[team_index].entries.push_back(Entry {
+        let entries = &mut self.team_queues[team_index].entries;
+        let index = entries.partition_point(|entry| entry.time <= time);
+        let entry = Entry {
+            time,
             number,
             cost: cost.max(1),
             item: Some(item),
-        });
+        };
+        entries.insert(index, entry);
         self.team_queues[team_index].queued += 1;
         self.len += 1;
         if self.team_queues[team_index].queued == 1 {
             self.activate(team_index, team.weight);
         }
-        Ticket { number, team_index }
+        Ticket {
+            time,
+            number,
+            team_index,
+        }
     }
 
     /// Removes and returns the next request.
@@ -181,10 +199,7 @@
     /// Removes a queued request; `None` if it is no longer queued.
     pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
         let team = self.team_queues.get_mut(ticket.team_index)?;
-        let i = team
-            .entries
-            .binary_search_by_key(&ticket.number, |entry| entry.number)
-            .ok()?;
+        let i = team.find(ticket).ok()?;
         let item = team.entries[i].item.take()?;
         team.queued -= 1;
         self.len -= 1;
@@ -211,8 +226,7 @@
     #[must_use]
     pub fn contains(&self, ticket: Ticket) -> bool {
         self.team_queues.get(ticket.team_index).is_some_and(|team| {
-            team.entries
-                .binary_search_by_key(&ticket.number, |entry| entry.number)
+            team.find(ticket)
                 .is_ok_and(|i| team.entries[i].item.is_some())
         })
     }
@@ -221,11 +235,29 @@
     /// and, of each other team, as many as its weight allows to be served meanwhile.
     #[must_use]
     pub fn requests_ahead(&self, team: &QueueTeam) -> u32 {
-        let team_index = self.find_team(&team.id);
-        let own = team_index.map_or(0, |team_index| self.team_queues[team_index].queued);
+        let queue = self.find_team(&team.id).map(|i| &self.team_queues[i]);
+        let own = queue.map_or(0, |queue| queue.queued);
+        self.count_ahead(team, own, own)
+    }
+
+    /// Maximum number of requests ahead of a new one of this team that is inserted by its time.
+    #[must_use]
+    pub fn requests_ahead_of(&self, team: &QueueTeam, time: Instant) -> u32 {
+        let Some(queue) = self.find_team(&team.id).map(|i| &self.team_queues[i]) else {
+            return self.count_ahead(team, 0, 0);
+        };
+        let earlier = queue.entries.iter().take_while(|entry| entry.time <= time);
+        let earlier = earlier.filter(|entry| entry.item.is_some()).count();
+        let earlier = u32::try_from(earlier).unwrap_or(u32::MAX);
+        self.count_ahead(team, queue.queued, earlier)
+    }
+
+    /// Maximum number of requests ahead of one that has `own` requests of its team, which has `queued` in total,
+    /// ahead of it.
+    fn count_ahead(&self, team: &QueueTeam, queued: u32, own: u32) -> u32 {
         let own_weight = u64::from(team.weight.max(1));
         let mut active = self.active_weight;
-        if own == 0 {
+        if queued == 0 {
             active += own_weight;
         }
         let by_weight = u64::from(own + 1) * active / own_weight;
@@ -311,6 +343,12 @@
 }
 
 impl<T> TeamQueue<T> {
+    fn find(&self, ticket: Ticket) -> Result<usize, usize> {
+        let key = (ticket.time, ticket.number);
+        self.entries
+            .binary_search_by_key(&key, |entry| (entry.time, entry.number))
+    }
+
     /// Drops the empty entries at the front and returns the first request.
     fn peek(&mut self) -> Option<&T> {
         while self
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -74,6 +74,10 @@
     crash_tracker::{CrashTracker, MAX_CRASHES_PER_BODY},
     crash_verdict::{BlameChange, CrashRefusal, CrashVerdict},
     delivery::Delivery,
+    dispatch_queue::{
+        Admission, DispatchQueue, DispatchTicket, OverloadCause, OverloadRefusal, QueueLimits,
+        StreamArrival,
+    },
     draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -293,6 +297,7 @@
 mod crash_tracker;
 mod crash_verdict;
 mod delivery;
+mod dispatch_queue;
 mod draft_id;
 mod drop_reason;
 mod dropped_counts;
--- a/crates/decisions/src/refusal_reason.rs
+++ b/crates/decisions/src/refusal_reason.rs
@@ -32,6 +32,8 @@
     NotClaimed,
     /// No upstream accepts work.
     NoUpstream,
+    /// The upstreams have no room for the request in time.
+    Overloaded,
     /// Upstreams crashed earlier while they ran the same request.
     Poisoned,
     /// The queue has reached its maximum length.
--- a/crates/decisions/tests/fair_queue.rs
+++ b/crates/decisions/tests/fair_queue.rs
@@ -126,6 +126,23 @@
     expect_that!(queue.len(), eq(2));
 }
 
+/// Guards against a caller that loses its place because it has returned, and against a removal or a forecast
+/// that assumes the order of arrival.
+#[gtest]
+fn requests_of_a_team_are_sorted_by_their_time() {
+    let mut queue = FairQueue::default();
+    queue.push_by_time(&team("a", 1), 1, at(30), "third");
+    queue.push_by_time(&team("a", 1), 1, at(10), "first");
+    let removed = queue.push_by_time(&team("a", 1), 1, at(15), "removed");
+    queue.push_by_time(&team("a", 1), 1, at(20), "second");
+
+    expect_that!(queue.remove(removed), some(eq("removed")));
+    expect_that!(queue.requests_ahead_of(&team("a", 1), at(20)), eq(3));
+    expect_that!(queue.requests_ahead_of(&team("a", 1), at(5)), eq(1));
+    let order = ["first", "second", "third"];
+    expect_that!(pop_all(&mut queue), container_eq(order));
+}
+
 #[gtest]
 fn ticket_of_an_evicted_team_removes_nothing() {
     let mut queue = FairQueue::default();
