Gateway: first sends of streams of scheduled services wait for room

A stream was sent, rejected and sent again up to twelve times. Nothing was refused early, and urgency decided nothing in the VM.

A first send of a scheduled service now takes room at an upstream or waits in the VM's queue. One task hands out room while calls wait and begins the run of a call before it selects for the next one. Waiting calls leave the queue with their callers, and are refused at SIGTERM, or when they can no longer complete, with a delay. Other services, streams that lost their run, reconnecting callers with a cached prompt and canaries are unchanged. New log lines, metrics and `catkinctl explain` text.

--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -183,8 +183,12 @@
                     line.text("fault")
                 )
             });
+            let overload = request_lines
+                .iter()
+                .find(|line| line.message() == "call refused: no room in time");
+            let overload = overload.map_or_else(String::new, |line| line.format_overload());
             format!(
-                "answered by the VM itself: {}{reason}{failed_call}{loss}",
+                "answered by the VM itself: {}{reason}{overload}{failed_call}{loss}",
                 last.text("outcome")
             )
         }
@@ -259,6 +263,22 @@
         )
     }
 
+    /// Formats why a call got no room at an upstream.
+    fn format_overload(&self) -> String {
+        let fields = &self.fields;
+        match self.text("cause") {
+            "forecast" => format!(
+                "; {} calls were ahead, its start was expected in {} ms and had to be within {} ms",
+                fields["ahead"], fields["expected_ms"], fields["allowed_ms"]
+            ),
+            "expired" => format!(
+                "; no upstream had room within the {} ms that it could wait",
+                fields["waited_ms"]
+            ),
+            limit => format!("; the queue of the VM had reached its limit of {limit}"),
+        }
+    }
+
     fn is_process_event(&self) -> bool {
         matches!(
             self.message(),
--- a/crates/catkinward/src/gateway/call_log.rs
+++ b/crates/catkinward/src/gateway/call_log.rs
@@ -24,8 +24,10 @@
     Belief,
     /// A health check ended.
     Probe,
-    /// Upstreams were left out because of their limits.
+    /// Upstreams were left out because of their limits, or a call was refused because they are full.
     Limited,
+    /// A call waits for room at an upstream, or has got it.
+    Queued,
 }
 
 /// Number of lines of each kind that were written in the current second.
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -3,6 +3,7 @@
 use super::{
     accepted_call::AcceptedCall,
     buffered_call::call_buffered,
+    call_queue::CallQueues,
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
     lost_run::CrashProof,
@@ -22,7 +23,7 @@
 
 /// Retry delay for a caller of a VM that is shutting down: short, since the retry goes to another
 /// VM.
-const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Settings of a [`Gateway`].
 #[derive(Clone, Debug)]
@@ -69,8 +70,9 @@
     /// Number of connections to upstreams that are open for other VMs.
     pub(crate) connections_for_others: AtomicU32,
     /// Notifies queued calls that an upstream may have room.
-    #[allow(dead_code)]
     pub(crate) room_changed: Notify,
+    /// Streams that wait for room at an upstream.
+    pub(crate) call_queues: Mutex<CallQueues>,
     /// Notifies waiting calls that a budget loan has arrived.
     pub(crate) loan_arrived: Notify,
     /// Datagrams to other VMs that do not wait for the next heartbeat.
@@ -142,6 +144,7 @@
             waiting_retries: AtomicU32::new(0),
             connections_for_others: AtomicU32::new(0),
             room_changed: Notify::new(),
+            call_queues: Mutex::default(),
             loan_arrived: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -29,6 +29,7 @@
 
 impl Gateway {
     fn set_gauges(&self, role: ZoneRole, now: Instant) {
+        self.set_queue_gauges();
         let mut state = self.state.lock();
         let usable = state.directory.usable_count(now);
         let suspects = state
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) use {
     self::{
+        core::SHUTDOWN_RETRY_DELAY,
         dispatches::Dispatches,
         outbox::{Addressed, Outbox},
         readiness::{Readiness, RecentServices},
@@ -100,6 +101,7 @@
 mod buffered_call;
 mod call;
 mod call_log;
+mod call_queue;
 mod compressed;
 mod core;
 mod crashes;
--- a/crates/catkinward/src/gateway/scheduling.rs
+++ b/crates/catkinward/src/gateway/scheduling.rs
@@ -1,7 +1,5 @@
 //! Which services are scheduled: their calls wait in the VM for room at an upstream.
 
-#![allow(dead_code)]
-
 use super::{accepted_call::AcceptedCall, *};
 
 /// How long an upstream's statement of its speed makes its service a scheduled one.
@@ -40,15 +38,40 @@
             })
     }
 
-    /// Selects an upstream with room for a call of a scheduled service.
+    /// Selects an upstream with room for a call of a scheduled service: its memory holds the calls of this VM, and
+    /// one more after a call of lower priority.
     pub(crate) fn select_with_room(
         &self,
         accepted: &AcceptedCall,
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
     ) -> RoomSelection {
-        match self.select(accepted, avoid, cached) {
+        let config = self.config();
+        let spec = config.as_ref().and_then(|c| c.service(&accepted.service));
+        let capacity = spec.and_then(|spec| spec.kv_capacity).unwrap_or(u32::MAX);
+        let prompt = accepted.call.prompt.as_ref();
+        let tokens = prompt.map_or(0, |p| p.tokens + p.max_generated);
+        let reserved = u32::from(accepted.priority > 0);
+        let mut is_full = false;
+        let selected = self.select_for_send(
+            accepted,
+            avoid,
+            cached,
+            Candidates::Open,
+            |candidates, context| {
+                let has_room = |candidate: &&PlacementCandidate| {
+                    let calls = candidate.load.own_calls() + 1 + reserved;
+                    calls.saturating_mul(tokens) <= capacity
+                };
+                let with_room = candidates.iter().filter(has_room).cloned();
+                let with_room = with_room.collect::<Vec<_>>();
+                is_full = with_room.is_empty() && !candidates.is_empty();
+                select_upstream(&with_room, context).cloned()
+            },
+        );
+        match selected {
             Some(entry) => RoomSelection::Upstream(entry),
+            None if is_full => RoomSelection::NoRoom,
             None => RoomSelection::NoUpstream,
         }
     }
--- a/crates/catkinward/src/gateway/shutdown.rs
+++ b/crates/catkinward/src/gateway/shutdown.rs
@@ -52,6 +52,7 @@
             accept_all_until: self.timer.now().after(OUT_OF_ROTATION_DELAY),
             ends_at,
         });
+        self.refuse_waiting_calls();
         let end = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
         tokio::time::sleep(OUT_OF_ROTATION_DELAY.min(grace)).await;
         close_idle();
--- a/crates/catkinward/src/gateway/stream_call.rs
+++ b/crates/catkinward/src/gateway/stream_call.rs
@@ -27,6 +27,10 @@
             let retry_after = REFUSED_RETRY_AFTER.mul_f64(spread);
             return refused(&call, reason, retry_after);
         }
+        Err(StreamStop::Refused {
+            reason,
+            retry_after,
+        }) => return refused(&call, reason, retry_after),
         Err(StreamStop::TimedOut) => return Reply::TimedOut,
         Err(StreamStop::Cut(_)) => return Reply::Unknown,
     };
@@ -57,6 +61,11 @@
 pub(crate) enum StreamStop {
     /// No upstream ran it.
     NotRun(RefusalReason),
+    /// It got no room at an upstream and was not sent.
+    Refused {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
     /// The deadline passed.
     TimedOut,
     /// Its run was lost and it cannot be resumed.
@@ -66,7 +75,7 @@
 impl StreamStop {
     fn into_cut(self) -> StreamCut {
         match self {
-            Self::NotRun(_) => StreamCut::NoUpstream,
+            Self::NotRun(_) | Self::Refused { .. } => StreamCut::NoUpstream,
             Self::TimedOut => StreamCut::TimedOut,
             Self::Cut(cut) => cut,
         }
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -2,6 +2,7 @@
 //! response.
 
 use super::{
+    call_queue::RoomGrant,
     doubtful_run::DoubtfulRun,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
@@ -43,6 +44,24 @@
     NoUpstream,
     /// It could not complete in the time that is left.
     TooLate,
+    /// It got no room at an upstream.
+    Refused {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
+
+/// Upstream for a stream.
+struct Selected {
+    entry: Arc<UpstreamEntry>,
+    /// The run, if it already counts as in flight.
+    run: Option<RunGuard>,
+}
+
+impl From<Arc<UpstreamEntry>> for Selected {
+    fn from(entry: Arc<UpstreamEntry>) -> Self {
+        Self { entry, run: None }
+    }
 }
 
 impl StreamRun {
@@ -82,7 +101,7 @@
         // A doubtful run is kept without another upstream, so nothing is paid before there is one.
         let mut selected = None;
         if doubtful.is_some() && self.copy.is_none() {
-            selected = self.choose(doubtful).await;
+            selected = self.choose(doubtful).await?;
             if selected.is_none() {
                 return Err(NoSend::NoUpstream);
             }
@@ -97,15 +116,17 @@
         if let Some(copy) = &mut from {
             copy.keep();
         }
-        let entry = match &from {
-            Some(copy) => copy.holder.clone(),
-            None => match self.choose_unless(selected, doubtful).await {
-                Some(entry) if self.is_too_late(&entry) => return Err(NoSend::TooLate),
-                Some(entry) => entry,
+        let selected = match &from {
+            Some(copy) => copy.holder.clone().into(),
+            None => match self.choose_unless(selected, doubtful).await? {
+                Some(selected) if self.is_too_late(&selected.entry) => {
+                    return Err(NoSend::TooLate);
+                }
+                Some(selected) => selected,
                 None => return Err(NoSend::NoUpstream),
             },
         };
-        Ok(self.send(entry, from))
+        Ok(self.send(selected, from))
     }
 
     fn stop_for(&self, reason: &NoSend) -> StreamStop {
@@ -113,6 +134,13 @@
             NoSend::TimedOut => StreamStop::TimedOut,
             NoSend::Forbidden(cause) => self.poisoned_stop(cause),
             NoSend::TooLate => self.deadline_stop(),
+            NoSend::Refused {
+                reason,
+                retry_after,
+            } => StreamStop::Refused {
+                reason: *reason,
+                retry_after: *retry_after,
+            },
             NoSend::Sends | NoSend::MaxUpstreams | NoSend::Budget | NoSend::NoUpstream => {
                 self.stop()
             }
@@ -131,11 +159,11 @@
 
     async fn choose_unless(
         &mut self,
-        selected: Option<Arc<UpstreamEntry>>,
+        selected: Option<Selected>,
         doubtful: Option<&(UpstreamIncarnation, SendPath)>,
-    ) -> Option<Arc<UpstreamEntry>> {
+    ) -> Result<Option<Selected>, NoSend> {
         match selected {
-            Some(entry) => Some(entry),
+            Some(selected) => Ok(Some(selected)),
             None => self.choose(doubtful).await,
         }
     }
@@ -229,12 +257,11 @@
         }
     }
 
-    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay. Beside
-    /// a doubtful run, its own upstream is selected only if no other is and another VM reaches it.
+    /// Selects an upstream; a first send may wait for room at one.
     async fn choose(
         &mut self,
         doubtful: Option<&(UpstreamIncarnation, SendPath)>,
-    ) -> Option<Arc<UpstreamEntry>> {
+    ) -> Result<Option<Selected>, NoSend> {
         if self.sends == 0 && self.gateway.settings.policy.prompt_search {
             self.cached = self.gateway.search_prompt(&self.accepted).await;
         }
@@ -242,9 +269,47 @@
             self.gateway.wait_for_rollout(&self.accepted.service).await;
             let trial = self.gateway.select_canary_upstream(&self.accepted);
             if trial.is_some() {
-                return trial;
+                return Ok(trial.map(Selected::from));
+            }
+            if self.waits_for_room() {
+                return self.wait_for_room().await;
             }
         }
+        Ok(self.choose_at_once(doubtful).await.map(Selected::from))
+    }
+
+    /// Whether the stream waits for room: it is new, and its service is scheduled. One that has begun at another VM
+    /// goes first, and one whose prompt an engine has cached takes little of its time.
+    fn waits_for_room(&self) -> bool {
+        self.accepted.call.last_event.is_none()
+            && self.cached.is_empty()
+            && self.gateway.is_scheduled(&self.accepted.service)
+    }
+
+    async fn wait_for_room(&mut self) -> Result<Option<Selected>, NoSend> {
+        let granted = self.gateway.wait_for_room(&self.accepted, &self.cached);
+        match granted.await {
+            RoomGrant::Run(run) => Ok(Some(Selected {
+                entry: run.entry.clone(),
+                run: Some(run),
+            })),
+            RoomGrant::NoUpstream => Ok(None),
+            RoomGrant::Refused {
+                reason,
+                retry_after,
+            } => Err(NoSend::Refused {
+                reason,
+                retry_after,
+            }),
+        }
+    }
+
+    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay. Beside
+    /// a doubtful run, its own upstream is selected only if no other is and another VM reaches it.
+    async fn choose_at_once(
+        &mut self,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
+    ) -> Option<Arc<UpstreamEntry>> {
         let mut avoid = self.avoid.clone();
         avoid.extend(doubtful.map(|(id, _)| id.clone()));
         let fresh = self.gateway.select(&self.accepted, &avoid, &self.cached);
@@ -267,7 +332,8 @@
     }
 
     /// Sends the stream to an upstream.
-    fn send(&mut self, entry: Arc<UpstreamEntry>, from: Option<KvCopy>) -> SentRun {
+    fn send(&mut self, selected: Selected, from: Option<KvCopy>) -> SentRun {
+        let Selected { entry, run } = selected;
         self.sends += 1;
         self.retry_prepaid = false;
         let gateway = self.gateway.clone();
@@ -277,7 +343,10 @@
         // A resumed run produces its first event sooner than a new one, so it is not counted when a
         // rollout is judged.
         let is_sample = from.is_none() && self.relay.last().is_none();
-        let path = gateway.path_to(&entry, &self.unopened);
+        let path = match &run {
+            Some(run) => run.path,
+            None => gateway.path_to(&entry, &self.unopened),
+        };
         let call = UpstreamCall {
             call: self.accepted.call.clone(),
             entry: entry.clone(),
@@ -299,7 +368,7 @@
             self.prefill_tokens(&entry)
         };
         SentRun {
-            guard: RunGuard::begin(&gateway, entry, tokens, path),
+            guard: run.unwrap_or_else(|| RunGuard::begin(&gateway, entry, tokens, path)),
             copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id)),
             _from: from,
             response: (gateway.transport.send)(call),
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -90,6 +90,23 @@
     );
 }
 
+/// Guards against an operator who sees that a call was refused for overload but not by how much.
+#[gtest]
+fn refusal_for_overload_shows_the_forecast() {
+    let refused = r#""message":"call refused: no room in time","request":"r1","cause":"forecast","ahead":7,"expected_ms":9000,"allowed_ms":4000"#;
+    let rejected = r#""message":"request rejected locally","request":"r1","outcome":"not_run","reason":"overloaded","retry_after_ms":9000"#;
+    let log = accepted(1) + &line(1, refused) + &line(1, rejected);
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", log)]);
+
+    expect_that!(
+        text(&output),
+        contains_substring(
+            "not_run, overloaded; 7 calls were ahead, its start was expected in 9000 ms and had to be within 4000 ms"
+        )
+    );
+}
+
 /// The log lacks lines and has a line that is not JSON. The explanation must report both and not
 /// guess a cause.
 #[gtest]
--- a/crates/catkinward/tests/gateway_support/mod.rs
+++ b/crates/catkinward/tests/gateway_support/mod.rs
@@ -149,6 +149,14 @@
         self
     }
 
+    /// Sets the memory of the engines, so that services with ranked routes are scheduled.
+    pub fn kv_capacity(mut self, tokens: Option<u32>) -> Self {
+        for service in self.services.iter_mut().filter(|service| service.engine) {
+            service.kv_capacity = tokens;
+        }
+        self
+    }
+
     pub fn routes(mut self, routes: Vec<Route>) -> Self {
         self.routes = routes;
         self
