--- a/crates/catkinward/src/gateway/accepted_call.rs
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -30,7 +30,17 @@
 /// time left.
 const FIRST_ATTEMPT_SHARE: f64 = 0.7;
 
+/// Share of the route's timeout that every caller allows on its first attempt: callers' timeouts differ by about a sixth.
+const LEAST_TIMEOUT_SHARE: f64 = 0.84;
+
 impl AcceptedCall {
+    /// When the caller sent its first attempt, at the latest. One that returns has less time left than callers have at
+    /// first.
+    pub(crate) fn first_attempt(&self) -> Instant {
+        let least_timeout = self.route.timeout.mul_f64(LEAST_TIMEOUT_SHARE);
+        self.deadline.before(least_timeout).min(self.call.arrived)
+    }
+
     pub(crate) fn max_idle(&self) -> Duration {
         if self.route.kind.may_retry() {
             RETRYABLE_MAX_IDLE
--- a/crates/catkinward/src/gateway/call_queue.rs
+++ b/crates/catkinward/src/gateway/call_queue.rs
@@ -253,12 +253,7 @@
                 id: team.unwrap_or_else(|| NO_TEAM.parse().expect("a valid name")),
                 weight: 1,
             },
-            // A caller that returns has less time left than its route allows, so this is the time of its
-            // first attempt.
-            target: accepted
-                .deadline
-                .before(route.timeout)
-                .after(route.target_latency),
+            target: accepted.first_attempt().after(route.target_latency),
             deadline: accepted.deadline,
             prefill: prefill_time(size.prompt),
             duration: duration.unwrap_or_default(),
--- a/crates/decisions/src/dispatch_queue.rs
+++ b/crates/decisions/src/dispatch_queue.rs
@@ -4,9 +4,9 @@
 //! sent to a full engine waits there behind calls of any rank, takes its memory, and is late together with
 //! all others. Here calls wait in the VM, which starts those that are worth the most:
 //!
-//! 1. Calls that can still meet their target go before those that cannot but can complete. A late call is
-//!    worth a twentieth of one on time at most, whatever its rank.
-//! 2. The lower priority value goes first.
+//! 1. The lower priority value goes first, so that an accepted urgent call is never passed by less urgent ones.
+//! 2. Of the same priority, calls that can still meet their target go before those that cannot but can complete.
+//!    A late call is worth a twentieth of one on time.
 //! 3. Teams take turns by weight ([`FairQueue`]), so a backlog delays only its own team.
 //! 4. Within a team, the call goes first whose latest start for its target is the earliest. A caller that
 //!    returns after a refusal thereby has its former place.
@@ -19,7 +19,10 @@
 //! more urgent one, because it would have had that room.
 
 use super::*;
-use std::{cmp::Reverse, collections::BinaryHeap, collections::HashMap};
+use std::{
+    cmp::{Ordering, Reverse},
+    collections::{BinaryHeap, HashMap},
+};
 
 /// Prefills between a start and the first event for which the target of a call has time: its own, and one
 /// of another prompt that its engine may still read.
@@ -76,8 +79,8 @@
     /// Memory of a VM up to which its queue holds fewer bytes.
     const SMALL_VM_BYTES: usize = 160 << 20;
 
-    /// Limits of a VM with so many bytes of memory, if that is known. Bodies of prompts have some 30 KB,
-    /// so 16 MB hold 500 of them; on a VM of 160 MB, 4 MB are what the other parts leave.
+    /// Limits of a VM with so many bytes of memory, if that is known. The body of a prompt of 8,200 tokens has
+    /// some 33 KB, so 4 MB hold 120 of them: more than a small VM starts within a deadline.
     #[must_use]
     pub fn for_vm(memory: Option<usize>) -> Self {
         let is_small = memory.is_some_and(|memory| memory <= Self::SMALL_VM_BYTES);
@@ -186,8 +189,6 @@
     /// Calls whose latest start has passed.
     expired: Vec<T>,
     starts: EventRate,
-    /// When a call last waited that could be on time.
-    on_time_waited: Option<Instant>,
     bytes: usize,
     next_number: u64,
 }
@@ -200,6 +201,16 @@
     late: FairQueue<u64>,
     /// Accepted calls that could be on time.
     arrivals: EventRate,
+    /// When a call last waited that could be on time.
+    on_time_waited: Option<Instant>,
+}
+
+impl Rank {
+    /// Whether a call that could be on time waited lately.
+    fn holds_late(&self, now: Instant) -> bool {
+        self.on_time_waited
+            .is_some_and(|at| now.since(at) < LATE_HOLD)
+    }
 }
 
 #[derive(Debug)]
@@ -248,7 +259,6 @@
             timers: BinaryHeap::new(),
             expired: Vec::new(),
             starts: EventRate::default(),
-            on_time_waited: None,
             bytes: 0,
             next_number: 0,
         }
@@ -283,13 +293,14 @@
     #[must_use]
     pub fn is_first(&self, arrival: &StreamArrival, now: Instant) -> bool {
         let late = arrival.latest_start_on_time() < now;
-        if late && self.holds_late(now) {
-            return false;
-        }
         self.ranks.iter().all(|rank| {
-            let goes_first = rank.priority <= arrival.priority;
-            (rank.on_time.is_empty() || !(goes_first || late))
-                && (rank.late.is_empty() || !(goes_first && late))
+            let (on_time, waits) = (rank.on_time.is_empty(), rank.late.is_empty());
+            match rank.priority.cmp(&arrival.priority) {
+                Ordering::Less => on_time && waits,
+                Ordering::Equal if late => on_time && waits && !rank.holds_late(now),
+                Ordering::Equal => on_time,
+                Ordering::Greater => true,
+            }
         })
     }
 
@@ -360,7 +371,6 @@
             teams: MAX_TRIES,
             ..PopOptions::default()
         };
-        let holds_late = self.holds_late(now);
         let (calls, mut without_room, mut tries) = (&self.calls, u32::MAX, 0);
         let mut try_call = |number: &u64| {
             let call = calls.get(number)?;
@@ -374,16 +384,12 @@
             }
             selected
         };
-        let on_time = self
-            .ranks
-            .iter_mut()
-            .find_map(|rank| rank.on_time.pop_where(now, options, &mut try_call));
-        let (number, selected) = on_time.or_else(|| {
-            if holds_late {
-                return None;
+        let (number, selected) = self.ranks.iter_mut().find_map(|rank| {
+            let on_time = rank.on_time.pop_where(now, options, &mut try_call);
+            if on_time.is_some() || rank.holds_late(now) {
+                return on_time;
             }
-            let mut ranks = self.ranks.iter_mut();
-            ranks.find_map(|rank| rank.late.pop_where(now, options, &mut try_call))
+            rank.late.pop_where(now, options, &mut try_call)
         })?;
         let call = self.calls.remove(&number)?;
         self.bytes -= call.arrival.bytes;
@@ -428,8 +434,10 @@
     /// Moves calls that can no longer meet their target behind the others, and takes out those that can no
     /// longer complete.
     fn update(&mut self, now: Instant) {
-        if self.ranks.iter().any(|rank| !rank.on_time.is_empty()) {
-            self.on_time_waited = Some(now);
+        for rank in &mut self.ranks {
+            if !rank.on_time.is_empty() {
+                rank.on_time_waited = Some(now);
+            }
         }
         while let Some(Reverse((time, number))) = self.timers.peek().copied() {
             if time >= now {
@@ -457,6 +465,12 @@
         };
         let place = queue.push_by_time(&arrival.team, arrival.cost(), latest, number);
         self.timers.push(Reverse((latest, number)));
+        if self.timers.len() > 2 * self.calls.len() + 64 {
+            // Otherwise the timers of calls that have started would accumulate until their deadlines.
+            let calls = &self.calls;
+            self.timers
+                .retain(|Reverse((_, other))| *other == number || calls.contains_key(other));
+        }
         let call = WaitingCall {
             arrival,
             is_late,
@@ -479,12 +493,6 @@
         Some(call)
     }
 
-    /// Whether a call that could be on time waited lately.
-    fn holds_late(&self, now: Instant) -> bool {
-        self.on_time_waited
-            .is_some_and(|at| now.since(at) < LATE_HOLD)
-    }
-
     fn rank(&mut self, priority: u8) -> &mut Rank {
         let index = match self.ranks.binary_search_by_key(&priority, |r| r.priority) {
             Ok(index) => index,
@@ -494,6 +502,7 @@
                     on_time: FairQueue::default(),
                     late: FairQueue::default(),
                     arrivals: EventRate::default(),
+                    on_time_waited: None,
                 };
                 self.ranks.insert(index, rank);
                 index
@@ -518,12 +527,12 @@
         (bytes > share(self.limits.bytes)).then_some(OverloadCause::Bytes)
     }
 
-    /// Forecast for a call that goes before those that cannot meet their target.
+    /// Forecast for a call that goes before those of its priority that cannot meet their target.
     fn forecast_on_time(&self, arrival: &StreamArrival, now: Instant) -> Forecast {
         let (mut ahead, mut arrivals) = (0, 0.0);
         for rank in &self.ranks {
             if rank.priority < arrival.priority {
-                ahead += count(rank.on_time.len());
+                ahead += count(rank.on_time.len() + rank.late.len());
                 arrivals += rank.arrivals.per_second(now);
             } else if rank.priority == arrival.priority {
                 let latest = arrival.latest_start_on_time();
@@ -533,15 +542,16 @@
         self.forecast(ahead, arrivals, now)
     }
 
-    /// Forecast for a call that goes after those that can meet their target.
+    /// Forecast for a call that goes after those of its priority that can meet their target.
     fn forecast_late(&self, arrival: &StreamArrival, now: Instant) -> Forecast {
         let (mut ahead, mut arrivals) = (0, 0.0);
-        for rank in &self.ranks {
+        let ranks = self.ranks.iter();
+        for rank in ranks.filter(|rank| rank.priority <= arrival.priority) {
             ahead += count(rank.on_time.len());
             arrivals += rank.arrivals.per_second(now);
             if rank.priority < arrival.priority {
                 ahead += count(rank.late.len());
-            } else if rank.priority == arrival.priority {
+            } else {
                 let latest = arrival.latest_start();
                 ahead += rank.late.requests_ahead_of(&arrival.team, latest);
             }
