--- a/crates/catkinward/src/gateway/state.rs
+++ b/crates/catkinward/src/gateway/state.rs
@@ -516,13 +516,18 @@
         entries.retain(|entry| !avoid.contains(&entry.id));
         let (unused, unused_room) = (UpstreamLoad::default(), UpstreamRoom::default());
         let peers = self.peers.view(placement.now);
+        let is_only_vm = self.is_only_vm(placement.now);
         let candidates = entries
             .iter()
             .map(|entry| {
                 let state = self.used_upstream(entry);
                 let load = state.map_or(&unused, |state| &state.load);
+                let candidate = self.candidate(entry, state, load, &peers, cached, placement);
                 RoomCandidate {
-                    placement: self.candidate(entry, state, load, &peers, cached, placement),
+                    placement: PlacementCandidate {
+                        load_is_complete: candidate.load_is_complete || is_only_vm,
+                        ..candidate
+                    },
                     room: state.map_or(&unused_room, |state| &state.room),
                     peer_tokens: if placement.policy.peer_loads {
                         peers.tokens(&entry.id)
@@ -535,6 +540,11 @@
         select(&candidates)
     }
 
+    /// Whether this VM is the only one: its settings name no others, and none has sent a heartbeat.
+    fn is_only_vm(&self, now: Instant) -> bool {
+        self.restarted.is_none() && self.peers.live_count(now) == 0
+    }
+
     fn used_upstream(&self, entry: &UpstreamEntry) -> Option<&UpstreamIncarnationState> {
         let found = self.upstreams.binary_search_by(|u| u.id.cmp(&entry.id));
         found.ok().map(|index| &self.upstreams[index])
