Rank calls of a service by team, then by route

A team's priority takes precedence over that of the route. Where all teams have the same priority, it replaced the routes' priorities, so that urgent and other calls of a service had the same rank in the queue, for retries and at engines. For scheduled services whose routes differ in priority, both are combined into one priority from 0 to 9.

--- a/crates/catkinward/src/gateway/accepted_call.rs
+++ b/crates/catkinward/src/gateway/accepted_call.rs
@@ -9,7 +9,8 @@
     pub(crate) service: ServiceId,
     pub(crate) team: Option<TeamId>,
     /// Priority of the call: that of the caller's team, otherwise that of the route; 0 is the
-    /// highest.
+    /// highest. If the service is scheduled and its routes have different priorities, it combines both
+    /// ([`ranked_priority`]).
     pub(crate) priority: u8,
     /// Deadline of the caller or of the route, whichever is earlier.
     pub(crate) deadline: Instant,
--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -414,6 +414,12 @@
             return Err(refused(call, RefusalReason::ShuttingDown, SHUTDOWN_RETRY_DELAY).into());
         }
         let timeout = call.timeout.map_or(route.timeout, |p| p.min(route.timeout));
+        let team_priority = holder.and_then(|holder| holder.priority);
+        let priority = if state.scheduling(&service, now).is_ranked() {
+            ranked_priority(team_priority, route.priority)
+        } else {
+            team_priority.unwrap_or(route.priority)
+        };
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
@@ -426,7 +432,7 @@
             route: route.clone(),
             service,
             team,
-            priority: holder.and_then(|h| h.priority).unwrap_or(route.priority),
+            priority,
             deadline: call.arrived.after(timeout),
             attributes: attributes.into(),
         })
--- a/crates/catkinward/src/gateway/scheduling.rs
+++ b/crates/catkinward/src/gateway/scheduling.rs
@@ -27,6 +27,13 @@
     pub(crate) capacity: Option<u32>,
 }
 
+impl Scheduling {
+    /// Whether the service is scheduled and its routes have different priorities.
+    pub(crate) fn is_ranked(&self) -> bool {
+        self.is_scheduled && self.most_urgent.is_some()
+    }
+}
+
 /// Answers to whether services are scheduled, sorted by service.
 #[derive(Debug, Default)]
 pub(crate) struct Schedulings(Vec<(ServiceId, Scheduling, Instant)>);
@@ -206,7 +213,7 @@
             size: accepted.call.size(),
             most_urgent: scheduling
                 .most_urgent
-                .is_none_or(|priority| accepted.priority <= priority),
+                .is_none_or(|priority| accepted.route.priority <= priority),
             capacity: scheduling.capacity,
         };
         state.select_with_room(service, avoid, cached, &context, |candidates| {
--- a/crates/decisions/src/dispatch_queue.rs
+++ b/crates/decisions/src/dispatch_queue.rs
@@ -54,8 +54,8 @@
 /// Shortest `Retry-After`: room comes with the end of a stream, many a second at most.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Share of the limits that calls of other than the highest priority may use, as a fraction, so that a
-/// burst of them leaves space for urgent ones.
+/// Share of the limits that calls may use while more urgent ones are known, as a fraction, so that a burst of them
+/// leaves space for these.
 const LESS_URGENT_SHARE: (usize, usize) = (3, 4);
 
 /// Number of calls that are tried in one decision, each the first of its team. Calls of one service need
@@ -512,9 +512,13 @@
     }
 
     fn exceeded_limit(&self, arrival: &StreamArrival) -> Option<OverloadCause> {
+        let is_most_urgent = self
+            .ranks
+            .first()
+            .is_none_or(|rank| arrival.priority <= rank.priority);
         let share = |limit: usize| {
             let (numerator, denominator) = LESS_URGENT_SHARE;
-            if arrival.priority == 0 {
+            if is_most_urgent {
                 limit
             } else {
                 limit * numerator / denominator
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -52,6 +52,7 @@
     call_key::CallKey,
     call_kind::CallKind,
     call_limiter::{CallLimiter, CallLimiterSettings},
+    call_priority::ranked_priority,
     caller_connection_limit::{CallerConnectionLimit, ConnectionAdmission},
     candidate::Candidate,
     capacity_share::CapacityShare,
@@ -285,6 +286,7 @@
 mod call_key;
 mod call_kind;
 mod call_limiter;
+mod call_priority;
 mod call_table;
 mod caller_connection_limit;
 mod candidate;
