--- a/crates/catkinward/src/gateway/core.rs
+++ b/crates/catkinward/src/gateway/core.rs
@@ -3,6 +3,7 @@
 use super::{
     accepted_call::AcceptedCall,
     buffered_call::call_buffered,
+    call_queue::CallQueues,
     gauges::update_gauges,
     health_check::{adopt, watch_upstreams},
     lost_run::CrashProof,
@@ -22,7 +23,7 @@
 
 /// Retry delay for a caller of a VM that is shutting down: short, since the retry goes to another
 /// VM.
-const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Settings of a [`Gateway`].
 #[derive(Clone, Debug)]
@@ -66,11 +67,16 @@
     pub(crate) started: Instant,
     /// Number of calls that wait for retry budget.
     pub(crate) waiting_retries: AtomicU32,
+    /// Calls of scheduled services that wait for retry budget.
+    pub(crate) waiting_ranks: Mutex<WaitingRanks>,
     /// Number of connections to upstreams that are open for other VMs.
     pub(crate) connections_for_others: AtomicU32,
     /// Notifies queued calls that an upstream may have room.
-    #[allow(dead_code)]
     pub(crate) room_changed: Notify,
+    /// Whether a service was found to be scheduled.
+    pub(crate) has_scheduled: AtomicBool,
+    /// Streams that wait for room at an upstream.
+    pub(crate) call_queues: Mutex<CallQueues>,
     /// Notifies waiting calls that a budget loan has arrived.
     pub(crate) loan_arrived: Notify,
     /// Datagrams to other VMs that do not wait for the next heartbeat.
@@ -140,8 +146,11 @@
             loan_requests: Mutex::default(),
             started: timer.now(),
             waiting_retries: AtomicU32::new(0),
+            waiting_ranks: Mutex::default(),
             connections_for_others: AtomicU32::new(0),
             room_changed: Notify::new(),
+            has_scheduled: AtomicBool::default(),
+            call_queues: Mutex::default(),
             loan_arrived: Notify::new(),
             outbox: Outbox::default(),
             dispatches: Dispatches::default(),
@@ -240,6 +249,9 @@
         let version = config.version;
         let mut state = self.state.lock();
         let advanced = state.config.advance(config);
+        if advanced {
+            state.schedulings.clear();
+        }
         self.current.send_replace(state.is_current());
         drop(state);
         if advanced {
@@ -350,6 +362,9 @@
                 _ => {}
             }
         }
+        if !changes.is_empty() {
+            self.room_may_have_changed();
+        }
     }
 
     /// Records the era of the store in a response, or in the gossip of another VM.
@@ -399,6 +414,12 @@
             return Err(refused(call, RefusalReason::ShuttingDown, SHUTDOWN_RETRY_DELAY).into());
         }
         let timeout = call.timeout.map_or(route.timeout, |p| p.min(route.timeout));
+        let team_priority = holder.and_then(|holder| holder.priority);
+        let priority = if state.scheduling(&service, now).is_ranked() {
+            ranked_priority(team_priority, route.priority)
+        } else {
+            team_priority.unwrap_or(route.priority)
+        };
         if self.log.admits(LineKind::Accepted, now) {
             tracing::info!(request = %call.id, route = &*route.name, %service,
                 kind = %route.kind, config = %config.version,
@@ -411,7 +432,7 @@
             route: route.clone(),
             service,
             team,
-            priority: holder.and_then(|h| h.priority).unwrap_or(route.priority),
+            priority,
             deadline: call.arrived.after(timeout),
             attributes: attributes.into(),
         })
@@ -425,6 +446,9 @@
         avoid: &[UpstreamIncarnation],
         cached: &[(UpstreamIncarnation, u32)],
     ) -> Option<Arc<UpstreamEntry>> {
+        if accepted.route.kind.is_stream() && self.is_scheduled(&accepted.service) {
+            return self.select_without_wait(accepted, avoid, cached);
+        }
         self.select_for_send(
             accepted,
             avoid,
@@ -486,6 +510,9 @@
         let avoid = state.back_offs.excluded(0.0, now).cloned();
         let avoid = avoid.collect::<Vec<_>>();
         drop(state);
+        if self.is_scheduled(&accepted.service) {
+            return self.select_holder_with_room(accepted, &avoid, run);
+        }
         self.select_with(
             accepted,
             &avoid,
@@ -523,18 +550,8 @@
         select: impl FnOnce(&[PlacementCandidate], &PlacementContext) -> T,
     ) -> T {
         let now = self.timer.now();
-        let zone = &self.settings.zone;
-        let mut zone_vms = state.peers.live_in(zone, now).collect::<Vec<_>>();
-        zone_vms.push(self.settings.vm.clone());
-        let context = PlacementContext {
-            zone: &self.settings.zone,
-            vm: &self.settings.vm,
-            zone_vms: &zone_vms,
-            stream: accepted.route.kind.is_stream(),
-            random: rand::random(),
-            now,
-            policy: &self.settings.policy,
-        };
+        let zone_vms = self.live_zone_vms(state, now);
+        let context = self.placement_context(accepted.route.kind.is_stream(), &zone_vms, now);
         state.select_with(
             &accepted.service,
             avoid,
@@ -545,6 +562,33 @@
         )
     }
 
+    /// Names of the live VMs of this zone, including this VM.
+    pub(crate) fn live_zone_vms(&self, state: &GatewayState, now: Instant) -> Vec<Arc<str>> {
+        let mut zone_vms = state
+            .peers
+            .live_in(&self.settings.zone, now)
+            .collect::<Vec<_>>();
+        zone_vms.push(self.settings.vm.clone());
+        zone_vms
+    }
+
+    pub(crate) fn placement_context<'a>(
+        &'a self,
+        stream: bool,
+        zone_vms: &'a [Arc<str>],
+        now: Instant,
+    ) -> PlacementContext<'a> {
+        PlacementContext {
+            zone: &self.settings.zone,
+            vm: &self.settings.vm,
+            zone_vms,
+            stream,
+            random: rand::random(),
+            now,
+            policy: &self.settings.policy,
+        }
+    }
+
     /// Whether the rollouts admit every request of its service to an upstream.
     pub(crate) fn is_open(&self, entry: &UpstreamEntry) -> bool {
         let now = self.timer.now();
@@ -566,12 +610,14 @@
         let mut state = self.state.lock();
         let upstream = state.upstream(entry, now);
         upstream.health.record_activity(now);
-        if let Some((load, room)) = load {
-            upstream.load.record_report(load, now);
-            upstream.room.record_report(load, room, now);
-        }
+        let reported = load.is_some();
+        let unreadable =
+            load.and_then(|(load, room)| upstream.record_report(Some(load), room, now));
         let changes = state.directory.record_response(&entry.id);
         drop(state);
+        if reported {
+            self.report_received(entry, unreadable);
+        }
         self.presence_changed(&changes);
     }
 
--- a/crates/catkinward/src/gateway/gauges.rs
+++ b/crates/catkinward/src/gateway/gauges.rs
@@ -24,11 +24,13 @@
         }
         gateway.remove_ended_back_offs(now);
         gateway.set_gauges(role, now);
+        gateway.set_room_gauges(now);
     }
 }
 
 impl Gateway {
     fn set_gauges(&self, role: ZoneRole, now: Instant) {
+        self.set_queue_gauges();
         let mut state = self.state.lock();
         let usable = state.directory.usable_count(now);
         let suspects = state
--- a/crates/catkinward/src/gateway/kv_copy_manager.rs
+++ b/crates/catkinward/src/gateway/kv_copy_manager.rs
@@ -37,6 +37,7 @@
 
 struct PendingCopy {
     holder: Arc<UpstreamEntry>,
+    size: CallSize,
     answer: BoxFuture<'static, Result<CopySource, CopyError>>,
 }
 
@@ -84,6 +85,12 @@
         }
     }
 
+    /// Whether a run could resume from one of the copies.
+    pub(crate) fn has_usable(&self) -> bool {
+        let requested = self.requested.as_ref().map(|(copy, _)| copy);
+        self.growing.iter().chain(requested).any(KvCopy::is_usable)
+    }
+
     /// Whether a run and the copy that grows with it both become unreachable if the own zone is
     /// partitioned.
     fn is_exposed(&self, run: &UpstreamEntry) -> bool {
@@ -101,7 +108,7 @@
             return;
         };
         let answer = (&mut pending.answer).await;
-        let holder = pending.holder.clone();
+        let (holder, size) = (pending.holder.clone(), pending.size);
         self.pending = None;
         let now = self.gateway.timer.now();
         match answer {
@@ -112,7 +119,7 @@
                 {
                     before.keep();
                 }
-                let copy = KvCopy::ordered(&self.gateway, holder, source);
+                let copy = KvCopy::ordered(&self.gateway, holder, source, size);
                 self.requested = Some((copy, now));
             }
             Err(error) => {
@@ -158,6 +165,7 @@
         };
         self.pending = Some(PendingCopy {
             holder,
+            size: accepted.call.size(),
             answer: (self.gateway.transport.copy)(order),
         });
     }
--- a/crates/catkinward/src/gateway/run_guard.rs
+++ b/crates/catkinward/src/gateway/run_guard.rs
@@ -6,8 +6,14 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) entry: Arc<UpstreamEntry>,
     pub(crate) path: SendPath,
+    /// The run among those that wait for their first event, if it does.
+    waiting: Option<WaitingRun>,
     /// Changes when the runs on the upstream fail over.
     pub(crate) failed_over: watch::Receiver<FailOver>,
+    /// The run in the room of the upstream.
+    run: RoomRun,
+    /// Whether the upstream has sent data of the response.
+    has_data: bool,
 }
 
 /// Signal to the runs on an upstream that it may have failed.
@@ -43,21 +49,37 @@
 }
 
 impl RunGuard {
-    /// Counts a run, with the prompt tokens that its upstream has to prefill. A run over a path through another VM
+    /// Counts a run of a call of `size`, with the prompt tokens that its upstream has to prefill. A run over a path through another VM
     /// says nothing about the own one, so its silence starts no health check.
     pub(crate) fn begin(
         gateway: &Arc<Gateway>,
         entry: Arc<UpstreamEntry>,
+        size: CallSize,
         prompt_tokens: u32,
         path: SendPath,
     ) -> Self {
         let now = gateway.timer.now();
         let mut state = gateway.state.lock();
+        let is_scheduled = state.scheduling(&entry.service, now).is_scheduled;
+        let peer_prefill = if is_scheduled && prompt_tokens > 0 {
+            state.peers.view(now).prefill_left(&entry.id)
+        } else {
+            Duration::ZERO
+        };
         let upstream = state.upstream(&entry, now);
         if path.is_direct() {
             upstream.health.call_started(now);
         }
-        upstream.load.call_started(prompt_tokens, now);
+        let prefill = if is_scheduled {
+            let speed = upstream.room.speed();
+            speed.prefill_time(f64::from(prompt_tokens), now)
+        } else {
+            prefill_time(prompt_tokens)
+        };
+        upstream.load.call_started_with(prefill, now);
+        let run = upstream
+            .room
+            .run_started(size, prompt_tokens, peer_prefill, now);
         let failed_over = upstream.failed_over.subscribe();
         drop(state);
         if prompt_tokens > 0 {
@@ -67,8 +89,40 @@
             gateway: gateway.clone(),
             entry,
             path,
+            waiting: None,
             failed_over,
+            run,
+            has_data: false,
+        }
+    }
+
+    /// Counts the run as one that waits for its first event. It `resumes` a stream if its caller has received events.
+    pub(crate) fn waits_for_event(mut self, resumes: bool) -> Self {
+        if self.path.is_direct() {
+            let now = self.gateway.timer.now();
+            let run = WaitingRun { sent: now, resumes };
+            self.waiting = Some(run);
+            let mut state = self.gateway.state.lock();
+            state.upstream(&self.entry, now).health.waiting.add(run);
+        }
+        self
+    }
+
+    /// Records that data of the response has arrived: with the first event, the prompt is prefilled.
+    pub(crate) fn record_data(&mut self) {
+        if std::mem::replace(&mut self.has_data, true) {
+            return;
+        }
+        let now = self.gateway.timer.now();
+        let mut state = self.gateway.state.lock();
+        if let Some(upstream) = state.existing_upstream(&self.entry.id) {
+            upstream.room.first_event(self.run, now);
+            if let Some(run) = self.waiting.take() {
+                upstream.health.waiting.remove(run);
+            }
         }
+        drop(state);
+        self.gateway.room_may_have_changed();
     }
 
     /// Waits until the runs on the upstream fail over.
@@ -98,6 +152,12 @@
         if self.path.is_direct() {
             upstream.health.call_ended();
         }
+        if let Some(run) = self.waiting {
+            upstream.health.waiting.remove(run);
+        }
         upstream.load.call_ended();
+        upstream.room.run_ended(self.run);
+        drop(state);
+        self.gateway.room_may_have_changed();
     }
 }
--- a/crates/catkinward/src/gateway/stream_send.rs
+++ b/crates/catkinward/src/gateway/stream_send.rs
@@ -2,18 +2,19 @@
 //! response.
 
 use super::{
+    call_queue::RoomGrant,
     doubtful_run::DoubtfulRun,
     kv_copy::KvCopy,
     kv_copy_manager::KvCopyManager,
     reply::StreamCut,
     reply_log::millis,
-    retries::{CALL_RETRY_TIMEOUT, STREAM_RETRY_TIMEOUT},
+    retries::{CALL_RETRY_TIMEOUT, RetryRank, STREAM_RETRY_TIMEOUT},
     run_guard::{FailOverReason, RunGuard},
     run_progress::RunProgress,
     sent_run::SentRun,
     state::cached_tokens,
     stream_call::StreamStop,
-    stream_run::{ActiveRun, FIRST_EVENT_TIMEOUT, Loss, StreamRun},
+    stream_run::{ActiveRun, Loss, StreamRun},
     upstream_transport::CONNECT_TIMEOUT,
     *,
 };
@@ -43,6 +44,24 @@
     NoUpstream,
     /// It could not complete in the time that is left.
     TooLate,
+    /// It got no room at an upstream.
+    Refused {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
+
+/// Upstream for a stream.
+struct Selected {
+    entry: Arc<UpstreamEntry>,
+    /// The run, if it already counts as in flight.
+    run: Option<RunGuard>,
+}
+
+impl From<Arc<UpstreamEntry>> for Selected {
+    fn from(entry: Arc<UpstreamEntry>) -> Self {
+        Self { entry, run: None }
+    }
 }
 
 impl StreamRun {
@@ -82,7 +101,7 @@
         // A doubtful run is kept without another upstream, so nothing is paid before there is one.
         let mut selected = None;
         if doubtful.is_some() && self.copy.is_none() {
-            selected = self.choose(doubtful).await;
+            selected = self.choose(doubtful).await?;
             if selected.is_none() {
                 return Err(NoSend::NoUpstream);
             }
@@ -97,15 +116,17 @@
         if let Some(copy) = &mut from {
             copy.keep();
         }
-        let entry = match &from {
-            Some(copy) => copy.holder.clone(),
-            None => match self.choose_unless(selected, doubtful).await {
-                Some(entry) if self.is_too_late(&entry) => return Err(NoSend::TooLate),
-                Some(entry) => entry,
+        let selected = match &from {
+            Some(copy) => copy.holder.clone().into(),
+            None => match self.choose_unless(selected, doubtful).await? {
+                Some(selected) if self.is_too_late(&selected.entry) => {
+                    return Err(NoSend::TooLate);
+                }
+                Some(selected) => selected,
                 None => return Err(NoSend::NoUpstream),
             },
         };
-        Ok(self.send(entry, from))
+        Ok(self.send(selected, from))
     }
 
     fn stop_for(&self, reason: &NoSend) -> StreamStop {
@@ -113,6 +134,13 @@
             NoSend::TimedOut => StreamStop::TimedOut,
             NoSend::Forbidden(cause) => self.poisoned_stop(cause),
             NoSend::TooLate => self.deadline_stop(),
+            NoSend::Refused {
+                reason,
+                retry_after,
+            } => StreamStop::Refused {
+                reason: *reason,
+                retry_after: *retry_after,
+            },
             NoSend::Sends | NoSend::MaxUpstreams | NoSend::Budget | NoSend::NoUpstream => {
                 self.stop()
             }
@@ -131,11 +159,11 @@
 
     async fn choose_unless(
         &mut self,
-        selected: Option<Arc<UpstreamEntry>>,
+        selected: Option<Selected>,
         doubtful: Option<&(UpstreamIncarnation, SendPath)>,
-    ) -> Option<Arc<UpstreamEntry>> {
+    ) -> Result<Option<Selected>, NoSend> {
         match selected {
-            Some(entry) => Some(entry),
+            Some(selected) => Ok(Some(selected)),
             None => self.choose(doubtful).await,
         }
     }
@@ -169,9 +197,59 @@
         } else {
             CALL_RETRY_TIMEOUT
         };
-        self.gateway
-            .take_retry(&self.accepted.service, max_wait)
-            .await
+        let service = &self.accepted.service;
+        let rank = self
+            .gateway
+            .is_scheduled(service)
+            .then(|| self.retry_rank());
+        let taken = self
+            .gateway
+            .take_ranked_retry(service, max_wait, rank)
+            .await;
+        if let (Some(rank), false) = (rank, taken) {
+            self.log_no_retry(rank);
+        }
+        taken
+    }
+
+    fn log_no_retry(&self, rank: RetryRank) {
+        let now = self.gateway.timer.now();
+        if self.gateway.log.admits(LineKind::Belief, now) {
+            let reason = if now > rank.latest_start {
+                "too_late"
+            } else {
+                "budget"
+            };
+            tracing::info!(request = %self.accepted.call.id, reason, priority = rank.priority,
+                sends = self.sends, last_event = self.relay.last(),
+                left_ms = millis(self.accepted.time_left(now)), "stream got no retry");
+        }
+    }
+
+    /// Rank of the stream among those that wait for retry budget. Without a usable KV copy its prompt has to be
+    /// prefilled, except for what an engine has cached.
+    fn retry_rank(&self) -> RetryRank {
+        let copy = self.copy.as_ref().is_some_and(KvCopy::is_usable);
+        let doubtful = self.doubtful_copies.as_ref();
+        let prefill = if copy || doubtful.is_some_and(KvCopyManager::has_usable) {
+            Duration::ZERO
+        } else {
+            let prompt = self.accepted.call.prompt.as_ref().map_or(0, |p| p.tokens);
+            let cached = self.cached.iter().map(|(_, tokens)| *tokens).max();
+            prefill_time(prompt.saturating_sub(cached.unwrap_or(0)))
+        };
+        let had = self.relay.last().unwrap_or(0);
+        let rest = self
+            .gateway
+            .state
+            .lock()
+            .stream_durations
+            .min_remaining(had);
+        let needed = prefill + rest.unwrap_or_default();
+        RetryRank {
+            priority: self.accepted.priority,
+            latest_start: self.accepted.deadline.before(needed),
+        }
     }
 
     /// Number of tokens that an engine must prefill before the next event.
@@ -229,12 +307,11 @@
         }
     }
 
-    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay. Beside
-    /// a doubtful run, its own upstream is selected only if no other is and another VM reaches it.
+    /// Selects an upstream; a first send may wait for room at one.
     async fn choose(
         &mut self,
         doubtful: Option<&(UpstreamIncarnation, SendPath)>,
-    ) -> Option<Arc<UpstreamEntry>> {
+    ) -> Result<Option<Selected>, NoSend> {
         if self.sends == 0 && self.gateway.settings.policy.prompt_search {
             self.cached = self.gateway.search_prompt(&self.accepted).await;
         }
@@ -242,9 +319,47 @@
             self.gateway.wait_for_rollout(&self.accepted.service).await;
             let trial = self.gateway.select_canary_upstream(&self.accepted);
             if trial.is_some() {
-                return trial;
+                return Ok(trial.map(Selected::from));
+            }
+            if self.waits_for_room() {
+                return self.wait_for_room().await;
             }
         }
+        Ok(self.choose_at_once(doubtful).await.map(Selected::from))
+    }
+
+    /// Whether the stream waits for room: it is new, and its service is scheduled. One that has begun at another VM
+    /// goes first, and one whose prompt an engine has cached takes little of its time.
+    fn waits_for_room(&self) -> bool {
+        self.accepted.call.last_event.is_none()
+            && self.cached.is_empty()
+            && self.gateway.is_scheduled(&self.accepted.service)
+    }
+
+    async fn wait_for_room(&mut self) -> Result<Option<Selected>, NoSend> {
+        let granted = self.gateway.wait_for_room(&self.accepted, &self.cached);
+        match granted.await {
+            RoomGrant::Run(run) => Ok(Some(Selected {
+                entry: run.entry.clone(),
+                run: Some(run),
+            })),
+            RoomGrant::NoUpstream => Ok(None),
+            RoomGrant::Refused {
+                reason,
+                retry_after,
+            } => Err(NoSend::Refused {
+                reason,
+                retry_after,
+            }),
+        }
+    }
+
+    /// Selects an upstream that has not lost or refused this stream; if there is none, any upstream after a delay. Beside
+    /// a doubtful run, its own upstream is selected only if no other is and another VM reaches it.
+    async fn choose_at_once(
+        &mut self,
+        doubtful: Option<&(UpstreamIncarnation, SendPath)>,
+    ) -> Option<Arc<UpstreamEntry>> {
         let mut avoid = self.avoid.clone();
         avoid.extend(doubtful.map(|(id, _)| id.clone()));
         let fresh = self.gateway.select(&self.accepted, &avoid, &self.cached);
@@ -267,7 +382,8 @@
     }
 
     /// Sends the stream to an upstream.
-    fn send(&mut self, entry: Arc<UpstreamEntry>, from: Option<KvCopy>) -> SentRun {
+    fn send(&mut self, selected: Selected, from: Option<KvCopy>) -> SentRun {
+        let Selected { entry, run } = selected;
         self.sends += 1;
         self.retry_prepaid = false;
         let gateway = self.gateway.clone();
@@ -277,7 +393,10 @@
         // A resumed run produces its first event sooner than a new one, so it is not counted when a
         // rollout is judged.
         let is_sample = from.is_none() && self.relay.last().is_none();
-        let path = gateway.path_to(&entry, &self.unopened);
+        let path = match &run {
+            Some(run) => run.path,
+            None => gateway.path_to(&entry, &self.unopened),
+        };
         let call = UpstreamCall {
             call: self.accepted.call.clone(),
             entry: entry.clone(),
@@ -299,12 +418,16 @@
             self.prefill_tokens(&entry)
         };
         SentRun {
-            guard: RunGuard::begin(&gateway, entry, tokens, path),
-            copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call.id)),
+            guard: run
+                .unwrap_or_else(|| {
+                    RunGuard::begin(&gateway, entry, self.accepted.call.size(), tokens, path)
+                })
+                .waits_for_event(self.relay.last().is_some()),
+            copy: copy.map(|holder| KvCopy::growing(&gateway, holder, &self.accepted.call)),
             _from: from,
             response: (gateway.transport.send)(call),
             sent_at: now,
-            stalls_at: tokio::time::Instant::now() + FIRST_EVENT_TIMEOUT,
+            wait: EventWait::for_first(now),
             sample_sent_at: is_sample.then_some(now),
             recorded: false,
         }
@@ -312,21 +435,33 @@
 
     /// Waits for the response to a run. Afterwards the stream has an active run, or may be sent again.
     async fn await_response(&mut self, mut run: SentRun) -> Result<(), StreamStop> {
-        let time_left = self.accepted.time_left(self.gateway.timer.now());
         let retryable = self.accepted.route.kind.may_retry();
-        let loss = tokio::select! {
-            response = &mut run.response => return self.handle_outcome(run, response),
-            reason = run.guard.failed_over() => match reason {
-                FailOverReason::ProcessEnded => return self.lose_sent_run(run, Loss::ProcessEnded),
-                FailOverReason::Unresponsive => Loss::Silent,
-            },
-            // An upstream may send the response head only with the first event.
-            () = tokio::time::sleep_until(run.stalls_at), if retryable => Loss::Stalled,
-            cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
-                self.record_run(&mut run);
-                return Err(self.withdraw(&cause));
+        let loss = loop {
+            let now = self.gateway.timer.now();
+            let time_left = self.accepted.time_left(now);
+            let check_in = run.wait.check_at().since(now);
+            tokio::select! {
+                response = &mut run.response => return self.handle_outcome(run, response),
+                reason = run.guard.failed_over() => match reason {
+                    FailOverReason::ProcessEnded => {
+                        return self.lose_sent_run(run, Loss::ProcessEnded);
+                    }
+                    FailOverReason::Unresponsive => break Loss::Silent,
+                },
+                // An upstream may send the response head only with the first event.
+                () = tokio::time::sleep(check_in), if retryable => {
+                    let SentRun { guard, wait, .. } = &mut run;
+                    let checked = self.gateway.check_wait(&self.accepted, guard, wait, false);
+                    if let Some(loss) = checked {
+                        break loss;
+                    }
+                }
+                cause = self.gateway.resend_forbidden(&self.accepted.attributes), if retryable => {
+                    self.record_run(&mut run);
+                    return Err(self.withdraw(&cause));
+                }
+                () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
             }
-            () = tokio::time::sleep(time_left) => return Err(StreamStop::TimedOut),
         };
         self.resolve_doubt(DoubtfulRun::Sent(run), loss).await
     }
@@ -383,6 +518,7 @@
             progress: RunProgress::default(),
             body_end: response.body_end,
             last_data_at: tokio::time::Instant::now(),
+            wait: None,
             sample_sent_at: run.sample_sent_at,
         });
         Ok(())
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -52,6 +52,7 @@
     call_key::CallKey,
     call_kind::CallKind,
     call_limiter::{CallLimiter, CallLimiterSettings},
+    call_priority::ranked_priority,
     caller_connection_limit::{CallerConnectionLimit, ConnectionAdmission},
     candidate::Candidate,
     capacity_share::CapacityShare,
@@ -74,6 +75,10 @@
     crash_tracker::{CrashTracker, MAX_CRASHES_PER_BODY},
     crash_verdict::{BlameChange, CrashRefusal, CrashVerdict},
     delivery::Delivery,
+    dispatch_queue::{
+        Admission, DispatchQueue, DispatchTicket, OverloadCause, OverloadRefusal, QueueLimits,
+        StreamArrival,
+    },
     draft_id::DraftId,
     drop_reason::DropReason,
     dropped_counts::DroppedCounts,
@@ -84,6 +89,7 @@
     error::Error,
     event_relay::{EventDecision, EventRelay, EventRun},
     event_splitter::{CompleteEvent, EventSplitter, MAX_EVENT_BYTES},
+    expected_time::{EngineSpeed, SPEED_STATEMENT_PERIOD},
     exposure::{
         ExposureGrants, ExposureLedger, ExposureLimit, ExposurePermit, GRANT_LIFETIME,
         VmIncarnation,
@@ -92,6 +98,10 @@
     failure_ejection::FailureEjection,
     fair_queue::{FairQueue, PopOptions, QueueTeam},
     finish::Finish,
+    first_event::{
+        CallReport, EventWait, FIRST_EVENT_TIMEOUT, STALL_TIMEOUT, UpstreamCalls, WaitDecision,
+        WaitingRun, WaitingRuns,
+    },
     heartbeat_packing::{
         HeartbeatItem, HeartbeatRotation, HeartbeatTrigger, PackedHeartbeat, pack,
     },
@@ -178,7 +188,10 @@
     rollout_precondition::RolloutPrecondition,
     rollout_record::{RolloutRecord, StoredRecord},
     rollouts::{ORDER_TIMEOUT, RolloutSettings, Rollouts, VersionAdmission},
-    room_report::{KvMemory, RoomReport, Slowdown},
+    room_placement::{
+        RoomCandidate, RoomContext, select_copy_holder_with_room, select_for_time, select_with_room,
+    },
+    room_report::{KvMemory, ReportFigure, RoomReport, Slowdown},
     route::{Route, RouteTarget},
     route_table::RouteTable,
     routing_config::{CallerKey, CallerLimits, NewestConfig, RoutingConfig, ServiceSpec},
@@ -226,7 +239,7 @@
         COPY_GRACE, LAPSE_GRACE, Presence, PresenceChange, UpstreamDirectory, UpstreamEntry,
     },
     upstream_evidence::{EVIDENCE_MAX_AGE, UpstreamEvidence},
-    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth},
+    upstream_health::{PROBE_TIMEOUT, SILENCE_TIMEOUT, UpstreamHealth, WAITING_SILENCE_TIMEOUT},
     upstream_id::UpstreamId,
     upstream_incarnation::UpstreamIncarnation,
     upstream_limit::{LimitChange, LimitPart, LimitStatement, LimitedRequest, UpstreamLimit},
@@ -235,7 +248,7 @@
     upstream_report::UpstreamReport,
     upstream_request_kind::UpstreamRequestKind,
     upstream_restart::{RestartEvidence, StaleRestart, TableFreshness, UpstreamRestart},
-    upstream_room::UpstreamRoom,
+    upstream_room::{CallSize, KnownLoad, RoomEstimate, RoomRun, UpstreamRoom},
     upstream_slots::{CapacityReport, UpstreamSlots},
     upstream_statement::{StatementSubject, UpstreamStatement},
     upstream_table::{TableRead, UpstreamChange, UpstreamTable},
@@ -273,6 +286,7 @@
 mod call_key;
 mod call_kind;
 mod call_limiter;
+mod call_priority;
 mod call_table;
 mod caller_connection_limit;
 mod candidate;
@@ -296,6 +310,7 @@
 mod crash_tracker;
 mod crash_verdict;
 mod delivery;
+mod dispatch_queue;
 mod draft_id;
 mod drop_reason;
 mod dropped_counts;
@@ -307,11 +322,13 @@
 mod error;
 mod event_relay;
 mod event_splitter;
+mod expected_time;
 mod exposure;
 mod failed_call;
 mod failure_ejection;
 mod fair_queue;
 mod finish;
+mod first_event;
 mod heartbeat_packing;
 mod hedge;
 mod hex;
@@ -392,6 +409,7 @@
 mod rollout_precondition;
 mod rollout_record;
 mod rollouts;
+mod room_placement;
 mod room_report;
 mod route;
 mod route_table;
