--- a/crates/catkinward/src/gateway/call_queue.rs
+++ b/crates/catkinward/src/gateway/call_queue.rs
@@ -52,8 +52,8 @@
         let index = match self.queues.binary_search_by(|(s, _)| s.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                // The platform does not state the memory of a VM.
-                let queue = DispatchQueue::new(QueueLimits::for_vm(None));
+                // The platform does not state the memory of a VM, so the limits are those of a small one.
+                let queue = DispatchQueue::new(QueueLimits::for_vm(Some(0)));
                 self.queues.insert(index, (service.clone(), queue));
                 index
             }
@@ -108,7 +108,14 @@
             ticket,
         };
         // The sender is dropped without a grant only when the runtime shuts down.
-        granted.await.unwrap_or_else(|_| shutting_down())
+        let time_left = accepted.time_left(self.timer.now());
+        match tokio::time::timeout(time_left, granted).await {
+            Ok(granted) => granted.unwrap_or_else(|_| shutting_down()),
+            Err(_) => RoomGrant::Refused {
+                reason: RefusalReason::Overloaded,
+                retry_after: Duration::ZERO,
+            },
+        }
     }
 
     /// Queues a stream, or decides on it at once.
@@ -191,14 +198,13 @@
                 queue.next(now, |waiting| self.select_for_waiting(waiting))
             {
                 let granted = match selected {
-                    Selection::Upstream(entry) => RoomGrant::Run(self.begin_first_run(
-                        &waiting.accepted,
-                        entry,
-                        &waiting.cached,
-                    )),
+                    Selection::Upstream(entry) => {
+                        self.log_dispatched(&waiting, now);
+                        let (accepted, cached) = (&waiting.accepted, &waiting.cached);
+                        RoomGrant::Run(self.begin_first_run(accepted, entry, cached))
+                    }
                     Selection::NoUpstream => RoomGrant::NoUpstream,
                 };
-                self.log_dispatched(&waiting, now);
                 grant(waiting, granted);
             }
         }
@@ -221,12 +227,22 @@
         calls_wait
     }
 
-    /// Upstream with room for a waiting call. If none may be selected, its wait ends as well.
+    /// Upstream with room for a waiting call. Its wait ends as well if the service has no upstream any more. Limits and
+    /// back-offs that exclude all of them for a moment do not end it.
     fn select_for_waiting(&self, waiting: &WaitingStream) -> Option<Selection> {
-        match self.select_with_room(&waiting.accepted, &[], &waiting.cached) {
+        let WaitingStream {
+            accepted, cached, ..
+        } = waiting;
+        if !self.is_scheduled(&accepted.service) {
+            let entry = self.select(accepted, &[], cached);
+            return entry.map(Selection::Upstream);
+        }
+        match self.select_with_room(accepted, &[], cached) {
             RoomSelection::Upstream(entry) => Some(Selection::Upstream(entry)),
-            RoomSelection::NoRoom => None,
-            RoomSelection::NoUpstream => Some(Selection::NoUpstream),
+            RoomSelection::NoUpstream if self.zones_with(&accepted.service) == 0 => {
+                Some(Selection::NoUpstream)
+            }
+            RoomSelection::NoRoom | RoomSelection::NoUpstream => None,
         }
     }
 
@@ -300,8 +316,20 @@
     }
 }
 
+/// Lets the next queued call start the task again if it ends by a panic.
+struct DispatchGuard<'a>(&'a Gateway);
+
+impl Drop for DispatchGuard<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.call_queues.lock().is_dispatching = false;
+        }
+    }
+}
+
 /// Starts waiting calls as upstreams get room, until none waits.
 async fn dispatch_calls(gateway: Arc<Gateway>) {
+    let _running = DispatchGuard(&gateway);
     loop {
         // After the timeout the calls are tried as well.
         let _ = tokio::time::timeout(MAX_DISPATCH_INTERVAL, gateway.room_changed.notified()).await;
--- a/crates/catkinward/src/gateway/health_check.rs
+++ b/crates/catkinward/src/gateway/health_check.rs
@@ -264,7 +264,7 @@
         let health = &mut upstream.health;
         let report = upstream.room.last_load().map(|(load, at)| CallReport {
             at,
-            calls: load.running.saturating_add(load.waiting),
+            calls: load.calls(),
             own_calls: health.waiting.counted_at(at, health.in_flight()),
         });
         let known = UpstreamCalls {
--- a/crates/decisions/src/dispatch_queue.rs
+++ b/crates/decisions/src/dispatch_queue.rs
@@ -6,7 +6,7 @@
 //!
 //! 1. The lower priority value goes first, so that an accepted urgent call is never passed by less urgent ones.
 //! 2. Of the same priority, calls that can still meet their target go before those that cannot but can complete.
-//!    A late call is worth a twentieth of one on time.
+//!    A late call is worth far less than one on time.
 //! 3. Teams take turns by weight ([`FairQueue`]), so a backlog delays only its own team.
 //! 4. Within a team, the call goes first whose latest start for its target is the earliest. A caller that
 //!    returns after a refusal thereby has its former place.
@@ -206,6 +206,10 @@
 }
 
 impl Rank {
+    fn is_empty(&self) -> bool {
+        self.on_time.is_empty() && self.late.is_empty()
+    }
+
     /// Whether a call that could be on time waited lately.
     fn holds_late(&self, now: Instant) -> bool {
         self.on_time_waited
@@ -293,15 +297,14 @@
     #[must_use]
     pub fn is_first(&self, arrival: &StreamArrival, now: Instant) -> bool {
         let late = arrival.latest_start_on_time() < now;
-        self.ranks.iter().all(|rank| {
-            let (on_time, waits) = (rank.on_time.is_empty(), rank.late.is_empty());
-            match rank.priority.cmp(&arrival.priority) {
-                Ordering::Less => on_time && waits,
-                Ordering::Equal if late => on_time && waits && !rank.holds_late(now),
-                Ordering::Equal => on_time,
+        self.ranks
+            .iter()
+            .all(|rank| match rank.priority.cmp(&arrival.priority) {
+                Ordering::Less => rank.is_empty(),
+                Ordering::Equal if late => rank.is_empty() && !rank.holds_late(now),
+                Ordering::Equal => rank.on_time.is_empty(),
                 Ordering::Greater => true,
-            }
-        })
+            })
     }
 
     /// Records that a call started without waiting.
@@ -371,22 +374,27 @@
             teams: MAX_TRIES,
             ..PopOptions::default()
         };
-        let (calls, mut without_room, mut tries) = (&self.calls, u32::MAX, 0);
-        let mut try_call = |number: &u64| {
-            let call = calls.get(number)?;
-            if call.arrival.tokens >= without_room || tries == MAX_TRIES {
-                return None;
-            }
-            tries += 1;
-            let selected = select(&call.item);
-            if selected.is_none() {
-                without_room = call.arrival.tokens;
-            }
-            selected
-        };
-        let (number, selected) = self.ranks.iter_mut().find_map(|rank| {
+        let least_urgent = self.ranks.iter().rposition(|rank| !rank.is_empty())?;
+        let (calls, mut tries) = (&self.calls, 0);
+        let mut ranks = self.ranks.iter_mut().enumerate();
+        let (number, selected) = ranks.find_map(|(index, rank)| {
+            // More urgent calls may use room that is kept from the others, so each priority is tried by itself.
+            let mut without_room = u32::MAX;
+            let mut try_call = |number: &u64| {
+                let call = calls.get(number)?;
+                if call.arrival.tokens >= without_room || tries == MAX_TRIES {
+                    return None;
+                }
+                tries += 1;
+                let selected = select(&call.item);
+                if selected.is_none() {
+                    without_room = call.arrival.tokens;
+                }
+                selected
+            };
             let on_time = rank.on_time.pop_where(now, options, &mut try_call);
-            if on_time.is_some() || rank.holds_late(now) {
+            // Late calls are held back for calls on time of their own priority, not for less urgent ones.
+            if on_time.is_some() || (index == least_urgent && rank.holds_late(now)) {
                 return on_time;
             }
             rank.late.pop_where(now, options, &mut try_call)
--- a/crates/decisions/src/peer_view.rs
+++ b/crates/decisions/src/peer_view.rs
@@ -45,7 +45,7 @@
         loads.dedup_by(|next, sum| {
             let same = next.upstream == sum.upstream;
             if same {
-                sum.calls += next.calls;
+                sum.calls = sum.calls.saturating_add(next.calls);
                 sum.prefill += next.prefill;
                 sum.tokens = sum.tokens.saturating_add(next.tokens);
             }
--- a/crates/decisions/src/room_placement.rs
+++ b/crates/decisions/src/room_placement.rs
@@ -109,7 +109,9 @@
         } else {
             tokens
         };
-        rated.estimate.has_room(tokens, reserve + others)
+        rated
+            .estimate
+            .has_room(tokens, reserve.saturating_add(others))
             && (all_suspect || !rated.candidate.placement.suspect)
     };
     let (blind, known) = rated
--- a/crates/decisions/src/upstream_load.rs
+++ b/crates/decisions/src/upstream_load.rs
@@ -25,6 +25,14 @@
     pub waiting: u32,
 }
 
+impl LoadSample {
+    /// Number of calls that run or are queued there.
+    #[must_use]
+    pub fn calls(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// What this VM knows of the load of an upstream: its own dispatches, which are exact, and the upstream's
 /// reports, which lag.
 #[derive(Clone, Debug, Default)]
@@ -70,8 +78,8 @@
 
     /// Records a load report of the upstream.
     pub fn record_report(&mut self, sample: LoadSample, now: Instant) {
-        let all = sample.running + sample.waiting;
-        self.others = Some((all.saturating_sub(self.own_calls), now));
+        let others = sample.calls().saturating_sub(self.own_calls);
+        self.others = Some((others, now));
     }
 
     /// Records whether a call there failed.
--- a/crates/decisions/src/upstream_room.rs
+++ b/crates/decisions/src/upstream_room.rs
@@ -79,6 +79,8 @@
     pub end: Duration,
     /// Memory that is not promised, without the call.
     pub free_tokens: u32,
+    /// Memory in total; the maximum if it is unknown.
+    pub total_tokens: u32,
     /// Slots that are free, without the call.
     pub free_slots: u32,
     /// Calls there.
@@ -101,7 +103,9 @@
     /// Whether `tokens` fit into the memory and leave `reserve` tokens free.
     #[must_use]
     pub fn leaves(&self, tokens: u32, reserve: u32) -> bool {
-        self.free_tokens >= tokens.saturating_add(reserve)
+        // The largest calls fit into an idle upstream only, and leave nothing free.
+        let needed = tokens.saturating_add(reserve).min(self.total_tokens);
+        self.free_tokens >= needed
     }
 }
 
@@ -139,8 +143,8 @@
     logged_unreadable: bool,
     runs: Vec<OwnRun>,
     next_run: u64,
-    /// Sum of the tokens of the runs.
-    run_tokens: u32,
+    /// Sum of the tokens of the runs. Callers state them, so the sum may exceed any memory.
+    run_tokens: u64,
     /// Tokens promised to KV copies.
     copy_tokens: u32,
     /// Tokens of runs that have ended since the last report of the memory.
@@ -220,7 +224,7 @@
         let rate = self.speed.tokens_per_ms(now);
         let id = RoomRun(self.next_run);
         self.next_run += 1;
-        self.run_tokens = self.run_tokens.saturating_add(size.tokens());
+        self.run_tokens += u64::from(size.tokens());
         self.runs.push(OwnRun {
             id,
             tokens: size.tokens(),
@@ -261,7 +265,7 @@
     pub fn run_ended(&mut self, run: RoomRun) {
         if let Some(index) = self.runs.iter().position(|other| other.id == run) {
             let ended = self.runs.swap_remove(index);
-            self.run_tokens -= ended.tokens;
+            self.run_tokens -= u64::from(ended.tokens);
             let is_reported = |(_, at): (KvMemory, Instant)| ended.sent_at.after(REPORT_LAG) <= at;
             if self.memory.is_some_and(is_reported) {
                 self.ended_tokens = self.ended_tokens.saturating_add(ended.tokens);
@@ -282,7 +286,8 @@
     /// Tokens promised to runs and KV copies of this VM.
     #[must_use]
     pub fn promised_tokens(&self) -> u32 {
-        self.run_tokens.saturating_add(self.copy_tokens)
+        let tokens = self.run_tokens + u64::from(self.copy_tokens);
+        u32::try_from(tokens).unwrap_or(u32::MAX)
     }
 
     /// Whether a prompt of this VM is not prefilled yet.
@@ -336,7 +341,8 @@
         let (reserved_calls, reserved_tokens) = self.reserved(now).fold((0, 0_u32), |sum, size| {
             (sum.0 + 1, sum.1.saturating_add(size.tokens()))
         });
-        let mut calls = known.own_calls + known.peer_calls + reserved_calls;
+        let own_calls = known.own_calls + reserved_calls;
+        let mut calls = own_calls.saturating_add(known.peer_calls);
         let mut used = self.promised_tokens();
         used = used.saturating_add(known.peer_tokens);
         used = used.saturating_add(reserved_tokens);
@@ -348,7 +354,7 @@
             ahead = ahead.max(waiting.saturating_sub(now.since(at)));
             if !known.is_complete {
                 let since = u32::try_from(self.sent_since(at).count()).unwrap_or(u32::MAX);
-                let reported = load.running + load.waiting + since + reserved_calls;
+                let reported = load.calls().saturating_add(since + reserved_calls);
                 // The calls of other VMs are taken to be as large as this one.
                 let others = reported.saturating_sub(calls);
                 used = used.saturating_add(others.saturating_mul(call.tokens()));
@@ -356,7 +362,8 @@
             }
         }
         if let Some((memory, at)) = self.memory.filter(|(_, at)| fresh(*at)) {
-            let since = self.sent_since(at).map(|run| run.tokens).sum::<u32>();
+            let since = self.sent_since(at).map(|run| run.tokens);
+            let since = since.fold(0, u32::saturating_add);
             let reported = memory.used.saturating_sub(self.ended_tokens);
             used = used.max(
                 reported
@@ -365,15 +372,15 @@
             );
         }
         let capacity = self.memory.map(|(memory, _)| memory.total);
+        let total_tokens = capacity.or(known.capacity).unwrap_or(u32::MAX);
         let free_tokens = match capacity.or(known.capacity) {
             Some(capacity) => capacity.saturating_sub(used),
             None => u32::MAX,
         };
         let slots = self.slots.unwrap_or(known.slots);
         let was_full = self.reported_load(FULL_PERIOD, now).map(|load| {
-            let calls = load.running + load.waiting;
-            let total = capacity.or(known.capacity).unwrap_or(u32::MAX);
-            calls >= slots || (calls + 1).saturating_mul(call.tokens()) > total
+            let calls = load.calls();
+            calls >= slots || calls.saturating_add(1).saturating_mul(call.tokens()) > total_tokens
         });
         let free_slots = slots.saturating_sub(calls);
         let is_proven = self.has_produced || self.load.is_some();
@@ -393,6 +400,7 @@
             first_event,
             end: first_event + decode,
             free_tokens,
+            total_tokens,
             free_slots,
             calls,
             was_full,
--- a/crates/decisions/tests/upstream_room.rs
+++ b/crates/decisions/tests/upstream_room.rs
@@ -222,3 +222,27 @@
     expect_that!(longest, some(le(1000)));
     expect_that!(waiting, le(20));
 }
+
+/// Guards against a large call that waits until its deadline, because an idle engine cannot hold it and another one, and
+/// against sizes that callers invent.
+#[gtest]
+fn call_of_any_size_fits_into_an_idle_engine_only() {
+    let size = |prompt| CallSize {
+        prompt,
+        max_generated: 1000,
+    };
+    let (now, mut room) = (at(1000), UpstreamRoom::default());
+    let has_room = |room: &UpstreamRoom, prompt| {
+        let call = size(prompt);
+        let estimate = room.estimate(call, 0, &KNOWN, now);
+        estimate.has_room(call.tokens(), call.tokens())
+    };
+
+    let idle = [60_000, u32::MAX].map(|prompt| has_room(&room, prompt));
+    let runs = [100, u32::MAX].map(|prompt| room.run_started(size(prompt), 0, Duration::ZERO, now));
+    let busy = has_room(&room, 60_000);
+    runs.map(|run| room.run_ended(run));
+
+    expect_that!((idle, busy), eq(([true, true], false)));
+    expect_that!(room.promised_tokens(), eq(0));
+}
