--- a/crates/decisions/tests/upstream_room.rs
+++ b/crates/decisions/tests/upstream_room.rs
@@ -241,7 +241,9 @@
     let idle = [60_000, u32::MAX].map(|prompt| has_room(&room, prompt));
     let runs = [100, u32::MAX].map(|prompt| room.run_started(size(prompt), 0, Duration::ZERO, now));
     let busy = has_room(&room, 60_000);
-    runs.map(|run| room.run_ended(run));
+    for run in runs {
+        room.run_ended(run);
+    }
 
     expect_that!((idle, busy), eq(([true, true], false)));
     expect_that!(room.promised_tokens(), eq(0));
