--- a/crates/catkinward/tests/gateway_room.rs
+++ b/crates/catkinward/tests/gateway_room.rs
@@ -43,7 +43,7 @@
     for path in ["/stream/1", "/urgent/1"] {
         read_stream(running.handle(path).await).await;
         // The prompt of the first stream counts as not prefilled for 1 s, and a report counts for 1.5 s.
-        sleep(Duration::from_millis(1000)).await;
+        sleep(Duration::from_secs(1)).await;
     }
     running.sent_to()
 }
