--- a/crates/catkinward/src/gateway/peer_heartbeats.rs
+++ b/crates/catkinward/src/gateway/peer_heartbeats.rs
@@ -11,6 +11,10 @@
 /// at once, and a millisecond is short compared with the hundreds that a prefill takes.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
 
+/// Maximum number of suspects in a heartbeat. Partial heartbeats would rotate more of them, and other VMs would
+/// avoid upstreams that have returned meanwhile.
+const MAX_SUSPECTS: usize = 12;
+
 /// Maximum number of crashes that are added to a heartbeat.
 const MAX_CRASHES: usize = 12;
 
@@ -223,7 +227,7 @@
                 });
             }
             let is_evidence = doubtful.binary_search(&upstream.entry.service).is_err();
-            if upstream.health.is_suspect() && is_evidence {
+            if upstream.health.is_suspect() && is_evidence && suspects.len() < MAX_SUSPECTS {
                 suspects.push(upstream.entry.id.clone());
             }
         }
