--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -1,4 +1,5 @@
-//! Proxy of one path, which can be cut: then it refuses connections and resets the open ones.
+//! Proxy of one path, which can be cut and healed. While it is cut, new connections are refused and the open ones are
+//! reset.
 
 use crate::socket::reset;
 use std::{
@@ -13,7 +14,8 @@
 
 pub struct Proxy {
     pub address: SocketAddr,
-    cut: Arc<AtomicBool>,
+    target: SocketAddr,
+    cut: Mutex<Arc<AtomicBool>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -22,10 +24,18 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let proxy = Self {
             address: listener.local_addr()?,
-            cut: Arc::default(),
+            target,
+            cut: Mutex::default(),
             open: Arc::default(),
         };
-        let (cut, open) = (proxy.cut.clone(), proxy.open.clone());
+        proxy.serve(listener);
+        Ok(proxy)
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let cut = Arc::<AtomicBool>::default();
+        *self.cut.lock().unwrap() = cut.clone();
+        let (target, open) = (self.target, self.open.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if cut.load(Ordering::SeqCst) {
@@ -44,6 +54,7 @@
                         continue;
                     };
                     thread::spawn(move || {
+                        // A reset of one end resets the other.
                         let _ = match io::copy(&mut from, &mut to) {
                             Ok(_) => to.shutdown(Shutdown::Write),
                             Err(_) => reset(&to),
@@ -52,15 +63,18 @@
                 }
             }
         });
-        Ok(proxy)
     }
 
-    /// Cuts the path for good.
     pub fn cut(&self) {
-        self.cut.store(true, Ordering::SeqCst);
+        self.cut.lock().unwrap().store(true, Ordering::SeqCst);
         let _ = TcpStream::connect(self.address);
         for end in self.open.lock().unwrap().drain(..) {
             let _ = reset(&end);
         }
     }
+
+    pub fn heal(&self) -> io::Result<()> {
+        self.serve(TcpListener::bind(self.address)?);
+        Ok(())
+    }
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -3,6 +3,7 @@
 use crate::{
     http::{Connection, Message},
     record::Record,
+    socket::reset,
     store::Store,
 };
 use std::{
@@ -153,22 +154,6 @@
         // Wakes the listener, which then closes.
         let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
     }
-
-    /// Resets a share of the open connections; returns how many.
-    pub fn reset_connections(&self, share: f64) -> usize {
-        let mut connections = self.state.connections.lock().unwrap();
-        connections.retain(|connection| connection.peer_addr().is_ok());
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss
-        )]
-        let count = (connections.len() as f64 * share) as usize;
-        let reset = connections
-            .drain(..count)
-            .filter(|connection| crate::socket::reset(connection).is_ok());
-        reset.count()
-    }
 }
 
 fn entry(spec: &Spec, address: SocketAddr, phase: &str, sequence: u64) -> String {
@@ -296,12 +281,13 @@
     Ok(true)
 }
 
-/// Writes a sealed answer without a length, in two halves, and ends the connection.
+/// Writes a sealed answer without a length, in two halves, and ends the connection; or resets it after the first half.
 pub fn write_until_close(
     stream: &mut TcpStream,
     req: &Message,
     body: &[u8],
     pause: Duration,
+    breaks_off: bool,
 ) -> io::Result<bool> {
     let attempt = req.header("attempt-id").unwrap_or_default();
     let head = format!(
@@ -311,6 +297,10 @@
     stream.write_all(head.as_bytes())?;
     stream.write_all(first)?;
     thread::sleep(pause);
+    if breaks_off {
+        reset(stream)?;
+        return Ok(false);
+    }
     stream.write_all(second)?;
     stream.shutdown(Shutdown::Write)?;
     Ok(false)
