Copy the parts of a caller's body into one buffer when they arrive

Cause: the parts of a body were kept as they came until its end. Each is a handle of 32 bytes that keeps the buffer alive into which its connection was read, so that a chunk of one byte cost many times that. At the end the parts were joined while they still stood, so that a large body existed twice.

receive_body copies each part into a buffer of the announced size. Without one the buffer begins with 8 KiB and then has the size limit, of which only the pages that are written to take memory. Nothing is joined at the end.

--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -86,6 +86,7 @@
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     read_bundle::{ReadBundle, read_bundle, read_canonical},
+    receive_body::{BodyLimits, BodyRefusal, receive_body},
     resumable_state::ResumableState,
     service_name::ServiceName,
     service_registry::ServiceRegistry,
@@ -183,6 +184,7 @@
 mod queued_request;
 mod read_bundle;
 mod read_leader;
+mod receive_body;
 mod recovery;
 mod resumable_state;
 mod running_attempt;
