Bound the memory of all callers' requests together

Callers that sent large bodies of legal size at once ended the process: nothing limited the sum of what it held for them.

Cause: read_call limited the size of one body and the time for it, and no place knew what all of them took. Bodies that waited for their upstream, or were kept for a retry, were not counted anywhere either.

CallerMemory is the one account: a request holds memory from its body on until the last reference to it is dropped, at the end of its call. The limit is what the memory of the VM (limits.memory-mb) leaves beside tables, answers and connections. Requests up to 8 KiB are always read. A larger one takes its announced size, or the size limit, before its body is read, so that sound bodies do not fail each other halfway. If there is none it waits, at most 32 do for 0.6 s, the smallest first, and is refused with 503. A waiting one takes the memory of unfinished ones that make no progress, which are answered with 408: a crowd that stops short of its end keeps nobody out until the idle timeout.

The first 250 ms of a body, and a pause of the process, displace nobody.

--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -63,6 +63,7 @@
     bundle_in_force::BundleInForce,
     bundle_store::{Applied, BundleStore, BundleStoreSettings},
     bundle_watch::{BundleWatch, FetchBundle},
+    caller_memory::{BodyRefusal, CallerMemory, UnreadBody},
     claim_settings::ClaimSettings,
     claims::{ClaimRequest, Claims, ResponseToRecord},
     ctl::run_ctl,
@@ -86,7 +87,6 @@
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     read_bundle::{ReadBundle, read_bundle, read_canonical},
-    receive_body::{BodyLimits, BodyRefusal, receive_body},
     resumable_state::ResumableState,
     service_name::ServiceName,
     service_registry::ServiceRegistry,
@@ -113,6 +113,7 @@
 mod bundle_store;
 mod bundle_watch;
 mod caller_api;
+mod caller_memory;
 mod claim_committer;
 mod claim_row;
 mod claim_settings;
@@ -184,7 +185,6 @@
 mod queued_request;
 mod read_bundle;
 mod read_leader;
-mod receive_body;
 mod recovery;
 mod resumable_state;
 mod running_attempt;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -54,6 +54,8 @@
     call_limiter::{CallLimiter, CallLimiterSettings},
     call_priority::ranked_priority,
     caller_connection_limit::{CallerConnectionLimit, ConnectionAdmission},
+    caller_memory_account::{CallerMemoryAccount, MemoryHolder},
+    caller_memory_settings::{CallerMemorySettings, SMALL_REQUEST, VmMemory},
     candidate::Candidate,
     capacity_share::CapacityShare,
     chain_id::ChainId,
@@ -127,6 +129,7 @@
     link_rate::LinkRate,
     loan_requests::{LoanRequests, MAX_LENDERS},
     local_retry_budget::{LocalRetryBudget, LocalRetryBudgetConfig},
+    memory_size::MemorySize,
     model::Model,
     operator_name::OperatorName,
     order_permit::OrderPermit,
@@ -289,6 +292,8 @@
 mod call_priority;
 mod call_table;
 mod caller_connection_limit;
+mod caller_memory_account;
+mod caller_memory_settings;
 mod candidate;
 mod capacity_share;
 mod chain_id;
@@ -353,6 +358,7 @@
 mod link_rate;
 mod loan_requests;
 mod local_retry_budget;
+mod memory_size;
 mod model;
 mod operator_name;
 mod order_permit;
