Bound the memory of requests at the product's own interface as well

Cause: read_body collected each body within the size limit and knew nothing of the others, and the body of a completion had no time limit at all.

A request without memory is answered with no_memory (503, not run), one that stalls while others wait with body_too_slow. The body of a completion has 30 s. discard_body, which reads the rest of a refused body, moves out of the adapter.

--- a/crates/catkinward/src/caller_api.rs
+++ b/crates/catkinward/src/caller_api.rs
@@ -10,6 +10,7 @@
     problem::{Problem, ProblemKind},
     queued_request::QueuedRequest,
 };
+use http_body_util::BodyDataStream;
 
 /// Header with the caller's deadline, in milliseconds from receipt of the request.
 const DEADLINE_HEADER: &str = "catkin-deadline-ms";
@@ -20,6 +21,9 @@
 /// Header with the id of the last event that a reconnecting caller received.
 const LAST_EVENT_ID: &str = "last-event-id";
 
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// How often a generation is checked for a connected caller.
 const ABANDONED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -135,7 +139,7 @@
         let in_flight = self.node.drain.enter().ok_or(ProblemKind::Draining)?;
         let (parts, body) = req.into_parts();
         let caller = self.authenticate(&parts.headers)?;
-        let body = self.read_body(body).await?;
+        let body = self.read_body(&caller, &parts, body, None).await?;
         let completion: caller::CompletionRequest =
             serde_json::from_slice(&body).map_err(|_| ProblemKind::Malformed)?;
         let request = self.build_request(&caller, &parts.headers, &completion)?;
@@ -287,17 +291,35 @@
         });
     }
 
-    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
-        let limited = http_body_util::Limited::new(body, self.node.settings.body_limit);
-        http_body_util::BodyExt::collect(limited)
-            .await
-            .map(http_body_util::Collected::to_bytes)
-            .map_err(
-                |error| match error.downcast::<http_body_util::LengthLimitError>() {
-                    Ok(_) => ProblemKind::BodyTooLarge.into(),
-                    Err(_) => ProblemKind::Malformed.into(),
-                },
-            )
+    /// Reads the body of a request; `request` is its id, if it has one.
+    pub(crate) async fn read_body(
+        &self,
+        caller: &Caller,
+        parts: &http::request::Parts,
+        mut body: Body,
+        request: Option<&RequestId>,
+    ) -> Result<Bytes, Problem> {
+        use http_body::Body as _;
+        let limit = self.node.settings.body_limit;
+        let fields = parts.headers.iter();
+        let unread = UnreadBody {
+            request,
+            team: Some(&caller.team),
+            head: fields
+                .map(|(name, value)| name.as_str().len() + value.len())
+                .sum(),
+            announced: body.size_hint().exact(),
+            limit,
+            timeout: BODY_TIMEOUT,
+        };
+        let received = BodyDataStream::new(&mut body);
+        let received = self.node.caller_memory.receive(unread, received).await;
+        received.map_err(|refusal| {
+            if !body.is_end_stream() && !parts.headers.contains_key(header::EXPECT) {
+                tokio::spawn(discard_body(BodyDataStream::new(body), limit));
+            }
+            ProblemKind::from(refusal).into()
+        })
     }
 }
 
--- a/crates/catkinward/src/caller_memory.rs
+++ b/crates/catkinward/src/caller_memory.rs
@@ -2,9 +2,7 @@
 
 use super::*;
 use crate::gateway::{CallLog, LineKind};
-use catkin_decisions::{
-    CallerMemoryAccount, CallerMemorySettings, MemoryHolder, MemorySize, SMALL_REQUEST,
-};
+use catkin_decisions::{CallerMemoryAccount, MemoryHolder, SMALL_REQUEST};
 use futures::{Stream, StreamExt};
 
 /// Interval at which a waiting request asks for memory.
@@ -13,6 +11,28 @@
 /// Retry delay for a caller whose request got no memory: by then stalled requests have given way.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Time for which a refused body is read and discarded.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+
+/// Least that a part of a discarded body counts, in bytes: short parts take as long to read.
+const MIN_PART_BYTES: usize = 256;
+
+/// Reads the rest of a refused body, up to the largest legal size. A connection that is closed with unread bytes is
+/// reset, and the response may be lost.
+pub async fn discard_body<E>(parts: impl Stream<Item = Result<Bytes, E>>, max_bytes: usize) {
+    let mut parts = std::pin::pin!(parts);
+    let reading = async {
+        let mut discarded = 0;
+        while let Some(Ok(part)) = parts.next().await {
+            discarded += part.len().max(MIN_PART_BYTES);
+            if discarded > max_bytes {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(MAX_DISCARD_TIME, reading).await;
+}
+
 /// Reason why the body of a request is refused. The request has not run and will not run.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -48,8 +68,8 @@
 /// A request whose body is to be read.
 #[derive(Clone, Debug)]
 pub struct UnreadBody<'a> {
-    /// Id of the request, for the log.
-    pub request: &'a RequestId,
+    /// Id of the request, for the log, if it has one.
+    pub request: Option<&'a RequestId>,
     /// Team of the caller, for the log.
     pub team: Option<&'a TeamId>,
     /// Size of the head, in bytes.
@@ -161,9 +181,17 @@
         let (held, waiting) = (account.held(), account.waiting());
         let memory_limit = account.settings().limit;
         drop(account);
-        tracing::warn!(request = %unread.request, team = unread.team.map(TeamId::as_str), reason,
-            announced = unread.announced, limit = unread.limit, held = held.0, waiting,
-            memory_limit = memory_limit.0, "body of a request refused");
+        tracing::warn!(
+            request = unread.request.map(RequestId::as_str),
+            team = unread.team.map(TeamId::as_str),
+            reason,
+            announced = unread.announced,
+            limit = unread.limit,
+            held = held.0,
+            waiting,
+            memory_limit = memory_limit.0,
+            "body of a request refused"
+        );
     }
 }
 
--- a/crates/catkinward/src/node.rs
+++ b/crates/catkinward/src/node.rs
@@ -41,6 +41,8 @@
     pub generations: Arc<Generations>,
     /// The other VMs; `None` if this VM does not listen for peers.
     pub peers: Option<Arc<Peers>>,
+    /// Memory for the requests of callers.
+    pub caller_memory: Arc<CallerMemory>,
     /// The state of a graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -123,6 +125,9 @@
                 timer.clone(),
             ));
         }
+        let memory = CallerMemorySettings::of_vm(settings.memory, CallerConnectionLimit::Unlimited);
+        let caller_memory = CallerMemory::new(memory, timer.clone());
+        let caller_memory = registry.register(ServiceName::CallerMemory, caller_memory)?;
         let drain = registry.register(ServiceName::Drain, Arc::default())?;
         Ok(Arc::new(Self {
             settings,
@@ -139,6 +144,7 @@
             limits,
             generations,
             peers,
+            caller_memory,
             drain,
         }))
     }
--- a/crates/catkinward/src/plain_api.rs
+++ b/crates/catkinward/src/plain_api.rs
@@ -19,7 +19,8 @@
         let caller = self.authenticate(&parts.headers)?;
         let call = self.accept_plain(&caller, &parts)?;
         let until_deadline = call.deadline.since(self.node.timer.now());
-        let body = tokio::time::timeout(until_deadline, self.read_body(body))
+        let reading = self.read_body(&caller, &parts, body, Some(&call.id));
+        let body = tokio::time::timeout(until_deadline, reading)
             .await
             .map_err(|_| ProblemKind::BodyTooSlow)??;
         self.record(EventKind::Accepted, &call, call.service.as_str());
--- a/crates/catkinward/src/problem.rs
+++ b/crates/catkinward/src/problem.rs
@@ -34,6 +34,8 @@
     Malformed,
     /// The API has no such path.
     NoSuchPath,
+    /// Other requests hold the memory for request bodies.
+    NoMemory,
     /// The bundle has no service of that name and kind.
     NoSuchService,
     /// No upstream is available for the service.
@@ -77,6 +79,7 @@
                 StatusCode::CONFLICT
             }
             Self::Draining
+            | Self::NoMemory
             | Self::NoUpstream
             | Self::NotClaimed
             | Self::NotReady
@@ -110,6 +113,7 @@
             | Self::KeyAbsent
             | Self::KeyConflict
             | Self::Malformed
+            | Self::NoMemory
             | Self::NoSuchPath
             | Self::NoSuchService
             | Self::NoUpstream
@@ -132,6 +136,7 @@
             Self::Draining
             | Self::HotKey
             | Self::KeyInUse
+            | Self::NoMemory
             | Self::NoUpstream
             | Self::NotClaimed
             | Self::NotReady
@@ -157,6 +162,7 @@
             Self::KeyInUse => "the same call still runs; come back with its key",
             Self::KeyConflict => "the idempotency key was used for another request",
             Self::Malformed => "the request is not of the documented form",
+            Self::NoMemory => "there is no memory for the request body",
             Self::NoSuchPath => "there is no such path",
             Self::NoSuchService => "there is no such service",
             Self::NoUpstream => "no upstream can take the call",
@@ -176,6 +182,17 @@
     }
 }
 
+impl From<BodyRefusal> for ProblemKind {
+    fn from(refusal: BodyRefusal) -> Self {
+        match refusal {
+            BodyRefusal::TooLarge => Self::BodyTooLarge,
+            BodyRefusal::Truncated => Self::Malformed,
+            BodyRefusal::TimedOut | BodyRefusal::Displaced => Self::BodyTooSlow,
+            BodyRefusal::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
 /// An error response to a caller.
 #[derive(Clone, Debug)]
 pub(crate) struct Problem {
--- a/crates/catkinward/src/service_name.rs
+++ b/crates/catkinward/src/service_name.rs
@@ -14,6 +14,8 @@
     BundleWatch,
     /// Claims of idempotency keys.
     Claims,
+    /// Memory for the requests of callers.
+    CallerMemory,
     /// State of the graceful shutdown.
     Drain,
     /// Generations in progress.
--- a/crates/catkinward/src/settings.rs
+++ b/crates/catkinward/src/settings.rs
@@ -34,6 +34,8 @@
     pub caller_grace: Duration,
     /// Maximum size of a request body and of the response of a plain service, in bytes.
     pub body_limit: usize,
+    /// Memory that the process may have, from which the memory for callers' requests follows.
+    pub memory: VmMemory,
     /// Number of VMs that share the capacity of the upstreams and of the platform; this VM uses its
     /// share.
     pub entry_vms: u32,
@@ -61,6 +63,7 @@
             drain_grace: Duration::from_secs(2),
             caller_grace: Duration::from_secs(20),
             body_limit: 4 * 1024 * 1024,
+            memory: VmMemory::default(),
             entry_vms: 1,
             timeline_events: 20_000,
             log: "info".to_owned(),
@@ -104,6 +107,7 @@
   --drain-grace-ms N        time without requests in flight before a drained process exits [2000]
   --caller-grace-ms N       time for which a generation continues without its caller [20000]
   --body-limit N            maximum size of a request body in bytes [4194304]
+  --memory-mb N             memory of this process in MB; without it, requests may hold 33.5 MB
   --entry-vms N             number of VMs that share upstream and platform capacity [1]
   --timeline-events N       maximum number of events in the timeline [20000]
   --log FILTER              log levels [info]
@@ -206,6 +210,10 @@
             "caller-grace-ms" => self.caller_grace = parse_ms(flag, value)?,
             "entry-vms" => self.entry_vms = parse(flag, "a number of VMs", value)?,
             "body-limit" => self.body_limit = parse(flag, "a number of bytes", value)?,
+            "memory-mb" => {
+                let megabytes = parse(flag, "a number of megabytes", value)?;
+                self.memory = VmMemory::AtMost(MemorySize::megabytes(megabytes));
+            }
             "timeline-events" => {
                 self.timeline_events = parse(flag, "a number of events", value)?;
             }
@@ -229,6 +237,7 @@
     "entry-vms",
     "listen",
     "log",
+    "memory-mb",
     "orders",
     "operator-key-sha256",
     "operator-listen",
