Count large answers until their callers have read them

60 callers that asked for an answer of 3 MiB and did not read it took a VM of 120 MB to 208 MB (answers_that_are_not_read_are_borne, unoptimized build; the test failed before).

Cause: the memory of an answer was counted until its body was complete, and then given back while the answer waited to be written. The HTTP library also copied it into a buffer of its own, since callers' connections had no vectored writes.

A large answer keeps its part of the memory until its last byte has been written. While other answers wait for memory, a connection that could not write a byte of a large answer for 500 ms is reset, so that callers that do not read cannot keep answers from others. Each of the closings is counted and, within the rate limit, logged.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -1,7 +1,7 @@
 use super::{
     accepted_call::AcceptedCall,
     lost_run::CrashProof,
-    receive_limits::{HeldResponse, counted_len},
+    receive_limits::{HeldResponse, complete_answer, counted_len},
     reply_log::{BodyHex, millis},
     retries::CALL_RETRY_TIMEOUT,
     run_guard::{FailOverReason, RunGuard},
@@ -478,6 +478,6 @@
         recorded.map_err(|_| SendError::TooLarge)?;
         parts.push(chunk);
     }
-    let body = parts.concat().into();
+    let body = complete_answer(parts.concat(), memory);
     Ok(CollectedResponse { head, body })
 }
--- a/crates/catkinward/src/gateway/receive_limits.rs
+++ b/crates/catkinward/src/gateway/receive_limits.rs
@@ -70,6 +70,8 @@
     /// Permit of the one response that is read on while the memory is used up, so that responses which share it do not
     /// wait for each other.
     overflow: Arc<Semaphore>,
+    /// Number of responses that wait for it.
+    waiting: AtomicU32,
 }
 
 impl Default for ReceiveMemory {
@@ -77,6 +79,7 @@
         Self {
             held: Mutex::default(),
             overflow: Arc::new(Semaphore::new(1)),
+            waiting: AtomicU32::new(0),
         }
     }
 }
@@ -186,14 +189,79 @@
     pub(crate) async fn record(&mut self, bytes: usize) -> Result<(), ReceiveLimit> {
         self.bytes.check(bytes, ReceiveLimit::Response)?;
         if self.overflow.is_none() && self.bytes.replace(bytes).is_err() {
+            let waiting = WaitingResponse::new(&self.bytes.gateway);
             let overflow = self.bytes.gateway.receive_memory.overflow.clone();
             self.overflow = overflow.acquire_owned().await.ok();
+            drop(waiting);
         }
         Ok(())
     }
 }
 
+/// Counts a response that waits for memory until it is dropped.
+struct WaitingResponse(Arc<Gateway>);
+
+impl WaitingResponse {
+    fn new(gateway: &Arc<Gateway>) -> Self {
+        let waiting = &gateway.receive_memory.waiting;
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for WaitingResponse {
+    fn drop(&mut self) {
+        let waiting = &self.0.receive_memory.waiting;
+        waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A complete response that counts until it has been written to its caller.
+struct UnreadAnswer {
+    bytes: Vec<u8>,
+    _memory: HeldResponse,
+}
+
+impl AsRef<[u8]> for UnreadAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns the body of a complete response. A large one counts in the memory until it is dropped.
+pub(crate) fn complete_answer(bytes: Vec<u8>, memory: HeldResponse) -> Bytes {
+    if bytes.len() <= UNCOUNTED_BYTES {
+        return bytes.into();
+    }
+    Bytes::from_owner(UnreadAnswer {
+        bytes,
+        _memory: memory,
+    })
+}
+
+/// Time without a written byte after which an answer gives its memory up while others wait for it.
+const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Gateway {
+    /// Time without a written byte after which a caller's connection with a large answer is closed; `None` while no
+    /// other answer waits for memory.
+    pub fn unread_answer_timeout(&self) -> Option<Duration> {
+        let waiting = self.receive_memory.waiting.load(Ordering::Relaxed);
+        (waiting > 0).then_some(UNREAD_ANSWER_TIMEOUT)
+    }
+
+    /// Records that a caller's connection is closed because it does not read its answer while others wait for memory.
+    pub fn unread_answer_closed(&self) {
+        metrics::counter!("catkin_unread_answers_closed_total").increment(1);
+        if self.log.admits(LineKind::Limited, self.timer.now()) {
+            let waiting = self.receive_memory.waiting.load(Ordering::Relaxed);
+            tracing::warn!(
+                waiting,
+                "caller's connection closed: its answer is not read"
+            );
+        }
+    }
+
     /// Records that an upstream sent more than is read from it.
     pub(crate) fn receive_limit_exceeded(&self, entry: &UpstreamEntry, limit: ReceiveLimit) {
         let (name, max): (&str, _) = (limit.into(), limit.max());
