Split the reading of bodies into small modules

caller_memory.rs held the refusals, the memory of one request and the reading of refused bodies as well; each has a module now. When the rest of a refused body is read was decided at two places, of which one was the adapter; it is decided in discard_body. MemoryHolder is a number newtype like other ids. No change of behaviour; the tests of both crates' crowds and of CallerMemory pass.

--- a/crates/catkinward/src/caller_api.rs
+++ b/crates/catkinward/src/caller_api.rs
@@ -329,9 +329,7 @@
         let received = BodyDataStream::new(&mut body);
         let received = self.node.caller_memory.receive(unread, received).await;
         received.map_err(|refusal| {
-            if !body.is_end_stream() && !parts.headers.contains_key(header::EXPECT) {
-                tokio::spawn(discard_body(BodyDataStream::new(body), limit));
-            }
+            discard_body(body, &parts.headers, limit);
             ProblemKind::from(refusal).into()
         })
     }
--- a/crates/catkinward/src/caller_memory.rs
+++ b/crates/catkinward/src/caller_memory.rs
@@ -2,69 +2,9 @@
 
 use super::*;
 use crate::gateway::{CallLog, LineKind};
-use catkin_decisions::{CallerMemoryAccount, MemoryHolder, SMALL_REQUEST};
+use catkin_decisions::{CallerMemoryAccount, SMALL_REQUEST};
 use futures::{Stream, StreamExt};
 
-/// Interval at which a waiting request asks for memory.
-const WAIT_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Retry delay for a caller whose request got no memory: by then stalled requests have given way.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Time for which a refused body is read and discarded.
-const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
-
-/// Least that a part of a discarded body counts, in bytes: short parts take as long to read.
-const MIN_PART_BYTES: usize = 256;
-
-/// Reads the rest of a refused body, up to the largest legal size. A connection that is closed with unread bytes is
-/// reset, and the response may be lost.
-pub async fn discard_body<E>(parts: impl Stream<Item = Result<Bytes, E>>, max_bytes: usize) {
-    let mut parts = std::pin::pin!(parts);
-    let reading = async {
-        let mut discarded = 0;
-        while let Some(Ok(part)) = parts.next().await {
-            discarded += part.len().max(MIN_PART_BYTES);
-            if discarded > max_bytes {
-                return;
-            }
-        }
-    };
-    let _ = tokio::time::timeout(MAX_DISCARD_TIME, reading).await;
-}
-
-/// Reason why the body of a request is refused. The request has not run and will not run.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum BodyRefusal {
-    /// The body exceeds the size limit.
-    #[display("the body exceeds the size limit")]
-    TooLarge,
-    /// The connection closed before the end of the body, or the body is malformed.
-    #[display("the body is truncated or malformed")]
-    Truncated,
-    /// The body did not arrive within its time limit.
-    #[display("the body did not arrive in time")]
-    TimedOut,
-    /// The body made no progress, or took too long, while other requests waited for memory.
-    #[display("the body stalled while others waited for memory")]
-    Displaced,
-    /// Other requests hold the memory.
-    #[display("there is no memory for the body")]
-    NoMemory,
-}
-
-impl BodyRefusal {
-    /// Delay after which a retry may succeed, if it depends on other requests.
-    #[must_use]
-    pub fn retry_after(self) -> Option<Duration> {
-        match self {
-            Self::NoMemory => Some(RETRY_DELAY),
-            Self::TooLarge | Self::Truncated | Self::TimedOut | Self::Displaced => None,
-        }
-    }
-}
-
 /// A request whose body is to be read.
 #[derive(Clone, Debug)]
 pub struct UnreadBody<'a> {
@@ -95,10 +35,10 @@
 /// Memory that the requests of callers take, from their body on until their calls have ended.
 #[derive(Debug)]
 pub struct CallerMemory {
-    account: Mutex<CallerMemoryAccount>,
+    pub(crate) account: Mutex<CallerMemoryAccount>,
     /// Notifies requests that some were displaced.
-    displaced: Notify,
-    timer: Arc<Timer>,
+    pub(crate) displaced: Notify,
+    pub(crate) timer: Arc<Timer>,
     log: CallLog,
 }
 
@@ -206,11 +146,6 @@
     }
 }
 
-fn report_held(held: MemorySize) {
-    #[expect(clippy::cast_precision_loss)]
-    metrics::gauge!("catkin_caller_memory_bytes").set(held.0 as f64);
-}
-
 /// A complete body, with its memory.
 #[derive(Debug)]
 pub struct ReceivedBody {
@@ -238,108 +173,3 @@
         &self.bytes
     }
 }
-
-/// Memory that one request holds or waits for, until it is dropped.
-#[derive(Debug)]
-pub struct RequestMemory {
-    memory: Arc<CallerMemory>,
-    holder: MemoryHolder,
-}
-
-impl RequestMemory {
-    fn new(memory: &Arc<CallerMemory>) -> Self {
-        Self {
-            memory: memory.clone(),
-            holder: memory.account.lock().enter(),
-        }
-    }
-
-    /// Takes memory in place of what is held, when there is enough.
-    async fn take(&mut self, bytes: usize) -> Result<(), BodyRefusal> {
-        if self.try_take(bytes) {
-            return Ok(());
-        }
-        let (timer, began) = (&self.memory.timer, self.memory.timer.now());
-        let mut ticks = timer.subscribe(WAIT_INTERVAL);
-        let mut last = began;
-        if !self.memory.account.lock().wait(self.holder, bytes) {
-            return Err(BodyRefusal::NoMemory);
-        }
-        while let Some(now) = ticks.recv().await {
-            // After a pause of this process nobody has made progress, because nothing was read.
-            if now.since(last) < self.stall_timeout() {
-                self.displace_others(now);
-            }
-            last = now;
-            if self.try_take(bytes) {
-                return Ok(());
-            }
-            let mut account = self.memory.account.lock();
-            let has_waited = now.since(began) >= account.settings().wait_timeout;
-            if has_waited || !account.is_waiting(self.holder) {
-                account.stop_waiting(self.holder);
-                return Err(BodyRefusal::NoMemory);
-            }
-        }
-        Err(BodyRefusal::NoMemory)
-    }
-
-    fn stall_timeout(&self) -> Duration {
-        self.memory.account.lock().settings().stall_timeout
-    }
-
-    fn try_take(&self, bytes: usize) -> bool {
-        let now = self.memory.timer.now();
-        let mut account = self.memory.account.lock();
-        let taken = account.take(self.holder, bytes, now);
-        report_held(account.held());
-        taken
-    }
-
-    /// Displaces unfinished requests in favour of the first one that waits, if that is this one.
-    fn displace_others(&self, now: Instant) {
-        let mut account = self.memory.account.lock();
-        if account.first_waiting() != Some(self.holder) {
-            return;
-        }
-        let displaced = account.displaced(now);
-        for holder in &displaced {
-            account.leave(*holder);
-        }
-        drop(account);
-        if !displaced.is_empty() {
-            self.memory.displaced.notify_waiters();
-        }
-    }
-
-    /// Waits until the memory is taken away.
-    async fn wait_until_displaced(&self) {
-        loop {
-            let changed = self.memory.displaced.notified();
-            if !self.memory.account.lock().holds(self.holder) {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    fn record_received(&self, received: usize) {
-        let now = self.memory.timer.now();
-        let mut account = self.memory.account.lock();
-        account.record_received(self.holder, received, now);
-    }
-
-    fn complete(&self, bytes: usize) {
-        let mut account = self.memory.account.lock();
-        account.complete(self.holder, bytes);
-        report_held(account.held());
-    }
-}
-
-impl Drop for RequestMemory {
-    fn drop(&mut self) {
-        let mut account = self.memory.account.lock();
-        account.leave(self.holder);
-        report_held(account.held());
-    }
-}
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -61,16 +61,16 @@
 
 pub use crate::{
     admission::Admission,
+    body_refusal::BodyRefusal,
     bundle_in_force::BundleInForce,
     bundle_store::{Applied, BundleStore, BundleStoreSettings},
     bundle_watch::{BundleWatch, FetchBundle},
-    caller_memory::{
-        BodyRefusal, CallerMemory, ReceivedBody, RequestMemory, UnreadBody, discard_body,
-    },
+    caller_memory::{CallerMemory, ReceivedBody, UnreadBody},
     claim_settings::ClaimSettings,
     claims::{ClaimRequest, Claims, ResponseToRecord},
     ctl::run_ctl,
     daemon::run_daemon,
+    discard_body::discard_body,
     drain::{Drain, InFlight},
     error::Error,
     event::{Event, EventKind},
@@ -90,6 +90,7 @@
     platform_client::PlatformSettings,
     process_clock::{CLOCK_HEADER, ProcessClock},
     read_bundle::{ReadBundle, read_bundle, read_canonical},
+    request_memory::RequestMemory,
     resumable_state::ResumableState,
     service_name::ServiceName,
     service_registry::ServiceRegistry,
@@ -108,6 +109,7 @@
 mod admission;
 mod admission_pool;
 mod attempt_stream;
+mod body_refusal;
 mod bundle_canonical;
 mod bundle_diff;
 mod bundle_format;
@@ -132,6 +134,7 @@
 mod ctl_timeline;
 mod ctl_vms;
 mod daemon;
+mod discard_body;
 mod drain;
 mod engine_client;
 mod engine_event;
@@ -189,6 +192,7 @@
 mod read_bundle;
 mod read_leader;
 mod recovery;
+mod request_memory;
 mod resumable_state;
 mod running_attempt;
 mod service_name;
--- a/crates/decisions/src/caller_memory_account.rs
+++ b/crates/decisions/src/caller_memory_account.rs
@@ -7,9 +7,11 @@
 
 use super::*;
 
-/// Identifies a request in a [`CallerMemoryAccount`].
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct MemoryHolder(u64);
+number_newtype!(
+    /// Identifies a request in a [`CallerMemoryAccount`].
+    MemoryHolder,
+    "memory holder"
+);
 
 #[derive(Clone, Debug)]
 struct HeldMemory {
@@ -70,7 +72,7 @@
     held: Vec<HeldMemory>,
     /// Sorted by size.
     waiting: Vec<(usize, MemoryHolder)>,
-    next: u64,
+    last: MemoryHolder,
 }
 
 impl CallerMemoryAccount {
@@ -81,7 +83,7 @@
             settings,
             held: Vec::new(),
             waiting: Vec::new(),
-            next: 0,
+            last: MemoryHolder::default(),
         }
     }
 
@@ -105,8 +107,8 @@
 
     /// Takes a name for a request.
     pub fn enter(&mut self) -> MemoryHolder {
-        self.next += 1;
-        MemoryHolder(self.next)
+        self.last = self.last.next();
+        self.last
     }
 
     /// Gives a request memory for `bytes`, in place of what it holds, if there is enough and no smaller request waits.
