--- a/crates/catkinward/src/http_client.rs
+++ b/crates/catkinward/src/http_client.rs
@@ -255,12 +255,11 @@
 /// Bytes of JSON beside a large text.
 const JSON_FRAME_BYTES: usize = 4 << 10;
 
-/// Serializes a value with a large text as JSON, in a buffer that need not grow: one that doubles takes up to three times
-/// the memory.
+/// Serializes a value with a large text as JSON, in a buffer that need not grow.
 ///
 /// # Panics
 ///
-/// Never for the types of `catkin_border`, since all their maps have string keys.
+/// Never, like [`json_bytes`].
 #[must_use]
 pub(crate) fn large_json_bytes<T: serde::Serialize>(value: &T, text: &str) -> Bytes {
     let mut json = Vec::with_capacity(text.len() + JSON_FRAME_BYTES);
