Move the figures of callers' connections out of the adapter

The adapter has no figures of its own: the receive buffer of callers' connections, the size from which an answer is tracked and the size of headers are those of the gateway and of CallerMemory. Both interfaces count a header with 64 bytes beside its name and value; the product's own counted none. No other change of behaviour.

--- a/crates/catkinward/src/caller_api.rs
+++ b/crates/catkinward/src/caller_api.rs
@@ -314,13 +314,10 @@
     ) -> Result<ReceivedBody, Problem> {
         use http_body::Body as _;
         let limit = self.node.settings.body_limit;
-        let fields = parts.headers.iter();
         let unread = UnreadBody {
             request,
             team: Some(&caller.team),
-            head: fields
-                .map(|(name, value)| name.as_str().len() + value.len())
-                .sum(),
+            head: headers_size(&parts.headers),
             announced: body.size_hint().exact(),
             limit,
             copies,
--- a/crates/catkinward/src/caller_memory.rs
+++ b/crates/catkinward/src/caller_memory.rs
@@ -5,6 +5,17 @@
 use catkin_decisions::{CallerMemoryAccount, SMALL_REQUEST};
 use futures::{Stream, StreamExt};
 
+/// Memory that a header takes beside its name and its value, in bytes.
+const FIELD_BYTES: usize = 64;
+
+/// Returns the memory that headers take, in bytes.
+#[must_use]
+pub fn headers_size(headers: &HeaderMap) -> usize {
+    let fields = headers.iter();
+    let sizes = fields.map(|(name, value)| FIELD_BYTES + name.as_str().len() + value.len());
+    sizes.sum()
+}
+
 /// A request whose body is to be read.
 #[derive(Clone, Debug)]
 pub struct UnreadBody<'a> {
--- a/crates/catkinward/src/gateway/mod.rs
+++ b/crates/catkinward/src/gateway/mod.rs
@@ -70,7 +70,7 @@
     },
     peer_heartbeats::exchange_heartbeats,
     read_progress::ReadProgress,
-    receive_limits::ReceiveLimit,
+    receive_limits::{LARGE_ANSWER_BYTES, ReceiveLimit},
     reply::{EventBody, Reply, StreamCut},
     rollout_store::{ReadRecord, RolloutStore, RolloutWrite, RolloutWriteResult, WriteRecord},
     rollout_task::follow_rollouts,
@@ -98,6 +98,10 @@
 /// Interval at which the limits on callers' connections are checked; the limits are in seconds.
 pub const LIMITS_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Receive buffer of a caller's connection, in bytes. Bytes that are received and not read count towards the memory of
+/// the VM.
+pub const CALLER_RECEIVE_BUFFER: u32 = 32 << 10;
+
 /// How long idle connections to upstreams are kept: longer than the maximum idle time of a
 /// connection that a call may use.
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/catkinward/src/gateway/receive_limits.rs
+++ b/crates/catkinward/src/gateway/receive_limits.rs
@@ -216,6 +216,9 @@
     }
 }
 
+/// Size from which an answer counts in the memory until its caller has read it, in bytes.
+pub const LARGE_ANSWER_BYTES: usize = UNCOUNTED_BYTES + 1;
+
 /// A complete response that counts until it has been written to its caller.
 struct UnreadAnswer {
     bytes: Vec<u8>,
@@ -230,7 +233,7 @@
 
 /// Returns the body of a complete response. A large one counts in the memory until it is dropped.
 pub(crate) fn complete_answer(bytes: Vec<u8>, memory: HeldResponse) -> Bytes {
-    if bytes.len() <= UNCOUNTED_BYTES {
+    if bytes.len() < LARGE_ANSWER_BYTES {
         return bytes.into();
     }
     Bytes::from_owner(UnreadAnswer {
--- a/crates/catkinward/src/lib.rs
+++ b/crates/catkinward/src/lib.rs
@@ -65,7 +65,7 @@
     bundle_in_force::BundleInForce,
     bundle_store::{Applied, BundleStore, BundleStoreSettings},
     bundle_watch::{BundleWatch, FetchBundle},
-    caller_memory::{CallerMemory, ReceivedBody, UnreadBody},
+    caller_memory::{CallerMemory, ReceivedBody, UnreadBody, headers_size},
     claim_settings::ClaimSettings,
     claims::{ClaimRequest, Claims, ResponseToRecord},
     ctl::run_ctl,
