catkinctl explain shows why the body of a request was refused

The line of a refused body is the last one of its request, and explain answered "unknown: log lines are missing" for it. It names the reason, the memory that was held and its limit, and how many requests waited.

--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -192,6 +192,7 @@
                 last.text("outcome")
             )
         }
+        "body of a request refused" => last.format_body_refusal(),
         "caller left" => format!("the caller disconnected before the response was complete{loss}"),
         "stream cut" => format!("cut: {}{loss}", last.text("cut")),
         "answered" => format!(
@@ -238,6 +239,19 @@
         self.text("message")
     }
 
+    /// Formats why the body of a request was refused.
+    fn format_body_refusal(&self) -> String {
+        let [held, limit, waiting] =
+            ["held", "memory_limit", "waiting"].map(|field| self.fields[field].as_u64());
+        format!(
+            "not run: its body was refused, {}; {} bytes were held of {}, and {} requests waited",
+            self.text("reason"),
+            held.unwrap_or(0),
+            limit.unwrap_or(0),
+            waiting.unwrap_or(0)
+        )
+    }
+
     /// Whether this line reports the loss of a run that had not produced an event, of a call with the part that
     /// `cause` names.
     fn lost_run_with(&self, cause: &str) -> bool {
--- a/crates/catkinward/tests/explain.rs
+++ b/crates/catkinward/tests/explain.rs
@@ -107,6 +107,21 @@
     );
 }
 
+/// Guards against an operator who sees that a body was refused but not that the memory was used up.
+#[gtest]
+fn refused_body_shows_the_memory_that_was_held() {
+    let refused = r#""message":"body of a request refused","request":"r1","team":"team-1","reason":"no_memory","announced":4000000,"limit":4194304,"held":9000000,"waiting":3,"memory_limit":10000000"#;
+
+    let output = explain(&["--request", "r1"], &[("vm-1.log", line(1, refused))]);
+
+    expect_that!(
+        text(&output),
+        contains_substring(
+            "not run: its body was refused, no_memory; 9000000 bytes were held of 10000000, and 3 requests waited"
+        )
+    );
+}
+
 /// The log lacks lines and has a line that is not JSON. The explanation must report both and not
 /// guess a cause.
 #[gtest]
