--- a/crates/catkinward/src/ctl_explain.rs
+++ b/crates/catkinward/src/ctl_explain.rs
@@ -302,6 +302,8 @@
                 | "shutdown cut calls"
                 | "configuration in force"
                 | "store unreachable"
+                | "store refused a read"
+                | "table call refused"
                 | "store reachable"
         )
     }
--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -606,11 +606,12 @@
             return None;
         }
         if self.reachable {
-            tracing::warn!(
-                feed = self.feed.name,
-                fault = error_name,
-                "store unreachable"
-            );
+            let feed = self.feed.name;
+            if error == FeedError::Refused {
+                tracing::warn!(feed, fault = error_name, "store refused a read");
+            } else {
+                tracing::warn!(feed, fault = error_name, "store unreachable");
+            }
         }
         self.part = None;
         if error == FeedError::HistoryGone {
