Keep the rows of a table whose next page is refused

What callers saw: as long as one page of the list of workers could not be read, for whatever reason, no upstream behind it was known, and as long as one of the operators' table could not, no configuration was in force.

Cause: a failed page dropped the whole read, which began again at the first page, and nothing checked that a page leads on.

Change: a page that states that there are more rows, but has none after the one asked for, is an error. A page that is refused twice is asked for at each poll only, and the changes since the first page are read and applied beside it: upstreams that run write their entries every second, so those behind the page are known a second later, and removals are applied. The complete read ends when the page is there again; only then is the table advertised to other VMs. If the operators' table cannot be read whole, the configuration alone is read and put in force, and the table is asked for every second.

--- a/crates/catkinward/src/gateway/feed.rs
+++ b/crates/catkinward/src/gateway/feed.rs
@@ -15,6 +15,9 @@
 /// advertises any more, a new request is sent over another connection.
 const SHARED_CONFIG_WAIT: Duration = Duration::from_secs(8);
 
+/// Interval of reads of the operators' table while the store refuses to return all of it.
+const PARTIAL_CONFIG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval of requests for changes of upstreams. Upstreams write their entries about every second,
 /// so a waiting request would return at once; a leaving upstream must get no new calls after two
 /// seconds.
@@ -137,11 +140,22 @@
     /// The store or the VM refused the request.
     #[display("the platform refused the request")]
     Refused,
+    /// A page holds no row after the last one of the page before, but states that there are more.
+    #[display("the page holds no further row")]
+    NoFurtherRow,
     /// There was no response in time.
     #[display("the platform did not respond")]
     NoAnswer,
 }
 
+impl FeedError {
+    /// Whether there was a response, and not one with what was asked for.
+    #[must_use]
+    pub fn is_refusal(self) -> bool {
+        matches!(self, Self::Refused | Self::NoFurtherRow)
+    }
+}
+
 /// Keeps the configuration in force up to date; never returns.
 pub async fn follow_config(gateway: Arc<Gateway>, feed: Feed<RoutingConfig>) {
     let mut follower = Follower::new(&gateway, &feed, Gateway::relies_on_zone_config, |_| {});
@@ -166,7 +180,9 @@
                         PEER_READ_TIMEOUT,
                     )
                     .await;
-                    apply_config(&gateway, read.as_ref().map(|read| &read.page));
+                    if let Some(read) = read {
+                        apply_config(&gateway, &read.page.rows);
+                    }
                 }
                 if gateway
                     .config()
@@ -183,14 +199,22 @@
             }
             None => request_config(&gateway, &mut follower).await,
         };
-        let Some(Read::Page { page, .. }) = read else {
-            continue;
+        let page = match read {
+            Some(Read::Page { page, .. }) => page,
+            Some(Read::Part { rows }) => {
+                apply_config(&gateway, &rows);
+                gateway.record_feed_read(|state| state.config_is_stale = false);
+                follower.drop_part();
+                follower.pause(PARTIAL_CONFIG_INTERVAL).await;
+                continue;
+            }
+            _ => continue,
         };
         if follower.reachable {
             gateway.record_config_read();
         }
         gateway.record_feed_read(|state| state.config_is_stale = false);
-        apply_config(&gateway, Some(&page));
+        apply_config(&gateway, &page.rows);
         if follower.reachable {
             // The other VMs rely on the age of this read, and the next heartbeat is up to 0.4 s away.
             gateway.advertise_to_zone(&[]);
@@ -224,10 +248,9 @@
     }
 }
 
-/// Puts the configuration of a page in force if it is newer.
-fn apply_config(gateway: &Gateway, page: Option<&FeedPage<RoutingConfig>>) {
-    let rows = page.into_iter().flat_map(|page| &page.rows);
-    for config in rows.filter_map(|row| row.entry.as_ref()) {
+/// Puts the configuration of these rows in force if it is newer.
+fn apply_config(gateway: &Gateway, rows: &[TableRow<RoutingConfig>]) {
+    for config in rows.iter().filter_map(|row| row.entry.as_ref()) {
         gateway.put_config(Arc::new(config.clone()));
     }
 }
@@ -248,7 +271,7 @@
         };
         if caught_up == Some(true) {
             follower.position = Some(gateway.table_position());
-            follower.part = None;
+            follower.drop_part();
             follower.pause(CATCH_UP_INTERVAL).await;
         } else {
             // A VM that the store and the zone reject would otherwise call both without a pause.
@@ -278,6 +301,12 @@
                         }
                     }
                 }
+                Read::Beside { rows } => {
+                    gateway.set_platform_reachable(true);
+                    gateway.apply_changes(rows);
+                    gateway.record_feed_read(|state| state.directory_is_stale = false);
+                    follower.pause(UPSTREAM_POLL_INTERVAL).await;
+                }
                 Read::EraChanged => {
                     // Without this wait, all VMs of a zone read the whole table from the store at once.
                     let polls = gateway.zone_role().polls_store();
@@ -366,6 +395,11 @@
         /// The rows of this part.
         rows: Vec<TableRow<T>>,
     },
+    /// The next page of a full read is refused again and again, and rows were written or removed since its first page.
+    Beside {
+        /// These rows.
+        rows: Vec<TableRow<T>>,
+    },
     /// The store has come back from an older copy, so the complete feed is read next.
     EraChanged,
     /// The store does not respond here, and other VMs of the zone advertise what it holds.
@@ -384,6 +418,32 @@
     StoreAway,
 }
 
+/// What a follower reads next.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The first page of a full read, or the one after this key.
+    Page(Option<Arc<str>>),
+    /// The changes after the position up to which the feed was read.
+    Changes(StorePosition),
+    /// The changes after this position, beside a full read whose next page is refused.
+    ChangesBeside(StorePosition),
+}
+
+/// Whether the next page of a full read is refused.
+#[derive(Clone, Copy, Debug, Default)]
+enum PageRefusal {
+    #[default]
+    None,
+    Once,
+    /// Again and again, so that the changes are read beside it.
+    Repeated {
+        /// Position up to which the changes were read.
+        position: StorePosition,
+        /// Whether the page was asked for again since.
+        asked_again: bool,
+    },
+}
+
 /// Reads a complete feed, then its changes.
 struct Follower<'a, T> {
     gateway: &'a Arc<Gateway>,
@@ -393,6 +453,8 @@
     position: Option<StorePosition>,
     /// Rows of a full read that is not complete yet.
     part: Option<FeedPage<T>>,
+    /// Whether the next page of this full read is refused.
+    refusal: PageRefusal,
     /// Whether the store responds.
     reachable: bool,
     failures: usize,
@@ -425,6 +487,7 @@
             feed,
             position: None,
             part: None,
+            refusal: PageRefusal::None,
             reachable: true,
             failures: 0,
             consecutive_failures: 0,
@@ -475,14 +538,15 @@
                 wait = Duration::ZERO;
                 RECOVERY_TIMEOUTS[self.failures % RECOVERY_TIMEOUTS.len()]
             };
+            let step = self.next_step();
             let whole = self.position.is_none();
             let (progress, received) = mpsc::unbounded_channel();
             let pending = async {
-                if let Some(position) = self.position {
-                    return (self.feed.changes)(position, wait).await;
+                match step.clone() {
+                    Step::Page(after) => (self.feed.read)(after, progress).await,
+                    Step::Changes(after) => (self.feed.changes)(after, wait).await,
+                    Step::ChangesBeside(after) => (self.feed.changes)(after, Duration::ZERO).await,
                 }
-                let last = self.part.as_ref().and_then(|part| part.more.clone());
-                (self.feed.read)(last, progress).await
             };
             let pending = wait_while_progressing(pending, received, max_wait, MAX_READ_TIME);
             let sent_at = self.gateway.timer.now();
@@ -519,14 +583,21 @@
                     }
                     self.reachable = true;
                     self.consecutive_failures = 0;
-                    if whole {
-                        return self.add_part(page);
-                    }
-                    self.position = Some(page.position);
-                    return Read::Page { page, whole: false };
+                    return match step {
+                        Step::Page(_) => self.add_part(page),
+                        Step::ChangesBeside(_) => self.add_beside(page),
+                        Step::Changes(_) => {
+                            self.position = Some(page.position);
+                            Read::Page { page, whole: false }
+                        }
+                    };
                 }
                 Err(error) => error,
             };
+            if matches!(step, Step::Page(_)) && self.is_refused_again(error) {
+                wait = Duration::ZERO;
+                continue;
+            }
             if let Some(PeerRead { page, whole }) = self.failed(error).await {
                 return Read::Page { page, whole };
             }
@@ -550,9 +621,67 @@
         }
     }
 
+    fn next_step(&self) -> Step {
+        if let Some(position) = self.position {
+            return Step::Changes(position);
+        }
+        match self.refusal {
+            PageRefusal::Repeated {
+                position,
+                asked_again: true,
+            } => Step::ChangesBeside(position),
+            _ => Step::Page(self.part.as_ref().and_then(|part| part.more.clone())),
+        }
+    }
+
+    /// Records that the next page of a full read is refused, if `error` says so; returns whether that was so before.
+    /// All upstreams that run write their entries about every second, so that the changes since its first page name
+    /// them.
+    fn is_refused_again(&mut self, error: FeedError) -> bool {
+        let Some(part) = self.part.as_ref().filter(|_| error.is_refusal()) else {
+            return false;
+        };
+        let position = match self.refusal {
+            PageRefusal::None => {
+                self.refusal = PageRefusal::Once;
+                return false;
+            }
+            PageRefusal::Once => {
+                let (feed, fault): (_, &str) = (self.feed.name, error.into());
+                tracing::error!(feed, fault, after = part.more.as_deref(), position = %part.position,
+                    "page of the table refused: the changes are read beside it");
+                part.position
+            }
+            PageRefusal::Repeated { position, .. } => position,
+        };
+        self.refusal = PageRefusal::Repeated {
+            position,
+            asked_again: true,
+        };
+        true
+    }
+
+    /// Returns the changes beside a full read; its page is asked for next.
+    fn add_beside(&mut self, page: FeedPage<T>) -> Read<T> {
+        self.refusal = PageRefusal::Repeated {
+            position: page.position,
+            asked_again: false,
+        };
+        Read::Beside { rows: page.rows }
+    }
+
+    /// Drops a full read that is not complete.
+    fn drop_part(&mut self) {
+        self.part = None;
+        self.refusal = PageRefusal::None;
+    }
+
     /// Adds a page to a full read. Rows that change while the later pages are read are read again with
     /// the changes after the position of the first page.
     fn add_part(&mut self, page: FeedPage<T>) -> Read<T> {
+        if let PageRefusal::Repeated { .. } = std::mem::take(&mut self.refusal) {
+            tracing::info!(feed = self.feed.name, "table read behind a refused page");
+        }
         let rows = page.more.as_ref().map(|_| page.rows.clone());
         let read = match self.part.take() {
             Some(mut part) => {
@@ -602,18 +731,23 @@
                 known = known.map(tracing::field::display),
                 "the store has come back from an older copy: the feed is read again"
             );
-            self.part = None;
+            self.drop_part();
             return None;
         }
         if self.reachable {
             let feed = self.feed.name;
-            if error == FeedError::Refused {
+            if error.is_refusal() {
                 tracing::warn!(feed, fault = error_name, "store refused a read");
             } else {
                 tracing::warn!(feed, fault = error_name, "store unreachable");
             }
         }
-        self.part = None;
+        // A page that is refused is asked for once more, and not the pages before it.
+        match &mut self.refusal {
+            PageRefusal::Once if error.is_refusal() => {}
+            PageRefusal::Repeated { asked_again, .. } if error.is_refusal() => *asked_again = false,
+            _ => self.drop_part(),
+        }
         if error == FeedError::HistoryGone {
             tracing::info!(
                 feed = self.feed.name,
@@ -633,6 +767,7 @@
         if let Some(read) = &read {
             // The other VM may still be in an earlier era.
             self.position = self.position.max(Some(read.page.position));
+            self.drop_part();
         }
         read
     }
--- a/crates/catkinward/src/gateway/zone_table.rs
+++ b/crates/catkinward/src/gateway/zone_table.rs
@@ -332,7 +332,7 @@
         vms
     }
 
-    fn apply_changes(&self, changes: Vec<UpstreamChange>) {
+    pub(crate) fn apply_changes(&self, changes: Vec<UpstreamChange>) {
         for TableRow { key, entry, .. } in changes {
             match (entry, key.parse::<UpstreamId>()) {
                 (Some(entry), _) => self.upstream_updated(entry),
