Add the slots of entries without overflow

An entry may state up to 4,294,967,295 slots. With two of them the sum for a version of a rollout overflowed: in an unoptimized build the rollout's task ended and its state stayed `running`; optimized, the sum wraps. The slots that an urgent call may take beyond those of an upstream overflowed as well.

Both sums saturate.

--- a/crates/catkinward/src/gateway/rollout_task.rs
+++ b/crates/catkinward/src/gateway/rollout_task.rs
@@ -660,11 +660,12 @@
         let state = self.gateway.state.lock();
         let mut slots = VersionSlots::default();
         for entry in state.directory.usable(&rollout.order.service, now) {
-            if entry.version.as_ref() == Some(&rollout.order.to) {
-                slots.new += entry.slots;
+            let version = if entry.version.as_ref() == Some(&rollout.order.to) {
+                &mut slots.new
             } else {
-                slots.old += entry.slots;
-            }
+                &mut slots.old
+            };
+            *version = version.saturating_add(entry.slots);
         }
         slots
     }
--- a/crates/decisions/src/back_off_table.rs
+++ b/crates/decisions/src/back_off_table.rs
@@ -162,7 +162,7 @@
 pub fn has_spare_slot(slots: u32, calls: u32, priority: u8) -> bool {
     let slots = slots.max(1);
     let limit = if priority == 0 {
-        slots + slots.div_ceil(2)
+        slots.saturating_add(slots.div_ceil(2))
     } else {
         slots
     };
--- a/crates/decisions/tests/back_offs.rs
+++ b/crates/decisions/tests/back_offs.rs
@@ -165,3 +165,15 @@
     // The number of slots is not known.
     expect_that!(has_spare_slot(0, 0, 2), eq(true));
 }
+
+/// Guards against an overflow for an upstream that states the most slots that its entry can hold: it gets no urgent calls.
+#[gtest]
+fn upstream_with_the_most_slots_has_a_spare_one() {
+    for priority in [0, 1, 9] {
+        expect_that!(
+            has_spare_slot(u32::MAX, 1000, priority),
+            eq(true),
+            "{priority}"
+        );
+    }
+}
