Take an answer with an odd status for a failure

What callers saw: an answer of a worker in trouble with status 101, 600 or 999 was handed to them as it is. Status 000, 099, 1000 and ones that are no numbers failed before, as the HTTP library refuses them.

A status outside 200 to 599 belongs to no call: the answer fails like one with another call's id, and what it states about its upstream is not used. The product's own interface takes such an answer as lost.

--- a/crates/catkinward/src/plain_send.rs
+++ b/crates/catkinward/src/plain_send.rs
@@ -108,6 +108,9 @@
         .await
         .map_err(|error| send_error(&error))?;
     let (parts, body) = response.into_parts();
+    if !(200..600).contains(&parts.status.as_u16()) {
+        return Err(SendError::Lost);
+    }
     let body = http_body_util::Limited::new(body, limit);
     let body = http_body_util::BodyExt::collect(body).await;
     let body =
--- a/crates/load/tests/plain_headers.rs
+++ b/crates/load/tests/plain_headers.rs
@@ -3,15 +3,16 @@
 mod router_support;
 
 use googletest::prelude::*;
+use http::StatusCode;
 use router_support::{Call, Router, lookup};
 use std::{convert::Infallible, fmt::Write as _, net::SocketAddr};
 use volo_http::{
     body::Body, context::ServerContext, request::Request, response::Response, server::Server,
 };
 
-/// A plain service that returns the request line and headers as the response body, and adds headers of
-/// its own.
-struct Echo;
+/// A plain service that returns the request line and headers as the response body with this status, and adds headers
+/// of its own.
+struct Echo(StatusCode);
 
 impl volo::Service<ServerContext, Request> for Echo {
     type Response = Response;
@@ -31,7 +32,7 @@
             let _ = writeln!(text, "{name}: {}", value.to_str().unwrap_or_default());
         }
         let mut response = Response::new(Body::from(text));
-        *response.status_mut() = http::StatusCode::IM_A_TEAPOT;
+        *response.status_mut() = self.0;
         let headers = response.headers_mut();
         headers.insert("x-answer", http::HeaderValue::from_static("kept"));
         headers.insert("keep-alive", http::HeaderValue::from_static("timeout=5"));
@@ -39,17 +40,17 @@
     }
 }
 
-async fn echo() -> SocketAddr {
+async fn echo(status: StatusCode) -> SocketAddr {
     let listener = catkinward::http_server::Listener::bind(router_support::free_address())
         .await
         .expect("a free port");
     let address = listener.address().expect("a bound address");
-    tokio::spawn(Server::new(Echo).run(listener));
+    tokio::spawn(Server::new(Echo(status)).run(listener));
     address
 }
 
 async fn received_request(call: &Call) -> (router_support::Reply, String) {
-    let router = Router::start(&[], &[echo().await]).await;
+    let router = Router::start(&[], &[echo(StatusCode::IM_A_TEAPOT).await]).await;
     let reply = router.call(call).await;
     let text = String::from_utf8_lossy(&reply.body).into_owned();
     (reply, text)
@@ -71,7 +72,7 @@
 async fn status_and_headers_of_the_response_are_returned() {
     let (reply, _) = received_request(&lookup("menu")).await;
 
-    expect_that!(reply.status, eq(http::StatusCode::IM_A_TEAPOT));
+    expect_that!(reply.status, eq(StatusCode::IM_A_TEAPOT));
     expect_that!(reply.headers.contains_key("x-answer"), eq(true));
     expect_that!(reply.headers.contains_key("keep-alive"), eq(false));
 }
@@ -107,3 +108,17 @@
         .and_then(|ms| ms.parse::<u64>().ok());
     expect_that!(left, some(all![gt(0), le(9000)]));
 }
+
+/// Guards against an answer of a service in trouble that its caller cannot read, because its status is none.
+#[gtest]
+#[tokio::test]
+async fn answer_with_an_odd_status_is_lost() {
+    for status in [600, 999] {
+        let service = echo(StatusCode::from_u16(status).unwrap()).await;
+        let router = Router::start(&[], &[service]).await;
+
+        let reply = router.call(&lookup("menu")).await;
+
+        expect_that!(reply.status, eq(StatusCode::GATEWAY_TIMEOUT), "{status}");
+    }
+}
