Limit what comes between two parts of a response body

A worker in trouble may send a chunk size of zeros without end.

The bytes that are read on a connection between two parts of a body have a limit of 128 KiB, which covers chunk sizes, extensions and trailers.

--- a/crates/catkinward/src/gateway/buffered_call.rs
+++ b/crates/catkinward/src/gateway/buffered_call.rs
@@ -472,7 +472,7 @@
     // Parts are joined at the end: a buffer that grows takes up to three times the memory.
     let (mut parts, mut counted) = (Vec::new(), 0);
     while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|BodyError| SendError::Lost)?;
+        let chunk = chunk?;
         counted += counted_len(&chunk);
         let recorded = memory.record(counted).await;
         recorded.map_err(|_| SendError::TooLarge)?;
--- a/crates/catkinward/src/gateway/doubtful_run.rs
+++ b/crates/catkinward/src/gateway/doubtful_run.rs
@@ -77,7 +77,7 @@
                 biased;
                 chunk = run.body.next() => match chunk {
                     Some(Ok(bytes)) => RunEvent::Bytes(bytes),
-                    Some(Err(BodyError)) => RunEvent::Lost(Loss::Broken),
+                    Some(Err(error)) => RunEvent::Lost(error.into()),
                     None if run.is_broken_off() => RunEvent::Lost(Loss::Torn),
                     None => RunEvent::Complete,
                 },
--- a/crates/catkinward/src/gateway/receive_limits.rs
+++ b/crates/catkinward/src/gateway/receive_limits.rs
@@ -14,6 +14,8 @@
     Head,
     /// Interim responses before a response.
     InterimResponses,
+    /// Chunk sizes, extensions and trailers between two parts of a body.
+    Framing,
     /// Body of a buffered response.
     Response,
     /// Event of a stream, or data of a stream without an event for the caller.
@@ -37,6 +39,8 @@
         match self {
             Self::Head => 32 << 10,
             Self::InterimResponses => 16,
+            // Includes what the HTTP library reads ahead of the part that it gives out.
+            Self::Framing => 128 << 10,
             // Responses of plain services have some kilobytes.
             Self::Response => 8 << 20,
             Self::UpstreamMemory => 4 << 20,
--- a/crates/catkinward/src/gateway/stream_run.rs
+++ b/crates/catkinward/src/gateway/stream_run.rs
@@ -164,6 +164,15 @@
     Missing,
 }
 
+impl From<BodyError> for Loss {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::Broken => Self::Broken,
+            BodyError::TooLarge => Self::TooLarge,
+        }
+    }
+}
+
 impl Loss {
     /// What would show that the upstream of a run lost in this way has crashed; `None` if it has not.
     fn crash_proof(self) -> Option<CrashProof> {
@@ -322,7 +331,7 @@
                     active.record_data();
                     Received::Bytes(bytes)
                 }
-                Some(Err(BodyError)) => Received::Broken(Loss::Broken),
+                Some(Err(error)) => Received::Broken(error.into()),
                 None => Received::End,
             },
             reason = active.guard.failed_over() => active.receive_fail_over(reason),
--- a/crates/catkinward/src/gateway/upstream_transport.rs
+++ b/crates/catkinward/src/gateway/upstream_transport.rs
@@ -248,7 +248,22 @@
     }
 }
 
-/// The connection broke before the body was complete.
+/// Why the body of a response is not complete.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, StdError)]
-#[display("the connection to the upstream broke within the response")]
-pub struct BodyError;
+pub enum BodyError {
+    /// The connection broke before the body was complete.
+    #[display("the connection to the upstream broke within the response")]
+    Broken,
+    /// The upstream sent more beside the body than is read.
+    #[display("the upstream's response is too large")]
+    TooLarge,
+}
+
+impl From<BodyError> for SendError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::Broken => Self::Lost,
+            BodyError::TooLarge => Self::TooLarge,
+        }
+    }
+}
--- a/crates/catkinward/tests/gateway_support/upstreams.rs
+++ b/crates/catkinward/tests/gateway_support/upstreams.rs
@@ -262,7 +262,7 @@
     });
     match end {
         End::Whole => parts.boxed(),
-        End::Break => parts.chain(stream::iter([Err(BodyError)])).boxed(),
+        End::Break => parts.chain(stream::iter([Err(BodyError::Broken)])).boxed(),
         End::Hang => parts.chain(stream::pending()).boxed(),
     }
 }
