--- a/review/standins-2/src/stale_seeds.rs
+++ b/review/standins-2/src/stale_seeds.rs
@@ -27,12 +27,16 @@
 const ALLOWED: usize = 3;
 
 fn manifest() -> Value {
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "host": "shop.example", "prefix": format!("/{name}/"), "route-type": kind,
+            "timeout-ms": 2500, "target-latency-ms": 300, "priority": 2, "service": "shopfront",
+            "max-attempts": if kind == "idempotent" { 3 } else { 1 },
+        })
+    };
     json!({
         "version": 1,
-        "routes": [{
-            "name": "check", "host": "shop.example", "prefix": "/check/", "route-type": "idempotent",
-            "timeout-ms": 2500, "target-latency-ms": 300, "priority": 2, "service": "shopfront", "max-attempts": 3,
-        }],
+        "routes": [route("check", "idempotent"), route("order", "non_idempotent")],
         "services": [{"name": "shopfront", "health-path": "/health"}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 2000, "idle-timeout-ms": 15000},
         "tenants": [{"name": "t1", "api-keys": ["key-1"], "priority": 1}],
@@ -58,7 +62,7 @@
             let _ = crashed.send(());
             return Vec::new();
         }
-        thread::sleep(Duration::from_millis(15));
+        thread::sleep(Duration::from_millis(60));
         sealed(request, "200 OK", "ok")
     });
     Worker::start(id, "shopfront", "v1", answer)
@@ -112,13 +116,23 @@
     }
     record.say(&format!("the settings have changed; the seeds now: {:?}; SIGHUP to all routers", deployment.seeds));
     let fronts = routers.iter().map(|router| router.front).collect::<Vec<_>>();
+    // Ordinary requests, some 14 a second at each router, each kind in turn.
+    let orders = Arc::new(Mutex::new(Vec::new()));
     {
-        // Ordinary requests, some 14 a second at each router.
-        let fronts = fronts.clone();
+        let (fronts, orders, record) = (fronts.clone(), orders.clone(), record.clone());
         thread::spawn(move || {
             for number in 0_usize.. {
-                let front = fronts[number % fronts.len()];
-                thread::spawn(move || send(front, &format!("/check/{number}"), &format!("r{number}")));
+                let (front, orders, record) = (fronts[number % fronts.len()], orders.clone(), record.clone());
+                thread::spawn(move || {
+                    let is_order = (number / 6) % 2 == 1;
+                    let route = if is_order { "order" } else { "check" };
+                    let sent = Instant::now();
+                    let status = send(front, &format!("/{route}/{number}"), &format!("r{number}"));
+                    record.line(&format!("client: request {number} on {route}: {status}"));
+                    if is_order {
+                        orders.lock().unwrap().push((sent, status));
+                    }
+                });
                 thread::sleep(Duration::from_millis(12));
             }
         });
@@ -142,6 +156,13 @@
         None => 0,
     };
     record.say(&format!("the request crashed {} workers, {late} of them later than stable-window-ms after the third", crashes.len()));
+    let orders = orders.lock().unwrap();
+    let lost = orders.iter().filter(|(_, status)| status != "200");
+    let lost_late = lost.clone().filter(|(sent, _)| crashes.get(2).is_some_and(|third| *sent > third.at + STABLE_WINDOW));
+    record.say(&format!(
+        "of {} orders, which may run once, {} had no success, {} of them sent after that time",
+        orders.len(), lost.count(), lost_late.count()
+    ));
     let broken = late > ALLOWED;
     record.say(if broken { "BUDGET broken" } else { "BUDGET held" });
     drop(routers);
