--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -136,7 +136,7 @@
     reader.message(true)
 }
 
-/// Resets a connection.
+/// Listens on a free port of the loopback interface.
 pub fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
--- a/review/standins-2/src/order_in_use.rs
+++ b/review/standins-2/src/order_in_use.rs
@@ -22,7 +22,10 @@
         let record = record.clone();
         move |change: &Value, applied: bool, _: bool| {
             if let Some(status) = written(change, "status") {
-                record.say(&format!("platform: write of status {status}: {}", if applied { "done" } else { "refused" }));
+                record.say(&format!(
+                    "platform: write of status {status}: {}",
+                    if applied { "done" } else { "refused" }
+                ));
             }
         }
     };
@@ -59,10 +62,20 @@
         record.say(&format!("operator: order to roll out {version}"));
     };
     order("v2", 60.0);
-    let v2 = start_workers("v2", |number| if number.is_multiple_of(2) { Quality::Fails } else { Quality::Good });
+    let v2 = start_workers("v2", |number| {
+        if number.is_multiple_of(2) {
+            Quality::Fails
+        } else {
+            Quality::Good
+        }
+    });
     keep_entries(&store, &v2);
     let until = Instant::now() + Duration::from_secs(30);
-    let state = || store.value("status", "rollout/shopfront").map(|status| status["state"].clone());
+    let state = || {
+        store
+            .value("status", "rollout/shopfront")
+            .map(|status| status["state"].clone())
+    };
     while state() != Some(json!("rolled_back")) {
         if Instant::now() > until {
             record.say("v2 was not rolled back in time");
@@ -91,7 +104,12 @@
         workers.iter().map(|w| w.run_count()).sum::<u64>()
     };
     record.say(&format!("runs on v1: {}, on v2: {}", runs(&v1), runs(&v2)));
-    record.say(&format!("status: {}", store.value("status", "rollout/shopfront").unwrap_or_default()));
+    record.say(&format!(
+        "status: {}",
+        store
+            .value("status", "rollout/shopfront")
+            .unwrap_or_default()
+    ));
     let broken = requests.breaks_recover(fault_at, back_at + RECOVERY, &record);
     drop(routers);
     std::process::exit(i32::from(broken));
--- a/review/standins-2/src/replaced_order.rs
+++ b/review/standins-2/src/replaced_order.rs
@@ -34,7 +34,10 @@
         let record = record.clone();
         move |change: &Value, applied: bool, _: bool| {
             if let Some(status) = written(change, "status") {
-                record.say(&format!("platform: write of status {status}: {}", if applied { "done" } else { "refused" }));
+                record.say(&format!(
+                    "platform: write of status {status}: {}",
+                    if applied { "done" } else { "refused" }
+                ));
             }
         }
     };
@@ -95,13 +98,25 @@
     }
     answers.sort();
     for (at, id, is_bad) in &answers {
-        record.line(&format!("worker of v2: request {id} answered at {:.3}, bad: {is_bad}", at.as_secs_f64()));
+        record.line(&format!(
+            "worker of v2: request {id} answered at {:.3}, bad: {is_bad}",
+            at.as_secs_f64()
+        ));
     }
     let runs = |workers: &[Arc<review_standins_2::worker::Worker>]| {
         workers.iter().map(|w| w.run_count()).sum::<u64>()
     };
-    record.say(&format!("runs on v1: {}, on v2: {}, on v3: {}", runs(&v1), runs(&v2), runs(&v3)));
-    let fiftieth = answers.iter().filter(|(_, _, is_bad)| *is_bad).nth(49).map(|(at, ..)| *at);
+    record.say(&format!(
+        "runs on v1: {}, on v2: {}, on v3: {}",
+        runs(&v1),
+        runs(&v2),
+        runs(&v3)
+    ));
+    let fiftieth = answers
+        .iter()
+        .filter(|(_, _, is_bad)| *is_bad)
+        .nth(49)
+        .map(|(at, ..)| *at);
     let late = fiftieth.map_or(0, |fiftieth| {
         let sent = |id: &str| {
             let ms = id.rsplit('-').next().and_then(|ms| ms.parse().ok());
@@ -111,7 +126,11 @@
         answers.iter().filter(|(_, id, _)| is_late(id)).count()
     });
     record.say(&format!("50th bad answer of v2: {fiftieth:?}; requests to v2 that were sent later than rollback-ms after it: {late}"));
-    record.say(if late > 0 { "EXPOSURE broken" } else { "EXPOSURE held" });
+    record.say(if late > 0 {
+        "EXPOSURE broken"
+    } else {
+        "EXPOSURE held"
+    });
     drop(routers);
     std::process::exit(i32::from(late > 0));
 }
--- a/review/standins-2/src/rollout_late_write.rs
+++ b/review/standins-2/src/rollout_late_write.rs
@@ -90,7 +90,11 @@
 
     thread::sleep(Duration::from_secs(4));
     let new = start_workers("v2", |_| Quality::Good);
-    store.put("op", "rollout/shopfront", Some(&json!({"service": "shopfront", "to": "v2", "duration-s": ORDER_SECONDS})));
+    store.put(
+        "op",
+        "rollout/shopfront",
+        Some(&json!({"service": "shopfront", "to": "v2", "duration-s": ORDER_SECONDS})),
+    );
     keep_entries(&store, &new);
     record.say("operator: order to roll out v2");
     thread::sleep(Duration::from_secs(4));
@@ -110,8 +114,17 @@
     requests.stop();
 
     let runs = |workers: &[Arc<Worker>]| workers.iter().map(|w| w.run_count()).sum::<u64>();
-    record.say(&format!("runs on v1: {}, on v2: {}", runs(&old), runs(&new)));
-    record.say(&format!("status: {}", store.value("status", "rollout/shopfront").unwrap_or_default()));
+    record.say(&format!(
+        "runs on v1: {}, on v2: {}",
+        runs(&old),
+        runs(&new)
+    ));
+    record.say(&format!(
+        "status: {}",
+        store
+            .value("status", "rollout/shopfront")
+            .unwrap_or_default()
+    ));
     let broken = requests.breaks_recover(fault_at, back_at + RECOVERY, &record);
     drop(routers);
     std::process::exit(i32::from(broken));
--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -40,9 +40,11 @@
             let [.., high, low] = (id + net).to_be_bytes();
             let ips = (1..=machines).map(|n| Ipv4Addr::new(127, high.max(1), low, n));
             let ips = ips.collect::<Vec<_>>();
-            let is_free = ips
-                .iter()
-                .all(|ip| [8740, 8748, 8749, 7200].iter().all(|p| TcpListener::bind((*ip, *p)).is_ok()));
+            let is_free = ips.iter().all(|ip| {
+                [8740, 8748, 8749, 7200]
+                    .iter()
+                    .all(|p| TcpListener::bind((*ip, *p)).is_ok())
+            });
             is_free.then_some(ips)
         };
         let ips = (0..100).find_map(free).expect("free loopback addresses");
--- a/review/standins-2/src/shop.rs
+++ b/review/standins-2/src/shop.rs
@@ -16,7 +16,9 @@
     time::Duration,
 };
 
-pub const CONTRACTS: &[&str] = &["base", "drain", "config", "retry", "recover", "rollout", "tenants", "platform"];
+pub const CONTRACTS: &[&str] = &[
+    "base", "drain", "config", "retry", "recover", "rollout", "tenants", "platform",
+];
 
 pub fn manifest(version: u64) -> Value {
     let route = |name: &str, kind: &str| {
@@ -59,14 +61,25 @@
 }
 
 /// Three workers of a version. `quality` tells how the worker answers its request with this number.
-pub fn start_workers(version: &str, quality: impl Fn(u64) -> Quality + Clone + Send + Sync + 'static) -> Vec<Arc<Worker>> {
+pub fn start_workers(
+    version: &str,
+    quality: impl Fn(u64) -> Quality + Clone + Send + Sync + 'static,
+) -> Vec<Arc<Worker>> {
     let start = |n| {
         let quality = quality.clone();
         let answer = Box::new(move |worker: &Worker, request: &Message| {
             let number = worker.runs.fetch_add(1, Ordering::SeqCst);
             let quality = quality(number);
-            thread::sleep(if let Quality::Slow(times) = quality { WORK * times } else { WORK });
-            let status = if quality == Quality::Fails { "500 Internal Server Error" } else { "200 OK" };
+            thread::sleep(if let Quality::Slow(times) = quality {
+                WORK * times
+            } else {
+                WORK
+            });
+            let status = if quality == Quality::Fails {
+                "500 Internal Server Error"
+            } else {
+                "200 OK"
+            };
             worker.record_answer(request, quality != Quality::Good);
             sealed(request, status, &worker.version)
         });
@@ -84,20 +97,38 @@
 
     /// Whether RECOVER is broken: a quarter or more of the requests before `fault_at` were served, and less than a
     /// quarter of those that were sent after `recovered_at`.
-    pub fn breaks_recover(&self, fault_at: Duration, recovered_at: Duration, record: &Record) -> bool {
+    pub fn breaks_recover(
+        &self,
+        fault_at: Duration,
+        recovered_at: Duration,
+        record: &Record,
+    ) -> bool {
         let all = self.all.lock().unwrap();
         let share = |from: Duration, to: Duration| {
             let sent = all.iter().filter(|(at, _)| *at >= from && *at < to);
-            (sent.clone().filter(|(_, served)| *served).count(), sent.count())
+            (
+                sent.clone().filter(|(_, served)| *served).count(),
+                sent.count(),
+            )
         };
-        let (before, after) = (share(Duration::ZERO, fault_at), share(recovered_at, Duration::MAX));
-        record.say(&format!("before the final fault {} of {} requests were served", before.0, before.1));
+        let (before, after) = (
+            share(Duration::ZERO, fault_at),
+            share(recovered_at, Duration::MAX),
+        );
+        record.say(&format!(
+            "before the final fault {} of {} requests were served",
+            before.0, before.1
+        ));
         record.say(&format!(
             "of the requests sent later than recovery-s after the machines were back, {} of {} were served",
             after.0, after.1
         ));
         let broken = 4 * before.0 >= before.1 && 4 * after.0 < after.1;
-        record.say(if broken { "RECOVER broken" } else { "RECOVER held" });
+        record.say(if broken {
+            "RECOVER broken"
+        } else {
+            "RECOVER held"
+        });
         broken
     }
 }
@@ -119,7 +150,11 @@
 /// Sends a request. It is tried at most twice: again at another router if it was refused.
 fn send_request(requests: &Requests, fronts: &[SocketAddr], record: &Record) {
     let number = requests.next.fetch_add(1, Ordering::SeqCst);
-    let route = if number.is_multiple_of(2) { "check" } else { "status" };
+    let route = if number.is_multiple_of(2) {
+        "check"
+    } else {
+        "status"
+    };
     let deadline = Duration::from_millis(1500);
     let sent = record.elapsed();
     let time_left = || deadline.saturating_sub(record.elapsed() - sent);
@@ -147,10 +182,17 @@
         if answer.status() != 503 {
             break;
         }
-        let wait = answer.header("retry-after").and_then(|text| text.parse::<f64>().ok());
-        thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.0).min(time_left().as_secs_f64() / 3.0)));
+        let wait = answer
+            .header("retry-after")
+            .and_then(|text| text.parse::<f64>().ok());
+        thread::sleep(Duration::from_secs_f64(
+            wait.unwrap_or(0.0).min(time_left().as_secs_f64() / 3.0),
+        ));
     }
-    record.line(&format!("client: request {number} on {route}, sent at {:.3}:{outcome}", sent.as_secs_f64()));
+    record.line(&format!(
+        "client: request {number} on {route}, sent at {:.3}:{outcome}",
+        sent.as_secs_f64()
+    ));
     requests.all.lock().unwrap().push((sent, served));
 }
 
--- a/review/standins-2/src/silent_channels.rs
+++ b/review/standins-2/src/silent_channels.rs
@@ -101,10 +101,15 @@
             let instance = &self.id;
             if expected.is_some_and(|id| id != instance) {
                 let head = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ";
-                let _ = write!(reader.stream, "{head}{instance}\r\nContent-Length: 0\r\n\r\n");
+                let _ = write!(
+                    reader.stream,
+                    "{head}{instance}\r\nContent-Length: 0\r\n\r\n"
+                );
             } else if request.target() == "/v1/report" {
                 let running = self.running.lock().unwrap();
-                let runs = running.iter().filter_map(|(id, events)| Some(json!([id, 8200 + 6 * (*events)?, (*events)?, 1])));
+                let runs = running.iter().filter_map(|(id, events)| {
+                    Some(json!([id, 8200 + 6 * (*events)?, (*events)?, 1]))
+                });
                 let runs = runs.collect::<Vec<_>>();
                 drop(running);
                 let report = json!({
@@ -113,13 +118,25 @@
                     "handles": 0, "state": "ready", "runs": runs,
                 });
                 let report = report.to_string();
-                let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {instance}\r\nContent-Type: application/json\r\n");
-                let _ = write!(reader.stream, "{head}Content-Length: {}\r\n\r\n{report}", report.len());
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {instance}\r\nContent-Type: application/json\r\n"
+                );
+                let _ = write!(
+                    reader.stream,
+                    "{head}Content-Length: {}\r\n\r\n{report}",
+                    report.len()
+                );
             } else if request.target() == "/v1/kv-move" {
                 let status = self.move_run(&request.body);
-                let _ = write!(reader.stream, "HTTP/1.1 {status}\r\nInstance-Id: {instance}\r\nContent-Length: 0\r\n\r\n");
+                let _ = write!(
+                    reader.stream,
+                    "HTTP/1.1 {status}\r\nInstance-Id: {instance}\r\nContent-Length: 0\r\n\r\n"
+                );
             } else if request.target() == "/health" {
-                let _ = write!(reader.stream, "HTTP/1.1 200 OK\r\nInstance-Id: {instance}\r\nContent-Length: 0\r\n\r\n");
+                let _ = write!(
+                    reader.stream,
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {instance}\r\nContent-Length: 0\r\n\r\n"
+                );
             } else if !self.run(&request, &mut reader.stream, silent) {
                 return;
             }
@@ -155,7 +172,9 @@
     /// see on a silent one.
     fn run(&self, request: &Message, stream: &mut TcpStream, silent: &AtomicBool) -> bool {
         let id = request.header("attempt-id").unwrap_or_default().to_owned();
-        let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|last| last.parse::<u64>().ok());
         self.running.lock().unwrap().insert(id.clone(), Some(0));
         let run = Run {
             worker: self.id.clone(),
@@ -195,7 +214,9 @@
             if event == EVENTS {
                 next += "0\r\n\r\n";
             }
-            if !silent.load(Ordering::SeqCst) && (is_closed(stream) || stream.write_all(next.as_bytes()).is_err()) {
+            if !silent.load(Ordering::SeqCst)
+                && (is_closed(stream) || stream.write_all(next.as_bytes()).is_err())
+            {
                 return false;
             }
             next.clear();
@@ -250,7 +271,9 @@
             }
         });
     }
-    let contracts = &["base", "drain", "config", "retry", "recover", "engine", "stream", "tenants", "platform"];
+    let contracts = &[
+        "base", "drain", "config", "retry", "recover", "engine", "stream", "tenants", "platform",
+    ];
     let deployment = Deployment::new(store.address, 3, contracts);
     let routers = (0..3).map(|n| deployment.start(n)).collect::<Vec<Router>>();
     if !routers.iter().all(Router::wait_until_ready) {
@@ -258,13 +281,20 @@
         std::process::exit(2);
     }
     record.say("the routers are ready");
-    let fronts = routers.iter().map(|router| router.front).collect::<Vec<_>>();
+    let fronts = routers
+        .iter()
+        .map(|router| router.front)
+        .collect::<Vec<_>>();
     let answers = Arc::new(Mutex::new(BTreeMap::<String, String>::new()));
     {
         let (record, answers) = (record.clone(), answers.clone());
         thread::spawn(move || {
             for number in 0_usize..180 {
-                let (record, answers, front) = (record.clone(), answers.clone(), fronts[number % fronts.len()]);
+                let (record, answers, front) = (
+                    record.clone(),
+                    answers.clone(),
+                    fronts[number % fronts.len()],
+                );
                 thread::spawn(move || send(number, front, &record, &answers));
                 thread::sleep(Duration::from_millis(200));
             }
@@ -286,14 +316,23 @@
     for (id, runs) in runs.iter() {
         for run in runs {
             let ended = run.ended.map_or(f64::INFINITY, at);
-            record.line(&format!("worker {}: request {id} from {:.3} to {ended:.3}", run.worker, at(run.began)));
+            record.line(&format!(
+                "worker {}: request {id} from {:.3} to {ended:.3}",
+                run.worker,
+                at(run.began)
+            ));
         }
         for (before, after) in runs.iter().zip(runs.iter().skip(1)) {
-            let still_works = before.ended.is_none_or(|ended| ended > after.began + OVERLAP);
+            let still_works = before
+                .ended
+                .is_none_or(|ended| ended > after.began + OVERLAP);
             let in_touch = after.began > silent_at + STABLE_WINDOW;
             if still_works && before.worker != after.worker && in_touch {
                 broken += 1;
-                let (sent, since) = (at(after.began), after.began.duration_since(silent_at).as_secs_f64());
+                let (sent, since) = (
+                    at(after.began),
+                    after.began.duration_since(silent_at).as_secs_f64(),
+                );
                 record.say(&format!(
                     "TWICE: request {id} goes on at {} at {sent:.3}, {since:.3} s after the channels fell silent, while {} works on it until {:.3}",
                     after.worker, before.worker, before.ended.map_or(f64::INFINITY, at)
@@ -302,14 +341,26 @@
         }
     }
     let answers = answers.lock().unwrap();
-    let complete = answers.values().filter(|answer| *answer == "complete").count();
+    let complete = answers
+        .values()
+        .filter(|answer| *answer == "complete")
+        .count();
     record.say(&format!("{} requests, {complete} complete", answers.len()));
-    record.say(if broken > 0 { "TWICE broken" } else { "TWICE held" });
+    record.say(if broken > 0 {
+        "TWICE broken"
+    } else {
+        "TWICE held"
+    });
     drop(routers);
     std::process::exit(i32::from(broken > 0));
 }
 
-fn send(number: usize, front: SocketAddr, record: &Record, answers: &Mutex<BTreeMap<String, String>>) {
+fn send(
+    number: usize,
+    front: SocketAddr,
+    record: &Record,
+    answers: &Mutex<BTreeMap<String, String>>,
+) {
     let id = format!("{number:016x}");
     let request = format!(
         "POST /draft/{number} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Usage: 8200,900\r\n\
@@ -319,7 +370,8 @@
     let answer = match call(front, &request, Duration::from_secs(20)) {
         Ok(answer) => {
             let text = String::from_utf8_lossy(&answer.body).into_owned();
-            let whole = (1..=EVENTS).map(|event| format!("id: {event}\ndata: word {event} of {id}\n\n"));
+            let whole =
+                (1..=EVENTS).map(|event| format!("id: {event}\ndata: word {event} of {id}\n\n"));
             match answer.status() {
                 200 if text == whole.collect::<String>() => "complete".to_owned(),
                 status => format!("{status}, not the whole stream"),
--- a/review/standins-2/src/stale_seeds.rs
+++ b/review/standins-2/src/stale_seeds.rs
@@ -49,7 +49,11 @@
     worker: String,
 }
 
-fn start_worker(id: &str, crashes: &Arc<Mutex<Vec<Crash>>>, crashed: &mpsc::Sender<()>) -> Arc<Worker> {
+fn start_worker(
+    id: &str,
+    crashes: &Arc<Mutex<Vec<Crash>>>,
+    crashed: &mpsc::Sender<()>,
+) -> Arc<Worker> {
     let (crashes, crashed) = (crashes.clone(), crashed.clone());
     let answer = Box::new(move |worker: &Worker, request: &Message| {
         if request.target().starts_with("/check/deadly") {
@@ -85,12 +89,17 @@
                 let (store, crashes, crashed) = (store.clone(), crashes.clone(), crashed.clone());
                 thread::spawn(move || {
                     thread::sleep(RESTART);
-                    keep_entries(&store, &[start_worker(&format!("i-again-{n}"), &crashes, &crashed)]);
+                    keep_entries(
+                        &store,
+                        &[start_worker(&format!("i-again-{n}"), &crashes, &crashed)],
+                    );
                 });
             }
         });
     }
-    let contracts = &["base", "drain", "config", "retry", "recover", "tenants", "platform"];
+    let contracts = &[
+        "base", "drain", "config", "retry", "recover", "tenants", "platform",
+    ];
     let mut deployment = Deployment::new(store.address, 6, contracts);
     deployment.bootstrap = false;
     let sound_seeds = deployment.seeds.clone();
@@ -107,22 +116,35 @@
         record.say("the routers are not ready");
         std::process::exit(2);
     }
-    record.say(&format!("the routers are ready; their seeds: {:?}", deployment.seeds));
+    record.say(&format!(
+        "the routers are ready; their seeds: {:?}",
+        deployment.seeds
+    ));
     thread::sleep(SEED_LAG.saturating_sub(began.elapsed()));
     deployment.seeds = sound_seeds;
     for (n, router) in routers.iter().enumerate() {
         deployment.write_settings(n, router);
         router.signal("HUP");
     }
-    record.say(&format!("the settings have changed; the seeds now: {:?}; SIGHUP to all routers", deployment.seeds));
-    let fronts = routers.iter().map(|router| router.front).collect::<Vec<_>>();
+    record.say(&format!(
+        "the settings have changed; the seeds now: {:?}; SIGHUP to all routers",
+        deployment.seeds
+    ));
+    let fronts = routers
+        .iter()
+        .map(|router| router.front)
+        .collect::<Vec<_>>();
     // Ordinary requests, some 14 a second at each router, each kind in turn.
     let orders = Arc::new(Mutex::new(Vec::new()));
     {
         let (fronts, orders, record) = (fronts.clone(), orders.clone(), record.clone());
         thread::spawn(move || {
             for number in 0_usize.. {
-                let (front, orders, record) = (fronts[number % fronts.len()], orders.clone(), record.clone());
+                let (front, orders, record) = (
+                    fronts[number % fronts.len()],
+                    orders.clone(),
+                    record.clone(),
+                );
                 thread::spawn(move || {
                     let is_order = (number / 6) % 2 == 1;
                     let route = if is_order { "order" } else { "check" };
@@ -141,30 +163,52 @@
     record.say("the request that crashes workers begins to come");
     for attempt in 0..18 {
         let router = attempt % fronts.len();
-        let status = send(fronts[router], "/check/deadly", &format!("deadly-{attempt}"));
-        record.say(&format!("client: attempt {attempt} at router {router}: {status}"));
+        let status = send(
+            fronts[router],
+            "/check/deadly",
+            &format!("deadly-{attempt}"),
+        );
+        record.say(&format!(
+            "client: attempt {attempt} at router {router}: {status}"
+        ));
         thread::sleep(Duration::from_millis(2500));
     }
 
     let crashes = crashes.lock().unwrap();
     for crash in crashes.iter() {
         let at = crash.at.duration_since(began).as_secs_f64();
-        record.line(&format!("worker {}: crashed by the request at {at:.3}", crash.worker));
+        record.line(&format!(
+            "worker {}: crashed by the request at {at:.3}",
+            crash.worker
+        ));
     }
     let late = match crashes.get(2) {
-        Some(third) => crashes.iter().filter(|crash| crash.at > third.at + STABLE_WINDOW).count(),
+        Some(third) => crashes
+            .iter()
+            .filter(|crash| crash.at > third.at + STABLE_WINDOW)
+            .count(),
         None => 0,
     };
     record.say(&format!("the request crashed {} workers, {late} of them later than stable-window-ms after the third", crashes.len()));
     let orders = orders.lock().unwrap();
     let lost = orders.iter().filter(|(_, status)| status != "200");
-    let lost_late = lost.clone().filter(|(sent, _)| crashes.get(2).is_some_and(|third| *sent > third.at + STABLE_WINDOW));
+    let lost_late = lost.clone().filter(|(sent, _)| {
+        crashes
+            .get(2)
+            .is_some_and(|third| *sent > third.at + STABLE_WINDOW)
+    });
     record.say(&format!(
         "of {} orders, which may run once, {} had no success, {} of them sent after that time",
-        orders.len(), lost.count(), lost_late.count()
+        orders.len(),
+        lost.count(),
+        lost_late.count()
     ));
     let broken = late > ALLOWED;
-    record.say(if broken { "BUDGET broken" } else { "BUDGET held" });
+    record.say(if broken {
+        "BUDGET broken"
+    } else {
+        "BUDGET held"
+    });
     drop(routers);
     std::process::exit(i32::from(broken));
 }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -84,7 +84,10 @@
     /// Value of a row as JSON.
     pub fn value(&self, table: &str, key: &str) -> Option<Value> {
         let rows = self.rows.lock().unwrap();
-        let row = rows.rows.iter().find(|r| r.table == table && r.key == key)?;
+        let row = rows
+            .rows
+            .iter()
+            .find(|r| r.table == table && r.key == key)?;
         let bytes = BASE64_STANDARD.decode(row.value.as_ref()?).ok()?;
         serde_json::from_slice(&bytes).ok()
     }
--- a/review/standins-2/src/weak_version.rs
+++ b/review/standins-2/src/weak_version.rs
@@ -36,7 +36,10 @@
         let (record, completed) = (record.clone(), completed.clone());
         move |change: &Value, applied: bool, _: bool| {
             if let Some(status) = written(change, "status") {
-                record.say(&format!("platform: write of status {status}: {}", if applied { "done" } else { "refused" }));
+                record.say(&format!(
+                    "platform: write of status {status}: {}",
+                    if applied { "done" } else { "refused" }
+                ));
                 if applied && status["state"] == "completed" {
                     completed.store(true, Ordering::SeqCst);
                 }
@@ -95,21 +98,33 @@
     };
     let (old, new) = (answers(&v1), answers(&v2));
     let during = |all: &[(Duration, String, bool)]| {
-        all.iter().filter(|(at, ..)| *at >= ordered_at && *at < ordered_at + ORDER).count()
+        all.iter()
+            .filter(|(at, ..)| *at >= ordered_at && *at < ordered_at + ORDER)
+            .count()
     };
     let (old_count, new_count) = (during(&old), during(&new));
     #[expect(clippy::cast_precision_loss)]
     let allowed = SHARE * (old_count + new_count) as f64 + SLACK;
     record.say(&format!("between the order and its deadline: {old_count} requests ran on v1 and {new_count} on v2; allowed on v2: {allowed}"));
-    let fiftieth = new.iter().filter(|(_, _, is_bad)| *is_bad).nth(49).map(|(at, ..)| *at);
+    let fiftieth = new
+        .iter()
+        .filter(|(_, _, is_bad)| *is_bad)
+        .nth(49)
+        .map(|(at, ..)| *at);
     let late = fiftieth.map_or(0, |fiftieth| {
         // Each answer comes milliseconds after its request was sent.
-        new.iter().filter(|(at, ..)| *at > fiftieth + ROLLBACK + Duration::from_secs(1)).count()
+        new.iter()
+            .filter(|(at, ..)| *at > fiftieth + ROLLBACK + Duration::from_secs(1))
+            .count()
     });
     record.say(&format!("50th bad answer of v2: {fiftieth:?}; requests to v2 sent later than rollback-ms after it: {late}"));
     #[expect(clippy::cast_precision_loss)]
     let broken = trouble() && (late > 0 || new_count as f64 > allowed);
-    record.say(if broken { "EXPOSURE broken" } else { "EXPOSURE held" });
+    record.say(if broken {
+        "EXPOSURE broken"
+    } else {
+        "EXPOSURE held"
+    });
     drop(routers);
     std::process::exit(i32::from(broken));
 }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -83,7 +83,10 @@
     /// Records an answer.
     pub fn record_answer(&self, request: &Message, is_bad: bool) {
         let id = request.header("attempt-id").unwrap_or_default().to_owned();
-        self.answers.lock().unwrap().push((Instant::now(), id, is_bad));
+        self.answers
+            .lock()
+            .unwrap()
+            .push((Instant::now(), id, is_bad));
     }
 
     /// Number of requests that it has run.
@@ -98,7 +101,11 @@
 
     /// Its entry in the store.
     pub fn entry(&self) -> Value {
-        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         json!({
             "service": self.service, "address": self.address.to_string(), "zone": "hall-a", "version": self.version,
             "slots": self.slots, "state": state, "cold-remaining-ms": 0,
@@ -116,7 +123,8 @@
                     .into_bytes()
             } else if request.target() == "/health" {
                 let id = &self.id;
-                format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes()
+                format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+                    .into_bytes()
             } else {
                 answer(self, &request)
             };
